--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,15 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['target/**', 'node_modules/**', 'journal/**'] },
+  ...tseslint.configs.recommended,
+  {
+    files: ['packages/**/*.ts'],
+    languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': 'error',
+      eqeqeq: 'error',
+    },
+  },
+);
--- /dev/null
+++ b/packages/controller/api.ts
@@ -0,0 +1,252 @@
+import express, { Express, Request, Response } from 'express';
+import {
+  decode,
+  encode,
+  isJobId,
+  Job,
+  MachineType,
+  MalformedBody,
+  NoAnswer,
+  parseJob,
+  StateRefused,
+} from '#wire';
+import { TeamTerms, typeFits, withinLimit } from '#core';
+import {
+  decodeJob,
+  encodeJob,
+  GroupCommit,
+  jobKey,
+  JobRecord,
+  NotReady,
+  sizeOf,
+  StateClient,
+} from '#store';
+import { JobTable } from './jobs.js';
+
+const BODY_LIMIT = 64 * 1024;
+
+export interface ApiParts {
+  client: StateClient;
+  commits: GroupCommit;
+  jobs: JobTable;
+  teams: Map<string, TeamTerms>;
+  types: () => MachineType[];
+  /** Busy enough that submissions are turned away. */
+  overloaded: () => boolean;
+  /** Told before a user hears that the job is aborted. */
+  onAbort: (id: string) => void;
+}
+
+export function reply(res: Response, status: number, body: unknown, retryAfterS?: number): void {
+  if (retryAfterS !== undefined) res.setHeader('Retry-After', String(Math.ceil(retryAfterS)));
+  res.setHeader('Content-Type', 'application/cbor');
+  res.status(status).end(encode(body));
+}
+
+export function readBody(req: Request): unknown {
+  if (!Buffer.isBuffer(req.body)) throw new MalformedBody('no body');
+  const value = decode(req.body);
+  if (value === null || typeof value !== 'object' || Array.isArray(value)) {
+    throw new MalformedBody('not a map');
+  }
+  return value;
+}
+
+/** What users ask: submissions, queries, aborts. */
+export class UserApi {
+  constructor(private readonly parts: ApiParts) {}
+
+  mount(app: Express): void {
+    const guard =
+      (run: (req: Request, res: Response) => Promise<void>) => (req: Request, res: Response) => {
+        run(req, res).catch((err: unknown) => this.refuse(res, err));
+      };
+    app.post(
+      '/submissions',
+      guard((req, res) => this.submit(req, res)),
+    );
+    app.get(
+      '/submissions/:id',
+      guard((req, res) => this.query(req, res)),
+    );
+    app.post(
+      '/submissions/:id/abort',
+      guard((req, res) => this.abort(req, res)),
+    );
+  }
+
+  private refuse(res: Response, err: unknown): void {
+    if (res.headersSent) return;
+    if (err instanceof MalformedBody) reply(res, 400, { error: err.message });
+    else if (err instanceof StateRefused || err instanceof NoAnswer || err instanceof NotReady) {
+      reply(res, 503, { error: 'the state service does not answer' }, 1);
+    } else reply(res, 503, { error: 'unexpected trouble' }, 1);
+  }
+
+  /** The job as durable now, or undefined; a final state never changes and needs no asking. */
+  private async lookUp(id: string): Promise<JobRecord | undefined> {
+    const { jobs } = this.parts;
+    const known = jobs.get(id);
+    if (known && known.phase !== 'accepted') return known;
+    await jobs.cache.sync();
+    return jobs.get(id);
+  }
+
+  private async submit(req: Request, res: Response): Promise<void> {
+    const { jobs, commits } = this.parts;
+    if (this.parts.overloaded() || commits.full) {
+      reply(res, 503, { error: 'overloaded' }, 2);
+      return;
+    }
+    const raw = readBody(req) as { id?: unknown };
+    if (typeof raw.id === 'string' && isJobId(raw.id)) {
+      // A known job is known whatever the new body says.
+      const known = jobs.get(raw.id);
+      if (known) {
+        const now = await this.lookUp(raw.id);
+        reply(res, 200, jobs.view(now ?? known));
+        return;
+      }
+    }
+    let refusal: { status: number; error: string } | null = null;
+    let job: Job | null = null;
+    try {
+      job = parseJob(raw);
+      const never = this.neverRuns(job);
+      if (never) refusal = { status: 422, error: never };
+    } catch (err) {
+      if (!(err instanceof MalformedBody)) throw err;
+      refusal = { status: 400, error: err.message };
+    }
+    if (refusal || !job) {
+      // Another controller may have accepted this id a moment ago.
+      const known =
+        typeof raw.id === 'string' && isJobId(raw.id) ? await this.lookUp(raw.id) : undefined;
+      if (known) reply(res, 200, jobs.view(known));
+      else reply(res, refusal?.status ?? 400, { error: refusal?.error ?? 'invalid' });
+      return;
+    }
+    if (this.parts.types().length === 0) {
+      reply(res, 503, { error: 'machine types are not known yet' }, 1);
+      return;
+    }
+    await this.accept(job, res);
+  }
+
+  private async accept(job: Job, res: Response): Promise<void> {
+    const { client, commits, jobs } = this.parts;
+    const known = new Set(this.parts.types().map((t) => t.name));
+    // Types that do not exist here need no place in the record.
+    const kept =
+      job.types && job.types.length > known.size
+        ? { ...job, types: job.types.filter((t) => known.has(t)) }
+        : job;
+    const key = jobKey(job.id);
+    const record = { job: kept, acceptedAtMs: Date.now(), phase: 'accepted' as const };
+    const value = encodeJob(record);
+    if (sizeOf([{ put: key, value }]) > client.limits.valueBytes) {
+      throw new MalformedBody('texts are too long');
+    }
+    try {
+      const out = await commits.commit([{ key, version: 0 }], [{ put: key, value }]);
+      if (out.ok) {
+        jobs.cache.learn(key, value, out.revision);
+        reply(res, 201, { id: job.id, phase: 'pending' });
+        return;
+      }
+    } catch (err) {
+      if (!(err instanceof NoAnswer)) throw err;
+      // It may have been applied, or may be later; the record tells, and a repeat finds it.
+    }
+    const entry = await client.call(false, undefined, (api) => api.get(key));
+    if (!entry) {
+      reply(res, 503, { error: 'not known whether it was recorded' }, 1);
+      return;
+    }
+    jobs.cache.learn(key, entry.value, entry.version);
+    reply(res, 200, jobs.view(decodeJob(entry.value, entry.version)));
+  }
+
+  /** Why a job can never run, or null. */
+  private neverRuns(job: Job): string | null {
+    const terms = this.parts.teams.get(job.team);
+    if (!terms) return 'unknown team';
+    const n = job.kind === 'array' ? 1 : job.tasks;
+    const need = { cpus: job.cpus * n, gpus: job.gpus * n, memory: 0 };
+    if (!withinLimit(terms, { cpus: 0, gpus: 0, memory: 0 }, need)) {
+      return "more than the team's limit";
+    }
+    const types = this.parts.types();
+    if (types.length > 0 && !types.some((t) => typeFits(job, t))) {
+      return 'a task fits no allowed machine type';
+    }
+    return null;
+  }
+
+  private async query(req: Request, res: Response): Promise<void> {
+    const id = String(req.params.id);
+    const record = isJobId(id) ? await this.lookUp(id) : undefined;
+    if (record) reply(res, 200, this.parts.jobs.view(record));
+    else reply(res, 404, { error: 'unknown job' });
+  }
+
+  private async abort(req: Request, res: Response): Promise<void> {
+    const { client, commits, jobs } = this.parts;
+    const id = String(req.params.id);
+    const key = jobKey(id);
+    let record = isJobId(id) ? await this.lookUp(id) : undefined;
+    for (let attempt = 0; record && record.phase === 'accepted' && attempt < 3; attempt++) {
+      const value = encodeJob({ ...record, phase: 'aborted' });
+      try {
+        const out = await commits.commit([{ key, version: record.version }], [{ put: key, value }]);
+        if (out.ok) {
+          this.parts.onAbort(id);
+          jobs.cache.learn(key, value, out.revision);
+          record = jobs.get(id);
+          break;
+        }
+      } catch (err) {
+        if (!(err instanceof NoAnswer)) throw err;
+      }
+      const entry = await client.call(false, undefined, (api) => api.get(key));
+      if (entry) jobs.cache.learn(key, entry.value, entry.version);
+      record = jobs.get(id);
+      if (record?.phase === 'aborted') this.parts.onAbort(id);
+    }
+    if (!record) reply(res, 404, { error: 'unknown job' });
+    else if (record.phase === 'accepted') reply(res, 503, { error: 'try again' }, 1);
+    else reply(res, 200, { id, phase: record.phase });
+  }
+}
+
+/** The common frame of the HTTP side: raw bodies within the limit, and an answer to everything. */
+export function makeApp(): Express {
+  const app = express();
+  app.disable('x-powered-by');
+  app.disable('etag');
+  app.set('query parser', false);
+  app.use(express.raw({ type: () => true, limit: BODY_LIMIT, inflate: false }));
+  return app;
+}
+
+/** Unknown paths, wrong methods and bodies that could not be read. To be mounted last. */
+export function mountFallbacks(app: Express): void {
+  const methods: [RegExp, string][] = [
+    [/^\/(submissions|hello)\/?$/, 'POST'],
+    [/^\/submissions\/[^/]+\/?$/, 'GET'],
+    [/^\/submissions\/[^/]+\/abort\/?$/, 'POST'],
+    [/^\/(healthz|metrics)\/?$/, 'GET'],
+  ];
+  app.use((req: Request, res: Response) => {
+    const known = methods.find(([path]) => path.test(req.path));
+    if (!known) reply(res, 404, { error: 'unknown path' });
+    else {
+      res.setHeader('Allow', known[1]);
+      reply(res, 405, { error: 'wrong method' });
+    }
+  });
+  app.use((err: unknown, _req: Request, res: Response, next: () => void) => {
+    if (res.headersSent) next();
+    else reply(res, 400, { error: err instanceof Error ? err.message : 'unreadable' });
+  });
+}
--- /dev/null
+++ b/packages/controller/controller.ts
@@ -0,0 +1,328 @@
+import http from 'node:http';
+import { filter, Subscription } from 'rxjs';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  answerToWire,
+  CloudClient,
+  MachineType,
+  MalformedBody,
+  parseReport,
+  redirectToWire,
+  StateApi,
+} from '#wire';
+import { PeerLink } from '#peer';
+import {
+  GroupCommit,
+  JOBS,
+  Ownership,
+  PrefixCache,
+  StateClient,
+  steady,
+  Term,
+  TYPES_KEY,
+  WORLD,
+} from '#store';
+import { makeApp, mountFallbacks, readBody, reply, UserApi } from './api.js';
+import { CloudDuty } from './cloud.js';
+import { aloneBound, entitlement, Entitlement, PeerWord } from './entitlement.js';
+import { JobTable } from './jobs.js';
+import type { Log } from './log.js';
+import { PartOwner } from './owner.js';
+import { TermBroken } from './recorder.js';
+import type { Settings } from './settings.js';
+
+const WATCH_MS = 10_000;
+/** Event-loop lag, as a share of the users' second, from which submissions are turned away. */
+const LAG_LIMIT_MS = 500;
+
+export class Controller {
+  private readonly client: StateClient;
+  private readonly world: PrefixCache;
+  private readonly jobs: JobTable;
+  private readonly ownership: Ownership;
+  private readonly peers: PeerLink;
+  private readonly cloud: CloudClient;
+  private readonly words = new Map<string, PeerWord>();
+  private types: MachineType[] = [];
+  private owner: PartOwner | null = null;
+  private outageSeenAt = -Infinity;
+  private lagMs = 0;
+  private readonly reportS: number;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly log: Log,
+  ) {
+    const { deployment: d, external, operator } = settings;
+    this.reportS = d.workers.report_s;
+    const timeoutMs = this.reportS * 1000;
+    this.client = new StateClient(
+      new StateApi(external.state, timeoutMs),
+      {
+        rps: d.state.rps,
+        writeRps: d.state.write_rps,
+        valueBytes: Math.floor(d.state.value_kb * 1024),
+        txnOps: d.state.txn_ops,
+      },
+      // The owner of the part needs more than the others; each stays below what all may take.
+      d.nodes === 1 ? 0.9 : 0.55,
+    );
+    const syncSpacingMs = (5 * d.nodes * 1000) / d.state.rps;
+    this.world = new PrefixCache(this.client, WORLD, WATCH_MS, syncSpacingMs);
+    this.jobs = new JobTable(new PrefixCache(this.client, JOBS, WATCH_MS, syncSpacingMs));
+    this.ownership = new Ownership(
+      this.client,
+      this.world,
+      settings.host_name,
+      0,
+      operator.ownerTtlS,
+    );
+    const [host, port] = settings.cluster_listen.split(':');
+    this.peers = new PeerLink(
+      settings.host_name,
+      { host, port: Number(port) },
+      settings.peers.map((p) => ({ name: p.host_name, addr: p.peer_addr })),
+      timeoutMs / 2,
+    );
+    this.cloud = new CloudClient(external.cloud, 4 * timeoutMs);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    this.world.changes.subscribe((e) => {
+      if (e.key === TYPES_KEY && e.value) this.types = e.value as MachineType[];
+    });
+    this.peers.heard.subscribe(({ from, frame }) => {
+      const now = steady();
+      if (frame.kind === 'status') {
+        this.words.set(from, { heardAt: now, servedAt: now - frame.servedAgoMs / 1000 });
+      } else if (frame.kind === 'counts') {
+        for (const c of frame.jobs) this.jobs.noteCounts(c.job, c.done, c.running);
+      } else if (frame.kind === 'abort') this.abortHeard(frame.job);
+    });
+    const server = this.listen();
+    signal.addEventListener('abort', () => {
+      server.close();
+      server.closeAllConnections();
+    });
+    await Promise.all([
+      this.world.run(signal),
+      this.jobs.cache.run(signal),
+      this.ownership.run(signal),
+      this.peers.run(signal),
+      this.statusDuty(signal),
+      this.ownerDuty(signal),
+      this.lagDuty(signal),
+    ]);
+    this.cloud.close();
+    this.client.api.close();
+  }
+
+  private listen(): http.Server {
+    const { deployment: d, listen } = this.settings;
+    const app = makeApp();
+    app.get('/healthz', (_req, res) => {
+      const ok = this.healthy();
+      reply(res, ok ? 200 : 503, { ok });
+    });
+    app.post('/hello', (req, res) => this.hello(req, res));
+    new UserApi({
+      client: this.client,
+      commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
+      jobs: this.jobs,
+      teams: new Map(
+        d.teams.map((t) => [
+          t.name,
+          { cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
+        ]),
+      ),
+      types: () => this.types,
+      overloaded: () => this.lagMs > LAG_LIMIT_MS,
+      onAbort: (id) => this.peers.send({ kind: 'abort', job: id }),
+    }).mount(app);
+    mountFallbacks(app);
+    const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, app);
+    server.maxConnections = Math.floor(d.limits.sockets * 0.85);
+    const [host, port] = listen.split(':');
+    server.on('error', (err) => {
+      this.log.error({ err: err.message, listen }, 'cannot listen');
+      process.exit(1);
+    });
+    server.listen(Number(port), host);
+    return server;
+  }
+
+  /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
+  private healthy(): boolean {
+    if (!this.jobs.cache.ready || this.types.length === 0) return false;
+    const { lastOkAt, lastFailAt, failing } = this.client;
+    if (!failing || lastFailAt - lastOkAt < 2 * this.reportS) return true;
+    const othersServed = [...this.words.values()].some(
+      (w) => w.servedAt > lastOkAt + 2 * this.reportS,
+    );
+    return !othersServed;
+  }
+
+  private entitled(): Entitlement {
+    if (!this.owner?.ready) return 'none';
+    const now = steady();
+    const w = this.settings.deployment.workers;
+    const out = entitlement({
+      now,
+      provenUntil: this.ownership.provenUntil,
+      syncedAt: this.jobs.cache.syncedAt,
+      failedAt: this.client.lastFailAt,
+      failingSince: this.client.failingSince,
+      peers: this.settings.peers.map((p) => this.words.get(p.host_name) ?? null),
+      silenceS: 2 * this.reportS,
+      aloneS: aloneBound(w.cancel_s, w.lease_s, w.report_s),
+      outageSeenAt: this.outageSeenAt,
+    });
+    if (out === 'outage') this.outageSeenAt = now;
+    return out;
+  }
+
+  private hello(
+    req: http.IncomingMessage & { body?: unknown },
+    res: Parameters<typeof reply>[0],
+  ): void {
+    let report;
+    try {
+      report = parseReport(readBody(req as Parameters<typeof readBody>[0]));
+    } catch (err) {
+      reply(res, 400, { error: err instanceof MalformedBody ? err.message : 'unreadable' });
+      return;
+    }
+    const owner = this.owner;
+    if (owner && this.entitled() !== 'none') {
+      if (report.token > owner.term.term) {
+        // Somebody newer commands this worker: what we hold is out of date.
+        this.log.info({ machine: report.machine, token: report.token }, 'a newer token is out');
+        this.ownership.resign();
+        reply(res, 421, redirectToWire(null));
+        return;
+      }
+      const orders = owner.report(report);
+      for (const o of orders) {
+        this.log.debug({ machine: report.machine, ...o }, 'order');
+      }
+      reply(res, 200, answerToWire(owner.term.term, orders));
+      return;
+    }
+    const holder = this.ownership.holder;
+    if (holder && holder.owner !== this.settings.host_name) {
+      reply(res, 421, redirectToWire(holder.owner));
+    } else reply(res, 503, { error: 'no owner yet' });
+  }
+
+  private abortHeard(id: string): void {
+    const job = this.owner?.book.jobs.get(id);
+    // The record itself comes by the watch; this only spares the wait for it.
+    if (job && this.owner) {
+      this.owner.book.closeJob(job, 'aborted', steady());
+      this.owner.nudge();
+    }
+  }
+
+  private async statusDuty(signal: AbortSignal): Promise<void> {
+    let round = 0;
+    while (!signal.aborted) {
+      const agoMs = (steady() - this.client.lastOkAt) * 1000;
+      this.peers.send({ kind: 'status', servedAgoMs: agoMs, owner: this.owner !== null });
+      if (this.owner?.ready && round++ % 2 === 0) {
+        const counts = this.owner.counts();
+        for (const c of counts) this.jobs.noteCounts(c.job, c.done, c.running);
+        for (let i = 0; i < counts.length; i += 500) {
+          this.peers.send({ kind: 'counts', jobs: counts.slice(i, i + 500) });
+        }
+        // Cancellations that others took must be known, however quiet the users are here.
+        this.jobs.cache.sync().catch(() => {});
+      }
+      await sleep(this.reportS * 500, undefined, { signal }).catch(() => {});
+    }
+  }
+
+  private async lagDuty(signal: AbortSignal): Promise<void> {
+    const stepMs = 100;
+    while (!signal.aborted) {
+      const before = performance.now();
+      await sleep(stepMs, undefined, { signal }).catch(() => {});
+      const lag = performance.now() - before - stepMs;
+      this.lagMs = Math.max(lag, this.lagMs * 0.8);
+    }
+  }
+
+  private async ownerDuty(signal: AbortSignal): Promise<void> {
+    let current: { term: Term; stop: AbortController; done: Promise<void> } | null = null;
+    const terms: Subscription = this.ownership.term
+      .pipe(filter((t) => t?.term !== current?.term.term))
+      .subscribe((term) => {
+        current?.stop.abort();
+        current = null;
+        this.owner = null;
+        if (!term) return;
+        const stop = new AbortController();
+        current = { term, stop, done: this.own(term, AbortSignal.any([signal, stop.signal])) };
+      });
+    await new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve()));
+    terms.unsubscribe();
+  }
+
+  private async own(term: Term, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const owner = new PartOwner(
+        this.settings,
+        this.client,
+        this.jobs,
+        term,
+        () => this.types,
+        this.log,
+      );
+      const { deployment: d, host_name } = this.settings;
+      const duty = new CloudDuty(
+        this.cloud,
+        owner,
+        host_name,
+        d.cloud.rps,
+        d.cloud.list_lag_s,
+        this.reportS,
+        d.workers.lease_s,
+        (types) => this.publishTypes(types),
+        this.log,
+      );
+      this.owner = owner;
+      const both = new AbortController();
+      const own = AbortSignal.any([signal, both.signal]);
+      try {
+        const cloud = duty.run(own);
+        await owner.run(own);
+        await cloud;
+      } catch (err) {
+        if (signal.aborted) return;
+        if (err instanceof TermBroken) {
+          this.log.info({ why: err.message, term: term.term }, 'term given up');
+          this.ownership.resign();
+          return;
+        }
+        this.log.debug({ err: String(err) }, 'owner starts anew');
+        await sleep(this.reportS * 200, undefined, { signal }).catch(() => {});
+      } finally {
+        both.abort();
+      }
+    }
+  }
+
+  /** Types and their nominal sizes, for the controllers that don't ask the cloud themselves. */
+  private async publishTypes(types: MachineType[]): Promise<void> {
+    const known = JSON.stringify(this.types.map(sizesOf));
+    if (this.types.length > 0 && known === JSON.stringify(types.map(sizesOf))) {
+      this.types = types;
+      return;
+    }
+    const out = await this.client.txn([], [{ put: TYPES_KEY, value: types }], true);
+    if (out.ok) this.world.learn(TYPES_KEY, types, out.revision);
+  }
+}
+
+function sizesOf(t: MachineType): unknown {
+  return [t.name, t.cpus, t.gpus, t.memory, t.zones];
+}
--- /dev/null
+++ b/packages/controller/owner.ts
@@ -0,0 +1,224 @@
+import { merge, Subject, interval, throttleTime } from 'rxjs';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { MachineType, Order, Report } from '#wire';
+import { Book, CapacityPlanner, JobState, Scheduler, TeamTerms } from '#core';
+import {
+  JobRecord,
+  listAll,
+  MACHINES,
+  MachineRecord,
+  maxTasksPerMachine,
+  PROGRESS,
+  StateClient,
+  steady,
+  Term,
+} from '#store';
+import { aloneBound } from './entitlement.js';
+import { JobTable } from './jobs.js';
+import type { Log } from './log.js';
+import { Recorder, runningCount, TermBroken } from './recorder.js';
+import type { Settings } from './settings.js';
+
+/** Decisions in one scheduling round; the next round follows at once if more could be made. */
+const ROUND_DECISIONS = 200;
+
+/** One term of owning a part: its book, the recorder behind it and the duties that drive it. */
+export class PartOwner {
+  readonly book: Book;
+  readonly planner: CapacityPlanner;
+  readonly scheduler: Scheduler;
+  readonly recorder: Recorder;
+  readonly startedAt = steady();
+  ready = false;
+  private readonly poke = new Subject<void>();
+  private wakeFlush: () => void = () => {};
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly client: StateClient,
+    private readonly jobs: JobTable,
+    readonly term: Term,
+    private readonly types: () => MachineType[],
+    private readonly log: Log,
+  ) {
+    const { deployment, operator } = settings;
+    const w = deployment.workers;
+    this.book = new Book(
+      {
+        leaseS: w.lease_s,
+        reportS: w.report_s,
+        gangPeerS: w.gang_peer_s,
+        gangWaitS: w.gang_wait_s,
+        formerOwnerS: aloneBound(w.cancel_s, w.lease_s, w.report_s),
+        halfLifeS: operator.shareHalfLifeS,
+        maxTasksPerMachine: maxTasksPerMachine(client.limits.valueBytes),
+      },
+      term.term,
+      term.claimedAt,
+    );
+    const teams = new Map<string, TeamTerms>(
+      deployment.teams.map((t) => [
+        t.name,
+        { cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
+      ]),
+    );
+    this.planner = new CapacityPlanner(
+      this.book,
+      {
+        reserveSigmas: operator.reserveSigmas,
+        idleHoldS: operator.idleHoldS,
+        memoryS: operator.arrivalMemoryS,
+      },
+      deployment.objectives
+        .filter((o) => o.class !== undefined)
+        .map((o) => ({ class: o.class!, kind: o.kind, withinS: o.within_s ?? Infinity })),
+      teams,
+    );
+    this.scheduler = new Scheduler(this.book, teams, {
+      floorWeight: operator.floorWeight,
+      stopThreshold: operator.stopThreshold,
+      gangLeaseS: operator.gangLeaseS,
+      preemptAfterS: operator.preemptAfterS,
+      decisionsPerRound: ROUND_DECISIONS,
+    });
+    this.recorder = new Recorder(client, this.book, jobs, term, log);
+    this.book.onEnd = (end, now) => {
+      const { job, index, attempt, machine } = end.assignment;
+      const ranS = now - (end.assignment.runningSince ?? now);
+      this.log.debug(
+        { job: job.job.id, task: index, attempt, machine: machine.name, cause: end.cause, ranS },
+        'task over',
+      );
+    };
+  }
+
+  /** Runs until the term ends; throws TermBroken if it must be given up. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.load(signal);
+    this.ready = true;
+    this.log.info(
+      { term: this.term.term, jobs: this.book.open.size, machines: this.book.machines.size },
+      'owner',
+    );
+    const tickMs = (this.settings.deployment.workers.report_s * 1000) / 4;
+    const jobs = this.jobs.changed.subscribe((r) => this.takeJob(r, true));
+    const rounds = merge(this.poke, interval(tickMs))
+      .pipe(throttleTime(tickMs / 5, undefined, { leading: true, trailing: true }))
+      .subscribe(() => this.round());
+    try {
+      await this.flushLoop(signal);
+    } finally {
+      jobs.unsubscribe();
+      rounds.unsubscribe();
+      this.ready = false;
+    }
+  }
+
+  /** Asks for a scheduling round soon. */
+  nudge(): void {
+    this.poke.next();
+  }
+
+  private takeJob(record: JobRecord, fresh: boolean): JobState {
+    const now = steady();
+    const ageS = Math.max(0, (Date.now() - record.acceptedAtMs) / 1000);
+    const isNew = !this.book.jobs.has(record.job.id);
+    const state = this.book.addJob(record.job, now - ageS, record.phase, now);
+    if (isNew && record.phase === 'accepted') this.planner.noteArrival(record.job, now);
+    if (fresh) this.nudge();
+    return state;
+  }
+
+  private async load(signal: AbortSignal): Promise<void> {
+    for (const type of this.types()) this.book.types.set(type.name, type);
+    // All that is durable before our claim, jobs first: records name them.
+    await this.jobs.cache.sync();
+    const machines = await listAll(this.client, MACHINES, signal);
+    const progress = await listAll(this.client, PROGRESS, signal);
+    const held = new Set(
+      machines.entries.flatMap((e) => (e.value as MachineRecord).tasks.map(([job]) => job)),
+    );
+    for (const record of this.jobs.all()) {
+      if (record.phase === 'accepted' || held.has(record.job.id)) this.takeJob(record, false);
+    }
+    for (const e of progress.entries) {
+      this.recorder.loaded(e.key, e.version);
+      const [id, chunk] = e.key.slice(PROGRESS.length).split('/');
+      const job = this.book.jobs.get(id);
+      if (job) {
+        this.recorder.loadProgress(job, Number(chunk), (e.value as { done: string }).done);
+      }
+    }
+    const now = steady();
+    for (const e of machines.entries) {
+      this.recorder.loaded(e.key, e.version);
+      const { addr, type, zone, spot, tasks } = e.value as MachineRecord;
+      const name = e.key.slice(MACHINES.length);
+      const machine = this.book.meet({ name, addr, type, zone, spot }, 'up', now);
+      for (const [id, index, attempt] of tasks) {
+        const job = this.book.jobs.get(id);
+        if (job) this.book.inherit(job, index, machine, attempt, now);
+        else throw new TermBroken(`record of ${name} names unknown job ${id}`);
+      }
+    }
+    this.book.recomputeFleet();
+  }
+
+  private round(): void {
+    const now = steady();
+    const dark = this.book.expire(now);
+    for (const m of dark) this.log.info({ machine: m.name }, 'machine silent past its lease');
+    this.book.recomputeFleet();
+    for (const m of this.book.machines.values()) {
+      if (m.noticeAt === null) continue;
+      for (const a of m.tasks.values()) {
+        // What can be saved is saved before the cloud takes the machine; services move at once.
+        const saves = a.job.job.checkpointS > 0;
+        if (a.stop === null && (saves || a.job.job.kind === 'service')) {
+          this.scheduler.stopOrderly(a, now);
+        }
+      }
+    }
+    this.scheduler.reserve(now);
+    const decided = this.scheduler.round(now);
+    if (decided >= ROUND_DECISIONS) this.nudge();
+    if (this.recorder.pending) this.wakeFlush();
+  }
+
+  private async flushLoop(signal: AbortSignal): Promise<void> {
+    const tickMs = this.settings.deployment.workers.report_s * 250;
+    while (!signal.aborted) {
+      if (this.recorder.pending) {
+        await this.recorder.flush(signal);
+        continue;
+      }
+      const early = new AbortController();
+      this.wakeFlush = () => early.abort();
+      await sleep(tickMs, undefined, { signal: AbortSignal.any([signal, early.signal]) }).catch(
+        () => {},
+      );
+      this.wakeFlush = () => {};
+    }
+  }
+
+  /** Takes a report and says what to answer; an old copy gets an answer without orders. */
+  report(r: Report): Order[] {
+    const before = this.recorder.pending;
+    const orders = this.book.report(r, steady());
+    if (orders === null) return [];
+    if (this.recorder.pending && !before) {
+      this.wakeFlush();
+      this.nudge();
+    }
+    return orders;
+  }
+
+  counts(): { job: string; done: number; running: number }[] {
+    const out = [];
+    for (const job of this.book.jobs.values()) {
+      if (job.phase !== 'accepted') continue;
+      out.push({ job: job.job.id, done: job.done.size, running: runningCount(job) });
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/packages/controller/recorder.ts
@@ -0,0 +1,241 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Change, Condition } from '#wire';
+import type { Assignment, Book, JobState, Machine } from '#core';
+import { allPlaces } from '#core';
+import {
+  encodeJob,
+  jobKey,
+  MACHINES,
+  MachineRecord,
+  partKey,
+  progressChunkTasks,
+  progressKey,
+  sizeOf,
+  StateClient,
+  Term,
+} from '#store';
+import type { JobTable } from './jobs.js';
+import type { Log } from './log.js';
+
+interface Item {
+  key: string;
+  version: number;
+  change: Change;
+  /** What follows from the change being durable. */
+  durable: (revision: number) => void;
+  /** Puts the change back in line. */
+  again: () => void;
+}
+
+/** Half of a transaction's 64 KiB: keys, conditions and CBOR come on top. */
+const TXN_BYTES = 48 * 1024;
+
+/** Our own records are not as this term left them: the term must not be used further. */
+export class TermBroken extends Error {}
+
+/**
+ * Makes the book's changes durable, one transaction at a time, each on the condition of the part's
+ * term and of every record's version. A transaction whose outcome is unknown is sent again as it
+ * was until the answer is definite.
+ */
+export class Recorder {
+  private readonly versions = new Map<string, number>();
+  private readonly chunkTasks: number;
+
+  constructor(
+    private readonly client: StateClient,
+    private readonly book: Book,
+    private readonly jobs: JobTable,
+    private readonly term: Term,
+    private readonly log: Log,
+  ) {
+    this.chunkTasks = progressChunkTasks(client.limits.valueBytes);
+  }
+
+  loaded(key: string, version: number): void {
+    this.versions.set(key, version);
+  }
+
+  loadProgress(job: JobState, chunk: number, text: string): void {
+    job.done.addChunk(chunk, this.chunkTasks, text);
+  }
+
+  get pending(): boolean {
+    return this.book.dirtyMachines.size > 0 || this.book.dirtyJobs.size > 0;
+  }
+
+  /** Writes as much as one transaction takes. */
+  async flush(signal: AbortSignal): Promise<void> {
+    const items = this.collect();
+    if (items.length === 0) return;
+    for (;;) {
+      try {
+        if (await this.send(items, signal)) return;
+      } catch (err) {
+        if (err instanceof TermBroken || signal.aborted) throw err;
+        await sleep(100 + Math.random() * 200, undefined, { signal });
+      }
+    }
+  }
+
+  private async send(items: Item[], signal: AbortSignal): Promise<boolean> {
+    const conditions: Condition[] = [
+      { key: partKey(this.term.part), version: this.term.term },
+      ...items.map((i) => ({ key: i.key, version: i.version })),
+    ];
+    const out = await this.client.txn(
+      conditions,
+      items.map((i) => i.change),
+      true,
+      signal,
+    );
+    if (out.ok) {
+      for (const i of items) i.durable(out.revision);
+      return true;
+    }
+    if (!('failed' in out)) throw new TermBroken('no such grant');
+    if (out.failed.includes(partKey(this.term.part))) throw new TermBroken('term is over');
+    return this.settle(items, out.failed, signal);
+  }
+
+  /** A record differs: an earlier send of the same was applied, or a user's abort came between. */
+  private async settle(items: Item[], failed: string[], signal: AbortSignal): Promise<boolean> {
+    for (const key of failed) {
+      const item = items.find((i) => i.key === key);
+      if (!item) throw new TermBroken(`unexpected condition ${key}`);
+      const now = await this.client.call(true, signal, (api) => api.get(key, signal));
+      const wanted = 'put' in item.change ? item.change.value : undefined;
+      if (now ? same(now.value, wanted) : wanted === undefined) {
+        // All or nothing: the whole transaction was applied.
+        const revision = now?.version ?? 0;
+        for (const i of items) i.durable(revision);
+        return true;
+      }
+      if (key.startsWith('jobs/') && now) {
+        this.jobs.cache.learn(key, now.value, now.version);
+        this.log.debug({ key }, 'aborted before its end was recorded');
+      } else throw new TermBroken(`record ${key} changed under this term`);
+    }
+    for (const i of items) i.again();
+    return true;
+  }
+
+  private collect(): Item[] {
+    const { txnOps, valueBytes } = this.client.limits;
+    const items: Item[] = [];
+    let bytes = 0;
+    const room = () => items.length < txnOps && bytes + valueBytes < TXN_BYTES;
+    for (const name of [...this.book.dirtyMachines]) {
+      if (!room()) break;
+      this.book.dirtyMachines.delete(name);
+      const item = this.machineItem(name);
+      if (!item) continue;
+      items.push(item);
+      bytes += sizeOf([item.change]);
+    }
+    for (const id of [...this.book.dirtyJobs]) {
+      const job = this.book.jobs.get(id);
+      const chunks = job ? Math.ceil(job.job.tasks / this.chunkTasks) : 0;
+      if (items.length > 0 && (!room() || items.length + chunks > txnOps)) break;
+      this.book.dirtyJobs.delete(id);
+      if (!job || job.phase !== 'accepted') continue;
+      const made = this.jobItems(job, chunks);
+      items.push(...made);
+      bytes += sizeOf(made.map((i) => i.change));
+    }
+    return items;
+  }
+
+  private machineItem(name: string): Item | null {
+    const key = MACHINES + name;
+    const version = this.versions.get(key) ?? 0;
+    const machine = this.book.machines.get(name);
+    const again = () => void this.book.dirtyMachines.add(name);
+    if (!machine) {
+      if (version === 0) return null;
+      return {
+        key,
+        version,
+        change: { delete: key },
+        durable: () => this.versions.delete(key),
+        again,
+      };
+    }
+    if (machine.tasks.size === 0 && version === 0) return null;
+    const held = [...machine.tasks.values()];
+    return {
+      key,
+      version,
+      change: { put: key, value: encodeMachine(machine, held) },
+      durable: (revision) => {
+        this.versions.set(key, revision);
+        for (const a of held) a.recorded = true;
+      },
+      again,
+    };
+  }
+
+  private jobItems(job: JobState, chunks: number): Item[] {
+    const size = job.done.size;
+    const id = job.job.id;
+    const again = () => void this.book.dirtyJobs.add(id);
+    if (size === job.job.tasks) {
+      const record = this.jobs.get(id);
+      if (!record || record.phase !== 'accepted') return [];
+      const value = encodeJob({ ...record, phase: 'done' });
+      const key = jobKey(id);
+      return [
+        {
+          key,
+          version: record.version,
+          change: { put: key, value },
+          durable: (revision) => this.jobs.cache.learn(key, value, revision),
+          again,
+        },
+      ];
+    }
+    const items: Item[] = [];
+    for (let c = 0; c < chunks; c++) {
+      const key = progressKey(id, c);
+      items.push({
+        key,
+        version: this.versions.get(key) ?? 0,
+        change: { put: key, value: { done: job.done.chunkText(c, this.chunkTasks) } },
+        durable: (revision) => {
+          this.versions.set(key, revision);
+          if (job.done.size === size) job.unsaved = false;
+        },
+        again,
+      });
+    }
+    return items;
+  }
+}
+
+function encodeMachine(machine: Machine, held: Assignment[]): MachineRecord {
+  return {
+    addr: machine.addr,
+    type: machine.type,
+    zone: machine.zone,
+    spot: machine.spot,
+    tasks: held.map((a) => [a.job.job.id, a.index, a.attempt]),
+  };
+}
+
+function same(a: unknown, b: unknown): boolean {
+  return canonical(a) === canonical(b);
+}
+
+function canonical(value: unknown): string {
+  return JSON.stringify(value, (_key, v: unknown) =>
+    v !== null && typeof v === 'object' && !Array.isArray(v)
+      ? Object.fromEntries(Object.entries(v).sort(([x], [y]) => (x < y ? -1 : 1)))
+      : v,
+  );
+}
+
+export function runningCount(job: JobState): number {
+  let n = 0;
+  for (const a of allPlaces(job)) if (a.reported === 'running') n++;
+  return n;
+}
--- /dev/null
+++ b/packages/core/book.ts
@@ -0,0 +1,455 @@
+import { Cause, Job, MachineType, Order, Report, TaskReport, taskName } from '#wire';
+import { Amounts, dominantShare, ServiceCounter } from './fairshare.js';
+import { Assignment, BookSettings, JobState, Machine } from './model.js';
+import { TaskSet } from './taskset.js';
+
+/** Steady clocks differ by up to 0.05% each. */
+const DRIFT = 0.001;
+/** Answers that may stay without effect before a machine counts as deaf. */
+const MAX_MISSES = 3;
+
+export interface TaskEnd {
+  assignment: Assignment;
+  cause: Cause | 'lost';
+  saved: boolean;
+}
+
+export interface MachineFacts {
+  name: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/**
+ * What the owner of a part believes of its machines, jobs and tasks. A pure state machine: time and
+ * messages come in as arguments, and what must be made durable comes out as dirty names. A place is
+ * given up only when the task is proven gone (docs/safety.md, point 5).
+ */
+export class Book {
+  readonly jobs = new Map<string, JobState>();
+  readonly machines = new Map<string, Machine>();
+  readonly types = new Map<string, MachineType>();
+  readonly teamUse = new Map<string, Amounts>();
+  readonly teamService = new Map<string, ServiceCounter>();
+  readonly dirtyMachines = new Set<string>();
+  readonly dirtyJobs = new Set<string>();
+  /** Jobs with tasks that wait for a place. */
+  readonly open = new Set<JobState>();
+  fleet: Amounts = { cpus: 0, gpus: 0, memory: 0 };
+  /** Told of every task that is over, for statistics and logs. */
+  onEnd: (end: TaskEnd, now: number) => void = () => {};
+  private attempts = 0;
+
+  constructor(
+    readonly settings: BookSettings,
+    readonly term: number,
+    private readonly claimedAt: number,
+  ) {}
+
+  // Jobs
+
+  addJob(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
+    const known = this.jobs.get(job.id);
+    if (known) {
+      if (phase !== 'accepted') this.closeJob(known, phase, now);
+      return known;
+    }
+    const state: JobState = {
+      job,
+      acceptedAt,
+      phase,
+      done: new TaskSet(job.tasks),
+      unsaved: false,
+      places: new Map(),
+      requeued: [],
+      cursor: 0,
+      failures: 0,
+      notBefore: 0,
+      service: new ServiceCounter(this.settings.halfLifeS, now),
+      waitingSince: now,
+    };
+    this.jobs.set(job.id, state);
+    if (phase === 'accepted') this.open.add(state);
+    return state;
+  }
+
+  /** A final phase that the state service holds. Tasks of the job end in flight. */
+  closeJob(job: JobState, phase: 'aborted' | 'done', now: number): void {
+    if (job.phase !== 'accepted') return;
+    job.phase = phase;
+    job.unsaved = false;
+    this.open.delete(job);
+    for (const a of allPlaces(job)) this.stopTask(a, 0, now);
+  }
+
+  waitingCount(job: JobState): number {
+    if (job.phase !== 'accepted') return 0;
+    return Math.max(0, job.job.tasks - job.done.size - job.places.size);
+  }
+
+  /** Up to `most` tasks that wait for a place, lowest first; they stay waiting until placed. */
+  waitingTasks(job: JobState, most: number): number[] {
+    const free = (i: number) => !job.done.has(i) && !job.places.has(i);
+    job.requeued = job.requeued.filter((i) => free(i) && i >= 0);
+    const out = job.requeued.slice(0, most);
+    const seen = new Set(job.requeued);
+    while (job.cursor < job.job.tasks && !free(job.cursor)) job.cursor++;
+    for (let i = job.cursor; i < job.job.tasks && out.length < most; i++) {
+      if (free(i) && !seen.has(i)) out.push(i);
+    }
+    return out;
+  }
+
+  markDone(job: JobState, index: number): void {
+    if (job.phase !== 'accepted') return;
+    // The protocol completes a gang as one: one task done means all are.
+    if (job.job.kind === 'gang') job.done.addAll();
+    else if (!job.done.add(index)) return;
+    job.unsaved = true;
+    this.dirtyJobs.add(job.job.id);
+    if (this.waitingCount(job) === 0) this.open.delete(job);
+  }
+
+  // Places
+
+  newAttempt(): number {
+    // A transaction raises the revision, and with it every later term, by one, and can record far
+    // fewer than 65,536 assignments: so numbers never repeat, also across terms.
+    return this.term * 65536 + this.attempts++;
+  }
+
+  assign(job: JobState, index: number, machine: Machine, attempt: number, now: number): Assignment {
+    const a = this.place(job, index, machine, attempt, now);
+    this.dirtyMachines.add(machine.name);
+    if (this.waitingCount(job) === 0) this.open.delete(job);
+    return a;
+  }
+
+  /** An assignment found in the record that an earlier term left. */
+  inherit(job: JobState, index: number, machine: Machine, attempt: number, now: number): void {
+    const a = this.place(job, index, machine, attempt, now);
+    a.recorded = true;
+    a.inherited = true;
+    if (job.phase !== 'accepted') this.stopTask(a, 0, now);
+    if (this.waitingCount(job) === 0) this.open.delete(job);
+  }
+
+  private place(
+    job: JobState,
+    index: number,
+    machine: Machine,
+    attempt: number,
+    now: number,
+  ): Assignment {
+    const a: Assignment = {
+      job,
+      index,
+      attempt,
+      machine,
+      recorded: false,
+      inherited: false,
+      sentSeq: null,
+      misses: 0,
+      reported: null,
+      stop: null,
+      share: dominantShare(job.job, this.fleet),
+      since: now,
+      runningSince: null,
+    };
+    const j = job.job;
+    const others = job.places.get(index);
+    if (others) others.push(a);
+    else job.places.set(index, [a]);
+    machine.tasks.set(taskName(j.id, index), a);
+    machine.images.delete(j.image);
+    machine.images.set(j.image, j.imageGb);
+    this.trimImages(machine);
+    this.count(a, 1, now);
+    return a;
+  }
+
+  private count(a: Assignment, sign: 1 | -1, now: number): void {
+    const j = a.job.job;
+    const used = a.machine.used;
+    used.cpus += sign * j.cpus;
+    used.gpus += sign * j.gpus;
+    used.memory += sign * j.memory;
+    const use = this.teamUse.get(j.team) ?? { cpus: 0, gpus: 0, memory: 0 };
+    use.cpus += sign * j.cpus;
+    use.gpus += sign * j.gpus;
+    use.memory += sign * j.memory;
+    this.teamUse.set(j.team, use);
+    this.service(j.team, now).book(sign * a.share, now);
+    a.job.service.book(sign * a.share, now);
+  }
+
+  service(team: string, now: number): ServiceCounter {
+    let counter = this.teamService.get(team);
+    if (!counter) {
+      counter = new ServiceCounter(this.settings.halfLifeS, now);
+      this.teamService.set(team, counter);
+    }
+    return counter;
+  }
+
+  private trimImages(machine: Machine): void {
+    const cache = this.types.get(machine.type)?.cacheGb ?? Infinity;
+    let held = 0;
+    for (const gb of machine.images.values()) held += gb;
+    for (const [image, gb] of machine.images) {
+      if (held <= cache || machine.images.size === 1) break;
+      machine.images.delete(image);
+      held -= gb;
+    }
+  }
+
+  /** Asks for an end of the task; it keeps its place until it is proven gone. */
+  stopTask(a: Assignment, graceS: number, now: number): void {
+    if (a.sentSeq === null && !a.inherited && a.reported === null) {
+      // Never told to the worker and never will be.
+      this.remove(a, 'stopped', false, now);
+      return;
+    }
+    if (a.stop === null) a.stop = { graceS, at: now };
+    else a.stop.graceS = Math.min(a.stop.graceS, graceS);
+  }
+
+  private remove(a: Assignment, cause: TaskEnd['cause'], saved: boolean, now: number): void {
+    const name = taskName(a.job.job.id, a.index);
+    if (a.machine.tasks.get(name) !== a) return;
+    a.machine.tasks.delete(name);
+    if (a.machine.tasks.size === 0) a.machine.idleSince = now;
+    const rest = (a.job.places.get(a.index) ?? []).filter((p) => p !== a);
+    if (rest.length > 0) a.job.places.set(a.index, rest);
+    else a.job.places.delete(a.index);
+    this.count(a, -1, now);
+    this.dirtyMachines.add(a.machine.name);
+    if (this.waitingCount(a.job) > 0 && !this.open.has(a.job)) {
+      a.job.waitingSince = now;
+      this.open.add(a.job);
+    }
+    if (a.job.phase === 'accepted' && !a.job.done.has(a.index)) {
+      if (a.index < a.job.cursor) a.job.requeued.push(a.index);
+      this.noteFailure(a, cause, now);
+      if (a.job.job.kind === 'gang') this.stopGang(a.job, now);
+    }
+    this.onEnd({ assignment: a, cause, saved }, now);
+  }
+
+  /** A gang that lost a task ends as a whole; the next attempt goes on from its checkpoint. */
+  private stopGang(job: JobState, now: number): void {
+    for (const mate of allPlaces(job)) if (mate.stop === null) this.stopTask(mate, 0, now);
+  }
+
+  private noteFailure(a: Assignment, cause: TaskEnd['cause'], now: number): void {
+    const { reportS } = this.settings;
+    if (cause === 'error') {
+      a.machine.errors++;
+      // The machine is the first suspect; a job that fails again and again waits longer each time.
+      a.machine.avoidUntil = Math.max(a.machine.avoidUntil, now + 5 * reportS);
+      a.job.failures++;
+      a.job.notBefore = now + reportS * Math.min(32, 2 ** (a.job.failures - 1));
+    } else if (cause === 'unknown') {
+      a.job.failures++;
+      a.job.notBefore = now + reportS * Math.min(8, 2 ** (a.job.failures - 1));
+    } else if (cause === 'no_room' || cause === 'busy') {
+      a.machine.avoidUntil = Math.max(a.machine.avoidUntil, now + 2 * reportS);
+    }
+  }
+
+  // Machines
+
+  /** A machine that the cloud, a record or its own report made known. */
+  meet(facts: MachineFacts, state: Machine['state'], bornAt: number): Machine {
+    const known = this.machines.get(facts.name);
+    if (known) return known;
+    const machine: Machine = {
+      ...facts,
+      state,
+      bornAt,
+      session: 0,
+      seq: -1,
+      confirmed: false,
+      answeredAt: -Infinity,
+      darkAt: 0,
+      noticeAt: null,
+      draining: false,
+      avoidUntil: 0,
+      errors: 0,
+      images: new Map(),
+      tasks: new Map(),
+      used: { cpus: 0, gpus: 0, memory: 0 },
+      idleSince: bornAt,
+      reservedFor: null,
+      listedFailed: false,
+    };
+    this.machines.set(facts.name, machine);
+    return machine;
+  }
+
+  /** The cloud has confirmed the release: the machine and all that was on it are gone. */
+  released(name: string, now: number): void {
+    const machine = this.machines.get(name);
+    if (!machine) return;
+    for (const a of [...machine.tasks.values()]) this.remove(a, 'lost', false, now);
+    this.machines.delete(name);
+    this.dirtyMachines.add(name);
+  }
+
+  /** Latest moment at which the worker's lease can still run. */
+  private leaseEnd(machine: Machine): number {
+    const { leaseS, formerOwnerS, reportS } = this.settings;
+    const lastAnswer = machine.confirmed
+      ? machine.answeredAt
+      : Math.max(machine.answeredAt, this.claimedAt + formerOwnerS);
+    return lastAnswer + leaseS * (1 + DRIFT) + reportS / 2;
+  }
+
+  /** Gives up what silent machines held, once their lease has certainly run out. */
+  expire(now: number): Machine[] {
+    const turned: Machine[] = [];
+    for (const machine of this.machines.values()) {
+      if (machine.state === 'booting' && machine.tasks.size === 0) continue;
+      if (machine.state === 'dark' || now <= this.leaseEnd(machine)) continue;
+      for (const a of [...machine.tasks.values()]) this.remove(a, 'lost', false, now);
+      machine.state = 'dark';
+      machine.darkAt = now;
+      machine.reservedFor = null;
+      turned.push(machine);
+    }
+    return turned;
+  }
+
+  /**
+   * Takes a report in and says what to answer, or null for one that is older than what is known
+   * already: a late copy renews nothing and reports nothing new.
+   */
+  report(r: Report, now: number): Order[] | null {
+    const machine = this.meet(
+      { name: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot },
+      'up',
+      now,
+    );
+    const newer =
+      r.session > machine.session || (r.session === machine.session && r.seq > machine.seq);
+    if (!newer) return null;
+    if (r.session > machine.session && machine.session > 0) {
+      // The worker killed and forgot everything when its lease ran out.
+      for (const a of [...machine.tasks.values()]) {
+        if (a.sentSeq !== null || a.inherited || a.reported !== null) {
+          this.remove(a, 'lost', false, now);
+        }
+      }
+    }
+    if (machine.state !== 'up') {
+      machine.state = 'up';
+      machine.idleSince = now;
+    }
+    machine.addr = r.addr;
+    machine.session = r.session;
+    machine.seq = r.seq;
+    if (r.token >= this.term) machine.confirmed = true;
+    machine.noticeAt = r.noticeS === null ? null : now + r.noticeS;
+
+    const listed = new Set<string>();
+    const forgets: Order[] = [];
+    for (const t of r.tasks) {
+      listed.add(taskName(t.job, t.index));
+      const order = this.taskReported(machine, t, now);
+      if (order) forgets.push(order);
+    }
+    for (const a of [...machine.tasks.values()]) {
+      if (!listed.has(taskName(a.job.job.id, a.index))) this.taskAbsent(a, r, now);
+    }
+    machine.answeredAt = now;
+    return [...forgets, ...this.ordersFor(machine, r.seq)];
+  }
+
+  private taskReported(machine: Machine, t: TaskReport, now: number): Order | null {
+    const ref = { job: t.job, index: t.index, attempt: t.attempt };
+    const job = this.jobs.get(t.job);
+    let a = machine.tasks.get(taskName(t.job, t.index));
+    if (a && a.attempt !== t.attempt) {
+      // An older attempt beside a newer one that waits for it to go.
+      return t.state === 'exited' ? { op: 'forget', ...ref } : { op: 'stop', graceS: 0, ...ref };
+    }
+    if (!a) {
+      if (t.state === 'exited') {
+        if (t.cause === 'done' && job && job.phase === 'accepted') this.markDone(job, t.index);
+        // Forgotten only once the result is durable.
+        return job?.unsaved && job.done.has(t.index) ? null : { op: 'forget', ...ref };
+      }
+      if (!job || t.index >= job.job.tasks) return { op: 'stop', graceS: 0, ...ref };
+      // Nothing should run unrecorded; if it does, it holds its place until it is gone.
+      a = this.place(job, t.index, machine, t.attempt, now);
+      a.stop = { graceS: 0, at: now };
+    }
+    a.inherited = false;
+    a.reported = t.state;
+    if (t.state === 'running' && a.runningSince === null) {
+      a.runningSince = now;
+      a.job.failures = 0;
+    }
+    if (t.state !== 'exited') return null;
+    const cause = t.cause ?? 'error';
+    if (cause === 'done') this.markDone(a.job, t.index);
+    this.remove(a, cause, t.saved, now);
+    return a.job.unsaved && a.job.done.has(t.index) ? null : { op: 'forget', ...ref };
+  }
+
+  private taskAbsent(a: Assignment, r: Report, now: number): void {
+    if (a.reported !== null) this.remove(a, 'lost', false, now);
+    else if (a.inherited) {
+      // An old start may still arrive until the worker has seen this term's token.
+      if (r.token >= this.term) this.remove(a, 'lost', false, now);
+    } else if (a.sentSeq !== null && r.seq > a.sentSeq) {
+      // The worker sends its next report only when the answer has come or was given up, so the
+      // start did not arrive and no longer can.
+      a.misses++;
+      if (a.stop !== null || a.misses >= MAX_MISSES) {
+        if (a.stop === null) a.machine.avoidUntil = now + this.settings.leaseS;
+        this.remove(a, 'lost', false, now);
+      }
+    }
+  }
+
+  private ordersFor(machine: Machine, seq: number): Order[] {
+    const orders: Order[] = [];
+    const starts: Order[] = [];
+    for (const a of machine.tasks.values()) {
+      const ref = { job: a.job.job.id, index: a.index, attempt: a.attempt };
+      if (a.stop !== null) orders.push({ op: 'stop', graceS: a.stop.graceS, ...ref });
+      else if (a.reported === null && !a.inherited && a.recorded && gangRecorded(a.job)) {
+        a.sentSeq ??= seq;
+        starts.push({ op: 'start', ...ref });
+      }
+    }
+    return [...orders, ...starts];
+  }
+
+  recomputeFleet(): void {
+    const total = { cpus: 0, gpus: 0, memory: 0 };
+    for (const m of this.machines.values()) {
+      const type = this.types.get(m.type);
+      if (!type) continue;
+      total.cpus += type.cpus;
+      total.gpus += type.gpus;
+      total.memory += type.memory;
+    }
+    this.fleet = total;
+  }
+}
+
+export function* allPlaces(job: JobState): Generator<Assignment> {
+  for (const list of [...job.places.values()]) yield* list;
+}
+
+/** All tasks of a gang are recorded before the first of them is told to start. */
+function gangRecorded(job: JobState): boolean {
+  if (job.job.kind !== 'gang') return true;
+  if (job.places.size < job.job.tasks) return false;
+  for (const a of allPlaces(job)) if (!a.recorded) return false;
+  return true;
+}
--- /dev/null
+++ b/packages/core/capacity.ts
@@ -0,0 +1,277 @@
+import type { Job, MachineType } from '#wire';
+import { Book } from './book.js';
+import type { JobState, Machine } from './model.js';
+import { hasRoom, tasksThatFit, typeFits, usable, zoneCap } from './placement.js';
+import { withinLimit, TeamTerms } from './fairshare.js';
+
+export interface CapacitySettings {
+  /** Standard deviations of arrivals kept free for classes that must start sooner than a boot. */
+  reserveSigmas: number;
+  idleHoldS: number;
+  /** A class's arrival rate is averaged over this time. */
+  memoryS: number;
+}
+
+export interface ClassAim {
+  class: string;
+  kind: string;
+  withinS: number;
+}
+
+export interface Rental {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+interface ClassStats {
+  /** Jobs a second, decayed. */
+  rate: number;
+  at: number;
+  meanSquareTasks: number;
+  template: Job;
+}
+
+/** Room on a machine that stands, boots or would be rented, as the plan fills it. */
+interface Slot {
+  machine: Machine | null;
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  used: { cpus: number; gpus: number; memory: number };
+  touched: boolean;
+  reservedFor: string | null;
+}
+
+/** Sizes the fleet: packs what waits, and room for what may come sooner than a machine boots. */
+export class CapacityPlanner {
+  private readonly stats = new Map<string, ClassStats>();
+  /** Kinds of machine that the cloud could not give, until when. */
+  private readonly refused = new Map<string, number>();
+
+  constructor(
+    private readonly book: Book,
+    private readonly settings: CapacitySettings,
+    private readonly aims: ClassAim[],
+    private readonly teams: Map<string, TeamTerms>,
+  ) {}
+
+  noteArrival(job: Job, now: number): void {
+    const known = this.stats.get(job.class);
+    const squares = job.tasks * job.tasks;
+    if (!known) {
+      this.stats.set(job.class, {
+        rate: 1 / this.settings.memoryS,
+        at: now,
+        meanSquareTasks: squares,
+        template: job,
+      });
+      return;
+    }
+    const keep = Math.exp(-(now - known.at) / this.settings.memoryS);
+    known.rate = known.rate * keep + 1 / this.settings.memoryS;
+    known.at = now;
+    known.meanSquareTasks += (squares - known.meanSquareTasks) / 10;
+    known.template = job;
+  }
+
+  noteRefused(rental: Rental, until: number): void {
+    this.refused.set(key(rental), until);
+  }
+
+  /** Tasks of a class to keep room for. */
+  private reserveTasks(stats: ClassStats, bootS: number, now: number): number {
+    const job = stats.template;
+    const aim = this.aims.find((a) => a.class === job.class);
+    if (!aim) return 0;
+    const rate = stats.rate * Math.exp(-(now - stats.at) / this.settings.memoryS);
+    const jobs = rate * bootS * 1.2;
+    if (jobs < 0.05) return 0;
+    const urgent = aim.kind === 'wait' && aim.withinS < bootS;
+    const sigmas = this.settings.reserveSigmas * (urgent ? 1 : 0.3);
+    return Math.ceil(sigmas * Math.sqrt(jobs * stats.meanSquareTasks));
+  }
+
+  plan(now: number): { rent: Rental[]; release: Machine[] } {
+    const slots = this.slots(now);
+    const fresh: Slot[] = [];
+    const use = new Map([...this.book.teamUse].map(([team, u]) => [team, { ...u }] as const));
+    const waiting = [...this.book.open].sort(
+      (a, b) => a.job.rank - b.job.rank || big(b.job) - big(a.job) || a.acceptedAt - b.acceptedAt,
+    );
+    for (const state of waiting) this.packJob(state, slots, fresh, use, now);
+    for (const stats of this.stats.values()) {
+      const types = [...this.book.types.values()].filter((t) => typeFits(stats.template, t));
+      if (types.length === 0) continue;
+      const bootS = Math.min(...types.map((t) => t.bootS));
+      const need = this.reserveTasks(stats, bootS, now);
+      for (let i = 0; i < need; i++) {
+        if (!this.packTask(stats.template, null, slots, fresh, null, now)) break;
+      }
+    }
+    return { rent: rentals(fresh), release: this.surplus(slots, now) };
+  }
+
+  private slots(now: number): Slot[] {
+    const out: Slot[] = [];
+    for (const machine of this.book.machines.values()) {
+      const type = this.book.types.get(machine.type);
+      if (!type || machine.state === 'dark' || machine.draining || machine.listedFailed) continue;
+      if (machine.state === 'up' && !usable(this.book, { ...machine, avoidUntil: 0 }, now))
+        continue;
+      // One that should long be up is not counted on.
+      if (machine.state === 'booting' && now - machine.bornAt > 2 * type.bootS) continue;
+      out.push({
+        machine,
+        type,
+        zone: machine.zone,
+        spot: machine.spot,
+        // What a gang waits for will be empty when it starts.
+        used: machine.reservedFor === null ? { ...machine.used } : { cpus: 0, gpus: 0, memory: 0 },
+        touched: machine.tasks.size > 0,
+        reservedFor: machine.reservedFor,
+      });
+    }
+    // Fuller machines first, so that the emptiest stay untouched and can go; then the cheaper.
+    const fill = (s: Slot) =>
+      Math.max(s.used.cpus / s.type.cpus, s.type.gpus > 0 ? s.used.gpus / s.type.gpus : 0);
+    return out.sort(
+      (a, b) =>
+        fill(b) - fill(a) ||
+        a.type.price - b.type.price ||
+        (a.machine!.name < b.machine!.name ? -1 : 1),
+    );
+  }
+
+  private packJob(
+    state: JobState,
+    slots: Slot[],
+    fresh: Slot[],
+    use: Map<string, { cpus: number; gpus: number; memory: number }>,
+    now: number,
+  ): void {
+    const job = state.job;
+    const terms = this.teams.get(job.team);
+    if (!terms) return;
+    const used = use.get(job.team) ?? { cpus: 0, gpus: 0, memory: 0 };
+    use.set(job.team, used);
+    const zones = new Map<string, number>();
+    let zone: string | null = job.zone;
+    const reserved = slots.find((s) => s.reservedFor === job.id);
+    if (job.oneZone && reserved) zone = reserved.zone;
+    const count = Math.min(this.book.waitingCount(state), 2000);
+    for (let i = 0; i < count; i++) {
+      if (!withinLimit(terms, used, job)) return;
+      const slot = this.packTask({ ...job, zone }, state, slots, fresh, zones, now);
+      if (!slot) return;
+      if (job.oneZone && zone === null) zone = slot.zone;
+      zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + 1);
+      used.cpus += job.cpus;
+      used.gpus += job.gpus;
+    }
+  }
+
+  private packTask(
+    job: Job,
+    state: JobState | null,
+    slots: Slot[],
+    fresh: Slot[],
+    zones: Map<string, number> | null,
+    now: number,
+  ): Slot | null {
+    for (const list of [slots, fresh]) {
+      for (const slot of list) {
+        if (slot.spot && !job.spot) continue;
+        if (slot.reservedFor !== null && slot.reservedFor !== state?.job.id) continue;
+        if (job.zone !== null && slot.zone !== job.zone) continue;
+        if (!typeFits(job, slot.type)) continue;
+        if (zones && (zones.get(slot.zone) ?? 0) >= zoneCap(job)) continue;
+        if (!hasRoomIn(job, slot)) continue;
+        return take(slot, job);
+      }
+    }
+    const slot = this.newSlot(job, zones, slots, fresh, now);
+    if (!slot) return null;
+    fresh.push(slot);
+    return take(slot, job);
+  }
+
+  /** The cheapest machine for the job's tasks that the cloud has not just refused. */
+  private newSlot(
+    job: Job,
+    zones: Map<string, number> | null,
+    slots: Slot[],
+    fresh: Slot[],
+    now: number,
+  ): Slot | null {
+    const perZone = new Map<string, number>();
+    for (const s of [...slots, ...fresh]) perZone.set(s.zone, (perZone.get(s.zone) ?? 0) + 1);
+    let best: { slot: Slot; cost: number } | null = null;
+    for (const type of this.book.types.values()) {
+      if (!typeFits(job, type)) continue;
+      const empty = { used: { cpus: 0, gpus: 0, memory: 0 } };
+      const holds = Math.max(1, Math.min(1000, tasksThatFit(job, empty, type)));
+      for (const zone of type.zones) {
+        if (job.zone !== null && zone !== job.zone) continue;
+        if (zones && (zones.get(zone) ?? 0) >= zoneCap(job)) continue;
+        for (const spot of job.spot ? [true, false] : [false]) {
+          if ((this.refused.get(`${type.name} ${zone} ${spot}`) ?? 0) > now) continue;
+          const price = (spot ? type.spotPrice : type.price) / holds;
+          const cost = price * (1 + (perZone.get(zone) ?? 0) / 1000);
+          if (best !== null && cost >= best.cost) continue;
+          const used = { cpus: 0, gpus: 0, memory: 0 };
+          best = {
+            cost,
+            slot: { machine: null, type, zone, spot, used, touched: false, reservedFor: null },
+          };
+        }
+      }
+    }
+    return best?.slot ?? null;
+  }
+
+  /** Empty machines that neither waiting work nor the reserve needs, after a while. */
+  private surplus(slots: Slot[], now: number): Machine[] {
+    const out: Machine[] = [];
+    for (const slot of slots) {
+      const m = slot.machine;
+      if (!m || slot.touched || m.tasks.size > 0 || m.reservedFor !== null) continue;
+      if (m.state === 'booting' || now - m.idleSince < this.settings.idleHoldS) continue;
+      out.push(m);
+    }
+    return out;
+  }
+}
+
+function hasRoomIn(job: Job, slot: Slot): boolean {
+  return hasRoom(job, slot as unknown as Machine, slot.type);
+}
+
+function take(slot: Slot, job: Job): Slot {
+  slot.used.cpus += job.cpus;
+  slot.used.gpus += job.gpus;
+  slot.used.memory += job.memory;
+  slot.touched = true;
+  return slot;
+}
+
+/** Whole-machine work is packed before what fits into gaps. */
+function big(job: Job): number {
+  return job.gpus * 1000 + job.cpus;
+}
+
+function key(r: Rental): string {
+  return `${r.type} ${r.zone} ${r.spot}`;
+}
+
+function rentals(fresh: Slot[]): Rental[] {
+  const out = new Map<string, Rental>();
+  for (const s of fresh) {
+    const r: Rental = { type: s.type.name, zone: s.zone, spot: s.spot, count: 0 };
+    const known = out.get(key(r)) ?? r;
+    known.count++;
+    out.set(key(r), known);
+  }
+  return [...out.values()];
+}
--- /dev/null
+++ b/packages/core/model.ts
@@ -0,0 +1,84 @@
+import type { Job, TaskState } from '#wire';
+import { ServiceCounter } from './fairshare.js';
+import { TaskSet } from './taskset.js';
+
+/** One attempt of a task on one machine, from the decision until it is proven gone. */
+export interface Assignment {
+  job: JobState;
+  index: number;
+  attempt: number;
+  machine: Machine;
+  /** Durable in the machine's record; only then may the start be sent. */
+  recorded: boolean;
+  /** Read from the record of an earlier term and not yet seen in a report. */
+  inherited: boolean;
+  /** Number of the first report whose answer carried the start. */
+  sentSeq: number | null;
+  /** Answers that carried the start without it showing in the next report. */
+  misses: number;
+  reported: TaskState | null;
+  stop: { graceS: number; at: number } | null;
+  /** Share of the fleet booked for it. */
+  share: number;
+  since: number;
+  runningSince: number | null;
+}
+
+export interface JobState {
+  job: Job;
+  /** On the steady clock of this process. */
+  acceptedAt: number;
+  phase: 'accepted' | 'aborted' | 'done';
+  done: TaskSet;
+  /** Done tasks that the state service doesn't hold yet. */
+  unsaved: boolean;
+  /** Every place where a task may still be, by task. */
+  places: Map<number, Assignment[]>;
+  requeued: number[];
+  cursor: number;
+  failures: number;
+  notBefore: number;
+  service: ServiceCounter;
+  waitingSince: number;
+}
+
+export interface Machine {
+  name: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: 'booting' | 'up' | 'dark';
+  bornAt: number;
+  session: number;
+  seq: number;
+  /** A report has shown this term's token, so older commands and answers can have no effect. */
+  confirmed: boolean;
+  /** When the last report that was answered arrived. */
+  answeredAt: number;
+  darkAt: number;
+  noticeAt: number | null;
+  /** Takes no new work. */
+  draining: boolean;
+  avoidUntil: number;
+  errors: number;
+  /** Names of images, most recently used last. */
+  images: Map<string, number>;
+  tasks: Map<string, Assignment>;
+  used: { cpus: number; gpus: number; memory: number };
+  idleSince: number;
+  /** Gang that this machine is kept free for. */
+  reservedFor: string | null;
+  listedFailed: boolean;
+}
+
+export interface BookSettings {
+  leaseS: number;
+  reportS: number;
+  gangPeerS: number;
+  gangWaitS: number;
+  /** How long an earlier owner may have gone on answering after losing its term. */
+  formerOwnerS: number;
+  halfLifeS: number;
+  maxTasksPerMachine: number;
+}
--- /dev/null
+++ b/packages/core/placement.ts
@@ -0,0 +1,178 @@
+import type { Job, MachineType } from '#wire';
+import { allPlaces, Book } from './book.js';
+import type { JobState, Machine } from './model.js';
+
+const SLACK = 1e-9;
+
+/** Whether a task of the job could ever run on a machine of this type. */
+export function typeFits(job: Job, type: MachineType): boolean {
+  return (
+    (job.types === null || job.types.includes(type.name)) &&
+    (job.zone === null || type.zones.includes(job.zone)) &&
+    job.cpus <= type.cpus + SLACK &&
+    job.gpus <= type.gpus + SLACK &&
+    job.memory <= type.memory + SLACK
+  );
+}
+
+/** Room left on a machine, given what else was promised on it in this round. */
+export function hasRoom(job: Job, machine: Machine, type: MachineType): boolean {
+  return (
+    machine.used.cpus + job.cpus <= type.cpus + SLACK &&
+    machine.used.gpus + job.gpus <= type.gpus + SLACK &&
+    machine.used.memory + job.memory <= type.memory + SLACK
+  );
+}
+
+/** Most tasks of the job that one zone may hold. */
+export function zoneCap(job: Job): number {
+  return job.spread ? Math.ceil(job.tasks / 2) : job.tasks;
+}
+
+/** Where a job's tasks are, old attempts included until they are proven gone. */
+export function zoneCounts(job: JobState): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const a of allPlaces(job)) {
+    counts.set(a.machine.zone, (counts.get(a.machine.zone) ?? 0) + 1);
+  }
+  return counts;
+}
+
+export function zoneAllowed(job: Job, zone: string, counts: Map<string, number>): boolean {
+  if (job.zone !== null && job.zone !== zone) return false;
+  if (job.oneZone) {
+    for (const [z, n] of counts) if (n > 0 && z !== zone) return false;
+  }
+  return (counts.get(zone) ?? 0) < zoneCap(job);
+}
+
+export function usable(book: Book, machine: Machine, now: number): boolean {
+  return (
+    machine.state === 'up' &&
+    !machine.draining &&
+    machine.noticeAt === null &&
+    !machine.listedFailed &&
+    machine.avoidUntil <= now &&
+    machine.tasks.size < book.settings.maxTasksPerMachine
+  );
+}
+
+/** Seconds that a task would wait for its image on this machine. */
+export function fetchTime(job: Job, machine: Machine, type: MachineType): number {
+  if (machine.images.has(job.image)) return 0;
+  let fetching = 0;
+  const others = new Set<string>();
+  for (const a of machine.tasks.values()) {
+    if (a.reported === 'fetching' || a.reported === null) others.add(a.job.job.image);
+  }
+  fetching = others.size;
+  return (job.imageGb / type.fetchGbPerS) * (1 + fetching);
+}
+
+/**
+ * Cost of a place in seconds-like units, lower is better: waiting for the image counts as it is; an
+ * empty machine is worth keeping whole for gangs; work that may use spot machines should; else the
+ * tightest fit wins.
+ */
+export function placeCost(job: Job, machine: Machine, type: MachineType, crowd: number): number {
+  const fetch = fetchTime(job, machine, type);
+  const wholeBroken = machine.tasks.size === 0 ? type.bootS / 6 : 0;
+  const ordinaryTaken = job.spot && !machine.spot ? type.bootS / 4 : 0;
+  const freeGpus = type.gpus > 0 ? 1 - (machine.used.gpus + job.gpus) / type.gpus : 0;
+  const freeCpus = type.cpus > 0 ? 1 - (machine.used.cpus + job.cpus) / type.cpus : 0;
+  return fetch + wholeBroken + ordinaryTaken + 2 * Math.max(freeGpus, freeCpus) + crowd;
+}
+
+export interface Candidate {
+  machine: Machine;
+  cost: number;
+}
+
+/** The machine that a single task of the job should take now, or null. */
+export function choosePlace(
+  book: Book,
+  state: JobState,
+  counts: Map<string, number>,
+  classZones: Map<string, number>,
+  now: number,
+  exclude: (machine: Machine) => boolean = () => false,
+): Machine | null {
+  const job = state.job;
+  let best: Candidate | null = null;
+  for (const machine of book.machines.values()) {
+    const type = book.types.get(machine.type);
+    if (!type || !usable(book, machine, now) || exclude(machine)) continue;
+    if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
+    if (machine.spot && !job.spot) continue;
+    if (!typeFits(job, type) || !hasRoom(job, machine, type)) continue;
+    if (!zoneAllowed(job, machine.zone, counts)) continue;
+    // Replicas of a class spread over zones lose less together.
+    const crowd = job.spread ? (classZones.get(machine.zone) ?? 0) / 4 : 0;
+    const cost = placeCost(job, machine, type, crowd);
+    if (best === null || cost < best.cost) best = { machine, cost };
+  }
+  return best?.machine ?? null;
+}
+
+/** Places for all tasks of a gang at once, or null. Nothing is assigned. */
+export function chooseGang(book: Book, state: JobState, now: number): Machine[] | null {
+  const job = state.job;
+  const zones = job.oneZone ? new Set([...book.machines.values()].map((m) => m.zone)) : [null];
+  let best: { places: Machine[]; cost: number } | null = null;
+  for (const zone of zones) {
+    const found = fillGang(book, state, zone, now);
+    if (found && (best === null || found.cost < best.cost)) best = found;
+  }
+  return best?.places ?? null;
+}
+
+function fillGang(book: Book, state: JobState, zone: string | null, now: number) {
+  const job = state.job;
+  const options: (Candidate & { room: number })[] = [];
+  for (const machine of book.machines.values()) {
+    const type = book.types.get(machine.type);
+    if (!type || !usable(book, machine, now)) continue;
+    if (zone !== null && machine.zone !== zone) continue;
+    if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
+    if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
+    if (job.zone !== null && job.zone !== machine.zone) continue;
+    const room = Math.min(
+      job.tasks,
+      book.settings.maxTasksPerMachine - machine.tasks.size,
+      tasksThatFit(job, machine, type),
+    );
+    if (room > 0) options.push({ machine, room, cost: placeCost(job, machine, type, 0) });
+  }
+  options.sort((a, b) => a.cost - b.cost);
+  const places: Machine[] = [];
+  const counts = new Map<string, number>();
+  let cost = 0;
+  for (const o of options) {
+    const cap = zoneCap(job) - (counts.get(o.machine.zone) ?? 0);
+    const take = Math.min(o.room, job.tasks - places.length, cap);
+    for (let i = 0; i < take; i++) places.push(o.machine);
+    if (take > 0) {
+      cost = Math.max(cost, o.cost);
+      counts.set(o.machine.zone, (counts.get(o.machine.zone) ?? 0) + take);
+    }
+    if (places.length === job.tasks) return { places, cost };
+  }
+  return null;
+}
+
+export function tasksThatFit(
+  job: Job,
+  machine: { used: { cpus: number; gpus: number; memory: number } },
+  type: MachineType,
+): number {
+  const by = (total: number, used: number, need: number) =>
+    need > 0 ? Math.floor((total - used + SLACK) / need) : Infinity;
+  return Math.max(
+    0,
+    Math.min(
+      by(type.cpus, machine.used.cpus, job.cpus),
+      by(type.gpus, machine.used.gpus, job.gpus),
+      by(type.memory, machine.used.memory, job.memory),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/core/schedule.ts
@@ -0,0 +1,335 @@
+import { allPlaces, Book } from './book.js';
+import { Amounts, teamWeight, TeamTerms, withinLimit } from './fairshare.js';
+import type { JobState, Machine } from './model.js';
+import {
+  chooseGang,
+  choosePlace,
+  hasRoom,
+  typeFits,
+  zoneAllowed,
+  zoneCounts,
+} from './placement.js';
+
+export interface ScheduleSettings {
+  floorWeight: number;
+  /** A gang may be stopped at its lease end below this ratio of indexes. */
+  stopThreshold: number;
+  gangLeaseS: number;
+  /** Waiting time after which work of higher rank may stop other work. */
+  preemptAfterS: number;
+  /** Most decisions taken in one round. */
+  decisionsPerRound: number;
+}
+
+export interface Team {
+  name: string;
+  terms: TeamTerms;
+}
+
+const NO_USE: Amounts = { cpus: 0, gpus: 0, memory: 0 };
+
+export class Scheduler {
+  constructor(
+    private readonly book: Book,
+    private readonly teams: Map<string, TeamTerms>,
+    private readonly settings: ScheduleSettings,
+  ) {}
+
+  /** Decayed service over guarantee; the lowest is served first. */
+  index(team: string, now: number): number {
+    const terms = this.teams.get(team) ?? { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
+    const weight = teamWeight(terms, this.book.fleet, this.settings.floorWeight);
+    return this.book.service(team, now).read(now) / weight;
+  }
+
+  /** One round of decisions. Returns how many tasks were given a place. */
+  round(now: number): number {
+    const queues = this.queues(now);
+    const stuck = new Set<string>();
+    const classZones = this.classZones();
+    let decided = 0;
+    while (decided < this.settings.decisionsPerRound && queues.length > 0) {
+      // Service books with each placement, so the order is looked at anew each time.
+      queues.sort((a, b) => this.index(a.team, now) - this.index(b.team, now));
+      const queue = queues[0];
+      const job = queue.jobs[0];
+      const placed = this.serve(job, stuck, classZones, now);
+      decided += placed;
+      if (placed === 0 || this.book.waitingCount(job) === 0) queue.jobs.shift();
+      if (queue.jobs.length === 0) queues.shift();
+    }
+    this.preempt(now);
+    return decided;
+  }
+
+  private queues(now: number): { team: string; jobs: JobState[] }[] {
+    const byTeam = new Map<string, JobState[]>();
+    for (const job of this.book.open) {
+      if (job.notBefore > now) continue;
+      const list = byTeam.get(job.job.team);
+      if (list) list.push(job);
+      else byTeam.set(job.job.team, [job]);
+    }
+    const out = [];
+    for (const [team, jobs] of byTeam) {
+      const service = new Map(jobs.map((j) => [j, j.service.read(now)]));
+      jobs.sort(
+        (a, b) =>
+          a.job.rank - b.job.rank ||
+          service.get(a)! - service.get(b)! ||
+          a.acceptedAt - b.acceptedAt,
+      );
+      out.push({ team, jobs });
+    }
+    return out;
+  }
+
+  private classZones(): Map<string, Map<string, number>> {
+    const out = new Map<string, Map<string, number>>();
+    for (const machine of this.book.machines.values()) {
+      for (const a of machine.tasks.values()) {
+        let zones = out.get(a.job.job.class);
+        if (!zones) out.set(a.job.job.class, (zones = new Map()));
+        zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
+      }
+    }
+    return out;
+  }
+
+  /** Gives places to the job's waiting tasks while they fit; returns how many. */
+  private serve(
+    state: JobState,
+    stuck: Set<string>,
+    classZones: Map<string, Map<string, number>>,
+    now: number,
+  ): number {
+    const { book } = this;
+    const job = state.job;
+    const terms = this.teams.get(job.team);
+    if (!terms) return 0;
+    if (job.kind === 'gang') {
+      if (state.places.size > 0) return 0;
+      const all = { cpus: job.cpus * job.tasks, gpus: job.gpus * job.tasks, memory: 0 };
+      if (!withinLimit(terms, book.teamUse.get(job.team) ?? NO_USE, all)) return 0;
+      const places = chooseGang(book, state, now);
+      if (!places) return 0;
+      const attempt = book.newAttempt();
+      places.forEach((machine, i) => book.assign(state, i, machine, attempt, now));
+      for (const m of book.machines.values()) if (m.reservedFor === job.id) m.reservedFor = null;
+      return places.length;
+    }
+    // Tasks of the same shape fail alike within a round.
+    const shape = shapeOf(state);
+    if (stuck.has(shape)) return 0;
+    // The least-served job takes a few tasks and then queues again behind the others.
+    const most = Math.min(8, this.settings.decisionsPerRound);
+    let placed = 0;
+    const counts = zoneCounts(state);
+    const zones = classZones.get(job.class) ?? new Map<string, number>();
+    for (const i of book.waitingTasks(state, most)) {
+      if (!withinLimit(terms, book.teamUse.get(job.team) ?? NO_USE, job)) break;
+      const machine = choosePlace(book, state, counts, zones, now);
+      if (!machine) {
+        stuck.add(shape);
+        break;
+      }
+      book.assign(state, i, machine, book.newAttempt(), now);
+      counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
+      zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
+      placed++;
+    }
+    return placed;
+  }
+
+  /**
+   * Keeps machines free for gangs that wait, so that small work does not fill every gap: those that
+   * can be empty soonest are reserved, oldest gang first.
+   */
+  reserve(now: number): void {
+    const { book } = this;
+    const gangs = [...book.open].filter((j) => j.job.kind === 'gang' && j.places.size === 0);
+    const waiting = new Set(gangs.map((g) => g.job.id));
+    for (const m of book.machines.values()) {
+      if (m.reservedFor !== null && !waiting.has(m.reservedFor)) m.reservedFor = null;
+      if (m.state === 'dark' || m.draining || m.noticeAt !== null) m.reservedFor = null;
+    }
+    gangs.sort((a, b) => a.job.rank - b.job.rank || a.acceptedAt - b.acceptedAt);
+    for (const gang of gangs) this.reserveFor(gang, now);
+  }
+
+  private reserveFor(state: JobState, now: number): void {
+    const job = state.job;
+    const byZone = new Map<string, { machine: Machine; wait: number; holds: number }[]>();
+    for (const machine of this.book.machines.values()) {
+      const type = this.book.types.get(machine.type);
+      if (!type || !typeFits(job, type) || (machine.spot && !job.spot)) continue;
+      if (job.zone !== null && machine.zone !== job.zone) continue;
+      if (machine.state === 'dark' || machine.draining || machine.noticeAt !== null) continue;
+      if (machine.avoidUntil > now) continue;
+      if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
+      const wait = emptyIn(machine, type.bootS, now);
+      if (wait === null) continue;
+      const holds = Math.floor(
+        Math.min(
+          job.cpus > 0 ? type.cpus / job.cpus : Infinity,
+          job.gpus > 0 ? type.gpus / job.gpus : Infinity,
+          job.memory > 0 ? type.memory / job.memory : Infinity,
+        ),
+      );
+      const key = job.oneZone ? machine.zone : '';
+      const list = byZone.get(key) ?? [];
+      list.push({ machine, wait: machine.reservedFor === job.id ? wait / 2 : wait, holds });
+      byZone.set(key, list);
+    }
+    let best: { machines: Machine[]; wait: number } | null = null;
+    for (const list of byZone.values()) {
+      list.sort((a, b) => a.wait - b.wait);
+      const machines: Machine[] = [];
+      let held = 0;
+      let wait = 0;
+      for (const o of list) {
+        if (held >= job.tasks) break;
+        machines.push(o.machine);
+        held += o.holds;
+        wait = Math.max(wait, o.wait);
+      }
+      if (held >= job.tasks && (best === null || wait < best.wait)) best = { machines, wait };
+    }
+    for (const m of this.book.machines.values()) if (m.reservedFor === job.id) m.reservedFor = null;
+    for (const m of best?.machines ?? []) m.reservedFor = job.id;
+  }
+
+  /**
+   * The exceptions to leases that the rules need: work of higher rank, and work within its team's
+   * guarantee, may stop other work when it has waited; and gangs at their lease end give way to a
+   * team that is far behind. No work is stopped for its own rank or a lower one otherwise.
+   */
+  private preempt(now: number): void {
+    const { book, settings } = this;
+    const stopping = new Set<Machine>();
+    for (const m of book.machines.values()) {
+      for (const a of m.tasks.values()) if (a.stop !== null) stopping.add(m);
+    }
+    const waiting = [...book.open]
+      .filter((j) => j.notBefore <= now && now - j.waitingSince >= settings.preemptAfterS)
+      .sort((a, b) => a.job.rank - b.job.rank || a.acceptedAt - b.acceptedAt);
+    const failed = new Set<string>();
+    let rounds = 0;
+    for (const job of waiting) {
+      if (rounds >= 4) break;
+      if (job.job.kind === 'gang' || failed.has(shapeOf(job))) continue;
+      const terms = this.teams.get(job.job.team);
+      if (!terms || !withinLimit(terms, book.teamUse.get(job.job.team) ?? NO_USE, job.job))
+        continue;
+      if (this.makeRoom(job, stopping, now)) rounds++;
+      else failed.add(shapeOf(job));
+    }
+  }
+
+  /** Beyond its guarantee a team only borrows. */
+  private borrows(team: string): boolean {
+    const terms = this.teams.get(team);
+    const use = this.book.teamUse.get(team);
+    if (!terms || !use) return false;
+    if (terms.gpus === 0 && terms.cpus === 0) return false;
+    return (terms.gpus > 0 && use.gpus > terms.gpus) || (terms.cpus > 0 && use.cpus > terms.cpus);
+  }
+
+  private owed(state: JobState): boolean {
+    const terms = this.teams.get(state.job.team);
+    const use = this.book.teamUse.get(state.job.team) ?? NO_USE;
+    if (!terms || (terms.gpus === 0 && terms.cpus === 0)) return false;
+    return (
+      (terms.gpus === 0 || use.gpus + state.job.gpus <= terms.gpus) &&
+      (terms.cpus === 0 || use.cpus + state.job.cpus <= terms.cpus)
+    );
+  }
+
+  private mayStop(forJob: JobState, victim: JobState, now: number): boolean {
+    if (victim.job.rank > forJob.job.rank) return true;
+    const other = victim.job.team !== forJob.job.team;
+    if (other && this.owed(forJob) && this.borrows(victim.job.team)) return true;
+    if (other && victim.job.kind === 'gang') {
+      // The design's own stop: a lease has ended and a team that waits is far behind.
+      const started = Math.min(...[...allPlaces(victim)].map((a) => a.runningSince ?? now));
+      return (
+        now - started >= this.settings.gangLeaseS &&
+        this.index(forJob.job.team, now) <
+          this.settings.stopThreshold * this.index(victim.job.team, now)
+      );
+    }
+    return false;
+  }
+
+  private makeRoom(state: JobState, stopping: Set<Machine>, now: number): boolean {
+    const { book } = this;
+    const job = state.job;
+    const counts = zoneCounts(state);
+    let best: { machine: Machine; victims: JobTask[]; cost: number } | null = null;
+    for (const machine of book.machines.values()) {
+      const type = book.types.get(machine.type);
+      if (!type || machine.state !== 'up' || machine.draining || machine.noticeAt !== null)
+        continue;
+      if (stopping.has(machine)) continue;
+      if (machine.reservedFor !== null || (machine.spot && !job.spot)) continue;
+      if (!typeFits(job, type) || !zoneAllowed(job, machine.zone, counts)) continue;
+      const options = [...machine.tasks.values()]
+        .filter((a) => a.stop === null && this.mayStop(state, a.job, now))
+        .sort((a, b) => b.job.job.rank - a.job.job.rank || b.since - a.since);
+      const victims: JobTask[] = [];
+      const used = { ...machine.used };
+      for (const a of options) {
+        if (hasRoom(job, { ...machine, used }, type)) break;
+        used.cpus -= a.job.job.cpus;
+        used.gpus -= a.job.job.gpus;
+        used.memory -= a.job.job.memory;
+        victims.push(a);
+      }
+      if (!hasRoom(job, { ...machine, used }, type)) continue;
+      if (victims.length === 0) continue;
+      const cost = victims.reduce((sum, a) => sum + lostWork(a, now), 0);
+      if (best === null || cost < best.cost) best = { machine, victims, cost };
+    }
+    if (!best) return false;
+    stopping.add(best.machine);
+    for (const a of best.victims) this.stopOrderly(a, now);
+    return true;
+  }
+
+  /** Stops a task so that what can be saved is saved; a gang stops as a whole. */
+  stopOrderly(a: JobTask, now: number): void {
+    const job = a.job.job;
+    const graceS = job.checkpointS > 0 ? job.saveS + this.book.settings.reportS : 0;
+    const all = job.kind === 'gang' ? [...allPlaces(a.job)] : [a];
+    for (const t of all) this.book.stopTask(t, graceS, now);
+  }
+}
+
+type JobTask = Machine['tasks'] extends Map<string, infer T> ? T : never;
+
+function lostWork(a: JobTask, now: number): number {
+  const ran = a.runningSince === null ? 0 : now - a.runningSince;
+  const share = a.job.job.gpus + a.job.job.cpus / 8;
+  return (a.job.job.checkpointS > 0 ? Math.min(ran, a.job.job.saveS) : ran) * share + 1;
+}
+
+function shapeOf(state: JobState): string {
+  const j = state.job;
+  const types = j.types === null ? '*' : j.types.join(',');
+  const own = j.spread || j.oneZone ? j.id : '';
+  return `${j.cpus} ${j.gpus} ${j.memory} ${types} ${j.zone ?? '*'} ${j.spot} ${own}`;
+}
+
+/** Seconds until a machine could be empty, or null if nothing on it ends by itself. */
+function emptyIn(machine: Machine, bootS: number, now: number): number | null {
+  if (machine.state === 'booting') return Math.max(1, machine.bornAt + bootS - now);
+  let wait = 0;
+  for (const a of machine.tasks.values()) {
+    const job = a.job.job;
+    if (a.stop !== null) continue;
+    if (job.kind === 'service') return null;
+    const ran = a.runningSince === null ? 0 : now - a.runningSince;
+    wait = Math.max(wait, job.estimateS * 1.5 - ran, job.estimateS / 4);
+  }
+  return wait;
+}
--- /dev/null
+++ b/packages/peer/index.ts
@@ -0,0 +1,2 @@
+export * from './frames.js';
+export * from './link.js';
--- /dev/null
+++ b/packages/store/budget.ts
@@ -0,0 +1,34 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+/** A rate with one second's worth of burst. Urgent takers overdraw; others wait for a reserve. */
+export class Budget {
+  private level: number;
+  private at = performance.now();
+
+  constructor(private readonly perSecond: number) {
+    this.level = perSecond;
+  }
+
+  private refill(): void {
+    const now = performance.now();
+    this.level = Math.min(this.perSecond, this.level + ((now - this.at) / 1000) * this.perSecond);
+    this.at = now;
+  }
+
+  /** Milliseconds until `n` may be taken, 0 if now. */
+  waitMs(n: number, urgent: boolean): number {
+    this.refill();
+    const floor = urgent ? 0 : this.perSecond / 4;
+    const missing = Math.min(n, this.perSecond) + floor - this.level;
+    return missing <= 0 ? 0 : Math.ceil((missing / this.perSecond) * 1000);
+  }
+
+  async take(n: number, urgent: boolean, signal?: AbortSignal): Promise<void> {
+    for (;;) {
+      const wait = this.waitMs(n, urgent);
+      if (wait === 0) break;
+      await sleep(wait, undefined, { signal });
+    }
+    this.level -= n;
+  }
+}
--- /dev/null
+++ b/packages/store/client.ts
@@ -0,0 +1,73 @@
+import { Change, Condition, StateApi, StateRefused, TxnOutcome } from '#wire';
+import { Budget } from './budget.js';
+
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  valueBytes: number;
+  txnOps: number;
+}
+
+/** Steady seconds. */
+export function steady(): number {
+  return performance.now() / 1000;
+}
+
+/** The state service within this controller's part of the rate limits, and how it has been. */
+export class StateClient {
+  private readonly reads: Budget;
+  private readonly writes: Budget;
+  /** When the last request that succeeded was sent; steady seconds. */
+  lastOkAt = -Infinity;
+  /** When the last request that was refused or unanswered was sent. */
+  lastFailAt = -Infinity;
+  /** When the first request that failed since the last success was sent. */
+  failingSince = Infinity;
+
+  constructor(
+    readonly api: StateApi,
+    readonly limits: StateLimits,
+    share: number,
+  ) {
+    this.reads = new Budget(limits.rps * share);
+    this.writes = new Budget(limits.writeRps * share);
+  }
+
+  /** Runs one request and notes whether the service served it. */
+  async call<T>(
+    urgent: boolean,
+    signal: AbortSignal | undefined,
+    run: (api: StateApi) => Promise<T>,
+  ): Promise<T> {
+    await this.reads.take(1, urgent, signal);
+    const sentAt = steady();
+    try {
+      const result = await run(this.api);
+      this.lastOkAt = Math.max(this.lastOkAt, sentAt);
+      if (this.lastOkAt > this.lastFailAt) this.failingSince = Infinity;
+      return result;
+    } catch (err) {
+      // A 429 shows that the service is there.
+      if (!(err instanceof StateRefused && err.status === 429) && !signal?.aborted) {
+        this.lastFailAt = Math.max(this.lastFailAt, sentAt);
+        if (this.failing && this.failingSince === Infinity) this.failingSince = sentAt;
+      }
+      throw err;
+    }
+  }
+
+  async txn(
+    conditions: Condition[],
+    changes: Change[],
+    urgent: boolean,
+    signal?: AbortSignal,
+  ): Promise<TxnOutcome> {
+    await this.writes.take(changes.length, urgent, signal);
+    return this.call(urgent, signal, (api) => api.txn(conditions, changes, signal));
+  }
+
+  /** The last thing known is that the service did not serve us. */
+  get failing(): boolean {
+    return this.lastFailAt > this.lastOkAt;
+  }
+}
--- /dev/null
+++ b/packages/store/index.ts
@@ -0,0 +1,6 @@
+export * from './budget.js';
+export * from './cache.js';
+export * from './client.js';
+export * from './commit.js';
+export * from './ownership.js';
+export * from './records.js';
--- /dev/null
+++ b/packages/store/ownership.ts
@@ -0,0 +1,139 @@
+import { BehaviorSubject } from 'rxjs';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { NoAnswer } from '#wire';
+import { PrefixCache } from './cache.js';
+import { StateClient, steady } from './client.js';
+import { PartRecord, partKey } from './records.js';
+
+export interface Term {
+  part: number;
+  /** Version of the part's key: rises with every claim. */
+  term: number;
+  grant: number;
+  claimedAt: number;
+}
+
+/**
+ * Keeps a grant and tries to hold a part's key on it. The grant's number tells one life of a process
+ * from the next, so a process that restarts at once is a new owner.
+ */
+export class Ownership {
+  readonly term = new BehaviorSubject<Term | null>(null);
+  /** The part's key as last seen. */
+  holder: (PartRecord & { version: number }) | null = null;
+  private grant: number | null = null;
+  /** When the last renewal that succeeded was sent. */
+  renewedAt = -Infinity;
+  private wake: () => void = () => {};
+
+  constructor(
+    private readonly client: StateClient,
+    private readonly cache: PrefixCache,
+    private readonly name: string,
+    private readonly part: number,
+    readonly ttlS: number,
+  ) {
+    cache.changes.subscribe((e) => {
+      if (e.key !== partKey(part)) return;
+      this.holder = e.value ? { ...(e.value as PartRecord), version: e.version } : null;
+      this.noticeHolder();
+      this.wake();
+    });
+  }
+
+  /** Surely ours until then, by the grant alone. */
+  get provenUntil(): number {
+    return this.renewedAt + this.ttlS * 0.95;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        await this.step(signal);
+      } catch {
+        // Refused or unanswered: the term stands until the service says that it is gone.
+      }
+      const held = this.term.value !== null;
+      const pauseMs = (held || this.holder !== null ? this.ttlS / 5 : this.ttlS / 20) * 1000;
+      await this.pause(pauseMs * (0.8 + Math.random() * 0.4), signal);
+    }
+  }
+
+  /** Gives the part up at once, as when our own records were not as expected. */
+  resign(): void {
+    const grant = this.grant;
+    this.grant = null;
+    this.term.next(null);
+    if (grant !== null) {
+      this.client.call(true, undefined, (api) => api.drop(grant)).catch(() => {});
+    }
+  }
+
+  private async pause(ms: number, signal: AbortSignal): Promise<void> {
+    const early = new AbortController();
+    this.wake = () => early.abort();
+    await sleep(ms, undefined, { signal: AbortSignal.any([signal, early.signal]) }).catch(() => {});
+    this.wake = () => {};
+  }
+
+  private async step(signal: AbortSignal): Promise<void> {
+    if (this.grant === null) {
+      const sentAt = steady();
+      const ttlMs = Math.round(this.ttlS * 1000);
+      this.grant = await this.client.call(true, signal, (api) => api.grant(ttlMs, signal));
+      this.renewedAt = sentAt;
+    } else {
+      const sentAt = steady();
+      const grant = this.grant;
+      const alive = await this.client.call(true, signal, (api) => api.touch(grant, signal));
+      if (this.grant !== grant) return;
+      if (alive) this.renewedAt = sentAt;
+      else {
+        this.grant = null;
+        this.term.next(null);
+        return;
+      }
+    }
+    if (this.term.value === null && this.holder === null && this.cache.ready) {
+      await this.claim(signal);
+    }
+  }
+
+  private async claim(signal: AbortSignal): Promise<void> {
+    const grant = this.grant!;
+    const key = partKey(this.part);
+    const value: PartRecord = { owner: this.name, grant };
+    try {
+      const out = await this.client.txn(
+        [{ key, version: 0 }],
+        [{ put: key, value, lease: grant }],
+        true,
+        signal,
+      );
+      if (out.ok) {
+        // Through the cache, so that an older event which is still to come is known as older.
+        this.cache.learn(key, value, out.revision);
+      } else if ('leaseGone' in out) this.grant = null;
+    } catch (err) {
+      // A claim applied late shows up in the watch; it is then ours, or lapses with its grant.
+      if (!(err instanceof NoAnswer)) throw err;
+    }
+  }
+
+  private noticeHolder(): void {
+    const holder = this.holder;
+    const held = this.term.value;
+    if (holder && this.grant !== null && holder.grant === this.grant) {
+      if (held?.term !== holder.version) {
+        this.term.next({
+          part: this.part,
+          term: holder.version,
+          grant: this.grant,
+          claimedAt: steady(),
+        });
+      }
+    } else if (held && (!holder || holder.version > held.term)) {
+      this.term.next(null);
+    }
+  }
+}
--- /dev/null
+++ b/packages/store/records.ts
@@ -0,0 +1,61 @@
+import { Job, jobToWire, parseJob } from '#wire';
+
+/** Keys and values that the service keeps in the state service. */
+
+export const JOBS = 'jobs/';
+export const WORLD = 'world/';
+export const MACHINES = 'machines/';
+export const PROGRESS = 'progress/';
+export const TYPES_KEY = 'world/types';
+
+export interface JobRecord {
+  job: Job;
+  acceptedAtMs: number;
+  phase: 'accepted' | 'aborted' | 'done';
+  version: number;
+}
+
+export function jobKey(id: string): string {
+  return JOBS + id;
+}
+
+export function partKey(part: number): string {
+  return `world/parts/${part}`;
+}
+
+export function encodeJob(r: Omit<JobRecord, 'version'>): unknown {
+  return { job: jobToWire(r.job), at: r.acceptedAtMs, phase: r.phase };
+}
+
+export function decodeJob(value: unknown, version: number): JobRecord {
+  const raw = value as { job: unknown; at: number; phase: JobRecord['phase'] };
+  return { job: parseJob(raw.job), acceptedAtMs: raw.at, phase: raw.phase, version };
+}
+
+export interface PartRecord {
+  owner: string;
+  grant: number;
+}
+
+export interface MachineRecord {
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** Job, task index and attempt of each assignment. */
+  tasks: [string, number, number][];
+}
+
+/** Tasks whose done bits share one progress value: in base64 they fill half the value limit. */
+export function progressChunkTasks(valueBytes: number): number {
+  return Math.max(8, Math.floor((valueBytes / 2) * 0.75) * 8);
+}
+
+export function progressKey(id: string, chunk: number): string {
+  return `${PROGRESS}${id}/${chunk}`;
+}
+
+/** Assignments that fit one machine record: each takes less than 64 bytes in JSON. */
+export function maxTasksPerMachine(valueBytes: number): number {
+  return Math.max(1, Math.floor(valueBytes / 64) - 4);
+}
--- /dev/null
+++ b/packages/wire/job.ts
@@ -0,0 +1,183 @@
+import { Ajv } from 'ajv';
+import { MalformedBody } from './cbor.js';
+
+export type Kind = 'array' | 'gang' | 'service';
+
+/** A job in the words used inside the service. Amounts per task. */
+export interface Job {
+  id: string;
+  class: string;
+  team: string;
+  kind: Kind;
+  /** 0 is the most urgent. */
+  rank: number;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memory: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export type Phase = 'pending' | 'running' | 'done' | 'aborted';
+
+export const MAX_TASKS = 100_000;
+/** Bounds on texts, so that any legal job fits one value of the state service. */
+const MAX_NAME = 256;
+const MAX_TYPES = 4096;
+const ID_PATTERN = '^j-[0-9]{1,18}$';
+const idRegExp = new RegExp(ID_PATTERN);
+
+const RANKS = ['critical', 'high', 'standard', 'low'];
+const KINDS: Record<string, Kind> = { array: 'array', group: 'gang', standing: 'service' };
+const KIND_NAMES: Record<Kind, string> = { array: 'array', gang: 'group', service: 'standing' };
+
+export function isJobId(text: string): boolean {
+  return idRegExp.test(text);
+}
+
+const name = { type: 'string', minLength: 1, maxLength: MAX_NAME };
+const amount = { type: 'number', minimum: 0, maximum: 1e12 };
+const schema = {
+  type: 'object',
+  required: [
+    'id',
+    'lane',
+    'crew',
+    'shape',
+    'rank',
+    'pieces',
+    'cores',
+    'accelerators',
+    'ramGb',
+    'bundle',
+    'sizeGb',
+    'oneZone',
+    'apart',
+    'loaner',
+    'guessS',
+    'snapshotEveryS',
+    'snapshotS',
+  ],
+  properties: {
+    id: { type: 'string', pattern: ID_PATTERN },
+    lane: name,
+    crew: name,
+    shape: { enum: Object.keys(KINDS) },
+    rank: { enum: RANKS },
+    pieces: { type: 'integer', minimum: 1, maximum: MAX_TASKS },
+    cores: amount,
+    accelerators: amount,
+    ramGb: amount,
+    bundle: name,
+    sizeGb: amount,
+    rigs: { type: ['array', 'null'], items: name, maxItems: MAX_TYPES },
+    yard: { anyOf: [name, { type: 'null' }] },
+    oneZone: { type: 'boolean' },
+    apart: { type: 'boolean' },
+    loaner: { type: 'boolean' },
+    guessS: amount,
+    snapshotEveryS: amount,
+    snapshotS: amount,
+    dueS: { anyOf: [amount, { type: 'null' }] },
+  },
+};
+
+interface RawJob {
+  id: string;
+  lane: string;
+  crew: string;
+  shape: string;
+  rank: string;
+  pieces: number;
+  cores: number;
+  accelerators: number;
+  ramGb: number;
+  bundle: string;
+  sizeGb: number;
+  rigs?: string[] | null;
+  yard?: string | null;
+  oneZone: boolean;
+  apart: boolean;
+  loaner: boolean;
+  guessS: number;
+  snapshotEveryS: number;
+  snapshotS: number;
+  dueS?: number | null;
+}
+
+const ajv = new Ajv({ strict: false, allowUnionTypes: true });
+const valid = ajv.compile<RawJob>(schema);
+
+/** Reads a submission, or throws MalformedBody naming the field. */
+export function parseJob(raw: unknown): Job {
+  if (!valid(raw)) {
+    const first = valid.errors?.[0];
+    throw new MalformedBody(`${first?.instancePath || 'body'} ${first?.message ?? 'invalid'}`);
+  }
+  return {
+    id: raw.id,
+    class: raw.lane,
+    team: raw.crew,
+    kind: KINDS[raw.shape],
+    rank: RANKS.indexOf(raw.rank),
+    tasks: raw.pieces,
+    cpus: raw.cores,
+    gpus: raw.accelerators,
+    memory: raw.ramGb,
+    image: raw.bundle,
+    imageGb: raw.sizeGb,
+    types: raw.rigs ?? null,
+    zone: raw.yard ?? null,
+    oneZone: raw.oneZone,
+    spread: raw.apart,
+    spot: raw.loaner,
+    estimateS: raw.guessS,
+    checkpointS: raw.snapshotEveryS,
+    saveS: raw.snapshotS,
+    deadlineS: raw.dueS ?? null,
+  };
+}
+
+/** The protocol's form of a job; what a client submits. */
+export function jobToWire(job: Job): Record<string, unknown> {
+  return {
+    id: job.id,
+    lane: job.class,
+    crew: job.team,
+    shape: KIND_NAMES[job.kind],
+    rank: RANKS[job.rank],
+    pieces: job.tasks,
+    cores: job.cpus,
+    accelerators: job.gpus,
+    ramGb: job.memory,
+    bundle: job.image,
+    sizeGb: job.imageGb,
+    rigs: job.types,
+    yard: job.zone,
+    oneZone: job.oneZone,
+    apart: job.spread,
+    loaner: job.spot,
+    guessS: job.estimateS,
+    snapshotEveryS: job.checkpointS,
+    snapshotS: job.saveS,
+    dueS: job.deadlineS,
+  };
+}
+
+/** What a user is told of a job. */
+export interface JobView {
+  id: string;
+  phase: Phase;
+  done?: number;
+  running?: number;
+}
