--- /dev/null
+++ b/packages/testing/index.ts
@@ -0,0 +1,1 @@
+export * from './generators.js';
