--- /dev/null
+++ b/packages/testing/random.ts
@@ -0,0 +1,24 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** A seeded source of chance. */
+export class Chance {
+  private readonly source;
+
+  constructor(seed: number) {
+    this.source = xoroshiro128plus(seed);
+  }
+
+  int(from: number, to: number): number {
+    return uniformInt(this.source, from, to);
+  }
+
+  /** Uniform in [0, 1). */
+  next(): number {
+    return this.int(0, 0xffffff) / 0x1000000;
+  }
+
+  hit(p: number): boolean {
+    return this.next() < p;
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation.ts
@@ -0,0 +1,376 @@
+import { Job, MachineType, Order, taskName } from '#wire';
+import { Book, Scheduler, TeamTerms } from '#core';
+import { Chance } from './random.js';
+import { StandInWorker } from './worker.js';
+
+const STEP = 0.25;
+const REPORT = 1;
+const LEASE = 10;
+const CANCEL = 35;
+const FORMER_OWNER = 12;
+const CLAIM_PAUSE = 4;
+const ANSWER_LIFE = 4;
+
+/** One deliberate mistake, to show that the checks can fail. */
+export type Fault =
+  | 'none'
+  | 'short-lease'
+  | 'trusts-former-owner'
+  | 'order-before-record'
+  | 'no-limit'
+  | 'any-zone'
+  | 'deaf-to-aborts'
+  | 'done-early'
+  | 'believes-old-copies';
+
+interface StoredMachine {
+  zone: string;
+  spot: boolean;
+  tasks: [string, number, number][];
+}
+
+/** What is durable: the only thing that outlives an owner. */
+interface Durable {
+  term: number;
+  revision: number;
+  jobs: Map<string, { job: Job; phase: 'accepted' | 'aborted' | 'done'; abortedAt: number }>;
+  done: Map<string, Set<number>>;
+  machines: Map<string, StoredMachine>;
+}
+
+/** One life of an owner: a book, a scheduler, and a recorder that takes a step to be durable. */
+class Life {
+  readonly book: Book;
+  private readonly scheduler: Scheduler;
+  /** Cut off from the state service: it can record nothing more and goes on answering for a while. */
+  deposedAt: number | null = null;
+
+  constructor(
+    private readonly store: Durable,
+    readonly term: number,
+    type: MachineType,
+    teams: Map<string, TeamTerms>,
+    private readonly fault: Fault,
+    now: number,
+  ) {
+    this.book = new Book(
+      {
+        leaseS: fault === 'short-lease' ? LEASE / 4 : LEASE,
+        reportS: REPORT,
+        gangPeerS: 6,
+        gangWaitS: 45,
+        formerOwnerS: fault === 'trusts-former-owner' ? -LEASE : FORMER_OWNER,
+        halfLifeS: 3600,
+        maxTasksPerMachine: 50,
+      },
+      term,
+      now,
+    );
+    this.book.types.set(type.name, type);
+    for (const { job, phase } of store.jobs.values()) {
+      const state = this.book.addJob(job, now, phase, now);
+      for (const i of store.done.get(job.id) ?? []) state.done.add(i);
+    }
+    for (const [name, m] of store.machines) {
+      const { zone, spot } = m;
+      const machine = this.book.meet({ name, addr: '', type: 'std', zone, spot }, 'up', now);
+      for (const [id, index, attempt] of m.tasks) {
+        this.book.inherit(this.book.jobs.get(id)!, index, machine, attempt, now);
+      }
+    }
+    this.book.recomputeFleet();
+    const effective =
+      fault === 'no-limit' ? new Map([...teams].map(([k, t]) => [k, { ...t, gpusMax: 0 }])) : teams;
+    this.scheduler = new Scheduler(this.book, effective, {
+      floorWeight: 0.05,
+      stopThreshold: 0.5,
+      gangLeaseS: 20,
+      preemptAfterS: 2,
+      decisionsPerRound: 50,
+    });
+  }
+
+  step(now: number): void {
+    if (this.deposedAt !== null) return;
+    this.record();
+    for (const { job, phase } of this.store.jobs.values()) {
+      if (phase === 'aborted' && this.fault === 'deaf-to-aborts') continue;
+      const seen = this.fault === 'any-zone' ? { ...job, zone: null, spread: false } : job;
+      this.book.addJob(seen, now, phase, now);
+    }
+    this.book.expire(now);
+    this.book.recomputeFleet();
+    this.scheduler.reserve(now);
+    this.scheduler.round(now);
+    if (this.fault === 'order-before-record') {
+      for (const m of this.book.machines.values())
+        for (const a of m.tasks.values()) a.recorded = true;
+    }
+  }
+
+  /** Makes the state of the step before durable, under the condition of the term. */
+  private record(): void {
+    const { store, book } = this;
+    if (store.term !== this.term) return;
+    store.revision++;
+    for (const id of book.dirtyJobs) {
+      const job = book.jobs.get(id)!;
+      const stored = store.jobs.get(id)!;
+      const done = new Set<number>();
+      for (let i = 0; i < job.job.tasks; i++) if (job.done.has(i)) done.add(i);
+      store.done.set(id, done);
+      const enough = this.fault === 'done-early' ? done.size > 0 : done.size === job.job.tasks;
+      if (enough && stored.phase === 'accepted') {
+        stored.phase = 'done';
+        book.closeJob(job, 'done', 0);
+      }
+      job.unsaved = false;
+    }
+    book.dirtyJobs.clear();
+    if (this.fault !== 'order-before-record') {
+      for (const name of book.dirtyMachines) {
+        const m = book.machines.get(name);
+        if (!m) store.machines.delete(name);
+        else {
+          const tasks = [...m.tasks.values()];
+          for (const a of tasks) a.recorded = true;
+          store.machines.set(name, {
+            zone: m.zone,
+            spot: m.spot,
+            tasks: tasks.map((a) => [a.job.job.id, a.index, a.attempt]),
+          });
+        }
+      }
+    }
+    book.dirtyMachines.clear();
+  }
+}
+
+const TYPE: MachineType = {
+  name: 'std',
+  cpus: 16,
+  gpus: 4,
+  memory: 64,
+  cacheGb: 100,
+  fetchGbPerS: 1,
+  price: 10,
+  spotPrice: 4,
+  bootS: 30,
+  zones: ['a', 'b'],
+};
+
+const TEAMS = new Map<string, TeamTerms>([
+  ['red', { cpus: 0, gpus: 6, cpusMax: 0, gpusMax: 10 }],
+  ['blue', { cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 8 }],
+]);
+
+interface Message {
+  at: number;
+  run: (now: number) => void;
+}
+
+/**
+ * Owners that come and go, workers, and a network that delays, loses and repeats messages, on a
+ * simulated clock. Returns the broken rules found, which must be none unless a fault was seeded.
+ */
+export function simulate(seed: number, fault: Fault, lengthS = 150): Set<string> {
+  const chance = new Chance(seed);
+  const broken = new Set<string>();
+  const store: Durable = {
+    term: 0,
+    revision: 10,
+    jobs: new Map(),
+    done: new Map(),
+    machines: new Map(),
+  };
+  const truth = { done: new Map<string, Set<number>>() };
+  const workers: StandInWorker[] = [];
+  for (let i = 0; i < 5; i++) {
+    workers.push(new StandInWorker(`n-${i}`, i % 2 ? 'a' : 'b', i === 4, LEASE, 0));
+  }
+  let now = 0;
+  let life: Life | null = null;
+  let former: Life | null = null;
+  let claimAt = 1;
+  const mail: Message[] = [];
+  const nextReport = workers.map(() => chance.next());
+  const inFlight = workers.map(() => -Infinity);
+  /** Whom a cut-off worker still reaches. */
+  const sticksTo: (Life | null)[] = workers.map(() => null);
+
+  const jobOf = (id: string) => store.jobs.get(id)!.job;
+  const runS = (id: string) => (jobOf(id).kind === 'service' ? Infinity : 3 + (id.length % 7) * 2);
+
+  for (const w of workers) {
+    w.onStart = (t) => {
+      const job = jobOf(t.job);
+      let gpus = 0;
+      const zones = new Map<string, number>();
+      for (const other of workers) {
+        for (const p of other.present()) {
+          if (jobOf(p.job).team === job.team) gpus += jobOf(p.job).gpus;
+          if (p.job !== t.job) continue;
+          zones.set(other.zone, (zones.get(other.zone) ?? 0) + 1);
+          if (p !== t && p.index === t.index) broken.add('ran_twice');
+        }
+      }
+      if (gpus > TEAMS.get(job.team)!.gpusMax) broken.add('quota');
+      if (job.spread && zones.get(w.zone)! > Math.ceil(job.tasks / 2)) broken.add('wrong_place');
+      if (job.oneZone && zones.size > 1) broken.add('wrong_place');
+      if (job.zone !== null && job.zone !== w.zone) broken.add('wrong_place');
+      if (w.spot && !job.spot) broken.add('wrong_place');
+    };
+  }
+
+  const sendReport = (i: number) => {
+    const w = workers[i];
+    const report = w.report();
+    const sentAt = now;
+    // A worker that lost its owner stays with the one that answered it last, if that still does.
+    const target = sticksTo[i] ?? life;
+    inFlight[i] = now + ANSWER_LIFE;
+    const deliver = (at: number) => {
+      if (!target) return;
+      if (target.deposedAt !== null && at > target.deposedAt + FORMER_OWNER) {
+        sticksTo[i] = null;
+        return;
+      }
+      let orders: Order[] | null;
+      if (fault === 'believes-old-copies') {
+        const machine = target.book.machines.get(report.machine);
+        if (machine && machine.seq >= report.seq) machine.seq = report.seq - 1;
+        orders = target.book.report(report, at);
+      } else orders = target.book.report(report, at);
+      const back = at + chance.next() * 0.3;
+      if (chance.hit(0.08)) return;
+      mail.push({
+        at: back,
+        run: (t) => {
+          if (t - sentAt > ANSWER_LIFE || inFlight[i] === -Infinity) return;
+          inFlight[i] = -Infinity;
+          w.answer({ session: report.session, sentAt }, target.term, orders ?? [], t, runS);
+        },
+      });
+    };
+    if (!chance.hit(0.08)) mail.push({ at: now + chance.next() * 0.3, run: deliver });
+    // A copy from seconds to well over a lease late; its answer reaches nobody.
+    if (chance.hit(0.15)) {
+      mail.push({
+        at: now + chance.next() * 3 * LEASE,
+        run: (t) => {
+          if (!life || (life.deposedAt !== null && t > life.deposedAt + FORMER_OWNER)) return;
+          if (fault === 'believes-old-copies') {
+            const machine = life.book.machines.get(report.machine);
+            if (machine) machine.seq = Math.min(machine.seq, report.seq - 1);
+          }
+          life.book.report(report, t);
+        },
+      });
+    }
+  };
+
+  let nextJob = 0;
+  const submit = () => {
+    const kind = (['array', 'array', 'service', 'gang'] as const)[chance.int(0, 3)];
+    const zone = chance.hit(0.15) ? 'a' : null;
+    const job: Job = {
+      id: `j-${'0'.repeat(chance.int(0, 4))}${++nextJob}`,
+      class: kind,
+      team: chance.hit(0.5) ? 'red' : 'blue',
+      kind,
+      rank: chance.int(0, 3),
+      tasks: chance.int(1, kind === 'array' ? 4 : 3),
+      cpus: 2,
+      gpus: chance.int(1, 2),
+      memory: 4,
+      image: `i${chance.int(0, 2)}`,
+      imageGb: 5,
+      types: null,
+      zone,
+      oneZone: chance.hit(0.2),
+      spread: zone === null && chance.hit(0.3),
+      spot: chance.hit(0.5),
+      estimateS: 10,
+      checkpointS: 0,
+      saveS: 0,
+      deadlineS: null,
+    };
+    if (job.oneZone) job.spread = false;
+    store.revision++;
+    store.jobs.set(job.id, { job, phase: 'accepted', abortedAt: Infinity });
+  };
+
+  for (; now < lengthS; now += STEP) {
+    if (chance.hit(0.1) && nextJob < 60) submit();
+    if (chance.hit(0.06)) {
+      const open = [...store.jobs.values()].filter((j) => j.phase === 'accepted');
+      if (open.length > 0) {
+        const j = open[chance.int(0, open.length - 1)];
+        store.revision++;
+        j.phase = 'aborted';
+        j.abortedAt = now;
+      }
+    }
+    // Owners crash, or lose the state service and go on answering those that still reach them.
+    if (life && chance.hit(0.008)) {
+      if (chance.hit(0.5)) {
+        former = life;
+        life.deposedAt = now;
+        const stuck = chance.int(0, workers.length - 1);
+        workers.forEach((_, i) => (sticksTo[i] = i <= stuck && chance.hit(0.7) ? former : null));
+      }
+      life = null;
+      claimAt = now + CLAIM_PAUSE;
+    }
+    if (!life && now >= claimAt) {
+      store.term = ++store.revision;
+      life = new Life(store, store.term, TYPE, TEAMS, fault, now);
+    }
+    for (const [i, w] of workers.entries()) {
+      if (chance.hit(0.001)) {
+        // Silent for a while: the network holds its reports back, or they are lost.
+        nextReport[i] = now + chance.next() * 2 * LEASE;
+      }
+      w.advance(now);
+      for (const t of w.tasks.values()) {
+        if (t.state !== 'exited' || t.cause !== 'done') continue;
+        const set = truth.done.get(t.job) ?? new Set();
+        truth.done.set(t.job, set.add(t.index));
+        if (jobOf(t.job).kind === 'gang') {
+          for (let n = 0; n < jobOf(t.job).tasks; n++) set.add(n);
+        }
+      }
+      if (now >= nextReport[i] && now > inFlight[i]) {
+        nextReport[i] = now + REPORT * (0.75 + chance.next() / 2);
+        sendReport(i);
+      }
+    }
+    mail.sort((a, b) => a.at - b.at);
+    while (mail.length > 0 && mail[0].at <= now) mail.shift()!.run(now);
+    life?.step(now);
+
+    const seen = new Map<string, string>();
+    for (const w of workers) {
+      for (const t of w.present()) {
+        const name = taskName(t.job, t.index);
+        if (seen.has(name)) broken.add('ran_twice');
+        seen.set(name, w.name);
+        const record = store.jobs.get(t.job)!;
+        if (now > record.abortedAt + CANCEL) broken.add('ran_cancelled');
+        // A start that no durable record names could be forgotten by the next owner.
+        const stored = store.machines.get(w.name);
+        const named = stored?.tasks.some(
+          ([j, n, a]) => j === t.job && n === t.index && a === t.attempt,
+        );
+        if (!named && now - t.startedAt < STEP) broken.add('unrecorded');
+      }
+    }
+    for (const { job, phase } of store.jobs.values()) {
+      if (phase === 'done' && (truth.done.get(job.id)?.size ?? 0) < job.tasks)
+        broken.add('not_done');
+    }
+  }
+  const finished = [...store.jobs.values()].filter((j) => j.phase === 'done').length;
+  if (fault === 'none' && finished === 0) broken.add('nothing_ran');
+  return broken;
+}
