--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -68,7 +68,8 @@
       return;
     }
     // After a take-over, first hear what is there.
-    const settled = now - this.owner.startedAt > 4 * this.reportS && this.listedAt > 0;
+    const hears = this.owner.first ? 0 : 4 * this.reportS;
+    const settled = now - this.owner.startedAt > hears && this.listedAt > 0 && this.owner.ready;
     if (!settled || now - this.planAt < this.reportS) return;
     this.planAt = now;
     const { rent, release } = this.owner.planner.plan(now);
--- a/packages/controller/operator.ts
+++ b/packages/controller/operator.ts
@@ -16,7 +16,6 @@
 const positive = { type: 'number', exclusiveMinimum: 0 };
 
 export const operatorSchema = {
-  $schema: 'http://json-schema.org/draft-07/schema#',
   title: "sorreldale: operators' settings",
   type: 'object',
   properties: {
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -30,6 +30,9 @@
   readonly recorder: Recorder;
   readonly startedAt = steady();
   ready = false;
+  /** No earlier owner has recorded any machine. */
+  first = false;
+  private summaryAt = -Infinity;
   private readonly poke = new Subject<void>();
   private wakeFlush: () => void = () => {};
 
@@ -149,6 +152,7 @@
         this.recorder.loadProgress(job, Number(chunk), (e.value as { done: string }).done);
       }
     }
+    this.first = machines.entries.length === 0;
     const now = steady();
     for (const e of machines.entries) {
       this.recorder.loaded(e.key, e.version);
@@ -183,6 +187,31 @@
     const decided = this.scheduler.round(now);
     if (decided >= ROUND_DECISIONS) this.nudge();
     if (this.recorder.pending) this.wakeFlush();
+    this.summarise(now);
+  }
+
+  private summarise(now: number): void {
+    if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
+    this.summaryAt = now;
+    const states: Record<string, number> = {};
+    let idle = 0;
+    for (const m of this.book.machines.values()) {
+      const kind = `${m.state}${m.spot ? ' spot' : ''}`;
+      states[kind] = (states[kind] ?? 0) + 1;
+      if (m.state === 'up' && m.tasks.size === 0) idle++;
+    }
+    const waiting: Record<string, number> = {};
+    for (const j of this.book.open) {
+      waiting[j.job.class] = (waiting[j.job.class] ?? 0) + this.book.waitingCount(j);
+    }
+    const use: Record<string, number> = {};
+    const index: Record<string, number> = {};
+    for (const t of this.settings.deployment.teams) {
+      use[t.name] = this.book.teamUse.get(t.name)?.gpus ?? 0;
+      index[t.name] = Number(this.scheduler.index(t.name, now).toFixed(3));
+    }
+    const { gpus } = this.book.fleet;
+    this.log.info({ machines: states, idle, gpus, use, index, waiting }, 'fleet');
   }
 
   private async flushLoop(signal: AbortSignal): Promise<void> {
--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
-import { Ajv, ValidateFunction } from 'ajv';
+import type { ValidateFunction } from 'ajv';
 import { parse as parseToml } from 'smol-toml';
+import { compileSchema } from '#wire';
 import { operatorSchema, OperatorSettings, withDefaults } from './operator.js';
 
 /** A settings file that can't be used; the message names file, field and reason. */
@@ -137,9 +138,8 @@
   },
 };
 
-const ajv = new Ajv({ useDefaults: true, strict: false });
-const validPlatform = ajv.compile<PlatformSettings>(platformSchema);
-const validOperator = ajv.compile<OperatorSettings>(operatorSchema);
+const validPlatform = compileSchema<PlatformSettings>(platformSchema);
+const validOperator = compileSchema<OperatorSettings>(operatorSchema);
 
 function check<T>(file: string, value: unknown, valid: ValidateFunction<T>): T {
   if (valid(value)) return value;
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -1,5 +1,5 @@
-import { Ajv } from 'ajv';
 import { MalformedBody } from './cbor.js';
+import { compileSchema } from './schema.js';
 
 export type Kind = 'array' | 'gang' | 'service';
 
@@ -115,8 +115,7 @@
   dueS?: number | null;
 }
 
-const ajv = new Ajv({ strict: false, allowUnionTypes: true });
-const valid = ajv.compile<RawJob>(schema);
+const valid = compileSchema<RawJob>(schema);
 
 /** Reads a submission, or throws MalformedBody naming the field. */
 export function parseJob(raw: unknown): Job {
--- a/packages/wire/worker.ts
+++ b/packages/wire/worker.ts
@@ -1,5 +1,5 @@
-import { Ajv } from 'ajv';
 import { MalformedBody } from './cbor.js';
+import { compileSchema } from './schema.js';
 
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
 export type Cause =
@@ -107,8 +107,7 @@
   }[];
 }
 
-const ajv = new Ajv({ strict: false, allowUnionTypes: true });
-const valid = ajv.compile<RawReport>(schema);
+const valid = compileSchema<RawReport>(schema);
 
 export function taskName(job: string, index: number): string {
   return `${job}/${index}`;
