--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -194,7 +194,7 @@
     }
     const owner = this.owner;
     if (owner && this.entitled() !== 'none') {
-      if (report.token > owner.term.term) {
+      if (report.token > owner.tokenFor(report.machine)) {
         // Somebody newer commands this worker: what we hold is out of date.
         this.log.info({ machine: report.machine, token: report.token }, 'a newer token is out');
         this.ownership.resign();
@@ -202,10 +202,9 @@
         return;
       }
       const orders = owner.report(report);
-      for (const o of orders) {
-        this.log.debug({ machine: report.machine, ...o }, 'order');
-      }
-      reply(res, 200, answerToWire(owner.term.term, orders));
+      // A late copy gets a token that its worker drops, since the answer is not counted as a renewal.
+      const token = orders === null ? 0 : owner.tokenFor(report.machine);
+      reply(res, 200, answerToWire(token, orders ?? []));
       return;
     }
     const holder = this.ownership.holder;
@@ -275,6 +274,7 @@
         this.jobs,
         term,
         () => this.types,
+        () => this.entitled() !== 'none',
         this.log,
       );
       const { deployment: d, host_name } = this.settings;
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -13,6 +13,7 @@
   steady,
   Term,
 } from '#store';
+import { DirectCommands } from './direct.js';
 import { aloneBound } from './entitlement.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
@@ -28,6 +29,7 @@
   readonly planner: CapacityPlanner;
   readonly scheduler: Scheduler;
   readonly recorder: Recorder;
+  private readonly direct: DirectCommands;
   readonly startedAt = steady();
   ready = false;
   /** No earlier owner has recorded any machine. */
@@ -42,6 +44,7 @@
     private readonly jobs: JobTable,
     readonly term: Term,
     private readonly types: () => MachineType[],
+    private readonly entitled: () => boolean,
     private readonly log: Log,
   ) {
     const { deployment, operator } = settings;
@@ -85,6 +88,12 @@
       decisionsPerRound: ROUND_DECISIONS,
     });
     this.recorder = new Recorder(client, this.book, jobs, term, log);
+    this.direct = new DirectCommands(
+      this.book,
+      2 * w.report_s * 1000,
+      (machine, orders) => this.logOrders(machine.name, orders),
+      () => this.nudge(),
+    );
     this.book.onEnd = (end, now) => {
       const { job, index, attempt, machine } = end.assignment;
       const ranS = now - (end.assignment.runningSince ?? now);
@@ -107,12 +116,13 @@
     const jobs = this.jobs.changed.subscribe((r) => this.takeJob(r, true));
     const rounds = merge(this.poke, interval(tickMs))
       .pipe(throttleTime(tickMs / 5, undefined, { leading: true, trailing: true }))
-      .subscribe(() => this.round());
+      .subscribe(() => this.round(signal));
     try {
       await this.flushLoop(signal);
     } finally {
       jobs.unsubscribe();
       rounds.unsubscribe();
+      this.direct.close();
       this.ready = false;
     }
   }
@@ -168,7 +178,7 @@
     this.book.recomputeFleet();
   }
 
-  private round(): void {
+  private round(signal: AbortSignal): void {
     const now = steady();
     const dark = this.book.expire(now);
     for (const m of dark) this.log.info({ machine: m.name }, 'machine silent past its lease');
@@ -187,6 +197,7 @@
     const decided = this.scheduler.round(now);
     if (decided >= ROUND_DECISIONS) this.nudge();
     if (this.recorder.pending) this.wakeFlush();
+    if (this.entitled()) this.direct.push(signal);
     this.summarise(now);
   }
 
@@ -219,6 +230,7 @@
     while (!signal.aborted) {
       if (this.recorder.pending) {
         await this.recorder.flush(signal);
+        if (this.entitled()) this.direct.push(signal);
         continue;
       }
       const early = new AbortController();
@@ -230,11 +242,12 @@
     }
   }
 
-  /** Takes a report and says what to answer; an old copy gets an answer without orders. */
-  report(r: Report): Order[] {
+  /** Takes a report and says what to answer; null for a late copy. */
+  report(r: Report): Order[] | null {
     const before = this.recorder.pending;
     const orders = this.book.report(r, steady());
-    if (orders === null) return [];
+    if (orders === null) return null;
+    this.logOrders(r.machine, orders);
     if (this.recorder.pending && !before) {
       this.wakeFlush();
       this.nudge();
@@ -242,6 +255,15 @@
     return orders;
   }
 
+  private logOrders(machine: string, orders: Order[]): void {
+    for (const o of orders) this.log.debug({ machine, ...o }, 'order');
+  }
+
+  /** What the worker's answers carry. */
+  tokenFor(machine: string): number {
+    return this.book.machines.get(machine)?.token ?? this.term.term;
+  }
+
   counts(): { job: string; done: number; running: number }[] {
     const out = [];
     for (const job of this.book.jobs.values()) {
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -170,6 +170,7 @@
       durable: (revision) => {
         this.versions.set(key, revision);
         for (const a of held) a.recorded = true;
+        this.book.handedOver(machine, revision);
       },
       again,
     };
--- a/packages/core/book.ts
+++ b/packages/core/book.ts
@@ -156,6 +156,7 @@
       machine,
       recorded: false,
       inherited: false,
+      told: false,
       sentSeq: null,
       misses: 0,
       reported: null,
@@ -213,13 +214,13 @@
 
   /** Asks for an end of the task; it keeps its place until it is proven gone. */
   stopTask(a: Assignment, graceS: number, now: number): void {
-    if (a.sentSeq === null && !a.inherited && a.reported === null) {
+    if (!a.told && !a.inherited && a.reported === null) {
       // Never told to the worker and never will be.
       this.remove(a, 'stopped', false, now);
       return;
     }
-    if (a.stop === null) a.stop = { graceS, at: now };
-    else a.stop.graceS = Math.min(a.stop.graceS, graceS);
+    if (a.stop === null) a.stop = { graceS, at: now, direct: false };
+    else if (graceS < a.stop.graceS) a.stop = { ...a.stop, graceS, direct: false };
   }
 
   private remove(a: Assignment, cause: TaskEnd['cause'], saved: boolean, now: number): void {
@@ -277,6 +278,13 @@
       bornAt,
       session: 0,
       seq: -1,
+      helloSeq: -1,
+      token: this.term,
+      fencing: false,
+      fenced: false,
+      loose: new Map(),
+      calling: false,
+      callAfter: 0,
       confirmed: false,
       answeredAt: -Infinity,
       darkAt: 0,
@@ -330,8 +338,8 @@
   }
 
   /**
-   * Takes a report in and says what to answer, or null for one that is older than what is known
-   * already: a late copy renews nothing and reports nothing new.
+   * Takes a report in and says what to answer, or null for a late copy: it renews nothing, reports
+   * nothing new, and its answer must not be one that a worker could take as valid.
    */
   report(r: Report, now: number): Order[] | null {
     const machine = this.meet(
@@ -339,15 +347,23 @@
       'up',
       now,
     );
-    const newer =
-      r.session > machine.session || (r.session === machine.session && r.seq > machine.seq);
-    if (!newer) return null;
+    if (r.session < machine.session) return null;
+    if (r.session === machine.session) {
+      if (r.seq <= machine.helloSeq) return null;
+      if (r.seq <= machine.seq) {
+        // Overtaken by the answer to a direct command: its tasks are old, but the worker waits for
+        // this answer and it renews the lease.
+        machine.helloSeq = r.seq;
+        machine.answeredAt = now;
+        return this.ordersFor(machine, r.seq);
+      }
+    }
     if (r.session > machine.session && machine.session > 0) {
       // The worker killed and forgot everything when its lease ran out. What an earlier term may
       // have started is not judged by this: the older session may be known from a late copy only,
       // and the start may belong to the newer one.
       for (const a of [...machine.tasks.values()]) {
-        if (a.sentSeq !== null || a.reported !== null) {
+        if (a.told || a.reported !== null) {
           this.remove(a, 'lost', false, now);
         }
       }
@@ -356,10 +372,18 @@
       machine.state = 'up';
       machine.idleSince = now;
     }
+    if (r.session > machine.session) machine.loose.clear();
     machine.addr = r.addr;
     machine.session = r.session;
     machine.seq = r.seq;
+    machine.helloSeq = r.seq;
     if (r.token >= this.term) machine.confirmed = true;
+    // Direct commands are not sent while the token is being raised, so all that is loose is older.
+    if (r.token >= machine.token && machine.token > this.term && !machine.fencing) {
+      if (machine.fenced) machine.loose.clear();
+      machine.fenced = false;
+    }
+    this.fenceLoose(machine, now);
     machine.noticeAt = r.noticeS === null ? null : now + r.noticeS;
 
     const listed = new Set<string>();
@@ -387,13 +411,12 @@
     if (!a) {
       if (t.state === 'exited') {
         if (t.cause === 'done' && job && job.phase === 'accepted') this.markDone(job, t.index);
-        // Forgotten only once the result is durable.
-        return job?.unsaved && job.done.has(t.index) ? null : { op: 'forget', ...ref };
+        return this.mayForget(machine, t, job) ? { op: 'forget', ...ref } : null;
       }
       if (!job || t.index >= job.job.tasks) return { op: 'stop', graceS: 0, ...ref };
       // Nothing should run unrecorded; if it does, it holds its place until it is gone.
       a = this.place(job, t.index, machine, t.attempt, now);
-      a.stop = { graceS: 0, at: now };
+      a.stop = { graceS: 0, at: now, direct: false };
     }
     a.inherited = false;
     a.reported = t.state;
@@ -405,7 +428,91 @@
     const cause = t.cause ?? 'error';
     if (cause === 'done') this.markDone(a.job, t.index);
     this.remove(a, cause, t.saved, now);
-    return a.job.unsaved && a.job.done.has(t.index) ? null : { op: 'forget', ...ref };
+    return this.mayForget(machine, t, a.job) ? { op: 'forget', ...ref } : null;
+  }
+
+  /**
+   * Only once its result is durable and no start of the attempt can still arrive: a worker that has
+   * forgotten an attempt would start it again.
+   */
+  private mayForget(machine: Machine, t: TaskReport, job: JobState | undefined): boolean {
+    if (job?.unsaved && job.done.has(t.index)) return false;
+    return !machine.loose.has(looseKey(t.job, t.index, t.attempt));
+  }
+
+  private fenceLoose(machine: Machine, now: number): void {
+    if (machine.fencing || machine.fenced || machine.calling) return;
+    for (const since of machine.loose.values()) {
+      if (now - since < 2 * this.settings.reportS) continue;
+      machine.fencing = true;
+      this.dirtyMachines.add(machine.name);
+      return;
+    }
+  }
+
+  /** The machine's record was written at this revision. */
+  handedOver(machine: Machine, revision: number): void {
+    if (!machine.fencing) return;
+    machine.fencing = false;
+    machine.fenced = true;
+    machine.token = revision;
+  }
+
+  /**
+   * Commands that need not wait for the machine's next report: starts that are recorded, and stops.
+   * Starts are loose until answered.
+   */
+  directOrders(machine: Machine, now: number): Order[] {
+    const ok =
+      machine.state === 'up' &&
+      machine.confirmed &&
+      !machine.calling &&
+      !machine.fencing &&
+      !machine.fenced &&
+      now >= machine.callAfter &&
+      now - machine.answeredAt < 2 * this.settings.reportS;
+    if (!ok) return [];
+    const orders: Order[] = [];
+    for (const a of machine.tasks.values()) {
+      const ref = { job: a.job.job.id, index: a.index, attempt: a.attempt };
+      if (a.stop !== null) {
+        if (a.stop.direct) continue;
+        a.stop.direct = true;
+        orders.push({ op: 'stop', graceS: a.stop.graceS, ...ref });
+      } else if (!a.told && startable(a)) {
+        a.told = true;
+        machine.loose.set(looseKey(ref.job, ref.index, ref.attempt), now);
+        orders.push({ op: 'start', ...ref });
+      }
+    }
+    if (orders.length > 0) machine.calling = true;
+    return orders;
+  }
+
+  /** The worker answered the commands, and executed them or not (409); or nothing is known. */
+  directAnswered(
+    machine: Machine,
+    orders: Order[],
+    outcome: { report: Report } | 'refused' | 'unknown',
+    now: number,
+  ): void {
+    machine.calling = false;
+    if (outcome === 'unknown') {
+      machine.callAfter = now + this.settings.leaseS;
+      return;
+    }
+    for (const o of orders) {
+      if (o.op === 'start') machine.loose.delete(looseKey(o.job, o.index, o.attempt));
+    }
+    if (outcome === 'refused') {
+      machine.callAfter = now + 2 * this.settings.reportS;
+      return;
+    }
+    const r = outcome.report;
+    if (r.session !== machine.session || r.seq <= machine.seq) return;
+    machine.seq = r.seq;
+    // It says nothing of starts in an answer that may still be on its way, so absence proves nothing.
+    for (const t of r.tasks) this.taskReported(machine, t, now);
   }
 
   private taskAbsent(a: Assignment, r: Report, now: number): void {
@@ -413,6 +520,13 @@
     else if (a.inherited) {
       // An old start may still arrive until the worker has seen this term's token.
       if (r.token >= this.term) this.remove(a, 'lost', false, now);
+    } else if (a.machine.loose.has(looseKey(a.job.job.id, a.index, a.attempt))) {
+      // A direct start may still arrive.
+      return;
+    } else if (a.told && a.sentSeq === null) {
+      // Only sent directly, and since refused or fenced off.
+      if (a.stop !== null) this.remove(a, 'stopped', false, now);
+      else a.told = false;
     } else if (a.sentSeq !== null && r.seq > a.sentSeq) {
       // The worker sends its next report only when the answer has come or was given up, so the
       // start did not arrive and no longer can.
@@ -430,7 +544,8 @@
     for (const a of machine.tasks.values()) {
       const ref = { job: a.job.job.id, index: a.index, attempt: a.attempt };
       if (a.stop !== null) orders.push({ op: 'stop', graceS: a.stop.graceS, ...ref });
-      else if (a.reported === null && !a.inherited && a.recorded && gangRecorded(a.job)) {
+      else if (startable(a)) {
+        a.told = true;
         a.sentSeq ??= seq;
         starts.push({ op: 'start', ...ref });
       }
@@ -455,6 +570,14 @@
   for (const list of [...job.places.values()]) yield* list;
 }
 
+function startable(a: Assignment): boolean {
+  return a.reported === null && !a.inherited && a.recorded && gangRecorded(a.job);
+}
+
+function looseKey(job: string, index: number, attempt: number): string {
+  return `${taskName(job, index)}#${attempt}`;
+}
+
 /** All tasks of a gang are recorded before the first of them is told to start. */
 function gangRecorded(job: JobState): boolean {
   if (job.job.kind !== 'gang') return true;
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -12,12 +12,14 @@
   recorded: boolean;
   /** Read from the record of an earlier term and not yet seen in a report. */
   inherited: boolean;
+  /** The start was sent, in an answer or directly. */
+  told: boolean;
   /** Number of the first report whose answer carried the start. */
   sentSeq: number | null;
   /** Answers that carried the start without it showing in the next report. */
   misses: number;
   reported: TaskState | null;
-  stop: { graceS: number; at: number } | null;
+  stop: { graceS: number; at: number; direct: boolean } | null;
   /** Share of the fleet booked for it. */
   share: number;
   since: number;
@@ -52,7 +54,21 @@
   state: 'booting' | 'up' | 'dark';
   bornAt: number;
   session: number;
+  /** Newest message of any kind, and newest report to which an answer was given. */
   seq: number;
+  helloSeq: number;
+  /** What our answers carry: the term, or the revision of the machine's last hand-over if later. */
+  token: number;
+  /** The next record of this machine raises its token, so that older commands have no effect. */
+  fencing: boolean;
+  /** The token was raised; what is loose is harmless once a report shows it. */
+  fenced: boolean;
+  /** Attempts whose direct start was not answered: it may still arrive, until a higher token. */
+  loose: Map<string, number>;
+  /** A direct command is under way. */
+  calling: boolean;
+  /** No direct commands until then. */
+  callAfter: number;
   /** A report has shown this term's token, so older commands and answers can have no effect. */
   confirmed: boolean;
   /** When the last report that was answered arrived. */
--- a/packages/testing/book.test.ts
+++ b/packages/testing/book.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { Book, ServiceCounter, TaskSet } from '#core';
 import { entitlement, OwnerView } from '#controller';
-import { aJob, aBook, aMachine } from './samples.js';
+import { aBook, aJob, aMachine, aReport } from './samples.js';
 import { record, SEEDED } from './generators.js';
 
 test('a task that lost its place several times waits only once', () => {
@@ -72,18 +72,7 @@
   const a1 = book.assign(job, 0, m1, 7, 0);
   const a2 = book.assign(job, 1, m2, 7, 0);
   a1.recorded = true;
-  const report = (seq: number) => ({
-    machine: 'n-1',
-    addr: '',
-    type: 'std',
-    zone: 'a',
-    spot: false,
-    session: 1,
-    seq,
-    token: 100,
-    noticeS: null,
-    tasks: [],
-  });
+  const report = (seq: number) => aReport({ seq });
   assert.deepEqual(book.report(report(1), 1), []);
   a2.recorded = true;
   assert.deepEqual(book.report(report(2), 2), [
@@ -149,21 +138,24 @@
   const book = aBook();
   const job = book.addJob(aJob({ tasks: 1 }), 0, 'accepted', 0);
   book.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
-  const report = (session: number, seq: number, token: number) => ({
-    machine: 'n-1',
-    addr: '',
-    type: 'std',
-    zone: 'a',
-    spot: false,
-    session,
-    seq,
-    token,
-    noticeS: null,
-    tasks: [],
-  });
+  const report = (session: number, seq: number, token: number) => aReport({ session, seq, token });
   book.report(report(3, 5, 90), 1);
   book.report(report(4, 9, 90), 2);
   assert.equal(book.waitingCount(job), 0);
   book.report(report(4, 10, book.term), 3);
   assert.equal(book.waitingCount(job), 1);
 });
+
+test('a report overtaken by a direct answer still counts as answered', () => {
+  // Guards against a machine being given up while its lease runs: the report was taken for a late
+  // copy, but its worker waited for the answer and was renewed by it.
+  const book = aBook();
+  const machine = aMachine(book, 'n-1');
+  const report = (seq: number) => aReport({ seq });
+  book.report(report(1), 1);
+  book.directAnswered(machine, [], { report: report(3) }, 2);
+  assert.deepEqual(book.report(report(2), 9), []);
+  assert.equal(book.report(report(2), 9.5), null);
+  assert.deepEqual(book.expire(11.6), []);
+  assert.deepEqual(book.expire(19.6), [machine]);
+});
--- a/packages/testing/safety.test.ts
+++ b/packages/testing/safety.test.ts
@@ -6,7 +6,9 @@
 
 function brokenBy(fault: Fault, seeds: number): Set<string> {
   const all = new Set<string>();
-  for (let seed = 1; seed <= seeds; seed++) for (const rule of simulate(seed, fault)) all.add(rule);
+  for (let seed = 1; seed <= seeds; seed++) {
+    for (const rule of simulate(seed, fault)) all.add(rule);
+  }
   return all;
 }
 
@@ -19,6 +21,7 @@
   ['short-lease', 'ran_twice'],
   ['trusts-former-owner', 'ran_twice'],
   ['believes-old-copies', 'ran_twice'],
+  ['forgets-late-starts', 'unrecorded'],
   ['order-before-record', 'unrecorded'],
   ['no-limit', 'quota'],
   ['any-zone', 'wrong_place'],
@@ -27,6 +30,6 @@
 ];
 for (const [fault, rule] of trips) {
   test(`the check of ${rule} notices ${fault}`, () => {
-    assert.ok(brokenBy(fault, 20).has(rule));
+    assert.ok(brokenBy(fault, SEEDS).has(rule));
   });
 }
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -1,4 +1,4 @@
-import type { Job, MachineType } from '#wire';
+import type { Job, MachineType, Report } from '#wire';
 import { Book, Machine } from '#core';
 
 export const STD: MachineType = {
@@ -64,3 +64,19 @@
   book.recomputeFleet();
   return machine;
 }
+
+export function aReport(own: Partial<Report> = {}): Report {
+  return {
+    machine: 'n-1',
+    addr: '',
+    type: 'std',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    seq: 1,
+    token: 100,
+    noticeS: null,
+    tasks: [],
+    ...own,
+  };
+}
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -22,7 +22,8 @@
   | 'any-zone'
   | 'deaf-to-aborts'
   | 'done-early'
-  | 'believes-old-copies';
+  | 'believes-old-copies'
+  | 'forgets-late-starts';
 
 interface StoredMachine {
   zone: string;
@@ -135,6 +136,7 @@
         else {
           const tasks = [...m.tasks.values()];
           for (const a of tasks) a.recorded = true;
+          book.handedOver(m, store.revision);
           store.machines.set(name, {
             zone: m.zone,
             spot: m.spot,
@@ -226,9 +228,10 @@
       let orders: Order[] | null;
       if (fault === 'believes-old-copies') {
         const machine = target.book.machines.get(report.machine);
-        if (machine && machine.seq >= report.seq) machine.seq = report.seq - 1;
+        if (machine && machine.seq >= report.seq) machine.seq = machine.helloSeq = report.seq - 1;
         orders = target.book.report(report, at);
       } else orders = target.book.report(report, at);
+      const token = orders === null ? 0 : target.book.machines.get(report.machine)!.token;
       const back = at + chance.next() * 0.3;
       if (chance.hit(0.08)) return;
       mail.push({
@@ -236,7 +239,7 @@
         run: (t) => {
           if (t - sentAt > ANSWER_LIFE || inFlight[i] === -Infinity) return;
           inFlight[i] = -Infinity;
-          w.answer({ session: report.session, sentAt }, target.term, orders ?? [], t, runS);
+          w.answer({ session: report.session, sentAt }, token, orders ?? [], t, runS);
         },
       });
     };
@@ -249,7 +252,7 @@
           if (!life || (life.deposedAt !== null && t > life.deposedAt + FORMER_OWNER)) return;
           if (fault === 'believes-old-copies') {
             const machine = life.book.machines.get(report.machine);
-            if (machine) machine.seq = Math.min(machine.seq, report.seq - 1);
+            if (machine) machine.seq = machine.helloSeq = Math.min(machine.seq, report.seq - 1);
           }
           life.book.report(report, t);
         },
@@ -257,6 +260,36 @@
     }
   };
 
+  /** Direct commands may take long, arrive late, or be answered late or never. */
+  const sendDirect = (from: Life) => {
+    for (const [i, w] of workers.entries()) {
+      const machine = from.book.machines.get(w.name);
+      const orders = machine ? from.book.directOrders(machine, now) : [];
+      if (!machine || orders.length === 0) continue;
+      const { token, session } = machine;
+      const late = chance.hit(0.15);
+      const givenUp = now + 2 * REPORT;
+      mail.push({
+        at: now + (late ? chance.next() * 4 * LEASE : chance.next() * 0.3),
+        run: (t) => {
+          const report = workers[i].command(token, session, orders, t, runS);
+          if (t >= givenUp || chance.hit(0.1)) return;
+          answered.add(orders);
+          from.book.directAnswered(machine, orders, report ? { report } : 'refused', t);
+        },
+      });
+      mail.push({
+        at: givenUp,
+        run: (t) => {
+          if (answered.has(orders)) return;
+          from.book.directAnswered(machine, orders, 'unknown', t);
+          if (fault === 'forgets-late-starts') machine.loose.clear();
+        },
+      });
+    }
+  };
+  const answered = new Set<Order[]>();
+
   let nextJob = 0;
   const submit = () => {
     const kind = (['array', 'array', 'service', 'gang'] as const)[chance.int(0, 3)];
@@ -336,6 +369,7 @@
     mail.sort((a, b) => a.at - b.at);
     while (mail.length > 0 && mail[0].at <= now) mail.shift()!.run(now);
     life?.step(now);
+    if (life) sendDirect(life);
 
     const seen = new Map<string, string>();
     for (const w of workers) {
--- a/packages/testing/worker.ts
+++ b/packages/testing/worker.ts
@@ -80,6 +80,24 @@
     if (!this.alive || token < this.token || to.session !== this.session) return;
     this.token = token;
     this.renewedAt = Math.max(this.renewedAt, to.sentAt);
+    this.execute(orders, now, runS);
+  }
+
+  /** A direct command: runs whenever it arrives, if token and session still match. */
+  command(
+    token: number,
+    session: number,
+    orders: Order[],
+    now: number,
+    runS: (job: string) => number,
+  ): Report | null {
+    if (!this.alive || token < this.token || session !== this.session) return null;
+    this.token = token;
+    this.execute(orders, now, runS);
+    return this.report();
+  }
+
+  private execute(orders: Order[], now: number, runS: (job: string) => number): void {
     for (const o of orders) {
       const name = taskName(o.job, o.index);
       const held = this.tasks.get(name);
--- a/packages/wire/worker.ts
+++ b/packages/wire/worker.ts
@@ -183,6 +183,11 @@
 export function answerToWire(token: number, orders: Order[]): Record<string, unknown> {
   return { baton: token, orders: orders.map(orderToWire) };
 }
+/** The body of a direct command. */
+export function commandToWire(token: number, session: number, orders: Order[]) {
+  return { baton: token, tenure: session, orders: orders.map(orderToWire) };
+}
+
 /** Where a worker should report instead; without a name it tries the next controller. */
 export function redirectToWire(owner: string | null): Record<string, unknown> {
   return owner === null ? {} : { overseer: owner };
