--- a/packages/controller/operator.ts
+++ b/packages/controller/operator.ts
@@ -48,19 +48,19 @@
     ownerTtlS: {
       ...positive,
       description:
-        'Time to live of the grant that holds a part, seconds. Default: 0.4 times workers.lease_s.',
+        'Time to live of the grant that holds a part, seconds. Default: 0.25 times workers.lease_s.',
     },
     reserveSigmas: {
       type: 'number',
       minimum: 0,
       description:
-        'Standard deviations of the arrivals within a boot time that are kept free for classes with a short wait. Default: 1.',
+        'Standard deviations of the arrivals within a boot time that are kept free for classes with a short wait. Default: 2.',
     },
     idleHoldS: {
       type: 'number',
       minimum: 0,
       description:
-        'How long an empty machine that is not needed is kept, seconds. Default: 2 times workers.lease_s.',
+        'How long an empty machine that is not needed is kept, seconds. Default: 6 times workers.lease_s.',
     },
     arrivalMemoryS: {
       ...positive,
@@ -80,9 +80,9 @@
     stopThreshold: own.stopThreshold ?? 0.5,
     gangLeaseS: own.gangLeaseS ?? 12 * lease,
     preemptAfterS: own.preemptAfterS ?? 2 * report,
-    ownerTtlS: own.ownerTtlS ?? 0.4 * lease,
-    reserveSigmas: own.reserveSigmas ?? 1,
-    idleHoldS: own.idleHoldS ?? 2 * lease,
+    ownerTtlS: own.ownerTtlS ?? 0.25 * lease,
+    reserveSigmas: own.reserveSigmas ?? 2,
+    idleHoldS: own.idleHoldS ?? 6 * lease,
     arrivalMemoryS: own.arrivalMemoryS ?? 12 * lease,
   };
 }
