Rank may stop settled work of any team; reports are answered while records load

Ruled out: the limits of the teams (none was reached). Two jobs can displace each other at most once in 30 s each.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import http from 'node:http';
 import { filter, Subscription } from 'rxjs';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -163,7 +164,7 @@
   }
 
   private entitled(): Entitlement {
-    if (!this.owner?.ready) return 'none';
+    if (!this.owner) return 'none';
     const now = steady();
     const w = this.settings.deployment.workers;
     const out = entitlement({
@@ -194,6 +195,12 @@
     }
     const owner = this.owner;
     if (owner && this.entitled() !== 'none') {
+      if (!owner.ready) {
+        // While the records are being read the leases must not run out; nothing can be ordered yet,
+        // and every machine still counts as answered for longer than this takes.
+        reply(res, 200, answerToWire(owner.term.term, []));
+        return;
+      }
       if (report.token > owner.tokenFor(report.machine)) {
         // Somebody newer commands this worker: what we hold is out of date.
         this.log.info({ machine: report.machine, token: report.token }, 'a newer token is out');
@@ -292,6 +299,8 @@
       this.owner = owner;
       const both = new AbortController();
       const own = AbortSignal.any([signal, both.signal]);
+      // Every call to a worker listens to it.
+      setMaxListeners(0, own);
       try {
         const cloud = duty.run(own);
         await owner.run(own);
--- a/packages/core/schedule.ts
+++ b/packages/core/schedule.ts
@@ -1,3 +1,4 @@
+import type { Job } from '#wire';
 import { allPlaces, Book } from './book.js';
 import { Amounts, teamWeight, TeamTerms, withinLimit } from './fairshare.js';
 import type { JobState, Machine } from './model.js';
@@ -27,6 +28,9 @@
   terms: TeamTerms;
 }
 
+/** The users count a start only if no command stops the task for so long. */
+const SETTLED_S = 30;
+
 const NO_USE: Amounts = { cpus: 0, gpus: 0, memory: 0 };
 
 export class Scheduler {
@@ -257,12 +261,8 @@
 
   private mayStop(forJob: JobState, victim: JobState, now: number): boolean {
     const other = victim.job.team !== forJob.job.team;
-    const borrowed = this.borrows(victim.job.team);
-    if (other && this.owed(forJob) && borrowed) return true;
-    if (victim.job.rank > forJob.job.rank) {
-      // A borrower gets no room from a team within its guarantee: it would only have to return it.
-      return !other || borrowed || this.owed(forJob);
-    }
+    if (other && this.owed(forJob) && this.borrows(victim.job.team)) return true;
+    if (victim.job.rank > forJob.job.rank) return true;
     if (other && victim.job.kind === 'gang') {
       // The design's own stop: a lease has ended and a team that waits is far behind.
       const started = Math.min(...[...allPlaces(victim)].map((a) => a.runningSince ?? now));
@@ -288,7 +288,7 @@
       if (machine.reservedFor !== null || (machine.spot && !job.spot)) continue;
       if (!typeFits(job, type) || !zoneAllowed(job, machine.zone, counts)) continue;
       const options = [...machine.tasks.values()]
-        .filter((a) => a.stop === null && this.mayStop(state, a.job, now))
+        .filter((a) => a.stop === null && settled(a, job, now) && this.mayStop(state, a.job, now))
         .sort((a, b) => b.job.job.rank - a.job.job.rank || b.since - a.since);
       const victims: JobTask[] = [];
       const used = { ...machine.used };
@@ -324,6 +324,14 @@
 
 type JobTask = Machine['tasks'] extends Map<string, infer T> ? T : never;
 
+/**
+ * A start that is undone at once served nobody. So what has just begun to run is left alone for a
+ * while, except for the most urgent rank; this also bounds how often two jobs can displace each other.
+ */
+function settled(a: JobTask, forJob: Job, now: number): boolean {
+  return forJob.rank === 0 || a.runningSince === null || now - a.runningSince >= SETTLED_S;
+}
+
 function lostWork(a: JobTask, now: number): number {
   const ran = a.runningSince === null ? 0 : now - a.runningSince;
   const share = a.job.job.gpus + a.job.job.cpus / 8;
