--- a/packages/core/schedule.ts
+++ b/packages/core/schedule.ts
@@ -155,6 +155,15 @@
     return placed;
   }
 
+  /** Machines where room is being made for the job. */
+  private roomComing(state: JobState, now: number): number {
+    let n = 0;
+    for (const m of this.book.machines.values()) {
+      if (m.heldFor?.job === state && m.heldFor.until >= now) n++;
+    }
+    return n;
+  }
+
   /**
    * Keeps machines free for gangs that wait, so that small work does not fill every gap: those that
    * can be empty soonest are reserved, oldest gang first.
@@ -232,6 +241,8 @@
     for (const job of waiting) {
       if (rounds >= 4) break;
       if (job.job.kind === 'gang' || failed.has(shapeOf(job))) continue;
+      // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
+      if (this.roomComing(job, now) >= this.book.waitingCount(job)) continue;
       const terms = this.teams.get(job.job.team);
       if (!terms || !withinLimit(terms, book.teamUse.get(job.job.team) ?? NO_USE, job.job))
         continue;
--- a/packages/testing/book.test.ts
+++ b/packages/testing/book.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { Book, ServiceCounter, TaskSet } from '#core';
+import { Book, Scheduler, ServiceCounter, TaskSet } from '#core';
 import { entitlement, OwnerView } from '#controller';
 import { aBook, aJob, aMachine, aReport } from './samples.js';
 import { record, SEEDED } from './generators.js';
@@ -159,3 +159,30 @@
   assert.deepEqual(book.expire(11.6), []);
   assert.deepEqual(book.expire(19.6), [machine]);
 });
+
+test('work is stopped once for a waiting task, not again while the room is coming free', () => {
+  // Guards against stopping work on one machine after another while the first stop takes effect.
+  const book = aBook();
+  const machines = ['n-1', 'n-2', 'n-3'].map((name) => aMachine(book, name));
+  const low = book.addJob(aJob({ id: 'j-1', rank: 3, tasks: 3, gpus: 4 }), 0, 'accepted', 0);
+  machines.forEach((machine, i) => {
+    const a = book.assign(low, i, machine, book.newAttempt(), 0);
+    a.recorded = a.told = true;
+    a.reported = 'running';
+    a.runningSince = 0;
+  });
+  const terms = { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
+  const scheduler = new Scheduler(book, new Map([['red', terms]]), {
+    floorWeight: 0.05,
+    stopThreshold: 0.5,
+    gangLeaseS: 120,
+    preemptAfterS: 2,
+    decisionsPerRound: 100,
+  });
+  book.addJob(aJob({ id: 'j-2', rank: 1, gpus: 4 }), 100, 'accepted', 100);
+  const stopping = () => machines.flatMap((m) => [...m.tasks.values()].filter((a) => a.stop));
+  scheduler.round(101);
+  assert.equal(stopping().length, 0, 'not before it has waited');
+  for (const t of [103, 103.25, 103.5, 104]) scheduler.round(t);
+  assert.equal(stopping().length, 1);
+});
