A book that has given orders is never made anew in its term; ended jobs are dropped

Read in review: an owner that met an unexpected error made a new book under the same term, which would reuse attempt numbers and not know of loose starts; it resigns now. Answers while records load are bounded like a former owner's.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -196,8 +196,14 @@
     const owner = this.owner;
     if (owner && this.entitled() !== 'none') {
       if (!owner.ready) {
-        // While the records are being read the leases must not run out; nothing can be ordered yet,
-        // and every machine still counts as answered for longer than this takes.
+        // While the records are being read the leases must not run out. Nothing can be ordered yet;
+        // until the same bound as for a former owner, every machine counts as just answered.
+        const w = this.settings.deployment.workers;
+        const until = owner.term.claimedAt + aloneBound(w.cancel_s, w.lease_s, w.report_s);
+        if (steady() > until) {
+          reply(res, 503, { error: 'records are not read yet' });
+          return;
+        }
         reply(res, 200, answerToWire(owner.term.term, []));
         return;
       }
@@ -307,8 +313,9 @@
         await cloud;
       } catch (err) {
         if (signal.aborted) return;
-        if (err instanceof TermBroken) {
-          this.log.info({ why: err.message, term: term.term }, 'term given up');
+        // A book that has given orders knows what may still arrive; it can't be made anew in its term.
+        if (err instanceof TermBroken || owner.ready) {
+          this.log.info({ why: String(err), term: term.term }, 'term given up');
           this.ownership.resign();
           return;
         }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -31,6 +31,7 @@
   readonly recorder: Recorder;
   private readonly direct: DirectCommands;
   readonly startedAt = steady();
+  /** The records are read and orders may have been given. */
   ready = false;
   /** No earlier owner has recorded any machine. */
   first = false;
@@ -123,7 +124,6 @@
       jobs.unsubscribe();
       rounds.unsubscribe();
       this.direct.close();
-      this.ready = false;
     }
   }
 
@@ -204,6 +204,7 @@
   private summarise(now: number): void {
     if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
     this.summaryAt = now;
+    this.book.dropEnded();
     const states: Record<string, number> = {};
     let idle = 0;
     for (const m of this.book.machines.values()) {
--- a/packages/core/book.ts
+++ b/packages/core/book.ts
@@ -84,6 +84,13 @@
     for (const a of allPlaces(job)) this.stopTask(a, 0, now);
   }
 
+  /** Forgets jobs that are over and have no task left anywhere. */
+  dropEnded(): void {
+    for (const [id, job] of this.jobs) {
+      if (job.phase !== 'accepted' && job.places.size === 0) this.jobs.delete(id);
+    }
+  }
+
   waitingCount(job: JobState): number {
     if (job.phase !== 'accepted') return 0;
     return Math.max(0, job.job.tasks - job.done.size - job.places.size);
