--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -26,6 +26,7 @@
     private readonly reportS: number,
     private readonly leaseS: number,
     private readonly onTypes: (types: MachineType[]) => Promise<void>,
+    private readonly entitled: () => boolean,
     private readonly log: Log,
   ) {}
 
@@ -62,6 +63,9 @@
       await this.list(signal);
       return;
     }
+    // An owner that nobody may listen to any more takes every machine for silent: it must not
+    // release or rent on that.
+    if (!this.entitled()) return;
     const doomed = this.doomed(now);
     if (doomed.length > 0) {
       await this.release(doomed, signal);
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -171,7 +171,6 @@
       now,
       provenUntil: this.ownership.provenUntil,
       syncedAt: this.jobs.cache.syncedAt,
-      failedAt: this.client.lastFailAt,
       failingSince: this.client.failingSince,
       peers: this.settings.peers.map((p) => this.words.get(p.host_name) ?? null),
       silenceS: 2 * this.reportS,
@@ -300,6 +299,7 @@
         this.reportS,
         d.workers.lease_s,
         (types) => this.publishTypes(types),
+        () => this.entitled() !== 'none',
         this.log,
       );
       this.owner = owner;
--- a/packages/controller/entitlement.ts
+++ b/packages/controller/entitlement.ts
@@ -16,8 +16,6 @@
   provenUntil: number;
   /** When the newest request that brought all cancellations in was sent. */
   syncedAt: number;
-  /** When our newest request that failed was sent. */
-  failedAt: number;
   /** When the first of our requests that failed since the last success was sent. */
   failingSince: number;
   peers: (PeerWord | null)[];
@@ -33,10 +31,9 @@
 
 export function entitlement(v: OwnerView): Entitlement {
   const reachable = v.peers.filter((p) => p !== null && v.now - p.heardAt <= v.silenceS);
-  // Someone was served while we were refused both before and after.
-  const refusedAlone = reachable.some(
-    (p) => p!.servedAt > v.failingSince && v.failedAt > p!.servedAt,
-  );
+  // Someone was served well after we no longer were. Whether we have failed again since doesn't
+  // matter: a cut that swallows requests shows their failure only when they time out.
+  const refusedAlone = reachable.some((p) => p!.servedAt > v.failingSince + v.silenceS / 4);
   if (v.now < v.provenUntil) return 'proven';
   if (refusedAlone) return 'none';
   if (reachable.length > 0 && reachable.length === v.peers.length) return 'outage';
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -56,7 +56,7 @@
         reportS: w.report_s,
         gangPeerS: w.gang_peer_s,
         gangWaitS: w.gang_wait_s,
-        formerOwnerS: aloneBound(w.cancel_s, w.lease_s, w.report_s),
+        formerOwnerS: aloneBound(w.cancel_s, w.lease_s, w.report_s) + 2 * w.report_s,
         halfLifeS: operator.shareHalfLifeS,
         maxTasksPerMachine: maxTasksPerMachine(client.limits.valueBytes),
       },
--- a/packages/testing/book.test.ts
+++ b/packages/testing/book.test.ts
@@ -86,7 +86,6 @@
     now: 20,
     provenUntil: 14,
     syncedAt: 10,
-    failedAt: 19,
     failingSince: 11,
     peers: [
       { heardAt: 19.5, servedAt: 10.9 },
@@ -100,15 +99,16 @@
   assert.equal(entitlement({ ...base, now: 13 }), 'proven');
   const served = [{ heardAt: 19.5, servedAt: 18 }, base.peers[1]];
   assert.equal(entitlement({ ...base, peers: served }), 'none');
-  // Served after our own last try: we may only not have asked yet.
-  assert.equal(entitlement({ ...base, peers: served, failedAt: 17 }), 'outage');
+  // Guards against an owner whose requests were swallowed by a cut: with every failure noticed only a
+  // second later, a peer always seemed to be served after our newest failure, and it went on for good.
+  assert.equal(entitlement({ ...base, peers: [{ heardAt: 19.9, servedAt: 19.8 }, null] }), 'none');
   const silent = { ...base, peers: [null, { heardAt: 12, servedAt: 10 }] };
   assert.equal(entitlement(silent), 'alone');
   assert.equal(entitlement({ ...silent, now: 26 }), 'none');
   // With nobody to ask, no answer is given past the bound, whatever else is true.
   fc.assert(
     fc.property(
-      record({ now: fc.double({ min: 0, max: 100, noNaN: true }), failedAt: fc.nat(100) }),
+      record({ now: fc.double({ min: 0, max: 100, noNaN: true }), failingSince: fc.nat(100) }),
       (over) => {
         const v = { ...silent, ...over, peers: [null, null] };
         if (v.now >= Math.max(v.provenUntil, v.syncedAt + v.aloneS)) {
