From reading the change once more: one teamTerms, a simpler fence, no stuck direct call

Team terms were built twice; the fence's condition named what follows from the flag; gangWaitS was read by nothing. An unreadable answer to a direct command left the machine marked as being called for good, so it got no more direct commands and its loose starts were never fenced: it counts as unknown now.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -30,7 +30,7 @@
 import type { Log } from './log.js';
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
-import type { Settings } from './settings.js';
+import { Settings, teamTerms } from './settings.js';
 
 const WATCH_MS = 10_000;
 /** Event-loop lag, as a share of the users' second, from which submissions are turned away. */
@@ -130,12 +130,7 @@
       client: this.client,
       commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
       jobs: this.jobs,
-      teams: new Map(
-        d.teams.map((t) => [
-          t.name,
-          { cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
-        ]),
-      ),
+      teams: teamTerms(d.teams),
       types: () => this.types,
       overloaded: () => this.lagMs > LAG_LIMIT_MS,
       onAbort: (id) => this.peers.send({ kind: 'abort', job: id }),
--- a/packages/controller/direct.ts
+++ b/packages/controller/direct.ts
@@ -1,4 +1,4 @@
-import { CborClient, commandToWire, MalformedBody, Order, parseReport } from '#wire';
+import { CborClient, commandToWire, Order, parseReport } from '#wire';
 import type { Book, Machine } from '#core';
 import { steady } from '#store';
 
@@ -49,8 +49,8 @@
         const refused = res.status === 409 || res.status === 400;
         this.book.directAnswered(machine, orders, refused ? 'refused' : 'unknown', steady());
       }
-    } catch (err) {
-      if (err instanceof MalformedBody) return;
+    } catch {
+      // No answer, or one that can't be read: the commands may have been carried out.
       this.book.directAnswered(machine, orders, 'unknown', steady());
     }
     if (!this.book.machines.has(machine.name)) {
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,7 +1,7 @@
 import { merge, Subject, interval, throttleTime } from 'rxjs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MachineType, Order, Report } from '#wire';
-import { Book, CapacityPlanner, JobState, Scheduler, TeamTerms } from '#core';
+import { Book, CapacityPlanner, JobState, Scheduler } from '#core';
 import {
   JobRecord,
   listAll,
@@ -18,7 +18,7 @@
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
 import { Recorder, runningCount, TermBroken } from './recorder.js';
-import type { Settings } from './settings.js';
+import { Settings, teamTerms } from './settings.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 const ROUND_DECISIONS = 200;
@@ -55,7 +55,6 @@
         leaseS: w.lease_s,
         reportS: w.report_s,
         gangPeerS: w.gang_peer_s,
-        gangWaitS: w.gang_wait_s,
         formerOwnerS: aloneBound(w.cancel_s, w.lease_s, w.report_s) + 2 * w.report_s,
         halfLifeS: operator.shareHalfLifeS,
         maxTasksPerMachine: maxTasksPerMachine(client.limits.valueBytes),
@@ -63,12 +62,7 @@
       term.term,
       term.claimedAt,
     );
-    const teams = new Map<string, TeamTerms>(
-      deployment.teams.map((t) => [
-        t.name,
-        { cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
-      ]),
-    );
+    const teams = teamTerms(deployment.teams);
     this.planner = new CapacityPlanner(
       this.book,
       {
--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -2,6 +2,7 @@
 import type { ValidateFunction } from 'ajv';
 import { parse as parseToml } from 'smol-toml';
 import { compileSchema } from '#wire';
+import type { TeamTerms } from '#core';
 import { operatorSchema, OperatorSettings, withDefaults } from './operator.js';
 
 /** A settings file that can't be used; the message names file, field and reason. */
@@ -15,6 +16,16 @@
   gpus_max: number;
 }
 
+/** Guarantees and limits by team, in the core's words. */
+export function teamTerms(teams: TeamSettings[]): Map<string, TeamTerms> {
+  return new Map(
+    teams.map((t) => [
+      t.name,
+      { cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
+    ]),
+  );
+}
+
 export interface PlatformSettings {
   host_name: string;
   zone: string;
--- a/packages/core/book.ts
+++ b/packages/core/book.ts
@@ -386,8 +386,8 @@
     machine.helloSeq = r.seq;
     if (r.token >= this.term) machine.confirmed = true;
     // Direct commands are not sent while the token is being raised, so all that is loose is older.
-    if (r.token >= machine.token && machine.token > this.term && !machine.fencing) {
-      if (machine.fenced) machine.loose.clear();
+    if (machine.fenced && r.token >= machine.token) {
+      machine.loose.clear();
       machine.fenced = false;
     }
     this.fenceLoose(machine, now);
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -95,7 +95,6 @@
   leaseS: number;
   reportS: number;
   gangPeerS: number;
-  gangWaitS: number;
   /** How long an earlier owner may have gone on answering after losing its term. */
   formerOwnerS: number;
   halfLifeS: number;
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -46,7 +46,6 @@
       leaseS: 10,
       reportS: 1,
       gangPeerS: 6,
-      gangWaitS: 45,
       formerOwnerS: 12,
       halfLifeS: 3600,
       maxTasksPerMachine: 50,
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -60,7 +60,6 @@
         leaseS: fault === 'short-lease' ? LEASE / 4 : LEASE,
         reportS: REPORT,
         gangPeerS: 6,
-        gangWaitS: 45,
         formerOwnerS: fault === 'trusts-former-owner' ? -LEASE : FORMER_OWNER,
         halfLifeS: 3600,
         maxTasksPerMachine: 50,
