--- a/packages/controller/api.ts
+++ b/packages/controller/api.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import express, { Express, Request, Response } from 'express';
 import {
   decode,
@@ -33,12 +34,19 @@
   types: () => MachineType[];
   /** Busy enough that submissions are turned away. */
   overloaded: () => boolean;
+  /** Told of every request. */
+  onRequest: () => void;
   /** Told before a user hears that the job is aborted. */
   onAbort: (id: string) => void;
 }
 
 /** Answers with one write: head and body go out together. */
-export function reply(res: Response, status: number, body: unknown, retryAfterS?: number): void {
+export function reply(
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+  retryAfterS?: number,
+): void {
   const bytes = encode(body);
   const head: Record<string, string | number> = {
     'Content-Type': 'application/cbor',
@@ -52,7 +60,7 @@
  * Takes a body in without express's body parsers: most of what an owner of a large fleet does is read
  * reports, and the parsers' streams cost more than reading the report itself.
  */
-export function takeBody(req: Request, take: (body: unknown) => void): void {
+export function takeBody(req: IncomingMessage, take: (body: unknown) => void): void {
   const chunks: Buffer[] = [];
   let size = 0;
   req.on('data', (chunk: Buffer) => {
@@ -82,6 +90,7 @@
   mount(app: Express): void {
     const guard =
       (run: (req: Request, res: Response) => Promise<void>) => (req: Request, res: Response) => {
+        this.parts.onRequest();
         run(req, res).catch((err: unknown) => this.refuse(res, err));
       };
     app.post(
@@ -242,14 +251,26 @@
   }
 }
 
+/**
+ * Reports go past express: nearly all requests to an owner are reports, and express's way to the handler
+ * cost more than the handler. All else is express's.
+ */
+export function frontOf(
+  app: Express,
+  hello: (body: unknown, res: ServerResponse) => void,
+): RequestListener {
+  return (req, res) => {
+    if (req.method === 'POST' && req.url === '/hello') takeBody(req, (body) => hello(body, res));
+    else app(req, res);
+  };
+}
+
 /** The common frame of the HTTP side: raw bodies within the limit, and an answer to everything. */
-export function makeApp(hello: (body: unknown, res: Response) => void): Express {
+export function makeApp(): Express {
   const app = express();
   app.disable('x-powered-by');
   app.disable('etag');
   app.set('query parser', false);
-  // Before all else, since nearly all requests to an owner are reports.
-  app.post('/hello', (req, res) => takeBody(req, (body) => hello(body, res)));
   app.use((req, _res, next) =>
     takeBody(req, (body) => {
       req.body = body;
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -23,7 +23,7 @@
   TYPES_KEY,
   WORLD,
 } from '#store';
-import { makeApp, mountFallbacks, readBody, reply, UserApi } from './api.js';
+import { frontOf, makeApp, mountFallbacks, readBody, reply, UserApi } from './api.js';
 import { CloudDuty } from './cloud.js';
 import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
 import { JobTable } from './jobs.js';
@@ -31,12 +31,18 @@
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
+import { Vitals } from './vitals.js';
 
 const WATCH_MS = 10_000;
 /** Event-loop lag, as a share of the users' second, from which submissions are turned away. */
 const LAG_LIMIT_MS = 500;
+/** Shares of a report period for which changes of jobs gather, at the owner and elsewhere. */
+const OWNER_GATHERS = 1 / 50;
+const OTHERS_GATHER = 1 / 4;
 /** Report periods within which a worker counts as heard, here or by a peer. */
 const STRAY_REPORTS = 3;
+/** Report periods between two looks at what the process does and holds. */
+const VITALS_REPORTS = 10;
 
 export class Controller {
   private readonly client: StateClient;
@@ -50,6 +56,7 @@
   private readonly strays = new Map<string, number>();
   private types: MachineType[] = [];
   private owner: PartOwner | null = null;
+  private readonly vitals: Vitals;
   private outageSeenAt = -Infinity;
   private lagMs = 0;
   private readonly reportS: number;
@@ -72,9 +79,16 @@
       // The owner of the part needs more than the others; each stays below what all may take.
       d.nodes === 1 ? 0.9 : 0.55,
     );
-    const syncSpacingMs = (5 * d.nodes * 1000) / d.state.rps;
+    // Questions wait at the most a tenth of a report period for the read index, and share it.
+    this.vitals = new Vitals(() => ({
+      stateRequests: this.client.requests,
+      stateRefused: this.client.refused,
+      stateChanges: this.client.changes,
+    }));
+    const syncSpacingMs = Math.max((5 * d.nodes * 1000) / d.state.rps, timeoutMs / 10);
+    const gatherMs = () => timeoutMs * (this.owner ? OWNER_GATHERS : OTHERS_GATHER);
     this.world = new PrefixCache(this.client, WORLD, WATCH_MS, syncSpacingMs);
-    this.jobs = new JobTable(new PrefixCache(this.client, JOBS, WATCH_MS, syncSpacingMs));
+    this.jobs = new JobTable(new PrefixCache(this.client, JOBS, WATCH_MS, syncSpacingMs, gatherMs));
     this.ownership = new Ownership(
       this.client,
       this.world,
@@ -101,6 +115,7 @@
     });
     this.peers.heard.subscribe(({ from, frame }) => {
       const now = steady();
+      this.vitals.peerFrames++;
       if (frame.kind === 'status') {
         const servedAt = now - frame.servedAgoMs / 1000;
         this.words.set(from, { heardAt: now, servedAt, strays: frame.strays });
@@ -121,6 +136,7 @@
       this.statusDuty(signal),
       this.ownerDuty(signal),
       this.lagDuty(signal),
+      this.vitalsDuty(signal),
     ]);
     this.cloud.close();
     this.client.api.close();
@@ -128,7 +144,7 @@
 
   private listen(): http.Server {
     const { deployment: d, listen } = this.settings;
-    const app = makeApp((body, res) => this.hello(body, res));
+    const app = makeApp();
     app.get('/healthz', (_req, res) => {
       const ok = this.healthy();
       reply(res, ok ? 200 : 503, { ok });
@@ -139,12 +155,15 @@
       jobs: this.jobs,
       teams: teamTerms(d.teams),
       types: () => this.types,
+      onRequest: () => void this.vitals.questions++,
       overloaded: () => this.lagMs > LAG_LIMIT_MS,
       onAbort: (id) => this.peers.send({ kind: 'abort', job: id }),
     }).mount(app);
     mountFallbacks(app);
-    const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, app);
+    const front = frontOf(app, (body, res) => this.hello(body, res));
+    const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, front);
     server.maxConnections = Math.floor(d.limits.sockets * 0.85);
+    this.vitals.watch(server);
     const [host, port] = listen.split(':');
     server.on('error', (err) => {
       this.log.error({ err: err.message, listen }, 'cannot listen');
@@ -191,6 +210,7 @@
       reply(res, 400, { error: err instanceof MalformedBody ? err.message : 'unreadable' });
       return;
     }
+    this.vitals.reports++;
     const owner = this.owner;
     if (owner && this.entitled() !== 'none') {
       if (!owner.ready) {
@@ -278,7 +298,7 @@
   }
 
   private async lagDuty(signal: AbortSignal): Promise<void> {
-    const stepMs = 100;
+    const stepMs = LAG_LIMIT_MS / 2;
     while (!signal.aborted) {
       const before = performance.now();
       await sleep(stepMs, undefined, { signal }).catch(() => {});
@@ -287,6 +307,13 @@
     }
   }
 
+  private async vitalsDuty(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(VITALS_REPORTS * this.reportS * 1000, undefined, { signal }).catch(() => {});
+      this.log.info({ owner: this.owner !== null, ...this.vitals.look() }, 'vitals');
+    }
+  }
+
   private async ownerDuty(signal: AbortSignal): Promise<void> {
     let current: { term: Term; stop: AbortController; done: Promise<void> } | null = null;
     const terms: Subscription = this.ownership.term
@@ -313,6 +340,7 @@
         term,
         () => this.types,
         () => this.entitled() !== 'none',
+        this.vitals,
         this.log,
       );
       const { deployment: d, host_name } = this.settings;
--- a/packages/controller/direct.ts
+++ b/packages/controller/direct.ts
@@ -16,7 +16,7 @@
   /** Sends what is due; at most one call to a machine is under way. */
   push(signal: AbortSignal): void {
     const now = steady();
-    for (const machine of this.book.machines.values()) {
+    for (const machine of [...this.book.due]) {
       const orders = this.book.directOrders(machine, now);
       if (orders.length === 0) continue;
       this.onOrders(machine, orders);
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,4 +1,4 @@
-import { merge, Subject, interval, throttleTime } from 'rxjs';
+import { interval, merge, Subject, throttle, timer } from 'rxjs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MachineType, Order, Report } from '#wire';
 import { Book, CapacityPlanner, JobState, Scheduler } from '#core';
@@ -19,10 +19,15 @@
 import type { Log } from './log.js';
 import { Recorder, runningCount, TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
+import type { Vitals } from './vitals.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 const ROUND_DECISIONS = 200;
 
+/** Rounds per decision tick at the most, and the multiple of its own time that a round pauses after. */
+const ROUNDS_A_TICK = 5;
+const ROUND_REST = 3;
+
 /** One term of owning a part: its book, the recorder behind it and the duties that drive it. */
 export class PartOwner {
   readonly book: Book;
@@ -36,6 +41,8 @@
   /** No earlier owner has recorded any machine. */
   first = false;
   private summaryAt = -Infinity;
+  /** How long the last round took. */
+  private roundMs = 0;
   private readonly poke = new Subject<void>();
   private wakeFlush: () => void = () => {};
 
@@ -46,6 +53,7 @@
     readonly term: Term,
     private readonly types: () => MachineType[],
     private readonly entitled: () => boolean,
+    private readonly vitals: Vitals,
     private readonly log: Log,
   ) {
     const { deployment, operator } = settings;
@@ -130,8 +138,20 @@
     const tickMs = (this.settings.deployment.workers.report_s * 1000) / 4;
     const jobs = this.jobs.changed.subscribe((r) => this.takeJob(r, true));
     const rounds = merge(this.poke, interval(tickMs))
-      .pipe(throttleTime(tickMs / 5, undefined, { leading: true, trailing: true }))
-      .subscribe(() => this.round(signal));
+      .pipe(
+        // However long rounds become, reports and users get the larger part of the processor.
+        throttle(() => timer(Math.max(tickMs / ROUNDS_A_TICK, ROUND_REST * this.roundMs)), {
+          leading: true,
+          trailing: true,
+        }),
+      )
+      .subscribe(() => {
+        const startedAt = performance.now();
+        this.round(signal);
+        this.roundMs = performance.now() - startedAt;
+        this.vitals.rounds++;
+        this.vitals.roundMs += this.roundMs;
+      });
     try {
       await this.flushLoop(signal);
     } finally {
--- a/packages/core/book.ts
+++ b/packages/core/book.ts
@@ -37,6 +37,10 @@
   readonly dirtyJobs = new Set<string>();
   /** Jobs with tasks that wait for a place. */
   readonly open = new Set<JobState>();
+  /** Machines for which a direct command may be due. */
+  readonly due = new Set<Machine>();
+  /** Tasks of each class in each zone. */
+  readonly classZones = new Map<string, Map<string, number>>();
   fleet: Amounts = { cpus: 0, gpus: 0, memory: 0 };
   /** Told of every task that is over, for statistics and logs. */
   onEnd: (end: TaskEnd, now: number) => void = () => {};
@@ -64,6 +68,7 @@
     }
     const state: JobState = {
       job,
+      shape: roomShape(job),
       acceptedAt,
       phase,
       done: new TaskSet(job.tasks),
@@ -187,6 +192,7 @@
     machine.images.delete(j.image);
     machine.images.set(j.image, j.imageGb);
     this.trimImages(machine);
+    this.due.add(machine);
     // The room made here is taken: what the job still waits for needs room of its own.
     if (machine.heldFor?.job === job) machine.heldFor = null;
     this.count(a, 1, now);
@@ -195,10 +201,13 @@
 
   private count(a: Assignment, sign: 1 | -1, now: number): void {
     const j = a.job.job;
+    a.machine.changes++;
     const used = a.machine.used;
     used.cpus += sign * j.cpus;
     used.gpus += sign * j.gpus;
     used.memory += sign * j.memory;
+    const zones = this.zonesOf(j.class);
+    zones.set(a.machine.zone, (zones.get(a.machine.zone) ?? 0) + sign);
     const use = this.teamUse.get(j.team) ?? { cpus: 0, gpus: 0, memory: 0 };
     use.cpus += sign * j.cpus;
     use.gpus += sign * j.gpus;
@@ -208,6 +217,13 @@
     a.job.service.book(sign * a.share, now);
   }
 
+  /** Tasks of a class by zone, kept current. */
+  zonesOf(jobClass: string): Map<string, number> {
+    let zones = this.classZones.get(jobClass);
+    if (!zones) this.classZones.set(jobClass, (zones = new Map()));
+    return zones;
+  }
+
   service(team: string, now: number): ServiceCounter {
     let counter = this.teamService.get(team);
     if (!counter) {
@@ -237,6 +253,7 @@
     }
     if (a.stop === null) a.stop = { graceS, at: now, direct: false };
     else if (graceS < a.stop.graceS) a.stop = { ...a.stop, graceS, direct: false };
+    this.due.add(a.machine);
   }
 
   private remove(a: Assignment, cause: TaskEnd['cause'], saved: boolean, now: number): void {
@@ -311,6 +328,7 @@
       images: new Map(),
       tasks: new Map(),
       used: { cpus: 0, gpus: 0, memory: 0 },
+      changes: 0,
       idleSince: bornAt,
       reservedFor: null,
       heldFor: null,
@@ -326,6 +344,7 @@
     if (!machine) return;
     for (const a of [...machine.tasks.values()]) this.remove(a, 'lost', false, now);
     this.machines.delete(name);
+    this.due.delete(machine);
     this.dirtyMachines.add(name);
   }
 
@@ -347,6 +366,7 @@
       for (const a of [...machine.tasks.values()]) this.remove(a, 'lost', false, now);
       machine.state = 'dark';
       machine.darkAt = now;
+      this.due.delete(machine);
       machine.reservedFor = null;
       turned.push(machine);
     }
@@ -491,19 +511,25 @@
       now - machine.answeredAt < 2 * this.settings.reportS;
     if (!ok) return [];
     const orders: Order[] = [];
+    let later = false;
     for (const a of machine.tasks.values()) {
       const ref = { job: a.job.job.id, index: a.index, attempt: a.attempt };
       if (a.stop !== null) {
         if (a.stop.direct) continue;
         a.stop.direct = true;
         orders.push({ op: 'stop', graceS: a.stop.graceS, ...ref });
-      } else if (!a.told && startable(a)) {
+      } else if (!a.told && a.reported === null && !a.inherited) {
+        if (!startable(a)) {
+          later = true;
+          continue;
+        }
         a.told = true;
         machine.loose.set(looseKey(ref.job, ref.index, ref.attempt), now);
         orders.push({ op: 'start', ...ref });
       }
     }
     if (orders.length > 0) machine.calling = true;
+    if (!later) this.due.delete(machine);
     return orders;
   }
 
@@ -544,7 +570,10 @@
     } else if (a.told && a.sentSeq === null) {
       // Only sent directly, and since refused or fenced off.
       if (a.stop !== null) this.remove(a, 'stopped', false, now);
-      else a.told = false;
+      else {
+        a.told = false;
+        this.due.add(a.machine);
+      }
     } else if (a.sentSeq !== null && r.seq > a.sentSeq) {
       // The worker sends its next report only when the answer has come or was given up, so the
       // start did not arrive and no longer can.
@@ -588,6 +617,12 @@
   for (const list of [...job.places.values()]) yield* list;
 }
 
+/** What decides, zones of its other tasks apart, on which machines a task fits. */
+export function roomShape(j: Job): string {
+  const types = j.types === null ? '*' : j.types.join(',');
+  return `${j.cpus} ${j.gpus} ${j.memory} ${types} ${j.zone ?? '*'} ${j.spot}`;
+}
+
 function startable(a: Assignment): boolean {
   return a.reported === null && !a.inherited && a.recorded && gangRecorded(a.job);
 }
--- a/packages/core/capacity.ts
+++ b/packages/core/capacity.ts
@@ -1,5 +1,5 @@
 import type { Job } from '#wire';
-import { Book } from './book.js';
+import { Book, roomShape } from './book.js';
 import type { JobState, Machine } from './model.js';
 import { Emptying, machineToEmpty, Room } from './packing.js';
 import { hasRoom, tasksThatFit, typeFits, usable, zoneCap } from './placement.js';
@@ -46,6 +46,19 @@
   touched: boolean;
 }
 
+/** What a plan has packed so far. */
+interface Packing {
+  /** Room that stands or boots, and room to be rented. */
+  slots: Slot[];
+  fresh: Slot[];
+  perZone: Map<string, number>;
+  /**
+   * Per shape of task, how many slots at the head of each list have no room for it. Room only shrinks
+   * while a plan is made, so they need not be looked at again: else each task looked at every machine.
+   */
+  full: Map<string, { slots: number; fresh: number }>;
+}
+
 /** Boots by which the next ones are judged, and the multiple of their median that counts as late. */
 const BOOTS_KEPT = 15;
 const LATE = 1.25;
@@ -161,18 +174,21 @@
   plan(now: number): { rent: Rental[]; release: Machine[]; empty: Emptying | null } {
     const slots = this.slots(now);
     const fresh: Slot[] = [];
+    const perZone = new Map<string, number>();
+    for (const s of slots) perZone.set(s.zone, (perZone.get(s.zone) ?? 0) + 1);
+    const packing: Packing = { slots, fresh, perZone, full: new Map() };
     const use = new Map([...this.book.teamUse].map(([team, u]) => [team, { ...u }] as const));
     const waiting = [...this.book.open].sort(
       (a, b) => a.job.rank - b.job.rank || big(b.job) - big(a.job) || a.acceptedAt - b.acceptedAt,
     );
-    for (const state of waiting) this.packJob(state, slots, fresh, use, now);
+    for (const state of waiting) this.packJob(state, packing, use, now);
     for (const stats of this.stats.values()) {
       const types = [...this.book.types.values()].filter((t) => typeFits(stats.template, t));
       if (types.length === 0) continue;
       const bootS = Math.min(...types.map((t) => t.bootS));
       const need = this.reserveTasks(stats, bootS, now);
       for (let i = 0; i < need; i++) {
-        if (!this.packTask(stats.template, null, slots, fresh, null, now)) break;
+        if (!this.packTask(stats.template, null, packing, null, now)) break;
       }
     }
     // Replicas are moved only while nothing lacks room.
@@ -214,8 +230,7 @@
 
   private packJob(
     state: JobState,
-    slots: Slot[],
-    fresh: Slot[],
+    packing: Packing,
     use: Map<string, { cpus: number; gpus: number; memory: number }>,
     now: number,
   ): void {
@@ -226,12 +241,12 @@
     use.set(job.team, used);
     const zones = new Map<string, number>();
     let zone: string | null = job.zone;
-    const reserved = slots.find((s) => s.reservedFor === job.id);
+    const reserved = packing.slots.find((s) => s.reservedFor === job.id);
     if (job.oneZone && reserved) zone = reserved.zone;
     const count = Math.min(this.book.waitingCount(state), 2000);
     for (let i = 0; i < count; i++) {
       if (!withinLimit(terms, used, job)) return;
-      const slot = this.packTask({ ...job, zone }, state, slots, fresh, zones, now);
+      const slot = this.packTask({ ...job, zone }, state, packing, zones, now);
       if (!slot) return;
       if (job.oneZone && zone === null) zone = slot.zone;
       zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + 1);
@@ -243,25 +258,29 @@
   private packTask(
     job: Job,
     state: JobState | null,
-    slots: Slot[],
-    fresh: Slot[],
+    packing: Packing,
     zones: Map<string, number> | null,
     now: number,
   ): Slot | null {
-    for (const list of [slots, fresh]) {
-      for (const slot of list) {
-        if (slot.spot && !job.spot) continue;
+    const shape = roomShape(job);
+    let full = packing.full.get(shape);
+    if (!full) packing.full.set(shape, (full = { slots: 0, fresh: 0 }));
+    for (const list of ['slots', 'fresh'] as const) {
+      const from = packing[list];
+      // What is reserved for a gang has room, though for that gang only.
+      while (full[list] < from.length && !holds(from[full[list]], job)) full[list]++;
+      for (let i = full[list]; i < from.length; i++) {
+        const slot = from[i];
+        if (!holds(slot, job)) continue;
         if (slot.reservedFor !== null && slot.reservedFor !== state?.job.id) continue;
-        if (job.zone !== null && slot.zone !== job.zone) continue;
-        if (!typeFits(job, slot.type)) continue;
         if (zones && (zones.get(slot.zone) ?? 0) >= zoneCap(job)) continue;
-        if (!hasRoom(job, slot, slot.type)) continue;
         return take(slot, job);
       }
     }
-    const slot = this.newSlot(job, zones, slots, fresh, now);
+    const slot = this.newSlot(job, zones, packing.perZone, now);
     if (!slot) return null;
-    fresh.push(slot);
+    packing.fresh.push(slot);
+    packing.perZone.set(slot.zone, (packing.perZone.get(slot.zone) ?? 0) + 1);
     return take(slot, job);
   }
 
@@ -269,12 +288,9 @@
   private newSlot(
     job: Job,
     zones: Map<string, number> | null,
-    slots: Slot[],
-    fresh: Slot[],
+    perZone: Map<string, number>,
     now: number,
   ): Slot | null {
-    const perZone = new Map<string, number>();
-    for (const s of [...slots, ...fresh]) perZone.set(s.zone, (perZone.get(s.zone) ?? 0) + 1);
     let best: { slot: Slot; cost: number } | null = null;
     for (const type of this.book.types.values()) {
       if (!typeFits(job, type)) continue;
@@ -315,6 +331,11 @@
   }
 }
 
+function holds(slot: Slot, job: Job): boolean {
+  if (!hasRoom(job, slot, slot.type) || (slot.spot && !job.spot)) return false;
+  return (job.zone === null || slot.zone === job.zone) && typeFits(job, slot.type);
+}
+
 function take(slot: Slot, job: Job): Slot {
   slot.used.cpus += job.cpus;
   slot.used.gpus += job.gpus;
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -28,6 +28,8 @@
 
 export interface JobState {
   job: Job;
+  /** What decides, zones of its other tasks apart, on which machines a task fits. */
+  shape: string;
   /** On the steady clock of this process. */
   acceptedAt: number;
   phase: 'accepted' | 'aborted' | 'done';
@@ -83,6 +85,8 @@
   images: Map<string, number>;
   tasks: Map<string, Assignment>;
   used: { cpus: number; gpus: number; memory: number };
+  /** Rises whenever a task comes or goes. */
+  changes: number;
   idleSince: number;
   /** Gang that this machine is kept free for. */
   reservedFor: string | null;
--- a/packages/core/placement.ts
+++ b/packages/core/placement.ts
@@ -87,13 +87,13 @@
  * empty machine is worth keeping whole for gangs; work that may use spot machines should; else the
  * tightest fit wins.
  */
-export function placeCost(job: Job, machine: Machine, type: MachineType, crowd: number): number {
+export function placeCost(job: Job, machine: Machine, type: MachineType): number {
   const fetch = fetchTime(job, machine, type);
   const wholeBroken = machine.tasks.size === 0 ? type.bootS / 6 : 0;
   const ordinaryTaken = job.spot && !machine.spot ? type.bootS / 4 : 0;
   const freeGpus = type.gpus > 0 ? 1 - (machine.used.gpus + job.gpus) / type.gpus : 0;
   const freeCpus = type.cpus > 0 ? 1 - (machine.used.cpus + job.cpus) / type.cpus : 0;
-  return fetch + wholeBroken + ordinaryTaken + 2 * Math.max(freeGpus, freeCpus) + crowd;
+  return fetch + wholeBroken + ordinaryTaken + 2 * Math.max(freeGpus, freeCpus);
 }
 
 export interface Candidate {
@@ -101,65 +101,141 @@
   cost: number;
 }
 
+/** A machine with room for one more task of a shape, and what that place costs without `crowd`. */
+interface Place {
+  machine: Machine;
+  type: MachineType;
+  /** Infinity: no room any more. */
+  cost: number;
+  /** The machine's changes when the cost was worked out. */
+  changes: number;
+}
+
+/**
+ * Places by shape of task and image, as they stood when first asked for. Within a round room only
+ * shrinks, so a machine that is not in a list can't come into question later in it, and the cost of a
+ * place changes only with the tasks on its machine. Without this each of hundreds of waiting jobs
+ * looked at each of hundreds of machines in every round. What else may change within a round (holds,
+ * reservations) is looked at by those who choose.
+ */
+export class Places {
+  private readonly known = new Map<string, Place[]>();
+  private readonly roomy = new Map<string, { machine: Machine; type: MachineType }[]>();
+  private zoneNames: Set<string> | null = null;
+
+  constructor(
+    private readonly book: Book,
+    private readonly now: number,
+  ) {}
+
+  of(state: JobState): Place[] {
+    const key = `${state.shape} ${state.job.image}`;
+    let list = this.known.get(key);
+    if (!list) {
+      list = this.withRoom(state).map((r) => ({ ...r, cost: 0, changes: -1 }));
+      this.known.set(key, list);
+    }
+    return list;
+  }
+
+  private withRoom({ shape, job }: JobState): { machine: Machine; type: MachineType }[] {
+    let list = this.roomy.get(shape);
+    if (!list) {
+      this.roomy.set(shape, (list = []));
+      for (const machine of this.book.machines.values()) {
+        const type = this.book.types.get(machine.type);
+        if (!type || !hasRoom(job, machine, type)) continue;
+        if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
+        if (job.zone !== null && job.zone !== machine.zone) continue;
+        if (usable(this.book, machine, this.now)) list.push({ machine, type });
+      }
+    }
+    return list;
+  }
+
+  /** Infinity if the place is gone. */
+  cost(place: Place, job: Job): number {
+    const { machine, type } = place;
+    if (place.changes !== machine.changes) {
+      const room = hasRoom(job, machine, type) && usable(this.book, machine, this.now);
+      place.cost = room ? placeCost(job, machine, type) : Infinity;
+      place.changes = machine.changes;
+    }
+    return place.cost;
+  }
+
+  zones(): Set<string> {
+    return (this.zoneNames ??= new Set([...this.book.machines.values()].map((m) => m.zone)));
+  }
+}
+
 /** The machine that a single task of the job should take now, or null. */
 export function choosePlace(
-  book: Book,
   state: JobState,
   counts: Map<string, number>,
   classZones: Map<string, number>,
+  places: Places,
   now: number,
 ): Machine | null {
   const job = state.job;
   let best: Candidate | null = null;
-  for (const machine of book.machines.values()) {
-    const type = book.types.get(machine.type);
-    if (!type || !usable(book, machine, now) || heldFromUs(machine, state, now)) continue;
-    if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
-    if (machine.spot && !job.spot) continue;
-    if (!typeFits(job, type) || !hasRoom(job, machine, type)) continue;
-    if (!zoneAllowed(job, machine.zone, counts)) continue;
+  for (const place of places.of(state)) {
+    const { machine } = place;
+    let cost = places.cost(place, job);
     // Replicas of a class spread over zones lose less together.
-    const crowd = job.spread ? (classZones.get(machine.zone) ?? 0) / 4 : 0;
-    const cost = placeCost(job, machine, type, crowd);
-    if (best === null || cost < best.cost) best = { machine, cost };
+    if (job.spread) cost += (classZones.get(machine.zone) ?? 0) / 4;
+    if (cost === Infinity || (best !== null && cost >= best.cost)) continue;
+    if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
+    if (heldFromUs(machine, state, now) || !zoneAllowed(job, machine.zone, counts)) continue;
+    best = { machine, cost };
   }
   return best?.machine ?? null;
 }
 
 /** Places for all tasks of a gang at once, or null. Nothing is assigned. */
-export function chooseGang(book: Book, state: JobState, now: number): Machine[] | null {
-  const job = state.job;
-  const zones = job.oneZone ? new Set([...book.machines.values()].map((m) => m.zone)) : [null];
+export function chooseGang(
+  book: Book,
+  state: JobState,
+  places: Places,
+  now: number,
+): Machine[] | null {
+  const zones = state.job.oneZone ? places.zones() : [null];
+  const options = gangOptions(book, state, places, now);
   let best: { places: Machine[]; cost: number } | null = null;
   for (const zone of zones) {
-    const found = fillGang(book, state, zone, now);
+    const found = fillGang(state, zone, options);
     if (found && (best === null || found.cost < best.cost)) best = found;
   }
   return best?.places ?? null;
 }
 
-function fillGang(book: Book, state: JobState, zone: string | null, now: number) {
+type GangOption = Candidate & { room: number };
+
+function gangOptions(book: Book, state: JobState, places: Places, now: number): GangOption[] {
   const job = state.job;
-  const options: (Candidate & { room: number })[] = [];
-  for (const machine of book.machines.values()) {
-    const type = book.types.get(machine.type);
-    if (!type || !usable(book, machine, now) || heldFromUs(machine, state, now)) continue;
-    if (zone !== null && machine.zone !== zone) continue;
+  const options: GangOption[] = [];
+  for (const place of places.of(state)) {
+    const { machine, type } = place;
+    const cost = places.cost(place, job);
+    if (cost === Infinity || heldFromUs(machine, state, now)) continue;
     if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
-    if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
-    if (job.zone !== null && job.zone !== machine.zone) continue;
     const room = Math.min(
       job.tasks,
       book.settings.maxTasksPerMachine - machine.tasks.size,
       tasksThatFit(job, machine, type),
     );
-    if (room > 0) options.push({ machine, room, cost: placeCost(job, machine, type, 0) });
+    if (room > 0) options.push({ machine, room, cost });
   }
-  options.sort((a, b) => a.cost - b.cost);
+  return options.sort((a, b) => a.cost - b.cost);
+}
+
+function fillGang(state: JobState, zone: string | null, options: GangOption[]) {
+  const job = state.job;
   const places: Machine[] = [];
   const counts = new Map<string, number>();
   let cost = 0;
   for (const o of options) {
+    if (zone !== null && o.machine.zone !== zone) continue;
     const cap = zoneCap(job) - (counts.get(o.machine.zone) ?? 0);
     const take = Math.min(o.room, job.tasks - places.length, cap);
     for (let i = 0; i < take; i++) places.push(o.machine);
--- a/packages/core/schedule.ts
+++ b/packages/core/schedule.ts
@@ -1,4 +1,4 @@
-import type { Job } from '#wire';
+import type { Job, MachineType } from '#wire';
 import { allPlaces, Book } from './book.js';
 import { Amounts, teamWeight, TeamTerms, withinLimit } from './fairshare.js';
 import type { JobState, Machine } from './model.js';
@@ -8,7 +8,9 @@
   choosePlace,
   hasRoom,
   heldFromUs,
+  Places,
   SETTLED_S,
+  tasksThatFit,
   typeFits,
   zoneAllowed,
   zoneCounts,
@@ -31,6 +33,14 @@
 }
 
 const NO_USE: Amounts = { cpus: 0, gpus: 0, memory: 0 };
+const EMPTY = { used: NO_USE };
+
+/** A machine that becomes empty by itself, and in how many seconds. */
+interface Soon {
+  machine: Machine;
+  type: MachineType;
+  wait: number;
+}
 
 export class Scheduler {
   constructor(
@@ -49,7 +59,8 @@
   /** One round of decisions. Returns how many tasks were given a place. */
   round(now: number): number {
     const stuck = new Set<string>();
-    const classZones = this.classZones();
+    const places = new Places(this.book, now);
+    const coming = this.roomComing(now);
     let decided = 0;
     // Work that others would have to be stopped for goes first, so that nothing is started only to
     // be stopped again; among equals the design's order decides.
@@ -57,10 +68,12 @@
       const queues = this.queues(tier, now);
       while (decided < this.settings.decisionsPerRound && queues.length > 0) {
         // Service books with each placement, so the order is looked at anew each time.
-        queues.sort((a, b) => this.index(a.team, now) - this.index(b.team, now));
+        if (queues.length > 1) {
+          queues.sort((a, b) => this.index(a.team, now) - this.index(b.team, now));
+        }
         const queue = queues[0];
         const job = queue.jobs[0];
-        const placed = this.serve(job, stuck, classZones, now);
+        const placed = this.serve(job, stuck, places, coming, now);
         decided += placed;
         if (placed === 0 || this.book.waitingCount(job) === 0) queue.jobs.shift();
         if (queue.jobs.length === 0) queues.shift();
@@ -97,23 +110,12 @@
     return out;
   }
 
-  private classZones(): Map<string, Map<string, number>> {
-    const out = new Map<string, Map<string, number>>();
-    for (const machine of this.book.machines.values()) {
-      for (const a of machine.tasks.values()) {
-        let zones = out.get(a.job.job.class);
-        if (!zones) out.set(a.job.job.class, (zones = new Map()));
-        zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
-      }
-    }
-    return out;
-  }
-
   /** Gives places to the job's waiting tasks while they fit; returns how many. */
   private serve(
     state: JobState,
     stuck: Set<string>,
-    classZones: Map<string, Map<string, number>>,
+    places: Places,
+    coming: Map<JobState, number>,
     now: number,
   ): number {
     const { book } = this;
@@ -124,43 +126,41 @@
       if (state.places.size > 0) return 0;
       const all = { cpus: job.cpus * job.tasks, gpus: job.gpus * job.tasks, memory: 0 };
       if (!withinLimit(terms, book.teamUse.get(job.team) ?? NO_USE, all)) return 0;
-      const places = chooseGang(book, state, now);
-      if (!places) return 0;
+      const chosen = chooseGang(book, state, places, now);
+      if (!chosen) return 0;
       const attempt = book.newAttempt();
-      places.forEach((machine, i) => book.assign(state, i, machine, attempt, now));
+      chosen.forEach((machine, i) => book.assign(state, i, machine, attempt, now));
       for (const m of book.machines.values()) if (m.reservedFor === job.id) m.reservedFor = null;
-      return places.length;
+      return chosen.length;
     }
-    // Tasks of the same shape fail alike within a round.
-    const shape = shapeOf(state);
-    if (stuck.has(shape)) return 0;
+    // Tasks of the same shape fail alike within a round, unless room was made for just this job.
+    if (stuck.has(shapeOf(state)) && !coming.has(state)) return 0;
     // The least-served job takes a few tasks and then queues again behind the others.
     const most = Math.min(8, this.settings.decisionsPerRound);
     let placed = 0;
     const counts = zoneCounts(state);
-    const zones = classZones.get(job.class) ?? new Map<string, number>();
+    const zones = book.zonesOf(job.class);
     for (const i of book.waitingTasks(state, most)) {
       if (!withinLimit(terms, book.teamUse.get(job.team) ?? NO_USE, job)) break;
-      const machine = choosePlace(book, state, counts, zones, now);
+      const machine = choosePlace(state, counts, zones, places, now);
       if (!machine) {
-        stuck.add(shape);
+        stuck.add(shapeOf(state));
         break;
       }
       book.assign(state, i, machine, book.newAttempt(), now);
       counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
-      zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
       placed++;
     }
     return placed;
   }
 
-  /** Machines where room is being made for the job. */
-  private roomComing(state: JobState, now: number): number {
-    let n = 0;
-    for (const m of this.book.machines.values()) {
-      if (m.heldFor?.job === state && m.heldFor.until >= now) n++;
+  /** On how many machines room is being made for each job. */
+  private roomComing(now: number): Map<JobState, number> {
+    const out = new Map<JobState, number>();
+    for (const { heldFor } of this.book.machines.values()) {
+      if (heldFor && heldFor.until >= now) out.set(heldFor.job, (out.get(heldFor.job) ?? 0) + 1);
     }
-    return n;
+    return out;
   }
 
   /**
@@ -175,50 +175,63 @@
       if (m.reservedFor !== null && !waiting.has(m.reservedFor)) m.reservedFor = null;
       if (m.state === 'dark' || m.draining || m.noticeAt !== null) m.reservedFor = null;
     }
+    if (gangs.length === 0) return;
     gangs.sort((a, b) => a.job.rank - b.job.rank || a.acceptedAt - b.acceptedAt);
-    for (const gang of gangs) this.reserveFor(gang, now);
+    const emptying = this.emptying(now);
+    const kept = new Map<string, Soon[]>();
+    for (const m of book.machines.values()) if (m.reservedFor !== null) kept.set(m.reservedFor, []);
+    for (const e of emptying) {
+      if (e.machine.reservedFor !== null) kept.get(e.machine.reservedFor)?.push(e);
+    }
+    for (const m of book.machines.values()) {
+      // One that something keeps from becoming empty is no longer waited for.
+      if (m.reservedFor !== null && !kept.get(m.reservedFor)?.some((e) => e.machine === m)) {
+        m.reservedFor = null;
+      }
+    }
+    for (const gang of gangs) this.reserveFor(gang, emptying, kept.get(gang.job.id) ?? []);
   }
 
-  private reserveFor(state: JobState, now: number): void {
-    const job = state.job;
-    const byZone = new Map<string, { machine: Machine; wait: number; holds: number }[]>();
+  /** Machines that become empty by themselves, soonest first. */
+  private emptying(now: number): Soon[] {
+    const out: Soon[] = [];
     for (const machine of this.book.machines.values()) {
       const type = this.book.types.get(machine.type);
-      if (!type || !typeFits(job, type) || (machine.spot && !job.spot)) continue;
-      if (job.zone !== null && machine.zone !== job.zone) continue;
-      if (machine.state === 'dark' || machine.draining || machine.noticeAt !== null) continue;
-      if (machine.avoidUntil > now) continue;
-      if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
+      if (!type || machine.state === 'dark' || machine.draining) continue;
+      if (machine.noticeAt !== null || machine.avoidUntil > now) continue;
       const wait = emptyIn(machine, type.bootS, now);
-      if (wait === null) continue;
-      const holds = Math.floor(
-        Math.min(
-          job.cpus > 0 ? type.cpus / job.cpus : Infinity,
-          job.gpus > 0 ? type.gpus / job.gpus : Infinity,
-          job.memory > 0 ? type.memory / job.memory : Infinity,
-        ),
-      );
-      const key = job.oneZone ? machine.zone : '';
-      const list = byZone.get(key) ?? [];
-      list.push({ machine, wait: machine.reservedFor === job.id ? wait / 2 : wait, holds });
-      byZone.set(key, list);
+      if (wait !== null) out.push({ machine, type, wait });
     }
-    let best: { machines: Machine[]; wait: number } | null = null;
-    for (const list of byZone.values()) {
-      list.sort((a, b) => a.wait - b.wait);
-      const machines: Machine[] = [];
-      let held = 0;
-      let wait = 0;
-      for (const o of list) {
-        if (held >= job.tasks) break;
-        machines.push(o.machine);
-        held += o.holds;
-        wait = Math.max(wait, o.wait);
-      }
-      if (held >= job.tasks && (best === null || wait < best.wait)) best = { machines, wait };
+    return out.sort((a, b) => a.wait - b.wait);
+  }
+
+  /**
+   * Reserves the machines that are empty soonest and hold the whole gang, in one zone if it must be so.
+   * Those that it has count as empty in half the time, so that its choice does not flap.
+   */
+  private reserveFor(state: JobState, emptying: Soon[], own: Soon[]): void {
+    const job = state.job;
+    const byZone = new Map<string, { machines: Machine[]; room: number }>();
+    let chosen: Machine[] = [];
+    for (let i = 0, k = 0; ;) {
+      while (i < emptying.length && emptying[i].machine.reservedFor !== null) i++;
+      const mine = k < own.length && !(i < emptying.length && emptying[i].wait < own[k].wait / 2);
+      const next = mine ? own[k++] : emptying[i++];
+      if (!next) break;
+      const { machine, type } = next;
+      if (!typeFits(job, type) || (machine.spot && !job.spot)) continue;
+      if (job.zone !== null && machine.zone !== job.zone) continue;
+      const key = job.oneZone ? machine.zone : '';
+      let zone = byZone.get(key);
+      if (!zone) byZone.set(key, (zone = { machines: [], room: 0 }));
+      zone.machines.push(machine);
+      zone.room += tasksThatFit(job, EMPTY, type);
+      if (zone.room < job.tasks) continue;
+      chosen = zone.machines;
+      break;
     }
-    for (const m of this.book.machines.values()) if (m.reservedFor === job.id) m.reservedFor = null;
-    for (const m of best?.machines ?? []) m.reservedFor = job.id;
+    for (const { machine } of own) machine.reservedFor = null;
+    for (const machine of chosen) machine.reservedFor = job.id;
   }
 
   /**
@@ -228,24 +241,26 @@
    */
   private preempt(now: number): void {
     const { book, settings } = this;
+    const waiting = [...book.open]
+      .filter((j) => j.notBefore <= now && now - j.waitingSince >= settings.preemptAfterS)
+      .sort((a, b) => a.job.rank - b.job.rank || a.acceptedAt - b.acceptedAt);
+    if (waiting.length === 0) return;
     const stopping = new Set<Machine>();
     for (const m of book.machines.values()) {
       for (const a of m.tasks.values()) if (a.stop !== null) stopping.add(m);
     }
-    const waiting = [...book.open]
-      .filter((j) => j.notBefore <= now && now - j.waitingSince >= settings.preemptAfterS)
-      .sort((a, b) => a.job.rank - b.job.rank || a.acceptedAt - b.acceptedAt);
+    const coming = this.roomComing(now);
     const failed = new Set<string>();
     let rounds = 0;
     for (const job of waiting) {
       if (rounds >= 4) break;
       if (job.job.kind === 'gang' || failed.has(shapeOf(job))) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
-      if (this.roomComing(job, now) >= this.book.waitingCount(job)) continue;
+      if ((coming.get(job) ?? 0) >= this.book.waitingCount(job)) continue;
       const terms = this.teams.get(job.job.team);
       if (!terms || !withinLimit(terms, book.teamUse.get(job.job.team) ?? NO_USE, job.job))
         continue;
-      if (this.makeRoom(job, stopping, now)) rounds++;
+      if (this.makeRoom(job, stopping, coming, now)) rounds++;
       else failed.add(shapeOf(job));
     }
   }
@@ -285,7 +300,12 @@
     return false;
   }
 
-  private makeRoom(state: JobState, stopping: Set<Machine>, now: number): boolean {
+  private makeRoom(
+    state: JobState,
+    stopping: Set<Machine>,
+    coming: Map<JobState, number>,
+    now: number,
+  ): boolean {
     const { book } = this;
     const job = state.job;
     const counts = zoneCounts(state);
@@ -297,9 +317,14 @@
       if (stopping.has(machine) || heldFromUs(machine, state, now)) continue;
       if (machine.reservedFor !== null || (machine.spot && !job.spot)) continue;
       if (!typeFits(job, type) || !zoneAllowed(job, machine.zone, counts)) continue;
-      const options = [...machine.tasks.values()]
-        .filter((a) => a.stop === null && settled(a, job, now) && this.mayStop(state, a.job, now))
-        .sort((a, b) => b.job.job.rank - a.job.job.rank || b.since - a.since);
+      const options: JobTask[] = [];
+      for (const a of machine.tasks.values()) {
+        if (a.stop === null && settled(a, job, now) && this.mayStop(state, a.job, now)) {
+          options.push(a);
+        }
+      }
+      if (options.length === 0) continue;
+      options.sort((a, b) => b.job.job.rank - a.job.job.rank || b.since - a.since);
       const victims: JobTask[] = [];
       const used = { ...machine.used };
       for (const a of options) {
@@ -318,6 +343,8 @@
     stopping.add(best.machine);
     const grace = job.checkpointS > 0 ? job.saveS : 0;
     const until = now + 4 * book.settings.reportS + grace + book.settings.gangPeerS;
+    const before = best.machine.heldFor?.job;
+    if (before) coming.set(before, (coming.get(before) ?? 1) - 1);
     best.machine.heldFor = { job: state, until };
     for (const a of best.victims) this.stopOrderly(a, now);
     return true;
@@ -357,11 +384,11 @@
   return (a.job.job.checkpointS > 0 ? Math.min(ran, a.job.job.saveS) : ran) * share + 1;
 }
 
+/** What fails alike: while a job has no task anywhere, its zones are as free as any other's. */
 function shapeOf(state: JobState): string {
   const j = state.job;
-  const types = j.types === null ? '*' : j.types.join(',');
-  const own = j.spread || j.oneZone ? j.id : '';
-  return `${j.cpus} ${j.gpus} ${j.memory} ${types} ${j.zone ?? '*'} ${j.spot} ${own}`;
+  const own = (j.spread || j.oneZone) && state.places.size > 0 ? j.id : '';
+  return `${state.shape} ${own}`;
 }
 
 /** Seconds until a machine could be empty, or null if nothing on it ends by itself. */
--- a/packages/store/cache.ts
+++ b/packages/store/cache.ts
@@ -24,6 +24,11 @@
     readonly prefix: string,
     private readonly watchMs: number,
     private readonly syncSpacingMs: number,
+    /**
+     * Pause between two answers of the watch. Without it each change of any job wakes every controller
+     * at once, and these wakes were most of what the controllers that own nothing did.
+     */
+    private readonly gatherMs: () => number = () => 0,
   ) {}
 
   get ready(): boolean {
@@ -40,6 +45,7 @@
         );
         if (out === 'too-old') this.revision = null;
         else this.apply(out.events, out.revision);
+        await sleep(this.gatherMs(), undefined, { signal });
       } catch {
         if (signal.aborted) return;
         await sleep(200 + Math.random() * 300, undefined, { signal }).catch(() => {});
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -23,6 +23,10 @@
   lastFailAt = -Infinity;
   /** When the first request that failed since the last success was sent. */
   failingSince = Infinity;
+  /** Since the start: requests sent, those refused for the rate, and puts and deletes sent. */
+  requests = 0;
+  refused = 0;
+  changes = 0;
 
   constructor(
     readonly api: StateApi,
@@ -41,6 +45,7 @@
   ): Promise<T> {
     await this.reads.take(1, urgent, signal);
     const sentAt = steady();
+    this.requests++;
     try {
       const result = await run(this.api);
       this.lastOkAt = Math.max(this.lastOkAt, sentAt);
@@ -48,7 +53,8 @@
       return result;
     } catch (err) {
       // A 429 shows that the service is there.
-      if (!(err instanceof StateRefused && err.status === 429) && !signal?.aborted) {
+      if (err instanceof StateRefused && err.status === 429) this.refused++;
+      else if (!signal?.aborted) {
         this.lastFailAt = Math.max(this.lastFailAt, sentAt);
         if (this.failing && this.failingSince === Infinity) this.failingSince = sentAt;
       }
@@ -63,6 +69,7 @@
     signal?: AbortSignal,
   ): Promise<TxnOutcome> {
     await this.writes.take(changes.length, urgent, signal);
+    this.changes += changes.length;
     return this.call(urgent, signal, (api) => api.txn(conditions, changes, signal));
   }
 
--- a/packages/store/ownership.ts
+++ b/packages/store/ownership.ts
@@ -55,9 +55,7 @@
       } catch {
         // Refused or unanswered: the term stands until the service says that it is gone.
       }
-      const held = this.term.value !== null;
-      const pauseMs = (held || this.holder !== null ? this.ttlS / 5 : this.ttlS / 20) * 1000;
-      await this.pause(pauseMs * (0.8 + Math.random() * 0.4), signal);
+      await this.pause(this.pauseS() * 1000 * (0.8 + Math.random() * 0.4), signal);
     }
   }
 
@@ -75,6 +73,12 @@
     }
   }
 
+  /** An owner renews in good time; others only keep a grant ready, and hurry once the part is free. */
+  private pauseS(): number {
+    if (this.term.value !== null) return this.ttlS / 5;
+    return this.holder !== null ? this.ttlS / 3 : this.ttlS / 20;
+  }
+
   private async pause(ms: number, signal: AbortSignal): Promise<void> {
     const early = new AbortController();
     this.wake = () => early.abort();
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { encode } from '#wire';
-import { makeApp, mountFallbacks, readBody, reply } from '#controller';
+import { frontOf, makeApp, mountFallbacks, readBody, reply } from '#controller';
 
 async function post(port: number, path: string, body: Uint8Array): Promise<number> {
   return new Promise((resolve, reject) => {
@@ -26,10 +26,10 @@
       reply(res, 400, {});
     }
   };
-  const app = makeApp(take);
+  const app = makeApp();
   app.post('/submissions', (req, res) => take(req.body, res));
   mountFallbacks(app);
-  const server = http.createServer(app).listen(0, '127.0.0.1');
+  const server = http.createServer(frontOf(app, take)).listen(0, '127.0.0.1');
   await new Promise((resolve) => server.once('listening', resolve));
   const { port } = server.address() as AddressInfo;
   for (const path of ['/hello', '/submissions']) {
--- a/packages/testing/load.ts
+++ b/packages/testing/load.ts
@@ -33,6 +33,8 @@
   startupS: 60,
   yards: ['a', 'b', 'c'],
 };
+const REPORT_S = 2.5;
+const LEASE_S = 15.25;
 const now = () => performance.now() / 1000;
 const state = new StandInState();
 const cloud = new StandInCloud([rig], Number(machines));
@@ -60,23 +62,23 @@
 class = "replica"
 within_s = 4.0
 [deployment.workers]
-report_s = 1.0
-lease_s = 10.0
+report_s = ${REPORT_S}
+lease_s = ${LEASE_S}
 gang_wait_s = 45.0
 gang_peer_s = 8.0
 cancel_s = 35.0
 [deployment.state]
-rps = 150.0
-write_rps = 50.0
+rps = 500.0
+write_rps = 180.0
 value_kb = 8.0
 txn_ops = 24
 [deployment.cloud]
-rps = 4.0
+rps = 8.0
 list_lag_s = 4.0
 [deployment.limits]
-cpu_share = 0.255
-memory_mb = 114.0
-sockets = 700
+cpu_share = 0.782
+memory_mb = 250.0
+sockets = 2153
 `,
 );
 const child = spawn(process.execPath, [...nodeOptions, 'target/cli/launch.js', '--config', file], {
@@ -93,7 +95,7 @@
 
 async function runWorker(name: string): Promise<void> {
   const facts = cloud.machines.get(name)!;
-  const worker = new StandInWorker(name, facts.yard, facts.loaner, 10, now());
+  const worker = new StandInWorker(name, facts.yard, facts.loaner, LEASE_S, now());
   const runS = (job: string) => runs.get(job) ?? 60;
   const direct = await serve((_m, _u, body) => {
     const { baton, tenure, orders } = body as ReturnType<typeof commandToWire>;
@@ -117,7 +119,7 @@
     } catch {
       // The controller may not be up yet.
     }
-    await sleep(750 + Math.random() * 500);
+    await sleep(REPORT_S * (750 + Math.random() * 500));
   }
   direct.close();
   http.close();
@@ -152,6 +154,21 @@
   );
 const batch = () =>
   submit({ class: 'batch', tasks: 20, cpus: 8, gpus: 1, memory: 25, spot: true }, 60);
+const gang = () =>
+  submit(
+    {
+      class: 'gang',
+      kind: 'gang',
+      rank: 1,
+      tasks: 1 + (made % 4),
+      cpus: 86,
+      gpus: 8,
+      memory: 310,
+      oneZone: true,
+      spot: true,
+    },
+    60,
+  );
 const big = () =>
   submit(
     {
@@ -172,6 +189,7 @@
 let last = cpuS();
 for (let s = 0; s < Number(seconds); s += 5) {
   for (let i = 0; i < 3; i++) void batch();
+  for (let i = 0; i < 2; i++) void gang();
   await sleep(5000);
   const cpu = cpuS();
   process.stdout.write(
--- /dev/null
+++ b/packages/testing/placement.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  Book,
+  choosePlace,
+  hasRoom,
+  heldFromUs,
+  JobState,
+  Machine,
+  placeCost,
+  Places,
+  typeFits,
+  usable,
+  zoneAllowed,
+  zoneCounts,
+} from '#core';
+import { Chance } from './random.js';
+import { aBook, aJob, aMachine } from './samples.js';
+
+/** The choice as its rules say it, by a look at every machine. */
+function byEveryMachine(book: Book, state: JobState, now: number): Machine | null {
+  const { job } = state;
+  const classZones = new Map<string, number>();
+  for (const m of book.machines.values()) {
+    for (const a of m.tasks.values()) {
+      if (a.job.job.class !== job.class) continue;
+      classZones.set(m.zone, (classZones.get(m.zone) ?? 0) + 1);
+    }
+  }
+  let best: { machine: Machine; cost: number } | null = null;
+  for (const machine of book.machines.values()) {
+    const type = book.types.get(machine.type)!;
+    if (!usable(book, machine, now) || heldFromUs(machine, state, now)) continue;
+    if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
+    if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
+    if (!hasRoom(job, machine, type) || !zoneAllowed(job, machine.zone, zoneCounts(state)))
+      continue;
+    const crowd = job.spread ? (classZones.get(machine.zone) ?? 0) / 4 : 0;
+    const cost = placeCost(job, machine, type) + crowd;
+    if (best === null || cost < best.cost) best = { machine, cost };
+  }
+  return best?.machine ?? null;
+}
+
+// Guards the lists that spare each job a look at each machine: they must not change what is decided.
+test('a place chosen from the lists of a round is the one that a look at every machine finds', () => {
+  let compared = 0;
+  for (let seed = 1; seed <= 40; seed++) {
+    const chance = new Chance(seed);
+    const book = aBook();
+    const jobs: JobState[] = [];
+    for (let i = 0; i < 24; i++) {
+      const spread = chance.hit(0.3);
+      const job = aJob({
+        id: `j-${i}`,
+        class: `c${chance.int(0, 2)}`,
+        kind: 'service',
+        rank: chance.int(0, 3),
+        tasks: chance.int(1, 4),
+        cpus: chance.int(1, 3) * 2,
+        gpus: chance.int(0, 2),
+        image: `i${chance.int(0, 3)}`,
+        spread,
+        oneZone: !spread && chance.hit(0.2),
+        zone: chance.hit(0.15) ? 'a' : null,
+        spot: chance.hit(0.5),
+      });
+      jobs.push(book.addJob(job, 0, 'accepted', 0));
+    }
+    for (let i = 0; i < 12; i++) {
+      const machine = aMachine(book, `n-${i}`, { zone: i % 2 ? 'a' : 'b', spot: chance.hit(0.3) });
+      if (chance.hit(0.1)) machine.draining = true;
+      if (chance.hit(0.1)) machine.avoidUntil = 5;
+      if (chance.hit(0.2)) machine.heldFor = { job: jobs[chance.int(0, 23)], until: 20 };
+      if (chance.hit(0.1)) machine.reservedFor = jobs[chance.int(0, 23)].job.id;
+    }
+    const now = 10;
+    const places = new Places(book, now);
+    for (let i = 0; i < 80; i++) {
+      const state = jobs[chance.int(0, 23)];
+      const [index] = book.waitingTasks(state, 1);
+      if (index === undefined) continue;
+      const zones = book.zonesOf(state.job.class);
+      const expected = byEveryMachine(book, state, now);
+      assert.equal(choosePlace(state, zoneCounts(state), zones, places, now), expected);
+      compared++;
+      if (expected) book.assign(state, index, expected, book.newAttempt(), now);
+    }
+  }
+  assert.ok(compared > 1000);
+});
