Owners hear of aborts before they are recorded; direct commands and users keep to shares of the sockets

The owner is now told before the record is written, and told again on each new connection and after a take-over, until nothing of the job may run any more. Shares of 0.6 and 0.25 now; users' connections are not kept when nine tenths of the server's are in use. Machines whose reports come while our answers don't get there take no new work for a lease. The simulation has owners that stand still and wake; a seeded fault (wakes entitled) trips ran_cancelled.

--- a/packages/controller/api.ts
+++ b/packages/controller/api.ts
@@ -36,8 +36,10 @@
   overloaded: () => boolean;
   /** Told of every request. */
   onRequest: () => void;
-  /** Told before a user hears that the job is aborted. */
+  /** Told when a user has asked for an abort and before it is recorded. */
   onAbort: (id: string) => void;
+  /** Few connections are left. */
+  crowded: () => boolean;
 }
 
 /** Answers with one write: head and body go out together. */
@@ -91,6 +93,8 @@
     const guard =
       (run: (req: Request, res: Response) => Promise<void>) => (req: Request, res: Response) => {
         this.parts.onRequest();
+        // Reports keep their connections when users overrun.
+        if (this.parts.crowded()) res.setHeader('Connection', 'close');
         run(req, res).catch((err: unknown) => this.refuse(res, err));
       };
     app.post(
@@ -227,12 +231,14 @@
     const id = String(req.params.id);
     const key = jobKey(id);
     let record = isJobId(id) ? await this.lookUp(id) : undefined;
+    // Whoever owns hears of it first: once it is recorded we may end, and the state service with us, and
+    // the user may have been told. Nobody has use for the tasks of a job whose user gives it up.
+    if (record?.phase === 'accepted') this.parts.onAbort(id);
     for (let attempt = 0; record && record.phase === 'accepted' && attempt < 3; attempt++) {
       const value = encodeJob({ ...record, phase: 'aborted' });
       try {
         const out = await commits.commit([{ key, version: record.version }], [{ put: key, value }]);
         if (out.ok) {
-          this.parts.onAbort(id);
           jobs.cache.learn(key, value, out.revision);
           record = jobs.get(id);
           break;
@@ -243,7 +249,6 @@
       const entry = await client.call(false, undefined, (api) => api.get(key));
       if (entry) jobs.cache.learn(key, entry.value, entry.version);
       record = jobs.get(id);
-      if (record?.phase === 'aborted') this.parts.onAbort(id);
     }
     if (!record) reply(res, 404, { error: 'unknown job' });
     else if (record.phase === 'accepted') reply(res, 503, { error: 'try again' }, 1);
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -41,6 +41,14 @@
 const OTHERS_GATHER = 1 / 4;
 /** Report periods within which a worker counts as heard, here or by a peer. */
 const STRAY_REPORTS = 3;
+/**
+ * Shares of the socket limit: workers and users, and direct commands to workers. The rest is for peers,
+ * the state service, the cloud and connections that are being closed.
+ */
+const SERVER_SOCKETS = 0.6;
+const DIRECT_SOCKETS = 0.25;
+/** Share of the server's connections above which users' connections are not kept. */
+const CROWDED = 0.9;
 /** Report periods between two looks at what the process does and holds. */
 const VITALS_REPORTS = 10;
 
@@ -54,6 +62,8 @@
   private readonly words = new Map<string, PeerWord & { strays: number }>();
   /** Workers that reported here though we do not own, and when. */
   private readonly strays = new Map<string, number>();
+  /** Jobs whose users asked for an abort, here or at a peer, and when we heard. */
+  private readonly asked = new Map<string, number>();
   private types: MachineType[] = [];
   private owner: PartOwner | null = null;
   private readonly vitals: Vitals;
@@ -102,6 +112,7 @@
       { host, port: Number(port) },
       settings.peers.map((p) => ({ name: p.host_name, addr: p.peer_addr })),
       timeoutMs / 2,
+      () => [...this.asked.keys()].map((job) => ({ kind: 'abort', job })),
     );
     this.cloud = new CloudClient(external.cloud, 4 * timeoutMs);
   }
@@ -121,7 +132,7 @@
         this.words.set(from, { heardAt: now, servedAt, strays: frame.strays });
       } else if (frame.kind === 'counts') {
         for (const c of frame.jobs) this.jobs.noteCounts(c.job, c.done, c.running);
-      } else if (frame.kind === 'abort') this.abortHeard(frame.job);
+      } else if (frame.kind === 'abort') this.abortAsked(frame.job);
     });
     const server = this.listen();
     signal.addEventListener('abort', () => {
@@ -157,12 +168,16 @@
       types: () => this.types,
       onRequest: () => void this.vitals.questions++,
       overloaded: () => this.lagMs > LAG_LIMIT_MS,
-      onAbort: (id) => this.peers.send({ kind: 'abort', job: id }),
+      onAbort: (id) => {
+        this.abortAsked(id);
+        this.peers.send({ kind: 'abort', job: id });
+      },
+      crowded: () => this.vitals.connections > CROWDED * server.maxConnections,
     }).mount(app);
     mountFallbacks(app);
     const front = frontOf(app, (body, res) => this.hello(body, res));
     const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, front);
-    server.maxConnections = Math.floor(d.limits.sockets * 0.85);
+    server.maxConnections = Math.floor(d.limits.sockets * SERVER_SOCKETS);
     this.vitals.watch(server);
     const [host, port] = listen.split(':');
     server.on('error', (err) => {
@@ -245,12 +260,22 @@
     } else reply(res, 503, { error: 'no owner yet' });
   }
 
-  private abortHeard(id: string): void {
-    const job = this.owner?.book.jobs.get(id);
-    // The record itself comes by the watch; this only spares the wait for it.
-    if (job && this.owner) {
-      this.owner.book.closeJob(job, 'aborted', steady());
-      this.owner.nudge();
+  /**
+   * The record comes by the watch, or not at all if an outage begins in between; the tasks end in any
+   * case. Kept for whoever owns next, and for peers whose connection was down, until nothing of the job
+   * could still be allowed to run.
+   */
+  private abortAsked(id: string): void {
+    this.asked.set(id, steady());
+    this.endAsked();
+  }
+
+  private endAsked(): void {
+    const now = steady();
+    const { cancel_s } = this.settings.deployment.workers;
+    for (const [id, at] of this.asked) {
+      if (now - at > 2 * cancel_s) this.asked.delete(id);
+      else if (this.owner?.ready) this.owner.abort(id, now);
     }
   }
 
@@ -261,6 +286,7 @@
       const strays = this.recentStrays();
       this.peers.send({ kind: 'status', servedAgoMs: agoMs, owner: this.owner !== null, strays });
       this.yieldIfCut();
+      this.endAsked();
       if (this.owner?.ready && round++ % 2 === 0) {
         const counts = this.owner.counts();
         for (const c of counts) this.jobs.noteCounts(c.job, c.done, c.running);
@@ -341,6 +367,7 @@
         () => this.types,
         () => this.entitled() !== 'none',
         this.vitals,
+        Math.max(1, Math.floor(this.settings.deployment.limits.sockets * DIRECT_SOCKETS)),
         this.log,
       );
       const { deployment: d, host_name } = this.settings;
--- a/packages/controller/direct.ts
+++ b/packages/controller/direct.ts
@@ -4,11 +4,16 @@
 
 /** Commands that go to workers at once instead of waiting for their next report. */
 export class DirectCommands {
+  /** Least recently used first. */
   private readonly clients = new Map<string, { addr: string; http: CborClient }>();
+  /** Machines with a call under way. */
+  private readonly busy = new Set<string>();
 
   constructor(
     private readonly book: Book,
     private readonly timeoutMs: number,
+    /** Connections that may be open at once: one for each machine would not fit a large fleet. */
+    private readonly most: number,
     private readonly onOrders: (machine: Machine, orders: Order[]) => void,
     private readonly onDone: () => void,
   ) {}
@@ -17,6 +22,8 @@
   push(signal: AbortSignal): void {
     const now = steady();
     for (const machine of [...this.book.due]) {
+      // The rest goes out with the next push, or in answers to reports.
+      if (this.busy.size >= this.most) return;
       const orders = this.book.directOrders(machine, now);
       if (orders.length === 0) continue;
       this.onOrders(machine, orders);
@@ -24,23 +31,41 @@
     }
   }
 
+  /** Connections that are open or kept. */
+  get connections(): number {
+    return this.clients.size;
+  }
+
   close(): void {
     for (const c of this.clients.values()) c.http.close();
     this.clients.clear();
   }
 
   private client(machine: Machine): CborClient {
-    const known = this.clients.get(machine.name);
-    if (known?.addr === machine.addr) return known.http;
-    known?.http.close();
-    const http = new CborClient(machine.addr, 1);
-    this.clients.set(machine.name, { addr: machine.addr, http });
-    return http;
+    let client = this.clients.get(machine.name);
+    this.clients.delete(machine.name);
+    if (client && client.addr !== machine.addr) {
+      client.http.close();
+      client = undefined;
+    }
+    client ??= { addr: machine.addr, http: new CborClient(machine.addr, 1) };
+    this.clients.set(machine.name, client);
+    for (const name of this.clients.keys()) {
+      if (this.clients.size <= this.most) break;
+      if (!this.busy.has(name)) this.drop(name);
+    }
+    return client.http;
+  }
+
+  private drop(name: string): void {
+    this.clients.get(name)?.http.close();
+    this.clients.delete(name);
   }
 
   private async send(machine: Machine, orders: Order[], signal: AbortSignal): Promise<void> {
     const body = commandToWire(machine.token, machine.session, orders);
     const options = { timeoutMs: this.timeoutMs, signal, body };
+    this.busy.add(machine.name);
     try {
       const res = await this.client(machine).call('POST', '/orders', options);
       if (res.status === 200) {
@@ -53,10 +78,8 @@
       // No answer, or one that can't be read: the commands may have been carried out.
       this.book.directAnswered(machine, orders, 'unknown', steady());
     }
-    if (!this.book.machines.has(machine.name)) {
-      this.clients.get(machine.name)?.http.close();
-      this.clients.delete(machine.name);
-    }
+    this.busy.delete(machine.name);
+    if (!this.book.machines.has(machine.name)) this.drop(machine.name);
     this.onDone();
   }
 }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -54,6 +54,7 @@
     private readonly types: () => MachineType[],
     private readonly entitled: () => boolean,
     private readonly vitals: Vitals,
+    directSockets: number,
     private readonly log: Log,
   ) {
     const { deployment, operator } = settings;
@@ -94,6 +95,7 @@
     this.direct = new DirectCommands(
       this.book,
       2 * w.report_s * 1000,
+      directSockets,
       (machine, orders) => this.logOrders(machine.name, orders),
       () => this.nudge(),
     );
@@ -166,6 +168,14 @@
     this.poke.next();
   }
 
+  /** A user gives the job up; its record may be still to come. */
+  abort(id: string, now: number): void {
+    const job = this.book.jobs.get(id);
+    if (job?.phase !== 'accepted') return;
+    this.book.closeJob(job, 'aborted', now);
+    this.nudge();
+  }
+
   private takeJob(record: JobRecord, fresh: boolean): JobState {
     const now = steady();
     const ageS = Math.max(0, (Date.now() - record.acceptedAtMs) / 1000);
--- a/packages/controller/vitals.ts
+++ b/packages/controller/vitals.ts
@@ -10,7 +10,7 @@
   private at = performance.now();
   private cpu = process.cpuUsage();
   private last: Record<string, number> = {};
-  private connections = 0;
+  connections = 0;
 
   constructor(private readonly counted: () => Record<string, number>) {}
 
--- a/packages/core/book.ts
+++ b/packages/core/book.ts
@@ -324,6 +324,7 @@
       noticeAt: null,
       draining: false,
       avoidUntil: 0,
+      unheard: 0,
       errors: 0,
       images: new Map(),
       tasks: new Map(),
@@ -394,6 +395,7 @@
         return this.ordersFor(machine, r.seq);
       }
     }
+    this.noteHearing(machine, r, now);
     if (r.session > machine.session && machine.session > 0) {
       // The worker killed and forgot everything when its lease ran out. What an earlier term may
       // have started is not judged by this: the older session may be known from a late copy only,
@@ -437,6 +439,20 @@
     return [...forgets, ...this.ordersFor(machine, r.seq)];
   }
 
+  /**
+   * A machine whose reports come while our answers don't reach it: it shows an old token again and
+   * again, or its lease ran out though we answered. What would be placed there would not start.
+   */
+  private noteHearing(machine: Machine, r: Report, now: number): void {
+    const { leaseS } = this.settings;
+    const answered = now - machine.answeredAt < leaseS && machine.helloSeq >= 0;
+    machine.unheard = answered && r.token < this.term ? machine.unheard + 1 : 0;
+    const ranOut = answered && r.session > machine.session && machine.session > 0;
+    if (ranOut || machine.unheard >= 2) {
+      machine.avoidUntil = Math.max(machine.avoidUntil, now + leaseS);
+    }
+  }
+
   private taskReported(machine: Machine, t: TaskReport, now: number): Order | null {
     const ref = { job: t.job, index: t.index, attempt: t.attempt };
     const job = this.jobs.get(t.job);
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -80,6 +80,8 @@
   /** Takes no new work. */
   draining: boolean;
   avoidUntil: number;
+  /** Reports in a row that did not show the token of an answer before them. */
+  unheard: number;
   errors: number;
   /** Names of images, most recently used last. */
   images: Map<string, number>;
--- a/packages/peer/link.ts
+++ b/packages/peer/link.ts
@@ -28,6 +28,8 @@
     private readonly listen: { host: string; port: number },
     private readonly peers: PeerAddress[],
     private readonly retryMs: number,
+    /** What a peer is told on each new connection, since it may have missed it. */
+    private readonly greeting: () => Frame[] = () => [],
   ) {
     this.server = net.createServer((socket) => this.receive(socket));
     this.server.maxConnections = 4 * (peers.length + 1);
@@ -66,6 +68,7 @@
         socket.on('connect', () => {
           clearTimeout(giveUp);
           socket.write(encodeFrame({ kind: 'hello', name: this.self }));
+          for (const frame of this.greeting()) socket.write(encodeFrame(frame));
           this.out.set(peer.name, socket);
         });
         // Nothing is answered on this connection; bytes that come are dropped.
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -2,8 +2,19 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
-import { encode } from '#wire';
-import { frontOf, makeApp, mountFallbacks, readBody, reply } from '#controller';
+import { encode, NoAnswer } from '#wire';
+import {
+  ApiParts,
+  DirectCommands,
+  frontOf,
+  makeApp,
+  mountFallbacks,
+  readBody,
+  reply,
+  UserApi,
+} from '#controller';
+import { aBook, aJob, aMachine, aReport } from './samples.js';
+import { serve } from './services.js';
 
 async function post(port: number, path: string, body: Uint8Array): Promise<number> {
   return new Promise((resolve, reject) => {
@@ -46,3 +57,80 @@
   server.close();
   server.closeAllConnections();
 });
+
+test('whoever owns hears of an abort before it is recorded, whatever becomes of the record', async () => {
+  // Guards against tasks that run on past their time: the controller that recorded an abort ended
+  // before it told the owner, and an outage of the state service began.
+  const seen: string[] = [];
+  const record = { job: aJob(), acceptedAtMs: 0, phase: 'accepted', version: 3 };
+  const parts = {
+    client: { call: () => Promise.reject(new NoAnswer('cut')) },
+    commits: {
+      commit: () => {
+        seen.push('commit');
+        return Promise.reject(new NoAnswer('cut'));
+      },
+    },
+    jobs: { get: () => record, cache: { sync: () => Promise.resolve() } },
+    onRequest: () => {},
+    crowded: () => false,
+    onAbort: (id: string) => seen.push(id),
+  };
+  const app = makeApp();
+  new UserApi(parts as unknown as ApiParts).mount(app);
+  const server = http.createServer(app).listen(0, '127.0.0.1');
+  await new Promise((resolve) => server.once('listening', resolve));
+  const { port } = server.address() as AddressInfo;
+  const status = await post(port, `/submissions/${record.job.id}/abort`, new Uint8Array());
+  server.close();
+  server.closeAllConnections();
+  assert.equal(status, 503);
+  assert.deepEqual(seen.slice(0, 2), [record.job.id, 'commit']);
+});
+
+test('direct commands to many machines keep to their share of the sockets', async () => {
+  // Guards against one kept connection for each of hundreds of machines, beside all reports.
+  const machines = 12;
+  const most = 3;
+  const book = aBook();
+  let ordered = 0;
+  let atOnce = 0;
+  let underWay = 0;
+  const workers = [];
+  for (let i = 0; i < machines; i++) {
+    const name = `n-${i}`;
+    const worker = await serve(async (_method, _url, body) => {
+      atOnce = Math.max(atOnce, ++underWay);
+      await new Promise((resolve) => setImmediate(resolve));
+      ordered += (body as { orders: unknown[] }).orders.length;
+      underWay--;
+      return { status: 409, body: {} };
+    });
+    workers.push(worker);
+    const machine = aMachine(book, name);
+    book.report(aReport({ machine: name, addr: worker.address }), 0);
+    machine.answeredAt = performance.now() / 1000;
+    const job = book.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
+    book.assign(job, 0, machine, book.newAttempt(), 0).recorded = true;
+  }
+  const stop = new AbortController();
+  await new Promise<void>((resolve) => {
+    const direct = new DirectCommands(
+      book,
+      5000,
+      most,
+      () => {},
+      () => {
+        assert.ok(direct.connections <= most);
+        if (ordered === machines) {
+          direct.close();
+          resolve();
+        } else direct.push(stop.signal);
+      },
+    );
+    direct.push(stop.signal);
+  });
+  assert.equal(ordered, machines);
+  assert.ok(atOnce <= most);
+  for (const w of workers) w.close();
+});
--- a/packages/testing/book.test.ts
+++ b/packages/testing/book.test.ts
@@ -218,3 +218,20 @@
   scheduler.round(104.25);
   assert.equal(stopping().length, 1, 'room for the second task is being made');
 });
+
+test('nothing is placed on a machine whose reports come while our answers do not reach it', () => {
+  // Guards against tasks that wait again and again on a machine that can't hear of them.
+  const book = aBook();
+  const machine = aMachine(book, 'n-1');
+  const avoided = (now: number) => machine.avoidUntil > now;
+  book.report(aReport({ seq: 1, token: 7 }), 1);
+  book.report(aReport({ seq: 2, token: 7 }), 2);
+  assert.ok(!avoided(2));
+  book.report(aReport({ seq: 3, token: 7 }), 3);
+  assert.ok(avoided(3));
+  // It hears us again, then its lease runs out though we answered.
+  book.report(aReport({ seq: 4 }), 20);
+  assert.ok(!avoided(20));
+  book.report(aReport({ seq: 5, session: 2 }), 21);
+  assert.ok(avoided(21));
+});
--- a/packages/testing/safety.test.ts
+++ b/packages/testing/safety.test.ts
@@ -22,6 +22,7 @@
   ['trusts-former-owner', 'ran_twice'],
   ['believes-old-copies', 'ran_twice'],
   ['forgets-late-starts', 'unrecorded'],
+  ['wakes-entitled', 'ran_cancelled'],
   ['order-before-record', 'unrecorded'],
   ['no-limit', 'quota'],
   ['any-zone', 'wrong_place'],
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -23,7 +23,8 @@
   | 'deaf-to-aborts'
   | 'done-early'
   | 'believes-old-copies'
-  | 'forgets-late-starts';
+  | 'forgets-late-starts'
+  | 'wakes-entitled';
 
 interface StoredMachine {
   zone: string;
@@ -46,6 +47,8 @@
   private readonly scheduler: Scheduler;
   /** Cut off from the state service: it can record nothing more and goes on answering for a while. */
   deposedAt: number | null = null;
+  /** Stands still until then, while its clock runs on. */
+  thawsAt = -Infinity;
 
   constructor(
     private readonly store: Durable,
@@ -211,6 +214,13 @@
     };
   }
 
+  /** One that lost the state service may answer no longer: the bound counts from when it lost it. */
+  const gaveUp = (owner: Life, at: number) => {
+    if (owner.deposedAt === null) return false;
+    if (fault === 'wakes-entitled' && owner.thawsAt > owner.deposedAt) return false;
+    return at > owner.deposedAt + FORMER_OWNER;
+  };
+
   const sendReport = (i: number) => {
     const w = workers[i];
     const report = w.report();
@@ -220,7 +230,11 @@
     inFlight[i] = now + ANSWER_LIFE;
     const deliver = (at: number) => {
       if (!target) return;
-      if (target.deposedAt !== null && at > target.deposedAt + FORMER_OWNER) {
+      if (at < target.thawsAt) {
+        mail.push({ at: target.thawsAt, run: deliver });
+        return;
+      }
+      if (gaveUp(target, at)) {
         sticksTo[i] = null;
         return;
       }
@@ -248,7 +262,7 @@
       mail.push({
         at: now + chance.next() * 3 * LEASE,
         run: (t) => {
-          if (!life || (life.deposedAt !== null && t > life.deposedAt + FORMER_OWNER)) return;
+          if (!life || gaveUp(life, t)) return;
           if (fault === 'believes-old-copies') {
             const machine = life.book.machines.get(report.machine);
             if (machine) machine.seq = machine.helloSeq = Math.min(machine.seq, report.seq - 1);
@@ -336,6 +350,7 @@
       if (chance.hit(0.5)) {
         former = life;
         life.deposedAt = now;
+        if (chance.hit(0.5)) life.thawsAt = now + chance.next() * 0.9 * LEASE;
         const stuck = chance.int(0, workers.length - 1);
         workers.forEach((_, i) => (sticksTo[i] = i <= stuck && chance.hit(0.7) ? former : null));
       }
@@ -369,6 +384,8 @@
     while (mail.length > 0 && mail[0].at <= now) mail.shift()!.run(now);
     life?.step(now);
     if (life) sendDirect(life);
+    // One that wakes sends what was due, if it may still believe itself entitled.
+    if (former && now >= former.thawsAt && !gaveUp(former, now)) sendDirect(former);
 
     const seen = new Map<string, string>();
     for (const w of workers) {
