Operators see metrics; the owner may use most of the state service's changes; still fewer wakes

Change: 0.8 of the rate of changes for the owner, 0.3 for the others; a read index each fifth of a report period; others' watches gather for half of one. GET /metrics with prom-client, loaded with the first request for it, since loading it at each start cost 30 ms of processor time.

--- a/packages/controller/api.ts
+++ b/packages/controller/api.ts
@@ -34,8 +34,8 @@
   types: () => MachineType[];
   /** Busy enough that submissions are turned away. */
   overloaded: () => boolean;
-  /** Told of every request. */
-  onRequest: () => void;
+  /** Told of every request; what it returns is told when that was answered. */
+  onRequest: (kind: string) => () => void;
   /** Told when a user has asked for an abort and before it is recorded. */
   onAbort: (id: string) => void;
   /** Few connections are left. */
@@ -91,23 +91,24 @@
 
   mount(app: Express): void {
     const guard =
-      (run: (req: Request, res: Response) => Promise<void>) => (req: Request, res: Response) => {
-        this.parts.onRequest();
+      (kind: string, run: (req: Request, res: Response) => Promise<void>) =>
+      (req: Request, res: Response) => {
+        res.once('finish', this.parts.onRequest(kind));
         // Reports keep their connections when users overrun.
         if (this.parts.crowded()) res.setHeader('Connection', 'close');
         run(req, res).catch((err: unknown) => this.refuse(res, err));
       };
     app.post(
       '/submissions',
-      guard((req, res) => this.submit(req, res)),
+      guard('submit', (req, res) => this.submit(req, res)),
     );
     app.get(
       '/submissions/:id',
-      guard((req, res) => this.query(req, res)),
+      guard('query', (req, res) => this.query(req, res)),
     );
     app.post(
       '/submissions/:id/abort',
-      guard((req, res) => this.abort(req, res)),
+      guard('abort', (req, res) => this.abort(req, res)),
     );
   }
 
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -28,6 +28,7 @@
 import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
+import { Metrics } from './metrics.js';
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
@@ -38,7 +39,7 @@
 const LAG_LIMIT_MS = 500;
 /** Shares of a report period for which changes of jobs gather, at the owner and elsewhere. */
 const OWNER_GATHERS = 1 / 50;
-const OTHERS_GATHER = 1 / 4;
+const OTHERS_GATHER = 1 / 2;
 /** Report periods within which a worker counts as heard, here or by a peer. */
 const STRAY_REPORTS = 3;
 /**
@@ -47,6 +48,13 @@
  */
 const SERVER_SOCKETS = 0.6;
 const DIRECT_SOCKETS = 0.25;
+/**
+ * Shares of the state service's rates that one controller may use: of requests, and of changes while it
+ * owns or does not. The owner's records are nearly all changes that there are.
+ */
+const STATE_SHARE = 0.55;
+const OWNER_WRITES = 0.8;
+const OTHERS_WRITE = 0.3;
 /** Share of the server's connections above which users' connections are not kept. */
 const CROWDED = 0.9;
 /** Report periods between two looks at what the process does and holds. */
@@ -67,6 +75,9 @@
   private types: MachineType[] = [];
   private owner: PartOwner | null = null;
   private readonly vitals: Vitals;
+  /** From the first request for it on. */
+  private metrics: Promise<Metrics> | null = null;
+  private observed: Metrics | null = null;
   private outageSeenAt = -Infinity;
   private lagMs = 0;
   private readonly reportS: number;
@@ -86,16 +97,15 @@
         valueBytes: Math.floor(d.state.value_kb * 1024),
         txnOps: d.state.txn_ops,
       },
-      // The owner of the part needs more than the others; each stays below what all may take.
-      d.nodes === 1 ? 0.9 : 0.55,
+      d.nodes === 1 ? 0.9 : STATE_SHARE,
     );
-    // Questions wait at the most a tenth of a report period for the read index, and share it.
+    // Questions wait at the most a fifth of a report period for the read index, and share it.
     this.vitals = new Vitals(() => ({
       stateRequests: this.client.requests,
       stateRefused: this.client.refused,
       stateChanges: this.client.changes,
     }));
-    const syncSpacingMs = Math.max((5 * d.nodes * 1000) / d.state.rps, timeoutMs / 10);
+    const syncSpacingMs = Math.max((5 * d.nodes * 1000) / d.state.rps, timeoutMs / 5);
     const gatherMs = () => timeoutMs * (this.owner ? OWNER_GATHERS : OTHERS_GATHER);
     this.world = new PrefixCache(this.client, WORLD, WATCH_MS, syncSpacingMs);
     this.jobs = new JobTable(new PrefixCache(this.client, JOBS, WATCH_MS, syncSpacingMs, gatherMs));
@@ -153,6 +163,36 @@
     this.client.api.close();
   }
 
+  private async loadMetrics(): Promise<Metrics> {
+    const metrics = await Metrics.load(this.reportS);
+    this.observed = metrics;
+    const { vitals } = this;
+    metrics.gauge('total', 'Counts since the start', 'of', () => vitals.totals());
+    metrics.gauge('held', 'What the process holds now', 'of', () => vitals.held());
+    metrics.gauge('term', 'Term of the part that is owned here, 0 if none', null, () => ({
+      '': this.owner?.term.term ?? 0,
+    }));
+    metrics.gauge(
+      'budget',
+      "Left of this controller's part of the state service's rates",
+      'of',
+      () => this.client.left(),
+    );
+    metrics.gauge(
+      'team_index',
+      'Index of each team',
+      'team',
+      () => this.owner?.fleet().index ?? {},
+    );
+    metrics.gauge('waiting', 'Tasks that wait for a place', 'class', () =>
+      this.owner ? this.owner.fleet().waiting : {},
+    );
+    metrics.gauge('machines', 'Machines by state', 'state', () =>
+      this.owner ? this.owner.fleet().machines : {},
+    );
+    return metrics;
+  }
+
   private listen(): http.Server {
     const { deployment: d, listen } = this.settings;
     const app = makeApp();
@@ -160,13 +200,22 @@
       const ok = this.healthy();
       reply(res, ok ? 200 : 503, { ok });
     });
+    app.get('/metrics', (_req, res, next) => {
+      this.metrics ??= this.loadMetrics();
+      this.metrics
+        .then(async (metrics) => res.type(metrics.contentType).end(await metrics.text()))
+        .catch(next);
+    });
     new UserApi({
       client: this.client,
       commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
       jobs: this.jobs,
       teams: teamTerms(d.teams),
       types: () => this.types,
-      onRequest: () => void this.vitals.questions++,
+      onRequest: (kind) => {
+        this.vitals.questions++;
+        return this.observed?.questions.startTimer({ kind }) ?? (() => {});
+      },
       overloaded: () => this.lagMs > LAG_LIMIT_MS,
       onAbort: (id) => {
         this.abortAsked(id);
@@ -175,7 +224,11 @@
       crowded: () => this.vitals.connections > CROWDED * server.maxConnections,
     }).mount(app);
     mountFallbacks(app);
-    const front = frontOf(app, (body, res) => this.hello(body, res));
+    const front = frontOf(app, (body, res) => {
+      const answered = this.observed?.reports.startTimer();
+      this.hello(body, res);
+      answered?.();
+    });
     const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, front);
     server.maxConnections = Math.floor(d.limits.sockets * SERVER_SOCKETS);
     this.vitals.watch(server);
@@ -324,7 +377,7 @@
   }
 
   private async lagDuty(signal: AbortSignal): Promise<void> {
-    const stepMs = LAG_LIMIT_MS / 2;
+    const stepMs = LAG_LIMIT_MS;
     while (!signal.aborted) {
       const before = performance.now();
       await sleep(stepMs, undefined, { signal }).catch(() => {});
@@ -348,6 +401,9 @@
         current?.stop.abort();
         current = null;
         this.owner = null;
+        if (this.settings.deployment.nodes > 1) {
+          this.client.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
+        }
         if (!term) return;
         this.log.info({ term: term.term }, 'term begins');
         const stop = new AbortController();
@@ -366,7 +422,11 @@
         term,
         () => this.types,
         () => this.entitled() !== 'none',
-        this.vitals,
+        (roundMs) => {
+          this.vitals.rounds++;
+          this.vitals.roundMs += roundMs;
+          this.observed?.rounds.observe(roundMs / 1000);
+        },
         Math.max(1, Math.floor(this.settings.deployment.limits.sockets * DIRECT_SOCKETS)),
         this.log,
       );
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -19,7 +19,6 @@
 import type { Log } from './log.js';
 import { Recorder, runningCount, TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
-import type { Vitals } from './vitals.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 const ROUND_DECISIONS = 200;
@@ -53,7 +52,7 @@
     readonly term: Term,
     private readonly types: () => MachineType[],
     private readonly entitled: () => boolean,
-    private readonly vitals: Vitals,
+    private readonly onRound: (ms: number) => void,
     directSockets: number,
     private readonly log: Log,
   ) {
@@ -151,8 +150,7 @@
         const startedAt = performance.now();
         this.round(signal);
         this.roundMs = performance.now() - startedAt;
-        this.vitals.rounds++;
-        this.vitals.roundMs += this.roundMs;
+        this.onRound(this.roundMs);
       });
     try {
       await this.flushLoop(signal);
@@ -250,6 +248,12 @@
     if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
     this.summaryAt = now;
     this.book.dropEnded();
+    this.log.info(this.fleet(), 'fleet');
+  }
+
+  /** The fleet, its use and what waits, as operators want to see it. */
+  fleet() {
+    const now = steady();
     const states: Record<string, number> = {};
     let idle = 0;
     for (const m of this.book.machines.values()) {
@@ -268,7 +272,7 @@
       index[t.name] = Number(this.scheduler.index(t.name, now).toFixed(3));
     }
     const { gpus } = this.book.fleet;
-    this.log.info({ machines: states, idle, gpus, use, index, waiting }, 'fleet');
+    return { machines: states, idle, gpus, use, index, waiting };
   }
 
   private async flushLoop(signal: AbortSignal): Promise<void> {
--- a/packages/store/budget.ts
+++ b/packages/store/budget.ts
@@ -5,16 +5,27 @@
   private level: number;
   private at = performance.now();
 
-  constructor(private readonly perSecond: number) {
+  constructor(private perSecond: number) {
     this.level = perSecond;
   }
 
+  /** Another rate from now on. */
+  change(perSecond: number): void {
+    this.refill();
+    this.perSecond = perSecond;
+  }
+
   private refill(): void {
     const now = performance.now();
     this.level = Math.min(this.perSecond, this.level + ((now - this.at) / 1000) * this.perSecond);
     this.at = now;
   }
 
+  left(): number {
+    this.refill();
+    return this.level;
+  }
+
   /** Milliseconds until `n` may be taken, 0 if now. */
   waitMs(n: number, urgent: boolean): number {
     this.refill();
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -37,6 +37,16 @@
     this.writes = new Budget(limits.writeRps * share);
   }
 
+  /** The part of all changes that this controller may make. */
+  shareWrites(share: number): void {
+    this.writes.change(this.limits.writeRps * share);
+  }
+
+  /** What may be used at once of this controller's parts of the rates. */
+  left(): Record<string, number> {
+    return { requests: this.reads.left(), changes: this.writes.left() };
+  }
+
   /** Runs one request and notes whether the service served it. */
   async call<T>(
     urgent: boolean,
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -72,7 +72,7 @@
       },
     },
     jobs: { get: () => record, cache: { sync: () => Promise.resolve() } },
-    onRequest: () => {},
+    onRequest: () => () => {},
     crowded: () => false,
     onAbort: (id: string) => seen.push(id),
   };
