Sockets are shared by need, old connections of workers are given back, new owners judge sooner

Cause: at 900 machines the server's share (0.6 of 1,908) left 190 connections beside one for each worker, fewer than a zone's machines leave half-open when they are cut off and report anew. Change: peers, state service and cloud get what they need, five sixths of the rest are for workers and users; a worker's newest report on another connection closes the one before; an owner that its workers ask its peers for is judged four report periods after its start.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -32,6 +32,7 @@
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
+import { socketShares, WorkerLines } from './sockets.js';
 import { Vitals } from './vitals.js';
 
 const WATCH_MS = 10_000;
@@ -42,12 +43,6 @@
 const OTHERS_GATHER = 1 / 2;
 /** Report periods within which a worker counts as heard, here or by a peer. */
 const STRAY_REPORTS = 3;
-/**
- * Shares of the socket limit: workers and users, and direct commands to workers. The rest is for peers,
- * the state service, the cloud and connections that are being closed.
- */
-const SERVER_SOCKETS = 0.6;
-const DIRECT_SOCKETS = 0.25;
 /**
  * Shares of the state service's rates that one controller may use: of requests, and of changes while it
  * owns or does not. The owner's records are nearly all changes that there are.
@@ -75,6 +70,8 @@
   private types: MachineType[] = [];
   private owner: PartOwner | null = null;
   private readonly vitals: Vitals;
+  private readonly sockets: { server: number; direct: number };
+  private readonly workerLines = new WorkerLines();
   /** From the first request for it on. */
   private metrics: Promise<Metrics> | null = null;
   private observed: Metrics | null = null;
@@ -88,6 +85,7 @@
   ) {
     const { deployment: d, external, operator } = settings;
     this.reportS = d.workers.report_s;
+    this.sockets = socketShares(d.limits.sockets, settings.peers.length);
     const timeoutMs = this.reportS * 1000;
     this.client = new StateClient(
       new StateApi(external.state, timeoutMs),
@@ -230,7 +228,7 @@
       answered?.();
     });
     const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, front);
-    server.maxConnections = Math.floor(d.limits.sockets * SERVER_SOCKETS);
+    server.maxConnections = this.sockets.server;
     this.vitals.watch(server);
     const [host, port] = listen.split(':');
     server.on('error', (err) => {
@@ -303,6 +301,7 @@
       const orders = owner.report(report);
       // A late copy gets a token that its worker drops, since the answer is not counted as a renewal.
       const token = orders === null ? 0 : owner.tokenFor(report.machine);
+      if (orders !== null) this.workerLines.heard(report.machine, res.socket);
       reply(res, 200, answerToWire(token, orders ?? []));
       return;
     }
@@ -364,8 +363,9 @@
     const { owner } = this;
     const now = steady();
     const { lease_s: leaseS } = this.settings.deployment.workers;
-    // After a take-over the workers need some time to find us.
-    if (!owner?.ready || now - owner.startedAt < leaseS) return;
+    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
+    // owner that none of them ever reaches would let all their leases run out.
+    if (!owner?.ready || now - owner.startedAt < (STRAY_REPORTS + 1) * this.reportS) return;
     const { machines, heard } = owner.hearing(now, STRAY_REPORTS * this.reportS);
     let strays = 0;
     for (const w of this.words.values()) {
@@ -427,7 +427,7 @@
           this.vitals.roundMs += roundMs;
           this.observed?.rounds.observe(roundMs / 1000);
         },
-        Math.max(1, Math.floor(this.settings.deployment.limits.sockets * DIRECT_SOCKETS)),
+        this.sockets.direct,
         this.log,
       );
       const { deployment: d, host_name } = this.settings;
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -7,3 +7,4 @@
 export * from './operator.js';
 export type { PartOwner } from './owner.js';
 export * from './settings.js';
+export * from './sockets.js';
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { type AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import { encode, NoAnswer } from '#wire';
 import {
@@ -11,7 +11,9 @@
   mountFallbacks,
   readBody,
   reply,
+  socketShares,
   UserApi,
+  WorkerLines,
 } from '#controller';
 import { aBook, aJob, aMachine, aReport } from './samples.js';
 import { serve } from './services.js';
@@ -134,3 +136,24 @@
   assert.ok(atOnce <= most);
   for (const w of workers) w.close();
 });
+
+test('sockets are shared by need, and a worker that reports anew gives its old one back', () => {
+  for (const [sockets, peers] of [
+    [60, 0],
+    [700, 6],
+    [1908, 2],
+    [2153, 6],
+  ]) {
+    const { server, direct } = socketShares(sockets, peers);
+    assert.ok(server >= 1 && direct >= 1 && server + direct + 4 * peers <= sockets);
+  }
+  // Guards against the half-open connections of a zone that was cut off: with those of its machines
+  // that came back they used up the owner's sockets, and others could not report.
+  const lines = new WorkerLines();
+  const [first, second] = [new Socket(), new Socket()];
+  lines.heard('n-1', first);
+  lines.heard('n-1', first);
+  assert.ok(!first.destroyed);
+  lines.heard('n-1', second);
+  assert.ok(first.destroyed && !second.destroyed);
+});
--- a/packages/wire/http.ts
+++ b/packages/wire/http.ts
@@ -18,13 +18,16 @@
   maxBytes?: number;
 }
 
+/** Connections that a client opens at the most, if not told otherwise. */
+export const MAX_SOCKETS = 16;
+
 /** A keep-alive HTTP client that speaks CBOR with one host. */
 export class CborClient {
   private readonly agent: http.Agent;
   private readonly host: string;
   private readonly port: number;
 
-  constructor(address: string, maxSockets = 16) {
+  constructor(address: string, maxSockets = MAX_SOCKETS) {
     const colon = address.lastIndexOf(':');
     this.host = address.slice(0, colon);
     this.port = Number(address.slice(colon + 1));
