A lag that is over turns submissions away for a look or two, not for seconds

Cause: looks at the event loop's lag became five times rarer, while what a lag still counts for at the next look stayed: after two seconds of lag submissions were refused for three seconds instead of half a second.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -38,6 +38,8 @@
 const WATCH_MS = 10_000;
 /** Event-loop lag, as a share of the users' second, from which submissions are turned away. */
 const LAG_LIMIT_MS = 500;
+/** What a lag counts for at the next look; looks are as far apart as the limit is long. */
+const LAG_KEPT = 1 / 3;
 /** Shares of a report period for which changes of jobs gather, at the owner and elsewhere. */
 const OWNER_GATHERS = 1 / 50;
 const OTHERS_GATHER = 1 / 2;
@@ -382,7 +384,8 @@
       const before = performance.now();
       await sleep(stepMs, undefined, { signal }).catch(() => {});
       const lag = performance.now() - before - stepMs;
-      this.lagMs = Math.max(lag, this.lagMs * 0.8);
+      // One look later a lag that is over turns nobody away.
+      this.lagMs = Math.max(lag, this.lagMs * LAG_KEPT);
     }
   }
 
