A machine whose cut is over is not taken for deaf

Cause: reports that a cut held back arrive at once, then one of a new session; that looked like a lease that ran out though we answered, and the machines of a zone or a cut took no work for a lease just when they were needed. Now only a machine whose reports came without a gap for a lease, or that shows an old token for two report periods.

--- a/packages/core/book.ts
+++ b/packages/core/book.ts
@@ -324,7 +324,8 @@
       noticeAt: null,
       draining: false,
       avoidUntil: 0,
-      unheard: 0,
+      steadySince: Infinity,
+      unheardSince: null,
       errors: 0,
       images: new Map(),
       tasks: new Map(),
@@ -444,13 +445,14 @@
    * again, or its lease ran out though we answered. What would be placed there would not start.
    */
   private noteHearing(machine: Machine, r: Report, now: number): void {
-    const { leaseS } = this.settings;
-    const answered = now - machine.answeredAt < leaseS && machine.helloSeq >= 0;
-    machine.unheard = answered && r.token < this.term ? machine.unheard + 1 : 0;
-    const ranOut = answered && r.session > machine.session && machine.session > 0;
-    if (ranOut || machine.unheard >= 2) {
-      machine.avoidUntil = Math.max(machine.avoidUntil, now + leaseS);
-    }
+    const { leaseS, reportS } = this.settings;
+    // After a cut held reports arrive at once, and then a new session: that is no sign of deafness.
+    if (now - machine.answeredAt > 4 * reportS) machine.steadySince = now;
+    const old = r.token < this.term && machine.steadySince < now;
+    machine.unheardSince = old ? (machine.unheardSince ?? now) : null;
+    const unheard = machine.unheardSince !== null && now - machine.unheardSince >= 2 * reportS;
+    const ranOut = r.session > machine.session && now - machine.steadySince >= leaseS;
+    if (ranOut || unheard) machine.avoidUntil = Math.max(machine.avoidUntil, now + leaseS);
   }
 
   private taskReported(machine: Machine, t: TaskReport, now: number): Order | null {
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -80,8 +80,10 @@
   /** Takes no new work. */
   draining: boolean;
   avoidUntil: number;
-  /** Reports in a row that did not show the token of an answer before them. */
-  unheard: number;
+  /** Since when its reports have been answered without a gap. */
+  steadySince: number;
+  /** Since when they have not shown the token of the answers before them. */
+  unheardSince: number | null;
   errors: number;
   /** Names of images, most recently used last. */
   images: Map<string, number>;
