Wire: what a process takes from its machine, as an interface

Clock, chance and connections are to be given to a controller, so that several can run in one process on a simulated clock and network. Nothing uses it yet.

--- /dev/null
+++ b/packages/wire/runtime.ts
@@ -0,0 +1,100 @@
+import net from 'node:net';
+import type { Duplex } from 'node:stream';
+
+/**
+ * What a process takes from the machine it runs on: time, chance and connections. Production code
+ * receives it instead of calling Node directly, so that several controllers can run inside one
+ * process on a simulated clock and network (packages/testing).
+ */
+export interface Runtime {
+  readonly clock: Clock;
+  readonly network: Network;
+  /** A number in [0, 1), as Math.random. */
+  random(): number;
+}
+
+/** Time as one process sees it. */
+export interface Clock {
+  /** Steady time in seconds; its zero has no meaning and it never goes back. */
+  now(): number;
+  /** Time of day in milliseconds since 1970, as Date.now. */
+  wallMs(): number;
+  /** Calls back once after so many milliseconds, unless cancelled before. */
+  setTimer(callback: () => void, delayMs: number): Timer;
+}
+
+/** A callback that is still to come. */
+export interface Timer {
+  cancel(): void;
+}
+
+/** TCP as one process sees it. */
+export interface Network {
+  /** Opens a connection; `connect`, `error` and `close` are emitted as by net.Socket. */
+  connect(address: HostPort): Duplex;
+  /** Serves an http.Server or net.Server at the address; rejects if that cannot be had. */
+  listen(server: net.Server, address: HostPort): Promise<void>;
+}
+
+export interface HostPort {
+  host: string;
+  port: number;
+}
+
+/** Reads `10.0.0.1:8080`. */
+export function parseHostPort(address: string): HostPort {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** Resolves after so many milliseconds of the clock; rejects with the signal's reason if it aborts. */
+export function sleep(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    if (signal?.aborted) {
+      reject(signal.reason as Error);
+      return;
+    }
+    const onAbort = () => {
+      timer.cancel();
+      reject(signal?.reason as Error);
+    };
+    const timer = clock.setTimer(() => {
+      signal?.removeEventListener('abort', onAbort);
+      resolve();
+    }, delayMs);
+    signal?.addEventListener('abort', onAbort, { once: true });
+  });
+}
+
+/** Like sleep, but a signal ends it early without an error. */
+export async function pause(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
+  await sleep(clock, delayMs, signal).catch(() => {});
+}
+
+const nodeClock: Clock = {
+  now: () => performance.now() / 1000,
+  wallMs: () => Date.now(),
+  setTimer(callback, delayMs) {
+    const handle = setTimeout(callback, delayMs);
+    return { cancel: () => clearTimeout(handle) };
+  },
+};
+
+const nodeNetwork: Network = {
+  connect: ({ host, port }) => net.connect({ host, port, noDelay: true }),
+  listen: (server, { host, port }) =>
+    new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => {
+        server.off('error', reject);
+        resolve();
+      });
+    }),
+};
+
+/** The machine itself. */
+export const nodeRuntime: Runtime = {
+  clock: nodeClock,
+  network: nodeNetwork,
+  random: () => Math.random(),
+};
