Core: one typed listener in place of four callback fields

Book took its observers as fields that others assign and its arguments by position. They are now one FleetListener and one options record, given when it is made. Decisions are unchanged.

--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,7 +1,7 @@
 import { interval, merge, Subject, throttle, timer } from 'rxjs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MachineType, Order, Report } from '#wire';
-import { Book, CapacityPlanner, JobState, Scheduler } from '#core';
+import { Book, CapacityPlanner, FleetListener, JobState, Scheduler } from '#core';
 import {
   JobRecord,
   listAll,
@@ -58,8 +58,8 @@
   ) {
     const { deployment, operator } = settings;
     const w = deployment.workers;
-    this.book = new Book(
-      {
+    this.book = new Book({
+      settings: {
         leaseS: w.lease_s,
         reportS: w.report_s,
         gangPeerS: w.gang_peer_s,
@@ -67,9 +67,10 @@
         halfLifeS: operator.shareHalfLifeS,
         maxTasksPerMachine: maxTasksPerMachine(client.limits.valueBytes),
       },
-      term.term,
-      term.claimedAt,
-    );
+      term: term.term,
+      claimedAt: term.claimedAt,
+      listener: this.listener(),
+    });
     const teams = teamTerms(deployment.teams);
     this.planner = new CapacityPlanner(
       this.book,
@@ -98,33 +99,40 @@
       (machine, orders) => this.logOrders(machine.name, orders),
       () => this.nudge(),
     );
-    this.book.onUp = (machine, now) => {
-      this.planner.noteUp(machine, now);
-      const { name, type, zone, spot, bornAt } = machine;
-      this.log.debug({ machine: name, type, zone, spot, bootedS: seconds(now - bornAt) }, 'up');
-    };
-    this.book.onClosed = (job, now) => this.planner.noteEnd(job.job, now);
-    this.book.onRunning = (a, now) => {
-      this.log.debug(
-        {
-          job: a.job.job.id,
-          task: a.index,
-          class: a.job.job.class,
-          machine: a.machine.name,
-          image: a.job.job.image,
-          placedS: seconds(a.since - a.job.acceptedAt),
-          fetchedS: seconds(now - a.since),
-        },
-        'task running',
-      );
-    };
-    this.book.onEnd = (end, now) => {
-      const { job, index, attempt, machine } = end.assignment;
-      const ranS = now - (end.assignment.runningSince ?? now);
-      this.log.debug(
-        { job: job.job.id, task: index, attempt, machine: machine.name, cause: end.cause, ranS },
-        'task over',
-      );
+  }
+
+  /** Feeds the planner's statistics and the log. */
+  private listener(): FleetListener {
+    return {
+      machineUp: (machine, now) => {
+        this.planner.noteUp(machine, now);
+        const { name, type, zone, spot, bornAt } = machine;
+        this.log.debug({ machine: name, type, zone, spot, bootedS: seconds(now - bornAt) }, 'up');
+      },
+      jobClosed: (job, now) => this.planner.noteEnd(job.job, now),
+      taskRunning: (assignment, now) => {
+        const { job, index, machine, since } = assignment;
+        this.log.debug(
+          {
+            job: job.job.id,
+            task: index,
+            class: job.job.class,
+            machine: machine.name,
+            image: job.job.image,
+            placedS: seconds(since - job.acceptedAt),
+            fetchedS: seconds(now - since),
+          },
+          'task running',
+        );
+      },
+      taskEnded: ({ assignment, cause }, now) => {
+        const { job, index, attempt, machine, runningSince } = assignment;
+        const ranS = now - (runningSince ?? now);
+        this.log.debug(
+          { job: job.job.id, task: index, attempt, machine: machine.name, cause, ranS },
+          'task over',
+        );
+      },
     };
   }
 
--- a/packages/core/book.ts
+++ b/packages/core/book.ts
@@ -1,5 +1,6 @@
-import { Cause, Job, MachineType, Order, Report, TaskReport, taskName } from '#wire';
+import { Job, MachineType, Order, Report, TaskReport, taskName } from '#wire';
 import { Amounts, dominantShare, ServiceCounter } from './fairshare.js';
+import { FleetListener, NO_LISTENER, TaskEnd } from './listener.js';
 import { Assignment, BookSettings, JobState, Machine } from './model.js';
 import { TaskSet } from './taskset.js';
 
@@ -8,12 +9,6 @@
 /** Answers that may stay without effect before a machine counts as deaf. */
 const MAX_MISSES = 3;
 
-export interface TaskEnd {
-  assignment: Assignment;
-  cause: Cause | 'lost';
-  saved: boolean;
-}
-
 export interface MachineFacts {
   name: string;
   addr: string;
@@ -22,6 +17,15 @@
   spot: boolean;
 }
 
+export interface BookOptions {
+  settings: BookSettings;
+  /** The owner's term, which is also its token (docs/safety.md, points 1 and 3). */
+  term: number;
+  /** When the part was claimed, in seconds of the steady clock. */
+  claimedAt: number;
+  listener?: FleetListener;
+}
+
 /**
  * What the owner of a part believes of its machines, jobs and tasks. A pure state machine: time and
  * messages come in as arguments, and what must be made durable comes out as dirty names. A place is
@@ -42,21 +46,18 @@
   /** Tasks of each class in each zone. */
   readonly classZones = new Map<string, Map<string, number>>();
   fleet: Amounts = { cpus: 0, gpus: 0, memory: 0 };
-  /** Told of every task that is over, for statistics and logs. */
-  onEnd: (end: TaskEnd, now: number) => void = () => {};
-  /** Told when a task is first seen to run. */
-  onRunning: (assignment: Assignment, now: number) => void = () => {};
-  /** Told when a rented machine reports for the first time. */
-  onUp: (machine: Machine, now: number) => void = () => {};
-  /** Told when a job is over for its user. */
-  onClosed: (job: JobState, now: number) => void = () => {};
+  readonly settings: BookSettings;
+  readonly term: number;
+  private readonly claimedAt: number;
+  private readonly listener: FleetListener;
   private attempts = 0;
 
-  constructor(
-    readonly settings: BookSettings,
-    readonly term: number,
-    private readonly claimedAt: number,
-  ) {}
+  constructor(options: BookOptions) {
+    this.settings = options.settings;
+    this.term = options.term;
+    this.claimedAt = options.claimedAt;
+    this.listener = options.listener ?? NO_LISTENER;
+  }
 
   // Jobs
 
@@ -93,7 +94,7 @@
     job.unsaved = false;
     this.open.delete(job);
     for (const a of allPlaces(job)) this.stopTask(a, 0, now);
-    this.onClosed(job, now);
+    this.listener.jobClosed(job, now);
   }
 
   /** Forgets jobs that are over and have no task left anywhere. */
@@ -275,7 +276,7 @@
       this.noteFailure(a, cause, now);
       if (a.job.job.kind === 'gang') this.stopGang(a.job, now);
     }
-    this.onEnd({ assignment: a, cause, saved }, now);
+    this.listener.taskEnded({ assignment: a, cause, saved }, now);
   }
 
   /** A gang that lost a task ends as a whole; the next attempt goes on from its checkpoint. */
@@ -408,7 +409,7 @@
       }
     }
     if (machine.state !== 'up') {
-      if (machine.state === 'booting') this.onUp(machine, now);
+      if (machine.state === 'booting') this.listener.machineUp(machine, now);
       machine.state = 'up';
       machine.idleSince = now;
     }
@@ -478,7 +479,7 @@
     if (t.state === 'running' && a.runningSince === null) {
       a.runningSince = now;
       a.job.failures = 0;
-      this.onRunning(a, now);
+      this.listener.taskRunning(a, now);
     }
     if (t.state !== 'exited') return null;
     const cause = t.cause ?? 'error';
--- a/packages/core/index.ts
+++ b/packages/core/index.ts
@@ -1,6 +1,7 @@
 export * from './book.js';
 export * from './capacity.js';
 export * from './fairshare.js';
+export * from './listener.js';
 export * from './model.js';
 export * from './packing.js';
 export * from './placement.js';
--- a/packages/testing/book.test.ts
+++ b/packages/testing/book.test.ts
@@ -121,7 +121,7 @@
 });
 
 test('a silent machine of an earlier term keeps its tasks until no owner can have answered it', () => {
-  const book = new Book(aBook().settings, 200, 50);
+  const book = new Book({ settings: aBook().settings, term: 200, claimedAt: 50 });
   book.types.set('std', aBook().types.get('std')!);
   const job = book.addJob(aJob({ tasks: 1 }), 0, 'accepted', 50);
   book.inherit(job, 0, aMachine(book, 'n-1'), 1, 50);
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -41,8 +41,8 @@
 }
 
 export function aBook(): Book {
-  const book = new Book(
-    {
+  const book = new Book({
+    settings: {
       leaseS: 10,
       reportS: 1,
       gangPeerS: 6,
@@ -50,9 +50,9 @@
       halfLifeS: 3600,
       maxTasksPerMachine: 50,
     },
-    100,
-    0,
-  );
+    term: 100,
+    claimedAt: 0,
+  });
   book.types.set(STD.name, STD);
   return book;
 }
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -58,8 +58,8 @@
     private readonly fault: Fault,
     now: number,
   ) {
-    this.book = new Book(
-      {
+    this.book = new Book({
+      settings: {
         leaseS: fault === 'short-lease' ? LEASE / 4 : LEASE,
         reportS: REPORT,
         gangPeerS: 6,
@@ -68,8 +68,8 @@
         maxTasksPerMachine: 50,
       },
       term,
-      now,
-    );
+      claimedAt: now,
+    });
     this.book.types.set(type.name, type);
     for (const { job, phase } of store.jobs.values()) {
       const state = this.book.addJob(job, now, phase, now);
