--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -70,10 +70,10 @@
   private async step(signal: AbortSignal): Promise<void> {
     const now = steady();
     const book = this.owner.book;
-    if (now - this.typesAt > 30 * this.reportS || book.types.size === 0) {
+    if (now - this.typesAt > 30 * this.reportS || book.machines.types.size === 0) {
       await this.budget.take(1, false, signal);
       const types = await this.cloud.catalog(signal);
-      for (const t of types) book.types.set(t.name, t);
+      for (const t of types) book.machines.types.set(t.name, t);
       await this.onTypes(types);
       this.typesAt = now;
     }
@@ -122,7 +122,7 @@
     for (const [name, at] of this.releasedAt) {
       if (now - at > 20 * Math.max(this.listLagS, this.reportS)) this.releasedAt.delete(name);
     }
-    book.recomputeFleet();
+    book.machines.updateTotals();
   }
 
   private listed(m: ListedMachine, now: number): void {
@@ -133,10 +133,10 @@
       if (m.state === 'failed') known.listedFailed = true;
       return;
     }
-    const bootS = book.types.get(m.type)?.bootS ?? 0;
+    const bootS = book.machines.types.get(m.type)?.bootS ?? 0;
     // One that is listed as running has a boot time's worth of patience to report to us.
     const bornAt = m.state === 'booting' ? now - m.ageS : now - bootS;
-    const met = book.meet(m, 'booting', bornAt);
+    const met = book.machines.register(m, 'booting', bornAt);
     met.listedFailed = m.state === 'failed';
   }
 
@@ -144,7 +144,7 @@
   private doomed(now: number): Machine[] {
     const out: Machine[] = [];
     for (const m of this.owner.book.machines.values()) {
-      const bootS = this.owner.book.types.get(m.type)?.bootS ?? 0;
+      const bootS = this.owner.book.machines.types.get(m.type)?.bootS ?? 0;
       const neverUp = m.state === 'booting' && now - m.bornAt > BOOT_LATE * bootS;
       const longDark = m.state === 'dark' && now - m.darkAt > 2 * this.leaseS;
       const drained = m.draining && m.tasks.size === 0;
@@ -161,7 +161,7 @@
     await this.cloud.release(names, signal);
     const now = steady();
     for (const name of names) {
-      this.owner.book.released(name, now);
+      this.owner.book.removeMachine(name, now);
       this.releasedAt.set(name, now);
     }
     this.log.info({ machines: names }, 'released');
@@ -179,12 +179,12 @@
         const now = steady();
         const names = out === 'no-capacity' ? [] : out.machines;
         if (names.length < rental.count) {
-          const bootS = this.owner.book.types.get(rental.type)?.bootS ?? 0;
+          const bootS = this.owner.book.machines.types.get(rental.type)?.bootS ?? 0;
           this.owner.planner.noteRefused(rental, now + bootS * REFUSED_FOR);
         }
         for (const name of names) {
           const { type, zone, spot } = rental;
-          this.owner.book.meet({ name, addr: '', type, zone, spot }, 'booting', now);
+          this.owner.book.machines.register({ name, addr: '', type, zone, spot }, 'booting', now);
         }
         this.log.info({ request, ...rental, got: names.length }, 'rent');
         return;
--- a/packages/controller/direct.ts
+++ b/packages/controller/direct.ts
@@ -1,5 +1,5 @@
 import { CborClient, commandToWire, Order, parseReport } from '#wire';
-import type { Book, Machine } from '#core';
+import type { FleetState, Machine } from '#core';
 import { steady } from '#store';
 
 /** Commands that go to workers at once instead of waiting for their next report. */
@@ -10,7 +10,7 @@
   private readonly busy = new Set<string>();
 
   constructor(
-    private readonly book: Book,
+    private readonly book: FleetState,
     private readonly timeoutMs: number,
     /** Connections that may be open at once: one for each machine would not fit a large fleet. */
     private readonly most: number,
@@ -24,7 +24,7 @@
     for (const machine of [...this.book.due]) {
       // The rest goes out with the next push, or in answers to reports.
       if (this.busy.size >= this.most) return;
-      const orders = this.book.directOrders(machine, now);
+      const orders = this.book.directOrders.take(machine, now);
       if (orders.length === 0) continue;
       this.onOrders(machine, orders);
       void this.send(machine, orders, signal);
@@ -69,14 +69,24 @@
     try {
       const res = await this.client(machine).call('POST', '/orders', options);
       if (res.status === 200) {
-        this.book.directAnswered(machine, orders, { report: parseReport(res.body) }, steady());
+        this.book.directOrders.finish(
+          machine,
+          orders,
+          { kind: 'executed', report: parseReport(res.body) },
+          steady(),
+        );
       } else {
         const refused = res.status === 409 || res.status === 400;
-        this.book.directAnswered(machine, orders, refused ? 'refused' : 'unknown', steady());
+        this.book.directOrders.finish(
+          machine,
+          orders,
+          { kind: refused ? 'refused' : 'unknown' },
+          steady(),
+        );
       }
     } catch {
       // No answer, or one that can't be read: the commands may have been carried out.
-      this.book.directAnswered(machine, orders, 'unknown', steady());
+      this.book.directOrders.finish(machine, orders, { kind: 'unknown' }, steady());
     }
     this.busy.delete(machine.name);
     if (!this.book.machines.has(machine.name)) this.drop(machine.name);
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,7 +1,7 @@
 import { interval, merge, Subject, throttle, timer } from 'rxjs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MachineType, Order, Report } from '#wire';
-import { Book, CapacityPlanner, FleetListener, JobState, Scheduler } from '#core';
+import { FleetState, CapacityPlanner, FleetListener, JobState, Scheduler } from '#core';
 import {
   JobRecord,
   listAll,
@@ -29,7 +29,7 @@
 
 /** One term of owning a part: its book, the recorder behind it and the duties that drive it. */
 export class PartOwner {
-  readonly book: Book;
+  readonly book: FleetState;
   readonly planner: CapacityPlanner;
   readonly scheduler: Scheduler;
   readonly recorder: Recorder;
@@ -58,7 +58,7 @@
   ) {
     const { deployment, operator } = settings;
     const w = deployment.workers;
-    this.book = new Book({
+    this.book = new FleetState({
       settings: {
         leaseS: w.lease_s,
         reportS: w.report_s,
@@ -141,7 +141,11 @@
     await this.load(signal);
     this.ready = true;
     this.log.info(
-      { term: this.term.term, jobs: this.book.open.size, machines: this.book.machines.size },
+      {
+        term: this.term.term,
+        jobs: this.book.jobs.waiting.size,
+        machines: this.book.machines.size,
+      },
       'owner',
     );
     const tickMs = (this.settings.deployment.workers.report_s * 1000) / 4;
@@ -193,7 +197,7 @@
   }
 
   private async load(signal: AbortSignal): Promise<void> {
-    for (const type of this.types()) this.book.types.set(type.name, type);
+    for (const type of this.types()) this.book.machines.types.set(type.name, type);
     // All that is durable before our claim, jobs first: records name them.
     await this.jobs.cache.sync();
     const machines = await listAll(this.client, MACHINES, signal);
@@ -219,21 +223,21 @@
       this.recorder.loaded(e.key, e.version);
       const { addr, type, zone, spot, tasks } = e.value as MachineRecord;
       const name = e.key.slice(MACHINES.length);
-      const machine = this.book.meet({ name, addr, type, zone, spot }, 'up', now);
+      const machine = this.book.machines.register({ name, addr, type, zone, spot }, 'up', now);
       for (const [id, index, attempt] of tasks) {
         const job = this.book.jobs.get(id);
-        if (job) this.book.inherit(job, index, machine, attempt, now);
+        if (job) this.book.assignments.inherit(job, index, machine, attempt, now);
         else throw new TermBroken(`record of ${name} names unknown job ${id}`);
       }
     }
-    this.book.recomputeFleet();
+    this.book.machines.updateTotals();
   }
 
   private round(signal: AbortSignal): void {
     const now = steady();
-    const dark = this.book.expire(now);
+    const dark = this.book.leases.expire(now);
     for (const m of dark) this.log.info({ machine: m.name }, 'machine silent past its lease');
-    this.book.recomputeFleet();
+    this.book.machines.updateTotals();
     for (const m of this.book.machines.values()) {
       if (m.noticeAt === null) continue;
       for (const a of m.tasks.values()) {
@@ -255,7 +259,7 @@
   private summarise(now: number): void {
     if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
     this.summaryAt = now;
-    this.book.dropEnded();
+    this.book.jobs.removeEnded();
     this.log.info(this.fleet(), 'fleet');
   }
 
@@ -270,16 +274,16 @@
       if (m.state === 'up' && m.tasks.size === 0) idle++;
     }
     const waiting: Record<string, number> = {};
-    for (const j of this.book.open) {
-      waiting[j.job.class] = (waiting[j.job.class] ?? 0) + this.book.waitingCount(j);
+    for (const j of this.book.jobs.waiting) {
+      waiting[j.job.class] = (waiting[j.job.class] ?? 0) + this.book.jobs.waitingCount(j);
     }
     const use: Record<string, number> = {};
     const index: Record<string, number> = {};
     for (const t of this.settings.deployment.teams) {
-      use[t.name] = this.book.teamUse.get(t.name)?.gpus ?? 0;
+      use[t.name] = this.book.usage.ofTeam(t.name).gpus;
       index[t.name] = Number(this.scheduler.index(t.name, now).toFixed(3));
     }
-    const { gpus } = this.book.fleet;
+    const { gpus } = this.book.machines.totals;
     return { machines: states, idle, gpus, use, index, waiting };
   }
 
@@ -303,8 +307,9 @@
   /** Takes a report and says what to answer; null for a late copy. */
   report(r: Report): Order[] | null {
     const before = this.recorder.pending;
-    const orders = this.book.report(r, steady());
-    if (orders === null) return null;
+    const outcome = this.book.reports.handle(r, steady());
+    if (outcome.kind === 'late-copy') return null;
+    const { orders } = outcome;
     this.logOrders(r.machine, orders);
     if (this.recorder.pending && !before) {
       this.wakeFlush();
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Change, Condition } from '#wire';
-import type { Assignment, Book, JobState, Machine } from '#core';
-import { allPlaces } from '#core';
+import type { Assignment, FleetState, JobState, Machine } from '#core';
+import { assignmentsOf } from '#core';
 import {
   encodeJob,
   jobKey,
@@ -44,7 +44,7 @@
 
   constructor(
     private readonly client: StateClient,
-    private readonly book: Book,
+    private readonly book: FleetState,
     private readonly jobs: JobTable,
     private readonly term: Term,
     private readonly log: Log,
@@ -61,7 +61,7 @@
   }
 
   get pending(): boolean {
-    return this.book.dirtyMachines.size > 0 || this.book.dirtyJobs.size > 0;
+    return this.book.unrecorded.any;
   }
 
   /** Writes as much as one transaction takes. */
@@ -125,19 +125,19 @@
     const items: Item[] = [];
     let bytes = 0;
     const room = () => items.length < txnOps && bytes + valueBytes < TXN_BYTES;
-    for (const name of [...this.book.dirtyMachines]) {
+    for (const name of [...this.book.unrecorded.machines]) {
       if (!room()) break;
-      this.book.dirtyMachines.delete(name);
+      this.book.unrecorded.machines.delete(name);
       const item = this.machineItem(name);
       if (!item) continue;
       items.push(item);
       bytes += sizeOf([item.change]);
     }
-    for (const id of [...this.book.dirtyJobs]) {
+    for (const id of [...this.book.unrecorded.jobs]) {
       const job = this.book.jobs.get(id);
       const chunks = job ? Math.ceil(job.job.tasks / this.chunkTasks) : 0;
       if (items.length > 0 && (!room() || items.length + chunks > txnOps)) break;
-      this.book.dirtyJobs.delete(id);
+      this.book.unrecorded.jobs.delete(id);
       if (!job || job.phase !== 'accepted') continue;
       const made = this.jobItems(job, chunks);
       items.push(...made);
@@ -150,7 +150,7 @@
     const key = MACHINES + name;
     const version = this.versions.get(key) ?? 0;
     const machine = this.book.machines.get(name);
-    const again = () => void this.book.dirtyMachines.add(name);
+    const again = () => void this.book.unrecorded.machines.add(name);
     if (!machine) {
       if (version === 0) return null;
       return {
@@ -170,7 +170,7 @@
       durable: (revision) => {
         this.versions.set(key, revision);
         for (const a of held) a.recorded = true;
-        this.book.handedOver(machine, revision);
+        this.book.fencing.recorded(machine, revision);
       },
       again,
     };
@@ -179,7 +179,7 @@
   private jobItems(job: JobState, chunks: number): Item[] {
     const size = job.done.size;
     const id = job.job.id;
-    const again = () => void this.book.dirtyJobs.add(id);
+    const again = () => void this.book.unrecorded.jobs.add(id);
     if (size === job.job.tasks) {
       const record = this.jobs.get(id);
       if (!record || record.phase !== 'accepted') return [];
@@ -237,6 +237,6 @@
 
 export function runningCount(job: JobState): number {
   let n = 0;
-  for (const a of allPlaces(job)) if (a.reported === 'running') n++;
+  for (const a of assignmentsOf(job)) if (a.reported === 'running') n++;
   return n;
 }
--- /dev/null
+++ b/packages/core/answer-orders.ts
@@ -0,0 +1,42 @@
+import type { Order, TaskRef } from '#wire';
+import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
+
+/** The orders that the answer to a report carries: stops first, then starts that are recorded. */
+export function ordersForAnswer(machine: Machine, reportSeq: number): Order[] {
+  const stops: Order[] = [];
+  const starts: Order[] = [];
+  for (const assignment of machine.tasks.values()) {
+    if (assignment.stop !== null) stops.push(stopOrder(assignment, assignment.stop.graceS));
+    else if (isStartable(assignment)) {
+      assignment.told = true;
+      assignment.sentSeq ??= reportSeq;
+      starts.push(startOrder(assignment));
+    }
+  }
+  return [...stops, ...starts];
+}
+
+/** Nothing is started before it is recorded, a gang only when all of it is (docs/safety.md, point 4). */
+export function isStartable(assignment: Assignment): boolean {
+  const { reported, inherited, recorded, job } = assignment;
+  return reported === null && !inherited && recorded && isGangRecorded(job);
+}
+
+function isGangRecorded(job: JobState): boolean {
+  if (job.job.kind !== 'gang') return true;
+  if (job.places.size < job.job.tasks) return false;
+  for (const assignment of assignmentsOf(job)) if (!assignment.recorded) return false;
+  return true;
+}
+
+export function taskRef({ job, index, attempt }: Assignment): TaskRef {
+  return { job: job.job.id, index, attempt };
+}
+
+export function startOrder(assignment: Assignment): Order {
+  return { op: 'start', ...taskRef(assignment) };
+}
+
+export function stopOrder(assignment: Assignment, graceS: number): Order {
+  return { op: 'stop', graceS, ...taskRef(assignment) };
+}
--- /dev/null
+++ b/packages/core/assignments.ts
@@ -0,0 +1,173 @@
+import { taskName } from '#wire';
+import { addAmounts, dominantShare } from './fairshare.js';
+import type { FleetTables } from './fleet-tables.js';
+import { useImage } from './image-cache.js';
+import type { TaskEnd } from './listener.js';
+import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
+import { noteFailure } from './retry-backoff.js';
+
+/** Attempt numbers that one term may use. */
+const ATTEMPTS_PER_TERM = 65_536;
+
+/**
+ * Gives tasks to machines, stops them, and gives their places up once they are proven gone. At most one
+ * assignment of a task is made at a time (docs/safety.md, point 5).
+ */
+export class Assignments {
+  private attempts = 0;
+
+  constructor(private readonly tables: FleetTables) {}
+
+  /** An attempt number that no other start of any term has. */
+  newAttempt(): number {
+    // A transaction raises the revision, and with it every later term, by one, and can record far
+    // fewer than 65,536 assignments: so numbers never repeat, also across terms.
+    return this.tables.term * ATTEMPTS_PER_TERM + this.attempts++;
+  }
+
+  /** Gives a waiting task to a machine; throws if it may still be elsewhere. */
+  assign(job: JobState, index: number, machine: Machine, attempt: number, now: number): Assignment {
+    if (job.places.has(index) || job.done.has(index) || job.phase !== 'accepted') {
+      throw new Error(`${job.job.id}/${index} does not wait for a place`);
+    }
+    const assignment = this.add(job, index, machine, attempt, now);
+    this.tables.unrecorded.machines.add(machine.name);
+    this.tables.jobs.leaveQueueIfNoneWaits(job);
+    return assignment;
+  }
+
+  /** An assignment found in the record that an earlier term left. */
+  inherit(job: JobState, index: number, machine: Machine, attempt: number, now: number): void {
+    const assignment = this.add(job, index, machine, attempt, now);
+    assignment.recorded = true;
+    assignment.inherited = true;
+    if (job.phase !== 'accepted') this.stop(assignment, 0, now);
+    this.tables.jobs.leaveQueueIfNoneWaits(job);
+  }
+
+  /** A task that a worker reports though nothing is recorded; it holds its place until it is gone. */
+  adoptToStop(
+    job: JobState,
+    index: number,
+    machine: Machine,
+    attempt: number,
+    now: number,
+  ): Assignment {
+    const assignment = this.add(job, index, machine, attempt, now);
+    assignment.stop = { graceS: 0, at: now, direct: false };
+    return assignment;
+  }
+
+  private add(
+    job: JobState,
+    index: number,
+    machine: Machine,
+    attempt: number,
+    now: number,
+  ): Assignment {
+    const { machines, due } = this.tables;
+    const share = dominantShare(job.job, machines.totals);
+    const assignment = newAssignment(job, index, machine, attempt, share, now);
+    const others = job.places.get(index);
+    if (others) others.push(assignment);
+    else job.places.set(index, [assignment]);
+    machine.tasks.set(taskName(job.job.id, index), assignment);
+    useImage(machine, job.job, machines.typeOf(machine)?.cacheGb ?? Infinity);
+    due.add(machine);
+    // The room made here is taken: what the job still waits for needs room of its own.
+    if (machine.heldFor?.job === job) machine.heldFor = null;
+    this.count(assignment, 1, now);
+    return assignment;
+  }
+
+  private count(assignment: Assignment, sign: 1 | -1, now: number): void {
+    const { machine, job } = assignment;
+    machine.changes++;
+    addAmounts(machine.used, job.job, sign);
+    this.tables.usage.count(assignment, sign, now);
+  }
+
+  /** Asks for an end of the task; it keeps its place until it is proven gone. */
+  stop(assignment: Assignment, graceS: number, now: number): void {
+    if (!assignment.told && !assignment.inherited && assignment.reported === null) {
+      // The start was never sent to the worker and never will be.
+      this.end(assignment, 'stopped', false, now);
+      return;
+    }
+    const { stop } = assignment;
+    if (stop === null) assignment.stop = { graceS, at: now, direct: false };
+    else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, direct: false };
+    this.tables.due.add(assignment.machine);
+  }
+
+  /** Stops a task so that what can be saved is saved; a gang stops as a whole. */
+  stopGracefully(assignment: Assignment, now: number): void {
+    const { job } = assignment.job;
+    const graceS = job.checkpointS > 0 ? job.saveS + this.tables.settings.reportS : 0;
+    const stopped = job.kind === 'gang' ? [...assignmentsOf(assignment.job)] : [assignment];
+    for (const each of stopped) this.stop(each, graceS, now);
+  }
+
+  /** The task is proven gone from its machine (docs/safety.md, point 5). */
+  end(assignment: Assignment, cause: TaskEnd['cause'], saved: boolean, now: number): void {
+    const { job, index, machine } = assignment;
+    const { jobs, unrecorded, listener, settings } = this.tables;
+    const name = taskName(job.job.id, index);
+    if (machine.tasks.get(name) !== assignment) return;
+    machine.tasks.delete(name);
+    if (machine.tasks.size === 0) machine.idleSince = now;
+    removeFromJob(assignment);
+    this.count(assignment, -1, now);
+    unrecorded.machines.add(machine.name);
+    jobs.joinQueueIfAnyWaits(job, now);
+    if (job.phase === 'accepted' && !job.done.has(index)) {
+      if (index < job.cursor) job.requeued.add(index);
+      noteFailure(assignment, cause, settings.reportS, now);
+      if (job.job.kind === 'gang') this.stopRestOfGang(job, now);
+    }
+    listener.taskEnded({ assignment, cause, saved }, now);
+  }
+
+  /** Everything that was on the machine is gone. */
+  endAllOn(machine: Machine, now: number): void {
+    for (const assignment of [...machine.tasks.values()]) this.end(assignment, 'lost', false, now);
+  }
+
+  /** A gang that lost a task ends as a whole; the next attempt goes on from its checkpoint. */
+  private stopRestOfGang(job: JobState, now: number): void {
+    for (const peer of assignmentsOf(job)) if (peer.stop === null) this.stop(peer, 0, now);
+  }
+}
+
+function newAssignment(
+  job: JobState,
+  index: number,
+  machine: Machine,
+  attempt: number,
+  share: number,
+  now: number,
+): Assignment {
+  return {
+    job,
+    index,
+    attempt,
+    machine,
+    recorded: false,
+    inherited: false,
+    told: false,
+    sentSeq: null,
+    misses: 0,
+    reported: null,
+    stop: null,
+    share,
+    since: now,
+    runningSince: null,
+  };
+}
+
+function removeFromJob(assignment: Assignment): void {
+  const { places } = assignment.job;
+  const rest = (places.get(assignment.index) ?? []).filter((other) => other !== assignment);
+  if (rest.length > 0) places.set(assignment.index, rest);
+  else places.delete(assignment.index);
+}
--- a/packages/core/capacity.ts
+++ b/packages/core/capacity.ts
@@ -1,9 +1,10 @@
 import type { Job } from '#wire';
-import { Book, roomShape } from './book.js';
+import type { FleetState } from './fleet-state.js';
+import { requirementsKey } from './job-registry.js';
 import type { JobState, Machine } from './model.js';
 import { Emptying, machineToEmpty, Room } from './packing.js';
 import { hasRoom, tasksThatFit, typeFits, usable, zoneCap } from './placement.js';
-import { withinLimit, TeamTerms } from './fairshare.js';
+import { Amounts, withinLimit, TeamTerms } from './fairshare.js';
 
 export interface CapacitySettings {
   /** Standard deviations of arrivals kept free for classes that must start sooner than a boot. */
@@ -79,7 +80,7 @@
   private readonly boots: number[] = [];
 
   constructor(
-    private readonly book: Book,
+    private readonly book: FleetState,
     private readonly settings: CapacitySettings,
     private readonly aims: ClassAim[],
     private readonly teams: Map<string, TeamTerms>,
@@ -135,7 +136,7 @@
 
   /** A rented machine reported for the first time. */
   noteUp(machine: Machine, now: number): void {
-    const bootS = this.book.types.get(machine.type)?.bootS ?? 0;
+    const bootS = this.book.machines.types.get(machine.type)?.bootS ?? 0;
     if (bootS <= 0) return;
     this.boots.push((now - machine.bornAt) / bootS);
     if (this.boots.length > BOOTS_KEPT) this.boots.shift();
@@ -177,13 +178,15 @@
     const perZone = new Map<string, number>();
     for (const s of slots) perZone.set(s.zone, (perZone.get(s.zone) ?? 0) + 1);
     const packing: Packing = { slots, fresh, perZone, full: new Map() };
-    const use = new Map([...this.book.teamUse].map(([team, u]) => [team, { ...u }] as const));
-    const waiting = [...this.book.open].sort(
+    const use = new Map<string, Amounts>();
+    const waiting = [...this.book.jobs.waiting].sort(
       (a, b) => a.job.rank - b.job.rank || big(b.job) - big(a.job) || a.acceptedAt - b.acceptedAt,
     );
     for (const state of waiting) this.packJob(state, packing, use, now);
     for (const stats of this.stats.values()) {
-      const types = [...this.book.types.values()].filter((t) => typeFits(stats.template, t));
+      const types = [...this.book.machines.types.values()].filter((t) =>
+        typeFits(stats.template, t),
+      );
       if (types.length === 0) continue;
       const bootS = Math.min(...types.map((t) => t.bootS));
       const need = this.reserveTasks(stats, bootS, now);
@@ -200,7 +203,7 @@
     const out: Slot[] = [];
     const lateFrom = this.lateFrom();
     for (const machine of this.book.machines.values()) {
-      const type = this.book.types.get(machine.type);
+      const type = this.book.machines.types.get(machine.type);
       if (!type || machine.state === 'dark' || machine.draining || machine.listedFailed) continue;
       if (machine.state === 'up' && !usable(this.book, { ...machine, avoidUntil: 0 }, now))
         continue;
@@ -228,22 +231,17 @@
     );
   }
 
-  private packJob(
-    state: JobState,
-    packing: Packing,
-    use: Map<string, { cpus: number; gpus: number; memory: number }>,
-    now: number,
-  ): void {
+  private packJob(state: JobState, packing: Packing, use: Map<string, Amounts>, now: number): void {
     const job = state.job;
     const terms = this.teams.get(job.team);
     if (!terms) return;
-    const used = use.get(job.team) ?? { cpus: 0, gpus: 0, memory: 0 };
+    const used = use.get(job.team) ?? { ...this.book.usage.ofTeam(job.team) };
     use.set(job.team, used);
     const zones = new Map<string, number>();
     let zone: string | null = job.zone;
     const reserved = packing.slots.find((s) => s.reservedFor === job.id);
     if (job.oneZone && reserved) zone = reserved.zone;
-    const count = Math.min(this.book.waitingCount(state), 2000);
+    const count = Math.min(this.book.jobs.waitingCount(state), 2000);
     for (let i = 0; i < count; i++) {
       if (!withinLimit(terms, used, job)) return;
       const slot = this.packTask({ ...job, zone }, state, packing, zones, now);
@@ -262,7 +260,7 @@
     zones: Map<string, number> | null,
     now: number,
   ): Slot | null {
-    const shape = roomShape(job);
+    const shape = requirementsKey(job);
     let full = packing.full.get(shape);
     if (!full) packing.full.set(shape, (full = { slots: 0, fresh: 0 }));
     for (const list of ['slots', 'fresh'] as const) {
@@ -292,7 +290,7 @@
     now: number,
   ): Slot | null {
     let best: { slot: Slot; cost: number } | null = null;
-    for (const type of this.book.types.values()) {
+    for (const type of this.book.machines.types.values()) {
       if (!typeFits(job, type)) continue;
       const empty = { used: { cpus: 0, gpus: 0, memory: 0 } };
       const holds = Math.max(1, Math.min(1000, tasksThatFit(job, empty, type)));
--- /dev/null
+++ b/packages/core/direct-orders.ts
@@ -0,0 +1,91 @@
+import type { Order, Report } from '#wire';
+import { isStartable, startOrder, stopOrder, taskRef } from './answer-orders.js';
+import type { FleetTables } from './fleet-tables.js';
+import type { Machine } from './model.js';
+import type { StartFencing } from './start-fencing.js';
+import type { TaskReports } from './task-reports.js';
+
+/** In report periods: how recent the last report must be, and the pause after a refusal. */
+const RECENT_REPORT = 2;
+const PAUSE_AFTER_REFUSAL = 2;
+
+/** What became of a direct command. */
+export type DirectOutcome =
+  | { kind: 'executed'; report: Report }
+  /** The worker answered that it executed nothing. */
+  | { kind: 'refused' }
+  /** No answer, or one that says nothing: it may have been executed or may be later. */
+  | { kind: 'unknown' };
+
+/**
+ * Commands that need not wait for the machine's next report: starts that are recorded, and stops. At
+ * most one is under way to a machine, and none while its token is being raised (docs/safety.md,
+ * point 6).
+ */
+export class DirectOrders {
+  constructor(
+    private readonly tables: FleetTables,
+    private readonly fencing: StartFencing,
+    private readonly tasks: TaskReports,
+  ) {}
+
+  /** The orders to send to the machine now; unless empty, `finish` must follow. */
+  take(machine: Machine, now: number): Order[] {
+    if (!this.isReachable(machine, now)) return [];
+    const orders: Order[] = [];
+    let someLater = false;
+    for (const assignment of machine.tasks.values()) {
+      const { stop, told, reported, inherited } = assignment;
+      if (stop !== null) {
+        if (stop.direct) continue;
+        stop.direct = true;
+        orders.push(stopOrder(assignment, stop.graceS));
+      } else if (!told && reported === null && !inherited) {
+        if (!isStartable(assignment)) {
+          someLater = true;
+          continue;
+        }
+        assignment.told = true;
+        this.fencing.startSent(machine, taskRef(assignment), now);
+        orders.push(startOrder(assignment));
+      }
+    }
+    if (orders.length > 0) machine.calling = true;
+    if (!someLater) this.tables.due.delete(machine);
+    return orders;
+  }
+
+  private isReachable(machine: Machine, now: number): boolean {
+    return (
+      machine.state === 'up' &&
+      machine.confirmed &&
+      !machine.calling &&
+      !machine.fencing &&
+      !machine.fenced &&
+      now >= machine.callAfter &&
+      now - machine.answeredAt < RECENT_REPORT * this.tables.settings.reportS
+    );
+  }
+
+  /** Takes in what became of the orders that `take` gave. */
+  finish(machine: Machine, orders: Order[], outcome: DirectOutcome, now: number): void {
+    const { leaseS, reportS } = this.tables.settings;
+    machine.calling = false;
+    if (outcome.kind === 'unknown') {
+      machine.callAfter = now + leaseS;
+      return;
+    }
+    for (const order of orders) {
+      if (order.op === 'start') this.fencing.acknowledged(machine, order);
+    }
+    if (outcome.kind === 'refused') machine.callAfter = now + PAUSE_AFTER_REFUSAL * reportS;
+    else this.takeReport(machine, outcome.report, now);
+  }
+
+  /** It says nothing of starts in an answer that may still be on its way, so absence proves nothing. */
+  private takeReport(machine: Machine, report: Report, now: number): void {
+    if (report.session !== machine.session || report.seq <= machine.seq) return;
+    machine.seq = report.seq;
+    for (const task of report.tasks) this.tasks.listed(machine, task, now);
+  }
+}
--- a/packages/core/fairshare.ts
+++ b/packages/core/fairshare.ts
@@ -48,6 +48,15 @@
   memory: number;
 }
 
+export const ZERO_AMOUNTS: Readonly<Amounts> = { cpus: 0, gpus: 0, memory: 0 };
+
+/** Adds (or, with -1, takes away) amounts in place. */
+export function addAmounts(sum: Amounts, more: Amounts, sign: 1 | -1): void {
+  sum.cpus += sign * more.cpus;
+  sum.gpus += sign * more.gpus;
+  sum.memory += sign * more.memory;
+}
+
 /** The largest share of the fleet's totals that the amounts book. */
 export function dominantShare(a: Amounts, total: Amounts): number {
   return Math.max(
--- /dev/null
+++ b/packages/core/fleet-state.ts
@@ -0,0 +1,58 @@
+import type { Job } from '#wire';
+import { Assignments } from './assignments.js';
+import { DirectOrders } from './direct-orders.js';
+import { FleetOptions, FleetTables } from './fleet-tables.js';
+import { MachineLeases } from './machine-leases.js';
+import { assignmentsOf, JobState } from './model.js';
+import { ReportHandler } from './report-handler.js';
+import { StartFencing } from './start-fencing.js';
+import { TaskReports } from './task-reports.js';
+
+/**
+ * What the owner of a part believes of its machines, jobs and tasks. A pure state machine: time and
+ * messages come in as arguments, and what must be made durable comes out in `unrecorded`. A place is
+ * given up only when the task is proven gone (docs/safety.md, point 5).
+ */
+export class FleetState extends FleetTables {
+  readonly assignments: Assignments;
+  readonly leases: MachineLeases;
+  readonly fencing: StartFencing;
+  readonly reports: ReportHandler;
+  readonly directOrders: DirectOrders;
+
+  constructor(options: FleetOptions) {
+    super(options);
+    this.assignments = new Assignments(this);
+    this.leases = new MachineLeases(this, this.assignments);
+    this.fencing = new StartFencing(this);
+    const tasks = new TaskReports(this, this.assignments, this.fencing);
+    this.reports = new ReportHandler(this, this.assignments, this.fencing, tasks);
+    this.directOrders = new DirectOrders(this, this.fencing, tasks);
+  }
+
+  /** Takes a job record in; of a known job only a final phase is news. */
+  addJob(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
+    const known = this.jobs.get(job.id);
+    if (!known) return this.jobs.add(job, acceptedAt, phase, now);
+    if (phase !== 'accepted') this.closeJob(known, phase, now);
+    return known;
+  }
+
+  /** A final phase that the state service holds. All tasks of the job are stopped. */
+  closeJob(job: JobState, phase: 'aborted' | 'done', now: number): void {
+    if (job.phase !== 'accepted') return;
+    this.jobs.setFinalPhase(job, phase);
+    for (const assignment of assignmentsOf(job)) this.assignments.stop(assignment, 0, now);
+    this.listener.jobClosed(job, now);
+  }
+
+  /** The cloud has confirmed the release: the machine and all that was on it are gone. */
+  removeMachine(name: string, now: number): void {
+    const machine = this.machines.get(name);
+    if (!machine) return;
+    this.assignments.endAllOn(machine, now);
+    this.machines.remove(machine);
+    this.due.delete(machine);
+    this.unrecorded.machines.add(name);
+  }
+}
--- /dev/null
+++ b/packages/core/fleet-tables.ts
@@ -0,0 +1,39 @@
+import { JobRegistry } from './job-registry.js';
+import { FleetListener, NO_LISTENER } from './listener.js';
+import { MachineRegistry } from './machine-registry.js';
+import type { FleetSettings, Machine } from './model.js';
+import { UnrecordedChanges } from './unrecorded-changes.js';
+import { UsageLedger } from './usage-ledger.js';
+
+export interface FleetOptions {
+  settings: FleetSettings;
+  /** The owner's term, which is also its token (docs/safety.md, points 1 and 3). */
+  term: number;
+  /** When the part was claimed, in seconds of the steady clock. */
+  claimedAt: number;
+  listener?: FleetListener;
+}
+
+/** The data of a part that all operations on it share. */
+export class FleetTables {
+  readonly settings: FleetSettings;
+  readonly term: number;
+  readonly claimedAt: number;
+  readonly listener: FleetListener;
+  readonly unrecorded = new UnrecordedChanges();
+  readonly jobs: JobRegistry;
+  readonly machines: MachineRegistry;
+  readonly usage: UsageLedger;
+  /** Machines for which a direct command may be due. */
+  readonly due = new Set<Machine>();
+
+  constructor(options: FleetOptions) {
+    this.settings = options.settings;
+    this.term = options.term;
+    this.claimedAt = options.claimedAt;
+    this.listener = options.listener ?? NO_LISTENER;
+    this.jobs = new JobRegistry(options.settings.halfLifeS, this.unrecorded);
+    this.machines = new MachineRegistry(options.term);
+    this.usage = new UsageLedger(options.settings.halfLifeS);
+  }
+}
--- /dev/null
+++ b/packages/core/image-cache.ts
@@ -0,0 +1,19 @@
+import type { Job } from '#wire';
+import type { Machine } from './model.js';
+
+/**
+ * Notes that the machine fetches or uses the job's image, and which images its worker drops for that:
+ * the least recently used beyond `cacheGb`. An estimate; the worker's own cache decides.
+ */
+export function useImage(machine: Machine, job: Job, cacheGb: number): void {
+  const { images } = machine;
+  images.delete(job.image);
+  images.set(job.image, job.imageGb);
+  let heldGb = 0;
+  for (const gb of images.values()) heldGb += gb;
+  for (const [image, gb] of images) {
+    if (heldGb <= cacheGb || images.size === 1) break;
+    images.delete(image);
+    heldGb -= gb;
+  }
+}
--- /dev/null
+++ b/packages/core/job-registry.ts
@@ -0,0 +1,114 @@
+import type { Job } from '#wire';
+import { ServiceCounter } from './fairshare.js';
+import type { JobState } from './model.js';
+import { TaskSet } from './taskset.js';
+import type { UnrecordedChanges } from './unrecorded-changes.js';
+
+/** The accepted jobs, their phases, and which of their tasks wait for a machine. */
+export class JobRegistry {
+  /** Jobs with tasks that wait for a machine, longest in this state first. */
+  readonly waiting = new Set<JobState>();
+  private readonly byId = new Map<string, JobState>();
+
+  constructor(
+    private readonly halfLifeS: number,
+    private readonly unrecorded: UnrecordedChanges,
+  ) {}
+
+  get(id: string): JobState | undefined {
+    return this.byId.get(id);
+  }
+
+  has(id: string): boolean {
+    return this.byId.has(id);
+  }
+
+  values(): IterableIterator<JobState> {
+    return this.byId.values();
+  }
+
+  /** A job that is not known yet. Times are seconds of the steady clock. */
+  add(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
+    const state: JobState = {
+      job,
+      shape: requirementsKey(job),
+      acceptedAt,
+      phase,
+      done: new TaskSet(job.tasks),
+      unsaved: false,
+      places: new Map(),
+      requeued: new Set(),
+      cursor: 0,
+      failures: 0,
+      notBefore: 0,
+      service: new ServiceCounter(this.halfLifeS, now),
+      waitingSince: now,
+    };
+    this.byId.set(job.id, state);
+    if (phase === 'accepted') this.waiting.add(state);
+    return state;
+  }
+
+  /** Notes a final phase. The job's tasks are stopped by the caller. */
+  setFinalPhase(job: JobState, phase: 'aborted' | 'done'): void {
+    job.phase = phase;
+    job.unsaved = false;
+    this.waiting.delete(job);
+  }
+
+  /** Removes jobs that are over and have no task left anywhere. */
+  removeEnded(): void {
+    for (const [id, job] of this.byId) {
+      if (job.phase !== 'accepted' && job.places.size === 0) this.byId.delete(id);
+    }
+  }
+
+  /** How many tasks wait for a machine. */
+  waitingCount(job: JobState): number {
+    if (job.phase !== 'accepted') return 0;
+    return Math.max(0, job.job.tasks - job.done.size - job.places.size);
+  }
+
+  /** Up to `limit` tasks that wait for a machine, lowest first; they wait on until assigned. */
+  waitingTasks(job: JobState, limit: number): number[] {
+    const waits = (index: number) => !job.done.has(index) && !job.places.has(index);
+    const found: number[] = [];
+    for (const index of job.requeued) {
+      if (!waits(index)) job.requeued.delete(index);
+      else if (found.length < limit) found.push(index);
+    }
+    while (job.cursor < job.job.tasks && !waits(job.cursor)) job.cursor++;
+    for (let index = job.cursor; index < job.job.tasks && found.length < limit; index++) {
+      if (waits(index) && !job.requeued.has(index)) found.push(index);
+    }
+    return found;
+  }
+
+  /** A task completed. The protocol completes a gang as one: one task done means all are. */
+  markDone(job: JobState, index: number): void {
+    if (job.phase !== 'accepted') return;
+    if (job.job.kind === 'gang') job.done.addAll();
+    else if (!job.done.add(index)) return;
+    job.unsaved = true;
+    this.unrecorded.jobs.add(job.job.id);
+    this.leaveQueueIfNoneWaits(job);
+  }
+
+  /** After tasks got a machine or completed. */
+  leaveQueueIfNoneWaits(job: JobState): void {
+    if (this.waitingCount(job) === 0) this.waiting.delete(job);
+  }
+
+  /** After a task lost its machine. */
+  joinQueueIfAnyWaits(job: JobState, now: number): void {
+    if (this.waitingCount(job) === 0 || this.waiting.has(job)) return;
+    job.waitingSince = now;
+    this.waiting.add(job);
+  }
+}
+
+/** What decides, zones of its other tasks apart, on which machines a task of the job fits. */
+export function requirementsKey(job: Job): string {
+  const types = job.types === null ? '*' : job.types.join(',');
+  return `${job.cpus} ${job.gpus} ${job.memory} ${types} ${job.zone ?? '*'} ${job.spot}`;
+}
--- /dev/null
+++ b/packages/core/machine-registry.ts
@@ -0,0 +1,106 @@
+import type { MachineType } from '#wire';
+import { addAmounts, Amounts, ZERO_AMOUNTS } from './fairshare.js';
+import type { Machine } from './model.js';
+
+/** What identifies a machine and decides which tasks it may hold. */
+export interface MachineFacts {
+  name: string;
+  /** `host:port` of the worker, empty until it has reported. */
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** The known machines and machine types. */
+export class MachineRegistry {
+  readonly types = new Map<string, MachineType>();
+  /** Totals of all machines, as of the last `updateTotals`. */
+  totals: Amounts = { ...ZERO_AMOUNTS };
+  private readonly byName = new Map<string, Machine>();
+
+  /** `token` is what answers to a new machine carry: the owner's term. */
+  constructor(private readonly token: number) {}
+
+  get size(): number {
+    return this.byName.size;
+  }
+
+  get(name: string): Machine | undefined {
+    return this.byName.get(name);
+  }
+
+  has(name: string): boolean {
+    return this.byName.has(name);
+  }
+
+  values(): IterableIterator<Machine> {
+    return this.byName.values();
+  }
+
+  /** Type of the machine, or undefined while the cloud's list of types is not known. */
+  typeOf(machine: Machine): MachineType | undefined {
+    return this.types.get(machine.type);
+  }
+
+  /** A machine that the cloud, a record or its own report made known; unchanged if known already. */
+  register(facts: MachineFacts, state: Machine['state'], bornAt: number): Machine {
+    const known = this.byName.get(facts.name);
+    if (known) return known;
+    const machine = newMachine(facts, state, bornAt, this.token);
+    this.byName.set(facts.name, machine);
+    return machine;
+  }
+
+  remove(machine: Machine): void {
+    this.byName.delete(machine.name);
+  }
+
+  updateTotals(): void {
+    const totals = { ...ZERO_AMOUNTS };
+    for (const machine of this.byName.values()) {
+      const type = this.typeOf(machine);
+      if (type) addAmounts(totals, type, 1);
+    }
+    this.totals = totals;
+  }
+}
+
+function newMachine(
+  facts: MachineFacts,
+  state: Machine['state'],
+  bornAt: number,
+  token: number,
+): Machine {
+  return {
+    ...facts,
+    state,
+    bornAt,
+    session: 0,
+    seq: -1,
+    helloSeq: -1,
+    token,
+    fencing: false,
+    fenced: false,
+    loose: new Map(),
+    calling: false,
+    callAfter: 0,
+    confirmed: false,
+    answeredAt: -Infinity,
+    darkAt: 0,
+    noticeAt: null,
+    draining: false,
+    avoidUntil: 0,
+    steadySince: Infinity,
+    unheardSince: null,
+    errors: 0,
+    images: new Map(),
+    tasks: new Map(),
+    used: { ...ZERO_AMOUNTS },
+    changes: 0,
+    idleSince: bornAt,
+    reservedFor: null,
+    heldFor: null,
+    listedFailed: false,
+  };
+}
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -99,7 +99,7 @@
   listedFailed: boolean;
 }
 
-export interface BookSettings {
+export interface FleetSettings {
   leaseS: number;
   reportS: number;
   gangPeerS: number;
@@ -108,3 +108,8 @@
   halfLifeS: number;
   maxTasksPerMachine: number;
 }
+
+/** Every place where a task of the job may still be. */
+export function* assignmentsOf(job: JobState): Generator<Assignment> {
+  for (const list of [...job.places.values()]) yield* list;
+}
--- a/packages/core/packing.ts
+++ b/packages/core/packing.ts
@@ -1,5 +1,5 @@
 import type { MachineType } from '#wire';
-import type { Book } from './book.js';
+import type { FleetState } from './fleet-state.js';
 import type { Amounts } from './fairshare.js';
 import type { Assignment, Machine } from './model.js';
 import { hasRoom, SETTLED_S, typeFits, usable } from './placement.js';
@@ -26,7 +26,7 @@
  * of the same zone that are used more. Such a move takes a stop and a start without a fetch. Without
  * moves, a fleet whose demand falls ends as many machines with one replica each.
  */
-export function machineToEmpty(book: Book, rooms: Room[], now: number): Emptying | null {
+export function machineToEmpty(book: FleetState, rooms: Room[], now: number): Emptying | null {
   const candidates: { room: Room; machine: Machine; cost: number }[] = [];
   for (const room of rooms) {
     const { machine } = room;
@@ -51,7 +51,7 @@
 }
 
 function findMoves(
-  book: Book,
+  book: FleetState,
   from: Room,
   machine: Machine,
   rooms: Room[],
--- a/packages/core/placement.ts
+++ b/packages/core/placement.ts
@@ -1,7 +1,7 @@
 import type { Job, MachineType } from '#wire';
-import { allPlaces, Book } from './book.js';
+import type { FleetState } from './fleet-state.js';
 import type { Amounts } from './fairshare.js';
-import type { JobState, Machine } from './model.js';
+import { assignmentsOf, JobState, Machine } from './model.js';
 
 const SLACK = 1e-9;
 
@@ -36,7 +36,7 @@
 /** Where a job's tasks are, old attempts included until they are proven gone. */
 export function zoneCounts(job: JobState): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const a of allPlaces(job)) {
+  for (const a of assignmentsOf(job)) {
     counts.set(a.machine.zone, (counts.get(a.machine.zone) ?? 0) + 1);
   }
   return counts;
@@ -50,7 +50,7 @@
   return (counts.get(zone) ?? 0) < zoneCap(job);
 }
 
-export function usable(book: Book, machine: Machine, now: number): boolean {
+export function usable(book: FleetState, machine: Machine, now: number): boolean {
   return (
     machine.state === 'up' &&
     !machine.draining &&
@@ -124,7 +124,7 @@
   private zoneNames: Set<string> | null = null;
 
   constructor(
-    private readonly book: Book,
+    private readonly book: FleetState,
     private readonly now: number,
   ) {}
 
@@ -143,7 +143,7 @@
     if (!list) {
       this.roomy.set(shape, (list = []));
       for (const machine of this.book.machines.values()) {
-        const type = this.book.types.get(machine.type);
+        const type = this.book.machines.types.get(machine.type);
         if (!type || !hasRoom(job, machine, type)) continue;
         if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
         if (job.zone !== null && job.zone !== machine.zone) continue;
@@ -194,7 +194,7 @@
 
 /** Places for all tasks of a gang at once, or null. Nothing is assigned. */
 export function chooseGang(
-  book: Book,
+  book: FleetState,
   state: JobState,
   places: Places,
   now: number,
@@ -211,7 +211,7 @@
 
 type GangOption = Candidate & { room: number };
 
-function gangOptions(book: Book, state: JobState, places: Places, now: number): GangOption[] {
+function gangOptions(book: FleetState, state: JobState, places: Places, now: number): GangOption[] {
   const job = state.job;
   const options: GangOption[] = [];
   for (const place of places.of(state)) {
--- /dev/null
+++ b/packages/core/report-handler.ts
@@ -0,0 +1,112 @@
+import { Order, Report, taskName } from '#wire';
+import { checkAnswerDelivery, DeliverySettings } from './answer-delivery.js';
+import { ordersForAnswer } from './answer-orders.js';
+import type { Assignments } from './assignments.js';
+import type { FleetTables } from './fleet-tables.js';
+import type { Machine } from './model.js';
+import type { StartFencing } from './start-fencing.js';
+import type { TaskReports } from './task-reports.js';
+
+/**
+ * What to answer a report. A late copy renews nothing, reports nothing new, and its answer must not be
+ * one that a worker could take as valid (docs/safety.md, point 6).
+ */
+export type ReportOutcome = { kind: 'answer'; orders: Order[] } | { kind: 'late-copy' };
+
+const LATE_COPY: ReportOutcome = { kind: 'late-copy' };
+
+/** Takes workers' reports in. */
+export class ReportHandler {
+  private readonly delivery: DeliverySettings;
+
+  constructor(
+    private readonly tables: FleetTables,
+    private readonly assignments: Assignments,
+    private readonly fencing: StartFencing,
+    private readonly tasks: TaskReports,
+  ) {
+    const { leaseS, reportS } = tables.settings;
+    this.delivery = { leaseS, reportS, term: tables.term };
+  }
+
+  /** Takes a report in; times are seconds of the steady clock. */
+  handle(report: Report, now: number): ReportOutcome {
+    const machine = this.machineOf(report, now);
+    if (report.session < machine.session) return LATE_COPY;
+    if (report.session === machine.session) {
+      if (report.seq <= machine.helloSeq) return LATE_COPY;
+      if (report.seq <= machine.seq) return this.overtaken(machine, report, now);
+    }
+    checkAnswerDelivery(machine, report, this.delivery, now);
+    if (report.session > machine.session) this.sessionChanged(machine, now);
+    this.markUp(machine, now);
+    this.noteMachine(machine, report, now);
+    const forgets = this.takeTasks(machine, report, now);
+    machine.answeredAt = now;
+    return { kind: 'answer', orders: [...forgets, ...ordersForAnswer(machine, report.seq)] };
+  }
+
+  private machineOf(report: Report, now: number): Machine {
+    const known = this.tables.machines.get(report.machine);
+    if (known) return known;
+    const { machine: name, addr, type, zone, spot } = report;
+    return this.tables.machines.register({ name, addr, type, zone, spot }, 'up', now);
+  }
+
+  /**
+   * The answer to a direct command came before this report. Its tasks are old, but the worker waits for
+   * this answer and it renews the lease.
+   */
+  private overtaken(machine: Machine, report: Report, now: number): ReportOutcome {
+    machine.helloSeq = report.seq;
+    machine.answeredAt = now;
+    return { kind: 'answer', orders: ordersForAnswer(machine, report.seq) };
+  }
+
+  /**
+   * The worker killed and forgot everything when its lease ran out. What an earlier term may have
+   * started is not judged by this: the older session may be known from a late copy only, and the start
+   * may belong to the newer one.
+   */
+  private sessionChanged(machine: Machine, now: number): void {
+    if (machine.session > 0) {
+      for (const assignment of [...machine.tasks.values()]) {
+        const { told, reported } = assignment;
+        if (told || reported !== null) this.assignments.end(assignment, 'lost', false, now);
+      }
+    }
+    this.fencing.sessionChanged(machine);
+  }
+
+  private markUp(machine: Machine, now: number): void {
+    if (machine.state === 'up') return;
+    if (machine.state === 'booting') this.tables.listener.machineUp(machine, now);
+    machine.state = 'up';
+    machine.idleSince = now;
+  }
+
+  private noteMachine(machine: Machine, report: Report, now: number): void {
+    machine.addr = report.addr;
+    machine.session = report.session;
+    machine.seq = report.seq;
+    machine.helloSeq = report.seq;
+    machine.noticeAt = report.noticeS === null ? null : now + report.noticeS;
+    if (report.token >= this.tables.term) machine.confirmed = true;
+    this.fencing.tokenSeen(machine, report.token);
+    this.fencing.fenceOverdueStarts(machine, now);
+  }
+
+  private takeTasks(machine: Machine, report: Report, now: number): Order[] {
+    const listed = new Set<string>();
+    const orders: Order[] = [];
+    for (const task of report.tasks) {
+      listed.add(taskName(task.job, task.index));
+      const order = this.tasks.listed(machine, task, now);
+      if (order) orders.push(order);
+    }
+    for (const [name, assignment] of [...machine.tasks]) {
+      if (!listed.has(name)) this.tasks.absent(assignment, report, now);
+    }
+    return orders;
+  }
+}
--- a/packages/core/schedule.ts
+++ b/packages/core/schedule.ts
@@ -1,7 +1,7 @@
 import type { Job, MachineType } from '#wire';
-import { allPlaces, Book } from './book.js';
-import { Amounts, teamWeight, TeamTerms, withinLimit } from './fairshare.js';
-import type { JobState, Machine } from './model.js';
+import type { FleetState } from './fleet-state.js';
+import { teamWeight, TeamTerms, withinLimit, ZERO_AMOUNTS } from './fairshare.js';
+import { assignmentsOf, JobState, Machine } from './model.js';
 import type { Emptying } from './packing.js';
 import {
   chooseGang,
@@ -32,8 +32,7 @@
   terms: TeamTerms;
 }
 
-const NO_USE: Amounts = { cpus: 0, gpus: 0, memory: 0 };
-const EMPTY = { used: NO_USE };
+const EMPTY = { used: ZERO_AMOUNTS };
 
 /** A machine that becomes empty by itself, and in how many seconds. */
 interface Soon {
@@ -44,7 +43,7 @@
 
 export class Scheduler {
   constructor(
-    private readonly book: Book,
+    private readonly book: FleetState,
     private readonly teams: Map<string, TeamTerms>,
     private readonly settings: ScheduleSettings,
   ) {}
@@ -52,8 +51,8 @@
   /** Decayed service over guarantee; the lowest is served first. */
   index(team: string, now: number): number {
     const terms = this.teams.get(team) ?? { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
-    const weight = teamWeight(terms, this.book.fleet, this.settings.floorWeight);
-    return this.book.service(team, now).read(now) / weight;
+    const weight = teamWeight(terms, this.book.machines.totals, this.settings.floorWeight);
+    return this.book.usage.service(team, now).read(now) / weight;
   }
 
   /** One round of decisions. Returns how many tasks were given a place. */
@@ -75,7 +74,7 @@
         const job = queue.jobs[0];
         const placed = this.serve(job, stuck, places, coming, now);
         decided += placed;
-        if (placed === 0 || this.book.waitingCount(job) === 0) queue.jobs.shift();
+        if (placed === 0 || this.book.jobs.waitingCount(job) === 0) queue.jobs.shift();
         if (queue.jobs.length === 0) queues.shift();
       }
     }
@@ -86,7 +85,7 @@
   /** Waiting jobs by precedence: work within a guarantee before borrowers, then by rank. */
   private tiers(now: number): JobState[][] {
     const tiers: JobState[][] = [];
-    for (const job of this.book.open) {
+    for (const job of this.book.jobs.waiting) {
       if (job.notBefore > now) continue;
       const tier = (this.owed(job) ? 0 : 4) + job.job.rank;
       (tiers[tier] ??= []).push(job);
@@ -125,11 +124,11 @@
     if (job.kind === 'gang') {
       if (state.places.size > 0) return 0;
       const all = { cpus: job.cpus * job.tasks, gpus: job.gpus * job.tasks, memory: 0 };
-      if (!withinLimit(terms, book.teamUse.get(job.team) ?? NO_USE, all)) return 0;
+      if (!withinLimit(terms, book.usage.ofTeam(job.team), all)) return 0;
       const chosen = chooseGang(book, state, places, now);
       if (!chosen) return 0;
-      const attempt = book.newAttempt();
-      chosen.forEach((machine, i) => book.assign(state, i, machine, attempt, now));
+      const attempt = book.assignments.newAttempt();
+      chosen.forEach((machine, i) => book.assignments.assign(state, i, machine, attempt, now));
       for (const m of book.machines.values()) if (m.reservedFor === job.id) m.reservedFor = null;
       return chosen.length;
     }
@@ -139,15 +138,15 @@
     const most = Math.min(8, this.settings.decisionsPerRound);
     let placed = 0;
     const counts = zoneCounts(state);
-    const zones = book.zonesOf(job.class);
-    for (const i of book.waitingTasks(state, most)) {
-      if (!withinLimit(terms, book.teamUse.get(job.team) ?? NO_USE, job)) break;
+    const zones = book.usage.tasksByZone(job.class);
+    for (const i of book.jobs.waitingTasks(state, most)) {
+      if (!withinLimit(terms, book.usage.ofTeam(job.team), job)) break;
       const machine = choosePlace(state, counts, zones, places, now);
       if (!machine) {
         stuck.add(shapeOf(state));
         break;
       }
-      book.assign(state, i, machine, book.newAttempt(), now);
+      book.assignments.assign(state, i, machine, book.assignments.newAttempt(), now);
       counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
       placed++;
     }
@@ -169,7 +168,9 @@
    */
   reserve(now: number): void {
     const { book } = this;
-    const gangs = [...book.open].filter((j) => j.job.kind === 'gang' && j.places.size === 0);
+    const gangs = [...book.jobs.waiting].filter(
+      (j) => j.job.kind === 'gang' && j.places.size === 0,
+    );
     const waiting = new Set(gangs.map((g) => g.job.id));
     for (const m of book.machines.values()) {
       if (m.reservedFor !== null && !waiting.has(m.reservedFor)) m.reservedFor = null;
@@ -196,7 +197,7 @@
   private emptying(now: number): Soon[] {
     const out: Soon[] = [];
     for (const machine of this.book.machines.values()) {
-      const type = this.book.types.get(machine.type);
+      const type = this.book.machines.types.get(machine.type);
       if (!type || machine.state === 'dark' || machine.draining) continue;
       if (machine.noticeAt !== null || machine.avoidUntil > now) continue;
       const wait = emptyIn(machine, type.bootS, now);
@@ -241,7 +242,7 @@
    */
   private preempt(now: number): void {
     const { book, settings } = this;
-    const waiting = [...book.open]
+    const waiting = [...book.jobs.waiting]
       .filter((j) => j.notBefore <= now && now - j.waitingSince >= settings.preemptAfterS)
       .sort((a, b) => a.job.rank - b.job.rank || a.acceptedAt - b.acceptedAt);
     if (waiting.length === 0) return;
@@ -256,10 +257,9 @@
       if (rounds >= 4) break;
       if (job.job.kind === 'gang' || failed.has(shapeOf(job))) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
-      if ((coming.get(job) ?? 0) >= this.book.waitingCount(job)) continue;
+      if ((coming.get(job) ?? 0) >= this.book.jobs.waitingCount(job)) continue;
       const terms = this.teams.get(job.job.team);
-      if (!terms || !withinLimit(terms, book.teamUse.get(job.job.team) ?? NO_USE, job.job))
-        continue;
+      if (!terms || !withinLimit(terms, book.usage.ofTeam(job.job.team), job.job)) continue;
       if (this.makeRoom(job, stopping, coming, now)) rounds++;
       else failed.add(shapeOf(job));
     }
@@ -268,7 +268,7 @@
   /** Beyond its guarantee a team only borrows; one without a guarantee always does. */
   private borrows(team: string): boolean {
     const terms = this.teams.get(team);
-    const use = this.book.teamUse.get(team) ?? NO_USE;
+    const use = this.book.usage.ofTeam(team);
     if (!terms || (terms.gpus === 0 && terms.cpus === 0)) return true;
     return (terms.gpus > 0 && use.gpus > terms.gpus) || (terms.cpus > 0 && use.cpus > terms.cpus);
   }
@@ -276,7 +276,7 @@
   /** One more task of the job stays within its team's guarantee. */
   private owed(state: JobState): boolean {
     const terms = this.teams.get(state.job.team);
-    const use = this.book.teamUse.get(state.job.team) ?? NO_USE;
+    const use = this.book.usage.ofTeam(state.job.team);
     if (!terms || (terms.gpus === 0 && terms.cpus === 0)) return false;
     return (
       (terms.gpus === 0 || use.gpus + state.job.gpus <= terms.gpus) &&
@@ -290,7 +290,7 @@
     if (victim.job.rank > forJob.job.rank) return true;
     if (other && victim.job.kind === 'gang') {
       // The design's own stop: a lease has ended and a team that waits is far behind.
-      const started = Math.min(...[...allPlaces(victim)].map((a) => a.runningSince ?? now));
+      const started = Math.min(...[...assignmentsOf(victim)].map((a) => a.runningSince ?? now));
       return (
         now - started >= this.settings.gangLeaseS &&
         this.index(forJob.job.team, now) <
@@ -311,7 +311,7 @@
     const counts = zoneCounts(state);
     let best: { machine: Machine; victims: JobTask[]; cost: number } | null = null;
     for (const machine of book.machines.values()) {
-      const type = book.types.get(machine.type);
+      const type = book.machines.types.get(machine.type);
       if (!type || machine.state !== 'up' || machine.draining || machine.noticeAt !== null)
         continue;
       if (stopping.has(machine) || heldFromUs(machine, state, now)) continue;
@@ -363,8 +363,8 @@
   stopOrderly(a: JobTask, now: number): void {
     const job = a.job.job;
     const graceS = job.checkpointS > 0 ? job.saveS + this.book.settings.reportS : 0;
-    const all = job.kind === 'gang' ? [...allPlaces(a.job)] : [a];
-    for (const t of all) this.book.stopTask(t, graceS, now);
+    const all = job.kind === 'gang' ? [...assignmentsOf(a.job)] : [a];
+    for (const t of all) this.book.assignments.stop(t, graceS, now);
   }
 }
 
--- /dev/null
+++ b/packages/core/start-fencing.ts
@@ -0,0 +1,66 @@
+import { taskName, TaskRef } from '#wire';
+import type { FleetTables } from './fleet-tables.js';
+import type { Machine } from './model.js';
+
+/** Report periods after which a start that was not acknowledged is fenced off. */
+const FENCE_AFTER_REPORTS = 2;
+
+/**
+ * Direct starts whose answer did not come may arrive at any later time in the same session under the
+ * same token. They are fenced off by raising the machine's token to the revision of a new record of it;
+ * once a report shows that token, or a new session, none of them can act (docs/safety.md, point 6).
+ */
+export class StartFencing {
+  constructor(private readonly tables: FleetTables) {}
+
+  /** A direct start is being sent. */
+  startSent(machine: Machine, start: TaskRef, now: number): void {
+    machine.loose.set(startKey(start), now);
+  }
+
+  /** The worker has answered it, whether it carried it out or not. */
+  acknowledged(machine: Machine, start: TaskRef): void {
+    machine.loose.delete(startKey(start));
+  }
+
+  /** The start may still arrive. */
+  mayArrive(machine: Machine, start: TaskRef): boolean {
+    return machine.loose.size > 0 && machine.loose.has(startKey(start));
+  }
+
+  /** The worker is in a new session, and drops what was sent for the one before. */
+  sessionChanged(machine: Machine): void {
+    machine.loose.clear();
+  }
+
+  /** A report showed this token: direct commands with a lower one have no effect any more. */
+  tokenSeen(machine: Machine, token: number): void {
+    // Direct commands are not sent while the token is being raised, so all that is loose is older.
+    if (!machine.fenced || token < machine.token) return;
+    machine.loose.clear();
+    machine.fenced = false;
+  }
+
+  /** Asks for a new record of the machine if a start has been unacknowledged for too long. */
+  fenceOverdueStarts(machine: Machine, now: number): void {
+    if (machine.fencing || machine.fenced || machine.calling) return;
+    for (const sentAt of machine.loose.values()) {
+      if (now - sentAt < FENCE_AFTER_REPORTS * this.tables.settings.reportS) continue;
+      machine.fencing = true;
+      this.tables.unrecorded.machines.add(machine.name);
+      return;
+    }
+  }
+
+  /** The machine's record was written at this revision. */
+  recorded(machine: Machine, revision: number): void {
+    if (!machine.fencing) return;
+    machine.fencing = false;
+    machine.fenced = true;
+    machine.token = revision;
+  }
+}
+
+function startKey({ job, index, attempt }: TaskRef): string {
+  return `${taskName(job, index)}#${attempt}`;
+}
--- /dev/null
+++ b/packages/core/task-reports.ts
@@ -0,0 +1,124 @@
+import { Order, Report, TaskRef, taskName, TaskReport } from '#wire';
+import { taskRef } from './answer-orders.js';
+import type { Assignments } from './assignments.js';
+import type { FleetTables } from './fleet-tables.js';
+import type { Assignment, JobState, Machine } from './model.js';
+import type { StartFencing } from './start-fencing.js';
+
+/** Answers that may carry a start without effect before the machine is avoided. */
+const MAX_MISSED_STARTS = 3;
+
+/** What reports say of single tasks, listed or missing, and what follows (docs/safety.md, point 5). */
+export class TaskReports {
+  constructor(
+    private readonly tables: FleetTables,
+    private readonly assignments: Assignments,
+    private readonly fencing: StartFencing,
+  ) {}
+
+  /** A task that the worker lists; returns what to tell it of the task. */
+  listed(machine: Machine, task: TaskReport, now: number): Order | null {
+    const ref: TaskRef = { job: task.job, index: task.index, attempt: task.attempt };
+    const job = this.tables.jobs.get(task.job);
+    let assignment = machine.tasks.get(taskName(task.job, task.index));
+    if (assignment && assignment.attempt !== task.attempt) {
+      // An older attempt beside a newer one that waits for it to go.
+      return task.state === 'exited' ? forgetOrder(ref) : killOrder(ref);
+    }
+    if (!assignment) {
+      if (task.state === 'exited') return this.unassignedExited(machine, task, job, ref);
+      if (!job || task.index >= job.job.tasks) return killOrder(ref);
+      // Nothing should run unrecorded; if it does, it holds its place until it is gone.
+      assignment = this.assignments.adoptToStop(job, task.index, machine, task.attempt, now);
+    }
+    this.noteState(assignment, task, now);
+    if (task.state !== 'exited') return null;
+    return this.exited(assignment, task, ref, now);
+  }
+
+  private unassignedExited(
+    machine: Machine,
+    task: TaskReport,
+    job: JobState | undefined,
+    ref: TaskRef,
+  ): Order | null {
+    if (task.cause === 'done' && job && job.phase === 'accepted') {
+      this.tables.jobs.markDone(job, task.index);
+    }
+    return this.mayForget(machine, ref, job) ? forgetOrder(ref) : null;
+  }
+
+  private noteState(assignment: Assignment, task: TaskReport, now: number): void {
+    assignment.inherited = false;
+    assignment.reported = task.state;
+    if (task.state !== 'running' || assignment.runningSince !== null) return;
+    assignment.runningSince = now;
+    assignment.job.failures = 0;
+    this.tables.listener.taskRunning(assignment, now);
+  }
+
+  private exited(
+    assignment: Assignment,
+    task: TaskReport,
+    ref: TaskRef,
+    now: number,
+  ): Order | null {
+    const { job, machine } = assignment;
+    const cause = task.cause ?? 'error';
+    if (cause === 'done') this.tables.jobs.markDone(job, task.index);
+    this.assignments.end(assignment, cause, task.saved, now);
+    return this.mayForget(machine, ref, job) ? forgetOrder(ref) : null;
+  }
+
+  /**
+   * Only once its result is durable and no start of the attempt can still arrive: a worker that has
+   * forgotten an attempt would start it again.
+   */
+  private mayForget(machine: Machine, ref: TaskRef, job: JobState | undefined): boolean {
+    if (job?.unsaved && job.done.has(ref.index)) return false;
+    return !this.fencing.mayArrive(machine, ref);
+  }
+
+  /** A task of the machine that the worker's report does not list. */
+  absent(assignment: Assignment, report: Report, now: number): void {
+    const { machine, reported, inherited, told, sentSeq } = assignment;
+    if (reported !== null) this.assignments.end(assignment, 'lost', false, now);
+    else if (inherited) {
+      // An old start may still arrive until the worker has seen this term's token.
+      if (report.token >= this.tables.term) this.assignments.end(assignment, 'lost', false, now);
+    } else if (this.fencing.mayArrive(machine, taskRef(assignment))) return;
+    else if (told && sentSeq === null) this.onlySentDirectly(assignment, now);
+    else if (sentSeq !== null && report.seq > sentSeq) this.missedStart(assignment, now);
+  }
+
+  /** The direct start was refused or is fenced off. */
+  private onlySentDirectly(assignment: Assignment, now: number): void {
+    if (assignment.stop !== null) {
+      this.assignments.end(assignment, 'stopped', false, now);
+      return;
+    }
+    assignment.told = false;
+    this.tables.due.add(assignment.machine);
+  }
+
+  /**
+   * The worker sends its next report only when the answer has come or was given up, so the start that
+   * the answer carried did not arrive and no longer can.
+   */
+  private missedStart(assignment: Assignment, now: number): void {
+    assignment.misses++;
+    if (assignment.stop === null) {
+      if (assignment.misses < MAX_MISSED_STARTS) return;
+      assignment.machine.avoidUntil = now + this.tables.settings.leaseS;
+    }
+    this.assignments.end(assignment, 'lost', false, now);
+  }
+}
+
+function forgetOrder(ref: TaskRef): Order {
+  return { op: 'forget', ...ref };
+}
+
+function killOrder(ref: TaskRef): Order {
+  return { op: 'stop', graceS: 0, ...ref };
+}
--- /dev/null
+++ b/packages/core/usage-ledger.ts
@@ -0,0 +1,46 @@
+import { addAmounts, Amounts, ServiceCounter, ZERO_AMOUNTS } from './fairshare.js';
+import type { Assignment } from './model.js';
+
+/** What teams and classes hold at present, and the service that teams have received. */
+export class UsageLedger {
+  private readonly amountsByTeam = new Map<string, Amounts>();
+  private readonly serviceByTeam = new Map<string, ServiceCounter>();
+  private readonly tasksByClassAndZone = new Map<string, Map<string, number>>();
+
+  constructor(private readonly halfLifeS: number) {}
+
+  /** Counts an assignment that came (1) or is proven gone (-1). */
+  count(assignment: Assignment, sign: 1 | -1, now: number): void {
+    const { job, machine, share } = assignment;
+    const { team } = job.job;
+    const zones = this.tasksByZone(job.job.class);
+    zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + sign);
+    let used = this.amountsByTeam.get(team);
+    if (!used) this.amountsByTeam.set(team, (used = { ...ZERO_AMOUNTS }));
+    addAmounts(used, job.job, sign);
+    this.service(team, now).book(sign * share, now);
+    job.service.book(sign * share, now);
+  }
+
+  /** Amounts of all places where tasks of the team may still be (docs/safety.md, point 9). */
+  ofTeam(team: string): Readonly<Amounts> {
+    return this.amountsByTeam.get(team) ?? ZERO_AMOUNTS;
+  }
+
+  /** Service that the team has received, in decayed fleet-share seconds. */
+  service(team: string, now: number): ServiceCounter {
+    let counter = this.serviceByTeam.get(team);
+    if (!counter) {
+      counter = new ServiceCounter(this.halfLifeS, now);
+      this.serviceByTeam.set(team, counter);
+    }
+    return counter;
+  }
+
+  /** Number of tasks of a class in each zone, kept current. */
+  tasksByZone(jobClass: string): Map<string, number> {
+    let zones = this.tasksByClassAndZone.get(jobClass);
+    if (!zones) this.tasksByClassAndZone.set(jobClass, (zones = new Map()));
+    return zones;
+  }
+}
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -110,10 +110,10 @@
     });
     workers.push(worker);
     const machine = aMachine(book, name);
-    book.report(aReport({ machine: name, addr: worker.address }), 0);
+    book.reports.handle(aReport({ machine: name, addr: worker.address }), 0);
     machine.answeredAt = performance.now() / 1000;
     const job = book.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
-    book.assign(job, 0, machine, book.newAttempt(), 0).recorded = true;
+    book.assignments.assign(job, 0, machine, book.assignments.newAttempt(), 0).recorded = true;
   }
   const stop = new AbortController();
   await new Promise<void>((resolve) => {
--- a/packages/testing/book.test.ts
+++ b/packages/testing/book.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { Book, Scheduler, ServiceCounter, TaskSet } from '#core';
+import { FleetState, Scheduler, ServiceCounter, TaskSet } from '#core';
 import { cutFromWorkers, entitlement, OwnerView } from '#controller';
 import { aBook, aJob, aMachine, aReport } from './samples.js';
 import { record, SEEDED } from './generators.js';
@@ -14,15 +14,15 @@
       const book = aBook();
       const job = book.addJob(aJob({ tasks: 10 }), 0, 'accepted', 0);
       const machine = aMachine(book, 'n-1');
-      book.waitingTasks(job, 10);
+      book.jobs.waitingTasks(job, 10);
       for (const i of moves) {
         const places = job.places.get(i);
-        if (places) book.stopTask(places[0], 0, 0);
-        else book.assign(job, i, machine, book.newAttempt(), 0);
+        if (places) book.assignments.stop(places[0], 0, 0);
+        else book.assignments.assign(job, i, machine, book.assignments.newAttempt(), 0);
       }
-      const waiting = book.waitingTasks(job, 100);
+      const waiting = book.jobs.waitingTasks(job, 100);
       assert.equal(new Set(waiting).size, waiting.length);
-      assert.equal(waiting.length, book.waitingCount(job));
+      assert.equal(waiting.length, book.jobs.waitingCount(job));
       for (const i of waiting) assert.ok(!job.places.has(i));
     }),
     SEEDED,
@@ -32,8 +32,8 @@
 test('a task that may be elsewhere is never given a second place', () => {
   const book = aBook();
   const job = book.addJob(aJob({ tasks: 1 }), 0, 'accepted', 0);
-  book.assign(job, 0, aMachine(book, 'n-1'), 1, 0);
-  assert.throws(() => book.assign(job, 0, aMachine(book, 'n-2'), 2, 0));
+  book.assignments.assign(job, 0, aMachine(book, 'n-1'), 1, 0);
+  assert.throws(() => book.assignments.assign(job, 0, aMachine(book, 'n-2'), 2, 0));
 });
 
 test('done bits survive being stored in chunks', () => {
@@ -69,16 +69,21 @@
   const book = aBook();
   const job = book.addJob(aJob({ kind: 'gang', tasks: 2 }), 0, 'accepted', 0);
   const [m1, m2] = [aMachine(book, 'n-1'), aMachine(book, 'n-2')];
-  const a1 = book.assign(job, 0, m1, 7, 0);
-  const a2 = book.assign(job, 1, m2, 7, 0);
+  const a1 = book.assignments.assign(job, 0, m1, 7, 0);
+  const a2 = book.assignments.assign(job, 1, m2, 7, 0);
   a1.recorded = true;
   const report = (seq: number) => aReport({ seq });
-  assert.deepEqual(book.report(report(1), 1), []);
+  assert.deepEqual(book.reports.handle(report(1), 1), { kind: 'answer', orders: [] });
   a2.recorded = true;
-  assert.deepEqual(book.report(report(2), 2), [
-    { op: 'start', job: job.job.id, index: 0, attempt: 7 },
-  ]);
-  assert.equal(book.report(report(2), 3), null, 'a copy is answered without orders');
+  assert.deepEqual(book.reports.handle(report(2), 2), {
+    kind: 'answer',
+    orders: [{ op: 'start', job: job.job.id, index: 0, attempt: 7 }],
+  });
+  assert.deepEqual(
+    book.reports.handle(report(2), 3),
+    { kind: 'late-copy' },
+    'a copy is answered without orders',
+  );
 });
 
 test('an owner without the state service answers on in an outage and stops when refused alone', () => {
@@ -121,15 +126,15 @@
 });
 
 test('a silent machine of an earlier term keeps its tasks until no owner can have answered it', () => {
-  const book = new Book({ settings: aBook().settings, term: 200, claimedAt: 50 });
-  book.types.set('std', aBook().types.get('std')!);
+  const book = new FleetState({ settings: aBook().settings, term: 200, claimedAt: 50 });
+  book.machines.types.set('std', aBook().machines.types.get('std')!);
   const job = book.addJob(aJob({ tasks: 1 }), 0, 'accepted', 50);
-  book.inherit(job, 0, aMachine(book, 'n-1'), 1, 50);
+  book.assignments.inherit(job, 0, aMachine(book, 'n-1'), 1, 50);
   const { formerOwnerS, leaseS } = book.settings;
-  book.expire(50 + formerOwnerS + leaseS);
-  assert.equal(book.waitingCount(job), 0);
-  book.expire(50 + formerOwnerS + leaseS + 2);
-  assert.equal(book.waitingCount(job), 1);
+  book.leases.expire(50 + formerOwnerS + leaseS);
+  assert.equal(book.jobs.waitingCount(job), 0);
+  book.leases.expire(50 + formerOwnerS + leaseS + 2);
+  assert.equal(book.jobs.waitingCount(job), 1);
 });
 
 test('a late copy of an older session does not make inherited tasks look gone', () => {
@@ -137,13 +142,13 @@
   // before the start that the earlier owner sent; the change of session proved nothing.
   const book = aBook();
   const job = book.addJob(aJob({ tasks: 1 }), 0, 'accepted', 0);
-  book.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
+  book.assignments.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
   const report = (session: number, seq: number, token: number) => aReport({ session, seq, token });
-  book.report(report(3, 5, 90), 1);
-  book.report(report(4, 9, 90), 2);
-  assert.equal(book.waitingCount(job), 0);
-  book.report(report(4, 10, book.term), 3);
-  assert.equal(book.waitingCount(job), 1);
+  book.reports.handle(report(3, 5, 90), 1);
+  book.reports.handle(report(4, 9, 90), 2);
+  assert.equal(book.jobs.waitingCount(job), 0);
+  book.reports.handle(report(4, 10, book.term), 3);
+  assert.equal(book.jobs.waitingCount(job), 1);
 });
 
 test('a report overtaken by a direct answer still counts as answered', () => {
@@ -152,12 +157,12 @@
   const book = aBook();
   const machine = aMachine(book, 'n-1');
   const report = (seq: number) => aReport({ seq });
-  book.report(report(1), 1);
-  book.directAnswered(machine, [], { report: report(3) }, 2);
-  assert.deepEqual(book.report(report(2), 9), []);
-  assert.equal(book.report(report(2), 9.5), null);
-  assert.deepEqual(book.expire(11.6), []);
-  assert.deepEqual(book.expire(19.6), [machine]);
+  book.reports.handle(report(1), 1);
+  book.directOrders.finish(machine, [], { kind: 'executed', report: report(3) }, 2);
+  assert.deepEqual(book.reports.handle(report(2), 9), { kind: 'answer', orders: [] });
+  assert.deepEqual(book.reports.handle(report(2), 9.5), { kind: 'late-copy' });
+  assert.deepEqual(book.leases.expire(11.6), []);
+  assert.deepEqual(book.leases.expire(19.6), [machine]);
 });
 
 test('an owner yields when its workers ask its peers for it, and only then', () => {
@@ -176,7 +181,7 @@
   const machines = ['n-1', 'n-2', 'n-3'].map((name) => aMachine(book, name));
   const low = book.addJob(aJob({ id: 'j-1', rank: 3, tasks: 3, gpus: 4 }), 0, 'accepted', 0);
   machines.forEach((machine, i) => {
-    const a = book.assign(low, i, machine, book.newAttempt(), 0);
+    const a = book.assignments.assign(low, i, machine, book.assignments.newAttempt(), 0);
     a.recorded = a.told = true;
     a.reported = 'running';
     a.runningSince = 0;
@@ -212,7 +217,10 @@
   const [first] = stopping();
   const { machine, attempt, index } = first;
   const ended = { job: 'j-1', index, attempt, state: 'exited', cause: 'stopped' } as const;
-  book.report(aReport({ machine: machine.name, tasks: [{ ...ended, saved: false }] }), 103.5);
+  book.reports.handle(
+    aReport({ machine: machine.name, tasks: [{ ...ended, saved: false }] }),
+    103.5,
+  );
   scheduler.round(104);
   assert.equal(job.places.size, 1);
   scheduler.round(104.25);
@@ -224,17 +232,17 @@
   const book = aBook();
   const machine = aMachine(book, 'n-1');
   const avoided = (now: number) => machine.avoidUntil > now;
-  for (const now of [1, 2, 3]) book.report(aReport({ seq: now, token: 7 }), now);
+  for (const now of [1, 2, 3]) book.reports.handle(aReport({ seq: now, token: 7 }), now);
   assert.ok(!avoided(3));
-  book.report(aReport({ seq: 4, token: 7 }), 4);
+  book.reports.handle(aReport({ seq: 4, token: 7 }), 4);
   assert.ok(avoided(4));
   // It hears us again, then its lease runs out though we answered all the time.
-  for (let now = 20; now < 31; now++) book.report(aReport({ seq: now }), now);
+  for (let now = 20; now < 31; now++) book.reports.handle(aReport({ seq: now }), now);
   assert.ok(!avoided(30));
-  book.report(aReport({ seq: 40, session: 2 }), 31);
+  book.reports.handle(aReport({ seq: 40, session: 2 }), 31);
   assert.ok(avoided(31));
   // Guards against the same being said of a zone whose cut is over: what was held back comes at once.
-  for (const seq of [60, 61, 62]) book.report(aReport({ seq, session: 2 }), 60);
-  book.report(aReport({ seq: 70, session: 3 }), 60.5);
+  for (const seq of [60, 61, 62]) book.reports.handle(aReport({ seq, session: 2 }), 60);
+  book.reports.handle(aReport({ seq: 70, session: 3 }), 60.5);
   assert.ok(!avoided(60.5));
 });
--- a/packages/testing/placement.test.ts
+++ b/packages/testing/placement.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import {
-  Book,
+  FleetState,
   choosePlace,
   hasRoom,
   heldFromUs,
@@ -18,7 +18,7 @@
 import { aBook, aJob, aMachine } from './samples.js';
 
 /** The choice as its rules say it, by a look at every machine. */
-function byEveryMachine(book: Book, state: JobState, now: number): Machine | null {
+function byEveryMachine(book: FleetState, state: JobState, now: number): Machine | null {
   const { job } = state;
   const classZones = new Map<string, number>();
   for (const m of book.machines.values()) {
@@ -29,7 +29,7 @@
   }
   let best: { machine: Machine; cost: number } | null = null;
   for (const machine of book.machines.values()) {
-    const type = book.types.get(machine.type)!;
+    const type = book.machines.types.get(machine.type)!;
     if (!usable(book, machine, now) || heldFromUs(machine, state, now)) continue;
     if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
     if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
@@ -78,13 +78,14 @@
     const places = new Places(book, now);
     for (let i = 0; i < 80; i++) {
       const state = jobs[chance.int(0, 23)];
-      const [index] = book.waitingTasks(state, 1);
+      const [index] = book.jobs.waitingTasks(state, 1);
       if (index === undefined) continue;
-      const zones = book.zonesOf(state.job.class);
+      const zones = book.usage.tasksByZone(state.job.class);
       const expected = byEveryMachine(book, state, now);
       assert.equal(choosePlace(state, zoneCounts(state), zones, places, now), expected);
       compared++;
-      if (expected) book.assign(state, index, expected, book.newAttempt(), now);
+      if (expected)
+        book.assignments.assign(state, index, expected, book.assignments.newAttempt(), now);
     }
   }
   assert.ok(compared > 1000);
--- a/packages/testing/plan.test.ts
+++ b/packages/testing/plan.test.ts
@@ -69,8 +69,12 @@
     const book = aBook();
     const planner = aPlanner(book);
     boots.forEach((bootS, i) => planner.noteUp(aMachine(book, `n-${i}`, { bornAt: -bootS }), 0));
-    for (const name of [...book.machines.keys()]) book.released(name, 0);
-    book.meet({ name: 'n-90', addr: '', type: 'std', zone: 'a', spot: false }, 'booting', 0);
+    for (const { name } of [...book.machines.values()]) book.removeMachine(name, 0);
+    book.machines.register(
+      { name: 'n-90', addr: '', type: 'std', zone: 'a', spot: false },
+      'booting',
+      0,
+    );
     book.addJob(aJob(), 0, 'accepted', 0);
     return [STD.bootS, 1.5 * STD.bootS, 3 * STD.bootS].map((age) => rented(planner, age));
   };
@@ -86,7 +90,7 @@
     const machines = ['n-1', 'n-2'].map((name) => aMachine(book, name));
     const job = book.addJob(aJob({ kind: 'service', tasks: 3 }), 0, 'accepted', 0);
     [0, 0, 1].forEach((at, i) => {
-      const a = book.assign(job, i, machines[at], book.newAttempt(), 0);
+      const a = book.assignments.assign(job, i, machines[at], book.assignments.newAttempt(), 0);
       Object.assign(a, { told: true, recorded: true, reported: 'running', runningSince: 0 });
     });
     machines[0].images = new Map([[image, 5]]);
@@ -118,7 +122,7 @@
     return { status: 503, body: { error: 'no capacity' } };
   });
   const book = aBook();
-  book.types.set(STD.name, STD);
+  book.machines.types.set(STD.name, STD);
   const stop = new AbortController();
   const refused: string[] = [];
   const owner = {
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -1,5 +1,5 @@
 import type { Job, MachineType, Report } from '#wire';
-import { Book, Machine } from '#core';
+import { FleetState, Machine } from '#core';
 
 export const STD: MachineType = {
   name: 'std',
@@ -40,8 +40,8 @@
   };
 }
 
-export function aBook(): Book {
-  const book = new Book({
+export function aBook(): FleetState {
+  const book = new FleetState({
     settings: {
       leaseS: 10,
       reportS: 1,
@@ -53,14 +53,14 @@
     term: 100,
     claimedAt: 0,
   });
-  book.types.set(STD.name, STD);
+  book.machines.types.set(STD.name, STD);
   return book;
 }
 
-export function aMachine(book: Book, name: string, own: Partial<Machine> = {}): Machine {
+export function aMachine(book: FleetState, name: string, own: Partial<Machine> = {}): Machine {
   const facts = { name, addr: '', type: 'std', zone: 'a', spot: false, ...own };
-  const machine = book.meet(facts, 'up', own.bornAt ?? 0);
-  book.recomputeFleet();
+  const machine = book.machines.register(facts, 'up', own.bornAt ?? 0);
+  book.machines.updateTotals();
   return machine;
 }
 
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -1,5 +1,5 @@
 import { Job, MachineType, Order, taskName } from '#wire';
-import { Book, Scheduler, TeamTerms } from '#core';
+import { FleetState, Scheduler, TeamTerms } from '#core';
 import { STD } from './samples.js';
 import { Chance } from './random.js';
 import { StandInWorker } from './worker.js';
@@ -43,7 +43,7 @@
 
 /** One life of an owner: a book, a scheduler, and a recorder that takes a step to be durable. */
 class Life {
-  readonly book: Book;
+  readonly book: FleetState;
   private readonly scheduler: Scheduler;
   /** Cut off from the state service: it can record nothing more and goes on answering for a while. */
   deposedAt: number | null = null;
@@ -58,7 +58,7 @@
     private readonly fault: Fault,
     now: number,
   ) {
-    this.book = new Book({
+    this.book = new FleetState({
       settings: {
         leaseS: fault === 'short-lease' ? LEASE / 4 : LEASE,
         reportS: REPORT,
@@ -70,19 +70,23 @@
       term,
       claimedAt: now,
     });
-    this.book.types.set(type.name, type);
+    this.book.machines.types.set(type.name, type);
     for (const { job, phase } of store.jobs.values()) {
       const state = this.book.addJob(job, now, phase, now);
       for (const i of store.done.get(job.id) ?? []) state.done.add(i);
     }
     for (const [name, m] of store.machines) {
       const { zone, spot } = m;
-      const machine = this.book.meet({ name, addr: '', type: 'std', zone, spot }, 'up', now);
+      const machine = this.book.machines.register(
+        { name, addr: '', type: 'std', zone, spot },
+        'up',
+        now,
+      );
       for (const [id, index, attempt] of m.tasks) {
-        this.book.inherit(this.book.jobs.get(id)!, index, machine, attempt, now);
+        this.book.assignments.inherit(this.book.jobs.get(id)!, index, machine, attempt, now);
       }
     }
-    this.book.recomputeFleet();
+    this.book.machines.updateTotals();
     const effective =
       fault === 'no-limit' ? new Map([...teams].map(([k, t]) => [k, { ...t, gpusMax: 0 }])) : teams;
     this.scheduler = new Scheduler(this.book, effective, {
@@ -102,8 +106,8 @@
       const seen = this.fault === 'any-zone' ? { ...job, zone: null, spread: false } : job;
       this.book.addJob(seen, now, phase, now);
     }
-    this.book.expire(now);
-    this.book.recomputeFleet();
+    this.book.leases.expire(now);
+    this.book.machines.updateTotals();
     this.scheduler.reserve(now);
     this.scheduler.round(now);
     if (this.fault === 'order-before-record') {
@@ -117,7 +121,7 @@
     const { store, book } = this;
     if (store.term !== this.term) return;
     store.revision++;
-    for (const id of book.dirtyJobs) {
+    for (const id of book.unrecorded.jobs) {
       const job = book.jobs.get(id)!;
       const stored = store.jobs.get(id)!;
       const done = new Set<number>();
@@ -130,15 +134,15 @@
       }
       job.unsaved = false;
     }
-    book.dirtyJobs.clear();
+    book.unrecorded.jobs.clear();
     if (this.fault !== 'order-before-record') {
-      for (const name of book.dirtyMachines) {
+      for (const name of book.unrecorded.machines) {
         const m = book.machines.get(name);
         if (!m) store.machines.delete(name);
         else {
           const tasks = [...m.tasks.values()];
           for (const a of tasks) a.recorded = true;
-          book.handedOver(m, store.revision);
+          book.fencing.recorded(m, store.revision);
           store.machines.set(name, {
             zone: m.zone,
             spot: m.spot,
@@ -147,7 +151,7 @@
         }
       }
     }
-    book.dirtyMachines.clear();
+    book.unrecorded.machines.clear();
   }
 }
 
@@ -238,13 +242,14 @@
         sticksTo[i] = null;
         return;
       }
-      let orders: Order[] | null;
       if (fault === 'believes-old-copies') {
         const machine = target.book.machines.get(report.machine);
         if (machine && machine.seq >= report.seq) machine.seq = machine.helloSeq = report.seq - 1;
-        orders = target.book.report(report, at);
-      } else orders = target.book.report(report, at);
-      const token = orders === null ? 0 : target.book.machines.get(report.machine)!.token;
+      }
+      const outcome = target.book.reports.handle(report, at);
+      const answered = outcome.kind === 'answer';
+      const orders = answered ? outcome.orders : [];
+      const token = answered ? target.book.machines.get(report.machine)!.token : 0;
       const back = at + chance.next() * 0.3;
       if (chance.hit(0.08)) return;
       mail.push({
@@ -252,7 +257,7 @@
         run: (t) => {
           if (t - sentAt > ANSWER_LIFE || inFlight[i] === -Infinity) return;
           inFlight[i] = -Infinity;
-          w.answer({ session: report.session, sentAt }, token, orders ?? [], t, runS);
+          w.answer({ session: report.session, sentAt }, token, orders, t, runS);
         },
       });
     };
@@ -267,7 +272,7 @@
             const machine = life.book.machines.get(report.machine);
             if (machine) machine.seq = machine.helloSeq = Math.min(machine.seq, report.seq - 1);
           }
-          life.book.report(report, t);
+          life.book.reports.handle(report, t);
         },
       });
     }
@@ -277,7 +282,7 @@
   const sendDirect = (from: Life) => {
     for (const [i, w] of workers.entries()) {
       const machine = from.book.machines.get(w.name);
-      const orders = machine ? from.book.directOrders(machine, now) : [];
+      const orders = machine ? from.book.directOrders.take(machine, now) : [];
       if (!machine || orders.length === 0) continue;
       const { token, session } = machine;
       const late = chance.hit(0.15);
@@ -288,14 +293,19 @@
           const report = workers[i].command(token, session, orders, t, runS);
           if (t >= givenUp || chance.hit(0.1)) return;
           answered.add(orders);
-          from.book.directAnswered(machine, orders, report ? { report } : 'refused', t);
+          from.book.directOrders.finish(
+            machine,
+            orders,
+            report ? { kind: 'executed', report } : { kind: 'refused' },
+            t,
+          );
         },
       });
       mail.push({
         at: givenUp,
         run: (t) => {
           if (answered.has(orders)) return;
-          from.book.directAnswered(machine, orders, 'unknown', t);
+          from.book.directOrders.finish(machine, orders, { kind: 'unknown' }, t);
           if (fault === 'forgets-late-starts') machine.loose.clear();
         },
       });
