Testing: simulated time, processes and network

The first half of a cluster in one process: a queue of events on simulated time, processes that crash, restart and freeze, and connections on which Node's own HTTP runs, under rules that refuse, hold or lose packets.

--- /dev/null
+++ b/packages/testing/simulation/clock.ts
@@ -0,0 +1,51 @@
+import type { Clock, Timer } from '#wire';
+import type { Incarnation } from './process.js';
+import type { World } from './world.js';
+
+/** Time of day at the start of every simulated world, in milliseconds since 1970. */
+const WORLD_START_MS = Date.UTC(2026, 0, 1);
+/** Longest delay that Node's timers take; a longer one, or none, counts as one millisecond. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
+/** How the clocks of one process differ from the simulated time. */
+export interface ClockSkew {
+  /** Reading of the steady clock at the start of the world, in seconds. */
+  zeroS: number;
+  /** Share by which the steady clock runs fast. */
+  drift: number;
+  /** Milliseconds by which the time of day is ahead. */
+  wallOffsetMs: number;
+}
+
+/** Clock and timers of one incarnation of a process; they are dead once the incarnation has ended. */
+export class SimulatedClock implements Clock {
+  constructor(
+    private readonly world: World,
+    private readonly incarnation: Incarnation,
+    private readonly skew: ClockSkew,
+  ) {}
+
+  now(): number {
+    return this.skew.zeroS + this.world.now * (1 + this.skew.drift);
+  }
+
+  wallMs(): number {
+    return Math.floor(WORLD_START_MS + this.world.now * 1000 + this.skew.wallOffsetMs);
+  }
+
+  setTimer(callback: () => void, delayMs: number): Timer {
+    let cancelled = false;
+    const fire = () => {
+      if (!cancelled) callback();
+    };
+    const inRange = delayMs >= 1 && delayMs <= MAX_DELAY_MS;
+    const delayS = (inRange ? Math.ceil(delayMs) : 1) / 1000 / (1 + this.skew.drift);
+    const event = this.world.schedule(delayS, () => this.incarnation.deliver(fire));
+    return {
+      cancel: () => {
+        cancelled = true;
+        event.run = null;
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation/connection.ts
@@ -0,0 +1,190 @@
+/**
+ * Connections of the simulated network. Each direction delivers its packets in order; what becomes of
+ * a packet is decided by the rules in force when it is sent.
+ */
+import type { LinkEffect } from './link-rules.js';
+import type { SimulatedHost, SimulatedNetwork } from './network.js';
+import type { Incarnation } from './process.js';
+import type { SimulatedSocket, Transport } from './socket.js';
+
+/** Bytes under way in one direction beyond which the sender has to wait. */
+const SEND_BUFFER_BYTES = 256 * 1024;
+
+export type Packet =
+  /** The answer to a connection attempt. */
+  { kind: 'accept' } | { kind: 'data'; bytes: Buffer } | { kind: 'end' } | { kind: 'reset' };
+
+export class Connection {
+  readonly opener: ConnectionEnd;
+  readonly acceptor: ConnectionEnd;
+  /** Severed by a rule: nothing under way arrives any more. */
+  severed = false;
+  private effect: LinkEffect | null = null;
+  private effectVersion = -1;
+
+  constructor(
+    private readonly network: SimulatedNetwork,
+    opener: Incarnation,
+    acceptor: Incarnation,
+  ) {
+    this.opener = new ConnectionEnd(network, this, opener);
+    this.acceptor = new ConnectionEnd(network, this, acceptor);
+  }
+
+  get open(): boolean {
+    return !this.severed && !(this.opener.closed && this.acceptor.closed);
+  }
+
+  /** What the rules do to this connection now. */
+  currentEffect(): LinkEffect | null {
+    const { rules } = this.network;
+    if (this.effectVersion !== rules.version) {
+      this.effectVersion = rules.version;
+      this.effect = rules.effectOn(this.opener.host, this.acceptor.host);
+    }
+    return this.effect;
+  }
+
+  endOf(incarnation: Incarnation): ConnectionEnd | null {
+    if (this.opener.incarnation === incarnation) return this.opener;
+    return this.acceptor.incarnation === incarnation ? this.acceptor : null;
+  }
+
+  /** Both sides see a reset at once. */
+  sever(): void {
+    if (this.severed) return;
+    this.severed = true;
+    for (const end of [this.opener, this.acceptor]) {
+      end.closed = true;
+      this.network.world.schedule(0, () => {
+        end.incarnation.deliver(() => end.socket?.failed('ECONNRESET'));
+      });
+    }
+  }
+}
+
+/** One side of a connection and the direction from it to the other. */
+export class ConnectionEnd implements Transport {
+  /** Null at the acceptor until its program has taken the connection. */
+  socket: SimulatedSocket | null = null;
+  /** Its program has closed it or ended. */
+  closed = false;
+  /** A packet was lost: what follows can't be delivered either. */
+  private broken = false;
+  private ended = false;
+  private readonly held: Packet[] = [];
+  private lastArrivalS = 0;
+  private bytesUnderWay = 0;
+  private afterDelivery: (() => void) | null = null;
+
+  constructor(
+    private readonly network: SimulatedNetwork,
+    readonly connection: Connection,
+    readonly incarnation: Incarnation,
+  ) {}
+
+  get host(): SimulatedHost {
+    return this.incarnation.host;
+  }
+
+  get other(): ConnectionEnd {
+    const { opener, acceptor } = this.connection;
+    return this === opener ? acceptor : opener;
+  }
+
+  send(bytes: Buffer, done: () => void): void {
+    if (this.closed) return;
+    this.bytesUnderWay += bytes.length;
+    this.transmit({ kind: 'data', bytes });
+    if (this.bytesUnderWay <= SEND_BUFFER_BYTES) done();
+    else this.afterDelivery = done;
+  }
+
+  finish(): void {
+    if (this.ended || this.closed) return;
+    this.ended = true;
+    this.transmit({ kind: 'end' });
+  }
+
+  close(): void {
+    this.finish();
+    this.closed = true;
+    this.network.forgetIfClosed(this.connection);
+  }
+
+  /** The program has ended: the other side is told by its host, or not at all. */
+  abandon(tellOther: boolean): void {
+    if (this.closed) return;
+    this.closed = true;
+    if (tellOther) this.transmit({ kind: 'reset' });
+    this.network.forgetIfClosed(this.connection);
+  }
+
+  transmit(packet: Packet): void {
+    if (this.broken || this.connection.severed) return;
+    const effect = this.connection.currentEffect();
+    if (this.isLost(effect, packet)) {
+      this.broken = true;
+    } else if (effect === 'hold' || this.held.length > 0) {
+      this.held.push(packet);
+      this.network.holding.add(this);
+    } else this.sendOff(packet);
+  }
+
+  /** The rules have changed: what was held is sent again, in order. */
+  release(): void {
+    for (const packet of this.held.splice(0)) this.transmit(packet);
+  }
+
+  private isLost(effect: LinkEffect | null, packet: Packet): boolean {
+    if (!this.host.powered) return true;
+    if (effect === 'drop' || effect === 'refuse') return true;
+    const isAnswer = this === this.connection.acceptor && packet.kind !== 'accept';
+    return effect === 'drop-answers' && isAnswer;
+  }
+
+  private sendOff(packet: Packet): void {
+    const { world } = this.network;
+    const arrivalS = Math.max(this.lastArrivalS, world.now + this.network.drawLatencyS());
+    this.lastArrivalS = arrivalS;
+    world.schedule(arrivalS - world.now, () => this.other.arrive(packet));
+  }
+
+  private arrive(packet: Packet): void {
+    const sender = this.other;
+    if (this.connection.severed) return;
+    if (!this.host.powered) {
+      sender.broken = true;
+      return;
+    }
+    if (packet.kind === 'data') {
+      this.network.world.note(packet.bytes.length);
+      sender.acknowledge(packet.bytes.length);
+    }
+    if (!this.closed) this.incarnation.deliver(() => this.take(packet));
+    else if (packet.kind === 'data') this.transmit({ kind: 'reset' });
+  }
+
+  private take(packet: Packet): void {
+    const { socket } = this;
+    if (socket === null) return;
+    if (packet.kind === 'accept') {
+      if (socket.destroyed) this.close();
+      else socket.connected(this);
+    } else if (packet.kind === 'data') socket.received(packet.bytes);
+    else if (packet.kind === 'end') socket.receivedEnd();
+    else {
+      this.closed = true;
+      socket.failed('ECONNRESET');
+      this.network.forgetIfClosed(this.connection);
+    }
+  }
+
+  private acknowledge(bytes: number): void {
+    this.bytesUnderWay -= bytes;
+    const done = this.afterDelivery;
+    if (done === null || this.bytesUnderWay > SEND_BUFFER_BYTES) return;
+    this.afterDelivery = null;
+    this.incarnation.deliver(done);
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation/digest.ts
@@ -0,0 +1,36 @@
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const SECOND_OFFSET = 0x9747b28c;
+const SECOND_PRIME = 0x85ebca6b;
+
+/** A running 64-bit hash of numbers and texts, to compare two runs; not cryptographic. */
+export class Digest {
+  private low = FNV_OFFSET;
+  private high = SECOND_OFFSET;
+  private readonly float = new Float64Array(1);
+  private readonly words = new Uint32Array(this.float.buffer);
+
+  number(value: number): void {
+    this.float[0] = value;
+    this.word(this.words[0]);
+    this.word(this.words[1]);
+  }
+
+  text(value: string): void {
+    for (let i = 0; i < value.length; i++) this.word(value.charCodeAt(i));
+  }
+
+  hex(): string {
+    return hexWord(this.high) + hexWord(this.low);
+  }
+
+  private word(value: number): void {
+    this.low = Math.imul(this.low ^ value, FNV_PRIME);
+    const mixed = Math.imul(this.high ^ value, SECOND_PRIME);
+    this.high = mixed ^ (mixed >>> 15);
+  }
+}
+
+function hexWord(word: number): string {
+  return (word >>> 0).toString(16).padStart(8, '0');
+}
--- /dev/null
+++ b/packages/testing/simulation/network.ts
@@ -0,0 +1,228 @@
+/** The simulated network: hosts with one address each, listeners, connections and rules of failure. */
+import type net from 'node:net';
+import type { Duplex } from 'node:stream';
+import type { HostPort, Network } from '#wire';
+import type { Chance } from '../random.js';
+import { Connection, ConnectionEnd } from './connection.js';
+import { LinkRule, LinkRules } from './link-rules.js';
+import type { CrashVisibility, Incarnation } from './process.js';
+import { SimulatedSocket } from './socket.js';
+import type { World } from './world.js';
+
+/** When an unanswered connection attempt is repeated, in seconds after the one before. */
+const CONNECT_RETRIES_S = [1, 2, 4, 8, 16, 32];
+
+/** One-way delays between any two hosts. */
+export interface LatencyModel {
+  leastMs: number;
+  /** Mean of what comes on top, distributed exponentially. */
+  meanExtraMs: number;
+  /** Share of packets that are lost once and sent again. */
+  resentShare: number;
+  resentAfterMs: number;
+}
+
+export const DEFAULT_LATENCY: LatencyModel = {
+  leastMs: 0.3,
+  meanExtraMs: 0.4,
+  resentShare: 0.0005,
+  resentAfterMs: 200,
+};
+
+export type HostRole = 'controller' | 'state' | 'cloud' | 'balancer' | 'users' | 'worker';
+
+/** A machine on the network. */
+export class SimulatedHost {
+  powered = true;
+  readonly listeners = new Map<number, Listener>();
+
+  constructor(
+    readonly name: string,
+    readonly role: HostRole,
+    /** Its only IP address. */
+    readonly address: string,
+    /** Null: belongs to no zone. */
+    readonly zone: string | null,
+  ) {}
+}
+
+interface Listener {
+  server: net.Server;
+  incarnation: Incarnation;
+  open: number;
+}
+
+/** A connection that is being opened. */
+interface Attempt {
+  incarnation: Incarnation;
+  socket: SimulatedSocket;
+  to: HostPort;
+  tries: number;
+}
+
+export class SimulatedNetwork {
+  readonly rules = new LinkRules();
+  /** Ends whose packets wait for the end of a rule. */
+  readonly holding = new Set<ConnectionEnd>();
+  private readonly hosts = new Map<string, SimulatedHost>();
+  private readonly connections = new Set<Connection>();
+  private readonly heldAttempts = new Set<Attempt>();
+  private readonly chance: Chance;
+
+  constructor(
+    readonly world: World,
+    private readonly latency: LatencyModel = DEFAULT_LATENCY,
+  ) {
+    this.chance = world.chance('network');
+  }
+
+  addHost(host: SimulatedHost): SimulatedHost {
+    this.hosts.set(host.address, host);
+    return host;
+  }
+
+  allHosts(): SimulatedHost[] {
+    return [...this.hosts.values()];
+  }
+
+  /** Puts a rule in force until the returned function is called. */
+  apply(rule: LinkRule): () => void {
+    this.rules.add(rule);
+    if (rule.effect === 'refuse') this.reset(rule);
+    return () => {
+      this.rules.remove(rule);
+      this.release();
+    };
+  }
+
+  /** Resets the open connections that a rule is about. */
+  reset(rule: Pick<LinkRule, 'opener' | 'acceptor'>): void {
+    for (const connection of [...this.connections]) {
+      const { opener, acceptor } = connection;
+      if (!rule.opener(opener.host) || !rule.acceptor(acceptor.host)) continue;
+      connection.sever();
+      this.connections.delete(connection);
+    }
+  }
+
+  drawLatencyS(): number {
+    const { leastMs, meanExtraMs, resentShare, resentAfterMs } = this.latency;
+    const extraMs = -Math.log(1 - this.chance.next()) * meanExtraMs;
+    const resentMs = this.chance.hit(resentShare) ? resentAfterMs : 0;
+    return (leastMs + extraMs + resentMs) / 1000;
+  }
+
+  listen(incarnation: Incarnation, server: net.Server, port: number): Promise<void> {
+    const { listeners } = incarnation.host;
+    if (listeners.has(port)) {
+      const error = new Error(`port ${port} is in use`);
+      return Promise.reject(Object.assign(error, { code: 'EADDRINUSE' }));
+    }
+    const listener = { server, incarnation, open: 0 };
+    listeners.set(port, listener);
+    server.once('close', () => {
+      if (listeners.get(port) === listener) listeners.delete(port);
+    });
+    return Promise.resolve();
+  }
+
+  connect(incarnation: Incarnation, to: HostPort): SimulatedSocket {
+    const socket = new SimulatedSocket(incarnation.runtime.clock, null, false, to.host);
+    const attempt: Attempt = { incarnation, socket, to, tries: 0 };
+    this.world.scheduleInternal(this.drawLatencyS(), () => this.tryToOpen(attempt));
+    return socket;
+  }
+
+  /** An incarnation has ended: its listeners and connections go with it. */
+  closeAllOf(incarnation: Incarnation, visibility: CrashVisibility): void {
+    const { listeners } = incarnation.host;
+    for (const [port, listener] of listeners) {
+      if (listener.incarnation === incarnation) listeners.delete(port);
+    }
+    for (const connection of [...this.connections]) {
+      connection.endOf(incarnation)?.abandon(visibility === 'reset');
+    }
+  }
+
+  forgetIfClosed(connection: Connection): void {
+    if (!connection.open) this.connections.delete(connection);
+  }
+
+  private release(): void {
+    const ends = [...this.holding];
+    this.holding.clear();
+    for (const end of ends) end.release();
+    const attempts = [...this.heldAttempts];
+    this.heldAttempts.clear();
+    for (const attempt of attempts) this.tryToOpen(attempt);
+  }
+
+  private tryToOpen(attempt: Attempt): void {
+    const { incarnation, socket, to } = attempt;
+    if (!incarnation.alive || socket.destroyed) return;
+    const target = this.hosts.get(to.host);
+    const effect = target ? this.rules.effectOn(incarnation.host, target) : null;
+    if (target === undefined || !target.powered || !incarnation.host.powered || effect === 'drop') {
+      this.tryLater(attempt);
+    } else if (effect === 'hold') this.heldAttempts.add(attempt);
+    else {
+      const listener = target.listeners.get(to.port);
+      if (effect === 'refuse' || listener === undefined) this.fail(attempt, 'ECONNREFUSED');
+      else this.open(attempt, listener);
+    }
+  }
+
+  private tryLater(attempt: Attempt): void {
+    const delayS = CONNECT_RETRIES_S[attempt.tries++];
+    if (delayS === undefined) this.fail(attempt, 'ETIMEDOUT');
+    else this.world.scheduleInternal(delayS, () => this.tryToOpen(attempt));
+  }
+
+  private fail(attempt: Attempt, code: 'ECONNREFUSED' | 'ETIMEDOUT'): void {
+    this.world.schedule(this.drawLatencyS(), () => {
+      attempt.incarnation.deliver(() => attempt.socket.failed(code));
+    });
+  }
+
+  private open(attempt: Attempt, listener: Listener): void {
+    const connection = new Connection(this, attempt.incarnation, listener.incarnation);
+    this.connections.add(connection);
+    connection.opener.socket = attempt.socket;
+    connection.acceptor.transmit({ kind: 'accept' });
+    const { maxConnections } = listener.server;
+    if (maxConnections > 0 && listener.open >= maxConnections) {
+      connection.acceptor.close();
+      return;
+    }
+    listener.open++;
+    this.world.schedule(0, () => listener.incarnation.deliver(() => accept(connection, listener)));
+  }
+}
+
+/** Hands a connection to the server's program. */
+function accept(connection: Connection, listener: Listener): void {
+  const { opener, acceptor } = connection;
+  const { clock } = acceptor.incarnation.runtime;
+  const { allowHalfOpen } = listener.server as net.Server & { allowHalfOpen?: boolean };
+  const socket = new SimulatedSocket(clock, acceptor, allowHalfOpen === true, opener.host.address);
+  acceptor.socket = socket;
+  socket.once('close', () => listener.open--);
+  listener.server.emit('connection', socket);
+}
+
+/** The network as one incarnation of a process sees it; dead once the incarnation has ended. */
+export class IncarnationNetwork implements Network {
+  constructor(
+    private readonly network: SimulatedNetwork,
+    private readonly incarnation: Incarnation,
+  ) {}
+
+  connect(address: HostPort): Duplex {
+    return this.network.connect(this.incarnation, address);
+  }
+
+  listen(server: net.Server, address: HostPort): Promise<void> {
+    if (!this.incarnation.alive) return new Promise(() => {});
+    return this.network.listen(this.incarnation, server, address.port);
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation/process.ts
@@ -0,0 +1,126 @@
+/**
+ * Processes of the simulated world. A process may run many times; each run is an incarnation with a
+ * runtime of its own, and nothing of an incarnation acts once it has ended.
+ */
+import type { Runtime } from '#wire';
+import { ClockSkew, SimulatedClock } from './clock.js';
+import { IncarnationNetwork, type SimulatedHost, type SimulatedNetwork } from './network.js';
+import type { World } from './world.js';
+
+/** What a process runs; called anew for each incarnation. */
+export type Program = (runtime: Runtime) => void;
+
+/** What the others see of a process that has crashed. */
+export type CrashVisibility =
+  /** Its host resets its connections. */
+  | 'reset'
+  /** Nothing, until they write to it again. */
+  | 'silent';
+
+/** One run of a process, from its start to its crash. */
+export class Incarnation {
+  alive = true;
+  readonly runtime: Runtime;
+  private frozenUntilS = -Infinity;
+  private frozen = false;
+  private readonly waiting: (() => void)[] = [];
+
+  constructor(
+    private readonly world: World,
+    network: SimulatedNetwork,
+    readonly host: SimulatedHost,
+    readonly name: string,
+    skew: ClockSkew,
+  ) {
+    const chance = world.chance(`process ${name} ${world.now}`);
+    this.runtime = {
+      clock: new SimulatedClock(world, this, skew),
+      network: new IncarnationNetwork(network, this),
+      random: () => chance.next(),
+    };
+  }
+
+  /** Runs a callback of this process: now, once it wakes if it is frozen, never if it has ended. */
+  deliver(callback: () => void): void {
+    if (!this.alive) return;
+    if (this.frozen) {
+      this.waiting.push(callback);
+      return;
+    }
+    try {
+      callback();
+    } catch (error) {
+      this.world.uncaught.push({ atS: this.world.now, where: this.name, error });
+    }
+  }
+
+  /** Stands still for so many seconds while its clocks run on; ends with the latest of several freezes. */
+  freeze(forS: number): void {
+    this.frozen = true;
+    this.frozenUntilS = Math.max(this.frozenUntilS, this.world.now + forS);
+    this.world.schedule(forS, () => this.wake());
+  }
+
+  /** All that came in the meantime is delivered in its order. */
+  private wake(): void {
+    if (!this.frozen || this.world.now < this.frozenUntilS) return;
+    this.frozen = false;
+    for (const callback of this.waiting.splice(0)) {
+      this.world.schedule(0, () => this.deliver(callback));
+    }
+  }
+
+  end(): void {
+    this.alive = false;
+    this.waiting.length = 0;
+  }
+}
+
+export class SimulatedProcess {
+  /** The current run, null while the process is down. */
+  incarnation: Incarnation | null = null;
+  /** How often the process has started. */
+  starts = 0;
+
+  constructor(
+    private readonly world: World,
+    private readonly network: SimulatedNetwork,
+    readonly host: SimulatedHost,
+    readonly name: string,
+    private readonly program: Program,
+    private readonly skew: ClockSkew,
+  ) {}
+
+  get running(): boolean {
+    return this.incarnation !== null;
+  }
+
+  start(): void {
+    if (this.incarnation !== null || !this.host.powered) return;
+    this.starts++;
+    const { world, network, host, name, skew } = this;
+    const incarnation = new Incarnation(world, network, host, name, skew);
+    this.incarnation = incarnation;
+    incarnation.deliver(() => this.program(incarnation.runtime));
+  }
+
+  /** Ends the process without any clean-up of its own. */
+  crash(visibility: CrashVisibility = 'reset'): void {
+    const { incarnation } = this;
+    if (incarnation === null) return;
+    this.incarnation = null;
+    incarnation.end();
+    this.network.closeAllOf(incarnation, visibility);
+  }
+
+  /** Crashes and starts again after so many seconds. */
+  restart(downS: number, visibility: CrashVisibility = 'reset'): void {
+    this.crash(visibility);
+    this.world.schedule(downS, () => this.start());
+  }
+
+  /** Stands still for so many seconds. */
+  freeze(forS: number): void {
+    this.incarnation?.freeze(forS);
+  }
+}
