--- /dev/null
+++ b/packages/testing/simulation/addresses.ts
@@ -0,0 +1,35 @@
+/** Names and addresses of the simulated hosts. */
+import type { HostPort } from '#wire';
+
+export const STATE_ADDRESS: HostPort = { host: '10.2.0.1', port: 2379 };
+export const CLOUD_ADDRESS: HostPort = { host: '10.2.0.2', port: 8443 };
+export const BALANCER_ADDRESS: HostPort = { host: '10.2.0.3', port: 8080 };
+export const USERS_HOST = '10.3.0.1';
+const WORKER_PORT = 9000;
+const SERVICE_PORT = 8080;
+const PEER_PORT = 8081;
+const MACHINES_PER_SUBNET = 250;
+
+export function controllerName(index: number): string {
+  return `controller-${index}`;
+}
+
+/** Where a controller serves workers and users. */
+export function serviceAddress(index: number): HostPort {
+  return { host: `10.0.0.${index + 1}`, port: SERVICE_PORT };
+}
+
+/** Where a controller serves its peers. */
+export function peerAddress(index: number): HostPort {
+  return { host: `10.0.0.${index + 1}`, port: PEER_PORT };
+}
+
+/** Address of a machine, by the number of machines that were rented before it. */
+export function workerAddress(number: number): HostPort {
+  const subnet = Math.floor(number / MACHINES_PER_SUBNET);
+  return { host: `10.1.${subnet}.${1 + (number % MACHINES_PER_SUBNET)}`, port: WORKER_PORT };
+}
+
+export function formatAddress({ host, port }: HostPort): string {
+  return `${host}:${port}`;
+}
--- /dev/null
+++ b/packages/testing/simulation/cluster-settings.ts
@@ -0,0 +1,102 @@
+import type { MachineType } from '#wire';
+import {
+  withDefaults,
+  type OperatorSettings,
+  type PlatformSettings,
+  type Settings,
+} from '#controller';
+import type { CapacityLimit } from '../standins/index.js';
+import {
+  CLOUD_ADDRESS,
+  controllerName,
+  formatAddress,
+  peerAddress,
+  serviceAddress,
+  STATE_ADDRESS,
+} from './addresses.js';
+
+type Deployment = PlatformSettings['deployment'];
+
+/** What a simulated cluster consists of. */
+export interface ClusterSettings {
+  controllers: number;
+  /** The part of the platform's settings that all controllers share. */
+  deployment: Omit<Deployment, 'nodes'>;
+  operator: Partial<OperatorSettings>;
+  machineTypes: MachineType[];
+  /** How many machines the cloud has. */
+  capacity: CapacityLimit[];
+  logLevel: 'error' | 'info' | 'debug';
+}
+
+/** The settings file of one controller, as the platform would write it. */
+export function controllerSettings(cluster: ClusterSettings, index: number): Settings {
+  const { deployment, controllers } = cluster;
+  const others = Array.from({ length: controllers }, (_, i) => i).filter((i) => i !== index);
+  const platform: PlatformSettings = {
+    host_name: controllerName(index),
+    zone: zoneOfController(cluster, index),
+    listen: formatAddress(serviceAddress(index)),
+    cluster_listen: formatAddress(peerAddress(index)),
+    peers: others.map((i) => ({
+      host_name: controllerName(i),
+      zone: zoneOfController(cluster, i),
+      peer_addr: formatAddress(peerAddress(i)),
+    })),
+    external: { cloud: formatAddress(CLOUD_ADDRESS), state: formatAddress(STATE_ADDRESS) },
+    deployment: { ...deployment, nodes: controllers },
+  };
+  return { ...platform, operator: withDefaults(cluster.operator, platform) };
+}
+
+export function zoneOfController({ deployment }: ClusterSettings, index: number): string {
+  return deployment.zones[index % deployment.zones.length];
+}
+
+const GPU_TYPE: MachineType = {
+  name: 'g8',
+  cpus: 96,
+  gpus: 8,
+  memory: 768,
+  cacheGb: 200,
+  fetchGbPerS: 1,
+  price: 12,
+  spotPrice: 4.5,
+  bootS: 20,
+  zones: ['a', 'b', 'c'],
+};
+
+const CPU_TYPE: MachineType = {
+  name: 'c32',
+  cpus: 32,
+  gpus: 0,
+  memory: 128,
+  cacheGb: 100,
+  fetchGbPerS: 1,
+  price: 2,
+  spotPrice: 0.7,
+  bootS: 15,
+  zones: ['a', 'b', 'c'],
+};
+
+/** Three controllers in three zones, with room for twelve machines; others are made from it. */
+export const SMALL_CLUSTER: ClusterSettings = {
+  controllers: 3,
+  deployment: {
+    zones: ['a', 'b', 'c'],
+    clock_off_ms: 100,
+    teams: [
+      { name: 'red', cpus: 200, cpus_max: 600, gpus: 24, gpus_max: 64 },
+      { name: 'blue', cpus: 200, cpus_max: 600, gpus: 24, gpus_max: 64 },
+    ],
+    objectives: [{ kind: 'wait', class: 'service', within_s: 10, share: 0.9 }],
+    workers: { report_s: 1, lease_s: 10, gang_wait_s: 45, gang_peer_s: 8, cancel_s: 35 },
+    state: { rps: 150, write_rps: 50, value_kb: 8, txn_ops: 24 },
+    cloud: { rps: 4, list_lag_s: 4 },
+    limits: { cpu_share: 0.5, memory_mb: 200, sockets: 700 },
+  },
+  operator: {},
+  machineTypes: [GPU_TYPE, CPU_TYPE],
+  capacity: [{ machines: 12 }],
+  logLevel: 'info',
+};
--- /dev/null
+++ b/packages/testing/simulation/fault-journal.ts
@@ -0,0 +1,37 @@
+import type { FaultEffect } from './faults/effect.js';
+import type { OwnershipChange } from './ownership-history.js';
+import type { Fault } from './scenario.js';
+
+/** A fault that began, and what it met. */
+export interface FaultRecord {
+  fault: Fault;
+  fromS: number;
+  /** Equal to `fromS` for a fault of a single moment. */
+  untilS: number;
+  /** Who held the part when it began. */
+  leader: OwnershipChange | null;
+  controllers: string[];
+  machines: string[];
+  jobs: string[];
+}
+
+export class FaultJournal {
+  readonly records: FaultRecord[] = [];
+
+  begun(
+    fault: Fault,
+    { controllers, machines, jobs }: FaultEffect,
+    leader: OwnershipChange | null,
+    nowS: number,
+  ): void {
+    const untilS = 'forS' in fault ? nowS + fault.forS : nowS;
+    this.records.push({ fault, fromS: nowS, untilS, leader, controllers, machines, jobs });
+  }
+
+  /** The faults of one kind, in the order in which they began. */
+  of<K extends Fault['kind']>(kind: K): (FaultRecord & { fault: Fault & { kind: K } })[] {
+    return this.records.filter(
+      (record): record is FaultRecord & { fault: Fault & { kind: K } } => record.fault.kind === kind,
+    );
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation/faults/controller-faults.ts
@@ -0,0 +1,57 @@
+import type { SimulatedController } from '../controllers.js';
+import type { SimulatedNetwork } from '../network.js';
+import type { ControllerFault } from '../scenario.js';
+import type { World } from '../world.js';
+import { effect, type FaultEffect } from './effect.js';
+import { cutFrom } from './link-faults.js';
+import { targetControllers } from './targets.js';
+
+export interface ControllerFaultContext {
+  world: World;
+  network: SimulatedNetwork;
+  controllers: SimulatedController[];
+  /** Name of the part's owner now. */
+  owner: string | null;
+}
+
+export function beginControllerFault(
+  context: ControllerFaultContext,
+  fault: ControllerFault,
+): FaultEffect {
+  const { network, controllers, owner } = context;
+  if (fault.kind === 'controller-roll') return roll(context, fault);
+  if (fault.kind === 'peers-cut') {
+    const hosts = controllers.map((c) => c.host);
+    return effect({ controllers: names(controllers), end: cutFrom(network, hosts, ['peers'], fault.mode) });
+  }
+  const hit = targetControllers(controllers, fault.controllers, owner);
+  switch (fault.kind) {
+    case 'controller-cut': {
+      const hosts = hit.map((c) => c.host);
+      const end = cutFrom(network, hosts, fault.from, fault.mode);
+      return effect({ controllers: names(hit), end });
+    }
+    case 'controller-crash':
+      for (const c of hit) c.process.restart(fault.downS, fault.silent ? 'silent' : 'reset');
+      return effect({ controllers: names(hit) });
+    case 'controller-freeze':
+      for (const c of hit) c.process.freeze(fault.forS);
+      return effect({ controllers: names(hit) });
+  }
+}
+
+function roll(
+  { world, controllers, owner }: ControllerFaultContext,
+  { downS, intervalS }: ControllerFault & { kind: 'controller-roll' },
+): FaultEffect {
+  const followers = targetControllers(controllers, 'followers', owner);
+  const leader = targetControllers(controllers, 'leader', owner);
+  [...followers, ...leader].forEach((controller, position) => {
+    world.schedule(position * intervalS, () => controller.process.restart(downS));
+  });
+  return effect({ controllers: names(controllers) });
+}
+
+function names(controllers: SimulatedController[]): string[] {
+  return controllers.map((c) => c.name);
+}
--- /dev/null
+++ b/packages/testing/simulation/faults/effect.ts
@@ -0,0 +1,15 @@
+/** What beginning a fault did. */
+export interface FaultEffect {
+  /** Names of the controllers that it hit. */
+  controllers: string[];
+  /** Names of the machines that it hit. */
+  machines: string[];
+  /** Ids of the jobs that it hit. */
+  jobs: string[];
+  /** Ends it; a fault of a single moment needs none. */
+  end: (() => void) | null;
+}
+
+export function effect(own: Partial<FaultEffect>): FaultEffect {
+  return { controllers: [], machines: [], jobs: [], end: null, ...own };
+}
--- /dev/null
+++ b/packages/testing/simulation/faults/overlap.ts
@@ -0,0 +1,16 @@
+/** Faults of one kind that overlap: the first begins it, the last ends it. */
+export class Overlap<Key> {
+  private readonly counts = new Map<Key, number>();
+
+  /** Begins for the key unless it is in force; the returned function ends this share of it. */
+  begin(key: Key, start: () => void, stop: () => void): () => void {
+    const before = this.counts.get(key) ?? 0;
+    this.counts.set(key, before + 1);
+    if (before === 0) start();
+    return () => {
+      const left = (this.counts.get(key) ?? 0) - 1;
+      this.counts.set(key, left);
+      if (left === 0) stop();
+    };
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation/faults/state-faults.ts
@@ -0,0 +1,58 @@
+import type { StateService } from '../../standins/index.js';
+import type { SimulatedController } from '../controllers.js';
+import type { StateFault } from '../scenario.js';
+import { effect, type FaultEffect } from './effect.js';
+import { Overlap } from './overlap.js';
+import { targetControllers } from './targets.js';
+
+/** Faults of the state service, any of which may overlap with others of its kind. */
+export class StateFaults {
+  private readonly overlap = new Overlap<string>();
+
+  constructor(
+    private readonly state: StateService,
+    private readonly controllers: SimulatedController[],
+  ) {}
+
+  begin(fault: StateFault, owner: string | null): FaultEffect {
+    switch (fault.kind) {
+      case 'state-outage':
+        return this.outage();
+      case 'state-refuses':
+        return this.refuse(targetControllers(this.controllers, fault.controllers, owner));
+      case 'state-slow':
+        return this.slow(fault.latencyMs);
+      case 'late-writes':
+        return this.loseAnswers((state) => state.beginLateWrites(fault.share, fault.delayS));
+      case 'lost-answers':
+        return this.loseAnswers((state) => state.beginLostAnswers(fault.share));
+    }
+  }
+
+  private outage(): FaultEffect {
+    const { state, controllers, overlap } = this;
+    const start = () => state.beginOutage();
+    const end = overlap.begin('outage', start, () => state.endOutage());
+    return effect({ controllers: controllers.map((c) => c.name), end });
+  }
+
+  private refuse(hit: SimulatedController[]): FaultEffect {
+    const { state, overlap } = this;
+    const ends = hit.map(({ host }) => {
+      const start = () => state.refuse(host.address);
+      return overlap.begin(host.name, start, () => state.readmit(host.address));
+    });
+    return effect({ controllers: hit.map((c) => c.name), end: () => ends.forEach((end) => end()) });
+  }
+
+  private slow(latencyMs: [number, number]): FaultEffect {
+    const { state } = this;
+    state.setLatency({ usualMs: latencyMs, slowShare: 0, slowMs: latencyMs });
+    return effect({ end: () => state.setLatency() });
+  }
+
+  private loseAnswers(start: (state: StateService) => void): FaultEffect {
+    start(this.state);
+    return effect({ end: () => this.state.endLateWrites() });
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation/faults/targets.ts
@@ -0,0 +1,40 @@
+import type { Chance } from '../../random.js';
+import type { SimulatedController } from '../controllers.js';
+import type { ControllerTarget, MachineTarget } from '../scenario.js';
+
+/** Resolves a target to controllers, given the name of the part's owner at that moment. */
+export function targetControllers(
+  controllers: SimulatedController[],
+  target: ControllerTarget,
+  owner: string | null,
+): SimulatedController[] {
+  const leader = controllers.find((c) => c.name === owner) ?? controllers[0];
+  const followers = controllers.filter((c) => c !== leader);
+  if (Array.isArray(target)) return target.map((index) => controllers[index]);
+  switch (target) {
+    case 'leader':
+      return [leader];
+    case 'followers':
+      return followers;
+    case 'one-follower':
+      return followers.slice(0, 1);
+    case 'all':
+      return controllers;
+  }
+}
+
+/** Resolves a target to some of the running machines; at least one if there is any. */
+export function targetMachines<M extends { zone: string }>(
+  running: M[],
+  target: MachineTarget,
+  chance: Chance,
+): M[] {
+  if ('zone' in target) return running.filter((machine) => machine.zone === target.zone);
+  const wanted = 'count' in target ? target.count : Math.ceil(target.share * running.length);
+  const left = [...running];
+  const drawn: M[] = [];
+  while (drawn.length < wanted && left.length > 0) {
+    drawn.push(...left.splice(chance.int(0, left.length - 1), 1));
+  }
+  return drawn;
+}
--- /dev/null
+++ b/packages/testing/simulation/scenario.ts
@@ -0,0 +1,121 @@
+/** Scenarios: what a cluster consists of, what its users do and which faults happen when. */
+import type { LinkEffect } from './link-rules.js';
+
+/** Which controllers a fault is about, decided at the moment at which it begins. */
+export type ControllerTarget =
+  /** The owner of the part at that moment; the first controller if there is none. */
+  | 'leader'
+  /** All but the leader. */
+  | 'followers'
+  /** The follower with the lowest number. */
+  | 'one-follower'
+  | 'all'
+  /** Numbers of controllers, from 0. */
+  | number[];
+
+/** Which machines a fault is about, drawn from the running ones at the moment at which it begins. */
+export type MachineTarget =
+  | { count: number }
+  /** Part of the running machines, from 0 to 1. */
+  | { share: number }
+  | { zone: string };
+
+/** How a cut connection behaves; see LinkEffect. */
+export type CutMode = Exclude<LinkEffect, 'drop-answers'>;
+
+/** What a controller can be cut from. */
+export type CutFrom = 'state' | 'cloud' | 'peers' | 'workers' | 'users';
+
+interface Timed {
+  /** Simulated seconds after the start. */
+  atS: number;
+}
+
+interface Lasting extends Timed {
+  forS: number;
+}
+
+export type StateFault =
+  /** The state service refuses everybody; no lease ends meanwhile. */
+  | (Lasting & { kind: 'state-outage' })
+  /** The state service answers 503 to these controllers alone; their leases run out. */
+  | (Lasting & { kind: 'state-refuses'; controllers: ControllerTarget })
+  | (Lasting & { kind: 'state-slow'; latencyMs: [least: number, most: number] })
+  /** That share of transactions gets no answer and is carried out `delayS` later. */
+  | (Lasting & { kind: 'late-writes'; share: number; delayS?: [least: number, most: number] })
+  /** That share of transactions is carried out at once and gets no answer. */
+  | (Lasting & { kind: 'lost-answers'; share: number });
+
+export type CloudFault =
+  | (Lasting & { kind: 'cloud-outage' })
+  /** That share of rentals and releases gets no answer and is carried out late. */
+  | (Lasting & { kind: 'late-rentals'; share: number; delayS?: [least: number, most: number] })
+  /** Machines rented meanwhile are up within two seconds. */
+  | (Lasting & { kind: 'quick-boots' });
+
+export type ControllerFault =
+  | (Lasting & {
+      kind: 'controller-cut';
+      controllers: ControllerTarget;
+      from: CutFrom[];
+      mode: CutMode;
+    })
+  /** No controller reaches another. */
+  | (Lasting & { kind: 'peers-cut'; mode: CutMode })
+  | (Timed & {
+      kind: 'controller-crash';
+      controllers: ControllerTarget;
+      /** Seconds until the next start. */
+      downS: number;
+      /** The others see no reset. */
+      silent?: boolean;
+    })
+  /** The process stands still while its clocks run on. */
+  | (Lasting & { kind: 'controller-freeze'; controllers: ControllerTarget })
+  /** All controllers crash one after another, the leader last. */
+  | (Timed & { kind: 'controller-roll'; downS: number; intervalS: number });
+
+export type MachineFault =
+  /** Machines end without notice. */
+  | (Timed & { kind: 'machine-death'; machines: MachineTarget })
+  /** The cloud takes spot machines back after a notice; without one if it is null. */
+  | (Timed & { kind: 'machine-taken'; machines: MachineTarget; noticeS: number | null })
+  /** Machines stand still and go on later. */
+  | (Lasting & { kind: 'machine-hang'; machines: MachineTarget })
+  /** No connection with any controller. */
+  | (Lasting & { kind: 'machine-cut'; machines: MachineTarget; mode: CutMode })
+  /** Reports arrive; answers and direct commands are lost. */
+  | (Lasting & { kind: 'machine-deaf'; machines: MachineTarget })
+  /** Reports reach no controller; direct commands arrive. */
+  | (Lasting & { kind: 'machine-mute'; machines: MachineTarget; mode: CutMode })
+  /** A zone with its machines and controllers is cut off from everything else. */
+  | (Lasting & { kind: 'zone-cut'; zone: string; mode: CutMode });
+
+export type MessageFault =
+  /** Of that share of reports a copy arrives again, or once a new leader has begun. */
+  | (Lasting & {
+      kind: 'late-reports';
+      share: number;
+      delayS?: [least: number, most: number];
+      forNextLeader?: boolean;
+    })
+  /** That share of direct commands is carried out later and gets no answer. */
+  | (Lasting & { kind: 'late-commands'; share: number; delayS?: [least: number, most: number] });
+
+export type UserFault =
+  /** Users cancel that many running jobs within a fifth of a second. */
+  | (Timed & { kind: 'cancel-now'; count: number; hangS?: number })
+  /** That share of the jobs that end is cancelled at the moment of the end. */
+  | (Lasting & { kind: 'cancel-at-end'; share: number })
+  /** Repeated submissions, cancellations of what is done, jobs that can't run or lack a field. */
+  | (Lasting & { kind: 'odd-requests' })
+  /** Users ask all controllers within milliseconds of each news about a job. */
+  | (Lasting & { kind: 'close-looks' });
+
+export type Fault =
+  | StateFault
+  | CloudFault
+  | ControllerFault
+  | MachineFault
+  | MessageFault
+  | UserFault;
