--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,5 +1,73 @@
 import tseslint from 'typescript-eslint';
 
+const PRODUCTION = ['packages/{wire,core,store,peer,controller,cli}/**/*.ts'];
+const GIVEN = 'Use the Runtime that the caller hands over (packages/wire/runtime.ts).';
+
+const machineProperties = [
+  { object: 'Date', property: 'now', message: GIVEN },
+  { object: 'Math', property: 'random', message: GIVEN },
+  { object: 'process', property: 'hrtime', message: GIVEN },
+  { object: 'net', property: 'connect', message: GIVEN },
+  { object: 'net', property: 'createConnection', message: GIVEN },
+  { object: 'globalThis', property: 'setTimeout', message: GIVEN },
+  { object: 'globalThis', property: 'setInterval', message: GIVEN },
+  { object: 'globalThis', property: 'performance', message: GIVEN },
+];
+
+/** What production code takes from its Runtime instead of from Node, so that tests can simulate it. */
+const runtimeRules = {
+  'no-restricted-globals': [
+    'error',
+    ...[
+      'performance',
+      'setTimeout',
+      'setInterval',
+      'setImmediate',
+      'clearTimeout',
+      'clearInterval',
+    ].map((name) => ({ name, message: GIVEN })),
+  ],
+  'no-restricted-properties': ['error', ...machineProperties],
+  'no-restricted-syntax': [
+    'error',
+    { selector: "NewExpression[callee.name='Date'][arguments.length=0]", message: GIVEN },
+    {
+      selector: "NewExpression[callee.object.name='net'][callee.property.name='Socket']",
+      message: GIVEN,
+    },
+    {
+      selector:
+        "CallExpression[callee.property.name='listen']:not([callee.object.property.name='network'], [callee.object.name='network'])",
+      message: GIVEN,
+    },
+  ],
+  'no-restricted-imports': [
+    'error',
+    {
+      paths: [
+        ...['timers', 'timers/promises', 'perf_hooks', 'crypto'].flatMap((name) => [
+          { name, message: GIVEN },
+          { name: `node:${name}`, message: GIVEN },
+        ]),
+        {
+          name: 'net',
+          message: "Import 'node:net', whose calls are checked by name.",
+        },
+        {
+          name: 'node:net',
+          importNames: ['connect', 'createConnection', 'Socket'],
+          message: GIVEN,
+        },
+        {
+          name: 'rxjs',
+          allowImportNames: ['BehaviorSubject', 'filter', 'Subject', 'Subscription'],
+          message: "Operators that wait do so on the machine's clock.",
+        },
+      ],
+    },
+  ],
+};
+
 export default tseslint.config(
   { ignores: ['target/**', 'node_modules/**', 'journal/**'] },
   ...tseslint.configs.recommended,
@@ -12,6 +80,19 @@
       eqeqeq: 'error',
     },
   },
+  { files: PRODUCTION, ignores: ['packages/wire/runtime.ts'], rules: runtimeRules },
+  {
+    // Several controllers may run in one process; only the command line may end it.
+    files: PRODUCTION,
+    ignores: ['packages/wire/runtime.ts', 'packages/cli/**'],
+    rules: {
+      'no-restricted-properties': [
+        'error',
+        ...machineProperties,
+        { object: 'process', property: 'exit', message: 'Throw an error instead.' },
+      ],
+    },
+  },
   {
     // The test runner itself waits for what test() returns.
     files: ['packages/**/*.test.ts'],
--- a/packages/cli/main.ts
+++ b/packages/cli/main.ts
@@ -1,9 +1,12 @@
 import { Command } from 'commander';
 import { readFileSync } from 'node:fs';
+import { ListenError, nodeRuntime } from '#wire';
 import { BadSettings, Controller, loadSettings, makeLog } from '#controller';
 import { addUserCommands } from './user.js';
 
 const EXIT_BAD_SETTINGS = 2;
+const EXIT_CANNOT_LISTEN = 4;
+const EXIT_UNEXPECTED = 5;
 
 function version(): string {
   const file = new URL('../../package.json', import.meta.url);
@@ -22,7 +25,7 @@
 
 async function serve(config: string, operator: string | undefined): Promise<void> {
   const settings = load(config, operator);
-  const log = makeLog(settings.host_name, process.env.LOG_LEVEL);
+  const log = makeLog(nodeRuntime.clock, settings.host_name, process.env.LOG_LEVEL);
   const stop = new AbortController();
   for (const name of ['SIGINT', 'SIGTERM'] as const) process.once(name, () => stop.abort());
   // A fault in one request or duty is logged; the process goes on.
@@ -30,7 +33,17 @@
   process.on('unhandledRejection', (err) => {
     log.error({ err: err instanceof Error ? err.stack : String(err) }, 'unexpected');
   });
-  await new Controller(settings, log).run(stop.signal);
+  log.info({ startedMs: Math.round(process.uptime() * 1000) }, 'controller');
+  try {
+    await new Controller(nodeRuntime, settings, log).run(stop.signal);
+  } catch (err) {
+    if (err instanceof ListenError) {
+      log.error({ err: err.message }, 'cannot listen');
+      process.exit(EXIT_CANNOT_LISTEN);
+    }
+    log.error({ err: err instanceof Error ? err.stack : String(err) }, 'unexpected');
+    process.exit(EXIT_UNEXPECTED);
+  }
 }
 
 const program = new Command('sorreldale')
--- a/packages/controller/api.ts
+++ b/packages/controller/api.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import express, { Express, Request, Response } from 'express';
 import {
+  Clock,
   decode,
   encode,
   isJobId,
@@ -27,6 +28,7 @@
 const BODY_LIMIT = 64 * 1024;
 
 export interface ApiParts {
+  clock: Clock;
   client: StateClient;
   commits: GroupCommit;
   jobs: JobTable;
@@ -171,7 +173,7 @@
   }
 
   private async accept(job: Job, res: Response): Promise<void> {
-    const { client, commits, jobs } = this.parts;
+    const { clock, client, commits, jobs } = this.parts;
     const known = new Set(this.parts.types().map((t) => t.name));
     // Types that do not exist here need no place in the record.
     const kept =
@@ -179,7 +181,7 @@
         ? { ...job, types: job.types.filter((t) => known.has(t)) }
         : job;
     const key = jobKey(job.id);
-    const record = { job: kept, acceptedAtMs: Date.now(), phase: 'accepted' as const };
+    const record = { job: kept, acceptedAtMs: clock.wallMs(), phase: 'accepted' as const };
     const value = encodeJob(record);
     if (sizeOf([{ put: key, value }]) > client.limits.valueBytes) {
       throw new MalformedBody('texts are too long');
--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -1,14 +1,16 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  Clock,
   CloudClient,
   ListedMachine,
   MachineType,
   NoAnswer,
+  pause,
   RELEASE_AT_ONCE,
   RENT_AT_ONCE,
+  Runtime,
 } from '#wire';
 import { Machine, Rental } from '#core';
-import { Budget, steady } from '#store';
+import { Budget } from '#store';
 import type { Log } from './log.js';
 import type { PartOwner } from './owner.js';
 
@@ -19,6 +21,26 @@
 /** Share of the allowed rate that is used; a former owner's last calls may still count. */
 const RATE_SHARE = 0.85;
 
+export interface CloudDutyOptions {
+  runtime: Runtime;
+  cloud: CloudClient;
+  owner: PartOwner;
+  /** This controller's name. */
+  name: string;
+  /** Requests a second that the cloud allows to all controllers together. */
+  rps: number;
+  /** How far the cloud's list of machines may be behind. */
+  listLagS: number;
+  reportS: number;
+  leaseS: number;
+  /** Told of the machine types whenever they were asked for. */
+  onTypes: (types: MachineType[], signal: AbortSignal) => Promise<void>;
+  entitled: () => boolean;
+  /** The state service answers, so that what is stopped here starts there at once. */
+  calm: () => boolean;
+  log: Log;
+}
+
 /**
  * The leader's dealings with the cloud: the list, rents and releases. The rents of one plan go out
  * together, as fast as the rate allows: each second that a rent waits for the answer to another is a
@@ -31,22 +53,15 @@
   private listedAt = -Infinity;
   private typesAt = -Infinity;
   private planAt = -Infinity;
+  private readonly clock: Clock;
+  private readonly cloud: CloudClient;
+  private readonly owner: PartOwner;
+  private readonly log: Log;
 
-  constructor(
-    private readonly cloud: CloudClient,
-    private readonly owner: PartOwner,
-    private readonly name: string,
-    rps: number,
-    private readonly listLagS: number,
-    private readonly reportS: number,
-    private readonly leaseS: number,
-    private readonly onTypes: (types: MachineType[]) => Promise<void>,
-    private readonly entitled: () => boolean,
-    /** The state service answers, so that what is stopped here starts there at once. */
-    private readonly calm: () => boolean,
-    private readonly log: Log,
-  ) {
-    this.budget = new Budget(rps * RATE_SHARE);
+  constructor(private readonly options: CloudDutyOptions) {
+    this.clock = options.runtime.clock;
+    ({ cloud: this.cloud, owner: this.owner, log: this.log } = options);
+    this.budget = new Budget(this.clock, options.rps * RATE_SHARE);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -56,42 +71,44 @@
       } catch (err) {
         if (signal.aborted) return;
         this.log.debug({ err: String(err) }, 'cloud');
-        await this.pause(this.reportS / 2, signal);
+        await this.rest(this.options.reportS / 2, signal);
       }
-      await this.pause(this.reportS / 4, signal);
+      await this.rest(this.options.reportS / 4, signal);
     }
   }
 
-  private async pause(seconds: number, signal: AbortSignal): Promise<void> {
-    const ms = seconds * 1000 * (0.75 + Math.random() / 2);
-    await sleep(ms, undefined, { signal }).catch(() => {});
+  private async rest(seconds: number, signal: AbortSignal): Promise<void> {
+    const spread = 0.75 + this.options.runtime.random() / 2;
+    await pause(this.clock, seconds * 1000 * spread, signal);
   }
 
   private async step(signal: AbortSignal): Promise<void> {
-    const now = steady();
+    const { reportS, listLagS, entitled, calm, onTypes } = this.options;
+    const now = this.clock.now();
     const book = this.owner.book;
-    if (now - this.typesAt > 30 * this.reportS || book.types.size === 0) {
+    if (now - this.typesAt > 30 * reportS || book.types.size === 0) {
       await this.budget.take(1, false, signal);
       const types = await this.cloud.catalog(signal);
       for (const t of types) book.types.set(t.name, t);
-      await this.onTypes(types);
+      await onTypes(types, signal);
       this.typesAt = now;
     }
-    if (now - this.listedAt > Math.max(2 * this.reportS, this.listLagS / 2)) {
+    if (now - this.listedAt > Math.max(2 * reportS, listLagS / 2)) {
       await this.list(signal);
     }
     // An owner that nobody may listen to any more takes every machine for silent: it must not
     // release or rent on that.
-    if (!this.entitled()) return;
+    if (!entitled()) return;
     const doomed = this.doomed(now);
     if (doomed.length > 0) await this.release(doomed, signal);
     // After a take-over, first hear what is there.
-    const hears = this.owner.first ? 0 : 4 * this.reportS;
-    const settled = now - this.owner.startedAt > hears && this.listedAt > 0 && this.owner.ready;
-    if (!settled || now - this.planAt < this.reportS) return;
+    const hears = this.owner.first ? 0 : 4 * reportS;
+    const settled =
+      now - this.owner.startedAt > hears && this.listedAt > -Infinity && this.owner.ready;
+    if (!settled || now - this.planAt < reportS) return;
     this.planAt = now;
     const { rent, release, empty } = this.owner.planner.plan(now);
-    if (empty !== null && this.calm()) {
+    if (empty !== null && calm()) {
       this.owner.scheduler.empty(empty, now);
       this.owner.nudge();
       const { machine, moves } = empty;
@@ -105,7 +122,7 @@
   }
 
   private async list(signal: AbortSignal): Promise<void> {
-    const now = steady();
+    const now = this.clock.now();
     const book = this.owner.book;
     let after: string | null = null;
     for (;;) {
@@ -120,7 +137,8 @@
     }
     this.listedAt = now;
     for (const [name, at] of this.releasedAt) {
-      if (now - at > 20 * Math.max(this.listLagS, this.reportS)) this.releasedAt.delete(name);
+      if (now - at > 20 * Math.max(this.options.listLagS, this.options.reportS))
+        this.releasedAt.delete(name);
     }
     book.recomputeFleet();
   }
@@ -146,7 +164,7 @@
     for (const m of this.owner.book.machines.values()) {
       const bootS = this.owner.book.types.get(m.type)?.bootS ?? 0;
       const neverUp = m.state === 'booting' && now - m.bornAt > BOOT_LATE * bootS;
-      const longDark = m.state === 'dark' && now - m.darkAt > 2 * this.leaseS;
+      const longDark = m.state === 'dark' && now - m.darkAt > 2 * this.options.leaseS;
       const drained = m.draining && m.tasks.size === 0;
       const broken = m.errors >= 3 && m.tasks.size === 0;
       if (m.listedFailed || neverUp || longDark || drained || broken) out.push(m);
@@ -159,7 +177,7 @@
     for (const m of machines) m.draining = true;
     await this.budget.take(1, true, signal);
     await this.cloud.release(names, signal);
-    const now = steady();
+    const now = this.clock.now();
     for (const name of names) {
       this.owner.book.released(name, now);
       this.releasedAt.set(name, now);
@@ -170,13 +188,13 @@
 
   private async rent(rental: Rental, signal: AbortSignal): Promise<void> {
     // The term is in the name, so no other life of any controller uses the same.
-    const request = `${this.name}-${this.owner.term.term}-${++this.requests}`;
+    const request = `${this.options.name}-${this.owner.term.term}-${++this.requests}`;
     for (let attempt = 0; attempt < 4; attempt++) {
       await this.budget.take(1, true, signal);
       try {
         const out = await this.cloud.rent(request, rental, signal);
         if (out === 'trouble') continue;
-        const now = steady();
+        const now = this.clock.now();
         const names = out === 'no-capacity' ? [] : out.machines;
         if (names.length < rental.count) {
           const bootS = this.owner.book.types.get(rental.type)?.bootS ?? 0;
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,14 +1,19 @@
 import { setMaxListeners } from 'node:events';
 import http from 'node:http';
 import { filter, Subscription } from 'rxjs';
-import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  aborted,
   answerToWire,
+  Clock,
   CloudClient,
+  Listener,
   MachineType,
   MalformedBody,
+  parseHostPort,
   parseReport,
+  pause,
   redirectToWire,
+  Runtime,
   StateApi,
 } from '#wire';
 import { PeerLink } from '#peer';
@@ -18,7 +23,6 @@
   Ownership,
   PrefixCache,
   StateClient,
-  steady,
   Term,
   TYPES_KEY,
   WORLD,
@@ -52,12 +56,15 @@
 const STATE_SHARE = 0.55;
 const OWNER_WRITES = 0.8;
 const OTHERS_WRITE = 0.3;
+/** How long a connection of a worker or user is kept without a request. */
+const KEEP_ALIVE_MS = 75_000;
 /** Share of the server's connections above which users' connections are not kept. */
 const CROWDED = 0.9;
 /** Report periods between two looks at what the process does and holds. */
 const VITALS_REPORTS = 10;
 
 export class Controller {
+  private readonly clock: Clock;
   private readonly client: StateClient;
   private readonly world: PrefixCache;
   private readonly jobs: JobTable;
@@ -71,6 +78,7 @@
   private readonly asked = new Map<string, number>();
   private types: MachineType[] = [];
   private owner: PartOwner | null = null;
+  private readonly listener: Listener;
   private readonly vitals: Vitals;
   private readonly sockets: { server: number; direct: number };
   private readonly workerLines = new WorkerLines();
@@ -82,15 +90,18 @@
   private readonly reportS: number;
 
   constructor(
+    private readonly runtime: Runtime,
     private readonly settings: Settings,
     private readonly log: Log,
   ) {
+    this.clock = runtime.clock;
     const { deployment: d, external, operator } = settings;
     this.reportS = d.workers.report_s;
     this.sockets = socketShares(d.limits.sockets, settings.peers.length);
     const timeoutMs = this.reportS * 1000;
     this.client = new StateClient(
-      new StateApi(external.state, timeoutMs),
+      this.clock,
+      new StateApi(runtime, external.state, timeoutMs),
       {
         rps: d.state.rps,
         writeRps: d.state.write_rps,
@@ -99,43 +110,75 @@
       },
       d.nodes === 1 ? 0.9 : STATE_SHARE,
     );
+    this.vitals = new Vitals(
+      this.clock,
+      () => ({
+        stateRequests: this.client.requests,
+        stateRefused: this.client.refused,
+        stateChanges: this.client.changes,
+      }),
+      () => this.listener.connections,
+    );
     // Questions wait at the most a fifth of a report period for the read index, and share it.
-    this.vitals = new Vitals(() => ({
-      stateRequests: this.client.requests,
-      stateRefused: this.client.refused,
-      stateChanges: this.client.changes,
-    }));
     const syncSpacingMs = Math.max((5 * d.nodes * 1000) / d.state.rps, timeoutMs / 5);
     const gatherMs = () => timeoutMs * (this.owner ? OWNER_GATHERS : OTHERS_GATHER);
-    this.world = new PrefixCache(this.client, WORLD, WATCH_MS, syncSpacingMs);
-    this.jobs = new JobTable(new PrefixCache(this.client, JOBS, WATCH_MS, syncSpacingMs, gatherMs));
-    this.ownership = new Ownership(
-      this.client,
-      this.world,
-      settings.host_name,
-      0,
-      operator.ownerTtlS,
-    );
-    const [host, port] = settings.cluster_listen.split(':');
-    this.peers = new PeerLink(
-      settings.host_name,
-      { host, port: Number(port) },
-      settings.peers.map((p) => ({ name: p.host_name, addr: p.peer_addr })),
-      timeoutMs / 2,
-      () => [...this.asked.keys()].map((job) => ({ kind: 'abort', job })),
+    const caching = { client: this.client, runtime, watchMs: WATCH_MS, syncSpacingMs };
+    this.world = new PrefixCache({ ...caching, prefix: WORLD });
+    this.jobs = new JobTable(new PrefixCache({ ...caching, prefix: JOBS, gatherMs }));
+    this.ownership = new Ownership({
+      client: this.client,
+      runtime,
+      cache: this.world,
+      name: settings.host_name,
+      part: 0,
+      ttlS: operator.ownerTtlS,
+    });
+    this.peers = new PeerLink({
+      runtime,
+      self: settings.host_name,
+      listen: parseHostPort(settings.cluster_listen),
+      peers: settings.peers.map((p) => ({ name: p.host_name, addr: p.peer_addr })),
+      retryMs: timeoutMs / 2,
+      greeting: () => [...this.asked.keys()].map((job) => ({ kind: 'abort', job })),
+    });
+    this.cloud = new CloudClient(runtime, external.cloud, 4 * timeoutMs);
+    const server = http.createServer(
+      { requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS },
+      this.requestListener(),
     );
-    this.cloud = new CloudClient(external.cloud, 4 * timeoutMs);
+    server.maxConnections = this.sockets.server;
+    this.listener = new Listener(runtime.network, server);
   }
 
+  /**
+   * Runs until the signal aborts. Resolves once all that was started has ended; rejects with ListenError
+   * if an address cannot be had, also only then.
+   */
   async run(signal: AbortSignal): Promise<void> {
-    this.log.info({ startedMs: Math.round(performance.now()) }, 'controller');
+    const stop = new AbortController();
     // Every connection and duty listens to it, and there is one to each peer.
-    setMaxListeners(0, signal);
+    setMaxListeners(0, stop.signal);
+    const end = () => stop.abort();
+    if (signal.aborted) end();
+    signal.addEventListener('abort', end, { once: true });
+    const duties = this.start(stop.signal);
+    try {
+      await Promise.all(duties);
+    } finally {
+      end();
+      signal.removeEventListener('abort', end);
+      this.cloud.close();
+      this.client.close();
+      await Promise.allSettled(duties);
+    }
+  }
+
+  private start(signal: AbortSignal): Promise<void>[] {
     this.world.changes.subscribe((e) => {
       if (e.key === TYPES_KEY && e.value) this.types = e.value as MachineType[];
     });
     this.peers.heard.subscribe(({ from, frame }) => {
-      const now = steady();
+      const now = this.clock.now();
       this.vitals.peerFrames++;
       if (frame.kind === 'status') {
         const servedAt = now - frame.servedAgoMs / 1000;
@@ -144,12 +187,8 @@
         for (const c of frame.jobs) this.jobs.noteCounts(c.job, c.done, c.running);
       } else if (frame.kind === 'abort') this.abortAsked(frame.job);
     });
-    const server = this.listen();
-    signal.addEventListener('abort', () => {
-      server.close();
-      server.closeAllConnections();
-    });
-    await Promise.all([
+    return [
+      this.serve(signal),
       this.world.run(signal),
       this.jobs.cache.run(signal),
       this.ownership.run(signal),
@@ -158,9 +197,13 @@
       this.ownerDuty(signal),
       this.lagDuty(signal),
       this.vitalsDuty(signal),
-    ]);
-    this.cloud.close();
-    this.client.api.close();
+    ];
+  }
+
+  private async serve(signal: AbortSignal): Promise<void> {
+    await this.listener.open(parseHostPort(this.settings.listen));
+    await aborted(signal);
+    await this.listener.close();
   }
 
   private async loadMetrics(): Promise<Metrics> {
@@ -193,8 +236,8 @@
     return metrics;
   }
 
-  private listen(): http.Server {
-    const { deployment: d, listen } = this.settings;
+  private requestListener(): http.RequestListener {
+    const { deployment: d } = this.settings;
     const app = makeApp();
     app.get('/healthz', (_req, res) => {
       const ok = this.healthy();
@@ -207,6 +250,7 @@
         .catch(next);
     });
     new UserApi({
+      clock: this.clock,
       client: this.client,
       commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
       jobs: this.jobs,
@@ -214,31 +258,28 @@
       types: () => this.types,
       onRequest: (kind) => {
         this.vitals.questions++;
-        return this.observed?.questions.startTimer({ kind }) ?? (() => {});
+        return this.timer((s) => this.observed?.questions.observe({ kind }, s));
       },
       overloaded: () => this.lagMs > LAG_LIMIT_MS,
       onAbort: (id) => {
         this.abortAsked(id);
         this.peers.send({ kind: 'abort', job: id });
       },
-      crowded: () => this.vitals.connections > CROWDED * server.maxConnections,
+      crowded: () => this.listener.connections > CROWDED * this.sockets.server,
     }).mount(app);
     mountFallbacks(app);
-    const front = frontOf(app, (body, res) => {
-      const answered = this.observed?.reports.startTimer();
+    return frontOf(app, (body, res) => {
+      const answered = this.timer((s) => this.observed?.reports.observe(s));
       this.hello(body, res);
-      answered?.();
+      answered();
     });
-    const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, front);
-    server.maxConnections = this.sockets.server;
-    this.vitals.watch(server);
-    const [host, port] = listen.split(':');
-    server.on('error', (err) => {
-      this.log.error({ err: err.message, listen }, 'cannot listen');
-      process.exit(1);
-    });
-    server.listen(Number(port), host);
-    return server;
+  }
+
+  /** What it returns tells how many seconds have passed since, once anyone asks for metrics. */
+  private timer(observe: (seconds: number) => void): () => void {
+    if (this.observed === null) return () => {};
+    const startedAt = this.clock.now();
+    return () => observe(this.clock.now() - startedAt);
   }
 
   /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
@@ -254,7 +295,7 @@
 
   private entitled(): Entitlement {
     if (!this.owner) return 'none';
-    const now = steady();
+    const now = this.clock.now();
     const w = this.settings.deployment.workers;
     const out = entitlement({
       now,
@@ -286,7 +327,7 @@
         // until the same bound as for a former owner, every machine counts as just answered.
         const w = this.settings.deployment.workers;
         const until = owner.term.claimedAt + aloneBound(w.cancel_s, w.lease_s, w.report_s);
-        if (steady() > until) {
+        if (this.clock.now() > until) {
           reply(res, 503, { error: 'records are not read yet' });
           return;
         }
@@ -308,7 +349,7 @@
       return;
     }
     const holder = this.ownership.holder;
-    this.strays.set(report.machine, steady());
+    this.strays.set(report.machine, this.clock.now());
     if (holder && holder.owner !== this.settings.host_name) {
       reply(res, 421, redirectToWire(holder.owner));
     } else reply(res, 503, { error: 'no owner yet' });
@@ -320,12 +361,12 @@
    * could still be allowed to run.
    */
   private abortAsked(id: string): void {
-    this.asked.set(id, steady());
+    this.asked.set(id, this.clock.now());
     this.endAsked();
   }
 
   private endAsked(): void {
-    const now = steady();
+    const now = this.clock.now();
     const { cancel_s } = this.settings.deployment.workers;
     for (const [id, at] of this.asked) {
       if (now - at > 2 * cancel_s) this.asked.delete(id);
@@ -336,7 +377,7 @@
   private async statusDuty(signal: AbortSignal): Promise<void> {
     let round = 0;
     while (!signal.aborted) {
-      const agoMs = (steady() - this.client.lastOkAt) * 1000;
+      const agoMs = (this.clock.now() - this.client.lastOkAt) * 1000;
       const strays = this.recentStrays();
       this.peers.send({ kind: 'status', servedAgoMs: agoMs, owner: this.owner !== null, strays });
       this.yieldIfCut();
@@ -350,12 +391,12 @@
         // Cancellations that others took must be known, however quiet the users are here.
         this.jobs.cache.sync().catch(() => {});
       }
-      await sleep(this.reportS * 500, undefined, { signal }).catch(() => {});
+      await pause(this.clock, this.reportS * 500, signal);
     }
   }
 
   private recentStrays(): number {
-    const since = steady() - STRAY_REPORTS * this.reportS;
+    const since = this.clock.now() - STRAY_REPORTS * this.reportS;
     for (const [machine, at] of this.strays) if (at < since) this.strays.delete(machine);
     return this.strays.size;
   }
@@ -363,7 +404,7 @@
   /** Leaves the part to a controller that the workers can reach. */
   private yieldIfCut(): void {
     const { owner } = this;
-    const now = steady();
+    const now = this.clock.now();
     const { lease_s: leaseS } = this.settings.deployment.workers;
     // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
     // owner that none of them ever reaches would let all their leases run out.
@@ -381,9 +422,9 @@
   private async lagDuty(signal: AbortSignal): Promise<void> {
     const stepMs = LAG_LIMIT_MS;
     while (!signal.aborted) {
-      const before = performance.now();
-      await sleep(stepMs, undefined, { signal }).catch(() => {});
-      const lag = performance.now() - before - stepMs;
+      const before = this.clock.now();
+      await pause(this.clock, stepMs, signal);
+      const lag = (this.clock.now() - before) * 1000 - stepMs;
       // One look later a lag that is over turns nobody away.
       this.lagMs = Math.max(lag, this.lagMs * LAG_KEPT);
     }
@@ -391,13 +432,14 @@
 
   private async vitalsDuty(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await sleep(VITALS_REPORTS * this.reportS * 1000, undefined, { signal }).catch(() => {});
+      await pause(this.clock, VITALS_REPORTS * this.reportS * 1000, signal);
       this.log.info({ owner: this.owner !== null, ...this.vitals.look() }, 'vitals');
     }
   }
 
   private async ownerDuty(signal: AbortSignal): Promise<void> {
-    let current: { term: Term; stop: AbortController; done: Promise<void> } | null = null;
+    let current: { term: Term; stop: AbortController } | null = null;
+    const running = new Set<Promise<void>>();
     const terms: Subscription = this.ownership.term
       .pipe(filter((t) => t?.term !== current?.term.term))
       .subscribe((term) => {
@@ -410,52 +452,28 @@
         if (!term) return;
         this.log.info({ term: term.term }, 'term begins');
         const stop = new AbortController();
-        current = { term, stop, done: this.own(term, AbortSignal.any([signal, stop.signal])) };
+        current = { term, stop };
+        const done = this.own(term, AbortSignal.any([signal, stop.signal]));
+        running.add(done);
+        void done.finally(() => running.delete(done));
       });
-    await new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve()));
+    await aborted(signal);
     terms.unsubscribe();
+    await Promise.all(running);
   }
 
   private async own(term: Term, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const owner = new PartOwner(
-        this.settings,
-        this.client,
-        this.jobs,
-        term,
-        () => this.types,
-        () => this.entitled() !== 'none',
-        (roundMs) => {
-          this.vitals.rounds++;
-          this.vitals.roundMs += roundMs;
-          this.observed?.rounds.observe(roundMs / 1000);
-        },
-        this.sockets.direct,
-        this.log,
-      );
-      const { deployment: d, host_name } = this.settings;
-      const duty = new CloudDuty(
-        this.cloud,
-        owner,
-        host_name,
-        d.cloud.rps,
-        d.cloud.list_lag_s,
-        this.reportS,
-        d.workers.lease_s,
-        (types) => this.publishTypes(types),
-        () => this.entitled() !== 'none',
-        () => this.entitled() === 'proven' && !this.client.failing,
-        this.log,
-      );
+      const owner = this.makeOwner(term);
+      const duty = this.makeCloudDuty(owner);
       this.owner = owner;
       const both = new AbortController();
       const own = AbortSignal.any([signal, both.signal]);
       // Every call to a worker listens to it.
       setMaxListeners(0, own);
+      const cloud = duty.run(own);
       try {
-        const cloud = duty.run(own);
         await owner.run(own);
-        await cloud;
       } catch (err) {
         if (signal.aborted) return;
         // A book that has given orders knows what may still arrive; it can't be made anew in its term.
@@ -465,21 +483,59 @@
           return;
         }
         this.log.debug({ err: String(err) }, 'owner starts anew');
-        await sleep(this.reportS * 200, undefined, { signal }).catch(() => {});
+        await pause(this.clock, this.reportS * 200, signal);
       } finally {
         both.abort();
+        await cloud;
       }
     }
   }
 
+  private makeOwner(term: Term): PartOwner {
+    return new PartOwner({
+      runtime: this.runtime,
+      settings: this.settings,
+      client: this.client,
+      jobs: this.jobs,
+      term,
+      types: () => this.types,
+      entitled: () => this.entitled() !== 'none',
+      onRound: (roundMs) => {
+        this.vitals.rounds++;
+        this.vitals.roundMs += roundMs;
+        this.observed?.rounds.observe(roundMs / 1000);
+      },
+      directSockets: this.sockets.direct,
+      log: this.log,
+    });
+  }
+
+  private makeCloudDuty(owner: PartOwner): CloudDuty {
+    const { deployment, host_name } = this.settings;
+    return new CloudDuty({
+      runtime: this.runtime,
+      cloud: this.cloud,
+      owner,
+      name: host_name,
+      rps: deployment.cloud.rps,
+      listLagS: deployment.cloud.list_lag_s,
+      reportS: this.reportS,
+      leaseS: deployment.workers.lease_s,
+      onTypes: (types, signal) => this.publishTypes(types, signal),
+      entitled: () => this.entitled() !== 'none',
+      calm: () => this.entitled() === 'proven' && !this.client.failing,
+      log: this.log,
+    });
+  }
+
   /** Types and their nominal sizes, for the controllers that don't ask the cloud themselves. */
-  private async publishTypes(types: MachineType[]): Promise<void> {
+  private async publishTypes(types: MachineType[], signal: AbortSignal): Promise<void> {
     const known = JSON.stringify(this.types.map(sizesOf));
     if (this.types.length > 0 && known === JSON.stringify(types.map(sizesOf))) {
       this.types = types;
       return;
     }
-    const out = await this.client.txn([], [{ put: TYPES_KEY, value: types }], true);
+    const out = await this.client.txn([], [{ put: TYPES_KEY, value: types }], true, signal);
     if (out.ok) this.world.learn(TYPES_KEY, types, out.revision);
   }
 }
--- a/packages/controller/direct.ts
+++ b/packages/controller/direct.ts
@@ -1,6 +1,17 @@
-import { CborClient, commandToWire, Order, parseReport } from '#wire';
+import { CborClient, commandToWire, Order, parseReport, Runtime } from '#wire';
 import type { Book, Machine } from '#core';
-import { steady } from '#store';
+
+export interface DirectCommandsOptions {
+  runtime: Runtime;
+  book: Book;
+  timeoutMs: number;
+  /** Connections that may be open at once: one for each machine would not fit a large fleet. */
+  maxConnections: number;
+  /** Told of commands that go out. */
+  onOrders: (machine: Machine, orders: Order[]) => void;
+  /** Told when a call has ended and its outcome is in the book. */
+  onDone: () => void;
+}
 
 /** Commands that go to workers at once instead of waiting for their next report. */
 export class DirectCommands {
@@ -9,24 +20,18 @@
   /** Machines with a call under way. */
   private readonly busy = new Set<string>();
 
-  constructor(
-    private readonly book: Book,
-    private readonly timeoutMs: number,
-    /** Connections that may be open at once: one for each machine would not fit a large fleet. */
-    private readonly most: number,
-    private readonly onOrders: (machine: Machine, orders: Order[]) => void,
-    private readonly onDone: () => void,
-  ) {}
+  constructor(private readonly options: DirectCommandsOptions) {}
 
   /** Sends what is due; at most one call to a machine is under way. */
   push(signal: AbortSignal): void {
-    const now = steady();
-    for (const machine of [...this.book.due]) {
+    const { runtime, book, maxConnections, onOrders } = this.options;
+    const now = runtime.clock.now();
+    for (const machine of [...book.due]) {
       // The rest goes out with the next push, or in answers to reports.
-      if (this.busy.size >= this.most) return;
-      const orders = this.book.directOrders(machine, now);
+      if (this.busy.size >= maxConnections) return;
+      const orders = book.directOrders(machine, now);
       if (orders.length === 0) continue;
-      this.onOrders(machine, orders);
+      onOrders(machine, orders);
       void this.send(machine, orders, signal);
     }
   }
@@ -42,16 +47,17 @@
   }
 
   private client(machine: Machine): CborClient {
+    const { runtime, maxConnections } = this.options;
     let client = this.clients.get(machine.name);
     this.clients.delete(machine.name);
     if (client && client.addr !== machine.addr) {
       client.http.close();
       client = undefined;
     }
-    client ??= { addr: machine.addr, http: new CborClient(machine.addr, 1) };
+    client ??= { addr: machine.addr, http: new CborClient(runtime, machine.addr, 1) };
     this.clients.set(machine.name, client);
     for (const name of this.clients.keys()) {
-      if (this.clients.size <= this.most) break;
+      if (this.clients.size <= maxConnections) break;
       if (!this.busy.has(name)) this.drop(name);
     }
     return client.http;
@@ -63,23 +69,25 @@
   }
 
   private async send(machine: Machine, orders: Order[], signal: AbortSignal): Promise<void> {
+    const { runtime, book, timeoutMs, onDone } = this.options;
+    const { clock } = runtime;
     const body = commandToWire(machine.token, machine.session, orders);
-    const options = { timeoutMs: this.timeoutMs, signal, body };
+    const options = { timeoutMs, signal, body };
     this.busy.add(machine.name);
     try {
       const res = await this.client(machine).call('POST', '/orders', options);
       if (res.status === 200) {
-        this.book.directAnswered(machine, orders, { report: parseReport(res.body) }, steady());
+        book.directAnswered(machine, orders, { report: parseReport(res.body) }, clock.now());
       } else {
         const refused = res.status === 409 || res.status === 400;
-        this.book.directAnswered(machine, orders, refused ? 'refused' : 'unknown', steady());
+        book.directAnswered(machine, orders, refused ? 'refused' : 'unknown', clock.now());
       }
     } catch {
       // No answer, or one that can't be read: the commands may have been carried out.
-      this.book.directAnswered(machine, orders, 'unknown', steady());
+      book.directAnswered(machine, orders, 'unknown', clock.now());
     }
     this.busy.delete(machine.name);
-    if (!this.book.machines.has(machine.name)) this.drop(machine.name);
-    this.onDone();
+    if (!book.machines.has(machine.name)) this.drop(machine.name);
+    onDone();
   }
 }
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -6,5 +6,6 @@
 export * from './log.js';
 export * from './operator.js';
 export type { PartOwner } from './owner.js';
+export * from './pacer.js';
 export * from './settings.js';
 export * from './sockets.js';
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,6 +1,4 @@
-import { interval, merge, Subject, throttle, timer } from 'rxjs';
-import { setTimeout as sleep } from 'node:timers/promises';
-import type { MachineType, Order, Report } from '#wire';
+import { Clock, MachineType, Order, Report, Runtime, WakeablePause } from '#wire';
 import { Book, CapacityPlanner, JobState, Scheduler } from '#core';
 import {
   JobRecord,
@@ -10,52 +8,70 @@
   maxTasksPerMachine,
   PROGRESS,
   StateClient,
-  steady,
   Term,
 } from '#store';
 import { DirectCommands } from './direct.js';
 import { aloneBound } from './entitlement.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
+import { Pacer } from './pacer.js';
 import { Recorder, runningCount, TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 const ROUND_DECISIONS = 200;
 
+/** Rounds in a report period if nothing asks for more. */
+const ROUND_TICKS = 4;
 /** Rounds per decision tick at the most, and the multiple of its own time that a round pauses after. */
 const ROUNDS_A_TICK = 5;
 const ROUND_REST = 3;
 
+export interface PartOwnerOptions {
+  runtime: Runtime;
+  settings: Settings;
+  client: StateClient;
+  jobs: JobTable;
+  term: Term;
+  types: () => MachineType[];
+  entitled: () => boolean;
+  /** Told how long each scheduling round took. */
+  onRound: (ms: number) => void;
+  /** Connections that may be open for direct commands. */
+  directSockets: number;
+  log: Log;
+}
+
 /** One term of owning a part: its book, the recorder behind it and the duties that drive it. */
 export class PartOwner {
   readonly book: Book;
   readonly planner: CapacityPlanner;
   readonly scheduler: Scheduler;
   readonly recorder: Recorder;
+  readonly term: Term;
+  /** Steady seconds. */
+  readonly startedAt: number;
+  private readonly clock: Clock;
+  private readonly settings: Settings;
+  private readonly client: StateClient;
+  private readonly jobs: JobTable;
+  private readonly log: Log;
   private readonly direct: DirectCommands;
-  readonly startedAt = steady();
+  private rounds: Pacer | null = null;
+  private readonly idle: WakeablePause;
   /** The records are read and orders may have been given. */
   ready = false;
   /** No earlier owner has recorded any machine. */
   first = false;
   private summaryAt = -Infinity;
-  /** How long the last round took. */
-  private roundMs = 0;
-  private readonly poke = new Subject<void>();
-  private wakeFlush: () => void = () => {};
 
-  constructor(
-    private readonly settings: Settings,
-    private readonly client: StateClient,
-    private readonly jobs: JobTable,
-    readonly term: Term,
-    private readonly types: () => MachineType[],
-    private readonly entitled: () => boolean,
-    private readonly onRound: (ms: number) => void,
-    directSockets: number,
-    private readonly log: Log,
-  ) {
+  constructor(private readonly options: PartOwnerOptions) {
+    const { runtime, settings, client, jobs, term, log } = options;
+    this.clock = runtime.clock;
+    this.startedAt = this.clock.now();
+    this.idle = new WakeablePause(this.clock);
+    ({ settings: this.settings, client: this.client, jobs: this.jobs } = options);
+    ({ term: this.term, log: this.log } = options);
     const { deployment, operator } = settings;
     const w = deployment.workers;
     this.book = new Book(
@@ -90,14 +106,15 @@
       preemptAfterS: operator.preemptAfterS,
       decisionsPerRound: ROUND_DECISIONS,
     });
-    this.recorder = new Recorder(client, this.book, jobs, term, log);
-    this.direct = new DirectCommands(
-      this.book,
-      2 * w.report_s * 1000,
-      directSockets,
-      (machine, orders) => this.logOrders(machine.name, orders),
-      () => this.nudge(),
-    );
+    this.recorder = new Recorder({ runtime, client, book: this.book, jobs, term, log });
+    this.direct = new DirectCommands({
+      runtime,
+      book: this.book,
+      timeoutMs: 2 * w.report_s * 1000,
+      maxConnections: options.directSockets,
+      onOrders: (machine, orders) => this.logOrders(machine.name, orders),
+      onDone: () => this.nudge(),
+    });
     this.book.onUp = (machine, now) => {
       this.planner.noteUp(machine, now);
       const { name, type, zone, spot, bornAt } = machine;
@@ -136,34 +153,22 @@
       { term: this.term.term, jobs: this.book.open.size, machines: this.book.machines.size },
       'owner',
     );
-    const tickMs = (this.settings.deployment.workers.report_s * 1000) / 4;
     const jobs = this.jobs.changed.subscribe((r) => this.takeJob(r, true));
-    const rounds = merge(this.poke, interval(tickMs))
-      .pipe(
-        // However long rounds become, reports and users get the larger part of the processor.
-        throttle(() => timer(Math.max(tickMs / ROUNDS_A_TICK, ROUND_REST * this.roundMs)), {
-          leading: true,
-          trailing: true,
-        }),
-      )
-      .subscribe(() => {
-        const startedAt = performance.now();
-        this.round(signal);
-        this.roundMs = performance.now() - startedAt;
-        this.onRound(this.roundMs);
-      });
+    const rounds = this.makePacer(signal);
+    this.rounds = rounds;
+    rounds.start();
     try {
       await this.flushLoop(signal);
     } finally {
       jobs.unsubscribe();
-      rounds.unsubscribe();
+      rounds.stop();
       this.direct.close();
     }
   }
 
   /** Asks for a scheduling round soon. */
   nudge(): void {
-    this.poke.next();
+    this.rounds?.request();
   }
 
   /** A user gives the job up; its record may be still to come. */
@@ -175,8 +180,8 @@
   }
 
   private takeJob(record: JobRecord, fresh: boolean): JobState {
-    const now = steady();
-    const ageS = Math.max(0, (Date.now() - record.acceptedAtMs) / 1000);
+    const now = this.clock.now();
+    const ageS = Math.max(0, (this.clock.wallMs() - record.acceptedAtMs) / 1000);
     const isNew = !this.book.jobs.has(record.job.id);
     const state = this.book.addJob(record.job, now - ageS, record.phase, now);
     if (isNew && record.phase === 'accepted') this.planner.noteArrival(record.job, now);
@@ -185,12 +190,12 @@
   }
 
   private async load(signal: AbortSignal): Promise<void> {
-    for (const type of this.types()) this.book.types.set(type.name, type);
+    for (const type of this.options.types()) this.book.types.set(type.name, type);
     // All that is durable before our claim, jobs first: records name them.
     await this.jobs.cache.sync();
     const machines = await listAll(this.client, MACHINES, signal);
     const progress = await listAll(this.client, PROGRESS, signal);
-    const now = steady();
+    const now = this.clock.now();
     const held = new Set(
       machines.entries.flatMap((e) => (e.value as MachineRecord).tasks.map(([job]) => job)),
     );
@@ -221,8 +226,31 @@
     this.book.recomputeFleet();
   }
 
-  private round(signal: AbortSignal): void {
-    const now = steady();
+  private makePacer(signal: AbortSignal): Pacer {
+    const tickMs = (this.settings.deployment.workers.report_s * 1000) / ROUND_TICKS;
+    return new Pacer({
+      clock: this.clock,
+      periodMs: tickMs,
+      minRestMs: tickMs / ROUNDS_A_TICK,
+      restRatio: ROUND_REST,
+      run: () => this.timedRound(signal),
+      onError: (err) => {
+        this.log.error({ err: err instanceof Error ? err.stack : String(err) }, 'unexpected');
+      },
+    });
+  }
+
+  /** True if the round made as many decisions as it may, and the next one is to follow at once. */
+  private timedRound(signal: AbortSignal): boolean {
+    const startedAt = this.clock.now();
+    const decided = this.round(signal);
+    this.options.onRound((this.clock.now() - startedAt) * 1000);
+    return decided >= ROUND_DECISIONS;
+  }
+
+  /** Returns the number of decisions. */
+  private round(signal: AbortSignal): number {
+    const now = this.clock.now();
     const dark = this.book.expire(now);
     for (const m of dark) this.log.info({ machine: m.name }, 'machine silent past its lease');
     this.book.recomputeFleet();
@@ -238,10 +266,10 @@
     }
     this.scheduler.reserve(now);
     const decided = this.scheduler.round(now);
-    if (decided >= ROUND_DECISIONS) this.nudge();
-    if (this.recorder.pending) this.wakeFlush();
-    if (this.entitled()) this.direct.push(signal);
+    if (this.recorder.pending) this.idle.wake();
+    if (this.options.entitled()) this.direct.push(signal);
     this.summarise(now);
+    return decided;
   }
 
   private summarise(now: number): void {
@@ -253,7 +281,7 @@
 
   /** The fleet, its use and what waits, as operators want to see it. */
   fleet() {
-    const now = steady();
+    const now = this.clock.now();
     const states: Record<string, number> = {};
     let idle = 0;
     for (const m of this.book.machines.values()) {
@@ -276,30 +304,23 @@
   }
 
   private async flushLoop(signal: AbortSignal): Promise<void> {
-    const tickMs = this.settings.deployment.workers.report_s * 250;
+    const tickMs = (this.settings.deployment.workers.report_s * 1000) / ROUND_TICKS;
     while (!signal.aborted) {
       if (this.recorder.pending) {
         await this.recorder.flush(signal);
-        if (this.entitled()) this.direct.push(signal);
-        continue;
-      }
-      const early = new AbortController();
-      this.wakeFlush = () => early.abort();
-      await sleep(tickMs, undefined, { signal: AbortSignal.any([signal, early.signal]) }).catch(
-        () => {},
-      );
-      this.wakeFlush = () => {};
+        if (this.options.entitled()) this.direct.push(signal);
+      } else await this.idle.wait(tickMs, signal);
     }
   }
 
   /** Takes a report and says what to answer; null for a late copy. */
   report(r: Report): Order[] | null {
     const before = this.recorder.pending;
-    const orders = this.book.report(r, steady());
+    const orders = this.book.report(r, this.clock.now());
     if (orders === null) return null;
     this.logOrders(r.machine, orders);
     if (this.recorder.pending && !before) {
-      this.wakeFlush();
+      this.idle.wake();
       this.nudge();
     }
     return orders;
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -1,5 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-import { Change, Condition } from '#wire';
+import { Change, Condition, Runtime, sleep } from '#wire';
 import type { Assignment, Book, JobState, Machine } from '#core';
 import { allPlaces } from '#core';
 import {
@@ -27,12 +26,25 @@
   again: () => void;
 }
 
+/** Before a transaction is sent again: at least so long, and up to so much longer. */
+const RETRY_MS = 100;
+const RETRY_SPREAD_MS = 200;
+
 /** Half of a transaction's 64 KiB: keys, conditions and CBOR come on top. */
 const TXN_BYTES = 48 * 1024;
 
 /** Our own records are not as this term left them: the term must not be used further. */
 export class TermBroken extends Error {}
 
+export interface RecorderOptions {
+  runtime: Runtime;
+  client: StateClient;
+  book: Book;
+  jobs: JobTable;
+  term: Term;
+  log: Log;
+}
+
 /**
  * Makes the book's changes durable, one transaction at a time, each on the condition of the part's
  * term and of every record's version. A transaction whose outcome is unknown is sent again as it
@@ -42,14 +54,16 @@
   private readonly versions = new Map<string, number>();
   private readonly chunkTasks: number;
 
-  constructor(
-    private readonly client: StateClient,
-    private readonly book: Book,
-    private readonly jobs: JobTable,
-    private readonly term: Term,
-    private readonly log: Log,
-  ) {
-    this.chunkTasks = progressChunkTasks(client.limits.valueBytes);
+  private readonly client: StateClient;
+  private readonly book: Book;
+  private readonly jobs: JobTable;
+  private readonly term: Term;
+  private readonly log: Log;
+
+  constructor(private readonly options: RecorderOptions) {
+    ({ client: this.client, book: this.book, jobs: this.jobs } = options);
+    ({ term: this.term, log: this.log } = options);
+    this.chunkTasks = progressChunkTasks(this.client.limits.valueBytes);
   }
 
   loaded(key: string, version: number): void {
@@ -73,7 +87,8 @@
         if (await this.send(items, signal)) return;
       } catch (err) {
         if (err instanceof TermBroken || signal.aborted) throw err;
-        await sleep(100 + Math.random() * 200, undefined, { signal });
+        const { runtime } = this.options;
+        await sleep(runtime.clock, RETRY_MS + runtime.random() * RETRY_SPREAD_MS, signal);
       }
     }
   }
--- a/packages/controller/sockets.ts
+++ b/packages/controller/sockets.ts
@@ -1,4 +1,4 @@
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { MAX_SOCKETS } from '#wire';
 
 /** Of what peers, state service and cloud leave; a machine's direct connection serves few commands. */
@@ -20,10 +20,10 @@
  * connection open here without a sign; the old ones of a whole zone would use up the sockets.
  */
 export class WorkerLines {
-  private readonly lines = new Map<string, Socket>();
+  private readonly lines = new Map<string, Duplex>();
 
   /** A worker's newest report came on this connection; copies of older ones must not be told here. */
-  heard(machine: string, socket: Socket | null): void {
+  heard(machine: string, socket: Duplex | null): void {
     const before = this.lines.get(machine);
     if (socket === null || before === socket) return;
     before?.destroy();
--- a/packages/controller/vitals.ts
+++ b/packages/controller/vitals.ts
@@ -1,4 +1,4 @@
-import type http from 'node:http';
+import type { Clock } from '#wire';
 
 /** What one controller did and holds, counted where it happens; for its log and for operators. */
 export class Vitals {
@@ -7,19 +7,18 @@
   peerFrames = 0;
   rounds = 0;
   roundMs = 0;
-  private at = performance.now();
+  private lookedAt: number;
   private cpu = process.cpuUsage();
   private last: Record<string, number> = {};
-  connections = 0;
 
-  constructor(private readonly counted: () => Record<string, number>) {}
-
-  /** Follows how many connections the server holds. */
-  watch(server: http.Server): void {
-    server.on('connection', (socket) => {
-      this.connections++;
-      socket.once('close', () => this.connections--);
-    });
+  constructor(
+    private readonly clock: Clock,
+    /** What others count since the start. */
+    private readonly counted: () => Record<string, number>,
+    /** Connections of workers and users that are open now. */
+    private readonly connections: () => number,
+  ) {
+    this.lookedAt = clock.now();
   }
 
   /** Totals since the start. */
@@ -31,13 +30,13 @@
   /** What the process holds now. */
   held(): Record<string, number> {
     const { heapUsed, rss } = process.memoryUsage();
-    return { connections: this.connections, heapMb: mb(heapUsed), sizeMb: mb(rss) };
+    return { connections: this.connections(), heapMb: mb(heapUsed), sizeMb: mb(rss) };
   }
 
   /** Rates since the last call, and what is held now. */
   look(): Record<string, number> {
-    const now = performance.now();
-    const seconds = Math.max(1e-3, (now - this.at) / 1000);
+    const now = this.clock.now();
+    const seconds = Math.max(1e-3, now - this.lookedAt);
     const used = process.cpuUsage(this.cpu);
     const totals = this.totals();
     const out: Record<string, number> = {
@@ -46,7 +45,7 @@
     for (const [name, total] of Object.entries(totals)) {
       out[`${name}PerS`] = round((total - (this.last[name] ?? 0)) / seconds);
     }
-    this.at = now;
+    this.lookedAt = now;
     this.cpu = process.cpuUsage();
     this.last = totals;
     return { ...out, ...this.held() };
--- a/packages/peer/link.ts
+++ b/packages/peer/link.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
+import type { Duplex } from 'node:stream';
 import { Subject } from 'rxjs';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { aborted, every, HostPort, Listener, parseHostPort, pause, Runtime, Timer } from '#wire';
 import { BadFrame, encodeFrame, Frame, FrameReader } from './frames.js';
 
 export interface PeerAddress {
@@ -8,10 +9,26 @@
   addr: string;
 }
 
+export interface PeerLinkOptions {
+  runtime: Runtime;
+  /** This controller's name. */
+  self: string;
+  listen: HostPort;
+  peers: PeerAddress[];
+  /** Time between two attempts to reach a peer, give or take a half. */
+  retryMs: number;
+  /** What a peer is told on each new connection, since it may have missed it. */
+  greeting?: () => Frame[];
+}
+
 /** Bytes that may wait for a slow peer before frames to it are dropped. */
 const MAX_BACKLOG = 1 << 20;
+/** Retry periods within which a connection must be open. */
+const DIAL_PERIODS = 4;
 /** Retry periods without a word from a peer after which its connection is given up. */
 const SILENCES = 16;
+/** Connections that are taken for each controller: the present one and those that it replaces. */
+const CONNECTIONS_PER_PEER = 4;
 
 /**
  * Every controller dials every other and speaks on its own connection; what it hears comes on the
@@ -19,97 +36,108 @@
  */
 export class PeerLink {
   readonly heard = new Subject<{ from: string; frame: Frame }>();
-  private readonly out = new Map<string, net.Socket>();
+  private readonly out = new Map<string, Duplex>();
+  /** When each peer was last heard; steady seconds. */
   private readonly lastHeard = new Map<string, number>();
-  private readonly server: net.Server;
+  private readonly listener: Listener;
 
-  constructor(
-    private readonly self: string,
-    private readonly listen: { host: string; port: number },
-    private readonly peers: PeerAddress[],
-    private readonly retryMs: number,
-    /** What a peer is told on each new connection, since it may have missed it. */
-    private readonly greeting: () => Frame[] = () => [],
-  ) {
-    this.server = net.createServer((socket) => this.receive(socket));
-    this.server.maxConnections = 4 * (peers.length + 1);
+  constructor(private readonly options: PeerLinkOptions) {
+    const server = net.createServer((connection) => this.receive(connection));
+    server.maxConnections = CONNECTIONS_PER_PEER * (options.peers.length + 1);
+    this.listener = new Listener(options.runtime.network, server);
   }
 
+  /** Links until the signal aborts, then ends all connections; rejects with ListenError. */
   async run(signal: AbortSignal): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.listen.port, this.listen.host, resolve);
-    });
-    signal.addEventListener('abort', () => this.close());
-    await Promise.all(this.peers.map((p) => this.dial(p, signal)));
+    await this.listener.open(this.options.listen);
+    await Promise.all(this.options.peers.map((peer) => this.keepDialling(peer, signal)));
+    await aborted(signal);
+    await this.listener.close();
   }
 
+  /** Tells all peers that are reachable. */
   send(frame: Frame): void {
     const bytes = encodeFrame(frame);
-    for (const socket of this.out.values()) {
-      if (socket.writableLength < MAX_BACKLOG) socket.write(bytes);
+    for (const connection of this.out.values()) {
+      if (connection.writableLength < MAX_BACKLOG) connection.write(bytes);
     }
   }
 
-  private close(): void {
-    this.server.close();
-    for (const socket of this.out.values()) socket.destroy();
+  private async keepDialling(peer: PeerAddress, signal: AbortSignal): Promise<void> {
+    const { runtime, retryMs } = this.options;
+    while (!signal.aborted) {
+      await this.dial(peer, signal);
+      await pause(runtime.clock, retryMs * (0.5 + runtime.random()), signal);
+    }
   }
 
-  private async dial(peer: PeerAddress, signal: AbortSignal): Promise<void> {
-    const colon = peer.addr.lastIndexOf(':');
-    const host = peer.addr.slice(0, colon);
-    const port = Number(peer.addr.slice(colon + 1));
-    while (!signal.aborted) {
-      await new Promise<void>((resolve) => {
-        const socket = net.connect({ host, port });
-        socket.setNoDelay(true);
-        const giveUp = setTimeout(() => socket.destroy(), 4 * this.retryMs);
-        socket.on('connect', () => {
-          clearTimeout(giveUp);
-          socket.write(encodeFrame({ kind: 'hello', name: this.self }));
-          for (const frame of this.greeting()) socket.write(encodeFrame(frame));
-          this.out.set(peer.name, socket);
-        });
-        // Nothing is answered on this connection; bytes that come are dropped.
-        socket.on('data', () => {});
-        // A cut-off peer leaves written bytes unacknowledged without an error; dial it anew.
-        const since = performance.now();
-        const watch = setInterval(() => {
-          const heardAt = Math.max(since, this.lastHeard.get(peer.name) ?? 0);
-          if (performance.now() - heardAt > SILENCES * this.retryMs) socket.destroy();
-        }, this.retryMs);
-        socket.on('error', () => {});
-        socket.on('close', () => {
-          clearTimeout(giveUp);
-          clearInterval(watch);
-          if (this.out.get(peer.name) === socket) this.out.delete(peer.name);
-          resolve();
-        });
+  /** Opens one connection to a peer; resolves once it has ended. */
+  private dial(peer: PeerAddress, signal: AbortSignal): Promise<void> {
+    const { runtime, retryMs } = this.options;
+    const { clock, network } = runtime;
+    return new Promise((resolve) => {
+      const connection = network.connect(parseHostPort(peer.addr));
+      const end = () => void connection.destroy();
+      const giveUp = clock.setTimer(end, DIAL_PERIODS * retryMs);
+      const silence = this.watchSilence(peer, end);
+      signal.addEventListener('abort', end);
+      connection.on('connect', () => {
+        giveUp.cancel();
+        this.greet(connection);
+        this.out.set(peer.name, connection);
       });
-      await sleep(this.retryMs * (0.5 + Math.random()), undefined, { signal }).catch(() => {});
-    }
+      // Nothing is answered on this connection; bytes that come are dropped.
+      connection.on('data', () => {});
+      connection.on('error', () => {});
+      connection.on('close', () => {
+        giveUp.cancel();
+        silence.cancel();
+        signal.removeEventListener('abort', end);
+        if (this.out.get(peer.name) === connection) this.out.delete(peer.name);
+        resolve();
+      });
+    });
+  }
+
+  private greet(connection: Duplex): void {
+    const { self, greeting } = this.options;
+    connection.write(encodeFrame({ kind: 'hello', name: self }));
+    for (const frame of greeting?.() ?? []) connection.write(encodeFrame(frame));
+  }
+
+  /** A cut-off peer leaves written bytes unacknowledged without an error; it must be dialled anew. */
+  private watchSilence(peer: PeerAddress, end: () => void): Timer {
+    const { runtime, retryMs } = this.options;
+    const { clock } = runtime;
+    const since = clock.now();
+    return every(clock, retryMs, () => {
+      const heardAt = Math.max(since, this.lastHeard.get(peer.name) ?? -Infinity);
+      if ((clock.now() - heardAt) * 1000 > SILENCES * retryMs) end();
+    });
   }
 
-  private receive(socket: net.Socket): void {
+  private receive(connection: Duplex): void {
     const reader = new FrameReader();
     let from: string | null = null;
-    socket.on('error', () => {});
-    socket.on('data', (chunk: Buffer) => {
+    connection.on('error', () => {});
+    connection.on('data', (chunk: Buffer) => {
       try {
         for (const frame of reader.push(chunk)) {
-          if (frame.kind === 'hello') {
-            if (!this.peers.some((p) => p.name === frame.name)) throw new BadFrame('unknown peer');
-            from = frame.name;
-          } else if (from === null) throw new BadFrame('no hello');
+          if (frame.kind === 'hello') from = this.known(frame.name);
+          else if (from === null) throw new BadFrame('no hello');
           else {
-            this.lastHeard.set(from, performance.now());
+            this.lastHeard.set(from, this.options.runtime.clock.now());
             this.heard.next({ from, frame });
           }
         }
       } catch {
-        socket.destroy();
+        connection.destroy();
       }
     });
   }
+
+  private known(name: string): string {
+    if (!this.options.peers.some((peer) => peer.name === name)) throw new BadFrame('unknown peer');
+    return name;
+  }
 }
--- a/packages/store/budget.ts
+++ b/packages/store/budget.ts
@@ -1,12 +1,16 @@
-import { setTimeout as sleep } from 'node:timers/promises';
+import { Clock, sleep } from '#wire';
 
 /** A rate with one second's worth of burst. Urgent takers overdraw; others wait for a reserve. */
 export class Budget {
   private level: number;
-  private at = performance.now();
+  private refilledAt: number;
 
-  constructor(private perSecond: number) {
+  constructor(
+    private readonly clock: Clock,
+    private perSecond: number,
+  ) {
     this.level = perSecond;
+    this.refilledAt = clock.now();
   }
 
   /** Another rate from now on. */
@@ -16,9 +20,10 @@
   }
 
   private refill(): void {
-    const now = performance.now();
-    this.level = Math.min(this.perSecond, this.level + ((now - this.at) / 1000) * this.perSecond);
-    this.at = now;
+    const now = this.clock.now();
+    const gained = (now - this.refilledAt) * this.perSecond;
+    this.level = Math.min(this.perSecond, this.level + gained);
+    this.refilledAt = now;
   }
 
   left(): number {
@@ -38,7 +43,7 @@
     for (;;) {
       const wait = this.waitMs(n, urgent);
       if (wait === 0) break;
-      await sleep(wait, undefined, { signal });
+      await sleep(this.clock, wait, signal);
     }
     this.level -= n;
   }
--- a/packages/store/cache.ts
+++ b/packages/store/cache.ts
@@ -1,10 +1,28 @@
 import { Subject } from 'rxjs';
-import { setTimeout as sleep } from 'node:timers/promises';
-import type { Entry, WatchEvent } from '#wire';
-import { StateClient, steady } from './client.js';
+import { Entry, pause, Runtime, sleep, WatchEvent } from '#wire';
+import { StateClient } from './client.js';
+
+/** Before a failed watch is tried again: at least so long, and up to so much longer. */
+const RETRY_MS = 200;
+const RETRY_SPREAD_MS = 300;
 
 export class NotReady extends Error {}
 
+export interface PrefixCacheOptions {
+  client: StateClient;
+  runtime: Runtime;
+  prefix: string;
+  /** How long the service may hold a request of the watch. */
+  watchMs: number;
+  /** Least time between two read indexes. */
+  syncSpacingMs: number;
+  /**
+   * Pause between two answers of the watch, 0 by default. Without it each change of any job wakes every
+   * controller at once, and these wakes were most of what the controllers that own nothing did.
+   */
+  gatherMs?: () => number;
+}
+
 /**
  * All keys under a prefix, kept current by a watch. `sync` is the read index: one cheap request,
  * sent after the call, brings the cache to the service's revision for all who wait.
@@ -14,41 +32,34 @@
   private revision: number | null = null;
   private syncing: Promise<void> | null = null;
   private queued: Promise<void> | null = null;
+  /** When the last read index was sent; steady seconds. */
   private lastSyncAt = -Infinity;
   /** When the newest request that brought the cache up to date was sent. */
   syncedAt = -Infinity;
   readonly changes = new Subject<WatchEvent>();
 
-  constructor(
-    private readonly client: StateClient,
-    readonly prefix: string,
-    private readonly watchMs: number,
-    private readonly syncSpacingMs: number,
-    /**
-     * Pause between two answers of the watch. Without it each change of any job wakes every controller
-     * at once, and these wakes were most of what the controllers that own nothing did.
-     */
-    private readonly gatherMs: () => number = () => 0,
-  ) {}
+  constructor(private readonly options: PrefixCacheOptions) {}
 
   get ready(): boolean {
     return this.revision !== null;
   }
 
   async run(signal: AbortSignal): Promise<void> {
+    const { client, runtime, prefix, watchMs, gatherMs } = this.options;
     while (!signal.aborted) {
       try {
         if (this.revision === null) await this.load(signal);
         const after = this.revision!;
-        const out = await this.client.call(false, signal, (api) =>
-          api.changes(this.prefix, after, this.watchMs, signal),
+        const out = await client.call(false, signal, (api) =>
+          api.changes(prefix, after, watchMs, signal),
         );
         if (out === 'too-old') this.revision = null;
         else this.apply(out.events, out.revision);
-        await sleep(this.gatherMs(), undefined, { signal });
+        await sleep(runtime.clock, gatherMs?.() ?? 0, signal);
       } catch {
         if (signal.aborted) return;
-        await sleep(200 + Math.random() * 300, undefined, { signal }).catch(() => {});
+        const delayMs = RETRY_MS + runtime.random() * RETRY_SPREAD_MS;
+        await pause(runtime.clock, delayMs, signal);
       }
     }
   }
@@ -68,23 +79,7 @@
   }
 
   private startSync(): Promise<void> {
-    const run = (async () => {
-      const pause = this.lastSyncAt + this.syncSpacingMs - performance.now();
-      if (pause > 0) await sleep(pause);
-      this.lastSyncAt = performance.now();
-      const sentAt = steady();
-      const after = this.revision;
-      if (after === null) throw new NotReady();
-      const out = await this.client.call(true, undefined, (api) =>
-        api.changes(this.prefix, after, 0),
-      );
-      if (out === 'too-old') {
-        this.revision = null;
-        throw new NotReady();
-      }
-      this.apply(out.events, out.revision);
-      this.syncedAt = sentAt;
-    })();
+    const run = this.readIndex();
     this.syncing = run;
     const done = () => {
       if (this.syncing === run) this.syncing = null;
@@ -93,14 +88,33 @@
     return run;
   }
 
+  private async readIndex(): Promise<void> {
+    const { client, runtime, prefix, syncSpacingMs } = this.options;
+    const { clock } = runtime;
+    const delayMs = (this.lastSyncAt - clock.now()) * 1000 + syncSpacingMs;
+    if (delayMs > 0) await sleep(clock, delayMs, client.closed);
+    const sentAt = clock.now();
+    this.lastSyncAt = sentAt;
+    const after = this.revision;
+    if (after === null) throw new NotReady();
+    const out = await client.call(true, undefined, (api) => api.changes(prefix, after, 0));
+    if (out === 'too-old') {
+      this.revision = null;
+      throw new NotReady();
+    }
+    this.apply(out.events, out.revision);
+    this.syncedAt = sentAt;
+  }
+
   /** Takes in an entry that this process has written or read itself. */
   learn(key: string, value: unknown, version: number): void {
     this.take({ key, value, version });
   }
 
   private async load(signal: AbortSignal): Promise<void> {
-    const sentAt = steady();
-    const { entries, revision: base } = await listAll(this.client, this.prefix, signal);
+    const { client, runtime, prefix } = this.options;
+    const sentAt = runtime.clock.now();
+    const { entries, revision: base } = await listAll(client, prefix, signal);
     const seen = new Set<string>();
     for (const e of entries) {
       seen.add(e.key);
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -1,4 +1,5 @@
-import { Change, Condition, StateApi, StateRefused, TxnOutcome } from '#wire';
+import { setMaxListeners } from 'node:events';
+import { Change, Clock, Condition, StateApi, StateRefused, TxnOutcome } from '#wire';
 import { Budget } from './budget.js';
 
 export interface StateLimits {
@@ -8,16 +9,15 @@
   txnOps: number;
 }
 
-/** Steady seconds. */
-export function steady(): number {
-  return performance.now() / 1000;
-}
-
-/** The state service within this controller's part of the rate limits, and how it has been. */
+/**
+ * The state service within this controller's part of the rate limits, and how it has been. Times are
+ * steady seconds of the clock.
+ */
 export class StateClient {
   private readonly reads: Budget;
   private readonly writes: Budget;
-  /** When the last request that succeeded was sent; steady seconds. */
+  private readonly closing = new AbortController();
+  /** When the last request that succeeded was sent. */
   lastOkAt = -Infinity;
   /** When the last request that was refused or unanswered was sent. */
   lastFailAt = -Infinity;
@@ -29,12 +29,26 @@
   changes = 0;
 
   constructor(
-    readonly api: StateApi,
+    private readonly clock: Clock,
+    private readonly api: StateApi,
     readonly limits: StateLimits,
     share: number,
   ) {
-    this.reads = new Budget(limits.rps * share);
-    this.writes = new Budget(limits.writeRps * share);
+    this.reads = new Budget(clock, limits.rps * share);
+    this.writes = new Budget(clock, limits.writeRps * share);
+    // Everyone who waits for a part of a budget may listen to it.
+    setMaxListeners(0, this.closing.signal);
+  }
+
+  /** Aborts once this client is closed. */
+  get closed(): AbortSignal {
+    return this.closing.signal;
+  }
+
+  /** Ends all requests, also later ones, with an error. */
+  close(): void {
+    this.closing.abort();
+    this.api.close();
   }
 
   /** The part of all changes that this controller may make. */
@@ -53,8 +67,8 @@
     signal: AbortSignal | undefined,
     run: (api: StateApi) => Promise<T>,
   ): Promise<T> {
-    await this.reads.take(1, urgent, signal);
-    const sentAt = steady();
+    await this.reads.take(1, urgent, signal ?? this.closed);
+    const sentAt = this.clock.now();
     this.requests++;
     try {
       const result = await run(this.api);
@@ -78,7 +92,7 @@
     urgent: boolean,
     signal?: AbortSignal,
   ): Promise<TxnOutcome> {
-    await this.writes.take(changes.length, urgent, signal);
+    await this.writes.take(changes.length, urgent, signal ?? this.closed);
     this.changes += changes.length;
     return this.call(urgent, signal, (api) => api.txn(conditions, changes, signal));
   }
--- a/packages/store/ownership.ts
+++ b/packages/store/ownership.ts
@@ -1,8 +1,7 @@
 import { BehaviorSubject } from 'rxjs';
-import { setTimeout as sleep } from 'node:timers/promises';
-import { NoAnswer } from '#wire';
+import { NoAnswer, Runtime, WakeablePause } from '#wire';
 import { PrefixCache } from './cache.js';
-import { StateClient, steady } from './client.js';
+import { StateClient } from './client.js';
 import { PartRecord, partKey } from './records.js';
 
 export interface Term {
@@ -13,6 +12,18 @@
   claimedAt: number;
 }
 
+export interface OwnershipOptions {
+  client: StateClient;
+  runtime: Runtime;
+  /** Holds the part's key. */
+  cache: PrefixCache;
+  /** This controller's name. */
+  name: string;
+  part: number;
+  /** Time to live of the grant. */
+  ttlS: number;
+}
+
 /**
  * Keeps a grant and tries to hold a part's key on it. The grant's number tells one life of a process
  * from the next, so a process that restarts at once is a new owner.
@@ -26,26 +37,22 @@
   private claimAfter = -Infinity;
   /** When the last renewal that succeeded was sent. */
   renewedAt = -Infinity;
-  private wake: () => void = () => {};
 
-  constructor(
-    private readonly client: StateClient,
-    private readonly cache: PrefixCache,
-    private readonly name: string,
-    private readonly part: number,
-    readonly ttlS: number,
-  ) {
-    cache.changes.subscribe((e) => {
-      if (e.key !== partKey(part)) return;
+  private readonly idle: WakeablePause;
+
+  constructor(private readonly options: OwnershipOptions) {
+    this.idle = new WakeablePause(options.runtime.clock);
+    options.cache.changes.subscribe((e) => {
+      if (e.key !== partKey(options.part)) return;
       this.holder = e.value ? { ...(e.value as PartRecord), version: e.version } : null;
       this.noticeHolder();
-      this.wake();
+      this.idle.wake();
     });
   }
 
   /** Surely ours until then, by the grant alone. */
   get provenUntil(): number {
-    return this.renewedAt + this.ttlS * 0.95;
+    return this.renewedAt + this.options.ttlS * 0.95;
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -55,7 +62,8 @@
       } catch {
         // Refused or unanswered: the term stands until the service says that it is gone.
       }
-      await this.pause(this.pauseS() * 1000 * (0.8 + Math.random() * 0.4), signal);
+      const spread = 0.8 + this.options.runtime.random() * 0.4;
+      await this.idle.wait(this.pauseS() * 1000 * spread, signal);
     }
   }
 
@@ -64,38 +72,35 @@
    * for a while.
    */
   resign(pauseS = 0): void {
-    this.claimAfter = steady() + pauseS;
+    const { client, runtime } = this.options;
+    this.claimAfter = runtime.clock.now() + pauseS;
     const grant = this.grant;
     this.grant = null;
     this.term.next(null);
     if (grant !== null) {
-      this.client.call(true, undefined, (api) => api.drop(grant)).catch(() => {});
+      client.call(true, undefined, (api) => api.drop(grant)).catch(() => {});
     }
   }
 
   /** An owner renews in good time; others only keep a grant ready, and hurry once the part is free. */
   private pauseS(): number {
-    if (this.term.value !== null) return this.ttlS / 5;
-    return this.holder !== null ? this.ttlS / 3 : this.ttlS / 20;
-  }
-
-  private async pause(ms: number, signal: AbortSignal): Promise<void> {
-    const early = new AbortController();
-    this.wake = () => early.abort();
-    await sleep(ms, undefined, { signal: AbortSignal.any([signal, early.signal]) }).catch(() => {});
-    this.wake = () => {};
+    const { ttlS } = this.options;
+    if (this.term.value !== null) return ttlS / 5;
+    return this.holder !== null ? ttlS / 3 : ttlS / 20;
   }
 
   private async step(signal: AbortSignal): Promise<void> {
+    const { client, cache, runtime, ttlS } = this.options;
+    const { clock } = runtime;
     if (this.grant === null) {
-      const sentAt = steady();
-      const ttlMs = Math.round(this.ttlS * 1000);
-      this.grant = await this.client.call(true, signal, (api) => api.grant(ttlMs, signal));
+      const sentAt = clock.now();
+      const ttlMs = Math.round(ttlS * 1000);
+      this.grant = await client.call(true, signal, (api) => api.grant(ttlMs, signal));
       this.renewedAt = sentAt;
     } else {
-      const sentAt = steady();
+      const sentAt = clock.now();
       const grant = this.grant;
-      const alive = await this.client.call(true, signal, (api) => api.touch(grant, signal));
+      const alive = await client.call(true, signal, (api) => api.touch(grant, signal));
       if (this.grant !== grant) return;
       if (alive) this.renewedAt = sentAt;
       else {
@@ -104,18 +109,17 @@
         return;
       }
     }
-    const free = this.term.value === null && this.holder === null && this.cache.ready;
-    if (free && steady() >= this.claimAfter) {
-      await this.claim(signal);
-    }
+    const free = this.term.value === null && this.holder === null && cache.ready;
+    if (free && clock.now() >= this.claimAfter) await this.claim(signal);
   }
 
   private async claim(signal: AbortSignal): Promise<void> {
+    const { client, cache, name, part } = this.options;
     const grant = this.grant!;
-    const key = partKey(this.part);
-    const value: PartRecord = { owner: this.name, grant };
+    const key = partKey(part);
+    const value: PartRecord = { owner: name, grant };
     try {
-      const out = await this.client.txn(
+      const out = await client.txn(
         [{ key, version: 0 }],
         [{ put: key, value, lease: grant }],
         true,
@@ -123,7 +127,7 @@
       );
       if (out.ok) {
         // Through the cache, so that an older event which is still to come is known as older.
-        this.cache.learn(key, value, out.revision);
+        cache.learn(key, value, out.revision);
       } else if ('leaseGone' in out) this.grant = null;
     } catch (err) {
       // A claim applied late shows up in the watch; it is then ours, or lapses with its grant.
@@ -137,10 +141,10 @@
     if (holder && this.grant !== null && holder.grant === this.grant) {
       if (held?.term !== holder.version) {
         this.term.next({
-          part: this.part,
+          part: this.options.part,
           term: holder.version,
           grant: this.grant,
-          claimedAt: steady(),
+          claimedAt: this.options.runtime.clock.now(),
         });
       }
     } else if (held && (!holder || holder.version > held.term)) {
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import { type AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
-import { encode, NoAnswer } from '#wire';
+import { encode, NoAnswer, nodeRuntime } from '#wire';
 import {
   ApiParts,
   DirectCommands,
@@ -111,25 +111,26 @@
     workers.push(worker);
     const machine = aMachine(book, name);
     book.report(aReport({ machine: name, addr: worker.address }), 0);
-    machine.answeredAt = performance.now() / 1000;
+    machine.answeredAt = nodeRuntime.clock.now();
     const job = book.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
     book.assign(job, 0, machine, book.newAttempt(), 0).recorded = true;
   }
   const stop = new AbortController();
   await new Promise<void>((resolve) => {
-    const direct = new DirectCommands(
+    const direct = new DirectCommands({
+      runtime: nodeRuntime,
       book,
-      5000,
-      most,
-      () => {},
-      () => {
+      timeoutMs: 5000,
+      maxConnections: most,
+      onOrders: () => {},
+      onDone: () => {
         assert.ok(direct.connections <= most);
         if (ordered === machines) {
           direct.close();
           resolve();
         } else direct.push(stop.signal);
       },
-    );
+    });
     direct.push(stop.signal);
   });
   assert.equal(ordered, machines);
--- a/packages/testing/load.ts
+++ b/packages/testing/load.ts
@@ -11,6 +11,7 @@
   CborClient,
   commandToWire,
   jobToWire,
+  nodeRuntime,
   parseAnswer,
   reportToWire,
   type Job,
@@ -104,7 +105,7 @@
     if (!report) return { status: 409, body: {} };
     return { status: 200, body: reportToWire({ ...report, addr: direct.address, type: 'std' }) };
   });
-  const http = new CborClient(listen, 1);
+  const http = new CborClient(nodeRuntime, listen, 1);
   while (!stop.signal.aborted && cloud.machines.has(name)) {
     worker.advance(now());
     const sentAt = now();
@@ -125,7 +126,7 @@
   http.close();
 }
 
-const users = new CborClient(listen, 8);
+const users = new CborClient(nodeRuntime, listen, 8);
 let made = 0;
 async function submit(own: Partial<Job>, runS: number): Promise<void> {
   const job = aJob({ ...own, id: `j-${String(++made).padStart(6, '0')}` });
--- a/packages/testing/plan.test.ts
+++ b/packages/testing/plan.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { CloudClient } from '#wire';
+import { CloudClient, nodeRuntime } from '#wire';
 import { CapacityPlanner } from '#core';
 import { CloudDuty, makeLog, type PartOwner } from '#controller';
 import { aBook, aJob, aMachine, STD } from './samples.js';
@@ -136,21 +136,22 @@
       },
     },
   } as unknown as PartOwner;
-  const client = new CloudClient(cloud.address, 60_000);
-  const log = makeLog('c-0', 'error');
-  const duty = new CloudDuty(
-    client,
+  const client = new CloudClient(nodeRuntime, cloud.address, 60_000);
+  const log = makeLog(nodeRuntime.clock, 'c-0', 'error');
+  const duty = new CloudDuty({
+    runtime: nodeRuntime,
+    cloud: client,
     owner,
-    'c-0',
-    100,
-    1,
-    1,
-    10,
-    async () => {},
-    () => true,
-    () => true,
+    name: 'c-0',
+    rps: 100,
+    listLagS: 1,
+    reportS: 1,
+    leaseS: 10,
+    onTypes: async () => {},
+    entitled: () => true,
+    calm: () => true,
     log,
-  );
+  });
   await duty.run(stop.signal);
   client.close();
   cloud.close();
--- a/packages/wire/cloud.ts
+++ b/packages/wire/cloud.ts
@@ -1,4 +1,5 @@
 import { CborClient } from './http.js';
+import type { Runtime } from './runtime.js';
 
 export interface MachineType {
   name: string;
@@ -51,6 +52,7 @@
 export class CloudRefused extends Error {}
 
 const PAGE = 500;
+const MAX_SOCKETS = 4;
 export const RELEASE_AT_ONCE = 100;
 export const RENT_AT_ONCE = 50;
 
@@ -58,10 +60,11 @@
   private readonly http: CborClient;
 
   constructor(
+    runtime: Runtime,
     address: string,
     private readonly timeoutMs: number,
   ) {
-    this.http = new CborClient(address, 4);
+    this.http = new CborClient(runtime, address, MAX_SOCKETS);
   }
 
   async catalog(signal?: AbortSignal): Promise<MachineType[]> {
--- a/packages/wire/http.ts
+++ b/packages/wire/http.ts
@@ -1,5 +1,7 @@
 import http from 'node:http';
+import { NetworkAgent } from './agent.js';
 import { decode, encode } from './cbor.js';
+import { type HostPort, parseHostPort, type Runtime } from './runtime.js';
 
 /** No usable answer came: the other side may have carried out the request or may still do so. */
 export class NoAnswer extends Error {}
@@ -23,84 +25,97 @@
 
 /** A keep-alive HTTP client that speaks CBOR with one host. */
 export class CborClient {
-  private readonly agent: http.Agent;
-  private readonly host: string;
-  private readonly port: number;
+  private readonly agent: NetworkAgent;
+  private readonly address: HostPort;
+  /** Ends each call that is under way. */
+  private readonly pending = new Set<() => void>();
+  private closed = false;
 
-  constructor(address: string, maxSockets = MAX_SOCKETS) {
-    const colon = address.lastIndexOf(':');
-    this.host = address.slice(0, colon);
-    this.port = Number(address.slice(colon + 1));
-    this.agent = new http.Agent({ keepAlive: true, maxSockets, scheduling: 'lifo' });
+  constructor(
+    private readonly runtime: Runtime,
+    address: string,
+    maxSockets = MAX_SOCKETS,
+  ) {
+    this.address = parseHostPort(address);
+    this.agent = new NetworkAgent(runtime.network, maxSockets);
   }
 
+  /** Rejects with NoAnswer. */
   call(method: string, path: string, options: CallOptions): Promise<Answer> {
+    const name = `${method} ${path.split('?')[0]}`;
+    if (this.closed || options.signal?.aborted) {
+      return Promise.reject(new NoAnswer(`${name}: cancelled`));
+    }
     return new Promise((resolve, reject) => {
       const payload = options.body === undefined ? null : Buffer.from(encode(options.body));
-      const fail = (why: string) => {
+      const headers = payload
+        ? { 'content-type': 'application/cbor', 'content-length': payload.length }
+        : {};
+      const fail = (reason: string) => {
         finish();
-        reject(new NoAnswer(`${method} ${path.split('?')[0]}: ${why}`));
+        reject(new NoAnswer(`${name}: ${reason}`));
         req.destroy();
       };
-      const timer = setTimeout(() => fail('timed out'), options.timeoutMs);
+      const timer = this.runtime.clock.setTimer(() => fail('timed out'), options.timeoutMs);
       const onAbort = () => fail('cancelled');
       const finish = () => {
-        clearTimeout(timer);
+        timer.cancel();
+        this.pending.delete(onAbort);
         options.signal?.removeEventListener('abort', onAbort);
       };
-      const req = http.request(
-        {
-          host: this.host,
-          port: this.port,
-          method,
-          path,
-          agent: this.agent,
-          headers: payload
-            ? { 'content-type': 'application/cbor', 'content-length': payload.length }
-            : {},
-        },
-        (res) => {
-          const chunks: Buffer[] = [];
-          let size = 0;
-          res.on('data', (chunk: Buffer) => {
-            size += chunk.length;
-            if (options.maxBytes !== undefined && size > options.maxBytes) fail('answer too large');
-            else chunks.push(chunk);
-          });
-          res.on('error', (err) => fail(err.message));
-          res.on('aborted', () => fail('answer cut short'));
-          res.on('end', () => {
-            finish();
-            const retry = Number(res.headers['retry-after']);
-            let body: unknown = null;
-            try {
-              if (size > 0) body = decode(Buffer.concat(chunks));
-            } catch {
-              if (res.statusCode === 200) {
-                reject(new NoAnswer(`${method} ${path.split('?')[0]}: unreadable answer`));
-                return;
-              }
-            }
-            resolve({
-              status: res.statusCode ?? 0,
-              body,
-              retryAfterS: Number.isFinite(retry) ? retry : null,
-            });
-          });
-        },
-      );
+      const req = http.request({ ...this.address, method, path, agent: this.agent, headers });
       req.on('error', (err) => fail(err.message));
-      if (options.signal?.aborted) {
-        fail('cancelled');
-        return;
-      }
+      req.on('response', (res) => {
+        collect(res, options.maxBytes ?? Infinity, fail, (bytes) => {
+          finish();
+          const answer = readAnswer(res, bytes);
+          if (answer === null) reject(new NoAnswer(`${name}: unreadable answer`));
+          else resolve(answer);
+        });
+      });
+      this.pending.add(onAbort);
       options.signal?.addEventListener('abort', onAbort);
       if (payload) req.write(payload);
       req.end();
     });
   }
 
+  /** Ends all calls, also later ones, with NoAnswer. */
   close(): void {
+    this.closed = true;
+    for (const cancel of [...this.pending]) cancel();
     this.agent.destroy();
   }
 }
+
+/** Gathers the body of an answer. */
+function collect(
+  res: http.IncomingMessage,
+  maxBytes: number,
+  fail: (reason: string) => void,
+  done: (bytes: Buffer) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  res.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > maxBytes) fail('answer too large');
+    else chunks.push(chunk);
+  });
+  res.on('error', (err) => fail(err.message));
+  res.on('aborted', () => fail('answer cut short'));
+  res.on('end', () => done(Buffer.concat(chunks)));
+}
+
+/** Null: a 200 whose body is not CBOR. The body of any other status is only a hint. */
+function readAnswer(res: http.IncomingMessage, bytes: Buffer): Answer | null {
+  const retryAfterS = Number(res.headers['retry-after']);
+  const status = res.statusCode ?? 0;
+  let body: unknown = null;
+  try {
+    if (bytes.length > 0) body = decode(bytes);
+  } catch {
+    if (status === 200) return null;
+  }
+  return { status, body, retryAfterS: Number.isFinite(retryAfterS) ? retryAfterS : null };
+}
--- a/packages/wire/runtime.ts
+++ b/packages/wire/runtime.ts
@@ -32,7 +32,10 @@
 export interface Network {
   /** Opens a connection; `connect`, `error` and `close` are emitted as by net.Socket. */
   connect(address: HostPort): Duplex;
-  /** Serves an http.Server or net.Server at the address; rejects if that cannot be had. */
+  /**
+   * Serves an http.Server or net.Server at the address until the server's `close` event; rejects if the
+   * address cannot be had. Each connection is given to the server by its `connection` event.
+   */
   listen(server: net.Server, address: HostPort): Promise<void>;
 }
 
--- a/packages/wire/state.ts
+++ b/packages/wire/state.ts
@@ -1,4 +1,5 @@
 import { CborClient } from './http.js';
+import type { Runtime } from './runtime.js';
 
 export interface Entry {
   key: string;
@@ -47,10 +48,11 @@
   private readonly http: CborClient;
 
   constructor(
+    runtime: Runtime,
     address: string,
     private readonly timeoutMs: number,
   ) {
-    this.http = new CborClient(address, 16);
+    this.http = new CborClient(runtime, address);
   }
 
   async get(key: string, signal?: AbortSignal): Promise<Entry | null> {
--- a/packages/wire/user.ts
+++ b/packages/wire/user.ts
@@ -1,5 +1,6 @@
 import { Job, JobView, jobToWire } from './job.js';
 import { CborClient } from './http.js';
+import { nodeRuntime } from './runtime.js';
 
 /** A user's client: submit, query, abort. */
 export class UserClient {
@@ -8,8 +9,9 @@
   constructor(
     address: string,
     private readonly timeoutMs = 5000,
+    runtime = nodeRuntime,
   ) {
-    this.http = new CborClient(address, 2);
+    this.http = new CborClient(runtime, address, 2);
   }
 
   submit(job: Job) {
