Stand-in for the state service, and the serving side of its messages

Tests could reach the state service only in part: no limits, no outages, no answers that get lost. It runs on a Runtime, so on loopback as well.

--- /dev/null
+++ b/packages/testing/standins/http-server.ts
@@ -0,0 +1,115 @@
+/** The HTTP side that all stand-ins share: CBOR in, CBOR out, over a Runtime's network. */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { decode, encode, MalformedBody, type HostPort, type Runtime } from '#wire';
+import { MALFORMED, type WireReply, type WireRequest } from '#wire/serving';
+
+export interface ServedRequest extends WireRequest {
+  /** Address of the host that opened the connection; empty if the network does not tell. */
+  clientHost: string;
+}
+
+/**
+ * Answers one request. `NO_REPLY` leaves it unanswered for ever: the connection stays open until the
+ * client gives up. Errors other than MalformedBody are faults of the stand-in and end the connection.
+ */
+export type RequestHandler = (
+  request: ServedRequest,
+) => WireReply | typeof NO_REPLY | Promise<WireReply | typeof NO_REPLY>;
+
+export const NO_REPLY = Symbol('no reply');
+
+/** What an accepted connection may tell of its other end; net.Socket does. */
+interface ConnectionOrigin {
+  remoteAddress?: string;
+}
+
+export interface CborServer {
+  /** Where it listens; on a real machine port 0 has been replaced by the port that was free. */
+  readonly address: HostPort;
+  /** Ends all connections and listens no more. */
+  close(): void;
+}
+
+/** Serves CBOR at the address until closed. Node's own timeouts are off: they know one clock only. */
+export async function serveCbor(
+  runtime: Runtime,
+  address: HostPort,
+  handle: RequestHandler,
+): Promise<CborServer> {
+  const server = http.createServer(
+    { requestTimeout: 0, headersTimeout: 0, keepAliveTimeout: 0 },
+    (req, res) => void answer(req, res, handle),
+  );
+  await runtime.network.listen(server, address);
+  const bound = server.address() as AddressInfo | null;
+  return {
+    address: { host: address.host, port: bound?.port ?? address.port },
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+async function answer(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  handle: RequestHandler,
+): Promise<void> {
+  try {
+    const body = await readBody(req);
+    const reply = await handle({ ...parseTarget(req), body });
+    if (reply !== NO_REPLY) send(res, reply);
+  } catch (err) {
+    if (err instanceof MalformedBody) send(res, MALFORMED);
+    else req.destroy(err as Error);
+  }
+}
+
+function parseTarget(req: http.IncomingMessage): Omit<ServedRequest, 'body'> {
+  const target = req.url ?? '/';
+  const mark = target.indexOf('?');
+  const path = mark < 0 ? target : target.slice(0, mark);
+  const origin = req.socket as ConnectionOrigin;
+  return {
+    method: req.method ?? 'GET',
+    path: unescapePath(path),
+    query: new URLSearchParams(mark < 0 ? '' : target.slice(mark + 1)),
+    clientHost: origin.remoteAddress ?? '',
+  };
+}
+
+function unescapePath(path: string): string {
+  try {
+    return decodeURIComponent(path);
+  } catch {
+    throw new MalformedBody('the path is badly escaped');
+  }
+}
+
+function readBody(req: http.IncomingMessage): Promise<unknown> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    req.on('data', (chunk: Buffer) => chunks.push(chunk));
+    req.on('error', reject);
+    req.on('end', () => {
+      try {
+        resolve(chunks.length === 0 ? null : decode(Buffer.concat(chunks)));
+      } catch (err) {
+        reject(err as Error);
+      }
+    });
+  });
+}
+
+function send(res: http.ServerResponse, reply: WireReply): void {
+  if (res.destroyed) return;
+  res.sendDate = false;
+  const payload = reply.body === undefined ? Buffer.alloc(0) : Buffer.from(encode(reply.body));
+  res.writeHead(reply.status, {
+    'content-type': 'application/cbor',
+    'content-length': payload.length,
+  });
+  res.end(payload);
+}
--- /dev/null
+++ b/packages/testing/standins/state/index.ts
@@ -0,0 +1,3 @@
+export * from './key-store.js';
+export * from './state-service.js';
+export type { StateServiceLimits } from './txn-limits.js';
--- /dev/null
+++ b/packages/testing/standins/state/key-store.ts
@@ -0,0 +1,138 @@
+/** The contents of the state service: keys with versions, one revision, and the latest changes. */
+import type { Change, Condition, Entry, WatchEvent, WatchOutcome } from '#wire';
+import { entryToWire, wireSize } from '#wire/serving';
+import { SortedKeys } from './sorted-keys.js';
+
+/** Changes that a watch can look back upon. */
+export const KEPT_CHANGES = 10_000;
+const MAX_PAGE_BYTES = 512 * 1024;
+
+export interface StoredEntry extends Entry {
+  lease: number | null;
+}
+
+export class KeyStore {
+  private readonly entries = new Map<string, StoredEntry>();
+  private readonly order = new SortedKeys();
+  private readonly keysOfLease = new Map<number, Set<string>>();
+  private log: WatchEvent[] = [];
+  /** Revision of the newest change that was cut off the log. */
+  private trimmedRevision = 0;
+  private currentRevision = 0;
+
+  /** The callback learns of the keys that each transaction put or deleted. */
+  constructor(private readonly onChange: (keys: string[]) => void = () => {}) {}
+
+  get revision(): number {
+    return this.currentRevision;
+  }
+
+  get(key: string): StoredEntry | undefined {
+    return this.entries.get(key);
+  }
+
+  /** A page of at most so many entries and 512 KiB, and whether more follow. */
+  list(
+    prefix: string,
+    after: string | null,
+    limit: number,
+  ): { entries: StoredEntry[]; more: boolean } {
+    const page: StoredEntry[] = [];
+    let bytes = 0;
+    for (const key of this.order.after(prefix, after)) {
+      const entry = this.entries.get(key)!;
+      bytes += wireSize(entryToWire(entry));
+      const full = page.length === limit || (bytes > MAX_PAGE_BYTES && page.length > 0);
+      if (full) return { entries: page, more: true };
+      page.push(entry);
+    }
+    return { entries: page, more: false };
+  }
+
+  /** Keys whose versions are not the given ones. */
+  failedConditions(conditions: Condition[]): string[] {
+    return conditions
+      .filter(({ key, version }) => (this.entries.get(key)?.version ?? 0) !== version)
+      .map(({ key }) => key);
+  }
+
+  /** Carries out the changes under one new revision, and returns it. */
+  apply(changes: Change[]): number {
+    this.currentRevision++;
+    for (const change of changes) {
+      if ('put' in change) this.put(change.put, change.value, change.lease ?? null);
+      else this.remove(change.delete);
+    }
+    this.trimLog();
+    this.onChange(changes.map((change) => ('put' in change ? change.put : change.delete)));
+    return this.currentRevision;
+  }
+
+  keysWithLease(lease: number): string[] {
+    return [...(this.keysOfLease.get(lease) ?? [])];
+  }
+
+  /** All changes of keys with the prefix after a revision. */
+  changesAfter(prefix: string, after: number): WatchOutcome {
+    if (after < this.forgottenRevision()) return 'too-old';
+    const events: WatchEvent[] = [];
+    for (let index = this.firstAfter(after); index < this.log.length; index++) {
+      if (this.log[index].key.startsWith(prefix)) events.push(this.log[index]);
+    }
+    return { revision: this.currentRevision, events };
+  }
+
+  private put(key: string, value: unknown, lease: number | null): void {
+    const known = this.entries.get(key);
+    if (known) this.detach(known);
+    else this.order.add(key);
+    this.entries.set(key, { key, value, version: this.currentRevision, lease });
+    if (lease !== null) this.attach(key, lease);
+    this.log.push({ key, value, version: this.currentRevision });
+  }
+
+  private remove(key: string): void {
+    const known = this.entries.get(key);
+    if (!known) return;
+    this.detach(known);
+    this.order.remove(key);
+    this.entries.delete(key);
+    this.log.push({ key, version: this.currentRevision });
+  }
+
+  private attach(key: string, lease: number): void {
+    const keys = this.keysOfLease.get(lease) ?? new Set();
+    this.keysOfLease.set(lease, keys.add(key));
+  }
+
+  private detach({ key, lease }: StoredEntry): void {
+    if (lease === null) return;
+    const keys = this.keysOfLease.get(lease);
+    keys?.delete(key);
+    if (keys?.size === 0) this.keysOfLease.delete(lease);
+  }
+
+  /** Revision of the newest change that a watch can no longer look back upon. */
+  private forgottenRevision(): number {
+    const index = this.log.length - KEPT_CHANGES - 1;
+    return index < 0 ? this.trimmedRevision : this.log[index].version;
+  }
+
+  /** Cuts off old changes, a good many at once since each time copies the rest. */
+  private trimLog(): void {
+    if (this.log.length < KEPT_CHANGES * 1.5) return;
+    this.trimmedRevision = this.forgottenRevision();
+    this.log = this.log.slice(-KEPT_CHANGES);
+  }
+
+  private firstAfter(revision: number): number {
+    let low = 0;
+    let high = this.log.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.log[middle].version <= revision) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/state/sorted-keys.ts
@@ -0,0 +1,37 @@
+/** The keys of the store in their order, so that a page is found without sorting. */
+export class SortedKeys {
+  private readonly keys: string[] = [];
+
+  /** Adds a key that is not there yet. */
+  add(key: string): void {
+    this.keys.splice(this.firstNotBelow(key), 0, key);
+  }
+
+  /** Removes a key that is there. */
+  remove(key: string): void {
+    this.keys.splice(this.firstNotBelow(key), 1);
+  }
+
+  /** The keys with the prefix that come after another key, one by one. */
+  *after(prefix: string, after: string | null): Generator<string> {
+    let index = this.firstNotBelow(prefix);
+    if (after !== null && after >= prefix) {
+      index = this.firstNotBelow(after);
+      if (this.keys[index] === after) index++;
+    }
+    for (; index < this.keys.length && this.keys[index].startsWith(prefix); index++) {
+      yield this.keys[index];
+    }
+  }
+
+  private firstNotBelow(key: string): number {
+    let low = 0;
+    let high = this.keys.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.keys[middle] < key) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/state/state-service.ts
@@ -0,0 +1,178 @@
+/** The state service as the protocol describes it, with its limits and its troubles. */
+import type { Change, Condition, HostPort, Runtime, TxnOutcome } from '#wire';
+import * as serving from '#wire/serving';
+import { NO_REPLY, serveCbor, type CborServer, type ServedRequest } from '../http-server.js';
+import { Latency, PROMPT, type LatencyProfile } from '../latency.js';
+import { ReplyLoss, type LostReplies } from '../lost-replies.js';
+import { RateLimit } from '../rate-limit.js';
+import { Availability } from './availability.js';
+import { KeyStore } from './key-store.js';
+import { Leases } from './leases.js';
+import { checkTxn, type StateServiceLimits, type Transaction } from './txn-limits.js';
+import { Watchers } from './watchers.js';
+
+const BURST_S = 1;
+/** When a transaction without an answer is carried out, in seconds, unless told otherwise. */
+const LATE_WRITE_S: [number, number] = [2, 12];
+
+export class StateService {
+  readonly store = new KeyStore((keys) => this.watchers.notify(keys));
+  private readonly leases: Leases;
+  private readonly availability = new Availability();
+  private readonly watchers: Watchers;
+  private readonly latency: Latency;
+  private readonly lostReplies: ReplyLoss;
+  private readonly requestRate: RateLimit;
+  private readonly changeRate: RateLimit;
+  private server: CborServer | null = null;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly limits: StateServiceLimits,
+  ) {
+    this.leases = new Leases(runtime, (id) => this.removeKeysOf(id));
+    this.watchers = new Watchers(runtime.clock);
+    this.latency = new Latency(runtime);
+    this.lostReplies = new ReplyLoss(runtime);
+    this.requestRate = new RateLimit(runtime.clock, limits.rps, BURST_S);
+    this.changeRate = new RateLimit(runtime.clock, limits.writeRps, BURST_S);
+  }
+
+  async listen(address: HostPort): Promise<CborServer> {
+    this.server = await serveCbor(this.runtime, address, (request) => this.handle(request));
+    return this.server;
+  }
+
+  close(): void {
+    this.leases.suspend();
+    this.watchers.wakeAll();
+    this.server?.close();
+  }
+
+  /** Nobody is served; watches stay open and wait, and no lease ends. */
+  beginOutage(): void {
+    this.availability.setOutage(true);
+    this.leases.suspend();
+  }
+
+  /** All are served again, and all leases have their full time again. */
+  endOutage(): void {
+    this.availability.setOutage(false);
+    this.leases.resume();
+  }
+
+  /** One client is refused while all others are served; its leases run out. */
+  refuse(clientHost: string): void {
+    this.availability.refuse(clientHost);
+  }
+
+  readmit(clientHost: string): void {
+    this.availability.readmit(clientHost);
+  }
+
+  /** Answers take longer, or again the usual time if no profile is given. */
+  setLatency(profile: LatencyProfile = PROMPT): void {
+    this.latency.profile = profile;
+  }
+
+  /** That share of transactions gets no answer and is carried out late, after newer ones. */
+  beginLateWrites(share: number, delayS: LostReplies['delayS'] = LATE_WRITE_S): void {
+    this.lostReplies.begin({ share, delayS });
+  }
+
+  /** That share of transactions is carried out at once, and only the answer is lost. */
+  beginLostAnswers(share: number): void {
+    this.lostReplies.begin({ share, delayS: null });
+  }
+
+  /** Transactions are answered again; those held back are still carried out. */
+  endLateWrites(): void {
+    this.lostReplies.end();
+  }
+
+  private async handle(request: ServedRequest): Promise<serving.WireReply | typeof NO_REPLY> {
+    const { clientHost } = request;
+    if (!this.availability.serves(clientHost)) return serving.UNAVAILABLE;
+    if (!this.requestRate.take(1)) return serving.TOO_MANY_REQUESTS;
+    const parsed = serving.parseStateRequest(request);
+    if (parsed.op === 'watch') return this.watch(parsed, clientHost);
+    if (parsed.op === 'txn') return this.receiveTxn(parsed, request);
+    return this.latency.around(() =>
+      this.availability.serves(clientHost) ? this.execute(parsed) : serving.UNAVAILABLE,
+    );
+  }
+
+  private execute(
+    request: Exclude<serving.StateRequest, { op: 'watch' | 'txn' }>,
+  ): serving.WireReply {
+    switch (request.op) {
+      case 'get': {
+        const entry = this.store.get(request.key);
+        return entry ? serving.entryReply(entry) : serving.noEntryReply(this.store.revision);
+      }
+      case 'list': {
+        const page = this.store.list(request.prefix, request.after, request.limit);
+        return serving.listReply(page.entries, page.more, this.store.revision);
+      }
+      case 'grant':
+        return serving.grantReply(this.leases.grant(request.ttlMs));
+      case 'touch':
+        return serving.leaseReply(this.leases.renew(request.lease));
+      case 'drop':
+        return serving.leaseReply(this.leases.end(request.lease));
+    }
+  }
+
+  private async receiveTxn(
+    txn: Transaction,
+    request: ServedRequest,
+  ): Promise<serving.WireReply | typeof NO_REPLY> {
+    checkTxn(txn, request.body, this.limits);
+    if (!this.changeRate.take(txn.changes.length)) return serving.TOO_MANY_REQUESTS;
+    const loss = this.lostReplies.draw();
+    if (loss) {
+      await this.lostReplies.due(loss);
+      await this.availability.whenUp();
+      this.runTxn(txn.conditions, txn.changes);
+      return NO_REPLY;
+    }
+    return this.latency.around(() =>
+      this.availability.serves(request.clientHost)
+        ? serving.txnReply(this.runTxn(txn.conditions, txn.changes))
+        : serving.UNAVAILABLE,
+    );
+  }
+
+  private runTxn(conditions: Condition[], changes: Change[]): TxnOutcome {
+    const leaseGone = changes.some(
+      (change) => 'put' in change && change.lease !== undefined && !this.leases.has(change.lease),
+    );
+    if (leaseGone) return { ok: false, leaseGone: true };
+    const failed = this.store.failedConditions(conditions);
+    if (failed.length > 0) return { ok: false, failed, revision: this.store.revision };
+    if (changes.length > 0) this.store.apply(changes);
+    return { ok: true, revision: this.store.revision };
+  }
+
+  private removeKeysOf(lease: number): void {
+    const keys = this.store.keysWithLease(lease);
+    if (keys.length > 0) this.store.apply(keys.map((key) => ({ delete: key })));
+  }
+
+  private async watch(
+    { prefix, after, waitMs }: { prefix: string; after: number; waitMs: number },
+    clientHost: string,
+  ): Promise<serving.WireReply> {
+    const until = this.runtime.clock.now() + waitMs / 1000;
+    for (;;) {
+      await this.latency.around(() => {});
+      await this.availability.whenServed(clientHost);
+      const outcome = this.store.changesAfter(prefix, after);
+      const over = this.runtime.clock.now() >= until;
+      if (over || outcome === 'too-old' || outcome.events.length > 0) {
+        return serving.watchReply(outcome);
+      }
+      await this.watchers.wait(prefix, until);
+    }
+  }
+}
--- /dev/null
+++ b/packages/wire/serving/index.ts
@@ -0,0 +1,2 @@
+export * from './message.js';
+export * from './state.js';
