--- a/packages/testing/standins/state/state-service.test.ts
+++ b/packages/testing/standins/state/state-service.test.ts
@@ -15,8 +15,8 @@
   const service = new StateService(nodeRuntime, { ...LIMITS, ...limits });
   const { address } = await service.listen({ host: LOOPBACK, port: 0 });
   const target = `${LOOPBACK}:${address.port}`;
-  const api = new StateApi(target, 2000);
-  const http = new CborClient(target);
+  const api = new StateApi(nodeRuntime, target, 2000);
+  const http = new CborClient(nodeRuntime, target);
   closers.push(() => [service, api, http].forEach((part) => part.close()));
   return { service, api, http };
 }
