--- a/packages/testing/simulation/clock.ts
+++ b/packages/testing/simulation/clock.ts
@@ -6,6 +6,9 @@
 const WORLD_START_MS = Date.UTC(2026, 0, 1);
 /** Longest delay that Node's timers take; a longer one, or none, counts as one millisecond. */
 const MAX_DELAY_MS = 2 ** 31 - 1;
+/** Largest drift of a steady clock that the protocol allows. */
+const MAX_DRIFT = 0.0005;
+const MAX_ZERO_S = 1e5;
 
 /** How the clocks of one process differ from the simulated time. */
 export interface ClockSkew {
@@ -49,3 +52,13 @@
     };
   }
 }
+
+/** Clocks within the bounds of the protocol; `wallOffMs` bounds the time of day. */
+export function drawSkew(world: World, processName: string, wallOffMs: number): ClockSkew {
+  const chance = world.chance(`clock ${processName}`);
+  return {
+    zeroS: chance.next() * MAX_ZERO_S,
+    drift: chance.next() * MAX_DRIFT,
+    wallOffsetMs: (2 * chance.next() - 1) * wallOffMs,
+  };
+}
--- a/packages/testing/simulation/cluster-settings.ts
+++ b/packages/testing/simulation/cluster-settings.ts
@@ -26,6 +26,8 @@
   machineTypes: MachineType[];
   /** How many machines the cloud has. */
   capacity: CapacityLimit[];
+  /** Shares of machines on which tasks fail, and that are much slower than their type. */
+  faultyMachines: { faultyShare: number; slowShare: number };
   logLevel: 'error' | 'info' | 'debug';
 }
 
@@ -98,5 +100,6 @@
   operator: {},
   machineTypes: [GPU_TYPE, CPU_TYPE],
   capacity: [{ machines: 12 }],
+  faultyMachines: { faultyShare: 0, slowShare: 0 },
   logLevel: 'info',
 };
--- /dev/null
+++ b/packages/testing/simulation/cluster.ts
@@ -0,0 +1,83 @@
+import type { Runtime } from '#wire';
+import { CloudService, JobStorage, StateService } from '../standins/index.js';
+import { CLOUD_ADDRESS, STATE_ADDRESS } from './addresses.js';
+import type { ClusterSettings } from './cluster-settings.js';
+import { makeControllers, type SimulatedController } from './controllers.js';
+import { Machines } from './machines.js';
+import { SimulatedHost, SimulatedNetwork, type HostRole } from './network.js';
+import { OwnershipHistory } from './ownership-history.js';
+import { SimulatedProcess } from './process.js';
+import { Timeline } from './timeline.js';
+import { World } from './world.js';
+
+/** Controllers and all that they deal with but users, in one simulated world. */
+export class Cluster {
+  readonly world: World;
+  readonly network: SimulatedNetwork;
+  readonly timeline: Timeline;
+  readonly storage: JobStorage;
+  readonly state: StateService;
+  readonly cloud: CloudService;
+  readonly machines: Machines;
+  readonly controllers: SimulatedController[];
+  readonly ownership: OwnershipHistory;
+
+  constructor(
+    readonly settings: ClusterSettings,
+    seed: number,
+  ) {
+    this.world = new World(seed);
+    this.network = new SimulatedNetwork(this.world);
+    this.timeline = new Timeline(this.world);
+    this.storage = new JobStorage(this.timeline.observe);
+    this.state = this.makeState();
+    this.machines = this.makeMachines();
+    this.cloud = this.makeCloud();
+    this.controllers = makeControllers(this.world, this.network, settings);
+    this.ownership = new OwnershipHistory(this.world, (key) => this.state.store.get(key) ?? null);
+  }
+
+  /** Starts the services and all controllers. */
+  async start(): Promise<void> {
+    await this.state.listen(STATE_ADDRESS);
+    await this.cloud.listen(CLOUD_ADDRESS);
+    for (const controller of this.controllers) controller.process.start();
+  }
+
+  /** The runtime of a process that is always up, on a host of its own. */
+  serviceRuntime(name: string, role: HostRole, address: string): Runtime {
+    const host = this.network.addHost(new SimulatedHost(name, role, address, null));
+    const skew = { zeroS: 0, drift: 0, wallOffsetMs: 0 };
+    const process = new SimulatedProcess(this.world, this.network, host, name, () => {}, skew);
+    return process.start().runtime;
+  }
+
+  private makeState(): StateService {
+    const { rps, write_rps, value_kb, txn_ops } = this.settings.deployment.state;
+    const runtime = this.serviceRuntime('state', 'state', STATE_ADDRESS.host);
+    const limits = { rps, writeRps: write_rps, valueKb: value_kb, txnOps: txn_ops };
+    return new StateService(runtime, limits);
+  }
+
+  private makeMachines(): Machines {
+    return new Machines({
+      world: this.world,
+      network: this.network,
+      cluster: this.settings,
+      storage: this.storage,
+      observer: this.timeline.observe,
+      runtime: this.serviceRuntime('machine-room', 'users', MACHINE_ROOM_HOST),
+    });
+  }
+
+  private makeCloud(): CloudService {
+    const { machineTypes, capacity, deployment } = this.settings;
+    const { rps, list_lag_s } = deployment.cloud;
+    const runtime = this.serviceRuntime('cloud', 'cloud', CLOUD_ADDRESS.host);
+    const options = { types: machineTypes, capacity, rps, listLagS: list_lag_s };
+    return new CloudService(runtime, options, this.machines.fleet);
+  }
+}
+
+/** Home of what machines share without the network: gangs and held messages. */
+const MACHINE_ROOM_HOST = '10.4.0.1';
--- a/packages/testing/simulation/controllers.ts
+++ b/packages/testing/simulation/controllers.ts
@@ -1,16 +1,13 @@
 import { Controller } from '#controller';
 import type { Runtime } from '#wire';
 import { controllerName, serviceAddress } from './addresses.js';
+import { drawSkew } from './clock.js';
 import { ControllerLog } from './controller-log.js';
 import { controllerSettings, zoneOfController, type ClusterSettings } from './cluster-settings.js';
 import { SimulatedHost, SimulatedNetwork } from './network.js';
 import { SimulatedProcess } from './process.js';
 import type { World } from './world.js';
 
-/** Largest drift of a steady clock. */
-const MAX_DRIFT = 0.0005;
-const MAX_ZERO_S = 1e5;
-
 /** A controller of the simulated cluster: its process and what it has logged. */
 export interface SimulatedController {
   index: number;
@@ -52,13 +49,3 @@
   const process = new SimulatedProcess(world, network, host, name, program, skew);
   return { index, name, host, process, log };
 }
-
-/** Clocks within the bounds that the protocol gives. */
-export function drawSkew(world: World, name: string, clockOffMs: number) {
-  const chance = world.chance(`clock ${name}`);
-  return {
-    zeroS: chance.next() * MAX_ZERO_S,
-    drift: chance.next() * MAX_DRIFT,
-    wallOffsetMs: (2 * chance.next() - 1) * clockOffMs,
-  };
-}
--- /dev/null
+++ b/packages/testing/simulation/fault-injector.ts
@@ -0,0 +1,96 @@
+import type { Cluster } from './cluster.js';
+import { FaultJournal } from './fault-journal.js';
+import { CloudFaults } from './faults/cloud-faults.js';
+import { beginControllerFault } from './faults/controller-faults.js';
+import type { FaultEffect } from './faults/effect.js';
+import { MachineFaults } from './faults/machine-faults.js';
+import { beginMessageFault } from './faults/message-faults.js';
+import { StateFaults } from './faults/state-faults.js';
+import type { UserFaults } from './faults/user-faults.js';
+import type {
+  CloudFault,
+  ControllerFault,
+  Fault,
+  MachineFault,
+  MessageFault,
+  StateFault,
+  UserFault,
+} from './scenario.js';
+
+/** Begins and ends the faults of a scenario at their times and keeps a journal of them. */
+export class FaultInjector {
+  readonly journal = new FaultJournal();
+  private readonly stateFaults: StateFaults;
+  private readonly cloudFaults: CloudFaults;
+  private readonly machineFaults: MachineFaults;
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly userFaults: UserFaults,
+  ) {
+    const { state, cloud, controllers, network, machines, world } = cluster;
+    this.stateFaults = new StateFaults(state, controllers);
+    this.cloudFaults = new CloudFaults(cloud);
+    this.machineFaults = new MachineFaults(network, machines, cloud, world.chance('machine faults'));
+  }
+
+  schedule(faults: Fault[]): void {
+    const { world } = this.cluster;
+    for (const fault of faults) world.schedule(fault.atS - world.now, () => this.begin(fault));
+  }
+
+  private begin(fault: Fault): void {
+    const { world, ownership } = this.cluster;
+    const leader = ownership.current();
+    const effect = this.beginByKind(fault, leader?.owner ?? null);
+    this.journal.begun(fault, effect, leader, world.now);
+    const { end } = effect;
+    if ('forS' in fault && end !== null) world.schedule(fault.forS, end);
+  }
+
+  private beginByKind(fault: Fault, owner: string | null): FaultEffect {
+    if (isOf<StateFault>(fault, STATE_KINDS)) return this.stateFaults.begin(fault, owner);
+    if (isOf<CloudFault>(fault, CLOUD_KINDS)) return this.cloudFaults.begin(fault);
+    if (isOf<MachineFault>(fault, MACHINE_KINDS)) return this.machineFaults.begin(fault);
+    if (isOf<MessageFault>(fault, MESSAGE_KINDS)) {
+      return beginMessageFault(this.cluster.machines, fault);
+    }
+    if (isOf<UserFault>(fault, USER_KINDS)) return this.userFaults.begin(fault);
+    return beginControllerFault({ ...this.cluster, owner }, fault as ControllerFault);
+  }
+}
+
+type Kinds<F extends Fault> = Record<F['kind'], true>;
+
+const STATE_KINDS: Kinds<StateFault> = {
+  'state-outage': true,
+  'state-refuses': true,
+  'state-slow': true,
+  'late-writes': true,
+  'lost-answers': true,
+};
+const CLOUD_KINDS: Kinds<CloudFault> = {
+  'cloud-outage': true,
+  'late-rentals': true,
+  'quick-boots': true,
+};
+const MACHINE_KINDS: Kinds<MachineFault> = {
+  'machine-death': true,
+  'machine-taken': true,
+  'machine-hang': true,
+  'machine-cut': true,
+  'machine-deaf': true,
+  'machine-mute': true,
+  'zone-cut': true,
+};
+const MESSAGE_KINDS: Kinds<MessageFault> = { 'late-reports': true, 'late-commands': true };
+const USER_KINDS: Kinds<UserFault> = {
+  'cancel-now': true,
+  'cancel-at-end': true,
+  'odd-requests': true,
+  'close-looks': true,
+};
+
+function isOf<F extends Fault>(fault: Fault, kinds: Kinds<F>): fault is F {
+  return fault.kind in kinds;
+}
--- a/packages/testing/simulation/fault-journal.ts
+++ b/packages/testing/simulation/fault-journal.ts
@@ -31,7 +31,8 @@
   /** The faults of one kind, in the order in which they began. */
   of<K extends Fault['kind']>(kind: K): (FaultRecord & { fault: Fault & { kind: K } })[] {
     return this.records.filter(
-      (record): record is FaultRecord & { fault: Fault & { kind: K } } => record.fault.kind === kind,
+      (record): record is FaultRecord & { fault: Fault & { kind: K } } =>
+        record.fault.kind === kind,
     );
   }
 }
--- a/packages/testing/simulation/faults/controller-faults.ts
+++ b/packages/testing/simulation/faults/controller-faults.ts
@@ -22,7 +22,10 @@
   if (fault.kind === 'controller-roll') return roll(context, fault);
   if (fault.kind === 'peers-cut') {
     const hosts = controllers.map((c) => c.host);
-    return effect({ controllers: names(controllers), end: cutFrom(network, hosts, ['peers'], fault.mode) });
+    return effect({
+      controllers: names(controllers),
+      end: cutFrom(network, hosts, ['controllers'], fault.mode),
+    });
   }
   const hit = targetControllers(controllers, fault.controllers, owner);
   switch (fault.kind) {
--- a/packages/testing/simulation/faults/link-faults.ts
+++ b/packages/testing/simulation/faults/link-faults.ts
@@ -6,10 +6,10 @@
 /** Ends a fault. */
 type End = () => void;
 
-const ROLE_OF: Record<CutFrom, HostRole[]> = {
+const ROLES_OF: Record<CutFrom, HostRole[]> = {
   state: ['state'],
   cloud: ['cloud'],
-  peers: ['controller'],
+  controllers: ['controller'],
   workers: ['worker'],
   users: ['users', 'balancer'],
 };
@@ -36,7 +36,7 @@
   mode: CutMode,
 ): End {
   const inside = new Set(hosts);
-  const roles = new Set(from.flatMap((kind) => ROLE_OF[kind]));
+  const roles = new Set(from.flatMap((kind) => ROLES_OF[kind]));
   // Two of the hosts are cut off from each other as well; only a host's way to itself stays.
   const isFar: HostFilter = (host) => roles.has(host.role);
   const isNear: HostFilter = (host) => inside.has(host);
--- /dev/null
+++ b/packages/testing/simulation/faults/machine-faults.ts
@@ -0,0 +1,75 @@
+import type { Chance } from '../../random.js';
+import type { CloudService } from '../../standins/index.js';
+import type { Machines, SimulatedMachine } from '../machines.js';
+import type { SimulatedNetwork } from '../network.js';
+import type { MachineFault } from '../scenario.js';
+import { effect, type FaultEffect } from './effect.js';
+import { cutFrom, cutZone, deafen, mute } from './link-faults.js';
+import { Overlap } from './overlap.js';
+import { targetMachines } from './targets.js';
+
+/** Faults of machines and zones. */
+export class MachineFaults {
+  private readonly hangs = new Overlap<string>();
+
+  constructor(
+    private readonly network: SimulatedNetwork,
+    private readonly machines: Machines,
+    private readonly cloud: CloudService,
+    private readonly chance: Chance,
+  ) {}
+
+  begin(fault: MachineFault): FaultEffect {
+    if (fault.kind === 'zone-cut') return this.cutZone(fault.zone, fault.mode);
+    const machines = targetMachines(this.candidates(fault), fault.machines, this.chance);
+    const hosts = machines.map((machine) => machine.host);
+    const hit = machines.map((machine) => machine.name);
+    switch (fault.kind) {
+      case 'machine-death':
+        for (const name of hit) this.cloud.kill(name);
+        return effect({ machines: hit });
+      case 'machine-taken':
+        for (const name of hit) this.cloud.takeBack(name, fault.noticeS);
+        return effect({ machines: hit });
+      case 'machine-hang':
+        return effect({ machines: hit, end: this.hang(machines) });
+      case 'machine-cut':
+        return effect({
+          machines: hit,
+          end: cutFrom(this.network, hosts, ['controllers'], fault.mode),
+        });
+      case 'machine-deaf':
+        return effect({ machines: hit, end: deafen(this.network, hosts) });
+      case 'machine-mute':
+        return effect({ machines: hit, end: mute(this.network, hosts, fault.mode) });
+    }
+  }
+
+  /** Makes machines stand still; the returned function lets them go on. */
+  hang(machines: SimulatedMachine[]): () => void {
+    const ends = machines.map(({ name, worker }) =>
+      this.hangs.begin(
+        name,
+        () => worker.hang(),
+        () => worker.resume(),
+      ),
+    );
+    return () => ends.forEach((end) => end());
+  }
+
+  private cutZone(zone: string, mode: (MachineFault & { kind: 'zone-cut' })['mode']): FaultEffect {
+    const inZone = this.network.allHosts().filter((host) => host.zone === zone);
+    const controllers = inZone.filter((host) => host.role === 'controller');
+    const machines = inZone.filter((host) => host.role === 'worker' && host.powered);
+    return effect({
+      controllers: controllers.map((host) => host.name),
+      machines: machines.map((host) => host.name),
+      end: cutZone(this.network, zone, mode),
+    });
+  }
+
+  private candidates(fault: MachineFault): SimulatedMachine[] {
+    const running = this.machines.running();
+    return fault.kind === 'machine-taken' ? running.filter((machine) => machine.spot) : running;
+  }
+}
--- a/packages/testing/simulation/index.ts
+++ b/packages/testing/simulation/index.ts
@@ -11,3 +11,6 @@
 export * from './controllers.js';
 export * from './ownership-history.js';
 export * from './scenario.js';
+export * from './cluster.js';
+export * from './machines.js';
+export * from './timeline.js';
--- /dev/null
+++ b/packages/testing/simulation/machines.ts
@@ -0,0 +1,106 @@
+import {
+  Fleet,
+  GangNetwork,
+  LateReports,
+  ReplyLoss,
+  type JobStorage,
+  type MachineHost,
+  type Observer,
+  type RentedMachine,
+  type Worker,
+  type WorkerSurroundings,
+} from '../standins/index.js';
+import type { Runtime } from '#wire';
+import { controllerName, formatAddress, serviceAddress, workerAddress } from './addresses.js';
+import type { ClusterSettings } from './cluster-settings.js';
+import { drawSkew } from './clock.js';
+import { SimulatedHost, type SimulatedNetwork } from './network.js';
+import { SimulatedProcess } from './process.js';
+import type { World } from './world.js';
+
+/** A rented machine that is up. */
+export interface SimulatedMachine {
+  name: string;
+  zone: string;
+  spot: boolean;
+  host: SimulatedHost;
+  worker: Worker;
+}
+
+export interface MachinesOptions {
+  world: World;
+  network: SimulatedNetwork;
+  cluster: ClusterSettings;
+  storage: JobStorage;
+  observer: Observer;
+  /** Of a process that outlives all machines. */
+  runtime: Runtime;
+}
+
+/** Gives each machine that the cloud has up a host of its own, on which its worker runs. */
+export class Machines {
+  readonly fleet: Fleet;
+  readonly lateReports = new LateReports();
+  readonly lateCommands: ReplyLoss;
+  private readonly hosts = new Map<string, SimulatedHost>();
+
+  constructor(private readonly options: MachinesOptions) {
+    this.lateCommands = new ReplyLoss(options.runtime);
+    this.fleet = new Fleet({
+      surroundings: this.surroundings(),
+      addressOf: workerAddress,
+      hostFor: (machine) => this.hostFor(machine),
+      ...options.cluster.faultyMachines,
+    });
+  }
+
+  /** Machines that are up, in the order in which they came up. */
+  running(): SimulatedMachine[] {
+    return this.fleet.workers().map((worker) => this.describe(worker));
+  }
+
+  get(name: string): SimulatedMachine | undefined {
+    const worker = this.fleet.worker(name);
+    return worker && this.describe(worker);
+  }
+
+  private describe(worker: Worker): SimulatedMachine {
+    const { name, zone, spot } = worker.facts;
+    return { name, zone, spot, host: this.hosts.get(name)!, worker };
+  }
+
+  private hostFor({ name, zone, address }: RentedMachine): MachineHost {
+    const { world, network, cluster } = this.options;
+    const host = network.addHost(new SimulatedHost(name, 'worker', address.host, zone));
+    this.hosts.set(name, host);
+    const skew = drawSkew(world, name, cluster.deployment.clock_off_ms);
+    const process = new SimulatedProcess(world, network, host, name, () => {}, skew);
+    const powerOff = () => {
+      host.powered = false;
+      process.crash('silent');
+    };
+    return { runtime: process.start().runtime, powerOff };
+  }
+
+  private surroundings(): WorkerSurroundings {
+    const { cluster, runtime, storage, observer } = this.options;
+    const { workers } = cluster.deployment;
+    return {
+      times: {
+        reportS: workers.report_s,
+        leaseS: workers.lease_s,
+        gangWaitS: workers.gang_wait_s,
+        gangPeerS: workers.gang_peer_s,
+      },
+      controllers: Array.from({ length: cluster.controllers }, (_, index) => ({
+        name: controllerName(index),
+        address: formatAddress(serviceAddress(index)),
+      })),
+      storage,
+      gangs: new GangNetwork(runtime),
+      observer,
+      lateReports: this.lateReports,
+      lateCommands: this.lateCommands,
+    };
+  }
+}
--- a/packages/testing/simulation/process.ts
+++ b/packages/testing/simulation/process.ts
@@ -95,13 +95,15 @@
     return this.incarnation !== null;
   }
 
-  start(): void {
-    if (this.incarnation !== null || !this.host.powered) return;
+  /** Starts unless it runs already; returns the current run. */
+  start(): Incarnation {
+    if (this.incarnation !== null) return this.incarnation;
     this.starts++;
     const { world, network, host, name, skew } = this;
     const incarnation = new Incarnation(world, network, host, name, skew);
     this.incarnation = incarnation;
     incarnation.deliver(() => this.program(incarnation.runtime));
+    return incarnation;
   }
 
   /** Ends the process without any clean-up of its own. */
--- a/packages/testing/simulation/scenario.ts
+++ b/packages/testing/simulation/scenario.ts
@@ -24,7 +24,7 @@
 export type CutMode = Exclude<LinkEffect, 'drop-answers'>;
 
 /** What a controller can be cut from. */
-export type CutFrom = 'state' | 'cloud' | 'peers' | 'workers' | 'users';
+export type CutFrom = 'state' | 'cloud' | 'controllers' | 'workers' | 'users';
 
 interface Timed {
   /** Simulated seconds after the start. */
@@ -113,9 +113,4 @@
   | (Lasting & { kind: 'close-looks' });
 
 export type Fault =
-  | StateFault
-  | CloudFault
-  | ControllerFault
-  | MachineFault
-  | MessageFault
-  | UserFault;
+  StateFault | CloudFault | ControllerFault | MachineFault | MessageFault | UserFault;
