--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -8,6 +8,7 @@
 export * from './operator.js';
 export * from './peer-status.js';
 export type { PartOwner } from './owner.js';
+export * from './pacer.js';
 export * from './settings.js';
 export * from './sockets.js';
 export * from './status-exchange.js';
