--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 const PRODUCTION = ['packages/{wire,core,store,peer,controller,cli}/**/*.ts'];
+const TESTS = ['packages/**/*.test.ts'];
 const GIVEN = 'Use the Runtime that the caller hands over (packages/wire/runtime.ts).';
 
 const machineProperties = [
@@ -80,11 +81,11 @@
       eqeqeq: 'error',
     },
   },
-  { files: PRODUCTION, ignores: ['packages/wire/runtime.ts'], rules: runtimeRules },
+  { files: PRODUCTION, ignores: ['packages/wire/runtime.ts', ...TESTS], rules: runtimeRules },
   {
     // Several controllers may run in one process; only the command line may end it.
     files: PRODUCTION,
-    ignores: ['packages/wire/runtime.ts', 'packages/cli/**'],
+    ignores: ['packages/wire/runtime.ts', 'packages/cli/**', ...TESTS],
     rules: {
       'no-restricted-properties': [
         'error',
@@ -95,7 +96,7 @@
   },
   {
     // The test runner itself waits for what test() returns.
-    files: ['packages/**/*.test.ts'],
+    files: TESTS,
     rules: { '@typescript-eslint/no-floating-promises': 'off' },
   },
 );
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -31,6 +31,7 @@
 import { CloudDuty } from './cloud.js';
 import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
 import { JobTable } from './jobs.js';
+import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
 import { Metrics } from './metrics.js';
 import { PartOwner } from './owner.js';
@@ -40,10 +41,6 @@
 import { Vitals } from './vitals.js';
 
 const WATCH_MS = 10_000;
-/** Event-loop lag, as a share of the users' second, from which submissions are turned away. */
-const LAG_LIMIT_MS = 500;
-/** What a lag counts for at the next look; looks are as far apart as the limit is long. */
-const LAG_KEPT = 1 / 3;
 /** Shares of a report period for which changes of jobs gather, at the owner and elsewhere. */
 const OWNER_GATHERS = 1 / 50;
 const OTHERS_GATHER = 1 / 2;
@@ -86,7 +83,7 @@
   private metrics: Promise<Metrics> | null = null;
   private observed: Metrics | null = null;
   private outageSeenAt = -Infinity;
-  private lagMs = 0;
+  private readonly lag: LagMonitor;
   private readonly reportS: number;
 
   constructor(
@@ -97,6 +94,7 @@
     this.clock = runtime.clock;
     const { deployment: d, external, operator } = settings;
     this.reportS = d.workers.report_s;
+    this.lag = new LagMonitor(this.clock);
     this.sockets = socketShares(d.limits.sockets, settings.peers.length);
     const timeoutMs = this.reportS * 1000;
     this.client = new StateClient(
@@ -195,7 +193,7 @@
       this.peers.run(signal),
       this.statusDuty(signal),
       this.ownerDuty(signal),
-      this.lagDuty(signal),
+      this.lag.run(signal),
       this.vitalsDuty(signal),
     ];
   }
@@ -260,7 +258,7 @@
         this.vitals.questions++;
         return this.timer((s) => this.observed?.questions.observe({ kind }, s));
       },
-      overloaded: () => this.lagMs > LAG_LIMIT_MS,
+      overloaded: () => this.lag.overloaded,
       onAbort: (id) => {
         this.abortAsked(id);
         this.peers.send({ kind: 'abort', job: id });
@@ -419,17 +417,6 @@
     this.ownership.resign(leaseS);
   }
 
-  private async lagDuty(signal: AbortSignal): Promise<void> {
-    const stepMs = LAG_LIMIT_MS;
-    while (!signal.aborted) {
-      const before = this.clock.now();
-      await pause(this.clock, stepMs, signal);
-      const lag = (this.clock.now() - before) * 1000 - stepMs;
-      // One look later a lag that is over turns nobody away.
-      this.lagMs = Math.max(lag, this.lagMs * LAG_KEPT);
-    }
-  }
-
   private async vitalsDuty(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await pause(this.clock, VITALS_REPORTS * this.reportS * 1000, signal);
