--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -33,7 +33,7 @@
 import { JobTable } from './jobs.js';
 import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
-import { Metrics } from './metrics.js';
+import { MetricsEndpoint } from './metrics-endpoint.js';
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
@@ -57,8 +57,6 @@
 const KEEP_ALIVE_MS = 75_000;
 /** Share of the server's connections above which users' connections are not kept. */
 const CROWDED = 0.9;
-/** Report periods between two looks at what the process does and holds. */
-const VITALS_REPORTS = 10;
 
 export class Controller {
   private readonly clock: Clock;
@@ -79,9 +77,7 @@
   private readonly vitals: Vitals;
   private readonly sockets: { server: number; direct: number };
   private readonly workerLines = new WorkerLines();
-  /** From the first request for it on. */
-  private metrics: Promise<Metrics> | null = null;
-  private observed: Metrics | null = null;
+  private readonly metrics: MetricsEndpoint;
   private outageSeenAt = -Infinity;
   private readonly lag: LagMonitor;
   private readonly reportS: number;
@@ -108,15 +104,24 @@
       },
       d.nodes === 1 ? 0.9 : STATE_SHARE,
     );
-    this.vitals = new Vitals(
-      this.clock,
-      () => ({
+    this.vitals = new Vitals({
+      clock: this.clock,
+      reportS: this.reportS,
+      counted: () => ({
         stateRequests: this.client.requests,
         stateRefused: this.client.refused,
         stateChanges: this.client.changes,
       }),
-      () => this.listener.connections,
-    );
+      connections: () => this.listener.connections,
+      onLook: (look) => this.log.info({ owner: this.owner !== null, ...look }, 'vitals'),
+    });
+    this.metrics = new MetricsEndpoint({
+      clock: this.clock,
+      reportS: this.reportS,
+      vitals: this.vitals,
+      client: this.client,
+      owner: () => this.owner,
+    });
     // Questions wait at the most a fifth of a report period for the read index, and share it.
     const syncSpacingMs = Math.max((5 * d.nodes * 1000) / d.state.rps, timeoutMs / 5);
     const gatherMs = () => timeoutMs * (this.owner ? OWNER_GATHERS : OTHERS_GATHER);
@@ -194,7 +199,7 @@
       this.statusDuty(signal),
       this.ownerDuty(signal),
       this.lag.run(signal),
-      this.vitalsDuty(signal),
+      this.vitals.run(signal),
     ];
   }
 
@@ -204,36 +209,6 @@
     await this.listener.close();
   }
 
-  private async loadMetrics(): Promise<Metrics> {
-    const metrics = await Metrics.load(this.reportS);
-    this.observed = metrics;
-    const { vitals } = this;
-    metrics.gauge('total', 'Counts since the start', 'of', () => vitals.totals());
-    metrics.gauge('held', 'What the process holds now', 'of', () => vitals.held());
-    metrics.gauge('term', 'Term of the part that is owned here, 0 if none', null, () => ({
-      '': this.owner?.term.term ?? 0,
-    }));
-    metrics.gauge(
-      'budget',
-      "Left of this controller's part of the state service's rates",
-      'of',
-      () => this.client.left(),
-    );
-    metrics.gauge(
-      'team_index',
-      'Index of each team',
-      'team',
-      () => this.owner?.fleet().index ?? {},
-    );
-    metrics.gauge('waiting', 'Tasks that wait for a place', 'class', () =>
-      this.owner ? this.owner.fleet().waiting : {},
-    );
-    metrics.gauge('machines', 'Machines by state', 'state', () =>
-      this.owner ? this.owner.fleet().machines : {},
-    );
-    return metrics;
-  }
-
   private requestListener(): http.RequestListener {
     const { deployment: d } = this.settings;
     const app = makeApp();
@@ -241,12 +216,7 @@
       const ok = this.healthy();
       reply(res, ok ? 200 : 503, { ok });
     });
-    app.get('/metrics', (_req, res, next) => {
-      this.metrics ??= this.loadMetrics();
-      this.metrics
-        .then(async (metrics) => res.type(metrics.contentType).end(await metrics.text()))
-        .catch(next);
-    });
+    this.metrics.mount(app);
     new UserApi({
       clock: this.clock,
       client: this.client,
@@ -256,7 +226,7 @@
       types: () => this.types,
       onRequest: (kind) => {
         this.vitals.questions++;
-        return this.timer((s) => this.observed?.questions.observe({ kind }, s));
+        return this.metrics.timeQuestion(kind);
       },
       overloaded: () => this.lag.overloaded,
       onAbort: (id) => {
@@ -267,19 +237,12 @@
     }).mount(app);
     mountFallbacks(app);
     return frontOf(app, (body, res) => {
-      const answered = this.timer((s) => this.observed?.reports.observe(s));
+      const answered = this.metrics.timeReport();
       this.hello(body, res);
       answered();
     });
   }
 
-  /** What it returns tells how many seconds have passed since, once anyone asks for metrics. */
-  private timer(observe: (seconds: number) => void): () => void {
-    if (this.observed === null) return () => {};
-    const startedAt = this.clock.now();
-    return () => observe(this.clock.now() - startedAt);
-  }
-
   /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
   private healthy(): boolean {
     if (!this.jobs.cache.ready || this.types.length === 0) return false;
@@ -417,13 +380,6 @@
     this.ownership.resign(leaseS);
   }
 
-  private async vitalsDuty(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await pause(this.clock, VITALS_REPORTS * this.reportS * 1000, signal);
-      this.log.info({ owner: this.owner !== null, ...this.vitals.look() }, 'vitals');
-    }
-  }
-
   private async ownerDuty(signal: AbortSignal): Promise<void> {
     let current: { term: Term; stop: AbortController } | null = null;
     const running = new Set<Promise<void>>();
@@ -490,7 +446,7 @@
       onRound: (roundMs) => {
         this.vitals.rounds++;
         this.vitals.roundMs += roundMs;
-        this.observed?.rounds.observe(roundMs / 1000);
+        this.metrics.observeRound(roundMs);
       },
       directSockets: this.sockets.direct,
       log: this.log,
--- /dev/null
+++ b/packages/controller/metrics-endpoint.ts
@@ -0,0 +1,80 @@
+import type { Express } from 'express';
+import type { StateClient } from '#store';
+import type { Clock } from '#wire';
+import { Metrics } from './metrics.js';
+import type { PartOwner } from './owner.js';
+import type { Vitals } from './vitals.js';
+
+export interface MetricsEndpointOptions {
+  clock: Clock;
+  reportS: number;
+  vitals: Vitals;
+  client: StateClient;
+  /** Null while nothing is owned here. */
+  owner: () => PartOwner | null;
+}
+
+/** Serves `/metrics`. The metrics are loaded with the first request for them; until then none is kept. */
+export class MetricsEndpoint {
+  private loading: Promise<Metrics> | null = null;
+  private loaded: Metrics | null = null;
+
+  constructor(private readonly options: MetricsEndpointOptions) {}
+
+  mount(app: Express): void {
+    app.get('/metrics', (_req, res, next) => {
+      this.loading ??= this.load();
+      this.loading
+        .then(async (metrics) => res.type(metrics.contentType).end(await metrics.text()))
+        .catch(next);
+    });
+  }
+
+  /** Times the answer to a report from now until the function that it returns is called. */
+  timeReport(): () => void {
+    return this.time((metrics, seconds) => metrics.reports.observe(seconds));
+  }
+
+  /** Times the answer to a user's request in the same way. */
+  timeQuestion(kind: string): () => void {
+    return this.time((metrics, seconds) => metrics.questions.observe({ kind }, seconds));
+  }
+
+  observeRound(roundMs: number): void {
+    this.loaded?.rounds.observe(roundMs / 1000);
+  }
+
+  private time(observe: (metrics: Metrics, seconds: number) => void): () => void {
+    const { loaded: metrics } = this;
+    if (metrics === null) return () => {};
+    const { clock } = this.options;
+    const startedAt = clock.now();
+    return () => observe(metrics, clock.now() - startedAt);
+  }
+
+  private async load(): Promise<Metrics> {
+    const metrics = await Metrics.load(this.options.reportS);
+    this.register(metrics);
+    this.loaded = metrics;
+    return metrics;
+  }
+
+  private register(metrics: Metrics): void {
+    const { vitals, client, owner } = this.options;
+    metrics.gauge('total', 'Counts since the start', 'of', () => vitals.totals());
+    metrics.gauge('held', 'What the process holds now', 'of', () => vitals.held());
+    metrics.gauge('term', 'Term of the part that is owned here, 0 if none', null, () => ({
+      '': owner()?.term.term ?? 0,
+    }));
+    const budgetHelp = "Left of this controller's part of the state service's rates";
+    metrics.gauge('budget', budgetHelp, 'of', () => client.left());
+    metrics.gauge('team_index', 'Index of each team', 'team', () => owner()?.fleet().index ?? {});
+    metrics.gauge(
+      'waiting',
+      'Tasks that wait for a place',
+      'class',
+      () => owner()?.fleet().waiting ?? {},
+    );
+    metrics.gauge('machines', 'Machines by state', 'state', () => owner()?.fleet().machines ?? {});
+  }
+}
