--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -7,7 +7,6 @@
   Clock,
   CloudClient,
   Listener,
-  MachineType,
   MalformedBody,
   parseHostPort,
   parseReport,
@@ -17,22 +16,14 @@
   StateApi,
 } from '#wire';
 import { PeerLink } from '#peer';
-import {
-  GroupCommit,
-  JOBS,
-  Ownership,
-  PrefixCache,
-  StateClient,
-  Term,
-  TYPES_KEY,
-  WORLD,
-} from '#store';
+import { GroupCommit, JOBS, Ownership, PrefixCache, StateClient, Term, WORLD } from '#store';
 import { frontOf, makeApp, mountFallbacks, readBody, reply, UserApi } from './api.js';
 import { CloudDuty } from './cloud.js';
 import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
 import { JobTable } from './jobs.js';
 import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
+import { MachineTypes } from './machine-types.js';
 import { MetricsEndpoint } from './metrics-endpoint.js';
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
@@ -71,7 +62,7 @@
   private readonly strays = new Map<string, number>();
   /** Jobs whose users asked for an abort, here or at a peer, and when we heard. */
   private readonly asked = new Map<string, number>();
-  private types: MachineType[] = [];
+  private readonly types: MachineTypes;
   private owner: PartOwner | null = null;
   private readonly listener: Listener;
   private readonly vitals: Vitals;
@@ -127,6 +118,7 @@
     const gatherMs = () => timeoutMs * (this.owner ? OWNER_GATHERS : OTHERS_GATHER);
     const caching = { client: this.client, runtime, watchMs: WATCH_MS, syncSpacingMs };
     this.world = new PrefixCache({ ...caching, prefix: WORLD });
+    this.types = new MachineTypes(this.client, this.world);
     this.jobs = new JobTable(new PrefixCache({ ...caching, prefix: JOBS, gatherMs }));
     this.ownership = new Ownership({
       client: this.client,
@@ -177,9 +169,6 @@
   }
 
   private start(signal: AbortSignal): Promise<void>[] {
-    this.world.changes.subscribe((e) => {
-      if (e.key === TYPES_KEY && e.value) this.types = e.value as MachineType[];
-    });
     this.peers.heard.subscribe(({ from, frame }) => {
       const now = this.clock.now();
       this.vitals.peerFrames++;
@@ -223,7 +212,7 @@
       commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
       jobs: this.jobs,
       teams: teamTerms(d.teams),
-      types: () => this.types,
+      types: () => this.types.all(),
       onRequest: (kind) => {
         this.vitals.questions++;
         return this.metrics.timeQuestion(kind);
@@ -245,7 +234,7 @@
 
   /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
   private healthy(): boolean {
-    if (!this.jobs.cache.ready || this.types.length === 0) return false;
+    if (!this.jobs.cache.ready || this.types.all().length === 0) return false;
     const { lastOkAt, lastFailAt, failing } = this.client;
     if (!failing || lastFailAt - lastOkAt < 2 * this.reportS) return true;
     const othersServed = [...this.words.values()].some(
@@ -441,7 +430,7 @@
       client: this.client,
       jobs: this.jobs,
       term,
-      types: () => this.types,
+      types: () => this.types.all(),
       entitled: () => this.entitled() !== 'none',
       onRound: (roundMs) => {
         this.vitals.rounds++;
@@ -464,25 +453,10 @@
       listLagS: deployment.cloud.list_lag_s,
       reportS: this.reportS,
       leaseS: deployment.workers.lease_s,
-      onTypes: (types, signal) => this.publishTypes(types, signal),
+      onTypes: (types, signal) => this.types.publish(types, signal),
       entitled: () => this.entitled() !== 'none',
       calm: () => this.entitled() === 'proven' && !this.client.failing,
       log: this.log,
     });
   }
-
-  /** Types and their nominal sizes, for the controllers that don't ask the cloud themselves. */
-  private async publishTypes(types: MachineType[], signal: AbortSignal): Promise<void> {
-    const known = JSON.stringify(this.types.map(sizesOf));
-    if (this.types.length > 0 && known === JSON.stringify(types.map(sizesOf))) {
-      this.types = types;
-      return;
-    }
-    const out = await this.client.txn([], [{ put: TYPES_KEY, value: types }], true, signal);
-    if (out.ok) this.world.learn(TYPES_KEY, types, out.revision);
-  }
-}
-
-function sizesOf(t: MachineType): unknown {
-  return [t.name, t.cpus, t.gpus, t.memory, t.zones];
 }
