Controller: the HTTP server is a module of its own

Bodies and answers, the server with its routes, and the users' interface were one file of 310 lines, and the server was built in controller.ts. No behaviour changes.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,12 +1,10 @@
 import { setMaxListeners } from 'node:events';
-import http from 'node:http';
 import { filter, Subscription } from 'rxjs';
 import {
   aborted,
   answerToWire,
   Clock,
   CloudClient,
-  Listener,
   MalformedBody,
   parseHostPort,
   parseReport,
@@ -17,9 +15,10 @@
 } from '#wire';
 import { PeerLink } from '#peer';
 import { GroupCommit, JOBS, Ownership, PrefixCache, StateClient, Term, WORLD } from '#store';
-import { frontOf, makeApp, mountFallbacks, readBody, reply, UserApi } from './api.js';
 import { CloudDuty } from './cloud.js';
 import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
+import { readBody, reply } from './http-bodies.js';
+import { HttpServer } from './http-server.js';
 import { JobTable } from './jobs.js';
 import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
@@ -29,6 +28,7 @@
 import { TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
 import { socketShares, WorkerLines } from './sockets.js';
+import { UserApi } from './user-api.js';
 import { Vitals } from './vitals.js';
 
 const WATCH_MS = 10_000;
@@ -44,10 +44,6 @@
 const STATE_SHARE = 0.55;
 const OWNER_WRITES = 0.8;
 const OTHERS_WRITE = 0.3;
-/** How long a connection of a worker or user is kept without a request. */
-const KEEP_ALIVE_MS = 75_000;
-/** Share of the server's connections above which users' connections are not kept. */
-const CROWDED = 0.9;
 
 export class Controller {
   private readonly clock: Clock;
@@ -64,7 +60,7 @@
   private readonly asked = new Map<string, number>();
   private readonly types: MachineTypes;
   private owner: PartOwner | null = null;
-  private readonly listener: Listener;
+  private readonly httpServer: HttpServer;
   private readonly vitals: Vitals;
   private readonly sockets: { server: number; direct: number };
   private readonly workerLines = new WorkerLines();
@@ -103,7 +99,7 @@
         stateRefused: this.client.refused,
         stateChanges: this.client.changes,
       }),
-      connections: () => this.listener.connections,
+      connections: () => this.httpServer.connections,
       onLook: (look) => this.log.info({ owner: this.owner !== null, ...look }, 'vitals'),
     });
     this.metrics = new MetricsEndpoint({
@@ -137,12 +133,7 @@
       greeting: () => [...this.asked.keys()].map((job) => ({ kind: 'abort', job })),
     });
     this.cloud = new CloudClient(runtime, external.cloud, 4 * timeoutMs);
-    const server = http.createServer(
-      { requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS },
-      this.requestListener(),
-    );
-    server.maxConnections = this.sockets.server;
-    this.listener = new Listener(runtime.network, server);
+    this.httpServer = this.makeHttpServer();
   }
 
   /**
@@ -180,7 +171,7 @@
       } else if (frame.kind === 'abort') this.abortAsked(frame.job);
     });
     return [
-      this.serve(signal),
+      this.httpServer.run(signal),
       this.world.run(signal),
       this.jobs.cache.run(signal),
       this.ownership.run(signal),
@@ -192,43 +183,42 @@
     ];
   }
 
-  private async serve(signal: AbortSignal): Promise<void> {
-    await this.listener.open(parseHostPort(this.settings.listen));
-    await aborted(signal);
-    await this.listener.close();
-  }
-
-  private requestListener(): http.RequestListener {
-    const { deployment: d } = this.settings;
-    const app = makeApp();
-    app.get('/healthz', (_req, res) => {
-      const ok = this.healthy();
-      reply(res, ok ? 200 : 503, { ok });
-    });
-    this.metrics.mount(app);
-    new UserApi({
-      clock: this.clock,
-      client: this.client,
-      commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
-      jobs: this.jobs,
-      teams: teamTerms(d.teams),
-      types: () => this.types.all(),
-      onRequest: (kind) => {
-        this.vitals.questions++;
-        return this.metrics.timeQuestion(kind);
+  private makeHttpServer(): HttpServer {
+    const { deployment, listen } = this.settings;
+    return new HttpServer({
+      network: this.runtime.network,
+      address: parseHostPort(listen),
+      maxConnections: this.sockets.server,
+      mount: (app) => {
+        app.get('/healthz', (_req, res) => {
+          const ok = this.healthy();
+          reply(res, ok ? 200 : 503, { ok });
+        });
+        this.metrics.mount(app);
+        new UserApi({
+          clock: this.clock,
+          client: this.client,
+          commits: new GroupCommit(this.client, Math.ceil(deployment.state.write_rps * 2)),
+          jobs: this.jobs,
+          teams: teamTerms(deployment.teams),
+          types: () => this.types.all(),
+          onRequest: (kind) => {
+            this.vitals.questions++;
+            return this.metrics.timeQuestion(kind);
+          },
+          overloaded: () => this.lag.overloaded,
+          onAbort: (id) => {
+            this.abortAsked(id);
+            this.peers.send({ kind: 'abort', job: id });
+          },
+          crowded: () => this.httpServer.crowded,
+        }).mount(app);
       },
-      overloaded: () => this.lag.overloaded,
-      onAbort: (id) => {
-        this.abortAsked(id);
-        this.peers.send({ kind: 'abort', job: id });
+      onReport: (body, res) => {
+        const answered = this.metrics.timeReport();
+        this.hello(body, res);
+        answered();
       },
-      crowded: () => this.listener.connections > CROWDED * this.sockets.server,
-    }).mount(app);
-    mountFallbacks(app);
-    return frontOf(app, (body, res) => {
-      const answered = this.metrics.timeReport();
-      this.hello(body, res);
-      answered();
     });
   }
 
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -1,11 +1,13 @@
-export * from './api.js';
 export * from './cloud.js';
 export * from './controller.js';
 export * from './direct.js';
 export * from './entitlement.js';
+export * from './http-bodies.js';
+export * from './http-server.js';
 export * from './log.js';
 export * from './operator.js';
 export type { PartOwner } from './owner.js';
 export * from './pacer.js';
 export * from './settings.js';
 export * from './sockets.js';
+export * from './user-api.js';
--- a/packages/controller/api.ts
+++ b/packages/controller/user-api.ts
@@ -1,9 +1,6 @@
-import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
-import express, { Express, Request, Response } from 'express';
+import type { Express, Request, Response } from 'express';
 import {
   Clock,
-  decode,
-  encode,
   isJobId,
   Job,
   MachineType,
@@ -23,10 +20,9 @@
   sizeOf,
   StateClient,
 } from '#store';
+import { readBody, reply } from './http-bodies.js';
 import { JobTable } from './jobs.js';
 
-const BODY_LIMIT = 64 * 1024;
-
 export interface ApiParts {
   clock: Clock;
   client: StateClient;
@@ -44,49 +40,6 @@
   crowded: () => boolean;
 }
 
-/** Answers with one write: head and body go out together. */
-export function reply(
-  res: ServerResponse,
-  status: number,
-  body: unknown,
-  retryAfterS?: number,
-): void {
-  const bytes = encode(body);
-  const head: Record<string, string | number> = {
-    'Content-Type': 'application/cbor',
-    'Content-Length': bytes.length,
-  };
-  if (retryAfterS !== undefined) head['Retry-After'] = Math.ceil(retryAfterS);
-  res.writeHead(status, head).end(bytes);
-}
-
-/**
- * Takes a body in without express's body parsers: most of what an owner of a large fleet does is read
- * reports, and the parsers' streams cost more than reading the report itself.
- */
-export function takeBody(req: IncomingMessage, take: (body: unknown) => void): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  req.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    // What is too large is read to its end, so that the answer can be sent, but not kept.
-    if (size <= BODY_LIMIT) chunks.push(chunk);
-  });
-  req.on('end', () => {
-    if (size > BODY_LIMIT) take(undefined);
-    else take(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
-  });
-}
-
-export function readBody(body: unknown): unknown {
-  if (!Buffer.isBuffer(body)) throw new MalformedBody('no body');
-  const value = decode(body);
-  if (value === null || typeof value !== 'object' || Array.isArray(value)) {
-    throw new MalformedBody('not a map');
-  }
-  return value;
-}
-
 /** What users ask: submissions, queries, aborts. */
 export class UserApi {
   constructor(private readonly parts: ApiParts) {}
@@ -258,54 +211,3 @@
     else reply(res, 200, { id, phase: record.phase });
   }
 }
-
-/**
- * Reports go past express: nearly all requests to an owner are reports, and express's way to the handler
- * cost more than the handler. All else is express's.
- */
-export function frontOf(
-  app: Express,
-  hello: (body: unknown, res: ServerResponse) => void,
-): RequestListener {
-  return (req, res) => {
-    if (req.method === 'POST' && req.url === '/hello') takeBody(req, (body) => hello(body, res));
-    else app(req, res);
-  };
-}
-
-/** The common frame of the HTTP side: raw bodies within the limit, and an answer to everything. */
-export function makeApp(): Express {
-  const app = express();
-  app.disable('x-powered-by');
-  app.disable('etag');
-  app.set('query parser', false);
-  app.use((req, _res, next) =>
-    takeBody(req, (body) => {
-      req.body = body;
-      next();
-    }),
-  );
-  return app;
-}
-
-/** Unknown paths, wrong methods and bodies that could not be read. To be mounted last. */
-export function mountFallbacks(app: Express): void {
-  const methods: [RegExp, string][] = [
-    [/^\/(submissions|hello)\/?$/, 'POST'],
-    [/^\/submissions\/[^/]+\/?$/, 'GET'],
-    [/^\/submissions\/[^/]+\/abort\/?$/, 'POST'],
-    [/^\/(healthz|metrics)\/?$/, 'GET'],
-  ];
-  app.use((req: Request, res: Response) => {
-    const known = methods.find(([path]) => path.test(req.path));
-    if (!known) reply(res, 404, { error: 'unknown path' });
-    else {
-      res.setHeader('Allow', known[1]);
-      reply(res, 405, { error: 'wrong method' });
-    }
-  });
-  app.use((err: unknown, _req: Request, res: Response, next: () => void) => {
-    if (res.headersSent) next();
-    else reply(res, 400, { error: err instanceof Error ? err.message : 'unreadable' });
-  });
-}
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -6,7 +6,7 @@
 import {
   ApiParts,
   DirectCommands,
-  frontOf,
+  withReports,
   makeApp,
   mountFallbacks,
   readBody,
@@ -42,7 +42,7 @@
   const app = makeApp();
   app.post('/submissions', (req, res) => take(req.body, res));
   mountFallbacks(app);
-  const server = http.createServer(frontOf(app, take)).listen(0, '127.0.0.1');
+  const server = http.createServer(withReports(app, take)).listen(0, '127.0.0.1');
   await new Promise((resolve) => server.once('listening', resolve));
   const { port } = server.address() as AddressInfo;
   for (const path of ['/hello', '/submissions']) {
