--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,13 +1,10 @@
 import { setMaxListeners } from 'node:events';
-import http from 'node:http';
 import { filter, Subscription } from 'rxjs';
 import {
   aborted,
   answerToWire,
   Clock,
   CloudClient,
-  Listener,
-  MachineType,
   MalformedBody,
   parseHostPort,
   parseReport,
@@ -17,33 +14,24 @@
   StateApi,
 } from '#wire';
 import { PeerLink } from '#peer';
-import {
-  GroupCommit,
-  JOBS,
-  Ownership,
-  PrefixCache,
-  StateClient,
-  Term,
-  TYPES_KEY,
-  WORLD,
-} from '#store';
-import { frontOf, makeApp, mountFallbacks, readBody, reply, UserApi } from './api.js';
+import { GroupCommit, JOBS, Ownership, PrefixCache, StateClient, Term, WORLD } from '#store';
 import { CloudDuty } from './cloud.js';
 import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
+import { readBody, reply } from './http-bodies.js';
+import { HttpServer } from './http-server.js';
 import { JobTable } from './jobs.js';
+import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
-import { Metrics } from './metrics.js';
+import { MachineTypes } from './machine-types.js';
+import { MetricsEndpoint } from './metrics-endpoint.js';
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
 import { socketShares, WorkerLines } from './sockets.js';
+import { UserApi } from './user-api.js';
 import { Vitals } from './vitals.js';
 
 const WATCH_MS = 10_000;
-/** Event-loop lag, as a share of the users' second, from which submissions are turned away. */
-const LAG_LIMIT_MS = 500;
-/** What a lag counts for at the next look; looks are as far apart as the limit is long. */
-const LAG_KEPT = 1 / 3;
 /** Shares of a report period for which changes of jobs gather, at the owner and elsewhere. */
 const OWNER_GATHERS = 1 / 50;
 const OTHERS_GATHER = 1 / 2;
@@ -56,12 +44,6 @@
 const STATE_SHARE = 0.55;
 const OWNER_WRITES = 0.8;
 const OTHERS_WRITE = 0.3;
-/** How long a connection of a worker or user is kept without a request. */
-const KEEP_ALIVE_MS = 75_000;
-/** Share of the server's connections above which users' connections are not kept. */
-const CROWDED = 0.9;
-/** Report periods between two looks at what the process does and holds. */
-const VITALS_REPORTS = 10;
 
 export class Controller {
   private readonly clock: Clock;
@@ -76,17 +58,15 @@
   private readonly strays = new Map<string, number>();
   /** Jobs whose users asked for an abort, here or at a peer, and when we heard. */
   private readonly asked = new Map<string, number>();
-  private types: MachineType[] = [];
+  private readonly types: MachineTypes;
   private owner: PartOwner | null = null;
-  private readonly listener: Listener;
+  private readonly httpServer: HttpServer;
   private readonly vitals: Vitals;
   private readonly sockets: { server: number; direct: number };
   private readonly workerLines = new WorkerLines();
-  /** From the first request for it on. */
-  private metrics: Promise<Metrics> | null = null;
-  private observed: Metrics | null = null;
+  private readonly metrics: MetricsEndpoint;
   private outageSeenAt = -Infinity;
-  private lagMs = 0;
+  private readonly lag: LagMonitor;
   private readonly reportS: number;
 
   constructor(
@@ -97,6 +77,7 @@
     this.clock = runtime.clock;
     const { deployment: d, external, operator } = settings;
     this.reportS = d.workers.report_s;
+    this.lag = new LagMonitor(this.clock);
     this.sockets = socketShares(d.limits.sockets, settings.peers.length);
     const timeoutMs = this.reportS * 1000;
     this.client = new StateClient(
@@ -110,20 +91,30 @@
       },
       d.nodes === 1 ? 0.9 : STATE_SHARE,
     );
-    this.vitals = new Vitals(
-      this.clock,
-      () => ({
+    this.vitals = new Vitals({
+      clock: this.clock,
+      reportS: this.reportS,
+      counted: () => ({
         stateRequests: this.client.requests,
         stateRefused: this.client.refused,
         stateChanges: this.client.changes,
       }),
-      () => this.listener.connections,
-    );
+      connections: () => this.httpServer.connections,
+      onLook: (look) => this.log.info({ owner: this.owner !== null, ...look }, 'vitals'),
+    });
+    this.metrics = new MetricsEndpoint({
+      clock: this.clock,
+      reportS: this.reportS,
+      vitals: this.vitals,
+      client: this.client,
+      owner: () => this.owner,
+    });
     // Questions wait at the most a fifth of a report period for the read index, and share it.
     const syncSpacingMs = Math.max((5 * d.nodes * 1000) / d.state.rps, timeoutMs / 5);
     const gatherMs = () => timeoutMs * (this.owner ? OWNER_GATHERS : OTHERS_GATHER);
     const caching = { client: this.client, runtime, watchMs: WATCH_MS, syncSpacingMs };
     this.world = new PrefixCache({ ...caching, prefix: WORLD });
+    this.types = new MachineTypes(this.client, this.world);
     this.jobs = new JobTable(new PrefixCache({ ...caching, prefix: JOBS, gatherMs }));
     this.ownership = new Ownership({
       client: this.client,
@@ -142,12 +133,7 @@
       greeting: () => [...this.asked.keys()].map((job) => ({ kind: 'abort', job })),
     });
     this.cloud = new CloudClient(runtime, external.cloud, 4 * timeoutMs);
-    const server = http.createServer(
-      { requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE_MS },
-      this.requestListener(),
-    );
-    server.maxConnections = this.sockets.server;
-    this.listener = new Listener(runtime.network, server);
+    this.httpServer = this.makeHttpServer();
   }
 
   /**
@@ -174,9 +160,6 @@
   }
 
   private start(signal: AbortSignal): Promise<void>[] {
-    this.world.changes.subscribe((e) => {
-      if (e.key === TYPES_KEY && e.value) this.types = e.value as MachineType[];
-    });
     this.peers.heard.subscribe(({ from, frame }) => {
       const now = this.clock.now();
       this.vitals.peerFrames++;
@@ -188,103 +171,60 @@
       } else if (frame.kind === 'abort') this.abortAsked(frame.job);
     });
     return [
-      this.serve(signal),
+      this.httpServer.run(signal),
       this.world.run(signal),
       this.jobs.cache.run(signal),
       this.ownership.run(signal),
       this.peers.run(signal),
       this.statusDuty(signal),
       this.ownerDuty(signal),
-      this.lagDuty(signal),
-      this.vitalsDuty(signal),
+      this.lag.run(signal),
+      this.vitals.run(signal),
     ];
   }
 
-  private async serve(signal: AbortSignal): Promise<void> {
-    await this.listener.open(parseHostPort(this.settings.listen));
-    await aborted(signal);
-    await this.listener.close();
-  }
-
-  private async loadMetrics(): Promise<Metrics> {
-    const metrics = await Metrics.load(this.reportS);
-    this.observed = metrics;
-    const { vitals } = this;
-    metrics.gauge('total', 'Counts since the start', 'of', () => vitals.totals());
-    metrics.gauge('held', 'What the process holds now', 'of', () => vitals.held());
-    metrics.gauge('term', 'Term of the part that is owned here, 0 if none', null, () => ({
-      '': this.owner?.term.term ?? 0,
-    }));
-    metrics.gauge(
-      'budget',
-      "Left of this controller's part of the state service's rates",
-      'of',
-      () => this.client.left(),
-    );
-    metrics.gauge(
-      'team_index',
-      'Index of each team',
-      'team',
-      () => this.owner?.fleet().index ?? {},
-    );
-    metrics.gauge('waiting', 'Tasks that wait for a place', 'class', () =>
-      this.owner ? this.owner.fleet().waiting : {},
-    );
-    metrics.gauge('machines', 'Machines by state', 'state', () =>
-      this.owner ? this.owner.fleet().machines : {},
-    );
-    return metrics;
-  }
-
-  private requestListener(): http.RequestListener {
-    const { deployment: d } = this.settings;
-    const app = makeApp();
-    app.get('/healthz', (_req, res) => {
-      const ok = this.healthy();
-      reply(res, ok ? 200 : 503, { ok });
-    });
-    app.get('/metrics', (_req, res, next) => {
-      this.metrics ??= this.loadMetrics();
-      this.metrics
-        .then(async (metrics) => res.type(metrics.contentType).end(await metrics.text()))
-        .catch(next);
-    });
-    new UserApi({
-      clock: this.clock,
-      client: this.client,
-      commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
-      jobs: this.jobs,
-      teams: teamTerms(d.teams),
-      types: () => this.types,
-      onRequest: (kind) => {
-        this.vitals.questions++;
-        return this.timer((s) => this.observed?.questions.observe({ kind }, s));
+  private makeHttpServer(): HttpServer {
+    const { deployment, listen } = this.settings;
+    return new HttpServer({
+      network: this.runtime.network,
+      address: parseHostPort(listen),
+      maxConnections: this.sockets.server,
+      mount: (app) => {
+        app.get('/healthz', (_req, res) => {
+          const ok = this.healthy();
+          reply(res, ok ? 200 : 503, { ok });
+        });
+        this.metrics.mount(app);
+        new UserApi({
+          clock: this.clock,
+          client: this.client,
+          commits: new GroupCommit(this.client, Math.ceil(deployment.state.write_rps * 2)),
+          jobs: this.jobs,
+          teams: teamTerms(deployment.teams),
+          types: () => this.types.all(),
+          onRequest: (kind) => {
+            this.vitals.questions++;
+            return this.metrics.timeQuestion(kind);
+          },
+          overloaded: () => this.lag.overloaded,
+          onAbort: (id) => {
+            this.abortAsked(id);
+            this.peers.send({ kind: 'abort', job: id });
+          },
+          crowded: () => this.httpServer.crowded,
+        }).mount(app);
       },
-      overloaded: () => this.lagMs > LAG_LIMIT_MS,
-      onAbort: (id) => {
-        this.abortAsked(id);
-        this.peers.send({ kind: 'abort', job: id });
+      onReport: (body, res) => {
+        const answered = this.metrics.timeReport();
+        this.hello(body, res);
+        answered();
       },
-      crowded: () => this.listener.connections > CROWDED * this.sockets.server,
-    }).mount(app);
-    mountFallbacks(app);
-    return frontOf(app, (body, res) => {
-      const answered = this.timer((s) => this.observed?.reports.observe(s));
-      this.hello(body, res);
-      answered();
     });
   }
 
-  /** What it returns tells how many seconds have passed since, once anyone asks for metrics. */
-  private timer(observe: (seconds: number) => void): () => void {
-    if (this.observed === null) return () => {};
-    const startedAt = this.clock.now();
-    return () => observe(this.clock.now() - startedAt);
-  }
-
   /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
   private healthy(): boolean {
-    if (!this.jobs.cache.ready || this.types.length === 0) return false;
+    if (!this.jobs.cache.ready || this.types.all().length === 0) return false;
     const { lastOkAt, lastFailAt, failing } = this.client;
     if (!failing || lastFailAt - lastOkAt < 2 * this.reportS) return true;
     const othersServed = [...this.words.values()].some(
@@ -419,24 +359,6 @@
     this.ownership.resign(leaseS);
   }
 
-  private async lagDuty(signal: AbortSignal): Promise<void> {
-    const stepMs = LAG_LIMIT_MS;
-    while (!signal.aborted) {
-      const before = this.clock.now();
-      await pause(this.clock, stepMs, signal);
-      const lag = (this.clock.now() - before) * 1000 - stepMs;
-      // One look later a lag that is over turns nobody away.
-      this.lagMs = Math.max(lag, this.lagMs * LAG_KEPT);
-    }
-  }
-
-  private async vitalsDuty(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await pause(this.clock, VITALS_REPORTS * this.reportS * 1000, signal);
-      this.log.info({ owner: this.owner !== null, ...this.vitals.look() }, 'vitals');
-    }
-  }
-
   private async ownerDuty(signal: AbortSignal): Promise<void> {
     let current: { term: Term; stop: AbortController } | null = null;
     const running = new Set<Promise<void>>();
@@ -498,12 +420,12 @@
       client: this.client,
       jobs: this.jobs,
       term,
-      types: () => this.types,
+      types: () => this.types.all(),
       entitled: () => this.entitled() !== 'none',
       onRound: (roundMs) => {
         this.vitals.rounds++;
         this.vitals.roundMs += roundMs;
-        this.observed?.rounds.observe(roundMs / 1000);
+        this.metrics.observeRound(roundMs);
       },
       directSockets: this.sockets.direct,
       log: this.log,
@@ -521,25 +443,10 @@
       listLagS: deployment.cloud.list_lag_s,
       reportS: this.reportS,
       leaseS: deployment.workers.lease_s,
-      onTypes: (types, signal) => this.publishTypes(types, signal),
+      onTypes: (types, signal) => this.types.publish(types, signal),
       entitled: () => this.entitled() !== 'none',
       calm: () => this.entitled() === 'proven' && !this.client.failing,
       log: this.log,
     });
   }
-
-  /** Types and their nominal sizes, for the controllers that don't ask the cloud themselves. */
-  private async publishTypes(types: MachineType[], signal: AbortSignal): Promise<void> {
-    const known = JSON.stringify(this.types.map(sizesOf));
-    if (this.types.length > 0 && known === JSON.stringify(types.map(sizesOf))) {
-      this.types = types;
-      return;
-    }
-    const out = await this.client.txn([], [{ put: TYPES_KEY, value: types }], true, signal);
-    if (out.ok) this.world.learn(TYPES_KEY, types, out.revision);
-  }
-}
-
-function sizesOf(t: MachineType): unknown {
-  return [t.name, t.cpus, t.gpus, t.memory, t.zones];
 }
