--- /dev/null
+++ b/packages/testing/standins/cloud/capacity.ts
@@ -0,0 +1,40 @@
+/** How many machines of one type, zone and kind the cloud has in all. */
+export interface CapacityLimit {
+  /** Absent: any. */
+  type?: string;
+  zone?: string;
+  spot?: boolean;
+  machines: number;
+}
+
+interface MachineKind {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** What the cloud can still rent out; without a limit that fits there is no end. */
+export class Capacity {
+  constructor(private limits: CapacityLimit[]) {}
+
+  change(limits: CapacityLimit[]): void {
+    this.limits = limits;
+  }
+
+  /** Machines of that kind that may still be rented, given those that are. */
+  left(wanted: MachineKind, rented: Iterable<MachineKind>): number {
+    const held = [...rented];
+    const lefts = this.limits
+      .filter((limit) => matches(limit, wanted))
+      .map((limit) => limit.machines - held.filter((machine) => matches(limit, machine)).length);
+    return Math.max(0, Math.min(Infinity, ...lefts));
+  }
+}
+
+function matches(limit: CapacityLimit, kind: MachineKind): boolean {
+  return (
+    (limit.type ?? kind.type) === kind.type &&
+    (limit.zone ?? kind.zone) === kind.zone &&
+    (limit.spot ?? kind.spot) === kind.spot
+  );
+}
--- /dev/null
+++ b/packages/testing/standins/cloud/machine-list.ts
@@ -0,0 +1,65 @@
+import type { ListedMachine, Runtime } from '#wire';
+import type { RentedMachine } from './rented-machine.js';
+
+/** How long a machine that has died is still listed as running, in seconds. */
+const DEATH_UNNOTICED_S = 30;
+/** Share of lists that lag by more than the nominal time, up to twice as much. */
+const LATE_LIST_SHARE = 0.25;
+
+/** The cloud's list as its users see it: late, and at times older than the one before. */
+export class MachineList {
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly lagS: number,
+  ) {}
+
+  /** A page of those machines, which come in the order of their names. */
+  page(
+    machines: Iterable<RentedMachine>,
+    after: string | null,
+    limit: number,
+  ): { machines: ListedMachine[]; more: boolean } {
+    const describedAt = this.runtime.clock.now() - this.drawLagS();
+    const page: ListedMachine[] = [];
+    for (const machine of machines) {
+      if (after !== null && machine.name <= after) continue;
+      if (!this.isListed(machine, describedAt)) continue;
+      if (page.length === limit) return { machines: page, more: true };
+      machine.listed = true;
+      page.push(describe(machine, describedAt));
+    }
+    return { machines: page, more: false };
+  }
+
+  /** The machine is in no list any more. */
+  isForgotten(machine: RentedMachine): boolean {
+    return machine.goneAt !== null && machine.goneAt < this.runtime.clock.now() - 2 * this.lagS;
+  }
+
+  private isListed(machine: RentedMachine, describedAt: number): boolean {
+    if (machine.goneAt !== null && machine.goneAt <= describedAt) return false;
+    return machine.listed || machine.rentedAt <= describedAt;
+  }
+
+  private drawLagS(): number {
+    const late = this.runtime.random() < LATE_LIST_SHARE;
+    return this.lagS * (late ? 1 + this.runtime.random() : 1);
+  }
+}
+
+function describe(machine: RentedMachine, describedAt: number): ListedMachine {
+  return {
+    name: machine.name,
+    addr: `${machine.address.host}:${machine.address.port}`,
+    type: machine.type.name,
+    zone: machine.zone,
+    spot: machine.spot,
+    state: stateAt(machine, describedAt),
+    ageS: Math.max(0, describedAt - machine.rentedAt),
+  };
+}
+
+function stateAt(machine: RentedMachine, time: number): ListedMachine['state'] {
+  if (machine.diedAt !== null && machine.diedAt + DEATH_UNNOTICED_S <= time) return 'failed';
+  return machine.upAt !== null && machine.upAt <= time ? 'running' : 'booting';
+}
--- /dev/null
+++ b/packages/testing/standins/cloud/machine-park.ts
@@ -0,0 +1,109 @@
+/** The machines that the cloud has rented out, from their rental until they are gone. */
+import type { MachineType, Runtime } from '#wire';
+import { USUAL_BOOTS, drawBootS } from './boot-times.js';
+import { Capacity, type CapacityLimit } from './capacity.js';
+import { isRunning, type MachineHosting, type RentedMachine } from './rented-machine.js';
+
+export interface MachineOrder {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+const NAME_DIGITS = 6;
+/** A notice runs from half to one and a half times as long as it says. */
+const NOTICE_SPREAD: [least: number, most: number] = [0.5, 1.5];
+
+export class MachinePark {
+  bootProfile = USUAL_BOOTS;
+  readonly capacity: Capacity;
+  private readonly machines = new Map<string, RentedMachine>();
+  private rentedSoFar = 0;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly hosting: MachineHosting,
+    limits: CapacityLimit[],
+  ) {
+    this.capacity = new Capacity(limits);
+  }
+
+  /** All machines that are or were rented, in the order of their names. */
+  all(): RentedMachine[] {
+    return [...this.machines.values()];
+  }
+
+  get(name: string): RentedMachine | undefined {
+    return this.machines.get(name);
+  }
+
+  /** Rents up to so many machines. */
+  rent(order: MachineOrder): RentedMachine[] {
+    const kept = this.all().filter((machine) => machine.goneAt === null);
+    const kinds = kept.map(({ type, zone, spot }) => ({ type: type.name, zone, spot }));
+    const left = this.capacity.left({ ...order, type: order.type.name }, kinds);
+    const rented: RentedMachine[] = [];
+    while (rented.length < Math.min(order.count, left)) rented.push(this.rentOne(order));
+    return rented;
+  }
+
+  /** Deletes the machine or takes it back; all on it is gone at once. */
+  remove(machine: RentedMachine): void {
+    if (machine.goneAt !== null) return;
+    const ran = isRunning(machine);
+    machine.goneAt = this.runtime.clock.now();
+    if (ran) this.hosting.powerOff(machine);
+  }
+
+  /** The machine stops by itself. */
+  die(machine: RentedMachine): void {
+    if (!isRunning(machine)) return;
+    machine.diedAt = this.runtime.clock.now();
+    this.hosting.powerOff(machine);
+  }
+
+  /** Takes the machine back after a notice of about so many seconds. */
+  giveNotice(machine: RentedMachine, noticeS: number): void {
+    if (!isRunning(machine) || machine.noticed) return;
+    machine.noticed = true;
+    this.hosting.giveNotice(machine, noticeS);
+    const [least, most] = NOTICE_SPREAD;
+    const spread = least + (most - least) * this.runtime.random();
+    this.runtime.clock.setTimer(() => this.remove(machine), noticeS * spread * 1000);
+  }
+
+  /** Drops what no list shows any more. */
+  forget(isForgotten: (machine: RentedMachine) => boolean): void {
+    for (const machine of this.machines.values()) {
+      if (isForgotten(machine)) this.machines.delete(machine.name);
+    }
+  }
+
+  private rentOne({ type, zone, spot }: MachineOrder): RentedMachine {
+    const number = ++this.rentedSoFar;
+    const machine: RentedMachine = {
+      name: `n-${String(number).padStart(NAME_DIGITS, '0')}`,
+      address: this.hosting.addressOf(number),
+      type,
+      zone,
+      spot,
+      rentedAt: this.runtime.clock.now(),
+      upAt: null,
+      diedAt: null,
+      goneAt: null,
+      listed: false,
+      noticed: false,
+    };
+    this.machines.set(machine.name, machine);
+    const bootS = drawBootS(this.runtime, this.bootProfile, type.bootS);
+    if (bootS !== null) this.runtime.clock.setTimer(() => this.boot(machine), bootS * 1000);
+    return machine;
+  }
+
+  private boot(machine: RentedMachine): void {
+    if (machine.goneAt !== null) return;
+    machine.upAt = this.runtime.clock.now();
+    this.hosting.powerOn(machine);
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/cloud/rented-machine.ts
@@ -0,0 +1,36 @@
+import type { HostPort, MachineType } from '#wire';
+
+/** A machine from its rental on, with the times (of the cloud's clock) at which things happened. */
+export interface RentedMachine {
+  readonly name: string;
+  readonly address: HostPort;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly rentedAt: number;
+  upAt: number | null;
+  /** It stopped by itself; it stays listed until it is deleted. */
+  diedAt: number | null;
+  /** It was deleted or taken back. */
+  goneAt: number | null;
+  /** It has been in a list, and stays in all lists until it is gone. */
+  listed: boolean;
+  noticed: boolean;
+}
+
+/** Where rented machines run: told by the cloud when each comes up and goes. */
+export interface MachineHosting {
+  /** Where the worker of the machine with this number, counted from 1, will serve. */
+  addressOf(machineNumber: number): HostPort;
+  /** The machine is up and its worker begins. */
+  powerOn(machine: RentedMachine): void;
+  /** The machine and everything on it are gone, without a word. */
+  powerOff(machine: RentedMachine): void;
+  /** The cloud will take the machine in about so many seconds. */
+  giveNotice(machine: RentedMachine, noticeS: number): void;
+}
+
+/** Up, and neither dead nor gone. */
+export function isRunning(machine: RentedMachine): boolean {
+  return machine.upAt !== null && machine.diedAt === null && machine.goneAt === null;
+}
--- /dev/null
+++ b/packages/wire/serving/cloud.ts
@@ -0,0 +1,107 @@
+/** The cloud's side of its interface: requests read, answers written. */
+import { MalformedBody } from '../cbor.js';
+import { RELEASE_AT_ONCE, RENT_AT_ONCE, type ListedMachine, type MachineType } from '../cloud.js';
+import {
+  asFields,
+  booleanField,
+  integerField,
+  integerQuery,
+  listField,
+  textField,
+} from './fields.js';
+import type { WireReply, WireRequest } from './message.js';
+
+export type CloudRequest =
+  | { op: 'catalog' }
+  | RentRequest
+  | { op: 'release'; machines: string[] }
+  | { op: 'list'; after: string | null; limit: number };
+
+export interface RentRequest {
+  op: 'rent';
+  /** Name that makes the request idempotent. */
+  request: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+const MAX_LISTED = 500;
+const LISTED_STATES: Record<ListedMachine['state'], string> = {
+  booting: 'starting',
+  running: 'running',
+  failed: 'failed',
+};
+
+/** Reads a request; throws MalformedBody for whatever the cloud answers with 400. */
+export function parseCloudRequest({ method, path, query, body }: WireRequest): CloudRequest {
+  if (method === 'GET' && path === '/catalog') return { op: 'catalog' };
+  if (method === 'POST' && path === '/hosts') return parseRent(body);
+  if (method === 'POST' && path === '/hosts/release') return parseRelease(body);
+  if (method === 'GET' && path === '/hosts') {
+    const limit = integerQuery(query, 'most', { min: 1, max: MAX_LISTED, ifMissing: MAX_LISTED });
+    return { op: 'list', after: query.get('after'), limit };
+  }
+  throw new MalformedBody(`${method} ${path} is no request of the cloud`);
+}
+
+function parseRent(body: unknown): RentRequest {
+  const fields = asFields(body);
+  return {
+    op: 'rent',
+    request: textField(fields, 'hire'),
+    type: textField(fields, 'rig'),
+    zone: textField(fields, 'yard'),
+    spot: booleanField(fields, 'loaner'),
+    count: integerField(fields, 'number', 1, RENT_AT_ONCE),
+  };
+}
+
+function parseRelease(body: unknown): CloudRequest {
+  const machines = listField(asFields(body), 'hosts');
+  if (machines.length > RELEASE_AT_ONCE) throw new MalformedBody('too many hosts');
+  if (!machines.every((name) => typeof name === 'string')) {
+    throw new MalformedBody('a host is not a text');
+  }
+  return { op: 'release', machines };
+}
+
+export function catalogReply(types: MachineType[]): WireReply {
+  const rigs = types.map((type) => ({
+    name: type.name,
+    cores: type.cpus,
+    accelerators: type.gpus,
+    ramGb: type.memory,
+    cacheGb: type.cacheGb,
+    pullGbPerS: type.fetchGbPerS,
+    price: type.price,
+    marketPrice: type.spotPrice,
+    startupS: type.bootS,
+    yards: type.zones,
+  }));
+  return { status: 200, body: { rigs } };
+}
+
+/** The machines rented; none is the refusal for want of capacity. */
+export function rentReply(machines: string[]): WireReply {
+  if (machines.length === 0) return { status: 503, body: { error: 'no capacity' } };
+  return { status: 200, body: { hosts: machines } };
+}
+
+export function releaseReply(): WireReply {
+  return { status: 200, body: {} };
+}
+
+export function machineListReply(machines: ListedMachine[], more: boolean): WireReply {
+  const hosts = machines.map((machine) => ({
+    id: machine.name,
+    address: machine.addr,
+    rig: machine.type,
+    yard: machine.zone,
+    loaner: machine.spot,
+    phase: LISTED_STATES[machine.state],
+    ageS: machine.ageS,
+  }));
+  return { status: 200, body: { hosts, more } };
+}
--- a/packages/wire/serving/index.ts
+++ b/packages/wire/serving/index.ts
@@ -1,2 +1,3 @@
+export * from './cloud.js';
 export * from './message.js';
 export * from './state.js';
