--- /dev/null
+++ b/packages/testing/standins/events.ts
@@ -0,0 +1,54 @@
+/**
+ * What happens in the world of the stand-ins, as nobody inside it can see it: the true state of all
+ * machines, and all that users ask and are told. The rule checker reads these events.
+ */
+import type { Cause, Job, MachineType, Phase, TaskRef } from '#wire';
+
+export interface MachineFacts {
+  name: string;
+  /** `host:port` where the worker takes commands. */
+  address: string;
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+}
+
+/** Why a task is on its machine no more; `killed`: its lease ended or the machine is gone. */
+export type LeaveCause = Cause | 'killed';
+
+export type MachineEvent =
+  | { kind: 'machine-up'; machine: MachineFacts }
+  | { kind: 'machine-gone'; machine: string }
+  /** The worker hangs or goes on. */
+  | { kind: 'machine-hangs'; machine: string; hanging: boolean }
+  /** A start command was carried out: the task waits for its image. */
+  | { kind: 'task-assigned'; machine: string; task: TaskRef }
+  /** The task has its image: from now on it is on the machine. */
+  | { kind: 'task-started'; machine: string; task: TaskRef }
+  /** The task is gone, also if it still waited for its image. */
+  | { kind: 'task-left'; machine: string; task: TaskRef; cause: LeaveCause }
+  /** The result of the task exists, for good. */
+  | { kind: 'task-completed'; job: string; index: number };
+
+export type RequestKind = 'submit' | 'poll' | 'abort';
+
+export interface UserRequest {
+  request: RequestKind;
+  job: string;
+  /** When the user sent it; seconds of the observer's clock. */
+  sentAtS: number;
+}
+
+export type UserEvent =
+  /** A user asks for a job for the first time. `runnable` is false if it must be refused. */
+  | { kind: 'job-submitted'; job: Job | null; id: string; runnable: boolean }
+  /** A user asks for the first time that a job be cancelled. */
+  | { kind: 'cancel-asked'; job: string }
+  | ({ kind: 'answered'; status: number; phase: Phase | null } & UserRequest)
+  /** No response came in time, or the connection failed. */
+  | ({ kind: 'unanswered' } & UserRequest);
+
+export type WorldEvent = MachineEvent | UserEvent;
+
+/** Takes each event at the moment at which it happens. */
+export type Observer = (event: WorldEvent) => void;
--- /dev/null
+++ b/packages/testing/standins/worker/command-server.ts
@@ -0,0 +1,62 @@
+import type { HostPort, Report, Runtime } from '#wire';
+import { reportToWire } from '#wire';
+import { parseDirectCommand, type DirectCommand, type WireReply } from '#wire/serving';
+import { NO_REPLY, serveCbor, type CborServer, type ServedRequest } from '../http-server.js';
+import type { ReplyLoss } from '../lost-replies.js';
+
+/** The worker as its server for direct commands sees it. */
+export interface CommandTarget {
+  /** Carries the command out, or says false if token or session do not match. */
+  command(command: DirectCommand): boolean;
+  /** The report that the answer holds. */
+  nextReport(): Report;
+  /** Resolves once the machine does not hang. */
+  whenRunning(): Promise<void>;
+}
+
+/** Serves the commands that controllers send to a worker directly. */
+export class CommandServer {
+  /** Nothing that is sent here is heard. */
+  deaf = false;
+  private server: CborServer | null = null;
+  private closed = false;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly target: CommandTarget,
+    /** Commands that are held up on their way and carried out unanswered. */
+    private readonly lateCommands: ReplyLoss,
+  ) {}
+
+  async listen(address: HostPort): Promise<HostPort> {
+    this.server = await serveCbor(this.runtime, address, (request) => this.handle(request));
+    return this.server.address;
+  }
+
+  close(): void {
+    this.closed = true;
+    this.server?.close();
+  }
+
+  private async handle(request: ServedRequest): Promise<WireReply | typeof NO_REPLY> {
+    await this.target.whenRunning();
+    if (this.deaf || this.closed) return NO_REPLY;
+    const route = `${request.method} ${request.path}`;
+    if (route === 'GET /show') return this.reply(200);
+    if (route !== 'POST /orders') return { status: 404 };
+    return this.takeCommand(parseDirectCommand(request.body));
+  }
+
+  private async takeCommand(command: DirectCommand): Promise<WireReply | typeof NO_REPLY> {
+    const loss = this.lateCommands.draw();
+    if (loss === null) return this.reply(this.target.command(command) ? 200 : 409);
+    await this.lateCommands.due(loss);
+    await this.target.whenRunning();
+    if (!this.closed) this.target.command(command);
+    return NO_REPLY;
+  }
+
+  private reply(status: number): WireReply {
+    return { status, body: reportToWire(this.target.nextReport()) };
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/worker/execution.ts
@@ -0,0 +1,53 @@
+import type { Clock, Timer } from '#wire';
+
+/** Progress of a running task or gang, in seconds of run time at nominal speed. */
+export class Execution {
+  private progressS: number;
+  /** When the progress was last brought up to date; null: it stands still. */
+  private runningSince: number | null = null;
+  private completion: Timer | null = null;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Infinity: it never completes. */
+    private readonly goalS: number,
+    startS: number,
+    private speed: number,
+    private readonly onComplete: () => void,
+  ) {
+    this.progressS = Math.min(startS, goalS);
+  }
+
+  progress(): number {
+    if (this.runningSince === null) return this.progressS;
+    const ranS = (this.clock.now() - this.runningSince) * this.speed;
+    return Math.min(this.goalS, this.progressS + ranS);
+  }
+
+  run(): void {
+    this.pause();
+    this.runningSince = this.clock.now();
+    const leftS = (this.goalS - this.progressS) / this.speed;
+    if (leftS === Infinity) return;
+    this.completion = this.clock.setTimer(() => {
+      this.pause();
+      this.progressS = this.goalS;
+      this.onComplete();
+    }, leftS * 1000);
+  }
+
+  /** Stands still until run(). */
+  pause(): void {
+    this.progressS = this.progress();
+    this.runningSince = null;
+    this.completion?.cancel();
+    this.completion = null;
+  }
+
+  setSpeed(speed: number): void {
+    const running = this.runningSince !== null;
+    this.pause();
+    this.speed = speed;
+    if (running) this.run();
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/worker/gang-attempt.ts
@@ -0,0 +1,208 @@
+import type { Runtime, Timer } from '#wire';
+import { atLastCheckpoint, type JobProgram, type JobStorage } from '../job-storage.js';
+import { Execution } from './execution.js';
+import { GangMember } from './gang-member.js';
+import type { HostedTask } from './hosted-task.js';
+import type { WorkerTimes } from './task-host.js';
+
+type GangPhase =
+  /** Not all tasks are there yet. */
+  | 'gathering'
+  | 'running'
+  /** A first task was told to stop and save. */
+  | 'stopping'
+  /** All were told in time, and the progress is safe. */
+  | 'saved'
+  /** A task was lost; the others are about to notice. */
+  | 'broken'
+  | 'done';
+
+/** Earliest time at which a task notices a loss, as a share of the longest. */
+const EARLIEST_NOTICE = 0.3;
+
+/** All tasks of one attempt of a gang: they start, progress, complete and save together. */
+export class GangAttempt {
+  private phase: GangPhase = 'gathering';
+  private readonly members = new Map<number, GangMember>();
+  private readonly program: JobProgram;
+  private readonly storage: JobStorage;
+  private readonly times: WorkerTimes;
+  private execution: Execution | null = null;
+  private stopDeadline: Timer | null = null;
+
+  constructor(
+    private readonly runtime: Runtime,
+    first: HostedTask,
+    private readonly onEmpty: () => void,
+  ) {
+    this.program = first.program;
+    this.storage = first.host.storage;
+    this.times = first.host.times;
+  }
+
+  /** A task that comes when the gang has started, or when its place is taken, waits in vain. */
+  join(task: HostedTask): GangMember {
+    const member = new GangMember(task, this);
+    task.enter('waiting');
+    task.after(this.times.gangWaitS, () => {
+      if (task.state === 'waiting') task.exit('alone');
+    });
+    if (this.phase === 'gathering' && !this.members.has(task.ref.index)) {
+      this.members.set(task.ref.index, member);
+      this.startIfComplete();
+    }
+    return member;
+  }
+
+  memberLeft(member: GangMember): void {
+    const { index } = member.task.ref;
+    if (this.members.get(index) !== member) return;
+    this.members.delete(index);
+    if (this.phase === 'running' || this.phase === 'stopping') this.breakUp();
+    if (this.members.size === 0) this.dissolve();
+  }
+
+  memberHangs(member: GangMember): void {
+    if (this.members.get(member.task.ref.index) !== member) return;
+    if (this.phase === 'gathering') this.startIfComplete();
+    else if (this.phase === 'running') this.followHangs();
+  }
+
+  speedChanged(): void {
+    this.execution?.setSpeed(this.speed());
+  }
+
+  /** A task that is not waiting was told to stop. */
+  stop(member: GangMember, graceS: number): void {
+    const { checkpointS, saveS } = this.program.job;
+    const { task } = member;
+    const orderly = this.phase === 'running' || this.phase === 'stopping';
+    if (task.state === 'saving') {
+      if (graceS === 0) task.exit('stopped');
+    } else if (orderly && checkpointS > 0 && graceS >= saveS) {
+      if (this.phase === 'running') this.beginStop();
+      task.enter('saving');
+      task.after(saveS, () => {
+        member.hasSaved = true;
+        this.releaseSaved();
+      });
+      this.releaseSaved();
+    } else task.exit('stopped');
+  }
+
+  private startIfComplete(): void {
+    if (this.members.size < this.program.job.tasks || this.anyHangs()) return;
+    this.phase = 'running';
+    const unit = this.unit();
+    this.execution = new Execution(
+      this.runtime.clock,
+      this.program.runS[0],
+      this.storage.savedProgress(unit),
+      this.speed(),
+      () => this.complete(),
+    );
+    for (const { task } of this.members.values()) {
+      task.enter('running');
+      const failsAfterS = task.host.failsAfterS(this.program);
+      if (failsAfterS !== null) task.after(failsAfterS, () => task.exit('error'));
+    }
+    this.execution.run();
+  }
+
+  private complete(): void {
+    this.phase = 'done';
+    const members = [...this.members.values()];
+    for (const { task } of members) this.storage.complete(task.ref.job, task.ref.index);
+    for (const { task } of members) task.exit('done');
+  }
+
+  private followHangs(): void {
+    if (!this.anyHangs()) {
+      this.execution?.run();
+      return;
+    }
+    this.execution?.pause();
+    this.letOthersNotice();
+  }
+
+  /** Each task that still sees a loss some time from now exits. */
+  private letOthersNotice(): void {
+    for (const member of this.members.values()) {
+      const share = EARLIEST_NOTICE + (1 - EARLIEST_NOTICE) * this.runtime.random();
+      member.task.after(share * this.times.gangPeerS, () => {
+        const othersHang = [...this.members.values()].some((m) => m !== member && m.hanging);
+        if (this.phase === 'broken' || othersHang) member.task.exit('peers');
+      });
+    }
+  }
+
+  private breakUp(): void {
+    this.phase = 'broken';
+    this.fallBack();
+    this.letOthersNotice();
+  }
+
+  /** Progress since the last checkpoint is lost. */
+  private fallBack(): void {
+    this.execution?.pause();
+    const progressS = this.execution?.progress() ?? 0;
+    const { checkpointS } = this.program.job;
+    this.storage.save(this.unit(), atLastCheckpoint(progressS, checkpointS));
+  }
+
+  private beginStop(): void {
+    this.phase = 'stopping';
+    this.execution?.pause();
+    const delayMs = this.times.gangPeerS * 1000;
+    this.stopDeadline = this.runtime.clock.setTimer(() => this.stopOverdue(), delayMs);
+  }
+
+  /** Not all tasks were told to stop in time: the save fails. */
+  private stopOverdue(): void {
+    if (this.phase !== 'stopping') return;
+    if (this.allTold()) return;
+    this.phase = 'broken';
+    this.fallBack();
+    for (const { task } of [...this.members.values()]) {
+      const cause = task.state === 'saving' ? 'stopped' : 'peers';
+      task.after(0, () => task.exit(cause));
+    }
+  }
+
+  /** Tasks that have saved exit once all have been told. */
+  private releaseSaved(): void {
+    if (!this.allTold()) return;
+    for (const member of [...this.members.values()]) {
+      if (!member.hasSaved) continue;
+      if (this.phase === 'stopping') {
+        this.phase = 'saved';
+        this.storage.save(this.unit(), this.execution?.progress() ?? 0);
+      }
+      member.task.exit('stopped', this.phase === 'saved');
+    }
+  }
+
+  private allTold(): boolean {
+    const members = [...this.members.values()];
+    const complete = this.phase === 'saved' || members.length === this.program.job.tasks;
+    return complete && members.every(({ task }) => task.state === 'saving');
+  }
+
+  private anyHangs(): boolean {
+    return [...this.members.values()].some((member) => member.hanging);
+  }
+
+  private speed(): number {
+    return Math.min(...[...this.members.values()].map(({ task }) => task.host.speed));
+  }
+
+  private unit() {
+    return { job: this.program.job.id, index: 'gang' as const };
+  }
+
+  private dissolve(): void {
+    this.stopDeadline?.cancel();
+    this.execution?.pause();
+    this.onEmpty();
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/worker/image-cache.ts
@@ -0,0 +1,128 @@
+import type { Clock, Timer } from '#wire';
+
+/** A task's claim on an image, from its start command until it has left the machine. */
+export interface ImageClaim {
+  /** The image was there already; there will be no callback. */
+  readonly ready: boolean;
+  /** Gives the image up; its fetch ends if nobody else waits for it. */
+  release(): void;
+}
+
+/** What is lost in rounding. */
+const NEGLIGIBLE_GB = 1e-9;
+
+interface Image {
+  name: string;
+  sizeGb: number;
+  /** What is still to be fetched. */
+  missingGb: number;
+  claims: Set<() => void>;
+  lastUsedAt: number;
+}
+
+/** The images of one machine: fetched once for all tasks, the most recently used ones kept. */
+export class ImageCache {
+  private readonly images = new Map<string, Image>();
+  private countedAt: number;
+  private nextArrival: Timer | null = null;
+  private paused = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly capacityGb: number,
+    /** Shared by all fetches under way. */
+    private readonly fetchGbPerS: number,
+  ) {
+    this.countedAt = clock.now();
+  }
+
+  /** Calls back once the image has arrived, unless it is there already. */
+  claim(name: string, sizeGb: number, onReady: () => void): ImageClaim {
+    this.countFetched();
+    const image = this.images.get(name) ?? this.add(name, sizeGb);
+    image.claims.add(onReady);
+    image.lastUsedAt = this.clock.now();
+    this.planNextArrival();
+    return { ready: image.missingGb === 0, release: () => this.release(image, onReady) };
+  }
+
+  /** Nothing arrives until resume(). */
+  pause(): void {
+    this.countFetched();
+    this.paused = true;
+    this.planNextArrival();
+  }
+
+  resume(): void {
+    this.countedAt = this.clock.now();
+    this.paused = false;
+    this.planNextArrival();
+  }
+
+  private add(name: string, sizeGb: number): Image {
+    const image: Image = { name, sizeGb, missingGb: sizeGb, claims: new Set(), lastUsedAt: 0 };
+    this.images.set(name, image);
+    return image;
+  }
+
+  private release(image: Image, onReady: () => void): void {
+    this.countFetched();
+    image.claims.delete(onReady);
+    image.lastUsedAt = this.clock.now();
+    if (image.claims.size === 0 && image.missingGb > 0) this.images.delete(image.name);
+    this.planNextArrival();
+  }
+
+  private fetching(): Image[] {
+    return [...this.images.values()].filter((image) => image.missingGb > 0);
+  }
+
+  /** Adds what has arrived since the last count; the fetches share the rate evenly. */
+  private countFetched(): void {
+    const now = this.clock.now();
+    const fetching = this.fetching();
+    if (!this.paused && fetching.length > 0) {
+      const eachGb = ((now - this.countedAt) * this.fetchGbPerS) / fetching.length;
+      for (const image of fetching) {
+        const leftGb = image.missingGb - eachGb;
+        image.missingGb = leftGb > NEGLIGIBLE_GB ? leftGb : 0;
+      }
+    }
+    this.countedAt = now;
+  }
+
+  private planNextArrival(): void {
+    this.nextArrival?.cancel();
+    this.nextArrival = null;
+    const fetching = this.fetching();
+    if (this.paused || fetching.length === 0) return;
+    const leastGb = Math.min(...fetching.map((image) => image.missingGb));
+    const waitS = (leastGb * fetching.length) / this.fetchGbPerS;
+    this.nextArrival = this.clock.setTimer(() => this.deliver(fetching), waitS * 1000);
+  }
+
+  private deliver(fetching: Image[]): void {
+    this.countFetched();
+    const arrived = fetching.filter((image) => image.missingGb === 0);
+    this.evict();
+    this.planNextArrival();
+    for (const image of arrived) {
+      for (const onReady of [...image.claims]) {
+        if (image.claims.has(onReady)) onReady();
+      }
+    }
+  }
+
+  /** Drops the images that were unused for longest until the rest fits. */
+  private evict(): void {
+    const unused = [...this.images.values()]
+      .filter((image) => image.claims.size === 0)
+      .sort((first, second) => first.lastUsedAt - second.lastUsedAt);
+    let heldGb = [...this.images.values()].reduce((sum, image) => sum + image.sizeGb, 0);
+    for (const image of unused) {
+      if (heldGb <= this.capacityGb) return;
+      this.images.delete(image.name);
+      heldGb -= image.sizeGb;
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/worker/reporter.ts
@@ -0,0 +1,122 @@
+import { CborClient, NoAnswer, pause, WakeablePause, type Answer, type Runtime } from '#wire';
+import { parseRedirect } from '#wire/serving';
+import { NodeChoice, type ControllerAddress } from './node-choice.js';
+import { ReportSchedule } from './report-schedule.js';
+
+/** How long a worker waits for the answer to a report, in seconds. */
+export const ANSWER_TIMEOUT_S = 4;
+
+/** The worker as its reporter sees it. */
+export interface ReportSource {
+  /** The body of the next report. */
+  nextReport(): unknown;
+  /** A controller has answered the report with 200, `sentAt` of the runtime's clock. */
+  answered(body: unknown, sentAt: number, node: ControllerAddress): void;
+  /** A report went out to that node. */
+  sent(body: unknown, node: ControllerAddress): void;
+  /** Resolves once the machine does not hang. */
+  whenRunning(): Promise<void>;
+}
+
+/** Sends the reports of one worker, one at a time, to the controller that answers them. */
+export class Reporter {
+  /** Its reports reach no controller. */
+  mute = false;
+  /** No answer reaches it. */
+  deaf = false;
+  private readonly schedule: ReportSchedule;
+  private readonly choice: NodeChoice;
+  private readonly waiting: WakeablePause;
+  private readonly stopping = new AbortController();
+  private client: CborClient | null = null;
+
+  constructor(
+    private readonly runtime: Runtime,
+    reportS: number,
+    controllers: ControllerAddress[],
+    private readonly source: ReportSource,
+  ) {
+    this.schedule = new ReportSchedule(runtime, reportS);
+    this.choice = new NodeChoice(controllers, () => runtime.random());
+    this.waiting = new WakeablePause(runtime.clock);
+  }
+
+  /** Reports until stop(). */
+  async run(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      const waitS = this.schedule.dueAt() - this.runtime.clock.now();
+      if (waitS > 0) await this.waiting.wait(waitS * 1000, signal);
+      else await this.exchange();
+    }
+  }
+
+  stop(): void {
+    this.stopping.abort();
+    this.leaveNode();
+  }
+
+  noteChange(): void {
+    this.schedule.noteChange();
+    this.waiting.wake();
+  }
+
+  private async exchange(): Promise<void> {
+    const sentAt = this.runtime.clock.now();
+    const node = this.choice.current;
+    this.schedule.noteSent();
+    const body = this.source.nextReport();
+    const answer = await this.send(body, node, sentAt);
+    await this.source.whenRunning();
+    if (this.stopping.signal.aborted) return;
+    const inTime = this.runtime.clock.now() - sentAt <= ANSWER_TIMEOUT_S;
+    if (answer?.status === 200 && inTime) this.source.answered(answer.body, sentAt, node);
+    else if (answer?.status === 421 && inTime) this.follow(parseRedirect(answer.body));
+    else this.tryNextNode();
+  }
+
+  /** The answer, or null if none came within its time. */
+  private async send(
+    body: unknown,
+    node: ControllerAddress,
+    sentAt: number,
+  ): Promise<Answer | null> {
+    if (this.mute) return this.waitInVain(sentAt);
+    this.source.sent(body, node);
+    this.client ??= new CborClient(this.runtime, node.address, 1);
+    const timeoutMs = ANSWER_TIMEOUT_S * 1000;
+    try {
+      const answer = await this.client.call('POST', '/hello', { timeoutMs, body });
+      return this.deaf ? await this.waitInVain(sentAt) : answer;
+    } catch (err) {
+      if (err instanceof NoAnswer) return null;
+      throw err;
+    }
+  }
+
+  private async waitInVain(sentAt: number): Promise<null> {
+    const leftS = sentAt + ANSWER_TIMEOUT_S - this.runtime.clock.now();
+    await pause(this.runtime.clock, leftS * 1000, this.stopping.signal);
+    return null;
+  }
+
+  private follow(owner: string | null): void {
+    if (!this.choice.moveTo(owner)) {
+      this.tryNextNode();
+      return;
+    }
+    this.leaveNode();
+    this.schedule.afterRedirect();
+  }
+
+  private tryNextNode(): void {
+    this.leaveNode();
+    this.choice.moveToNext();
+    this.schedule.afterFailure();
+  }
+
+  private leaveNode(): void {
+    this.client?.close();
+    this.client = null;
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/worker/solo-run.ts
@@ -0,0 +1,62 @@
+import { atLastCheckpoint, type ProgressUnit } from '../job-storage.js';
+import { Execution } from './execution.js';
+import type { HostedTask } from './hosted-task.js';
+import type { TaskRun } from './task-host.js';
+
+/** A task of an array, or a replica of a service. */
+export class SoloRun implements TaskRun {
+  private readonly execution: Execution;
+  private readonly unit: ProgressUnit;
+
+  constructor(private readonly task: HostedTask) {
+    const { host, program, ref } = task;
+    this.unit = { job: ref.job, index: ref.index };
+    const goalS = program.job.kind === 'service' ? Infinity : program.runS[ref.index];
+    const startS = host.storage.savedProgress(this.unit);
+    this.execution = new Execution(host.clock, goalS, startS, host.speed, () => this.complete());
+    task.enter('running');
+    this.execution.run();
+    const failsAfterS = host.failsAfterS(program);
+    if (failsAfterS !== null) task.after(failsAfterS, () => task.exit('error'));
+  }
+
+  stop(graceS: number): void {
+    const { checkpointS, saveS } = this.task.program.job;
+    if (this.task.state === 'saving') {
+      if (graceS === 0) this.task.exit('stopped');
+    } else if (checkpointS > 0 && graceS >= saveS) {
+      this.execution.pause();
+      this.task.enter('saving');
+      this.task.after(saveS, () => this.saved());
+    } else this.task.exit('stopped');
+  }
+
+  /** What is not saved falls back to the last checkpoint. */
+  ended(): void {
+    this.execution.pause();
+    const { checkpointS } = this.task.program.job;
+    const keptS = atLastCheckpoint(this.execution.progress(), checkpointS);
+    this.task.host.storage.save(this.unit, keptS);
+  }
+
+  hangs(hanging: boolean): void {
+    if (this.task.state !== 'running') return;
+    if (hanging) this.execution.pause();
+    else this.execution.run();
+  }
+
+  speedChanged(): void {
+    this.execution.setSpeed(this.task.host.speed);
+  }
+
+  private complete(): void {
+    const { job, index } = this.task.ref;
+    this.task.host.storage.complete(job, index);
+    this.task.exit('done');
+  }
+
+  private saved(): void {
+    this.task.host.storage.save(this.unit, this.execution.progress());
+    this.task.exit('stopped', true);
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/worker/worker.ts
@@ -0,0 +1,197 @@
+/** A worker as the protocol describes it: the program that runs on each rented machine. */
+import {
+  MalformedBody,
+  parseHostPort,
+  reportToWire,
+  type Report,
+  type Runtime,
+} from '#wire';
+import { parseReportAnswer, type DirectCommand } from '#wire/serving';
+import type { MachineFacts, Observer } from '../events.js';
+import type { JobProgram, JobStorage } from '../job-storage.js';
+import type { ReplyLoss } from '../lost-replies.js';
+import { CommandServer } from './command-server.js';
+import { FreezableClock } from './freezable-clock.js';
+import type { GangNetwork } from './gang-network.js';
+import { ImageCache } from './image-cache.js';
+import { ReportCopies, type LateReports } from './late-reports.js';
+import type { ControllerAddress } from './node-choice.js';
+import { Reporter } from './reporter.js';
+import type { TaskHost, WorkerTimes } from './task-host.js';
+import { TaskTable } from './task-table.js';
+import { WorkerSession } from './worker-session.js';
+
+/** What all workers of a fleet share. */
+export interface WorkerSurroundings {
+  times: WorkerTimes;
+  controllers: ControllerAddress[];
+  storage: JobStorage;
+  gangs: GangNetwork;
+  observer: Observer;
+  lateReports: LateReports;
+  lateCommands: ReplyLoss;
+}
+
+/** How one machine differs from others of its type. */
+export interface MachineTraits {
+  /** Run time that passes in a second. */
+  speed: number;
+  /** Actual rate of image fetches. */
+  fetchGbPerS: number;
+  /** Tasks fail after so many seconds; null: the machine is sound. */
+  tasksFailAfterS: number | null;
+}
+
+export class Worker implements TaskHost {
+  readonly clock: FreezableClock;
+  readonly images: ImageCache;
+  private readonly session: WorkerSession;
+  private readonly tasks: TaskTable;
+  private readonly reporter: Reporter;
+  private readonly server: CommandServer;
+  private readonly copies: ReportCopies;
+  private address: string;
+  private takenAt: number | null = null;
+  private tokenShownAt = -Infinity;
+  private off = false;
+
+  constructor(
+    runtime: Runtime,
+    readonly facts: MachineFacts,
+    private readonly traits: MachineTraits,
+    private readonly surroundings: WorkerSurroundings,
+  ) {
+    this.clock = new FreezableClock(runtime.clock);
+    const frozen: Runtime = { ...runtime, clock: this.clock, random: () => runtime.random() };
+    const { times, controllers, lateReports, lateCommands } = surroundings;
+    this.address = facts.address;
+    this.images = new ImageCache(this.clock, facts.type.cacheGb, traits.fetchGbPerS);
+    this.tasks = new TaskTable(facts.type, this);
+    this.copies = new ReportCopies(runtime, lateReports);
+    this.session = new WorkerSession(
+      runtime.clock,
+      times.leaseS,
+      () => this.leaseEnded(),
+      () => this.tokenRose(),
+    );
+    this.reporter = new Reporter(frozen, times.reportS, controllers, {
+      nextReport: () => reportToWire(this.nextReport()),
+      answered: (body, sentAt, node) => this.answered(body, sentAt, node),
+      sent: (body, node) => this.copies.reportSent(body, node),
+      whenRunning: () => this.clock.whenRunning(),
+    });
+    this.server = new CommandServer(runtime, this, lateCommands);
+  }
+
+  get machine(): string {
+    return this.facts.name;
+  }
+  get times(): WorkerTimes {
+    return this.surroundings.times;
+  }
+  get storage(): JobStorage {
+    return this.surroundings.storage;
+  }
+  get gangs(): GangNetwork {
+    return this.surroundings.gangs;
+  }
+  get observer(): Observer {
+    return this.surroundings.observer;
+  }
+  get speed(): number {
+    return this.traits.speed;
+  }
+
+  /** Takes commands and reports from now on. */
+  async start(): Promise<void> {
+    this.observer({ kind: 'machine-up', machine: this.facts });
+    const bound = await this.server.listen(parseHostPort(this.facts.address));
+    this.address = `${bound.host}:${bound.port}`;
+    void this.reporter.run();
+  }
+
+  /** The machine is gone, and everything on it. */
+  powerOff(): void {
+    if (this.off) return;
+    this.off = true;
+    this.reporter.stop();
+    this.server.close();
+    this.session.close();
+    this.tasks.killAll();
+    this.observer({ kind: 'machine-gone', machine: this.machine });
+  }
+
+  /** Nothing on the machine goes on until resume(); its lease does. */
+  hang(): void {
+    this.setHanging(true);
+  }
+
+  resume(): void {
+    this.setHanging(false);
+  }
+
+  get hanging(): boolean {
+    return this.clock.isFrozen;
+  }
+
+  /** Its reports arrive; answers and commands do not. */
+  setDeaf(deaf: boolean): void {
+    this.reporter.deaf = deaf;
+    this.server.deaf = deaf;
+  }
+
+  /** It reaches no controller; commands still reach it. */
+  setMute(mute: boolean): void {
+    this.reporter.mute = mute;
+  }
+
+  setSpeed(speed: number): void {
+    this.traits.speed = speed;
+    for (const task of this.tasks.all()) task.speedChanged();
+  }
+
+  /** Tasks that start from now on fail after so many seconds. */
+  failTasksAfter(seconds: number | null): void {
+    this.traits.tasksFailAfterS = seconds;
+  }
+
+  /** The cloud will take the machine in about so many seconds. */
+  giveNotice(noticeS: number): void {
+    this.takenAt = this.clock.now() + noticeS;
+    this.reporter.noteChange();
+  }
+
+  failsAfterS(program: JobProgram): number | null {
+    return program.failsAfterS ?? this.traits.tasksFailAfterS;
+  }
+
+  taskChanged(): void {
+    this.reporter.noteChange();
+  }
+
+  whenRunning(): Promise<void> {
+    return this.clock.whenRunning();
+  }
+
+  command(command: DirectCommand): boolean {
+    if (this.off || !this.session.admitCommand(command)) return false;
+    this.tasks.execute(command.orders);
+    return true;
+  }
+
+  nextReport(): Report {
+    const { name, type, zone, spot } = this.facts;
+    return {
+      machine: name,
+      addr: this.address,
+      type: type.name,
+      zone,
+      spot,
+      session: this.session.current,
+      seq: this.session.nextSequence(),
+      token: this.session.highestToken,
+      noticeS: this.takenAt === null ? null : Math.max(0, this.takenAt - this.clock.now()),
+      tasks: this.tasks.reports(),
+    };
+  }
+}
