--- /dev/null
+++ b/packages/testing/standins/cloud/cloud-service.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CloudClient, type ListedMachine, type RentOutcome } from '#wire';
+import { SampleWorld } from '../sample-world.js';
+import { STD } from '../../samples.js';
+import { QUICK_BOOTS, USUAL_BOOTS } from './boot-times.js';
+import type { CapacityLimit } from './capacity.js';
+import { CloudService } from './cloud-service.js';
+
+const SERVICE = { host: '10.2.0.2', port: 8443 };
+const LAG_S = 4;
+
+async function aCloud(capacity: CapacityLimit[] = []) {
+  const world = new SampleWorld();
+  const told: string[] = [];
+  const hosting = {
+    addressOf: (number: number) => ({ host: `10.1.0.${number}`, port: 9000 }),
+    powerOn: ({ name }: { name: string }) => told.push(`on ${name}`),
+    powerOff: ({ name }: { name: string }) => told.push(`off ${name}`),
+    giveNotice: ({ name }: { name: string }, noticeS: number) =>
+      told.push(`notice ${name} ${noticeS}`),
+  };
+  const options = { types: [STD], capacity, rps: 20, listLagS: LAG_S };
+  const cloud = new CloudService(world.runtime(SERVICE.host, 'cloud'), options, hosting);
+  await world.finish(cloud.listen(SERVICE));
+  const client = new CloudClient(
+    world.runtime('10.0.0.1'),
+    `${SERVICE.host}:${SERVICE.port}`,
+    3000,
+  );
+  const rent = (request: string, count: number, spot = false) =>
+    world.finish(client.rent(request, { type: 'std', zone: 'a', spot, count }));
+  const list = async () => (await world.finish(client.list(null))).machines;
+  return { world, cloud, client, told, rent, list };
+}
+
+function rented(outcome: RentOutcome): string[] {
+  assert.ok(typeof outcome === 'object');
+  return outcome.machines;
+}
+
+test('a rental is filled as far as there is room, and its repeat rents nothing', async () => {
+  const { rent } = await aCloud([{ zone: 'a', spot: false, machines: 3 }]);
+  const first = rented(await rent('r-1', 2));
+  assert.deepEqual(first, ['n-000001', 'n-000002']);
+  assert.deepEqual(rented(await rent('r-1', 2)), first);
+  assert.equal(rented(await rent('r-2', 5)).length, 1);
+  assert.equal(await rent('r-3', 1), 'no-capacity');
+  assert.equal(rented(await rent('r-3', 1, true)).length, 1);
+});
+
+test('prices of spot machines move by up to a third, others do not', async () => {
+  const { world, client } = await aCloud();
+  for (let i = 0; i < 20; i++) {
+    const [type] = await world.finish(client.catalog());
+    assert.ok(Math.abs(type.spotPrice / STD.spotPrice - 1) <= 1 / 3);
+    assert.deepEqual({ ...type, spotPrice: STD.spotPrice }, STD);
+    await world.run(61);
+  }
+});
+
+test('machines boot by their profile, and some never', async () => {
+  const { world, cloud, told, rent, client } = await aCloud();
+  cloud.setBootProfile(QUICK_BOOTS);
+  const [quick] = rented(await rent('r-1', 1));
+  await world.run(2.1);
+  assert.deepEqual(told.splice(0), [`on ${quick}`]);
+  cloud.setBootProfile({ ...USUAL_BOOTS, neverShare: 0, slowShare: 0 });
+  const [usual] = rented(await rent('r-2', 1));
+  await world.run(STD.bootS * 0.59);
+  assert.deepEqual(told, []);
+  await world.run(STD.bootS);
+  assert.deepEqual(told.splice(0), [`on ${usual}`]);
+  cloud.setBootProfile({ ...USUAL_BOOTS, neverShare: 1 });
+  const never = rented(await rent('r-3', 1));
+  await world.run(3600);
+  await world.finish(client.release([...never, 'unknown', quick]));
+  assert.deepEqual(told, [`off ${quick}`]);
+});
+
+test('the list lags, and shows a machine until it is gone', async () => {
+  const { world, cloud, rent, list, client } = await aCloud();
+  cloud.setBootProfile(QUICK_BOOTS);
+  const [name] = rented(await rent('r-1', 1));
+  await world.run(LAG_S - 0.5);
+  assert.deepEqual(await list(), []);
+  let known: ListedMachine | undefined;
+  for (let i = 0; i < 40; i++) {
+    await world.run(0.25);
+    const [listed] = await list();
+    assert.ok(listed || !known, 'a listed machine stays listed');
+    known = listed ?? known;
+  }
+  assert.equal(known?.state, 'running');
+  await world.finish(client.release([name]));
+  assert.equal((await list()).length, 1);
+  await world.run(2 * LAG_S);
+  assert.deepEqual(await list(), []);
+});
+
+test('a dead machine is listed as running for a while, then as failed until deleted', async () => {
+  const { world, cloud, told, rent, list } = await aCloud();
+  cloud.setBootProfile(QUICK_BOOTS);
+  const [name] = rented(await rent('r-1', 1));
+  await world.run(15);
+  cloud.kill(name);
+  assert.equal(told.at(-1), `off ${name}`);
+  await world.run(29);
+  assert.equal((await list())[0].state, 'running');
+  await world.run(1 + 2 * LAG_S);
+  assert.equal((await list())[0].state, 'failed');
+});
+
+test('spot machines are taken back after a notice, or without one', async () => {
+  const { world, cloud, told, rent } = await aCloud();
+  cloud.setBootProfile(QUICK_BOOTS);
+  const [noticed, taken] = rented(await rent('r-1', 2, true));
+  await world.run(3);
+  told.length = 0;
+  cloud.takeBack(noticed, 20);
+  cloud.takeBack(taken, null);
+  assert.deepEqual(told.splice(0), [`notice ${noticed} 20`, `off ${taken}`]);
+  await world.run(9.9);
+  assert.deepEqual(told, []);
+  await world.run(20.2);
+  assert.deepEqual(told, [`off ${noticed}`]);
+});
+
+test('outages, too many requests and late rentals', async () => {
+  const { world, cloud, rent, list, client } = await aCloud();
+  cloud.beginOutage();
+  assert.equal(await rent('r-1', 1), 'trouble');
+  cloud.endOutage();
+  const lists = Array.from({ length: 45 }, () => client.list(null));
+  const refused = (await world.finish(Promise.allSettled(lists))).filter(
+    (outcome) => outcome.status === 'rejected',
+  );
+  assert.ok(refused.length >= 1 && refused.length <= 5);
+  await world.run(2);
+  cloud.beginLateRequests(1);
+  await assert.rejects(rent('r-2', 1));
+  await world.run(12 + 2 * LAG_S);
+  assert.equal((await list()).length, 1);
+});
--- /dev/null
+++ b/packages/testing/standins/fleet.ts
@@ -0,0 +1,82 @@
+import type { HostPort, Runtime } from '#wire';
+import type { MachineHosting, RentedMachine } from './cloud/index.js';
+import { Worker, type MachineTraits, type WorkerSurroundings } from './worker/index.js';
+
+/** Where the worker of one machine runs. */
+export interface MachineHost {
+  runtime: Runtime;
+  /** The host is gone; the network falls silent. */
+  powerOff(): void;
+}
+
+export interface FleetOptions {
+  surroundings: WorkerSurroundings;
+  /** Where the worker of the machine with this number, counted from 1, will serve. */
+  addressOf(machineNumber: number): HostPort;
+  hostFor(machine: RentedMachine): MachineHost;
+  /** Share of machines on which tasks fail. */
+  faultyShare?: number;
+  /** Share of machines that are much slower than their type. */
+  slowShare?: number;
+}
+
+const USUAL_SPEED: [least: number, most: number] = [0.9, 1.1];
+const SLOW_SPEED: [least: number, most: number] = [0.2, 0.5];
+/** Actual rate of image fetches as a multiple of the type's. */
+const FETCH_RATE: [least: number, most: number] = [2 / 3, 4 / 3];
+const FAULTY_AFTER_S: [least: number, most: number] = [0.5, 15];
+
+/** The workers on the machines that the cloud rents out. */
+export class Fleet implements MachineHosting {
+  private readonly machines = new Map<string, { worker: Worker; host: MachineHost }>();
+
+  constructor(private readonly options: FleetOptions) {}
+
+  /** Workers on machines that are up. */
+  workers(): Worker[] {
+    return [...this.machines.values()].map(({ worker }) => worker);
+  }
+
+  worker(machine: string): Worker | undefined {
+    return this.machines.get(machine)?.worker;
+  }
+
+  addressOf(machineNumber: number): HostPort {
+    return this.options.addressOf(machineNumber);
+  }
+
+  powerOn(machine: RentedMachine): void {
+    const host = this.options.hostFor(machine);
+    const { name, type, zone, spot } = machine;
+    const address = `${machine.address.host}:${machine.address.port}`;
+    const facts = { name, address, type, zone, spot };
+    const traits = this.drawTraits(host.runtime, machine);
+    const worker = new Worker(host.runtime, facts, traits, this.options.surroundings);
+    this.machines.set(name, { worker, host });
+    void worker.start();
+  }
+
+  powerOff({ name }: RentedMachine): void {
+    const machine = this.machines.get(name);
+    if (!machine) return;
+    this.machines.delete(name);
+    machine.worker.powerOff();
+    machine.host.powerOff();
+  }
+
+  giveNotice({ name }: RentedMachine, noticeS: number): void {
+    this.worker(name)?.giveNotice(noticeS);
+  }
+
+  private drawTraits(runtime: Runtime, { type }: RentedMachine): MachineTraits {
+    const { faultyShare = 0, slowShare = 0 } = this.options;
+    const span = ([least, most]: [number, number]) => least + (most - least) * runtime.random();
+    const slow = runtime.random() < slowShare;
+    const faulty = runtime.random() < faultyShare;
+    return {
+      speed: span(slow ? SLOW_SPEED : USUAL_SPEED),
+      fetchGbPerS: type.fetchGbPerS * span(FETCH_RATE),
+      tasksFailAfterS: faulty ? span(FAULTY_AFTER_S) : null,
+    };
+  }
+}
--- a/packages/testing/standins/http-server.ts
+++ b/packages/testing/standins/http-server.ts
@@ -1,7 +1,7 @@
 /** The HTTP side that all stand-ins share: CBOR in, CBOR out, over a Runtime's network. */
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { decode, encode, MalformedBody, type HostPort, type Runtime } from '#wire';
+import { decode, encode, Listener, MalformedBody, type HostPort, type Runtime } from '#wire';
 import { MALFORMED, type WireReply, type WireRequest } from '#wire/serving';
 
 export interface ServedRequest extends WireRequest {
@@ -41,14 +41,12 @@
     { requestTimeout: 0, headersTimeout: 0, keepAliveTimeout: 0 },
     (req, res) => void answer(req, res, handle),
   );
-  await runtime.network.listen(server, address);
+  const listener = new Listener(runtime.network, server);
+  await listener.open(address);
   const bound = server.address() as AddressInfo | null;
   return {
     address: { host: address.host, port: bound?.port ?? address.port },
-    close: () => {
-      server.close();
-      server.closeAllConnections();
-    },
+    close: () => void listener.close(),
   };
 }
 
--- /dev/null
+++ b/packages/testing/standins/sample-world.ts
@@ -0,0 +1,70 @@
+/** A simulated world for the tests of the stand-ins. */
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { CborClient, type Answer, type Runtime } from '#wire';
+import {
+  SimulatedHost,
+  SimulatedNetwork,
+  SimulatedProcess,
+  World,
+  type HostRole,
+} from '../simulation/index.js';
+import type { Observer, WorldEvent } from './events.js';
+
+const STEP_S = 0.05;
+
+export class SampleWorld {
+  readonly world: World;
+  readonly network: SimulatedNetwork;
+  /** What the stand-ins told so far. */
+  readonly events: (WorldEvent & { atS: number })[] = [];
+  readonly observer: Observer = (event) => this.events.push({ ...event, atS: this.world.now });
+
+  constructor(seed = 1) {
+    this.world = new World(seed);
+    this.network = new SimulatedNetwork(this.world);
+  }
+
+  /** The runtime of a process on a host of its own. */
+  runtime(address: string, role: HostRole = 'users'): Runtime {
+    return this.host(address, role).runtime;
+  }
+
+  host(address: string, role: HostRole): { runtime: Runtime; powerOff: () => void } {
+    const host = this.network.addHost(new SimulatedHost(address, role, address, null));
+    const skew = { zeroS: 100, drift: 0, wallOffsetMs: 0 };
+    const process = new SimulatedProcess(this.world, this.network, host, address, () => {}, skew);
+    process.start();
+    const powerOff = () => {
+      process.crash('silent');
+      host.powered = false;
+    };
+    return { runtime: process.incarnation!.runtime, powerOff };
+  }
+
+  /** A client on a host of its own; calls are answered within its time or reject. */
+  client(
+    from: string,
+    to: string,
+  ): (method: string, path: string, body?: unknown) => Promise<Answer> {
+    const http = new CborClient(this.runtime(from), to);
+    return (method, path, body) => this.finish(http.call(method, path, { timeoutMs: 5000, body }));
+  }
+
+  run(seconds: number): Promise<void> {
+    return this.world.runUntil(this.world.now + seconds);
+  }
+
+  /** Runs the world until the promise has settled. */
+  async finish<T>(promise: Promise<T>, withinS = 120): Promise<T> {
+    let settled = false;
+    const note = () => (settled = true);
+    promise.then(note, note);
+    const untilS = this.world.now + withinS;
+    while (!settled && this.world.now < untilS) {
+      await this.run(STEP_S);
+      await nextTurn();
+    }
+    if (!settled) throw new Error(`not settled within ${withinS} s`);
+    return promise;
+  }
+}
--- a/packages/testing/standins/state/state-service.test.ts
+++ b/packages/testing/standins/state/state-service.test.ts
@@ -1,24 +1,24 @@
 import assert from 'node:assert/strict';
-import { after, test } from 'node:test';
-import { setTimeout as sleep } from 'node:timers/promises';
-import { CborClient, nodeRuntime, NoAnswer, StateApi, StateRefused } from '#wire';
+import { test } from 'node:test';
+import { nodeRuntime, NoAnswer, StateApi, StateRefused, type Change } from '#wire';
+import { SampleWorld } from '../sample-world.js';
 import { KEPT_CHANGES, KeyStore } from './key-store.js';
 import { StateService } from './state-service.js';
 import type { StateServiceLimits } from './txn-limits.js';
 
-const LOOPBACK = '127.0.0.1';
-const LIMITS: StateServiceLimits = { rps: 5000, writeRps: 5000, valueKb: 1, txnOps: 4 };
-const closers: (() => void)[] = [];
-after(() => closers.forEach((close) => close()));
+const SERVICE = { host: '10.2.0.1', port: 2379 };
+const CLIENT = '10.0.0.1';
+const TARGET = `${SERVICE.host}:${SERVICE.port}`;
+const LIMITS: StateServiceLimits = { rps: 500, writeRps: 500, valueKb: 1, txnOps: 4 };
 
 async function aService(limits: Partial<StateServiceLimits> = {}) {
-  const service = new StateService(nodeRuntime, { ...LIMITS, ...limits });
-  const { address } = await service.listen({ host: LOOPBACK, port: 0 });
-  const target = `${LOOPBACK}:${address.port}`;
-  const api = new StateApi(nodeRuntime, target, 2000);
-  const http = new CborClient(nodeRuntime, target);
-  closers.push(() => [service, api, http].forEach((part) => part.close()));
-  return { service, api, http };
+  const world = new SampleWorld();
+  const service = new StateService(world.runtime(SERVICE.host, 'state'), { ...LIMITS, ...limits });
+  await world.finish(service.listen(SERVICE));
+  const api = new StateApi(world.runtime(CLIENT), TARGET, 2000);
+  const call = world.client('10.0.0.2', TARGET);
+  const commit = (changes: Change[]) => world.finish(api.txn([], changes));
+  return { world, service, api, call, commit };
 }
 
 function put(key: string, value: unknown = 1, lease?: number) {
@@ -26,26 +26,26 @@
 }
 
 test('transactions are atomic and share one revision', async () => {
-  const { api } = await aService();
-  assert.deepEqual(await api.txn([], [put('a/1', 'x'), put('a/2')]), { ok: true, revision: 1 });
-  const stale = await api.txn([{ key: 'a/1', version: 0 }], [{ delete: 'a/2' }]);
-  assert.deepEqual(stale, { ok: false, failed: ['a/1'], revision: 1 });
-  assert.deepEqual(await api.get('a/1'), { key: 'a/1', value: 'x', version: 1 });
-  assert.deepEqual(await api.txn([{ key: 'a/2', version: 1 }], [{ delete: 'a/2' }]), {
-    ok: true,
-    revision: 2,
-  });
-  assert.equal(await api.get('a/2'), null);
-  assert.deepEqual(await api.txn([{ key: 'a/2', version: 0 }], []), { ok: true, revision: 2 });
+  const { world, api, commit } = await aService();
+  assert.deepEqual(await commit([put('a/1', 'x'), put('a/2')]), { ok: true, revision: 1 });
+  const stale = api.txn([{ key: 'a/1', version: 0 }], [{ delete: 'a/2' }]);
+  assert.deepEqual(await world.finish(stale), { ok: false, failed: ['a/1'], revision: 1 });
+  const entry = { key: 'a/1', value: 'x', version: 1 };
+  assert.deepEqual(await world.finish(api.get('a/1')), entry);
+  const removal = api.txn([{ key: 'a/2', version: 1 }], [{ delete: 'a/2' }]);
+  assert.deepEqual(await world.finish(removal), { ok: true, revision: 2 });
+  assert.equal(await world.finish(api.get('a/2')), null);
+  const compare = api.txn([{ key: 'a/2', version: 0 }], []);
+  assert.deepEqual(await world.finish(compare), { ok: true, revision: 2 });
 });
 
 test('lists come in key order, page by page, within their size', async () => {
-  const { http, service } = await aService({ valueKb: 64 });
+  const { call, service } = await aService();
   for (const key of ['b/2', 'a/9', 'b/1', 'b/3', 'c/1']) service.store.apply([put(key)]);
   const list = async (query: string) => {
-    const answer = await http.call('GET', `/store?${query}`, { timeoutMs: 1000 });
+    const answer = await call('GET', `/store?${query}`);
     const page = answer.body as { entries: { k: string }[]; more: boolean };
-    return [page.entries.map((e) => e.k).join(' '), page.more];
+    return [page.entries.map((entry) => entry.k).join(' '), page.more];
   };
   assert.deepEqual(await list('prefix=b/&most=2'), ['b/1 b/2', true]);
   assert.deepEqual(await list('prefix=b/&after=b/2&most=2'), ['b/3', false]);
@@ -54,7 +54,7 @@
 });
 
 test('what is malformed or over a limit gets 400 and changes nothing', async () => {
-  const { http, service } = await aService();
+  const { call, service } = await aService();
   const bodies = [
     null,
     { if: 1 },
@@ -69,57 +69,58 @@
     { apply: [{ set: 'a', value: 1, permit: 99 }] },
   ];
   for (const body of bodies) {
-    const answer = await http.call('POST', '/multi', { timeoutMs: 1000, body });
-    assert.equal(answer.status, 400, JSON.stringify(body));
+    assert.equal((await call('POST', '/multi', body)).status, 400, JSON.stringify(body));
   }
   for (const target of ['/changes?prefix=a', '/changes?after=0&blockMs=60001', '/store?most=0']) {
-    assert.equal((await http.call('GET', target, { timeoutMs: 1000 })).status, 400, target);
+    assert.equal((await call('GET', target)).status, 400, target);
   }
+  assert.equal((await call('POST', '/grants', { ttlMs: 99 })).status, 400);
   assert.equal(service.store.revision, 0);
 });
 
-test('a lease ends late at the most, with its keys, and an outage gives it its full time', async () => {
-  const { api, service } = await aService();
-  const lease = await api.grant(200);
-  await api.txn([], [put('l/1', 1, lease), put('l/2', 1, lease)]);
-  await api.txn([], [put('l/2')]);
-  await sleep(120);
-  assert.equal(await api.touch(lease), true);
-  await sleep(150);
+test('a lease ends up to 100 ms late, with its keys, and an outage gives it its full time', async () => {
+  const { world, api, service, commit } = await aService();
+  const lease = await world.finish(api.grant(2000));
+  await commit([put('l/1', 1, lease), put('l/2', 1, lease)]);
+  await commit([put('l/2')]);
+  await world.run(1.5);
+  assert.equal(await world.finish(api.touch(lease)), true);
+  await world.run(1.5);
   service.beginOutage();
-  await assert.rejects(api.touch(lease), StateRefused);
-  await sleep(300);
+  await assert.rejects(world.finish(api.touch(lease)), StateRefused);
+  await world.run(3);
   service.endOutage();
-  await sleep(150);
+  await world.run(1.99);
   assert.ok(service.store.get('l/1'));
-  await sleep(200);
-  assert.equal(await api.touch(lease), false);
+  await world.run(0.12);
   assert.equal(service.store.get('l/1'), undefined);
   assert.ok(service.store.get('l/2'));
-  assert.deepEqual(await api.txn([], [put('l/3', 1, lease)]), { ok: false, leaseGone: true });
+  assert.equal(await world.finish(api.touch(lease)), false);
+  assert.deepEqual(await commit([put('l/3', 1, lease)]), { ok: false, leaseGone: true });
 });
 
 test('a watch waits for its prefix, also through an outage', async () => {
-  const { api, service } = await aService();
+  const { world, api, service, commit } = await aService();
   const outcome = api.changes('w/', 0, 5000);
-  await sleep(200);
+  await world.run(0.1);
   service.beginOutage();
   service.store.apply([put('w/1')]);
-  assert.equal(await Promise.race([outcome, sleep(100, 'open')]), 'open');
+  await world.run(1);
   service.endOutage();
   const event = { key: 'w/1', value: 1, version: 1 };
-  assert.deepEqual(await outcome, { revision: 1, events: [event] });
-  const startedAt = performance.now();
-  service.store.apply([put('other')]);
-  assert.deepEqual(await api.changes('w/', 1, 100), { revision: 2, events: [] });
-  assert.ok(performance.now() - startedAt > 95);
+  assert.deepEqual(await world.finish(outcome), { revision: 1, events: [event] });
+  await commit([put('other')]);
+  const startedAt = world.world.now;
+  const nothing = await world.finish(api.changes('w/', 1, 500));
+  assert.deepEqual(nothing, { revision: 2, events: [] });
+  assert.ok(world.world.now - startedAt >= 0.5);
 });
 
 test('a watch looks back upon 10,000 changes and no more', () => {
   const store = new KeyStore();
-  for (let i = 1; i <= KEPT_CHANGES + 5001; i++) {
+  for (let i = 1; i <= KEPT_CHANGES * 1.6; i++) {
     store.apply([put('k', i)]);
-    if (i <= KEPT_CHANGES) continue;
+    if (i <= KEPT_CHANGES || i % 100 !== 0) continue;
     assert.equal(store.changesAfter('', i - KEPT_CHANGES - 1), 'too-old');
     const kept = store.changesAfter('', i - KEPT_CHANGES);
     assert.ok(kept !== 'too-old' && kept.events.length === KEPT_CHANGES);
@@ -127,41 +128,64 @@
 });
 
 test('more than a second of requests or changes gets 429, failed conditions too', async () => {
-  const { api } = await aService({ writeRps: 10 });
+  const { world, api } = await aService({ rps: 20, writeRps: 10 });
   const failing = [{ key: 'none', version: 5 }];
-  for (let i = 0; i < 5; i++) await api.txn(failing, [put('a'), put('b')]);
-  await assert.rejects(api.txn([], [put('a'), put('b')]), { status: 429 });
-  const few = await aService({ rps: 5 });
-  for (let i = 0; i < 5; i++) await few.api.get('a');
-  await assert.rejects(few.api.get('a'), { status: 429 });
+  const statuses = async (calls: Promise<unknown>[]) => {
+    const outcomes = await world.finish(Promise.allSettled(calls));
+    return outcomes.map((o) => (o.status === 'rejected' ? (o.reason as StateRefused).status : 0));
+  };
+  const changes = [put('a'), put('b')];
+  const txns = Array.from({ length: 6 }, () => api.txn(failing, changes));
+  assert.deepEqual(await statuses(txns), [0, 0, 0, 0, 0, 429]);
+  await world.run(5);
+  const reads = await statuses(Array.from({ length: 22 }, () => api.get('a')));
+  assert.equal(reads.filter((status) => status === 429).length, 2);
 });
 
-test('one client can be refused while its watch waits', async () => {
-  const { api, service } = await aService();
-  const watch = api.changes('r/', 0, 5000);
-  await sleep(200);
-  service.refuse(LOOPBACK);
-  await assert.rejects(api.get('a'), { status: 503 });
-  service.store.apply([put('r/1')]);
-  const settled = await Promise.race([watch.then(() => true), sleep(50, false)]);
-  assert.equal(settled, false);
-  service.readmit(LOOPBACK);
-  assert.notEqual(await watch, 'too-old');
+test('one client can be refused while others are served and its watch waits', async () => {
+  const { world, api, call, service } = await aService();
+  const watch = api.changes('r/', 0, 60_000);
+  const lease = await world.finish(api.grant(1000));
+  service.refuse(CLIENT);
+  await assert.rejects(world.finish(api.get('a')), { status: 503 });
+  const other = await call('POST', '/multi', { apply: [{ set: 'r/1', value: 1 }] });
+  assert.equal(other.status, 200);
+  await assert.rejects(world.finish(watch, 5), /not settled/);
+  service.readmit(CLIENT);
+  assert.notEqual(await world.finish(watch), 'too-old');
+  assert.equal(await world.finish(api.touch(lease)), false);
 });
 
-test('a late transaction is carried out after newer ones and is never answered', async () => {
-  const { service, api } = await aService();
-  service.beginLateWrites(1, [0.2, 0.2]);
+test('a transaction without an answer is carried out late, after newer ones, or at once', async () => {
+  const { world, service, api, commit } = await aService();
+  service.beginLateWrites(1);
   const late = api.txn([], [put('t', 'late')]);
-  const unanswered = assert.rejects(late, NoAnswer);
-  await sleep(50);
+  await world.run(0.1);
   service.endLateWrites();
-  await api.txn([], [put('t', 'newer')]);
-  await sleep(250);
+  await commit([put('t', 'newer')]);
+  await assert.rejects(world.finish(late), NoAnswer);
+  assert.equal(service.store.get('t')?.value, 'newer');
+  await world.run(10.5);
   assert.equal(service.store.get('t')?.value, 'late');
   service.beginLostAnswers(1);
-  const lost = assert.rejects(api.txn([], [put('t', 'at once')]), NoAnswer);
-  await sleep(50);
+  const lost = api.txn([], [put('t', 'at once')]);
+  await world.run(0.1);
   assert.equal(service.store.get('t')?.value, 'at once');
-  await Promise.all([unanswered, lost]);
+  await assert.rejects(world.finish(lost), NoAnswer);
+});
+
+test('slow answers come within their profile', async () => {
+  const { world, service, commit } = await aService();
+  service.setLatency({ usualMs: [800, 900], slowShare: 0, slowMs: [0, 0] });
+  await commit([put('s')]);
+  assert.ok(world.world.now > 0.8 && world.world.now < 1.1);
+});
+
+test('the service runs on loopback as well', async () => {
+  const service = new StateService(nodeRuntime, LIMITS);
+  const { address } = await service.listen({ host: '127.0.0.1', port: 0 });
+  const api = new StateApi(nodeRuntime, `127.0.0.1:${address.port}`, 2000);
+  assert.deepEqual(await api.txn([], [put('a')]), { ok: true, revision: 1 });
+  api.close();
+  service.close();
 });
--- a/packages/testing/standins/worker/gang-attempt.ts
+++ b/packages/testing/standins/worker/gang-attempt.ts
@@ -171,14 +171,15 @@
 
   /** Tasks that have saved exit once all have been told. */
   private releaseSaved(): void {
-    if (!this.allTold()) return;
+    const orderly = this.phase === 'stopping' || this.phase === 'saved';
+    if (!orderly || !this.allTold()) return;
     for (const member of [...this.members.values()]) {
       if (!member.hasSaved) continue;
       if (this.phase === 'stopping') {
         this.phase = 'saved';
         this.storage.save(this.unit(), this.execution?.progress() ?? 0);
       }
-      member.task.exit('stopped', this.phase === 'saved');
+      member.task.exit('stopped', true);
     }
   }
 
--- /dev/null
+++ b/packages/testing/standins/worker/index.ts
@@ -0,0 +1,6 @@
+export { GangNetwork } from './gang-network.js';
+export * from './late-reports.js';
+export type { ControllerAddress } from './node-choice.js';
+export type { WorkerTimes } from './task-host.js';
+export * from './worker.js';
+export * from './worker-setup.js';
--- a/packages/testing/standins/worker/reporter.ts
+++ b/packages/testing/standins/worker/reporter.ts
@@ -48,6 +48,7 @@
       const waitS = this.schedule.dueAt() - this.runtime.clock.now();
       if (waitS > 0) await this.waiting.wait(waitS * 1000, signal);
       else await this.exchange();
+      await this.source.whenRunning();
     }
   }
 
--- /dev/null
+++ b/packages/testing/standins/worker/worker-setup.ts
@@ -0,0 +1,28 @@
+import type { Observer } from '../events.js';
+import type { JobStorage } from '../job-storage.js';
+import type { ReplyLoss } from '../lost-replies.js';
+import type { GangNetwork } from './gang-network.js';
+import type { LateReports } from './late-reports.js';
+import type { ControllerAddress } from './node-choice.js';
+import type { WorkerTimes } from './task-host.js';
+
+/** What all workers of a fleet share. */
+export interface WorkerSurroundings {
+  times: WorkerTimes;
+  controllers: ControllerAddress[];
+  storage: JobStorage;
+  gangs: GangNetwork;
+  observer: Observer;
+  lateReports: LateReports;
+  lateCommands: ReplyLoss;
+}
+
+/** How one machine differs from others of its type. */
+export interface MachineTraits {
+  /** Run time that passes in a second. */
+  speed: number;
+  /** Actual rate of image fetches. */
+  fetchGbPerS: number;
+  /** Tasks fail after so many seconds; null: the machine is sound. */
+  tasksFailAfterS: number | null;
+}
--- a/packages/testing/standins/worker/worker.ts
+++ b/packages/testing/standins/worker/worker.ts
@@ -1,46 +1,19 @@
 /** A worker as the protocol describes it: the program that runs on each rented machine. */
-import {
-  MalformedBody,
-  parseHostPort,
-  reportToWire,
-  type Report,
-  type Runtime,
-} from '#wire';
-import { parseReportAnswer, type DirectCommand } from '#wire/serving';
+import { MalformedBody, parseHostPort, reportToWire, type Report, type Runtime } from '#wire';
+import { parseReportAnswer, type DirectCommand, type ReportAnswer } from '#wire/serving';
 import type { MachineFacts, Observer } from '../events.js';
 import type { JobProgram, JobStorage } from '../job-storage.js';
-import type { ReplyLoss } from '../lost-replies.js';
 import { CommandServer } from './command-server.js';
 import { FreezableClock } from './freezable-clock.js';
 import type { GangNetwork } from './gang-network.js';
 import { ImageCache } from './image-cache.js';
-import { ReportCopies, type LateReports } from './late-reports.js';
+import { ReportCopies } from './late-reports.js';
 import type { ControllerAddress } from './node-choice.js';
 import { Reporter } from './reporter.js';
 import type { TaskHost, WorkerTimes } from './task-host.js';
 import { TaskTable } from './task-table.js';
 import { WorkerSession } from './worker-session.js';
-
-/** What all workers of a fleet share. */
-export interface WorkerSurroundings {
-  times: WorkerTimes;
-  controllers: ControllerAddress[];
-  storage: JobStorage;
-  gangs: GangNetwork;
-  observer: Observer;
-  lateReports: LateReports;
-  lateCommands: ReplyLoss;
-}
-
-/** How one machine differs from others of its type. */
-export interface MachineTraits {
-  /** Run time that passes in a second. */
-  speed: number;
-  /** Actual rate of image fetches. */
-  fetchGbPerS: number;
-  /** Tasks fail after so many seconds; null: the machine is sound. */
-  tasksFailAfterS: number | null;
-}
+import type { MachineTraits, WorkerSurroundings } from './worker-setup.js';
 
 export class Worker implements TaskHost {
   readonly clock: FreezableClock;
@@ -52,7 +25,10 @@
   private readonly copies: ReportCopies;
   private address: string;
   private takenAt: number | null = null;
-  private tokenShownAt = -Infinity;
+  /** When a higher token last counted as a change. */
+  private tokenNotedAt = -Infinity;
+  /** Session of the report that is under way. */
+  private reportedSession = 0;
   private off = false;
 
   constructor(
@@ -75,7 +51,10 @@
       () => this.tokenRose(),
     );
     this.reporter = new Reporter(frozen, times.reportS, controllers, {
-      nextReport: () => reportToWire(this.nextReport()),
+      nextReport: () => {
+        this.reportedSession = this.session.current;
+        return reportToWire(this.nextReport());
+      },
       answered: (body, sentAt, node) => this.answered(body, sentAt, node),
       sent: (body, node) => this.copies.reportSent(body, node),
       whenRunning: () => this.clock.whenRunning(),
@@ -194,4 +173,47 @@
       tasks: this.tasks.reports(),
     };
   }
+
+  private answered(body: unknown, sentAt: number, node: ControllerAddress): void {
+    const tokenBefore = this.session.highestToken;
+    const answer = readAnswer(body);
+    const report = { session: this.reportedSession, sentAt };
+    if (answer === null || !this.session.admitAnswer(answer.token, report)) return;
+    this.tasks.execute(answer.orders);
+    if (this.session.highestToken > tokenBefore) this.copies.leaderChanged(node);
+  }
+
+  private leaseEnded(): void {
+    this.tasks.killAll();
+    this.reporter.noteChange();
+  }
+
+  /** A higher token counts as a change at most once in half of a lease. */
+  private tokenRose(): void {
+    const now = this.clock.now();
+    if (now - this.tokenNotedAt < this.times.leaseS / 2) return;
+    this.tokenNotedAt = now;
+    this.reporter.noteChange();
+  }
+
+  private setHanging(hanging: boolean): void {
+    if (this.off || hanging === this.hanging) return;
+    this.observer({ kind: 'machine-hangs', machine: this.machine, hanging });
+    if (hanging) {
+      this.clock.freeze();
+      this.images.pause();
+    } else this.images.resume();
+    for (const task of this.tasks.all()) task.hangs(hanging);
+    if (!hanging) this.clock.thaw();
+  }
+}
+
+/** An answer that cannot be read is dropped. */
+function readAnswer(body: unknown): ReportAnswer | null {
+  try {
+    return parseReportAnswer(body);
+  } catch (err) {
+    if (err instanceof MalformedBody) return null;
+    throw err;
+  }
 }
