--- /dev/null
+++ b/packages/testing/standins/worker/sample-workers.ts
@@ -0,0 +1,135 @@
+/** Workers of a simulated world and a scripted controller, for the tests of the worker. */
+import {
+  answerToWire,
+  CborClient,
+  commandToWire,
+  parseReport,
+  type Job,
+  type Order,
+  type Report,
+  type TaskReport,
+} from '#wire';
+import type { ServedRequest } from '../http-server.js';
+import { serveCbor } from '../http-server.js';
+import type { WireReply } from '#wire/serving';
+import { JobStorage, type JobProgram } from '../job-storage.js';
+import { ReplyLoss } from '../lost-replies.js';
+import { SampleWorld } from '../sample-world.js';
+import { aJob, STD } from '../../samples.js';
+import { GangNetwork } from './gang-network.js';
+import { LateReports } from './late-reports.js';
+import { Worker } from './worker.js';
+
+export const TIMES = { reportS: 1, leaseS: 10, gangWaitS: 40, gangPeerS: 8 };
+const NAMES = ['c-0', 'c-1'];
+const PORT = 8080;
+
+/** A controller that answers reports as it is told. */
+export class ScriptedController {
+  token = 5;
+  /** Orders for the next answer. */
+  orders: Order[] = [];
+  /** Answers in place of the usual one, if set; null for none at all. */
+  reply: ((report: Report) => WireReply) | null = null;
+  readonly reports: (Report & { atS: number })[] = [];
+
+  constructor(private readonly world: SampleWorld) {}
+
+  handle({ body }: ServedRequest): WireReply {
+    const report = parseReport(body);
+    this.reports.push({ ...report, atS: this.world.world.now });
+    if (this.reply) return this.reply(report);
+    return { status: 200, body: answerToWire(this.token, this.orders.splice(0)) };
+  }
+
+  /** The task in the newest report. */
+  task(index = 0): TaskReport | undefined {
+    return this.reports.at(-1)?.tasks.find((task) => task.index === index);
+  }
+}
+
+export class SampleFleet {
+  readonly world = new SampleWorld();
+  readonly storage = new JobStorage(this.world.observer);
+  readonly lateReports = new LateReports();
+  readonly lateCommands = new ReplyLoss(this.world.runtime('10.9.0.1'));
+  readonly controllers = NAMES.map(() => new ScriptedController(this.world));
+  private readonly commander = this.world.runtime('10.0.0.9', 'controller');
+  private readonly gangs = new GangNetwork(this.world.runtime('10.9.0.2'));
+  private started = 0;
+
+  async begin(): Promise<this> {
+    for (const [index, controller] of this.controllers.entries()) {
+      const host = `10.0.0.${index + 1}`;
+      const runtime = this.world.runtime(host, 'controller');
+      const address = { host, port: PORT };
+      await this.world.finish(serveCbor(runtime, address, (req) => controller.handle(req)));
+    }
+    return this;
+  }
+
+  /** A worker that knows the first so many controllers. */
+  async worker(speed = 1, knows = 1): Promise<Worker> {
+    const number = ++this.started;
+    const host = `10.1.0.${number}`;
+    const facts = { name: `n-${number}`, type: STD, zone: 'a', spot: false };
+    const traits = { speed, fetchGbPerS: STD.fetchGbPerS, tasksFailAfterS: null };
+    const worker = new Worker(
+      this.world.runtime(host, 'worker'),
+      { ...facts, address: `${host}:9000` },
+      traits,
+      {
+        times: TIMES,
+        controllers: NAMES.slice(0, knows).map((name, index) => ({
+          name,
+          address: `10.0.0.${index + 1}:${PORT}`,
+        })),
+        storage: this.storage,
+        gangs: this.gangs,
+        observer: this.world.observer,
+        lateReports: this.lateReports,
+        lateCommands: this.lateCommands,
+      },
+    );
+    await this.world.finish(worker.start());
+    return worker;
+  }
+
+  upload(own: Partial<Job>, program: Partial<JobProgram> = {}): Job {
+    const job = aJob(own);
+    this.storage.upload({ job, runS: Array(job.tasks).fill(10), failsAfterS: null, ...program });
+    return job;
+  }
+
+  /** Sends commands to a worker directly; the tasks of its answer. */
+  async order(worker: Worker, orders: Order[], token = 5, session = 1) {
+    return this.world.finish(this.post(worker, orders, token, session));
+  }
+
+  /** As `order`, but leaves it to the caller to run the world. */
+  async post(worker: Worker, orders: Order[], token = 5, session = 1) {
+    const body = commandToWire(token, session, orders);
+    const http = new CborClient(this.commander, worker.facts.address);
+    const answer = await http.call('POST', '/orders', { timeoutMs: 5000, body });
+    return { status: answer.status, tasks: parseReport(answer.body).tasks };
+  }
+
+  /** Causes with which tasks have left their machines, as `index:cause`. */
+  leaves(): string[] {
+    return this.world.events.flatMap((event) =>
+      event.kind === 'task-left' ? [`${event.task.index}:${event.cause}`] : [],
+    );
+  }
+}
+
+export function start(index = 0, attempt = 1): Order {
+  return { op: 'start', job: 'j-000001', index, attempt };
+}
+
+export function stop(graceS: number, index = 0, attempt = 1): Order {
+  return { op: 'stop', job: 'j-000001', index, attempt, graceS };
+}
+
+export function forget(index = 0, attempt = 1): Order {
+  return { op: 'forget', job: 'j-000001', index, attempt };
+}
