--- a/packages/store/cache.ts
+++ b/packages/store/cache.ts
@@ -44,17 +44,26 @@
     return this.revision !== null;
   }
 
+  /** All changes up to this revision are in the cache; 0 before it is loaded. */
+  get completeTo(): number {
+    return this.revision ?? 0;
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     const { client, runtime, prefix, watchMs, gatherMs } = this.options;
     while (!signal.aborted) {
       try {
         if (this.revision === null) await this.load(signal);
         const after = this.revision!;
+        const sentAt = runtime.clock.now();
         const out = await client.call(false, signal, (api) =>
           api.changes(prefix, after, watchMs, signal),
         );
         if (out === 'too-old') this.revision = null;
-        else this.apply(out.events, out.revision);
+        else {
+          this.apply(out.events, out.revision);
+          this.syncedAt = Math.max(this.syncedAt, sentAt);
+        }
         await sleep(runtime.clock, gatherMs?.() ?? 0, signal);
       } catch {
         if (signal.aborted) return;
@@ -103,7 +112,7 @@
       throw new NotReady();
     }
     this.apply(out.events, out.revision);
-    this.syncedAt = sentAt;
+    this.syncedAt = Math.max(this.syncedAt, sentAt);
   }
 
   /** Takes in an entry that this process has written or read itself. */
