--- a/packages/testing/simulation/fault-injector.ts
+++ b/packages/testing/simulation/fault-injector.ts
@@ -6,7 +6,6 @@
 import { MachineFaults } from './faults/machine-faults.js';
 import { beginMessageFault } from './faults/message-faults.js';
 import { StateFaults } from './faults/state-faults.js';
-import type { UserFaults } from './faults/user-faults.js';
 import type {
   CloudFault,
   ControllerFault,
@@ -26,12 +25,17 @@
 
   constructor(
     private readonly cluster: Cluster,
-    private readonly userFaults: UserFaults,
+    private readonly beginUserFault: (fault: UserFault) => FaultEffect,
   ) {
     const { state, cloud, controllers, network, machines, world } = cluster;
     this.stateFaults = new StateFaults(state, controllers);
     this.cloudFaults = new CloudFaults(cloud);
-    this.machineFaults = new MachineFaults(network, machines, cloud, world.chance('machine faults'));
+    this.machineFaults = new MachineFaults(
+      network,
+      machines,
+      cloud,
+      world.chance('machine faults'),
+    );
   }
 
   schedule(faults: Fault[]): void {
@@ -55,7 +59,7 @@
     if (isOf<MessageFault>(fault, MESSAGE_KINDS)) {
       return beginMessageFault(this.cluster.machines, fault);
     }
-    if (isOf<UserFault>(fault, USER_KINDS)) return this.userFaults.begin(fault);
+    if (isOf<UserFault>(fault, USER_KINDS)) return this.beginUserFault(fault);
     return beginControllerFault({ ...this.cluster, owner }, fault as ControllerFault);
   }
 }
--- a/packages/testing/simulation/index.ts
+++ b/packages/testing/simulation/index.ts
@@ -14,3 +14,5 @@
 export * from './cluster.js';
 export * from './machines.js';
 export * from './timeline.js';
+export * from './fault-injector.js';
+export * from './fault-journal.js';
