--- /dev/null
+++ b/packages/controller/core-from-settings.ts
@@ -0,0 +1,52 @@
+import { Book, CapacityPlanner, Scheduler } from '#core';
+import { maxTasksPerMachine, Term } from '#store';
+import { aloneBound } from './entitlement.js';
+import { Settings, teamTerms } from './settings.js';
+
+/** Decisions in one scheduling round; the next round follows at once if more could be made. */
+export const ROUND_DECISIONS = 200;
+
+/** The book of a term; `valueBytes` is the state service's limit for one record. */
+export function makeBook(settings: Settings, term: Term, valueBytes: number): Book {
+  const { cancel_s, lease_s, report_s, gang_peer_s } = settings.deployment.workers;
+  return new Book(
+    {
+      leaseS: lease_s,
+      reportS: report_s,
+      gangPeerS: gang_peer_s,
+      formerOwnerS: aloneBound(cancel_s, lease_s, report_s) + 2 * report_s,
+      halfLifeS: settings.operator.shareHalfLifeS,
+      maxTasksPerMachine: maxTasksPerMachine(valueBytes),
+    },
+    term.term,
+    term.claimedAt,
+  );
+}
+
+export function makePlanner(settings: Settings, book: Book): CapacityPlanner {
+  const { deployment, operator } = settings;
+  const objectives = deployment.objectives
+    .filter((o) => o.class !== undefined)
+    .map((o) => ({ class: o.class!, kind: o.kind, withinS: o.within_s ?? Infinity }));
+  return new CapacityPlanner(
+    book,
+    {
+      reserveSigmas: operator.reserveSigmas,
+      idleHoldS: operator.idleHoldS,
+      memoryS: operator.arrivalMemoryS,
+    },
+    objectives,
+    teamTerms(deployment.teams),
+  );
+}
+
+export function makeScheduler(settings: Settings, book: Book): Scheduler {
+  const { deployment, operator } = settings;
+  return new Scheduler(book, teamTerms(deployment.teams), {
+    floorWeight: operator.floorWeight,
+    stopThreshold: operator.stopThreshold,
+    gangLeaseS: operator.gangLeaseS,
+    preemptAfterS: operator.preemptAfterS,
+    decisionsPerRound: ROUND_DECISIONS,
+  });
+}
--- /dev/null
+++ b/packages/controller/fleet-summary.ts
@@ -0,0 +1,70 @@
+import { allPlaces, Book, JobState, Scheduler } from '#core';
+
+/** The fleet, its use and what waits, as operators want to see it. */
+export interface FleetSummary {
+  /** Number of machines by state and kind, such as `up spot`. */
+  machines: Record<string, number>;
+  /** Machines that are up and hold no task. */
+  idle: number;
+  /** Accelerators of all machines. */
+  gpus: number;
+  /** Accelerators in use by team. */
+  use: Record<string, number>;
+  /** Index of each team. */
+  index: Record<string, number>;
+  /** Tasks that wait for a place, by class. */
+  waiting: Record<string, number>;
+}
+
+export function summariseFleet(
+  book: Book,
+  scheduler: Scheduler,
+  teams: readonly string[],
+  now: number,
+): FleetSummary {
+  const summary: FleetSummary = {
+    machines: {},
+    idle: 0,
+    gpus: book.fleet.gpus,
+    use: {},
+    index: {},
+    waiting: {},
+  };
+  for (const machine of book.machines.values()) {
+    add(summary.machines, `${machine.state}${machine.spot ? ' spot' : ''}`, 1);
+    if (machine.state === 'up' && machine.tasks.size === 0) summary.idle++;
+  }
+  for (const job of book.open) add(summary.waiting, job.job.class, book.waitingCount(job));
+  for (const team of teams) {
+    summary.use[team] = book.teamUse.get(team)?.gpus ?? 0;
+    summary.index[team] = Number(scheduler.index(team, now).toFixed(3));
+  }
+  return summary;
+}
+
+function add(counts: Record<string, number>, key: string, count: number): void {
+  counts[key] = (counts[key] ?? 0) + count;
+}
+
+/** Task counts of a job, for display. */
+export interface TaskCounts {
+  job: string;
+  done: number;
+  running: number;
+}
+
+/** The counts of all jobs that are not over. */
+export function countTasks(book: Book): TaskCounts[] {
+  const counts: TaskCounts[] = [];
+  for (const job of book.jobs.values()) {
+    if (job.phase !== 'accepted') continue;
+    counts.push({ job: job.job.id, done: job.done.size, running: runningTasks(job) });
+  }
+  return counts;
+}
+
+function runningTasks(job: JobState): number {
+  let running = 0;
+  for (const place of allPlaces(job)) if (place.reported === 'running') running++;
+  return running;
+}
--- /dev/null
+++ b/packages/controller/owner-records.ts
@@ -0,0 +1,71 @@
+import type { Book } from '#core';
+import { JobRecord, listAll, MACHINES, MachineRecord, PROGRESS, StateClient } from '#store';
+import type { Entry } from '#wire';
+import type { JobTable } from './jobs.js';
+import { Recorder, TermBroken } from './recorder.js';
+
+export interface OwnerRecordsOptions {
+  client: StateClient;
+  jobs: JobTable;
+  book: Book;
+  recorder: Recorder;
+  /** Takes a job into the book. */
+  takeJob: (record: JobRecord) => void;
+  /** Told when all jobs are in the book, before machines and progress are. */
+  onJobs: (now: number) => void;
+  /** Steady seconds. */
+  now: () => number;
+}
+
+/** Reads what earlier owners have recorded into the book of a new term. */
+export class OwnerRecords {
+  constructor(private readonly options: OwnerRecordsOptions) {}
+
+  /** Returns how many machines were recorded; throws TermBroken if the records contradict each other. */
+  async load(signal: AbortSignal): Promise<number> {
+    const { client, jobs, book, onJobs, now } = this.options;
+    // All that is durable before our claim, jobs first: records name them.
+    await jobs.cache.sync();
+    const machines = await listAll(client, MACHINES, signal);
+    const progress = await listAll(client, PROGRESS, signal);
+    const loadedAt = now();
+    this.takeJobs(machines.entries);
+    onJobs(loadedAt);
+    for (const entry of progress.entries) this.takeProgress(entry);
+    for (const entry of machines.entries) this.takeMachine(entry, loadedAt);
+    book.recomputeFleet();
+    return machines.entries.length;
+  }
+
+  /** Jobs that are over matter only as long as a machine may hold their tasks. */
+  private takeJobs(machines: Entry[]): void {
+    const { jobs, takeJob } = this.options;
+    const held = new Set(
+      machines.flatMap((entry) => (entry.value as MachineRecord).tasks.map(([job]) => job)),
+    );
+    for (const record of jobs.all()) {
+      if (record.phase === 'accepted' || held.has(record.job.id)) takeJob(record);
+    }
+  }
+
+  private takeProgress({ key, value, version }: Entry): void {
+    const { book, recorder } = this.options;
+    recorder.loaded(key, version);
+    const [id, chunk] = key.slice(PROGRESS.length).split('/');
+    const job = book.jobs.get(id);
+    if (job) recorder.loadProgress(job, Number(chunk), (value as { done: string }).done);
+  }
+
+  private takeMachine({ key, value, version }: Entry, now: number): void {
+    const { book, recorder } = this.options;
+    recorder.loaded(key, version);
+    const { addr, type, zone, spot, tasks } = value as MachineRecord;
+    const name = key.slice(MACHINES.length);
+    const machine = book.meet({ name, addr, type, zone, spot }, 'up', now);
+    for (const [id, index, attempt] of tasks) {
+      const job = book.jobs.get(id);
+      if (!job) throw new TermBroken(`record of ${name} names unknown job ${id}`);
+      book.inherit(job, index, machine, attempt, now);
+    }
+  }
+}
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,26 +1,19 @@
 import { Clock, MachineType, Order, Report, Runtime, WakeablePause } from '#wire';
-import { Book, CapacityPlanner, JobState, Scheduler } from '#core';
-import {
-  JobRecord,
-  listAll,
-  MACHINES,
-  MachineRecord,
-  maxTasksPerMachine,
-  PROGRESS,
-  StateClient,
-  Term,
-} from '#store';
+import { Book, CapacityPlanner, Scheduler } from '#core';
+import { JobRecord, StateClient, Term } from '#store';
+import { followBook } from './book-events.js';
+import { makeBook, makePlanner, makeScheduler, ROUND_DECISIONS } from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
-import { aloneBound } from './entitlement.js';
+import { countTasks, FleetSummary, summariseFleet, TaskCounts } from './fleet-summary.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
+import { OwnerRecords } from './owner-records.js';
 import { Pacer } from './pacer.js';
-import { Recorder, runningCount, TermBroken } from './recorder.js';
-import { Settings, teamTerms } from './settings.js';
-
-/** Decisions in one scheduling round; the next round follows at once if more could be made. */
-const ROUND_DECISIONS = 200;
+import { Recorder } from './recorder.js';
+import type { Settings } from './settings.js';
 
+/** Report periods that a direct command may take. */
+const DIRECT_TIMEOUT = 2;
 /** Rounds in a report period if nothing asks for more. */
 const ROUND_TICKS = 4;
 /** Rounds per decision tick at the most, and the multiple of its own time that a round pauses after. */
@@ -72,77 +65,19 @@
     this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, client: this.client, jobs: this.jobs } = options);
     ({ term: this.term, log: this.log } = options);
-    const { deployment, operator } = settings;
-    const w = deployment.workers;
-    this.book = new Book(
-      {
-        leaseS: w.lease_s,
-        reportS: w.report_s,
-        gangPeerS: w.gang_peer_s,
-        formerOwnerS: aloneBound(w.cancel_s, w.lease_s, w.report_s) + 2 * w.report_s,
-        halfLifeS: operator.shareHalfLifeS,
-        maxTasksPerMachine: maxTasksPerMachine(client.limits.valueBytes),
-      },
-      term.term,
-      term.claimedAt,
-    );
-    const teams = teamTerms(deployment.teams);
-    this.planner = new CapacityPlanner(
-      this.book,
-      {
-        reserveSigmas: operator.reserveSigmas,
-        idleHoldS: operator.idleHoldS,
-        memoryS: operator.arrivalMemoryS,
-      },
-      deployment.objectives
-        .filter((o) => o.class !== undefined)
-        .map((o) => ({ class: o.class!, kind: o.kind, withinS: o.within_s ?? Infinity })),
-      teams,
-    );
-    this.scheduler = new Scheduler(this.book, teams, {
-      floorWeight: operator.floorWeight,
-      stopThreshold: operator.stopThreshold,
-      gangLeaseS: operator.gangLeaseS,
-      preemptAfterS: operator.preemptAfterS,
-      decisionsPerRound: ROUND_DECISIONS,
-    });
+    this.book = makeBook(settings, term, client.limits.valueBytes);
+    this.planner = makePlanner(settings, this.book);
+    this.scheduler = makeScheduler(settings, this.book);
     this.recorder = new Recorder({ runtime, client, book: this.book, jobs, term, log });
     this.direct = new DirectCommands({
       runtime,
       book: this.book,
-      timeoutMs: 2 * w.report_s * 1000,
+      timeoutMs: DIRECT_TIMEOUT * settings.deployment.workers.report_s * 1000,
       maxConnections: options.directSockets,
       onOrders: (machine, orders) => this.logOrders(machine.name, orders),
       onDone: () => this.nudge(),
     });
-    this.book.onUp = (machine, now) => {
-      this.planner.noteUp(machine, now);
-      const { name, type, zone, spot, bornAt } = machine;
-      this.log.debug({ machine: name, type, zone, spot, bootedS: seconds(now - bornAt) }, 'up');
-    };
-    this.book.onClosed = (job, now) => this.planner.noteEnd(job.job, now);
-    this.book.onRunning = (a, now) => {
-      this.log.debug(
-        {
-          job: a.job.job.id,
-          task: a.index,
-          class: a.job.job.class,
-          machine: a.machine.name,
-          image: a.job.job.image,
-          placedS: seconds(a.since - a.job.acceptedAt),
-          fetchedS: seconds(now - a.since),
-        },
-        'task running',
-      );
-    };
-    this.book.onEnd = (end, now) => {
-      const { job, index, attempt, machine } = end.assignment;
-      const ranS = now - (end.assignment.runningSince ?? now);
-      this.log.debug(
-        { job: job.job.id, task: index, attempt, machine: machine.name, cause: end.cause, ranS },
-        'task over',
-      );
-    };
+    followBook(this.book, this.planner, log);
   }
 
   /** Runs until the term ends; throws TermBroken if it must be given up. */
@@ -153,7 +88,10 @@
       { term: this.term.term, jobs: this.book.open.size, machines: this.book.machines.size },
       'owner',
     );
-    const jobs = this.jobs.changed.subscribe((r) => this.takeJob(r, true));
+    const jobs = this.jobs.changed.subscribe((record) => {
+      this.takeJob(record);
+      this.nudge();
+    });
     const rounds = this.makePacer(signal);
     this.rounds = rounds;
     rounds.start();
@@ -179,51 +117,27 @@
     this.nudge();
   }
 
-  private takeJob(record: JobRecord, fresh: boolean): JobState {
+  private takeJob(record: JobRecord): void {
     const now = this.clock.now();
     const ageS = Math.max(0, (this.clock.wallMs() - record.acceptedAtMs) / 1000);
     const isNew = !this.book.jobs.has(record.job.id);
-    const state = this.book.addJob(record.job, now - ageS, record.phase, now);
+    this.book.addJob(record.job, now - ageS, record.phase, now);
     if (isNew && record.phase === 'accepted') this.planner.noteArrival(record.job, now);
-    if (fresh) this.nudge();
-    return state;
   }
 
   private async load(signal: AbortSignal): Promise<void> {
-    for (const type of this.options.types()) this.book.types.set(type.name, type);
-    // All that is durable before our claim, jobs first: records name them.
-    await this.jobs.cache.sync();
-    const machines = await listAll(this.client, MACHINES, signal);
-    const progress = await listAll(this.client, PROGRESS, signal);
-    const now = this.clock.now();
-    const held = new Set(
-      machines.entries.flatMap((e) => (e.value as MachineRecord).tasks.map(([job]) => job)),
-    );
-    for (const record of this.jobs.all()) {
-      if (record.phase === 'accepted' || held.has(record.job.id)) this.takeJob(record, false);
-    }
-    this.planner.assumeSteady(now);
-    for (const e of progress.entries) {
-      this.recorder.loaded(e.key, e.version);
-      const [id, chunk] = e.key.slice(PROGRESS.length).split('/');
-      const job = this.book.jobs.get(id);
-      if (job) {
-        this.recorder.loadProgress(job, Number(chunk), (e.value as { done: string }).done);
-      }
-    }
-    this.first = machines.entries.length === 0;
-    for (const e of machines.entries) {
-      this.recorder.loaded(e.key, e.version);
-      const { addr, type, zone, spot, tasks } = e.value as MachineRecord;
-      const name = e.key.slice(MACHINES.length);
-      const machine = this.book.meet({ name, addr, type, zone, spot }, 'up', now);
-      for (const [id, index, attempt] of tasks) {
-        const job = this.book.jobs.get(id);
-        if (job) this.book.inherit(job, index, machine, attempt, now);
-        else throw new TermBroken(`record of ${name} names unknown job ${id}`);
-      }
-    }
-    this.book.recomputeFleet();
+    const { client, jobs, book, recorder } = this;
+    for (const type of this.options.types()) book.types.set(type.name, type);
+    const records = new OwnerRecords({
+      client,
+      jobs,
+      book,
+      recorder,
+      takeJob: (record) => this.takeJob(record),
+      onJobs: (now) => this.planner.assumeSteady(now),
+      now: () => this.clock.now(),
+    });
+    this.first = (await records.load(signal)) === 0;
   }
 
   private makePacer(signal: AbortSignal): Pacer {
@@ -251,19 +165,11 @@
   /** Returns the number of decisions. */
   private round(signal: AbortSignal): number {
     const now = this.clock.now();
-    const dark = this.book.expire(now);
-    for (const m of dark) this.log.info({ machine: m.name }, 'machine silent past its lease');
-    this.book.recomputeFleet();
-    for (const m of this.book.machines.values()) {
-      if (m.noticeAt === null) continue;
-      for (const a of m.tasks.values()) {
-        // What can be saved is saved before the cloud takes the machine; services move at once.
-        const saves = a.job.job.checkpointS > 0;
-        if (a.stop === null && (saves || a.job.job.kind === 'service')) {
-          this.scheduler.stopOrderly(a, now);
-        }
-      }
+    for (const { name } of this.book.expire(now)) {
+      this.log.info({ machine: name }, 'machine silent past its lease');
     }
+    this.book.recomputeFleet();
+    this.stopOnNotices(now);
     this.scheduler.reserve(now);
     const decided = this.scheduler.round(now);
     if (this.recorder.pending) this.idle.wake();
@@ -272,6 +178,18 @@
     return decided;
   }
 
+  /** What can be saved is saved before the cloud takes a machine; services move at once. */
+  private stopOnNotices(now: number): void {
+    for (const machine of this.book.machines.values()) {
+      if (machine.noticeAt === null) continue;
+      for (const task of machine.tasks.values()) {
+        const { checkpointS, kind } = task.job.job;
+        const worthStopping = checkpointS > 0 || kind === 'service';
+        if (task.stop === null && worthStopping) this.scheduler.stopOrderly(task, now);
+      }
+    }
+  }
+
   private summarise(now: number): void {
     if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
     this.summaryAt = now;
@@ -279,28 +197,10 @@
     this.log.info(this.fleet(), 'fleet');
   }
 
-  /** The fleet, its use and what waits, as operators want to see it. */
-  fleet() {
-    const now = this.clock.now();
-    const states: Record<string, number> = {};
-    let idle = 0;
-    for (const m of this.book.machines.values()) {
-      const kind = `${m.state}${m.spot ? ' spot' : ''}`;
-      states[kind] = (states[kind] ?? 0) + 1;
-      if (m.state === 'up' && m.tasks.size === 0) idle++;
-    }
-    const waiting: Record<string, number> = {};
-    for (const j of this.book.open) {
-      waiting[j.job.class] = (waiting[j.job.class] ?? 0) + this.book.waitingCount(j);
-    }
-    const use: Record<string, number> = {};
-    const index: Record<string, number> = {};
-    for (const t of this.settings.deployment.teams) {
-      use[t.name] = this.book.teamUse.get(t.name)?.gpus ?? 0;
-      index[t.name] = Number(this.scheduler.index(t.name, now).toFixed(3));
-    }
-    const { gpus } = this.book.fleet;
-    return { machines: states, idle, gpus, use, index, waiting };
+  /** The fleet, its use and what waits. */
+  fleet(): FleetSummary {
+    const teams = this.settings.deployment.teams.map((team) => team.name);
+    return summariseFleet(this.book, this.scheduler, teams, this.clock.now());
   }
 
   private async flushLoop(signal: AbortSignal): Promise<void> {
@@ -314,11 +214,11 @@
   }
 
   /** Takes a report and says what to answer; null for a late copy. */
-  report(r: Report): Order[] | null {
+  report(report: Report): Order[] | null {
     const before = this.recorder.pending;
-    const orders = this.book.report(r, this.clock.now());
+    const orders = this.book.report(report, this.clock.now());
     if (orders === null) return null;
-    this.logOrders(r.machine, orders);
+    this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
       this.idle.wake();
       this.nudge();
@@ -327,17 +227,17 @@
   }
 
   private logOrders(machine: string, orders: Order[]): void {
-    for (const o of orders) this.log.debug({ machine, ...o }, 'order');
+    for (const order of orders) this.log.debug({ machine, ...order }, 'order');
   }
 
   /** How many machines should report, and how many did so within the time. */
   hearing(now: number, withinS: number): { machines: number; heard: number } {
     let machines = 0;
     let heard = 0;
-    for (const m of this.book.machines.values()) {
-      if (m.state !== 'up') continue;
+    for (const { state, answeredAt } of this.book.machines.values()) {
+      if (state !== 'up') continue;
       machines++;
-      if (now - m.answeredAt <= withinS) heard++;
+      if (now - answeredAt <= withinS) heard++;
     }
     return { machines, heard };
   }
@@ -347,16 +247,7 @@
     return this.book.machines.get(machine)?.token ?? this.term.term;
   }
 
-  counts(): { job: string; done: number; running: number }[] {
-    const out = [];
-    for (const job of this.book.jobs.values()) {
-      if (job.phase !== 'accepted') continue;
-      out.push({ job: job.job.id, done: job.done.size, running: runningCount(job) });
-    }
-    return out;
+  counts(): TaskCounts[] {
+    return countTasks(this.book);
   }
 }
-
-function seconds(s: number): number {
-  return Math.round(s * 100) / 100;
-}
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -1,6 +1,5 @@
 import { Change, Condition, Runtime, sleep } from '#wire';
 import type { Assignment, Book, JobState, Machine } from '#core';
-import { allPlaces } from '#core';
 import {
   encodeJob,
   jobKey,
@@ -249,9 +248,3 @@
       : v,
   );
 }
-
-export function runningCount(job: JobState): number {
-  let n = 0;
-  for (const a of allPlaces(job)) if (a.reported === 'running') n++;
-  return n;
-}
