--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,6 +1,6 @@
 import { Book, CapacityPlanner, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
-import { aloneBound } from './entitlement.js';
+import { graceAfterLoss } from './entitlement.js';
 import { Settings, teamTerms } from './settings.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
@@ -14,7 +14,7 @@
       leaseS: lease_s,
       reportS: report_s,
       gangPeerS: gang_peer_s,
-      formerOwnerS: aloneBound(cancel_s, lease_s, report_s) + 2 * report_s,
+      formerOwnerS: graceAfterLoss(cancel_s, lease_s, report_s) + 2 * report_s,
       halfLifeS: settings.operator.shareHalfLifeS,
       maxTasksPerMachine: maxTasksPerMachine(valueBytes),
     },
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -1,3 +1,4 @@
+export * from './cancellations.js';
 export * from './cloud.js';
 export * from './controller.js';
 export * from './direct.js';
@@ -6,8 +7,10 @@
 export * from './http-server.js';
 export * from './log.js';
 export * from './operator.js';
+export * from './peer-status.js';
 export type { PartOwner } from './owner.js';
 export * from './pacer.js';
 export * from './settings.js';
 export * from './sockets.js';
+export * from './status-exchange.js';
 export * from './user-api.js';
--- a/packages/peer/link.ts
+++ b/packages/peer/link.ts
@@ -2,7 +2,8 @@
 import type { Duplex } from 'node:stream';
 import { Subject } from 'rxjs';
 import { aborted, every, HostPort, Listener, parseHostPort, pause, Runtime, Timer } from '#wire';
-import { BadFrame, encodeFrame, Frame, FrameReader } from './frames.js';
+import { BadFrame } from './buffers.js';
+import { encodeFrame, Frame, FrameReader } from './frames.js';
 
 export interface PeerAddress {
   name: string;
@@ -58,9 +59,12 @@
   /** Tells all peers that are reachable. */
   send(frame: Frame): void {
     const bytes = encodeFrame(frame);
-    for (const connection of this.out.values()) {
-      if (connection.writableLength < MAX_BACKLOG) connection.write(bytes);
-    }
+    for (const connection of this.out.values()) write(connection, bytes);
+  }
+
+  sendTo(peer: string, frame: Frame): void {
+    const connection = this.out.get(peer);
+    if (connection) write(connection, encodeFrame(frame));
   }
 
   private async keepDialling(peer: PeerAddress, signal: AbortSignal): Promise<void> {
@@ -141,3 +145,7 @@
     return name;
   }
 }
+
+function write(connection: Duplex, bytes: Buffer): void {
+  if (connection.writableLength < MAX_BACKLOG) connection.write(bytes);
+}
