--- /dev/null
+++ b/packages/testing/simulation/faults/user-faults.ts
@@ -0,0 +1,49 @@
+import type { Users, WorldState } from '../../standins/index.js';
+import type { Machines, SimulatedMachine } from '../machines.js';
+import type { UserFault } from '../scenario.js';
+import type { World } from '../world.js';
+import { effect, type FaultEffect } from './effect.js';
+
+/** Machines of cancelled jobs that hang at the most. */
+const MAX_HANGING = 8;
+
+export interface UserFaultContext {
+  world: World;
+  users: Users;
+  machines: Machines;
+  /** Where everything really is. */
+  truth: WorldState;
+  /** Makes machines stand still; the returned function lets them go on. */
+  hang: (machines: SimulatedMachine[]) => () => void;
+}
+
+/** What users do beyond submitting and asking. */
+export function beginUserFault(context: UserFaultContext, fault: UserFault): FaultEffect {
+  const { users } = context;
+  switch (fault.kind) {
+    case 'cancel-now':
+      return cancelNow(context, fault);
+    case 'cancel-at-end':
+      users.setCancelAtEnd(fault.share);
+      return effect({ end: () => users.setCancelAtEnd(0) });
+    case 'odd-requests':
+      users.setOddRequests(true);
+      return effect({ end: () => users.setOddRequests(false) });
+    case 'close-looks':
+      users.setCloseLooks(true);
+      return effect({ end: () => users.setCloseLooks(false) });
+  }
+}
+
+function cancelNow(
+  { world, users, machines, truth, hang }: UserFaultContext,
+  { count, hangS }: UserFault & { kind: 'cancel-now' },
+): FaultEffect {
+  const hit = [...new Set(users.cancelNow(count, truth))];
+  if (hangS !== undefined) {
+    const hanging = hit.slice(0, MAX_HANGING).map((name) => machines.get(name));
+    const end = hang(hanging.filter((machine) => machine !== undefined));
+    world.schedule(hangS, end);
+  }
+  return effect({ machines: hit });
+}
