Controller: one module for each job

Change: reports (report-handler), users' cancellations on their way to the owner (cancellation-relay), what peers tell each other (peer-coordinator), the present owner's entitlement (owner-entitlement), the terms of ownership (owner-terms), workers that report here for want of the owner (unowned-reports), health, and the set-up of the state service (state-access) are modules of their own. What nearly all of them need is one typed object (services). controller.ts joins, starts and ends them. Rules and figures are as they were.

--- /dev/null
+++ b/packages/controller/owner-terms.ts
@@ -0,0 +1,132 @@
+import { setMaxListeners } from 'node:events';
+import { filter } from 'rxjs';
+import type { Term } from '#store';
+import { aborted, type CloudClient, pause } from '#wire';
+import { CloudDuty } from './cloud.js';
+import type { Entitlement } from './entitlement.js';
+import { PartOwner } from './owner.js';
+import { TermBroken } from './recorder.js';
+import type { ControllerServices } from './services.js';
+
+/**
+ * Shares of the state service's rate of changes that one controller may use while it owns or does not. The
+ * owner's records are nearly all changes that there are.
+ */
+const OWNER_WRITES = 0.8;
+const OTHERS_WRITE = 0.3;
+/** Share of a report period from a failed load of the records to the next. */
+const RELOAD_PAUSE = 1 / 5;
+
+export interface OwnerTermsOptions extends ControllerServices {
+  cloud: CloudClient;
+  /** Whether the present owner may answer workers. */
+  entitlement: () => Entitlement;
+  /** Told how long each scheduling round took. */
+  onRound: (roundMs: number) => void;
+  /** Connections that may be open for direct commands. */
+  directSockets: number;
+}
+
+/** Runs an owner, and what it does at the cloud, while this controller holds the part. */
+export class OwnerTerms {
+  /** The owner of the present term, null while nothing is owned here. */
+  current: PartOwner | null = null;
+  /** Aborts when the present term ends. */
+  private term: { id: number; end: AbortController } | null = null;
+  /** What is still ending, too. */
+  private readonly running = new Set<Promise<void>>();
+
+  constructor(private readonly options: OwnerTermsOptions) {}
+
+  /** Follows the ownership until the signal aborts; resolves once the last term has ended. */
+  async run(signal: AbortSignal): Promise<void> {
+    const terms = this.options.ownership.term
+      .pipe(filter((term) => term?.term !== this.term?.id))
+      .subscribe((term) => this.change(term, signal));
+    await aborted(signal);
+    terms.unsubscribe();
+    await Promise.all(this.running);
+  }
+
+  private change(term: Term | null, signal: AbortSignal): void {
+    const { settings, client, log } = this.options;
+    this.term?.end.abort();
+    this.term = null;
+    this.current = null;
+    if (settings.deployment.nodes > 1) client.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
+    if (!term) return;
+    log.info({ term: term.term }, 'term begins');
+    const end = new AbortController();
+    this.term = { id: term.term, end };
+    const done = this.own(term, AbortSignal.any([signal, end.signal]));
+    this.running.add(done);
+    void done.finally(() => this.running.delete(done));
+  }
+
+  private async own(term: Term, signal: AbortSignal): Promise<void> {
+    const { runtime, settings, log } = this.options;
+    while (!signal.aborted) {
+      const owner = this.makeOwner(term);
+      this.current = owner;
+      const end = new AbortController();
+      const attempt = AbortSignal.any([signal, end.signal]);
+      // Every call to a worker listens to it.
+      setMaxListeners(0, attempt);
+      const cloud = this.makeCloudDuty(owner).run(attempt);
+      try {
+        await owner.run(attempt);
+      } catch (err) {
+        if (signal.aborted || this.givesUp(owner, err)) return;
+        log.debug({ err: String(err) }, 'owner starts anew');
+        const delayMs = RELOAD_PAUSE * settings.deployment.workers.report_s * 1000;
+        await pause(runtime.clock, delayMs, signal);
+      } finally {
+        end.abort();
+        await cloud;
+      }
+    }
+  }
+
+  /** A book that has given orders knows what may still arrive; it can't be made anew in its term. */
+  private givesUp(owner: PartOwner, err: unknown): boolean {
+    if (!(err instanceof TermBroken) && !owner.ready) return false;
+    this.options.log.info({ why: String(err), term: owner.term.term }, 'term given up');
+    this.options.ownership.resign();
+    return true;
+  }
+
+  private makeOwner(term: Term): PartOwner {
+    const { runtime, settings, client, jobs, types, entitlement, log } = this.options;
+    return new PartOwner({
+      runtime,
+      settings,
+      client,
+      jobs,
+      term,
+      types: () => types.all(),
+      entitled: () => entitlement() !== 'none',
+      onRound: this.options.onRound,
+      directSockets: this.options.directSockets,
+      log,
+    });
+  }
+
+  private makeCloudDuty(owner: PartOwner): CloudDuty {
+    const { runtime, settings, client, cloud, types, entitlement, log } = this.options;
+    const { deployment, host_name } = settings;
+    return new CloudDuty({
+      runtime,
+      cloud,
+      owner,
+      name: host_name,
+      rps: deployment.cloud.rps,
+      listLagS: deployment.cloud.list_lag_s,
+      reportS: deployment.workers.report_s,
+      leaseS: deployment.workers.lease_s,
+      onTypes: (listed, signal) => types.publish(listed, signal),
+      entitled: () => entitlement() !== 'none',
+      calm: () => entitlement() === 'granted' && !client.failing,
+      log,
+    });
+  }
+}
--- /dev/null
+++ b/packages/controller/peer-coordinator.ts
@@ -0,0 +1,138 @@
+import type { Frame, PeerLink } from '#peer';
+import { type Clock, pause } from '#wire';
+import type { CancellationRelay } from './cancellation-relay.js';
+import { cutFromWorkers } from './entitlement.js';
+import type { PartOwner } from './owner.js';
+import type { ControllerServices } from './services.js';
+import type { StatusExchange } from './status-exchange.js';
+import { HEARD_PERIODS, type UnownedReports } from './unowned-reports.js';
+
+/** Rounds of status in a report period. */
+const STATUS_ROUNDS = 2;
+/** Rounds of status from one look at counts and cancellations to the next. */
+const COUNT_ROUNDS = 2;
+/** Jobs whose counts share a frame. */
+const COUNTS_A_FRAME = 500;
+/** Report periods within which a peer's statement counts as current. */
+const CURRENT_PERIODS = 2;
+
+type Services = Pick<
+  ControllerServices,
+  'runtime' | 'settings' | 'client' | 'jobs' | 'ownership' | 'log'
+>;
+
+export interface PeerCoordinatorOptions extends Services {
+  peers: PeerLink;
+  statuses: StatusExchange;
+  unownedReports: UnownedReports;
+  cancellationRelay: CancellationRelay;
+  /** Null while nothing is owned here. */
+  owner: () => PartOwner | null;
+}
+
+/**
+ * Tells the peers how this controller is served, how many workers ask here for the owner and how jobs
+ * stand; takes in what they tell; and gives the part up to a peer that knows of a newer owner or that the
+ * workers reach while they don't reach us.
+ */
+export class PeerCoordinator {
+  private readonly clock: Clock;
+  private readonly reportS: number;
+
+  constructor(private readonly options: PeerCoordinatorOptions) {
+    this.clock = options.runtime.clock;
+    this.reportS = options.settings.deployment.workers.report_s;
+  }
+
+  receive(from: string, frame: Frame): void {
+    const { statuses, cancellationRelay, jobs } = this.options;
+    if (frame.kind === 'status') {
+      statuses.receive(from, frame, this.clock.now());
+      cancellationRelay.endTasks();
+      this.yieldToNewer(frame.holder);
+    } else if (frame.kind === 'counts') {
+      for (const { job, done, running } of frame.jobs) jobs.noteCounts(job, done, running);
+    } else if (frame.kind === 'abort') cancellationRelay.heard(frame.job);
+  }
+
+  /** Tells the peers twice in a report period until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { jobs, cancellationRelay, owner: currentOwner } = this.options;
+    let round = 0;
+    while (!signal.aborted) {
+      this.sendStatus();
+      this.yieldIfCut();
+      cancellationRelay.endTasks();
+      const owner = currentOwner();
+      if (owner && round++ % COUNT_ROUNDS === 0) {
+        // Cancellations that others took must be known, however quiet the users are here.
+        jobs.cache.sync().catch(() => {});
+        if (owner.ready) this.sendCounts(owner);
+      }
+      await pause(this.clock, (this.reportS * 1000) / STATUS_ROUNDS, signal);
+    }
+  }
+
+  private sendStatus(): void {
+    const { client, jobs, ownership, owner, unownedReports, statuses } = this.options;
+    const now = this.clock.now();
+    const own = {
+      servedAgoMs: (now - client.lastOkAt) * 1000,
+      refused: client.failing,
+      loaded: jobs.cache.ready,
+      owner: owner() !== null,
+      mayOwn: ownership.mayOwn,
+      holder: ownership.newestHolder,
+      strays: unownedReports.count(),
+      jobsRevision: jobs.cache.completeTo,
+    };
+    statuses.send(own, now);
+  }
+
+  private sendCounts(owner: PartOwner): void {
+    const { jobs, peers } = this.options;
+    const counts = owner.counts();
+    for (const { job, done, running } of counts) jobs.noteCounts(job, done, running);
+    for (let i = 0; i < counts.length; i += COUNTS_A_FRAME) {
+      peers.send({ kind: 'counts', jobs: counts.slice(i, i + COUNTS_A_FRAME) });
+    }
+  }
+
+  /** A peer has seen a newer owner, so our term is over. */
+  private yieldToNewer(holder: { term: number; name: string }): void {
+    const { owner, log, ownership } = this.options;
+    const term = owner()?.term.term;
+    if (term === undefined || holder.term <= term) return;
+    log.info({ term, newer: holder.term, owner: holder.name }, 'a newer owner is known');
+    ownership.resign();
+  }
+
+  /** Leaves the part to a controller that the workers can reach. */
+  private yieldIfCut(): void {
+    const { settings, client, ownership, log } = this.options;
+    const owner = this.options.owner();
+    const now = this.clock.now();
+    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
+    // owner that none of them ever reaches would let all their leases run out.
+    if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return;
+    // While the state service refuses us, nobody can take the part over that we give up.
+    if (client.failing) return;
+    const { machines, heard } = owner.hearing(now, HEARD_PERIODS * this.reportS);
+    const heardByPeers = this.countHeardByPeers(now);
+    if (!cutFromWorkers(machines, heard, heardByPeers)) return;
+    const term = owner.term.term;
+    log.info({ term, machines, heard, strays: heardByPeers }, 'cut from the workers');
+    ownership.resign(settings.deployment.workers.lease_s);
+  }
+
+  /** Workers that lately reported to peers, which do not own. */
+  private countHeardByPeers(now: number): number {
+    const { statuses } = this.options;
+    let workers = 0;
+    for (const peer of statuses.statuses()) {
+      if (peer && now - peer.heardAt <= CURRENT_PERIODS * this.reportS)
+        workers += peer.frame.strays;
+    }
+    return workers;
+  }
+}
--- /dev/null
+++ b/packages/controller/report-handler.ts
@@ -0,0 +1,88 @@
+import type { ServerResponse } from 'node:http';
+import {
+  answerToWire,
+  MalformedBody,
+  type Order,
+  parseReport,
+  redirectToWire,
+  type Report,
+} from '#wire';
+import { readBody, reply } from './http-bodies.js';
+import type { PartOwner } from './owner.js';
+import type { ControllerServices } from './services.js';
+import { WorkerLines } from './sockets.js';
+import type { UnownedReports } from './unowned-reports.js';
+import type { Vitals } from './vitals.js';
+
+/** A token that every worker drops. */
+const NO_TOKEN = 0;
+
+type Services = Pick<ControllerServices, 'settings' | 'jobs' | 'ownership' | 'log'>;
+
+export interface ReportHandlerOptions extends Services {
+  /** The owner of the present term if it may answer workers now. */
+  entitledOwner: () => PartOwner | null;
+  unownedReports: UnownedReports;
+  vitals: Vitals;
+}
+
+/** Answers the reports of workers: as the owner if entitled, else with who owns. */
+export class ReportHandler {
+  private readonly connections = new WorkerLines();
+
+  constructor(private readonly options: ReportHandlerOptions) {}
+
+  handle(body: unknown, res: ServerResponse): void {
+    let report: Report;
+    try {
+      report = parseReport(readBody(body));
+    } catch (err) {
+      reply(res, 400, { error: err instanceof MalformedBody ? err.message : 'unreadable' });
+      return;
+    }
+    this.options.vitals.reports++;
+    const owner = this.options.entitledOwner();
+    if (owner === null) this.redirect(report, res);
+    else if (owner.ready) this.answer(owner, report, res);
+    else this.answerWhileLoading(owner, report, res);
+  }
+
+  private redirect(report: Report, res: ServerResponse): void {
+    const { settings, ownership, unownedReports } = this.options;
+    unownedReports.note(report.machine);
+    const { holder } = ownership;
+    if (holder && holder.owner !== settings.host_name)
+      reply(res, 421, redirectToWire(holder.owner));
+    else reply(res, 503, { error: 'no owner yet' });
+  }
+
+  /**
+   * While the records are being read the leases must not run out. Nothing can be started yet, but what
+   * users have cancelled ends.
+   */
+  private answerWhileLoading(owner: PartOwner, report: Report, res: ServerResponse): void {
+    const stops: Order[] = report.tasks
+      .filter((task) => task.state !== 'exited' && this.options.jobs.isCancelled(task.job))
+      .map(({ job, index, attempt }) => ({ op: 'stop', graceS: 0, job, index, attempt }));
+    reply(res, 200, answerToWire(owner.term.term, stops));
+  }
+
+  private answer(owner: PartOwner, report: Report, res: ServerResponse): void {
+    const { machine, token } = report;
+    if (token > owner.tokenFor(machine)) {
+      // Somebody newer commands this worker: what we hold is out of date.
+      this.options.log.info({ machine, token }, 'a newer token is out');
+      this.options.ownership.resign();
+      reply(res, 421, redirectToWire(null));
+      return;
+    }
+    const orders = owner.report(report);
+    if (orders === null) {
+      // A late copy: its worker must drop the answer, which is not counted as a renewal.
+      reply(res, 200, answerToWire(NO_TOKEN, []));
+      return;
+    }
+    this.connections.heard(machine, res.socket);
+    reply(res, 200, answerToWire(owner.tokenFor(machine), orders));
+  }
+}
--- /dev/null
+++ b/packages/controller/services.ts
@@ -0,0 +1,53 @@
+import { Ownership, StateClient } from '#store';
+import type { Runtime } from '#wire';
+import { Cancellations } from './cancellations.js';
+import { JobTable } from './jobs.js';
+import type { Log } from './log.js';
+import { MachineTypes } from './machine-types.js';
+import type { Settings } from './settings.js';
+import type { StateAccess } from './state-access.js';
+
+/** Cancellations whose records are remembered, to be told to peers that have not read them. */
+const RECORDED_CANCELLATIONS = 2000;
+/** Multiple of the time to cancel for which a request to cancel is remembered. */
+const CANCELLATION_MEMORY = 2;
+
+/** What most duties of a controller need: its surroundings, and what it knows by the state service. */
+export interface ControllerServices {
+  runtime: Runtime;
+  settings: Settings;
+  log: Log;
+  client: StateClient;
+  ownership: Ownership;
+  jobs: JobTable;
+  types: MachineTypes;
+  cancellations: Cancellations;
+}
+
+export function makeServices(
+  runtime: Runtime,
+  settings: Settings,
+  log: Log,
+  { client, world, jobs }: StateAccess,
+): ControllerServices {
+  const memoryS = CANCELLATION_MEMORY * settings.deployment.workers.cancel_s;
+  const cancellations = new Cancellations(RECORDED_CANCELLATIONS, memoryS);
+  const ownership = new Ownership({
+    client,
+    runtime,
+    cache: world,
+    name: settings.host_name,
+    part: 0,
+    ttlS: settings.operator.ownerTtlS,
+  });
+  return {
+    runtime,
+    settings,
+    log,
+    client,
+    ownership,
+    jobs: new JobTable(jobs, cancellations),
+    types: new MachineTypes(client, world),
+    cancellations,
+  };
+}
--- /dev/null
+++ b/packages/controller/state-access.ts
@@ -0,0 +1,53 @@
+import { JOBS, PrefixCache, StateClient, WORLD } from '#store';
+import { type Runtime, StateApi } from '#wire';
+import type { Settings } from './settings.js';
+
+/** How long the state service may hold a request of a watch. */
+const WATCH_MS = 10_000;
+/** Shares of a report period for which changes of jobs gather, at the owner and elsewhere. */
+const OWNER_GATHERS = 1 / 50;
+const OTHERS_GATHER = 1 / 2;
+/** Share of the state service's rates that one controller may use, among others and alone. */
+const STATE_SHARE = 0.55;
+const SOLE_STATE_SHARE = 0.9;
+/** Share of a report period that questions wait for the read index, and share it. */
+const SYNC_SPACING = 1 / 5;
+/** The read indexes of all controllers together take a fifth of the state service's rate at the most. */
+const SYNC_RATE_SHARE = 1 / 5;
+
+/** The state service as this controller uses it. */
+export interface StateAccess {
+  client: StateClient;
+  /** Who owns the part, and which machine types exist. */
+  world: PrefixCache;
+  /** All jobs. */
+  jobs: PrefixCache;
+}
+
+/** Nothing is sent before the caches run; `owning` tells whether this controller owns now. */
+export function accessState(
+  runtime: Runtime,
+  { external, deployment }: Settings,
+  owning: () => boolean,
+): StateAccess {
+  const { nodes, state, workers } = deployment;
+  const reportMs = workers.report_s * 1000;
+  const limits = {
+    rps: state.rps,
+    writeRps: state.write_rps,
+    valueBytes: Math.floor(state.value_kb * 1024),
+    txnOps: state.txn_ops,
+  };
+  const api = new StateApi(runtime, external.state, reportMs);
+  const share = nodes === 1 ? SOLE_STATE_SHARE : STATE_SHARE;
+  const client = new StateClient(runtime.clock, api, limits, share);
+  const leastSpacingMs = (nodes * 1000) / (state.rps * SYNC_RATE_SHARE);
+  const syncSpacingMs = Math.max(leastSpacingMs, reportMs * SYNC_SPACING);
+  const caching = { client, runtime, watchMs: WATCH_MS, syncSpacingMs };
+  const gatherMs = () => reportMs * (owning() ? OWNER_GATHERS : OTHERS_GATHER);
+  return {
+    client,
+    world: new PrefixCache({ ...caching, prefix: WORLD }),
+    jobs: new PrefixCache({ ...caching, prefix: JOBS, gatherMs }),
+  };
+}
