Peer link: connections that a cut left open are closed

Cause: the accepting side never closed a connection whose other end had gone without a sign; after 12 of them (three controllers) no peer could connect again, so nobody was heard for good. A peer's new hello now closes its earlier connection, and one that says nothing for long is closed. Test: 40 such connections, the peer is heard all the same.

--- /dev/null
+++ b/packages/peer/link.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import net, { type AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { nodeRuntime, pause } from '#wire';
+import { encodeFrame } from './frames.js';
+import { PeerLink } from './link.js';
+
+const HOST = '127.0.0.1';
+const RETRY_MS = 50;
+
+async function freePort(): Promise<number> {
+  const server = net.createServer().listen(0, HOST);
+  await new Promise((resolve) => server.once('listening', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function linkOf(self: string, port: number, peer: string, peerPort: number): PeerLink {
+  return new PeerLink({
+    runtime: nodeRuntime,
+    self,
+    listen: { host: HOST, port },
+    peers: [{ name: peer, addr: `${HOST}:${peerPort}` }],
+    retryMs: RETRY_MS,
+  });
+}
+
+/** A connection whose other end is gone without a sign: it says who it was, and nothing more. */
+function silentConnection(port: number, name: string): net.Socket {
+  const socket = net.connect(port, HOST);
+  socket.on('error', () => {});
+  socket.write(encodeFrame({ kind: 'hello', name }));
+  return socket;
+}
+
+test('connections that a cut left open do not keep a peer out', async () => {
+  // Guards against a controller that took no new connection of any peer once such ones had used up all
+  // that it takes, and that heard nobody from then on.
+  const [portA, portB] = [await freePort(), await freePort()];
+  const stop = new AbortController();
+  const a = linkOf('a', portA, 'b', portB);
+  const b = linkOf('b', portB, 'a', portA);
+  let heard = 0;
+  b.heard.subscribe(() => heard++);
+  const runB = b.run(stop.signal);
+  await pause(nodeRuntime.clock, RETRY_MS);
+  const silent = Array.from({ length: 40 }, () => silentConnection(portB, 'a'));
+  await pause(nodeRuntime.clock, 4 * RETRY_MS);
+  const runA = a.run(stop.signal);
+  for (let i = 0; i < 40 && heard === 0; i++) {
+    a.send({ kind: 'abort', job: 'j-1' });
+    await pause(nodeRuntime.clock, RETRY_MS);
+  }
+  assert.ok(heard > 0);
+  stop.abort();
+  for (const socket of silent) socket.destroy();
+  await Promise.all([runA, runB]);
+});
--- a/packages/peer/link.ts
+++ b/packages/peer/link.ts
@@ -38,6 +38,8 @@
 export class PeerLink {
   readonly heard = new Subject<{ from: string; frame: Frame }>();
   private readonly out = new Map<string, Duplex>();
+  /** The newest connection that each peer has dialled. */
+  private readonly incoming = new Map<string, Duplex>();
   /** When each peer was last heard; steady seconds. */
   private readonly lastHeard = new Map<string, number>();
   private readonly listener: Listener;
@@ -83,7 +85,10 @@
       const connection = network.connect(parseHostPort(peer.addr));
       const end = () => void connection.destroy();
       const giveUp = clock.setTimer(end, DIAL_PERIODS * retryMs);
-      const silence = this.watchSilence(peer, end);
+      const since = clock.now();
+      const lastHeard = () => Math.max(since, this.lastHeard.get(peer.name) ?? -Infinity);
+      // What is written to a peer that is cut off stays unacknowledged: it must be dialled anew.
+      const silence = this.onSilence(lastHeard, end);
       signal.addEventListener('abort', end);
       connection.on('connect', () => {
         giveUp.cancel();
@@ -109,28 +114,28 @@
     for (const frame of greeting?.() ?? []) connection.write(encodeFrame(frame));
   }
 
-  /** A cut-off peer leaves written bytes unacknowledged without an error; it must be dialled anew. */
-  private watchSilence(peer: PeerAddress, end: () => void): Timer {
-    const { runtime, retryMs } = this.options;
-    const { clock } = runtime;
-    const since = clock.now();
-    return every(clock, retryMs, () => {
-      const heardAt = Math.max(since, this.lastHeard.get(peer.name) ?? -Infinity);
-      if ((clock.now() - heardAt) * 1000 > SILENCES * retryMs) end();
-    });
-  }
-
   private receive(connection: Duplex): void {
+    const { clock } = this.options.runtime;
     const reader = new FrameReader();
     let from: string | null = null;
+    let heardAt = clock.now();
+    const silence = this.onSilence(
+      () => heardAt,
+      () => connection.destroy(),
+    );
     connection.on('error', () => {});
+    connection.on('close', () => {
+      silence.cancel();
+      if (from !== null && this.incoming.get(from) === connection) this.incoming.delete(from);
+    });
     connection.on('data', (chunk: Buffer) => {
+      heardAt = clock.now();
       try {
         for (const frame of reader.push(chunk)) {
-          if (frame.kind === 'hello') from = this.known(frame.name);
+          if (frame.kind === 'hello') from = this.greeted(frame.name, connection);
           else if (from === null) throw new BadFrame('no hello');
           else {
-            this.lastHeard.set(from, this.options.runtime.clock.now());
+            this.lastHeard.set(from, heardAt);
             this.heard.next({ from, frame });
           }
         }
@@ -140,10 +145,26 @@
     });
   }
 
-  private known(name: string): string {
+  /**
+   * A peer that dials anew has given up its earlier connection, which a cut may have left open here
+   * without a sign; kept, such connections would in time use up all that are taken.
+   */
+  private greeted(name: string, connection: Duplex): string {
     if (!this.options.peers.some((peer) => peer.name === name)) throw new BadFrame('unknown peer');
+    const before = this.incoming.get(name);
+    this.incoming.set(name, connection);
+    if (before !== connection) before?.destroy();
     return name;
   }
+
+  /** Acts once nothing was heard for long: a cut leaves connections open without an error. */
+  private onSilence(heardAt: () => number, act: () => void): Timer {
+    const { runtime, retryMs } = this.options;
+    const { clock } = runtime;
+    return every(clock, retryMs, () => {
+      if ((clock.now() - heardAt()) * 1000 > SILENCES * retryMs) act();
+    });
+  }
 }
 
 function write(connection: Duplex, bytes: Buffer): void {
