Cloud: only an owner that nobody can have succeeded rents or releases

Cause: within the bound after its loss, a deposed owner took all machines whose workers had gone to its successor for silent: it rented for their work and gave back machines that the successor used. Both are asked for again after the wait for the cloud's rate.

--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -35,9 +35,10 @@
   leaseS: number;
   /** Told of the machine types whenever they were asked for. */
   onTypes: (types: MachineType[], signal: AbortSignal) => Promise<void>;
-  entitled: () => boolean;
-  /** The state service answers, so that what is stopped here starts there at once. */
-  calm: () => boolean;
+  /** Nobody else can own the part now, so what is rented is not rented twice. */
+  mayRent: () => boolean;
+  /** Besides, the state service serves us: what is stopped here can start elsewhere at once. */
+  mayRelease: () => boolean;
   log: Log;
 }
 
@@ -83,7 +84,7 @@
   }
 
   private async step(signal: AbortSignal): Promise<void> {
-    const { reportS, listLagS, entitled, calm, onTypes } = this.options;
+    const { reportS, listLagS, mayRent, mayRelease, onTypes } = this.options;
     const now = this.clock.now();
     const book = this.owner.book;
     if (now - this.typesAt > 30 * reportS || book.types.size === 0) {
@@ -96,10 +97,10 @@
     if (now - this.listedAt > Math.max(2 * reportS, listLagS / 2)) {
       await this.list(signal);
     }
-    // An owner that nobody may listen to any more takes every machine for silent: it must not
-    // release or rent on that.
-    if (!entitled()) return;
-    const doomed = this.doomed(now);
+    // A former owner that doesn't know of its successor yet takes every machine for silent, and those
+    // that it was about to return for empty: it must neither rent nor release on that.
+    if (!mayRent()) return;
+    const doomed = mayRelease() ? this.doomed(now) : [];
     if (doomed.length > 0) await this.release(doomed, signal);
     // After a take-over, first hear what is there.
     const hears = this.owner.first ? 0 : 4 * reportS;
@@ -108,7 +109,7 @@
     if (!settled || now - this.planAt < reportS) return;
     this.planAt = now;
     const { rent, release, empty } = this.owner.planner.plan(now);
-    if (empty !== null && calm()) {
+    if (empty !== null && mayRelease()) {
       this.owner.scheduler.empty(empty, now);
       this.owner.nudge();
       const { machine, moves } = empty;
@@ -176,6 +177,8 @@
     const names = machines.map((m) => m.name);
     for (const m of machines) m.draining = true;
     await this.budget.take(1, true, signal);
+    // The wait for the budget may have been long, or the process may have stood still in it.
+    if (!this.options.mayRelease()) return;
     await this.cloud.release(names, signal);
     const now = this.clock.now();
     for (const name of names) {
@@ -191,6 +194,7 @@
     const request = `${this.options.name}-${this.owner.term.term}-${++this.requests}`;
     for (let attempt = 0; attempt < 4; attempt++) {
       await this.budget.take(1, true, signal);
+      if (!this.options.mayRent()) return;
       try {
         const out = await this.cloud.rent(request, rental, signal);
         if (out === 'trouble') continue;
--- a/packages/testing/plan.test.ts
+++ b/packages/testing/plan.test.ts
@@ -148,8 +148,8 @@
     reportS: 1,
     leaseS: 10,
     onTypes: async () => {},
-    entitled: () => true,
-    calm: () => true,
+    mayRent: () => true,
+    mayRelease: () => true,
     log,
   });
   await duty.run(stop.signal);
