Health, time bounds and operators' settings: modules of their own; settings that can't keep the rule are refused

A controller that is cut off from the state service and its peers is no longer healthy: it kept its users and answered none. cancel_s must leave room for a lease and four report periods. The schema of the operators' settings and their defaults come from one table; docs/operator.schema.json is printed by 'sorreldale schema', and a test compares them (it said 0.4 of a lease for ownerTtlS, and 1 for reserveSigmas; the code 0.25 and 2). operator.ts and settings.ts no longer import each other.

--- a/packages/cli/main.ts
+++ b/packages/cli/main.ts
@@ -1,7 +1,7 @@
 import { Command } from 'commander';
 import { readFileSync } from 'node:fs';
 import { ListenError, nodeRuntime } from '#wire';
-import { BadSettings, Controller, loadSettings, makeLog } from '#controller';
+import { BadSettings, Controller, loadSettings, makeLog, operatorSchema } from '#controller';
 import { addUserCommands } from './user.js';
 
 const EXIT_BAD_SETTINGS = 2;
@@ -66,5 +66,12 @@
     process.stdout.write('settings are fine\n');
   });
 
+program
+  .command('schema')
+  .description("print the JSON schema of the operators' own settings")
+  .action(() => {
+    process.stdout.write(`${JSON.stringify(operatorSchema, null, 2)}\n`);
+  });
+
 addUserCommands(program);
 void program.parseAsync();
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -17,7 +17,9 @@
 import { GroupCommit, JOBS, Ownership, PrefixCache, StateClient, Term, WORLD } from '#store';
 import { CloudDuty } from './cloud.js';
 import { Cancellations } from './cancellations.js';
-import { cutFromWorkers, Entitlement, EntitlementJudge, graceAfterLoss } from './entitlement.js';
+import { cutFromWorkers, Entitlement, EntitlementJudge } from './entitlement.js';
+import { graceAfterLoss } from './time-bounds.js';
+import { isHealthy } from './health.js';
 import { readBody, reply } from './http-bodies.js';
 import { HttpServer } from './http-server.js';
 import { JobTable } from './jobs.js';
@@ -239,14 +241,17 @@
     });
   }
 
-  /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
   private healthy(): boolean {
-    if (!this.jobs.cache.ready || this.types.all().length === 0) return false;
     const { lastOkAt, lastFailAt, failing } = this.client;
-    if (!failing || lastFailAt - lastOkAt < 2 * this.reportS) return true;
-    return !this.statuses
-      .statuses()
-      .some((peer) => peer && !peer.frame.refused && peer.servedAt > lastOkAt + 2 * this.reportS);
+    return isHealthy({
+      now: this.clock.now(),
+      loaded: this.jobs.cache.ready && this.types.all().length > 0,
+      refused: failing,
+      lastOkAt,
+      lastFailAt,
+      peers: this.statuses.statuses(),
+      patienceS: 2 * this.reportS,
+    });
   }
 
   private entitled(): Entitlement {
@@ -492,8 +497,8 @@
       reportS: this.reportS,
       leaseS: deployment.workers.lease_s,
       onTypes: (types, signal) => this.types.publish(types, signal),
-      entitled: () => this.entitled() !== 'none',
-      calm: () => this.entitled() === 'granted' && !this.client.failing,
+      mayRent: () => ['granted', 'attested'].includes(this.entitled()),
+      mayRelease: () => this.entitled() === 'granted' && !this.client.failing,
       log: this.log,
     });
   }
--- a/packages/controller/entitlement.test.ts
+++ b/packages/controller/entitlement.test.ts
@@ -3,8 +3,9 @@
 import fc from 'fast-check';
 import type { StatusFrame } from '#peer';
 import { SEEDED } from '#testing';
-import { EntitlementJudge, graceAfterLoss, OwnerView } from './entitlement.js';
+import { EntitlementJudge, OwnerView } from './entitlement.js';
 import { PeerStatus } from './peer-status.js';
+import { checkTimes, graceAfterLoss } from './time-bounds.js';
 
 const LIMITS = { peerCount: 2, silenceS: 2, graceS: 12 };
 const TERM = 50;
@@ -131,3 +132,10 @@
   const grace = graceAfterLoss(reports.cancelS, reports.leaseS, reports.reportS);
   assert.ok(grace > 0 && grace + reports.leaseS + 2 * reports.reportS < reports.cancelS);
 });
+
+test('settings that leave an owner no time to learn of a cancellation are refused', () => {
+  const workers = { report_s: 1, lease_s: 10, gang_wait_s: 45, gang_peer_s: 8, cancel_s: 35 };
+  assert.equal(checkTimes(workers), null);
+  assert.match(checkTimes({ ...workers, cancel_s: 13 })!, /cancel_s: must be at least 14\.0[2-3]/);
+  assert.equal(checkTimes({ ...workers, cancel_s: 14.03 }), null);
+});
--- a/packages/controller/entitlement.ts
+++ b/packages/controller/entitlement.ts
@@ -92,20 +92,6 @@
   }
 }
 
-/** Clocks differ by 0.05% each; a lease is counted on the worker's. */
-const LEASE_DRIFT = 1.002;
-/** A report under way, its answer, and the worker's reaction. */
-const MARGIN_REPORTS = 3;
-
-/**
- * Every task must be gone within cancel_s of the earliest cancellation that may be unknown: after the
- * last answer the workers' leases still run, with drift and a report under way. Seconds; not positive
- * if the settings leave no time at all.
- */
-export function graceAfterLoss(cancelS: number, leaseS: number, reportS: number): number {
-  return cancelS - leaseS * LEASE_DRIFT - MARGIN_REPORTS * reportS;
-}
-
 /**
  * An owner that its workers can't reach holds its term while all their leases run out. It hears next to
  * none of the machines that should report, and its peers hear some of those ask for it.
--- /dev/null
+++ b/packages/controller/operator.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { operatorSchema, withDefaults } from './operator.js';
+import type { PlatformSettings } from './platform-settings.js';
+
+test('the schema in the documentation is the one in force', () => {
+  // Written by `node target/cli/launch.js schema > docs/operator.schema.json`.
+  const file = new URL('../../docs/operator.schema.json', import.meta.url);
+  assert.deepEqual(JSON.parse(readFileSync(file, 'utf8')), operatorSchema);
+});
+
+test('what the operators do not set follows from the figures of the platform', () => {
+  const workers = { lease_s: 10, report_s: 2 };
+  const platform = { deployment: { workers } } as unknown as PlatformSettings;
+  const settings = withDefaults({ ownerTtlS: 4 }, platform);
+  assert.equal(settings.ownerTtlS, 4);
+  assert.equal(settings.preemptAfterS, 4);
+  assert.equal(settings.gangLeaseS, 120);
+  assert.equal(settings.reserveSigmas, 2);
+});
--- a/packages/controller/operator.ts
+++ b/packages/controller/operator.ts
@@ -1,4 +1,4 @@
-import type { PlatformSettings } from './settings.js';
+import type { PlatformSettings } from './platform-settings.js';
 
 /** The operators' own settings, in force; docs/operator.schema.json describes them. */
 export interface OperatorSettings {
@@ -13,76 +13,104 @@
   arrivalMemoryS: number;
 }
 
+/** One setting: what it is, which values are legal, and what holds if the operators don't set it. */
+interface OperatorField {
+  description: string;
+  schema: Record<string, unknown>;
+  default: number | RatioOf;
+}
+
+/** A default that is a multiple of one of the platform's figures. */
+interface RatioOf {
+  times: number;
+  of: 'lease_s' | 'report_s';
+}
+
 const positive = { type: 'number', exclusiveMinimum: 0 };
+const amount = { type: 'number', minimum: 0 };
+const ratio = { type: 'number', minimum: 0, maximum: 1 };
+/** What the state service accepts as a grant's time to live; seconds. */
+const grantLife = { type: 'number', minimum: 0.1, maximum: 600 };
+
+const fields: Record<keyof OperatorSettings, OperatorField> = {
+  shareHalfLifeS: {
+    description: 'Half-life of the service counters, seconds.',
+    schema: positive,
+    default: 86_400,
+  },
+  floorWeight: {
+    description: 'Least weight of a team, as a share of the fleet.',
+    schema: { ...positive, maximum: 1 },
+    default: 0.05,
+  },
+  stopThreshold: {
+    description:
+      "A gang may be stopped at its lease end if a waiting team's index is below this ratio of its own team's.",
+    schema: ratio,
+    default: 0.5,
+  },
+  gangLeaseS: {
+    description: 'Lease of a running gang, seconds.',
+    schema: positive,
+    default: { times: 12, of: 'lease_s' },
+  },
+  preemptAfterS: {
+    description:
+      'How long work of higher rank or within a guarantee waits before it stops other work, seconds.',
+    schema: amount,
+    default: { times: 2, of: 'report_s' },
+  },
+  ownerTtlS: {
+    description: 'Time to live of the grant that holds a part, seconds.',
+    schema: grantLife,
+    default: { times: 0.25, of: 'lease_s' },
+  },
+  reserveSigmas: {
+    description:
+      'Standard deviations of the arrivals within a boot time that are kept free for classes with a short wait.',
+    schema: amount,
+    default: 2,
+  },
+  idleHoldS: {
+    description:
+      'How long an empty machine that is not needed is kept, seconds; a third of it once nothing has come for half of it.',
+    schema: amount,
+    default: { times: 6, of: 'lease_s' },
+  },
+  arrivalMemoryS: {
+    description: 'Averaging time of arrival rates, seconds.',
+    schema: positive,
+    default: { times: 12, of: 'lease_s' },
+  },
+};
 
+/** JSON schema of the operators' file; `sorreldale schema` prints it. */
 export const operatorSchema = {
+  $schema: 'http://json-schema.org/draft-07/schema#',
   title: "sorreldale: operators' settings",
   type: 'object',
-  properties: {
-    shareHalfLifeS: {
-      ...positive,
-      description: 'Half-life of the service counters, seconds. Default: 24 hours.',
-    },
-    floorWeight: {
-      ...positive,
-      maximum: 1,
-      description: 'Least weight of a team, as a share of the fleet. Default: 0.05.',
-    },
-    stopThreshold: {
-      type: 'number',
-      minimum: 0,
-      maximum: 1,
-      description:
-        "A gang may be stopped at its lease end if a waiting team's index is below this ratio of its own team's. Default: 0.5.",
-    },
-    gangLeaseS: {
-      ...positive,
-      description: 'Lease of a running gang, seconds. Default: 12 times workers.lease_s.',
-    },
-    preemptAfterS: {
-      type: 'number',
-      minimum: 0,
-      description:
-        'How long work of higher rank or within a guarantee waits before it stops other work, seconds. Default: 2 times workers.report_s.',
-    },
-    ownerTtlS: {
-      ...positive,
-      description:
-        'Time to live of the grant that holds a part, seconds. Default: 0.25 times workers.lease_s.',
-    },
-    reserveSigmas: {
-      type: 'number',
-      minimum: 0,
-      description:
-        'Standard deviations of the arrivals within a boot time that are kept free for classes with a short wait. Default: 2.',
-    },
-    idleHoldS: {
-      type: 'number',
-      minimum: 0,
-      description:
-        'How long an empty machine that is not needed is kept, seconds. Default: 6 times workers.lease_s; a third of it once nothing has come for half of it.',
-    },
-    arrivalMemoryS: {
-      ...positive,
-      description: 'Averaging time of arrival rates, seconds. Default: 12 times workers.lease_s.',
-    },
-  },
+  properties: Object.fromEntries(
+    Object.entries(fields).map(([name, field]) => [
+      name,
+      { ...field.schema, description: `${field.description} Default: ${defaultText(field)}.` },
+    ]),
+  ),
 };
 
+function defaultText({ default: value }: OperatorField): string {
+  if (typeof value === 'number') return String(value);
+  return `${value.times} times workers.${value.of}`;
+}
+
+/** What is in force: the operators' own values, and defaults for the rest. */
 export function withDefaults(
   own: Partial<OperatorSettings>,
   platform: PlatformSettings,
 ): OperatorSettings {
-  const { lease_s: lease, report_s: report } = platform.deployment.workers;
-  return {
-    shareHalfLifeS: own.shareHalfLifeS ?? 86_400,
-    floorWeight: own.floorWeight ?? 0.05,
-    stopThreshold: own.stopThreshold ?? 0.5,
-    gangLeaseS: own.gangLeaseS ?? 12 * lease,
-    preemptAfterS: own.preemptAfterS ?? 2 * report,
-    ownerTtlS: own.ownerTtlS ?? 0.25 * lease,
-    reserveSigmas: own.reserveSigmas ?? 2,
-    idleHoldS: own.idleHoldS ?? 6 * lease,
-    arrivalMemoryS: own.arrivalMemoryS ?? 12 * lease,
-  };
+  const { workers } = platform.deployment;
+  const settings = Object.entries(fields).map(([name, { default: value }]) => {
+    const ratioOf = typeof value === 'number' ? value : value.times * workers[value.of];
+    return [name, own[name as keyof OperatorSettings] ?? ratioOf];
+  });
+  return Object.fromEntries(settings) as unknown as OperatorSettings;
 }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -11,7 +11,7 @@
   Term,
 } from '#store';
 import { DirectCommands } from './direct.js';
-import { graceAfterLoss } from './entitlement.js';
+import { graceAfterLoss } from './time-bounds.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
 import { Pacer } from './pacer.js';
--- /dev/null
+++ b/packages/controller/platform-settings.ts
@@ -0,0 +1,131 @@
+/** The settings file that the platform hands to each controller: its fields, units and schema. */
+
+/** One team: amounts guaranteed and the most it may use; 0 means none. */
+export interface TeamSettings {
+  name: string;
+  cpus: number;
+  cpus_max: number;
+  gpus: number;
+  gpus_max: number;
+}
+
+/** The whole file, in its own words. Durations are seconds. */
+export interface PlatformSettings {
+  host_name: string;
+  zone: string;
+  listen: string;
+  cluster_listen: string;
+  peers: { host_name: string; zone: string; peer_addr: string }[];
+  external: { cloud: string; state: string };
+  deployment: {
+    nodes: number;
+    zones: string[];
+    clock_off_ms: number;
+    teams: TeamSettings[];
+    objectives: { kind: string; class?: string; within_s?: number; share?: number }[];
+    workers: {
+      report_s: number;
+      lease_s: number;
+      gang_wait_s: number;
+      gang_peer_s: number;
+      cancel_s: number;
+    };
+    state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
+    cloud: { rps: number; list_lag_s: number };
+    limits: { cpu_share: number; memory_mb: number; sockets: number };
+  };
+}
+
+const positive = { type: 'number', exclusiveMinimum: 0 };
+const amount = { type: 'number', minimum: 0 };
+const text = { type: 'string', minLength: 1 };
+const address = { type: 'string', pattern: '^[0-9]+(\\.[0-9]+){3}:[0-9]{1,5}$' };
+
+/** JSON schema of the file; unknown fields are ignored. */
+export const platformSchema = {
+  type: 'object',
+  required: ['host_name', 'zone', 'listen', 'cluster_listen', 'external', 'deployment'],
+  properties: {
+    host_name: text,
+    zone: text,
+    listen: address,
+    cluster_listen: address,
+    peers: {
+      type: 'array',
+      default: [],
+      items: {
+        type: 'object',
+        required: ['host_name', 'peer_addr'],
+        properties: { host_name: text, zone: text, peer_addr: address },
+      },
+    },
+    external: {
+      type: 'object',
+      required: ['cloud', 'state'],
+      properties: { cloud: address, state: address },
+    },
+    deployment: {
+      type: 'object',
+      required: ['nodes', 'zones', 'teams', 'workers', 'state', 'cloud', 'limits'],
+      properties: {
+        nodes: { type: 'integer', minimum: 1 },
+        zones: { type: 'array', items: text },
+        clock_off_ms: { ...amount, default: 0 },
+        teams: {
+          type: 'array',
+          items: {
+            type: 'object',
+            required: ['name'],
+            properties: {
+              name: text,
+              cpus: { ...amount, default: 0 },
+              cpus_max: { ...amount, default: 0 },
+              gpus: { ...amount, default: 0 },
+              gpus_max: { ...amount, default: 0 },
+            },
+          },
+        },
+        objectives: {
+          type: 'array',
+          default: [],
+          items: {
+            type: 'object',
+            required: ['kind'],
+            properties: { kind: text, class: text, within_s: amount, share: amount },
+          },
+        },
+        workers: {
+          type: 'object',
+          required: ['report_s', 'lease_s', 'gang_wait_s', 'gang_peer_s', 'cancel_s'],
+          properties: {
+            report_s: positive,
+            lease_s: positive,
+            gang_wait_s: positive,
+            gang_peer_s: positive,
+            cancel_s: positive,
+          },
+        },
+        state: {
+          type: 'object',
+          required: ['rps', 'write_rps', 'value_kb', 'txn_ops'],
+          properties: {
+            rps: positive,
+            write_rps: positive,
+            value_kb: positive,
+            txn_ops: { type: 'integer', minimum: 2 },
+          },
+        },
+        cloud: {
+          type: 'object',
+          required: ['rps', 'list_lag_s'],
+          properties: { rps: positive, list_lag_s: amount },
+        },
+        limits: {
+          type: 'object',
+          required: ['cpu_share', 'memory_mb', 'sockets'],
+          properties: { cpu_share: positive, memory_mb: positive, sockets: positive },
+        },
+      },
+    },
+  },
+};
--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -4,18 +4,12 @@
 import { compileSchema } from '#wire';
 import type { TeamTerms } from '#core';
 import { operatorSchema, OperatorSettings, withDefaults } from './operator.js';
+import { platformSchema, PlatformSettings, TeamSettings } from './platform-settings.js';
+import { checkTimes } from './time-bounds.js';
 
 /** A settings file that can't be used; the message names file, field and reason. */
 export class BadSettings extends Error {}
 
-export interface TeamSettings {
-  name: string;
-  cpus: number;
-  cpus_max: number;
-  gpus: number;
-  gpus_max: number;
-}
-
 /** Guarantees and limits by team, in the core's words. */
 export function teamTerms(teams: TeamSettings[]): Map<string, TeamTerms> {
   return new Map(
@@ -26,129 +20,10 @@
   );
 }
 
-export interface PlatformSettings {
-  host_name: string;
-  zone: string;
-  listen: string;
-  cluster_listen: string;
-  peers: { host_name: string; zone: string; peer_addr: string }[];
-  external: { cloud: string; state: string };
-  deployment: {
-    nodes: number;
-    zones: string[];
-    clock_off_ms: number;
-    teams: TeamSettings[];
-    objectives: { kind: string; class?: string; within_s?: number; share?: number }[];
-    workers: {
-      report_s: number;
-      lease_s: number;
-      gang_wait_s: number;
-      gang_peer_s: number;
-      cancel_s: number;
-    };
-    state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
-    cloud: { rps: number; list_lag_s: number };
-    limits: { cpu_share: number; memory_mb: number; sockets: number };
-  };
-}
-
 export interface Settings extends PlatformSettings {
   operator: OperatorSettings;
 }
 
-const positive = { type: 'number', exclusiveMinimum: 0 };
-const amount = { type: 'number', minimum: 0 };
-const text = { type: 'string', minLength: 1 };
-const address = { type: 'string', pattern: '^[0-9]+(\\.[0-9]+){3}:[0-9]{1,5}$' };
-
-const platformSchema = {
-  type: 'object',
-  required: ['host_name', 'zone', 'listen', 'cluster_listen', 'external', 'deployment'],
-  properties: {
-    host_name: text,
-    zone: text,
-    listen: address,
-    cluster_listen: address,
-    peers: {
-      type: 'array',
-      default: [],
-      items: {
-        type: 'object',
-        required: ['host_name', 'peer_addr'],
-        properties: { host_name: text, zone: text, peer_addr: address },
-      },
-    },
-    external: {
-      type: 'object',
-      required: ['cloud', 'state'],
-      properties: { cloud: address, state: address },
-    },
-    deployment: {
-      type: 'object',
-      required: ['nodes', 'zones', 'teams', 'workers', 'state', 'cloud', 'limits'],
-      properties: {
-        nodes: { type: 'integer', minimum: 1 },
-        zones: { type: 'array', items: text },
-        clock_off_ms: { ...amount, default: 0 },
-        teams: {
-          type: 'array',
-          items: {
-            type: 'object',
-            required: ['name'],
-            properties: {
-              name: text,
-              cpus: { ...amount, default: 0 },
-              cpus_max: { ...amount, default: 0 },
-              gpus: { ...amount, default: 0 },
-              gpus_max: { ...amount, default: 0 },
-            },
-          },
-        },
-        objectives: {
-          type: 'array',
-          default: [],
-          items: {
-            type: 'object',
-            required: ['kind'],
-            properties: { kind: text, class: text, within_s: amount, share: amount },
-          },
-        },
-        workers: {
-          type: 'object',
-          required: ['report_s', 'lease_s', 'gang_wait_s', 'gang_peer_s', 'cancel_s'],
-          properties: {
-            report_s: positive,
-            lease_s: positive,
-            gang_wait_s: positive,
-            gang_peer_s: positive,
-            cancel_s: positive,
-          },
-        },
-        state: {
-          type: 'object',
-          required: ['rps', 'write_rps', 'value_kb', 'txn_ops'],
-          properties: {
-            rps: positive,
-            write_rps: positive,
-            value_kb: positive,
-            txn_ops: { type: 'integer', minimum: 2 },
-          },
-        },
-        cloud: {
-          type: 'object',
-          required: ['rps', 'list_lag_s'],
-          properties: { rps: positive, list_lag_s: amount },
-        },
-        limits: {
-          type: 'object',
-          required: ['cpu_share', 'memory_mb', 'sockets'],
-          properties: { cpu_share: positive, memory_mb: positive, sockets: positive },
-        },
-      },
-    },
-  },
-};
-
 const validPlatform = compileSchema<PlatformSettings>(platformSchema);
 const validOperator = compileSchema<OperatorSettings>(operatorSchema);
 
@@ -181,5 +56,8 @@
   const platform = check(platformFile, read(platformFile, parseToml), validPlatform);
   const raw = operatorFile === null ? {} : read(operatorFile, JSON.parse);
   const operator = check(operatorFile ?? 'defaults', raw, validOperator);
-  return { ...platform, operator: withDefaults(operator, platform) };
+  const settings = { ...platform, operator: withDefaults(operator, platform) };
+  const problem = checkTimes(settings.deployment.workers);
+  if (problem) throw new BadSettings(`${platformFile}: ${problem}`);
+  return settings;
 }
