Stand-ins for the load balancer and the users

Users submit, repeat, ask, cancel and submit again as the protocol says; on demand they ask all nodes within milliseconds after each news, call jobs off at their end or many at once, and send what must be refused. The fields that a submission needs are exported by the wire package.

--- /dev/null
+++ b/packages/testing/standins/balancer/backend.ts
@@ -0,0 +1,100 @@
+import type { Duplex } from 'node:stream';
+import { CborClient, NoAnswer, parseHostPort, sleep, type HostPort, type Runtime } from '#wire';
+import { NodeHealth } from './node-health.js';
+
+const PROBE_PERIOD_S = 1;
+const PROBE_TIMEOUT_MS = 1000;
+const ACCEPT_TIMEOUT_MS = 500;
+/** An unhealthy node keeps its open connections for so long. */
+const RESET_AFTER_S = 5;
+
+/** One node behind the load balancer, with its health and its open connections. */
+export class Backend {
+  readonly health: NodeHealth;
+  private readonly address: HostPort;
+  private readonly probes: CborClient;
+  private readonly connections = new Set<Duplex>();
+  private stopped = false;
+
+  constructor(
+    private readonly runtime: Runtime,
+    address: string,
+  ) {
+    this.address = parseHostPort(address);
+    this.health = new NodeHealth(runtime.clock);
+    this.probes = new CborClient(runtime, address, 1);
+  }
+
+  /** The more, the less it should get of new connections. */
+  get load(): number {
+    return (this.connections.size + 1) / this.health.share;
+  }
+
+  /** Probes the node until stop(). */
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      const startedAt = this.runtime.clock.now();
+      this.noteProbe(await this.probe());
+      const leftS = startedAt + PROBE_PERIOD_S - this.runtime.clock.now();
+      await sleep(this.runtime.clock, Math.max(0, leftS) * 1000);
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.probes.close();
+    this.reset();
+  }
+
+  /** An open connection to the node, or null if it refuses or does not accept in time. */
+  async connect(): Promise<Duplex | null> {
+    const connection = await this.open();
+    this.health.noteConnection(connection !== null);
+    if (connection === null) return null;
+    this.connections.add(connection);
+    connection.once('close', () => this.connections.delete(connection));
+    return connection;
+  }
+
+  private open(): Promise<Duplex | null> {
+    return new Promise((resolve) => {
+      const connection = this.runtime.network.connect(this.address);
+      const fail = () => {
+        timer.cancel();
+        connection.destroy();
+        resolve(null);
+      };
+      const timer = this.runtime.clock.setTimer(fail, ACCEPT_TIMEOUT_MS);
+      connection.once('error', fail);
+      connection.once('connect', () => {
+        timer.cancel();
+        connection.off('error', fail);
+        resolve(connection);
+      });
+    });
+  }
+
+  private async probe(): Promise<boolean> {
+    try {
+      const { status } = await this.probes.call('GET', '/healthz', { timeoutMs: PROBE_TIMEOUT_MS });
+      return status === 200;
+    } catch (err) {
+      if (err instanceof NoAnswer) return false;
+      throw err;
+    }
+  }
+
+  private noteProbe(success: boolean): void {
+    const wasHealthy = this.health.isHealthy;
+    this.health.noteProbe(success);
+    if (!wasHealthy || this.health.isHealthy) return;
+    const resetIfStillUnhealthy = () => {
+      if (!this.health.isHealthy) this.reset();
+    };
+    this.runtime.clock.setTimer(resetIfStillUnhealthy, RESET_AFTER_S * 1000);
+  }
+
+  private reset(): void {
+    for (const connection of this.connections) connection.destroy();
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/balancer/balancer.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CborClient } from '#wire';
+import { serveCbor, type CborServer, type RequestHandler } from '../http-server.js';
+import { SampleWorld } from '../sample-world.js';
+import { LoadBalancer } from './load-balancer.js';
+import { NodeHealth } from './node-health.js';
+
+const BALANCER = { host: '10.2.0.3', port: 80 };
+
+/** Probes a second apart (1: success, 0: failure), and the health after each. */
+const PROBES: [name: string, probes: string, health: string][] = [
+  ['a new node needs one success', '0010', '0011'],
+  ['two failures in a row remove it', '11001', '11100'],
+  ['three failures among six remove it', '1101010', '1111110'],
+  ['it returns after two successes and a pause', '10011111', '11000111'],
+  ['each further removal doubles the pause', '1001110011111111', '1100011000000111'],
+];
+
+for (const [name, probes, expected] of PROBES) {
+  test(`health: ${name}`, () => {
+    let now = 0;
+    const clock = { now: () => now, wallMs: () => 0, setTimer: () => ({ cancel() {} }) };
+    const health = new NodeHealth(clock);
+    const seen = [...probes].map((probe) => {
+      now += 1;
+      health.noteProbe(probe === '1');
+      return health.isHealthy ? '1' : '0';
+    });
+    assert.equal(seen.join(''), expected);
+  });
+}
+
+async function aBalancer(nodes: number) {
+  const world = new SampleWorld();
+  const served = Array<number>(nodes).fill(0);
+  const healthy = Array<boolean>(nodes).fill(true);
+  const servers: CborServer[] = [];
+  for (let i = 0; i < nodes; i++) {
+    const handle: RequestHandler = ({ path }) => {
+      if (path === '/healthz') return { status: healthy[i] ? 200 : 503 };
+      served[i]++;
+      return { status: 200, body: {} };
+    };
+    const address = { host: `10.0.0.${i + 1}`, port: 80 };
+    const runtime = world.runtime(address.host, 'controller');
+    servers.push(await world.finish(serveCbor(runtime, address, handle)));
+  }
+  const runtime = world.runtime(BALANCER.host, 'balancer');
+  const addresses = served.map((_, i) => ({ name: `c-${i}`, address: `10.0.0.${i + 1}:80` }));
+  const balancer = new LoadBalancer(runtime, addresses);
+  await world.finish(balancer.listen(BALANCER));
+  await world.run(15);
+  const user = world.runtime('10.7.0.1', 'users');
+  /** A user with a connection of its own. */
+  const connect = () => {
+    const client = new CborClient(user, `${BALANCER.host}:${BALANCER.port}`, 1);
+    return () => world.finish(client.call('GET', '/any', { timeoutMs: 5000 }));
+  };
+  return { world, balancer, served, healthy, servers, connect };
+}
+
+test('new connections go to the nodes with fewer of them, and stay there', async () => {
+  const { served, connect } = await aBalancer(3);
+  const users = Array.from({ length: 6 }, connect);
+  for (const ask of users) await ask();
+  assert.deepEqual(served, [2, 2, 2]);
+  await users[0]();
+  assert.equal(Math.max(...served), 3);
+});
+
+test('a node that refuses connections is passed over for another', async () => {
+  const { world, served, servers, connect } = await aBalancer(2);
+  servers[0].close();
+  await world.run(0.1);
+  for (let i = 0; i < 5; i++) await connect()();
+  assert.deepEqual(served, [0, 5]);
+});
+
+test('an unhealthy node gets no new connections and loses the open ones after 5 s', async () => {
+  const { world, balancer, served, healthy, connect } = await aBalancer(2);
+  const users = [connect(), connect()];
+  for (const ask of users) await ask();
+  healthy[0] = false;
+  await world.run(2.5);
+  assert.deepEqual(balancer.health(), [false, true]);
+  for (const ask of users) await ask();
+  assert.deepEqual(served, [2, 2]);
+  await world.run(5.5);
+  for (const ask of users) await ask().catch(() => {});
+  for (const ask of users) await ask();
+  assert.equal(served[0], 2);
+});
--- /dev/null
+++ b/packages/testing/standins/balancer/index.ts
@@ -0,0 +1,1 @@
+export * from './load-balancer.js';
--- /dev/null
+++ b/packages/testing/standins/balancer/load-balancer.ts
@@ -0,0 +1,78 @@
+/** The load balancer between users and controllers; it works at the level of connections. */
+import net, { type AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { Listener, type HostPort, type Runtime } from '#wire';
+import type { ControllerAddress } from '../worker/index.js';
+import { Backend } from './backend.js';
+
+/** Nodes that are tried for one connection. */
+const MAX_TRIES = 3;
+
+export class LoadBalancer {
+  private readonly backends: Backend[];
+  private listener: Listener | null = null;
+
+  constructor(
+    private readonly runtime: Runtime,
+    controllers: ControllerAddress[],
+  ) {
+    this.backends = controllers.map(({ address }) => new Backend(runtime, address));
+  }
+
+  /** Serves users at the address; resolves to where it listens. */
+  async listen(address: HostPort): Promise<HostPort> {
+    const server = net.createServer((client) => void this.accept(client));
+    this.listener = new Listener(this.runtime.network, server);
+    await this.listener.open(address);
+    for (const backend of this.backends) void backend.run();
+    const bound = server.address() as AddressInfo | null;
+    return { host: address.host, port: bound?.port ?? address.port };
+  }
+
+  close(): void {
+    void this.listener?.close();
+    for (const backend of this.backends) backend.stop();
+  }
+
+  /** Which nodes are healthy, in the order given. */
+  health(): boolean[] {
+    return this.backends.map((backend) => backend.health.isHealthy);
+  }
+
+  private async accept(client: Duplex): Promise<void> {
+    client.on('error', () => client.destroy());
+    const tried = new Set<Backend>();
+    while (tried.size < MAX_TRIES && !client.destroyed) {
+      const backend = this.pick(tried);
+      if (backend === null) break;
+      tried.add(backend);
+      const upstream = await backend.connect();
+      if (upstream !== null) {
+        join(client, upstream);
+        return;
+      }
+    }
+    client.destroy();
+  }
+
+  /** The healthy node with the least load for its share; the first of several equals at random. */
+  private pick(tried: Set<Backend>): Backend | null {
+    const eligible = this.backends.filter(
+      (backend) => backend.health.isEligible && !tried.has(backend),
+    );
+    if (eligible.length === 0) return null;
+    const leastLoad = Math.min(...eligible.map((backend) => backend.load));
+    const best = eligible.filter((backend) => backend.load === leastLoad);
+    return best[Math.floor(this.runtime.random() * best.length)];
+  }
+}
+
+/** Passes bytes both ways; the end of one side is the end of both. */
+function join(client: Duplex, upstream: Duplex): void {
+  upstream.on('error', () => upstream.destroy());
+  client.once('close', () => upstream.destroy());
+  // What the node sent before it closed still reaches the user.
+  upstream.once('close', () => client.end(() => client.destroy()));
+  client.pipe(upstream);
+  upstream.pipe(client);
+}
--- a/packages/testing/standins/events.ts
+++ b/packages/testing/standins/events.ts
@@ -32,21 +32,21 @@
 
 export type RequestKind = 'submit' | 'poll' | 'abort';
 
+/** One request of a user; all events about it hold the same object. */
 export interface UserRequest {
-  request: RequestKind;
+  kind: RequestKind;
   job: string;
-  /** When the user sent it; seconds of the observer's clock. */
-  sentAtS: number;
 }
 
 export type UserEvent =
-  /** A user asks for a job for the first time. `runnable` is false if it must be refused. */
-  | { kind: 'job-submitted'; job: Job | null; id: string; runnable: boolean }
-  /** A user asks for the first time that a job be cancelled. */
+  /** A job is about to be submitted for the first time; it must be refused unless it is runnable. */
+  | { kind: 'job-submitted'; id: string; job: Job; runnable: boolean }
+  /** A user is about to ask for the first time that a job be cancelled. */
   | { kind: 'cancel-asked'; job: string }
-  | ({ kind: 'answered'; status: number; phase: Phase | null } & UserRequest)
+  | { kind: 'asked'; request: UserRequest }
+  | { kind: 'answered'; request: UserRequest; status: number; phase: Phase | null }
   /** No response came in time, or the connection failed. */
-  | ({ kind: 'unanswered' } & UserRequest);
+  | { kind: 'unanswered'; request: UserRequest };
 
 export type WorldEvent = MachineEvent | UserEvent;
 
--- a/packages/testing/standins/index.ts
+++ b/packages/testing/standins/index.ts
@@ -1,3 +1,4 @@
+export * from './balancer/index.js';
 export * from './cloud/index.js';
 export * from './events.js';
 export * from './fleet.js';
@@ -7,3 +8,5 @@
 export * from './lost-replies.js';
 export * from './state/index.js';
 export * from './worker/index.js';
+export * from './users/index.js';
+export * from './world-state.js';
--- a/packages/testing/standins/job-storage.ts
+++ b/packages/testing/standins/job-storage.ts
@@ -19,8 +19,15 @@
   private readonly results = new Map<string, Set<number>>();
   private readonly progress = new Map<string, number>();
 
+  private readonly completionListeners: ((jobId: string) => void)[] = [];
+
   constructor(private readonly observer: Observer) {}
 
+  /** Calls back at the moment at which the last task of a job has completed. */
+  onJobComplete(listener: (jobId: string) => void): void {
+    this.completionListeners.push(listener);
+  }
+
   upload(program: JobProgram): void {
     this.programs.set(program.job.id, program);
   }
@@ -45,6 +52,7 @@
     if (done.has(index)) return;
     done.add(index);
     this.observer({ kind: 'task-completed', job: jobId, index });
+    if (this.isComplete(jobId)) for (const listener of this.completionListeners) listener(jobId);
   }
 
   /** Saved progress in seconds of run time; `unit` is the task, or the whole gang. */
--- /dev/null
+++ b/packages/testing/standins/users/index.ts
@@ -0,0 +1,2 @@
+export type { PlannedJob } from './planned-job.js';
+export * from './users.js';
--- /dev/null
+++ b/packages/testing/standins/users/job-conduct.ts
@@ -0,0 +1,130 @@
+import { jobToWire, pause, type Runtime } from '#wire';
+import type { Observer } from '../events.js';
+import type { PlannedJob } from './planned-job.js';
+import { isAcceptance, isFinal, type Told, type UserRequests } from './requests.js';
+
+const RETRY_DELAY_S = 1;
+/** A user heeds Retry-After up to this. */
+const LONGEST_RETRY_DELAY_S = 30;
+const SUBMIT_FOR_S = 60;
+const POLL_PERIOD_S = 5;
+/** A period is shorter or longer by up to this share. */
+const POLL_SPREAD = 0.1;
+/** Share of jobs that their users ask about once more when they are over, and how much later. */
+const LATE_POLL_SHARE = 0.3;
+const LATE_POLL_AFTER_S: [least: number, most: number] = [5, 60];
+
+/** News about a job that others may act on at once. */
+export type JobNews = 'accepted' | 'ended' | 'cancelled';
+
+export interface ConductParts {
+  runtime: Runtime;
+  requests: UserRequests;
+  observer: Observer;
+  onNews: (job: string, news: JobNews) => void;
+  signal: AbortSignal;
+}
+
+/** What one user does about one job, from its first submission to the last question. */
+export class JobConduct {
+  accepted = false;
+  /** The user was told that the job is done or cancelled. */
+  over = false;
+  cancelling = false;
+
+  constructor(
+    readonly plan: PlannedJob,
+    private readonly parts: ConductParts,
+  ) {}
+
+  get id(): string {
+    return this.plan.program.job.id;
+  }
+
+  /** Submits the job, then asks about it until it is over. */
+  async run(): Promise<void> {
+    const { job } = this.plan.program;
+    this.parts.observer({ kind: 'job-submitted', id: job.id, job, runnable: true });
+    if (!(await this.submit())) return;
+    this.accepted = true;
+    this.parts.onNews(this.id, 'accepted');
+    const { cancelAfterS, repeatAfterS } = this.plan;
+    if (cancelAfterS !== null) void this.after(cancelAfterS, () => this.cancel());
+    if (repeatAfterS !== null) void this.after(repeatAfterS, () => this.submitOnce());
+    await this.pollUntilOver();
+    if (this.parts.runtime.random() < LATE_POLL_SHARE) {
+      await this.after(this.draw(LATE_POLL_AFTER_S), () => this.parts.requests.poll(this.id));
+    }
+  }
+
+  /** Asks for the job's cancellation until that is answered; does nothing the second time. */
+  async cancel(): Promise<void> {
+    if (this.cancelling) return;
+    this.cancelling = true;
+    this.parts.observer({ kind: 'cancel-asked', job: this.id });
+    while (!this.stopped) {
+      const told = await this.parts.requests.abort(this.id);
+      if (isFinal(told)) {
+        this.endWith(told);
+        return;
+      }
+      await this.sleep(retryDelayS(told));
+    }
+  }
+
+  /** Submits the job once more, whatever has become of it. */
+  async submitOnce(): Promise<void> {
+    await this.parts.requests.submit(this.id, jobToWire(this.plan.program.job));
+  }
+
+  private async submit(): Promise<boolean> {
+    const { runtime, requests } = this.parts;
+    const body = jobToWire(this.plan.program.job);
+    const untilS = runtime.clock.now() + SUBMIT_FOR_S;
+    while (!this.stopped) {
+      const told = await requests.submit(this.id, body);
+      if (isAcceptance(told)) return true;
+      const refused = told?.status === 400 || told?.status === 422;
+      if (refused || runtime.clock.now() >= untilS) return false;
+      await this.sleep(retryDelayS(told));
+    }
+    return false;
+  }
+
+  private async pollUntilOver(): Promise<void> {
+    while (!this.stopped && !this.over) {
+      const spread = 1 + POLL_SPREAD * (2 * this.parts.runtime.random() - 1);
+      await this.sleep(POLL_PERIOD_S * spread);
+      if (this.over || this.stopped) return;
+      const told = await this.parts.requests.poll(this.id);
+      if (isFinal(told)) this.endWith(told);
+    }
+  }
+
+  private endWith(told: Told | null): void {
+    if (this.over) return;
+    this.over = true;
+    this.parts.onNews(this.id, told?.phase === 'aborted' ? 'cancelled' : 'ended');
+  }
+
+  private get stopped(): boolean {
+    return this.parts.signal.aborted;
+  }
+
+  private async after(seconds: number, act: () => Promise<unknown>): Promise<void> {
+    await this.sleep(seconds);
+    if (!this.stopped) await act();
+  }
+
+  private sleep(seconds: number): Promise<void> {
+    return pause(this.parts.runtime.clock, seconds * 1000, this.parts.signal);
+  }
+
+  private draw([least, most]: [number, number]): number {
+    return least + (most - least) * this.parts.runtime.random();
+  }
+}
+
+function retryDelayS(told: Told | null): number {
+  return Math.max(RETRY_DELAY_S, Math.min(LONGEST_RETRY_DELAY_S, told?.retryAfterS ?? 0));
+}
--- /dev/null
+++ b/packages/testing/standins/users/odd-requests.ts
@@ -0,0 +1,72 @@
+import { jobToWire, REQUIRED_JOB_FIELDS, type Job, type Runtime } from '#wire';
+import type { Observer } from '../events.js';
+import type { JobConduct } from './job-conduct.js';
+import type { UserRequests } from './requests.js';
+
+/** Ids that no workload gives to its jobs. */
+const FIRST_ODD_ID = 900_000;
+const HUGE = 1_000_000;
+
+/** Jobs that fit no machine or no team. */
+const IMPOSSIBLE: ((job: Job) => Job)[] = [
+  (job) => ({ ...job, cpus: HUGE }),
+  (job) => ({ ...job, gpus: HUGE }),
+  (job) => ({ ...job, memory: HUGE }),
+  (job) => ({ ...job, types: ['no-such-type'] }),
+  (job) => ({ ...job, team: 'no-such-team' }),
+];
+
+/** Requests that no program would make: the service must answer them by the rules all the same. */
+export class OddRequests {
+  private nextId = FIRST_ODD_ID;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly requests: UserRequests,
+    private readonly observer: Observer,
+  ) {}
+
+  /** One odd request, by chance, about one of those jobs or a new one. */
+  async makeOne(jobs: JobConduct[]): Promise<void> {
+    const live = this.pick(jobs.filter((job) => job.accepted && !job.over));
+    const over = this.pick(jobs.filter((job) => job.over));
+    const sample = this.pick(jobs)?.plan.program.job;
+    const choices: (() => Promise<unknown>)[] = [() => this.askAboutNothing()];
+    if (live) choices.push(() => live.submitOnce());
+    if (over) choices.push(() => this.requests.abort(over.id));
+    if (sample)
+      choices.push(
+        () => this.submitImpossible(sample),
+        () => this.submitIncomplete(sample),
+      );
+    await this.pick(choices)!();
+  }
+
+  /** A question about a job that nobody has submitted. */
+  askAboutNothing(): Promise<unknown> {
+    return this.requests.poll(this.newId());
+  }
+
+  private async submitImpossible(sample: Job): Promise<void> {
+    const job = { ...this.pick(IMPOSSIBLE)!(sample), id: this.newId() };
+    this.observer({ kind: 'job-submitted', id: job.id, job, runnable: false });
+    await this.requests.submit(job.id, jobToWire(job));
+  }
+
+  private async submitIncomplete(sample: Job): Promise<void> {
+    const job = { ...sample, id: this.newId() };
+    const body = jobToWire(job);
+    // Without its id it would be nobody's job.
+    delete body[this.pick(REQUIRED_JOB_FIELDS.filter((field) => field !== 'id'))!];
+    this.observer({ kind: 'job-submitted', id: job.id, job, runnable: false });
+    await this.requests.submit(job.id, body);
+  }
+
+  private newId(): string {
+    return `j-${this.nextId++}`;
+  }
+
+  private pick<T>(items: T[]): T | undefined {
+    return items[Math.floor(this.runtime.random() * items.length)];
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/users/requests.ts
@@ -0,0 +1,81 @@
+import {
+  NoAnswer,
+  UserClient,
+  type JobView,
+  type Phase,
+  type Runtime,
+  type UserAnswer,
+} from '#wire';
+import type { Observer, RequestKind, UserRequest } from '../events.js';
+
+/** How long users wait for responses, in milliseconds. */
+const SUBMIT_TIMEOUT_MS = 5000;
+const POLL_TIMEOUT_MS = 2000;
+/** Requests never wait for a connection of their own client. */
+const MAX_SOCKETS = 1000;
+
+/** What a user was told; null in place of it if no response came. */
+export interface Told {
+  status: number;
+  phase: Phase | null;
+  retryAfterS: number;
+}
+
+/** Sends the requests of users to one address and tells the observer of each and of its answer. */
+export class UserRequests {
+  private readonly client: UserClient;
+
+  constructor(
+    runtime: Runtime,
+    address: string,
+    private readonly observer: Observer,
+  ) {
+    this.client = new UserClient(address, SUBMIT_TIMEOUT_MS, runtime, MAX_SOCKETS);
+  }
+
+  /** The body is in the protocol's words. */
+  submit(job: string, body: unknown): Promise<Told | null> {
+    return this.ask('submit', job, () => this.client.submitRaw(body));
+  }
+
+  poll(job: string): Promise<Told | null> {
+    return this.ask('poll', job, () => this.client.status(job, POLL_TIMEOUT_MS));
+  }
+
+  abort(job: string): Promise<Told | null> {
+    return this.ask('abort', job, () => this.client.abort(job));
+  }
+
+  close(): void {
+    this.client.close();
+  }
+
+  private async ask(
+    kind: RequestKind,
+    job: string,
+    send: () => Promise<UserAnswer>,
+  ): Promise<Told | null> {
+    const request: UserRequest = { kind, job };
+    this.observer({ kind: 'asked', request });
+    try {
+      const { status, retryAfterS, job: view } = await send();
+      const phase = status < 300 ? ((view as JobView | null)?.phase ?? null) : null;
+      this.observer({ kind: 'answered', request, status, phase });
+      return { status, phase, retryAfterS: retryAfterS ?? 0 };
+    } catch (err) {
+      if (!(err instanceof NoAnswer)) throw err;
+      this.observer({ kind: 'unanswered', request });
+      return null;
+    }
+  }
+}
+
+/** The user was told that the job is accepted. */
+export function isAcceptance(told: Told | null): boolean {
+  return told?.status === 200 || told?.status === 201;
+}
+
+/** The job is over, by what the user was told. */
+export function isFinal(told: Told | null): boolean {
+  return told?.status === 200 && (told.phase === 'done' || told.phase === 'aborted');
+}
--- /dev/null
+++ b/packages/testing/standins/users/users.test.ts
@@ -0,0 +1,175 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MalformedBody, parseJob, type Job, type Phase } from '#wire';
+import type { WireReply } from '#wire/serving';
+import type { UserEvent } from '../events.js';
+import { serveCbor, type ServedRequest } from '../http-server.js';
+import { JobStorage } from '../job-storage.js';
+import { SampleWorld } from '../sample-world.js';
+import { WorldState } from '../world-state.js';
+import { aJob } from '../../samples.js';
+import type { PlannedJob } from './planned-job.js';
+import { Users } from './users.js';
+
+const NODES = ['10.0.0.1:80', '10.0.0.2:80'];
+
+function aPlan(own: Partial<Job> = {}, plan: Partial<PlannedJob> = {}): PlannedJob {
+  const program = { job: aJob(own), runS: [100], failsAfterS: null };
+  return { program, submitAtS: 0, cancelAfterS: null, repeatAfterS: null, ...plan };
+}
+
+/** Users before two nodes that answer as the test says; the first is in the balancer's place. */
+async function someUsers(reply: (request: ServedRequest) => WireReply | null) {
+  const world = new SampleWorld();
+  const asked: { node: number; atS: number; path: string; method: string; body: unknown }[] = [];
+  for (const node of NODES.keys()) {
+    const address = { host: `10.0.0.${node + 1}`, port: 80 };
+    const runtime = world.runtime(address.host, 'controller');
+    const server = serveCbor(runtime, address, (request) => {
+      const { path, method, body } = request;
+      asked.push({ node, atS: world.world.now, path, method, body });
+      return reply(request) ?? new Promise(() => {});
+    });
+    await world.finish(server);
+  }
+  const storage = new JobStorage(world.observer);
+  const users = new Users({
+    runtime: world.runtime('10.7.0.1', 'users'),
+    balancer: NODES[0],
+    nodes: NODES.map((address, index) => ({ name: `c-${index}`, address })),
+    storage,
+    observer: world.observer,
+  });
+  const told = (kind: UserEvent['kind']) => world.events.filter((event) => event.kind === kind);
+  const times = (path: string) =>
+    asked.filter((request) => request.path === path).map(({ atS }) => atS);
+  return { world, users, storage, asked, told, times };
+}
+
+function view(status: number, phase: Phase): WireReply {
+  return { status, body: { id: 'j-000001', phase } };
+}
+
+test('a submission is repeated by the rules, and polls follow until the job is over', async () => {
+  const replies: (WireReply | null)[] = [{ status: 503 }, null, view(201, 'pending')];
+  let phase: Phase = 'running';
+  const { world, users, asked, times } = await someUsers(({ path }) =>
+    path === '/submissions' ? replies.shift()! : view(200, phase),
+  );
+  users.submit(aPlan());
+  await world.run(30);
+  const [first, second, third] = times('/submissions');
+  assert.ok(second - first >= 1 && second - first < 1.1);
+  assert.ok(third - second >= 6 && third - second < 6.1);
+  const polls = times('/submissions/j-000001');
+  assert.equal(polls.length, 4);
+  assert.ok(polls.every((atS, i) => i === 0 || (atS - polls[i - 1] > 4 && atS - polls[i - 1] < 6)));
+  phase = 'done';
+  await world.run(70);
+  assert.ok(asked.length <= 3 + 6);
+});
+
+test('a refusal is final, and after a minute without an answer a user gives up', async () => {
+  const { world, users, times } = await someUsers(() => ({ status: 422 }));
+  users.submit(aPlan());
+  await world.run(80);
+  assert.equal(times('/submissions').length, 1);
+  const slow = await someUsers(() => ({ status: 500 }));
+  slow.users.submit(aPlan());
+  await slow.world.run(80);
+  const count = slow.times('/submissions').length;
+  assert.ok(count >= 55 && count <= 61, `${count}`);
+});
+
+test('a cancellation is repeated until it is answered, and ends the polls', async () => {
+  const replies: WireReply[] = [{ status: 503 }, { status: 404 }, view(200, 'aborted')];
+  const { world, users, times, told } = await someUsers(({ path }) => {
+    if (path.endsWith('/abort')) return replies.shift()!;
+    return view(200, 'running');
+  });
+  users.submit(aPlan({}, { cancelAfterS: 7, repeatAfterS: 20 }));
+  await world.run(12);
+  assert.equal(times('/submissions/j-000001/abort').length, 3);
+  assert.equal(told('cancel-asked').length, 1);
+  const polls = times('/submissions/j-000001').length;
+  // Another five seconds later the user may look once more.
+  await world.run(2.5);
+  assert.equal(times('/submissions/j-000001').length, polls);
+  await world.run(10);
+  assert.equal(times('/submissions').length, 2);
+});
+
+test('no answer is told to the observer as such', async () => {
+  const { world, users, told } = await someUsers(() => null);
+  users.submit(aPlan());
+  await world.run(4.9);
+  assert.deepEqual([told('asked').length, told('unanswered').length], [1, 0]);
+  await world.run(0.2);
+  assert.equal(told('unanswered').length, 1);
+});
+
+test('close looks ask all nodes within milliseconds after each news', async () => {
+  const { world, users, storage, asked } = await someUsers(() => view(200, 'running'));
+  users.setCloseLooks(true);
+  users.submit(aPlan());
+  await world.run(1);
+  const looksAt = (node: number, method: string) =>
+    asked.filter((r) => r.node === node && r.method === method && r.atS < 0.4).length;
+  assert.ok(looksAt(0, 'GET') >= 7 && looksAt(1, 'GET') === 7);
+  assert.ok(looksAt(0, 'POST') >= 2 && looksAt(1, 'POST') === 1);
+  const before = asked.length;
+  storage.complete('j-000001', 0);
+  await world.run(0.4);
+  assert.ok(asked.length - before >= 16);
+});
+
+test('some jobs are called off at their end, or many at once', async () => {
+  const { world, users, storage, told } = await someUsers(() => view(200, 'running'));
+  const state = new WorldState();
+  for (let i = 1; i <= 5; i++) users.submit(aPlan({ id: `j-00000${i}`, tasks: 1 }));
+  await world.run(1);
+  users.setCancelAtEnd(1);
+  storage.complete('j-000001', 0);
+  assert.equal(told('cancel-asked').length, 1);
+  const type = { ...aJob(), name: 'm', cpus: 9 } as never;
+  state.apply({
+    kind: 'machine-up',
+    machine: { name: 'm', type, address: '', zone: 'a', spot: false },
+  });
+  for (const id of ['j-000002', 'j-000003', 'j-000004']) {
+    const task = { job: id, index: 0, attempt: 1 };
+    state.apply({ kind: 'task-started', machine: 'm', task });
+  }
+  assert.deepEqual(users.cancelNow(2, state), ['m', 'm']);
+  await world.run(0.21);
+  assert.equal(told('cancel-asked').length, 3);
+});
+
+test('odd requests are of all kinds, and what lacks a field or fits nothing is known as such', async () => {
+  let phase: Phase = 'running';
+  const { world, users, asked, told } = await someUsers(() => view(200, phase));
+  users.submit(aPlan({ gpus: 0 }));
+  users.submit(aPlan({ id: 'j-000002' }, { cancelAfterS: 2 }));
+  users.setOddRequests(true);
+  users.start([]);
+  await world.run(5);
+  phase = 'aborted';
+  await world.run(100);
+  const unfit = told('job-submitted').filter((e) => e.kind === 'job-submitted' && !e.runnable);
+  const bodies = asked.flatMap((request) => {
+    const id = (request.body as { id?: string } | null)?.id;
+    return unfit.some((e) => e.kind === 'job-submitted' && e.id === id) ? [request.body] : [];
+  });
+  assert.ok(bodies.length > 10 && bodies.length === unfit.length);
+  const malformed = bodies.filter((body) => {
+    try {
+      parseJob(body);
+      return false;
+    } catch (err) {
+      return err instanceof MalformedBody;
+    }
+  });
+  assert.ok(malformed.length > 3 && malformed.length < bodies.length - 3);
+  const aborts = asked.filter(({ path }) => path.endsWith('/abort'));
+  assert.ok(aborts.length > 3);
+});
--- /dev/null
+++ b/packages/testing/standins/world-state.ts
@@ -0,0 +1,98 @@
+import { taskName, type TaskRef } from '#wire';
+import type { MachineFacts, WorldEvent } from './events.js';
+
+/** One attempt of a task on a machine. */
+export interface PlacedTask {
+  machine: string;
+  task: TaskRef;
+  /** It has its image: it counts as being on the machine. */
+  started: boolean;
+}
+
+export interface MachineState {
+  facts: MachineFacts;
+  hanging: boolean;
+  tasks: Map<string, PlacedTask>;
+}
+
+/** The true state of all machines and results, kept current by the events of the stand-ins. */
+export class WorldState {
+  readonly machines = new Map<string, MachineState>();
+  private readonly placesOfJob = new Map<string, Set<PlacedTask>>();
+  private readonly completed = new Map<string, Set<number>>();
+
+  /** Takes an event in. */
+  apply(event: WorldEvent): void {
+    switch (event.kind) {
+      case 'machine-up': {
+        const { machine } = event;
+        this.machines.set(machine.name, { facts: machine, hanging: false, tasks: new Map() });
+        break;
+      }
+      case 'machine-gone':
+        this.machines.delete(event.machine);
+        break;
+      case 'machine-hangs':
+        this.machines.get(event.machine)!.hanging = event.hanging;
+        break;
+      case 'task-assigned':
+        this.place({ machine: event.machine, task: event.task, started: false });
+        break;
+      case 'task-started':
+        this.markStarted(event.machine, event.task);
+        break;
+      case 'task-left':
+        this.remove(event.machine, event.task);
+        break;
+      case 'task-completed':
+        this.completed.set(event.job, this.completedTasks(event.job).add(event.index));
+        break;
+    }
+  }
+
+  /** Where tasks of the job are, or wait for their images. */
+  places(job: string): PlacedTask[] {
+    return [...(this.placesOfJob.get(job) ?? [])];
+  }
+
+  /** The tasks of the job that are on machines. */
+  started(job: string): PlacedTask[] {
+    return this.places(job).filter((place) => place.started);
+  }
+
+  /** Jobs that have a task on a machine. */
+  startedJobs(): string[] {
+    return [...this.placesOfJob.keys()].filter((job) => this.started(job).length > 0);
+  }
+
+  completedTasks(job: string): Set<number> {
+    return this.completed.get(job) ?? new Set();
+  }
+
+  private place(place: PlacedTask): void {
+    const { machine, task } = place;
+    this.machines.get(machine)!.tasks.set(attemptKey(task), place);
+    const places = this.placesOfJob.get(task.job) ?? new Set();
+    this.placesOfJob.set(task.job, places.add(place));
+  }
+
+  private markStarted(machine: string, task: TaskRef): void {
+    const place = this.machines.get(machine)?.tasks.get(attemptKey(task));
+    if (place) place.started = true;
+    else this.place({ machine, task, started: true });
+  }
+
+  private remove(machine: string, task: TaskRef): void {
+    const tasks = this.machines.get(machine)!.tasks;
+    const place = tasks.get(attemptKey(task));
+    if (!place) return;
+    tasks.delete(attemptKey(task));
+    const places = this.placesOfJob.get(task.job);
+    places?.delete(place);
+    if (places?.size === 0) this.placesOfJob.delete(task.job);
+  }
+}
+
+function attemptKey({ job, index, attempt }: TaskRef): string {
+  return `${taskName(job, index)} ${attempt}`;
+}
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -47,27 +47,30 @@
 
 const name = { type: 'string', minLength: 1, maxLength: MAX_NAME };
 const amount = { type: 'number', minimum: 0, maximum: 1e12 };
+/** What a submission must hold, in the protocol's words; all else may be null or left out. */
+export const REQUIRED_JOB_FIELDS = [
+  'id',
+  'lane',
+  'crew',
+  'shape',
+  'rank',
+  'pieces',
+  'cores',
+  'accelerators',
+  'ramGb',
+  'bundle',
+  'sizeGb',
+  'oneZone',
+  'apart',
+  'loaner',
+  'guessS',
+  'snapshotEveryS',
+  'snapshotS',
+] as const;
+
 const schema = {
   type: 'object',
-  required: [
-    'id',
-    'lane',
-    'crew',
-    'shape',
-    'rank',
-    'pieces',
-    'cores',
-    'accelerators',
-    'ramGb',
-    'bundle',
-    'sizeGb',
-    'oneZone',
-    'apart',
-    'loaner',
-    'guessS',
-    'snapshotEveryS',
-    'snapshotS',
-  ],
+  required: [...REQUIRED_JOB_FIELDS],
   properties: {
     id: { type: 'string', pattern: ID_PATTERN },
     lane: name,
--- a/packages/wire/user.ts
+++ b/packages/wire/user.ts
@@ -2,7 +2,16 @@
 import { CborClient } from './http.js';
 import { nodeRuntime } from './runtime.js';
 
-/** A user's client: submit, query, abort. */
+/** What the service answered a user. */
+export interface UserAnswer {
+  status: number;
+  retryAfterS: number | null;
+  job: JobView | { error?: string } | null;
+}
+
+const MAX_SOCKETS = 2;
+
+/** A user's client: submit, query, abort. Each call rejects with NoAnswer. */
 export class UserClient {
   private readonly http: CborClient;
 
@@ -10,33 +19,37 @@
     address: string,
     private readonly timeoutMs = 5000,
     runtime = nodeRuntime,
+    maxSockets = MAX_SOCKETS,
   ) {
-    this.http = new CborClient(runtime, address, 2);
+    this.http = new CborClient(runtime, address, maxSockets);
   }
 
-  submit(job: Job) {
-    return this.call('POST', '/submissions', jobToWire(job));
+  submit(job: Job): Promise<UserAnswer> {
+    return this.submitRaw(jobToWire(job));
   }
   /** Sends a body as it stands, in the protocol's words. */
-  submitRaw(body: unknown) {
-    return this.call('POST', '/submissions', body);
+  submitRaw(body: unknown): Promise<UserAnswer> {
+    return this.call('POST', '/submissions', this.timeoutMs, body);
   }
-  status(id: string) {
-    return this.call('GET', `/submissions/${id}`);
+  status(id: string, timeoutMs = this.timeoutMs): Promise<UserAnswer> {
+    return this.call('GET', `/submissions/${id}`, timeoutMs);
   }
-  abort(id: string) {
-    return this.call('POST', `/submissions/${id}/abort`);
+  abort(id: string): Promise<UserAnswer> {
+    return this.call('POST', `/submissions/${id}/abort`, this.timeoutMs);
   }
   close(): void {
     this.http.close();
   }
 
-  private async call(method: string, path: string, body?: unknown) {
-    const res = await this.http.call(method, path, { timeoutMs: this.timeoutMs, body });
-    return {
-      status: res.status,
-      retryAfterS: res.retryAfterS,
-      job: res.body as JobView | { error?: string } | null,
-    };
+  private async call(method: string, path: string, timeoutMs: number, body?: unknown) {
+    const {
+      status,
+      retryAfterS,
+      body: job,
+    } = await this.http.call(method, path, {
+      timeoutMs,
+      body,
+    });
+    return { status, retryAfterS, job: job as UserAnswer['job'] };
   }
 }
