--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -16,7 +16,8 @@
 import { PeerLink } from '#peer';
 import { GroupCommit, JOBS, Ownership, PrefixCache, StateClient, Term, WORLD } from '#store';
 import { CloudDuty } from './cloud.js';
-import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
+import { Cancellations } from './cancellations.js';
+import { cutFromWorkers, Entitlement, EntitlementJudge, graceAfterLoss } from './entitlement.js';
 import { readBody, reply } from './http-bodies.js';
 import { HttpServer } from './http-server.js';
 import { JobTable } from './jobs.js';
@@ -27,6 +28,7 @@
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
 import { Settings, teamTerms } from './settings.js';
+import { StatusExchange } from './status-exchange.js';
 import { socketShares, WorkerLines } from './sockets.js';
 import { UserApi } from './user-api.js';
 import { Vitals } from './vitals.js';
@@ -44,6 +46,10 @@
 const STATE_SHARE = 0.55;
 const OWNER_WRITES = 0.8;
 const OTHERS_WRITE = 0.3;
+/** Jobs whose counts share a frame. */
+const COUNTS_A_FRAME = 500;
+/** Cancellations whose records are remembered, to be told to peers that have not read them. */
+const RECORDED_CANCELLATIONS = 2000;
 
 export class Controller {
   private readonly clock: Clock;
@@ -53,11 +59,10 @@
   private readonly ownership: Ownership;
   private readonly peers: PeerLink;
   private readonly cloud: CloudClient;
-  private readonly words = new Map<string, PeerWord & { strays: number }>();
+  private readonly statuses: StatusExchange;
   /** Workers that reported here though we do not own, and when. */
   private readonly strays = new Map<string, number>();
-  /** Jobs whose users asked for an abort, here or at a peer, and when we heard. */
-  private readonly asked = new Map<string, number>();
+  private readonly cancellations: Cancellations;
   private readonly types: MachineTypes;
   private owner: PartOwner | null = null;
   private readonly httpServer: HttpServer;
@@ -65,7 +70,7 @@
   private readonly sockets: { server: number; direct: number };
   private readonly workerLines = new WorkerLines();
   private readonly metrics: MetricsEndpoint;
-  private outageSeenAt = -Infinity;
+  private judge: EntitlementJudge | null = null;
   private readonly lag: LagMonitor;
   private readonly reportS: number;
 
@@ -77,6 +82,7 @@
     this.clock = runtime.clock;
     const { deployment: d, external, operator } = settings;
     this.reportS = d.workers.report_s;
+    this.cancellations = new Cancellations(RECORDED_CANCELLATIONS, 2 * d.workers.cancel_s);
     this.lag = new LagMonitor(this.clock);
     this.sockets = socketShares(d.limits.sockets, settings.peers.length);
     const timeoutMs = this.reportS * 1000;
@@ -115,7 +121,10 @@
     const caching = { client: this.client, runtime, watchMs: WATCH_MS, syncSpacingMs };
     this.world = new PrefixCache({ ...caching, prefix: WORLD });
     this.types = new MachineTypes(this.client, this.world);
-    this.jobs = new JobTable(new PrefixCache({ ...caching, prefix: JOBS, gatherMs }));
+    this.jobs = new JobTable(
+      new PrefixCache({ ...caching, prefix: JOBS, gatherMs }),
+      this.cancellations,
+    );
     this.ownership = new Ownership({
       client: this.client,
       runtime,
@@ -130,7 +139,14 @@
       listen: parseHostPort(settings.cluster_listen),
       peers: settings.peers.map((p) => ({ name: p.host_name, addr: p.peer_addr })),
       retryMs: timeoutMs / 2,
-      greeting: () => [...this.asked.keys()].map((job) => ({ kind: 'abort', job })),
+      greeting: () =>
+        this.cancellations.requestedJobs(this.clock.now()).map((job) => ({ kind: 'abort', job })),
+    });
+    this.statuses = new StatusExchange({
+      life: Math.floor(runtime.random() * Number.MAX_SAFE_INTEGER),
+      peers: settings.peers.map((peer) => peer.host_name),
+      cancellations: this.cancellations,
+      sendTo: (peer, frame) => this.peers.sendTo(peer, frame),
     });
     this.cloud = new CloudClient(runtime, external.cloud, 4 * timeoutMs);
     this.httpServer = this.makeHttpServer();
@@ -164,8 +180,9 @@
       const now = this.clock.now();
       this.vitals.peerFrames++;
       if (frame.kind === 'status') {
-        const servedAt = now - frame.servedAgoMs / 1000;
-        this.words.set(from, { heardAt: now, servedAt, strays: frame.strays });
+        this.statuses.receive(from, frame, now);
+        this.endCancelled();
+        this.yieldTo(frame.holder);
       } else if (frame.kind === 'counts') {
         for (const c of frame.jobs) this.jobs.noteCounts(c.job, c.done, c.running);
       } else if (frame.kind === 'abort') this.abortAsked(frame.job);
@@ -227,28 +244,32 @@
     if (!this.jobs.cache.ready || this.types.all().length === 0) return false;
     const { lastOkAt, lastFailAt, failing } = this.client;
     if (!failing || lastFailAt - lastOkAt < 2 * this.reportS) return true;
-    const othersServed = [...this.words.values()].some(
-      (w) => w.servedAt > lastOkAt + 2 * this.reportS,
-    );
-    return !othersServed;
+    return !this.statuses
+      .statuses()
+      .some((peer) => peer && !peer.frame.refused && peer.servedAt > lastOkAt + 2 * this.reportS);
   }
 
   private entitled(): Entitlement {
-    if (!this.owner) return 'none';
-    const now = this.clock.now();
-    const w = this.settings.deployment.workers;
-    const out = entitlement({
-      now,
-      provenUntil: this.ownership.provenUntil,
-      syncedAt: this.jobs.cache.syncedAt,
+    if (!this.owner || !this.judge) return 'none';
+    return this.judge.judge({
+      now: this.clock.now(),
+      term: this.owner.term.term,
+      grantedUntil: this.ownership.provenUntil,
+      grantAliveAt: this.ownership.renewedAt,
+      jobsCurrentAt: this.jobs.cache.syncedAt,
+      jobsRevision: this.jobs.cache.completeTo,
       failingSince: this.client.failingSince,
-      peers: this.settings.peers.map((p) => this.words.get(p.host_name) ?? null),
-      silenceS: 2 * this.reportS,
-      aloneS: aloneBound(w.cancel_s, w.lease_s, w.report_s),
-      outageSeenAt: this.outageSeenAt,
+      peers: this.statuses.statuses(),
+    });
+  }
+
+  private makeJudge(): EntitlementJudge {
+    const { cancel_s, lease_s, report_s } = this.settings.deployment.workers;
+    return new EntitlementJudge({
+      peerCount: this.settings.deployment.nodes - 1,
+      silenceS: 2 * report_s,
+      graceS: graceAfterLoss(cancel_s, lease_s, report_s),
     });
-    if (out === 'outage') this.outageSeenAt = now;
-    return out;
   }
 
   private hello(body: unknown, res: Parameters<typeof reply>[0]): void {
@@ -263,15 +284,18 @@
     const owner = this.owner;
     if (owner && this.entitled() !== 'none') {
       if (!owner.ready) {
-        // While the records are being read the leases must not run out. Nothing can be ordered yet;
-        // until the same bound as for a former owner, every machine counts as just answered.
-        const w = this.settings.deployment.workers;
-        const until = owner.term.claimedAt + aloneBound(w.cancel_s, w.lease_s, w.report_s);
-        if (this.clock.now() > until) {
-          reply(res, 503, { error: 'records are not read yet' });
-          return;
-        }
-        reply(res, 200, answerToWire(owner.term.term, []));
+        // While the records are being read the leases must not run out. Nothing can be started yet,
+        // but what users have cancelled ends.
+        const stops = report.tasks
+          .filter((task) => task.state !== 'exited' && this.jobs.isCancelled(task.job))
+          .map(({ job, index, attempt }) => ({
+            op: 'stop' as const,
+            graceS: 0,
+            job,
+            index,
+            attempt,
+          }));
+        reply(res, 200, answerToWire(owner.term.term, stops));
         return;
       }
       if (report.token > owner.tokenFor(report.machine)) {
@@ -297,44 +321,65 @@
 
   /**
    * The record comes by the watch, or not at all if an outage begins in between; the tasks end in any
-   * case. Kept for whoever owns next, and for peers whose connection was down, until nothing of the job
-   * could still be allowed to run.
+   * case.
    */
   private abortAsked(id: string): void {
-    this.asked.set(id, this.clock.now());
-    this.endAsked();
+    this.cancellations.noteRequested(id, this.clock.now());
+    this.endCancelled();
   }
 
-  private endAsked(): void {
+  private endCancelled(): void {
     const now = this.clock.now();
-    const { cancel_s } = this.settings.deployment.workers;
-    for (const [id, at] of this.asked) {
-      if (now - at > 2 * cancel_s) this.asked.delete(id);
-      else if (this.owner?.ready) this.owner.abort(id, now);
-    }
+    if (!this.owner?.ready) return;
+    for (const id of this.cancellations.requestedJobs(now)) this.owner.abort(id, now);
+  }
+
+  /** A peer has seen a newer owner, so our term is over. */
+  private yieldTo(holder: { term: number; name: string }): void {
+    const term = this.owner?.term.term;
+    if (term === undefined || holder.term <= term) return;
+    this.log.info({ term, newer: holder.term, owner: holder.name }, 'a newer owner is known');
+    this.ownership.resign();
   }
 
   private async statusDuty(signal: AbortSignal): Promise<void> {
     let round = 0;
     while (!signal.aborted) {
-      const agoMs = (this.clock.now() - this.client.lastOkAt) * 1000;
-      const strays = this.recentStrays();
-      this.peers.send({ kind: 'status', servedAgoMs: agoMs, owner: this.owner !== null, strays });
+      this.sendStatus();
       this.yieldIfCut();
-      this.endAsked();
-      if (this.owner?.ready && round++ % 2 === 0) {
-        const counts = this.owner.counts();
-        for (const c of counts) this.jobs.noteCounts(c.job, c.done, c.running);
-        for (let i = 0; i < counts.length; i += 500) {
-          this.peers.send({ kind: 'counts', jobs: counts.slice(i, i + 500) });
-        }
+      this.endCancelled();
+      if (this.owner && round++ % 2 === 0) {
         // Cancellations that others took must be known, however quiet the users are here.
         this.jobs.cache.sync().catch(() => {});
+        if (this.owner.ready) this.sendCounts(this.owner);
       }
       await pause(this.clock, this.reportS * 500, signal);
     }
   }
 
+  private sendCounts(owner: PartOwner): void {
+    const counts = owner.counts();
+    for (const c of counts) this.jobs.noteCounts(c.job, c.done, c.running);
+    for (let i = 0; i < counts.length; i += COUNTS_A_FRAME) {
+      this.peers.send({ kind: 'counts', jobs: counts.slice(i, i + COUNTS_A_FRAME) });
+    }
+  }
+
+  private sendStatus(): void {
+    const now = this.clock.now();
+    const own = {
+      servedAgoMs: (now - this.client.lastOkAt) * 1000,
+      refused: this.client.failing,
+      loaded: this.jobs.cache.ready,
+      owner: this.owner !== null,
+      mayOwn: this.ownership.mayOwn,
+      holder: this.ownership.newestHolder,
+      strays: this.recentStrays(),
+      jobsRevision: this.jobs.cache.completeTo,
+    };
+    this.statuses.send(own, now);
+  }
+
   private recentStrays(): number {
     const since = this.clock.now() - STRAY_REPORTS * this.reportS;
     for (const [machine, at] of this.strays) if (at < since) this.strays.delete(machine);
@@ -349,10 +394,12 @@
     // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
     // owner that none of them ever reaches would let all their leases run out.
     if (!owner?.ready || now - owner.startedAt < (STRAY_REPORTS + 1) * this.reportS) return;
+    // While the state service refuses us, nobody can take the part over that we give up.
+    if (this.client.failing) return;
     const { machines, heard } = owner.hearing(now, STRAY_REPORTS * this.reportS);
     let strays = 0;
-    for (const w of this.words.values()) {
-      if (now - w.heardAt <= 2 * this.reportS) strays += w.strays;
+    for (const peer of this.statuses.statuses()) {
+      if (peer && now - peer.heardAt <= 2 * this.reportS) strays += peer.frame.strays;
     }
     if (!cutFromWorkers(machines, heard, strays)) return;
     this.log.info({ term: owner.term.term, machines, heard, strays }, 'cut from the workers');
@@ -389,6 +436,7 @@
       const owner = this.makeOwner(term);
       const duty = this.makeCloudDuty(owner);
       this.owner = owner;
+      this.judge = this.makeJudge();
       const both = new AbortController();
       const own = AbortSignal.any([signal, both.signal]);
       // Every call to a worker listens to it.
@@ -445,7 +493,7 @@
       leaseS: deployment.workers.lease_s,
       onTypes: (types, signal) => this.types.publish(types, signal),
       entitled: () => this.entitled() !== 'none',
-      calm: () => this.entitled() === 'proven' && !this.client.failing,
+      calm: () => this.entitled() === 'granted' && !this.client.failing,
       log: this.log,
     });
   }
