--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -4,7 +4,7 @@
 import { CloudClient, parseHostPort, type Runtime } from '#wire';
 import { CancellationRelay } from './cancellation-relay.js';
 import type { Entitlement } from './entitlement.js';
-import { Health } from './health.js';
+import { HealthEndpoint } from './health-endpoint.js';
 import { HttpServer } from './http-server.js';
 import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
@@ -197,7 +197,7 @@
   }
 
   private makeHttpServer(): HttpServer {
-    const health = new Health({ ...this.services, statuses: this.statuses });
+    const health = new HealthEndpoint({ ...this.services, statuses: this.statuses });
     const users = this.makeUserApi();
     const reports = this.makeReportHandler();
     return new HttpServer({
--- a/packages/controller/health.ts
+++ b/packages/controller/health.ts
@@ -1,37 +1,32 @@
-import type { Express } from 'express';
-import { reply } from './http-bodies.js';
-import type { ControllerServices } from './services.js';
-import type { StatusExchange } from './status-exchange.js';
+import type { PeerStatus } from './peer-status.js';
 
-/** Report periods without service after which this controller looks at how its peers are served. */
-const PATIENCE = 2;
-
-type Services = Pick<ControllerServices, 'settings' | 'client' | 'jobs' | 'types'>;
-
-export interface HealthOptions extends Services {
-  statuses: StatusExchange;
+/** How this controller is served, and what its peers say; steady seconds. */
+export interface HealthView {
+  now: number;
+  /** The jobs and the machine types are known. */
+  loaded: boolean;
+  /** The newest request to the state service whose outcome is known was not served. */
+  refused: boolean;
+  /** When the newest requests were sent that the state service served, and did not. */
+  lastOkAt: number;
+  lastFailAt: number;
+  /** The latest statement of each other controller; null if it was never heard. */
+  peers: (PeerStatus | null)[];
+  /** For how long a refusal, or a peer's silence, may last before it counts. */
+  patienceS: number;
 }
 
-/** Serves `/healthz`. */
-export class Health {
-  constructor(private readonly options: HealthOptions) {}
-
-  mount(app: Express): void {
-    app.get('/healthz', (_req, res) => {
-      const { ok } = this;
-      reply(res, ok ? 200 : 503, { ok });
-    });
-  }
-
-  /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
-  get ok(): boolean {
-    const { settings, client, jobs, types, statuses } = this.options;
-    if (!jobs.cache.ready || types.all().length === 0) return false;
-    const { lastOkAt, lastFailAt, failing } = client;
-    const patienceS = PATIENCE * settings.deployment.workers.report_s;
-    if (!failing || lastFailAt - lastOkAt < patienceS) return true;
-    return !statuses
-      .statuses()
-      .some((peer) => peer && !peer.frame.refused && peer.servedAt > lastOkAt + patienceS);
-  }
+/**
+ * Whether users should be sent here: not before the records are loaded, and not while the state service
+ * refuses this controller but may serve others. In an outage for all controllers everybody stays
+ * healthy, since no other could answer better.
+ */
+export function isHealthy(view: HealthView): boolean {
+  const { now, lastOkAt, patienceS } = view;
+  if (!view.loaded) return false;
+  if (!view.refused || view.lastFailAt - lastOkAt < patienceS) return true;
+  const reachable = view.peers.filter((peer) => peer !== null && now - peer.heardAt <= patienceS);
+  // Cut off from the peers as well, this controller can't know whether they are served.
+  if (reachable.length === 0) return view.peers.length === 0;
+  return !reachable.some((peer) => !peer!.frame.refused && peer!.servedAt > lastOkAt + patienceS);
 }
--- a/packages/controller/owner-entitlement.ts
+++ b/packages/controller/owner-entitlement.ts
@@ -1,7 +1,8 @@
-import { Entitlement, EntitlementJudge, graceAfterLoss } from './entitlement.js';
+import { Entitlement, EntitlementJudge } from './entitlement.js';
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
 import type { StatusExchange } from './status-exchange.js';
+import { graceAfterLoss } from './time-bounds.js';
 
 type Services = Pick<ControllerServices, 'runtime' | 'settings' | 'client' | 'jobs' | 'ownership'>;
 
--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -124,8 +124,8 @@
       reportS: deployment.workers.report_s,
       leaseS: deployment.workers.lease_s,
       onTypes: (listed, signal) => types.publish(listed, signal),
-      entitled: () => entitlement() !== 'none',
-      calm: () => entitlement() === 'granted' && !client.failing,
+      mayRent: () => ['granted', 'attested'].includes(entitlement()),
+      mayRelease: () => entitlement() === 'granted' && !client.failing,
       log,
     });
   }
