Stand-ins: a checker of the protocol's rules

It sees the true state of all machines and what every user is told, and checks all rules all the time: tasks that run twice, over a limit, in a wrong place or after a cancellation; answers that forget, invent, go back or come too early; jobs that wait though there is room, and what is accepted though it cannot run. Starts after a confirmed cancellation are counted without breaking a rule.

--- /dev/null
+++ b/packages/testing/standins/checker/answer-checks.ts
@@ -0,0 +1,64 @@
+/** Rules about what users are told. */
+import type { Phase } from '#wire';
+import type { UserRequest, WorldEvent } from '../events.js';
+import type { Check, CheckContext } from './check.js';
+import type { JobRecord } from './job-ledger.js';
+import type { Rule } from './violation.js';
+
+interface Answer {
+  request: UserRequest;
+  status: number;
+  phase: Phase | null;
+}
+
+export class AnswerChecks implements Check {
+  constructor(private readonly context: CheckContext) {}
+
+  onEvent(event: WorldEvent): void {
+    if (event.kind !== 'answered') return;
+    const record = this.context.ledger.get(event.request.job);
+    if (event.status >= 300) this.checkRefusal(event, record);
+    else if (!record) this.report('invented', event, `nobody submitted it, and it is called known`);
+    else if (!record.runnable) this.report('accepted_unfit', event, 'it must be refused');
+    else this.checkPhase(event, record);
+  }
+
+  /** A 404, 400 or 422 for a job whose acceptance the user knew when asking. */
+  private checkRefusal(answer: Answer, record: JobRecord | undefined): void {
+    const { request, status } = answer;
+    const knownAt = record?.acceptedAt ?? Infinity;
+    if (knownAt > this.context.ledger.sent(request)) return;
+    const refused = request.kind === 'submit' && (status === 400 || status === 422);
+    if (status === 404 || refused) {
+      this.report('forgotten', answer, `accepted at ${knownAt.toFixed(3)} s`);
+    }
+  }
+
+  private checkPhase(answer: Answer, record: JobRecord): void {
+    const { phase } = answer;
+    if (phase === 'done') this.checkDone(answer, record);
+    if (phase === 'aborted' && record.cancelAskedAt === null) {
+      this.report('went_back', answer, 'its user did not cancel it');
+    }
+    const { final } = record;
+    if (final === null || phase === final.phase) return;
+    const contradicts = phase === 'done' || phase === 'aborted';
+    if (contradicts || final.toldAt <= this.context.ledger.sent(answer.request)) {
+      const before = `${final.phase} at ${final.toldAt.toFixed(3)} s`;
+      this.report('went_back', answer, `it was called ${before}`);
+    }
+  }
+
+  private checkDone(answer: Answer, { job }: JobRecord): void {
+    const completed = this.context.state.completedTasks(job.id).size;
+    if (job.kind !== 'service' && completed >= job.tasks) return;
+    this.report('not_done', answer, `${completed} of ${job.tasks} tasks have completed`);
+  }
+
+  private report(rule: Rule, { request, status, phase }: Answer, reason: string): void {
+    const sentAt = this.context.ledger.sent(request).toFixed(3);
+    const answer = phase === null ? `${status}` : `${status} ${phase}`;
+    const explanation = `${request.kind} sent at ${sentAt} s is answered ${answer}: ${reason}`;
+    this.context.report({ rule, job: request.job, explanation });
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/checker/cancel-checks.ts
@@ -0,0 +1,48 @@
+/** Rules about what a job's tasks do after its user was told that it is cancelled. */
+import type { Clock, TaskRef } from '#wire';
+import type { WorldEvent } from '../events.js';
+import type { Check, CheckContext } from './check.js';
+
+export class CancelChecks implements Check {
+  /** Jobs whose cancellation was confirmed, and when. */
+  private readonly confirmed = new Map<string, number>();
+
+  constructor(
+    private readonly context: CheckContext,
+    private readonly clock: Clock,
+  ) {}
+
+  onEvent(event: WorldEvent): void {
+    if (event.kind === 'task-started') this.checkStart(event.machine, event.task);
+    if (event.kind !== 'answered' || event.phase !== 'aborted') return;
+    const { job } = event.request;
+    if (this.confirmed.has(job)) return;
+    this.confirmed.set(job, this.context.now());
+    this.clock.setTimer(() => this.checkGone(job), this.context.settings.cancelS * 1000 + 1);
+  }
+
+  private checkStart(machine: string, task: TaskRef): void {
+    const confirmedAt = this.confirmed.get(task.job);
+    if (confirmedAt === undefined) return;
+    const agoS = this.context.now() - confirmedAt;
+    this.context.report({
+      rule: agoS > this.context.settings.cancelS ? 'ran_cancelled' : 'started_after_cancel',
+      job: task.job,
+      task,
+      machines: [machine],
+      explanation: `attempt ${task.attempt} starts ${agoS.toFixed(1)} s after the confirmation`,
+    });
+  }
+
+  private checkGone(job: string): void {
+    for (const { machine, task } of this.context.state.started(job)) {
+      this.context.report({
+        rule: 'ran_cancelled',
+        job,
+        task,
+        machines: [machine],
+        explanation: `still there ${this.context.settings.cancelS} s after the confirmation`,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/checker/job-ledger.ts
@@ -0,0 +1,58 @@
+import type { Job } from '#wire';
+import type { UserRequest, WorldEvent } from '../events.js';
+
+/** What a user did about a job and was told of it; times in seconds of the checker's clock. */
+export interface JobRecord {
+  readonly job: Job;
+  readonly runnable: boolean;
+  /** When the user was first told that it is accepted. */
+  acceptedAt: number | null;
+  cancelAskedAt: number | null;
+  /** The first final state that the user was told, and when. */
+  final: { phase: 'done' | 'aborted'; toldAt: number } | null;
+}
+
+/** All jobs that users have submitted, and when each open request was sent. */
+export class JobLedger {
+  private readonly records = new Map<string, JobRecord>();
+  private readonly sentAt = new Map<UserRequest, number>();
+
+  constructor(private readonly now: () => number) {}
+
+  get(job: string): JobRecord | undefined {
+    return this.records.get(job);
+  }
+
+  all(): Iterable<JobRecord> {
+    return this.records.values();
+  }
+
+  /** When an open request was sent. */
+  sent(request: UserRequest): number {
+    return this.sentAt.get(request) ?? this.now();
+  }
+
+  /** Takes in what users do, before any check looks at it. */
+  noteRequest(event: WorldEvent): void {
+    if (event.kind === 'asked') this.sentAt.set(event.request, this.now());
+    else if (event.kind === 'job-submitted') {
+      const { job, runnable } = event;
+      const untold = { acceptedAt: null, cancelAskedAt: null, final: null };
+      this.records.set(event.id, { job, runnable, ...untold });
+    } else if (event.kind === 'cancel-asked') {
+      const record = this.records.get(event.job);
+      if (record) record.cancelAskedAt ??= this.now();
+    }
+  }
+
+  /** Takes in what users were told, after all checks have compared it with what was known. */
+  noteAnswer(event: WorldEvent): void {
+    if (event.kind !== 'answered' && event.kind !== 'unanswered') return;
+    this.sentAt.delete(event.request);
+    const record = this.records.get(event.request.job);
+    if (event.kind !== 'answered' || event.status >= 300 || !record) return;
+    record.acceptedAt ??= this.now();
+    const { phase } = event;
+    if (phase === 'done' || phase === 'aborted') record.final ??= { phase, toldAt: this.now() };
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/checker/silence-check.ts
@@ -0,0 +1,52 @@
+/** The rule that an accepted job stays known: questions about it are answered. */
+import type { WorldEvent } from '../events.js';
+import type { Check, CheckContext } from './check.js';
+
+/** All questions about one job fail for so long while most others are answered. */
+const SILENCE_AMONG_ANSWERS_S = 90;
+/** No question about a job is answered for so long once all troubles are over. */
+const SILENCE_IN_CALM_S = 75;
+
+export class SilenceCheck implements Check {
+  /** When the first question was sent that failed since the last answer, by job. */
+  private readonly failingSince = new Map<string, number>();
+  /** Whether the polls that ended lately were answered. */
+  private recent: { atS: number; answered: boolean }[] = [];
+
+  constructor(private readonly context: CheckContext) {}
+
+  onEvent(event: WorldEvent): void {
+    if (event.kind !== 'answered' && event.kind !== 'unanswered') return;
+    const { request } = event;
+    const answered = event.kind === 'answered' && (event.status < 300 || event.status === 404);
+    if (request.kind === 'poll') this.recent.push({ atS: this.context.now(), answered });
+    if (answered) this.failingSince.delete(request.job);
+    else if (request.kind === 'poll' && !this.failingSince.has(request.job)) {
+      this.failingSince.set(request.job, this.context.ledger.sent(request));
+    }
+  }
+
+  onTick(): void {
+    const now = this.context.now();
+    this.recent = this.recent.filter(({ atS }) => atS > now - SILENCE_AMONG_ANSWERS_S);
+    for (const [job, since] of this.failingSince) {
+      const record = this.context.ledger.get(job);
+      if (!record || record.acceptedAt === null || record.final !== null) continue;
+      this.checkSilence(job, since, now);
+    }
+  }
+
+  private checkSilence(job: string, since: number, now: number): void {
+    const calmSince = this.context.calmSince() ?? Infinity;
+    const inCalm = now - Math.max(since, calmSince) >= SILENCE_IN_CALM_S;
+    const amongAnswers = now - since >= SILENCE_AMONG_ANSWERS_S && this.mostAreAnswered();
+    if (!inCalm && !amongAnswers) return;
+    const explanation = `no question was answered since ${since.toFixed(3)} s`;
+    this.context.report({ rule: 'forgotten', job, explanation });
+  }
+
+  private mostAreAnswered(): boolean {
+    const answered = this.recent.filter((poll) => poll.answered).length;
+    return answered > this.recent.length / 2;
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/checker/start-checks.ts
@@ -0,0 +1,84 @@
+/** Rules about where a task starts: once, within its team's limit, and where its job allows. */
+import { taskName, type Job, type TaskRef } from '#wire';
+import type { WorldEvent } from '../events.js';
+import type { MachineState } from '../world-state.js';
+import { exceedsLimit, teamUse, type Check, type CheckContext } from './check.js';
+
+export class StartChecks implements Check {
+  constructor(private readonly context: CheckContext) {}
+
+  onEvent(event: WorldEvent): void {
+    if (event.kind !== 'task-started') return;
+    this.checkOnce(event.machine, event.task);
+    const machine = this.context.state.machines.get(event.machine);
+    const job = this.context.ledger.get(event.task.job)?.job;
+    if (!machine || !job) return;
+    this.checkPlace(machine, event.task, job);
+    this.checkQuota(machine, event.task, job);
+  }
+
+  private checkOnce(machine: string, task: TaskRef): void {
+    const others = this.context.state
+      .started(task.job)
+      .filter((place) => place.task.index === task.index && place.machine !== machine)
+      .map((place) => place.machine);
+    if (others.length === 0) return;
+    this.context.report({
+      rule: 'ran_twice',
+      job: task.job,
+      task,
+      machines: [machine, ...others],
+      explanation: `attempt ${task.attempt} starts while the task is elsewhere`,
+    });
+  }
+
+  private checkPlace(machine: MachineState, task: TaskRef, job: Job): void {
+    const { facts } = machine;
+    const reason = this.misplacement(machine, job);
+    if (reason === null) return;
+    const explanation = `${reason} (type ${facts.type.name}, zone ${facts.zone}, spot ${facts.spot})`;
+    this.context.report({
+      rule: 'wrong_place',
+      job: job.id,
+      task,
+      machines: [facts.name],
+      explanation,
+    });
+  }
+
+  private misplacement({ facts }: MachineState, job: Job): string | null {
+    if (job.types && !job.types.includes(facts.type.name)) return 'the type is not allowed';
+    if (job.zone !== null && job.zone !== facts.zone) return `only zone ${job.zone} is allowed`;
+    if (facts.spot && !job.spot) return 'spot machines are not allowed';
+    const zones = this.context.state
+      .started(job.id)
+      .map((place) => this.context.state.machines.get(place.machine)!.facts.zone);
+    const here = zones.filter((zone) => zone === facts.zone).length;
+    if (job.oneZone && here < zones.length) return 'other tasks of the job are in another zone';
+    if (job.spread && here > Math.ceil(job.tasks / 2)) return 'more than half are in this zone';
+    return null;
+  }
+
+  private checkQuota(machine: MachineState, task: TaskRef, job: Job): void {
+    const limit = this.context.settings.teams.find(({ name }) => name === job.team);
+    if (!limit) return;
+    const used = teamUse(this.startedOfTeam(job.team));
+    if (!exceedsLimit(used, limit)) return;
+    this.context.report({
+      rule: 'quota',
+      job: job.id,
+      task,
+      machines: [machine.facts.name],
+      explanation:
+        `with ${taskName(task.job, task.index)} team ${job.team} uses ${used.cpus} cores and ` +
+        `${used.gpus} accelerators of ${limit.cpus} and ${limit.gpus}`,
+    });
+  }
+
+  private *startedOfTeam(team: string): Generator<{ job: Job; tasks: number }> {
+    for (const id of this.context.state.startedJobs()) {
+      const job = this.context.ledger.get(id)?.job;
+      if (job?.team === team) yield { job, tasks: this.context.state.started(id).length };
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/checker/violation.ts
@@ -0,0 +1,71 @@
+import { taskName, type TaskRef } from '#wire';
+
+/** The rules of the protocol, and what else the operators count. */
+export type Rule =
+  | 'ran_twice'
+  | 'quota'
+  | 'wrong_place'
+  | 'ran_cancelled'
+  | 'forgotten'
+  | 'invented'
+  | 'not_done'
+  | 'went_back'
+  | 'nothing_ran'
+  /** A job waits although there is room for it. */
+  | 'unserved'
+  /** A job was accepted that cannot run or lacks a field. */
+  | 'accepted_unfit'
+  /** A task started after its user was told of the cancellation, though within `cancel_s`. */
+  | 'started_after_cancel';
+
+/** Rules that are counted, but break nothing by themselves. */
+const COUNTED_ONLY: ReadonlySet<Rule> = new Set(['started_after_cancel']);
+
+export interface Violation {
+  rule: Rule;
+  /** Seconds of the checker's clock. */
+  atS: number;
+  job: string | null;
+  task: string | null;
+  machines: string[];
+  /** What happened, in one line. */
+  explanation: string;
+}
+
+/** What a check says of a violation; the rest is filled in. */
+export interface Finding {
+  rule: Rule;
+  explanation: string;
+  /** Null: about no job. */
+  job: string | null;
+  task?: TaskRef;
+  machines?: string[];
+}
+
+export function breaksRule({ rule }: Violation): boolean {
+  return !COUNTED_ONLY.has(rule);
+}
+
+/** One line with all that is known of a violation. */
+export function describeViolation(violation: Violation): string {
+  const { rule, atS, job, task, machines, explanation } = violation;
+  const subject = task ?? job ?? 'the whole run';
+  const where = machines.length > 0 ? ` on ${machines.join(', ')}` : '';
+  return `${atS.toFixed(3)} s ${rule}: ${subject}${where}: ${explanation}`;
+}
+
+/** Collects violations; of the same rule about the same task or job only the first. */
+export class ViolationLog {
+  readonly all: Violation[] = [];
+  private readonly known = new Set<string>();
+
+  constructor(private readonly now: () => number) {}
+
+  add({ rule, explanation, job, task, machines = [] }: Finding): void {
+    const name = task ? taskName(task.job, task.index) : null;
+    const key = [rule, name ?? job].join(' ');
+    if (this.known.has(key)) return;
+    this.known.add(key);
+    this.all.push({ rule, atS: this.now(), job, task: name, machines, explanation });
+  }
+}
--- /dev/null
+++ b/packages/testing/standins/checker/waiting-check.ts
@@ -0,0 +1,103 @@
+/** The rule that no job is left waiting while a machine that fits has room. */
+import type { Job } from '#wire';
+import type { MachineFacts } from '../events.js';
+import type { MachineState } from '../world-state.js';
+import { exceedsLimit, teamUse, type Check, type CheckContext } from './check.js';
+import type { JobRecord } from './job-ledger.js';
+
+const LONGEST_WAIT_S = 90;
+const RESOURCES = ['cpus', 'gpus', 'memory'] as const;
+
+/** What is free on a machine. */
+interface Space {
+  facts: MachineFacts;
+  free: Record<(typeof RESOURCES)[number], number>;
+}
+
+export class WaitingCheck implements Check {
+  /** Since when each waiting job has had room, by job. */
+  private readonly roomSince = new Map<string, number>();
+
+  constructor(private readonly context: CheckContext) {}
+
+  onTick(): void {
+    if (this.context.calmSince() === null) {
+      this.roomSince.clear();
+      return;
+    }
+    const spaces = [...this.context.state.machines.values()]
+      .filter(({ facts, hanging, noticed }) => facts.sound && !hanging && !noticed)
+      .map((machine) => this.spaceOn(machine));
+    for (const record of this.context.ledger.all()) {
+      const { id } = record.job;
+      if (!this.isWaiting(record) || !this.hasRoom(record.job, spaces)) this.roomSince.delete(id);
+      else this.checkWait(id);
+    }
+  }
+
+  private checkWait(job: string): void {
+    const now = this.context.now();
+    const since = this.roomSince.get(job) ?? now;
+    this.roomSince.set(job, since);
+    if (now - since < LONGEST_WAIT_S) return;
+    const explanation = `none of its tasks has a machine, and there is room since ${since.toFixed(1)} s`;
+    this.context.report({ rule: 'unserved', job, explanation });
+  }
+
+  private isWaiting({ job, runnable, acceptedAt, cancelAskedAt, final }: JobRecord): boolean {
+    const open = runnable && acceptedAt !== null && cancelAskedAt === null && final === null;
+    if (!open || this.context.state.places(job.id).length > 0) return false;
+    return this.context.state.completedTasks(job.id).size < job.tasks;
+  }
+
+  /** There is room, in the team's limit and on sound machines, for what has to start together. */
+  private hasRoom(job: Job, spaces: Space[]): boolean {
+    const needed = job.kind === 'gang' ? job.tasks : 1;
+    const limit = this.context.settings.teams.find(({ name }) => name === job.team);
+    const used = teamUse([...this.assignedOfTeam(job.team), { job, tasks: needed }]);
+    if (limit && exceedsLimit(used, limit)) return false;
+    const places = placesByZone(job, spaces);
+    if (job.oneZone) return Math.max(0, ...places) >= needed;
+    const perZone = job.spread ? Math.ceil(job.tasks / 2) : Infinity;
+    return places.reduce((sum, count) => sum + Math.min(count, perZone), 0) >= needed;
+  }
+
+  private spaceOn({ facts, tasks }: MachineState): Space {
+    const { cpus, gpus, memory } = facts.type;
+    const free = { cpus, gpus, memory };
+    for (const { task } of tasks.values()) {
+      const job = this.context.ledger.get(task.job)?.job;
+      for (const resource of RESOURCES) free[resource] -= job?.[resource] ?? 0;
+    }
+    return { facts, free };
+  }
+
+  private *assignedOfTeam(team: string): Generator<{ job: Job; tasks: number }> {
+    for (const { job } of this.context.ledger.all()) {
+      if (job.team === team) yield { job, tasks: this.context.state.places(job.id).length };
+    }
+  }
+}
+
+/** How many tasks of the job find room in each zone. */
+function placesByZone(job: Job, spaces: Space[]): number[] {
+  const zones = new Map<string, number>();
+  for (const space of spaces) {
+    if (!isAllowed(space, job)) continue;
+    const { zone } = space.facts;
+    zones.set(zone, (zones.get(zone) ?? 0) + tasksThatFit(space, job));
+  }
+  return [...zones.values()];
+}
+
+function tasksThatFit({ free }: Space, job: Job): number {
+  const needed = RESOURCES.filter((resource) => job[resource] > 0);
+  const rooms = needed.map((resource) => Math.floor(free[resource] / job[resource]));
+  return Math.max(0, Math.min(job.tasks, ...rooms));
+}
+
+function isAllowed({ facts }: Space, job: Job): boolean {
+  if (job.types && !job.types.includes(facts.type.name)) return false;
+  if (job.zone !== null && job.zone !== facts.zone) return false;
+  return job.spot || !facts.spot;
+}
--- a/packages/testing/standins/events.ts
+++ b/packages/testing/standins/events.ts
@@ -6,6 +6,8 @@
 
 export interface MachineFacts {
   name: string;
+  /** Tasks neither fail on it nor run much slower than on others of its type. */
+  sound: boolean;
   /** `host:port` where the worker takes commands. */
   address: string;
   type: MachineType;
@@ -19,6 +21,8 @@
 export type MachineEvent =
   | { kind: 'machine-up'; machine: MachineFacts }
   | { kind: 'machine-gone'; machine: string }
+  /** The cloud has announced that it will take the machine. */
+  | { kind: 'machine-noticed'; machine: string }
   /** The worker hangs or goes on. */
   | { kind: 'machine-hangs'; machine: string; hanging: boolean }
   /** A start command was carried out: the task waits for its image. */
--- a/packages/testing/standins/fleet.ts
+++ b/packages/testing/standins/fleet.ts
@@ -49,8 +49,9 @@
     const host = this.options.hostFor(machine);
     const { name, type, zone, spot } = machine;
     const address = `${machine.address.host}:${machine.address.port}`;
-    const facts = { name, address, type, zone, spot };
     const traits = this.drawTraits(host.runtime, machine);
+    const sound = traits.tasksFailAfterS === null && traits.speed >= USUAL_SPEED[0];
+    const facts = { name, sound, address, type, zone, spot };
     const worker = new Worker(host.runtime, facts, traits, this.options.surroundings);
     this.machines.set(name, { worker, host });
     void worker.start();
--- a/packages/testing/standins/index.ts
+++ b/packages/testing/standins/index.ts
@@ -1,4 +1,5 @@
 export * from './balancer/index.js';
+export * from './checker/index.js';
 export * from './cloud/index.js';
 export * from './events.js';
 export * from './fleet.js';
--- a/packages/testing/standins/users/users.test.ts
+++ b/packages/testing/standins/users/users.test.ts
@@ -134,7 +134,7 @@
   const type = { ...aJob(), name: 'm', cpus: 9 } as never;
   state.apply({
     kind: 'machine-up',
-    machine: { name: 'm', type, address: '', zone: 'a', spot: false },
+    machine: { name: 'm', sound: true, type, address: '', zone: 'a', spot: false },
   });
   for (const id of ['j-000002', 'j-000003', 'j-000004']) {
     const task = { job: id, index: 0, attempt: 1 };
--- a/packages/testing/standins/worker/sample-workers.ts
+++ b/packages/testing/standins/worker/sample-workers.ts
@@ -72,7 +72,7 @@
   async worker(speed = 1, knows = 1): Promise<Worker> {
     const number = ++this.started;
     const host = `10.1.0.${number}`;
-    const facts = { name: `n-${number}`, type: STD, zone: 'a', spot: false };
+    const facts = { name: `n-${number}`, sound: true, type: STD, zone: 'a', spot: false };
     const traits = { speed, fetchGbPerS: STD.fetchGbPerS, tasksFailAfterS: null };
     const worker = new Worker(
       this.world.runtime(host, 'worker'),
--- a/packages/testing/standins/worker/worker.ts
+++ b/packages/testing/standins/worker/worker.ts
@@ -137,6 +137,7 @@
   /** The cloud will take the machine in about so many seconds. */
   giveNotice(noticeS: number): void {
     this.takenAt = this.clock.now() + noticeS;
+    this.observer({ kind: 'machine-noticed', machine: this.machine });
     this.reporter.noteChange();
   }
 
--- a/packages/testing/standins/world-state.ts
+++ b/packages/testing/standins/world-state.ts
@@ -12,6 +12,8 @@
 export interface MachineState {
   facts: MachineFacts;
   hanging: boolean;
+  /** The cloud has announced that it will take the machine. */
+  noticed: boolean;
   tasks: Map<string, PlacedTask>;
 }
 
@@ -25,10 +27,14 @@
   apply(event: WorldEvent): void {
     switch (event.kind) {
       case 'machine-up': {
-        const { machine } = event;
-        this.machines.set(machine.name, { facts: machine, hanging: false, tasks: new Map() });
+        const { machine: facts } = event;
+        const state = { facts, hanging: false, noticed: false, tasks: new Map() };
+        this.machines.set(facts.name, state);
         break;
       }
+      case 'machine-noticed':
+        this.machines.get(event.machine)!.noticed = true;
+        break;
       case 'machine-gone':
         this.machines.delete(event.machine);
         break;
