--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,6 +1,6 @@
 import { Book, CapacityPlanner, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
-import { graceAfterLoss } from './entitlement.js';
+import { graceAfterLoss } from './time-bounds.js';
 import { Settings, teamTerms } from './settings.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
