--- a/packages/testing/simulation/addresses.ts
+++ b/packages/testing/simulation/addresses.ts
@@ -5,6 +5,9 @@
 export const CLOUD_ADDRESS: HostPort = { host: '10.2.0.2', port: 8443 };
 export const BALANCER_ADDRESS: HostPort = { host: '10.2.0.3', port: 8080 };
 export const USERS_HOST = '10.3.0.1';
+/** Home of what machines share without the network: gangs and messages that are held up. */
+export const MACHINE_ROOM_HOST = '10.4.0.1';
+export const CHECKER_HOST = '10.4.0.2';
 const WORKER_PORT = 9000;
 const SERVICE_PORT = 8080;
 const PEER_PORT = 8081;
--- a/packages/testing/simulation/cluster-settings.ts
+++ b/packages/testing/simulation/cluster-settings.ts
@@ -5,7 +5,7 @@
   type PlatformSettings,
   type Settings,
 } from '#controller';
-import type { CapacityLimit } from '../standins/index.js';
+import type { CapacityLimit, ControllerAddress } from '../standins/index.js';
 import {
   CLOUD_ADDRESS,
   controllerName,
@@ -51,6 +51,14 @@
   return { ...platform, operator: withDefaults(cluster.operator, platform) };
 }
 
+/** Where workers and users reach the controllers. */
+export function controllerAddresses({ controllers }: ClusterSettings): ControllerAddress[] {
+  return Array.from({ length: controllers }, (_, index) => ({
+    name: controllerName(index),
+    address: formatAddress(serviceAddress(index)),
+  }));
+}
+
 export function zoneOfController({ deployment }: ClusterSettings, index: number): string {
   return deployment.zones[index % deployment.zones.length];
 }
--- a/packages/testing/simulation/cluster.test.ts
+++ b/packages/testing/simulation/cluster.test.ts
@@ -1,94 +1,86 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { NoAnswer, pause, UserClient, type Runtime } from '#wire';
-import { aJob } from '../samples.js';
+import { USUAL_CLASSES } from '../standins/index.js';
 import {
-  Cluster,
-  FaultInjector,
-  formatAddress,
-  serviceAddress,
+  describeProblems,
+  runScenario,
   SMALL_CLUSTER,
-  USERS_HOST,
   type Fault,
+  type Scenario,
 } from './index.js';
 
-const RUN_S = 12;
+const CANCEL_S = SMALL_CLUSTER.deployment.workers.cancel_s;
 
-/** A user who submits one job at a random controller and asks until it is done. */
-async function useOnce(runtime: Runtime, clients: UserClient[], id: string): Promise<void> {
-  let submitted = false;
-  for (;;) {
-    const client = clients[Math.floor(runtime.random() * clients.length)];
-    try {
-      if (submitted && isDone((await client.status(id)).job)) return;
-      if (!submitted) submitted = (await client.submit(aJob({ id, tasks: 2 }))).status < 300;
-    } catch (err) {
-      if (!(err instanceof NoAnswer)) throw err;
-    }
-    await pause(runtime.clock, 1000);
-  }
-}
-
-function isDone(job: object | null): boolean {
-  return job !== null && 'phase' in job && job.phase === 'done';
+function scenario(name: string, lengthS: number, faults: Fault[]): Scenario {
+  const workload = { classes: USUAL_CLASSES, untilS: lengthS - 60 };
+  return { name, cluster: SMALL_CLUSTER, workload, faults, lengthS };
 }
 
-/** Plays a cluster with a new job each second for most of the time. */
-async function play(seed: number, lengthS: number, faults: Fault[]) {
-  const cluster = new Cluster(SMALL_CLUSTER, seed);
-  const runtime = cluster.serviceRuntime('users', 'users', USERS_HOST);
-  const clients = cluster.controllers.map(
-    ({ index }) => new UserClient(formatAddress(serviceAddress(index)), 5000, runtime),
-  );
-  const injector = new FaultInjector(cluster, () => assert.fail('no users here'));
-  injector.schedule(faults);
-  await cluster.start();
-  let done = 0;
-  const jobs = Math.floor(lengthS / 3);
-  for (let number = 1; number <= jobs; number++) {
-    const id = `j-${number}`;
-    const runS = [RUN_S, RUN_S];
-    cluster.storage.upload({ job: aJob({ id, tasks: 2 }), runS, failsAfterS: null });
-    void useOnce(runtime, clients, id).then(() => done++);
-    await cluster.world.runUntil(number);
-  }
-  await cluster.world.runUntil(lengthS);
-  return { cluster, jobs, done, journal: injector.journal };
-}
-
-test('real controllers serve work on simulated time, and the same seed gives the same run', async () => {
-  const runs = [await play(1, 120, []), await play(1, 120, [])];
-  const [first, second] = runs;
-  assert.equal(first.done, first.jobs);
-  assert.equal(first.cluster.timeline.of('task-completed').length, 2 * first.jobs);
-  assert.deepEqual(first.cluster.world.uncaught, []);
-  assert.equal(first.cluster.world.digest, second.cluster.world.digest);
-  assert.deepEqual(first.cluster.timeline.events, second.cluster.timeline.events);
+test('a quiet day serves its work, and the same seed gives the same day', async () => {
+  const quiet = scenario('quiet', 240, []);
+  const [first, second, other] = [
+    await runScenario(quiet, 1),
+    await runScenario(quiet, 1),
+    await runScenario(quiet, 2),
+  ];
+  assert.deepEqual(describeProblems(first), []);
+  assert.equal(first.leaders.length, 1);
+  assert.equal(first.counts.jobsAccepted, first.counts.jobsSubmitted);
+  assert.ok(first.counts.tasksCompleted > 50);
+  assert.equal(first.counts.tasksKilled, 0);
+  assert.equal(first.digest, second.digest);
+  assert.deepEqual(first.timeline.events, second.timeline.events);
+  assert.notEqual(first.digest, other.digest);
 });
 
-test('another controller takes over from a leader that crashes, is refused, cut or frozen', async () => {
+test('another controller takes over from a leader that crashes, is refused, cut off or frozen', async () => {
+  const cutFromState: Omit<Fault & { kind: 'controller-cut' }, 'atS' | 'forS'> = {
+    kind: 'controller-cut',
+    controllers: 'leader',
+    from: ['state'],
+    mode: 'drop',
+  };
   const faults: Fault[] = [
     { kind: 'controller-crash', atS: 40, controllers: 'leader', downS: 0.4 },
     { kind: 'state-refuses', atS: 70, controllers: 'leader', forS: 12 },
-    {
-      kind: 'controller-cut',
-      atS: 100,
-      controllers: 'leader',
-      from: ['state'],
-      mode: 'drop',
-      forS: 12,
-    },
+    { ...cutFromState, atS: 100, forS: 12 },
     { kind: 'controller-freeze', atS: 130, controllers: 'leader', forS: 12 },
   ];
-  const { cluster, jobs, done, journal } = await play(2, 180, faults);
-  const leaders = cluster.ownership.changes;
+  const result = await runScenario(scenario('four leaders lost', 260, faults), 2);
+  assert.deepEqual(describeProblems(result), []);
+  const { leaders } = result;
   assert.equal(leaders.length, 1 + faults.length);
-  for (const [index, { leader, fromS, controllers }] of journal.records.entries()) {
-    assert.deepEqual(controllers, [leader?.owner]);
+  for (const [index, { leader, fromS, controllers }] of result.faults.records.entries()) {
     assert.equal(leader, leaders[index]);
+    assert.deepEqual(controllers, [leader?.owner]);
     const successor = leaders[index + 1];
-    assert.ok(successor.atS > fromS && successor.atS < fromS + 12, `${index}: ${successor.atS}`);
+    assert.ok(successor.atS > fromS && successor.atS < fromS + 12);
+  }
+});
+
+test('tasks whose cancellation another controller confirmed end in time though an outage follows', async () => {
+  const faults: Fault[] = [
+    { kind: 'state-refuses', atS: 100, controllers: 'leader', forS: 14 },
+    { kind: 'cancel-now', atS: 101, count: 10 },
+    { kind: 'state-outage', atS: 102, forS: 52 },
+  ];
+  for (const seed of [1, 2, 3]) {
+    const result = await runScenario(scenario('confirmed, then an outage', 240, faults), seed);
+    assert.deepEqual(describeProblems(result), []);
+    // The meeting: the refused leader still held the part when others confirmed, and until the end of
+    // the outage, and its workers stayed with it for longer than the time that a cancellation has.
+    const [refusal] = result.faults.of('state-refuses');
+    const [outage] = result.faults.of('state-outage');
+    assert.equal(outage.leader, refusal.leader);
+    const confirmed = result.timeline
+      .of('answered', refusal.fromS, outage.fromS)
+      .filter(({ request, phase }) => request.kind === 'abort' && phase === 'aborted');
+    assert.ok(confirmed.length >= 3, `${confirmed.length} confirmations`);
+    assert.ok(outage.untilS - outage.fromS > CANCEL_S);
+    const leader = result.controllers.find(({ name }) => name === refusal.leader?.owner);
+    const heard = leader!.log
+      .entries('vitals')
+      .filter(({ atS }) => atS > outage.fromS + 10 && atS < outage.untilS);
+    assert.ok(heard.length > 3 && heard.every(({ reportsPerS }) => Number(reportsPerS) > 1));
   }
-  assert.equal(done, jobs);
-  assert.deepEqual(cluster.world.uncaught, []);
 });
--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -1,7 +1,23 @@
 import type { Runtime } from '#wire';
-import { CloudService, JobStorage, StateService } from '../standins/index.js';
-import { CLOUD_ADDRESS, STATE_ADDRESS } from './addresses.js';
-import type { ClusterSettings } from './cluster-settings.js';
+import {
+  CloudService,
+  JobStorage,
+  LoadBalancer,
+  RuleChecker,
+  StateService,
+  Users,
+  type Observer,
+} from '../standins/index.js';
+import {
+  BALANCER_ADDRESS,
+  CHECKER_HOST,
+  CLOUD_ADDRESS,
+  formatAddress,
+  MACHINE_ROOM_HOST,
+  STATE_ADDRESS,
+  USERS_HOST,
+} from './addresses.js';
+import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
 import { makeControllers, type SimulatedController } from './controllers.js';
 import { Machines } from './machines.js';
 import { SimulatedHost, SimulatedNetwork, type HostRole } from './network.js';
@@ -10,17 +26,21 @@
 import { Timeline } from './timeline.js';
 import { World } from './world.js';
 
-/** Controllers and all that they deal with but users, in one simulated world. */
+/** Controllers and all that they deal with in one simulated world, and the checker of its rules. */
 export class Cluster {
   readonly world: World;
   readonly network: SimulatedNetwork;
   readonly timeline: Timeline;
+  readonly checker: RuleChecker;
   readonly storage: JobStorage;
   readonly state: StateService;
   readonly cloud: CloudService;
   readonly machines: Machines;
   readonly controllers: SimulatedController[];
+  readonly balancer: LoadBalancer;
+  readonly users: Users;
   readonly ownership: OwnershipHistory;
+  private readonly observer: Observer;
 
   constructor(
     readonly settings: ClusterSettings,
@@ -29,11 +49,18 @@
     this.world = new World(seed);
     this.network = new SimulatedNetwork(this.world);
     this.timeline = new Timeline(this.world);
-    this.storage = new JobStorage(this.timeline.observe);
+    this.checker = this.makeChecker();
+    this.observer = (event) => {
+      this.timeline.observe(event);
+      this.checker.observe(event);
+    };
+    this.storage = new JobStorage(this.observer);
     this.state = this.makeState();
     this.machines = this.makeMachines();
     this.cloud = this.makeCloud();
     this.controllers = makeControllers(this.world, this.network, settings);
+    this.balancer = this.makeBalancer();
+    this.users = this.makeUsers();
     this.ownership = new OwnershipHistory(this.world, (key) => this.state.store.get(key) ?? null);
   }
 
@@ -41,6 +68,7 @@
   async start(): Promise<void> {
     await this.state.listen(STATE_ADDRESS);
     await this.cloud.listen(CLOUD_ADDRESS);
+    await this.balancer.listen(BALANCER_ADDRESS);
     for (const controller of this.controllers) controller.process.start();
   }
 
@@ -65,7 +93,7 @@
       network: this.network,
       cluster: this.settings,
       storage: this.storage,
-      observer: this.timeline.observe,
+      observer: this.observer,
       runtime: this.serviceRuntime('machine-room', 'users', MACHINE_ROOM_HOST),
     });
   }
@@ -77,7 +105,32 @@
     const options = { types: machineTypes, capacity, rps, listLagS: list_lag_s };
     return new CloudService(runtime, options, this.machines.fleet);
   }
-}
 
-/** Home of what machines share without the network: gangs and held messages. */
-const MACHINE_ROOM_HOST = '10.4.0.1';
+  private makeBalancer(): LoadBalancer {
+    const runtime = this.serviceRuntime('balancer', 'balancer', BALANCER_ADDRESS.host);
+    return new LoadBalancer(runtime, controllerAddresses(this.settings));
+  }
+
+  private makeUsers(): Users {
+    return new Users({
+      runtime: this.serviceRuntime('users', 'users', USERS_HOST),
+      balancer: formatAddress(BALANCER_ADDRESS),
+      nodes: controllerAddresses(this.settings),
+      storage: this.storage,
+      observer: this.observer,
+    });
+  }
+
+  private makeChecker(): RuleChecker {
+    const { teams, workers } = this.settings.deployment;
+    const { clock } = this.serviceRuntime('checker', 'users', CHECKER_HOST);
+    return new RuleChecker(clock, {
+      teams: teams.map(({ name, cpus_max, gpus_max }) => ({
+        name,
+        cpus: cpus_max,
+        gpus: gpus_max,
+      })),
+      cancelS: workers.cancel_s,
+    });
+  }
+}
--- a/packages/testing/simulation/fault-injector.ts
+++ b/packages/testing/simulation/fault-injector.ts
@@ -6,6 +6,8 @@
 import { MachineFaults } from './faults/machine-faults.js';
 import { beginMessageFault } from './faults/message-faults.js';
 import { StateFaults } from './faults/state-faults.js';
+import { beginUserFault } from './faults/user-faults.js';
+import type { SimulatedMachine } from './machines.js';
 import type {
   CloudFault,
   ControllerFault,
@@ -23,10 +25,7 @@
   private readonly cloudFaults: CloudFaults;
   private readonly machineFaults: MachineFaults;
 
-  constructor(
-    private readonly cluster: Cluster,
-    private readonly beginUserFault: (fault: UserFault) => FaultEffect,
-  ) {
+  constructor(private readonly cluster: Cluster) {
     const { state, cloud, controllers, network, machines, world } = cluster;
     this.stateFaults = new StateFaults(state, controllers);
     this.cloudFaults = new CloudFaults(cloud);
@@ -62,6 +61,12 @@
     if (isOf<UserFault>(fault, USER_KINDS)) return this.beginUserFault(fault);
     return beginControllerFault({ ...this.cluster, owner }, fault as ControllerFault);
   }
+
+  private beginUserFault(fault: UserFault): FaultEffect {
+    const { world, users, machines, checker } = this.cluster;
+    const hang = (hit: SimulatedMachine[]) => this.machineFaults.hang(hit);
+    return beginUserFault({ world, users, machines, truth: checker.state, hang }, fault);
+  }
 }
 
 type Kinds<F extends Fault> = Record<F['kind'], true>;
--- a/packages/testing/simulation/index.ts
+++ b/packages/testing/simulation/index.ts
@@ -16,3 +16,5 @@
 export * from './timeline.js';
 export * from './fault-injector.js';
 export * from './fault-journal.js';
+export * from './counts.js';
+export * from './run-scenario.js';
--- a/packages/testing/simulation/machines.ts
+++ b/packages/testing/simulation/machines.ts
@@ -11,8 +11,8 @@
   type WorkerSurroundings,
 } from '../standins/index.js';
 import type { Runtime } from '#wire';
-import { controllerName, formatAddress, serviceAddress, workerAddress } from './addresses.js';
-import type { ClusterSettings } from './cluster-settings.js';
+import { workerAddress } from './addresses.js';
+import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
 import { drawSkew } from './clock.js';
 import { SimulatedHost, type SimulatedNetwork } from './network.js';
 import { SimulatedProcess } from './process.js';
@@ -92,10 +92,7 @@
         gangWaitS: workers.gang_wait_s,
         gangPeerS: workers.gang_peer_s,
       },
-      controllers: Array.from({ length: cluster.controllers }, (_, index) => ({
-        name: controllerName(index),
-        address: formatAddress(serviceAddress(index)),
-      })),
+      controllers: controllerAddresses(cluster),
       storage,
       gangs: new GangNetwork(runtime),
       observer,
--- /dev/null
+++ b/packages/testing/simulation/run-scenario.ts
@@ -0,0 +1,96 @@
+/** Plays a scenario and says what came of it. */
+import { describeViolation, makeWorkload, type Violation } from '../standins/index.js';
+import { Cluster } from './cluster.js';
+import type { SimulatedController } from './controllers.js';
+import { countRun, type RunCounts } from './counts.js';
+import { FaultInjector } from './fault-injector.js';
+import type { FaultJournal } from './fault-journal.js';
+import { faultEndS } from './faults/duration.js';
+import type { OwnershipChange } from './ownership-history.js';
+import type { Scenario } from './scenario.js';
+import type { Timeline } from './timeline.js';
+import type { UncaughtError, World } from './world.js';
+
+export interface ScenarioResult {
+  scenario: Scenario;
+  seed: number;
+  /** Broken rules of the protocol, in the order in which they were found. */
+  violations: Violation[];
+  /** Errors that nobody caught, in controllers or stand-ins. */
+  uncaught: UncaughtError[];
+  counts: RunCounts;
+  faults: FaultJournal;
+  /** Who led from when on. */
+  leaders: OwnershipChange[];
+  /** All that the stand-ins did and saw. */
+  timeline: Timeline;
+  /** The controllers with their logs. */
+  controllers: SimulatedController[];
+  /** The same for two runs exactly if their events were the same. */
+  digest: string;
+  eventCount: number;
+}
+
+/** Plays the scenario; the same seed gives the same run. */
+export async function runScenario(scenario: Scenario, seed: number): Promise<ScenarioResult> {
+  const cluster = new Cluster(scenario.cluster, seed);
+  const { world, checker, timeline, controllers, ownership } = cluster;
+  const injector = new FaultInjector(cluster);
+  const stopWatching = collectRejections(world);
+  try {
+    await cluster.start();
+    injector.schedule(scenario.faults);
+    scheduleCalm(cluster, scenario);
+    cluster.users.start(planJobs(cluster, scenario));
+    await world.runUntil(scenario.lengthS);
+  } finally {
+    stopWatching();
+  }
+  return {
+    scenario,
+    seed,
+    violations: checker.finish(),
+    uncaught: world.uncaught,
+    counts: countRun(timeline),
+    faults: injector.journal,
+    leaders: ownership.changes,
+    timeline,
+    controllers,
+    digest: world.digest,
+    eventCount: world.eventCount,
+  };
+}
+
+/** Broken rules and uncaught errors, one line each; empty if all went well. */
+export function describeProblems({ violations, uncaught }: ScenarioResult): string[] {
+  const errors = uncaught.map(({ atS, where, error }) => {
+    const text = error instanceof Error ? error.stack : String(error);
+    return `${atS.toFixed(3)} s uncaught in ${where}: ${text}`;
+  });
+  return [...violations.map(describeViolation), ...errors];
+}
+
+function planJobs({ world, settings }: Cluster, { workload }: Scenario) {
+  const chance = world.chance('workload');
+  return makeWorkload(() => chance.next(), {
+    classes: workload.classes,
+    intensity: workload.intensity,
+    teams: settings.deployment.teams.map((team) => team.name),
+    lengthS: workload.untilS,
+  });
+}
+
+/** Tells the checker when all troubles are over. */
+function scheduleCalm({ world, checker, controllers }: Cluster, { faults }: Scenario): void {
+  const ends = faults.map((fault) => faultEndS(fault, controllers.length));
+  world.schedule(Math.max(0, ...ends), () => checker.troublesOver());
+}
+
+/** Takes rejections that nobody handles as errors of the run. */
+function collectRejections(world: World): () => void {
+  const note = (error: unknown) => {
+    world.uncaught.push({ atS: world.now, where: 'a promise', error });
+  };
+  process.on('unhandledRejection', note);
+  return () => process.off('unhandledRejection', note);
+}
--- a/packages/testing/simulation/scenario.ts
+++ b/packages/testing/simulation/scenario.ts
@@ -1,4 +1,6 @@
 /** Scenarios: what a cluster consists of, what its users do and which faults happen when. */
+import type { JobClass } from '../standins/index.js';
+import type { ClusterSettings } from './cluster-settings.js';
 import type { LinkEffect } from './link-rules.js';
 
 /** Which controllers a fault is about, decided at the moment at which it begins. */
@@ -114,3 +116,22 @@
 
 export type Fault =
   StateFault | CloudFault | ControllerFault | MachineFault | MessageFault | UserFault;
+
+/** What the users of a scenario submit. */
+export interface ScenarioWorkload {
+  classes: JobClass[];
+  /** Multiplies the rates of arrival; 1 if absent. */
+  intensity?: number;
+  /** Jobs come until then, in simulated seconds. */
+  untilS: number;
+}
+
+/** A cluster, its users and what goes wrong. */
+export interface Scenario {
+  name: string;
+  cluster: ClusterSettings;
+  workload: ScenarioWorkload;
+  faults: Fault[];
+  /** Simulated seconds in all. */
+  lengthS: number;
+}
