--- a/packages/controller/entitlement.test.ts
+++ b/packages/controller/entitlement.test.ts
@@ -27,7 +27,7 @@
       owner: false,
       mayOwn: false,
       holder: { term: TERM, name: 'c-0' },
-      strays: 0,
+      unownedReports: 0,
       jobsRevision: 100,
       cancelledSince: 100,
       cancelled: [],
--- a/packages/controller/entitlement.ts
+++ b/packages/controller/entitlement.ts
@@ -96,6 +96,6 @@
  * An owner that its workers can't reach holds its term while all their leases run out. It hears next to
  * none of the machines that should report, and its peers hear some of those ask for it.
  */
-export function cutFromWorkers(machines: number, heard: number, strays: number): boolean {
-  return heard < machines / 8 && strays > Math.max(heard, machines / 16);
+export function cutFromWorkers(machines: number, heard: number, heardByPeers: number): boolean {
+  return heard < machines / 8 && heardByPeers > Math.max(heard, machines / 16);
 }
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -83,7 +83,7 @@
       owner: owner() !== null,
       mayOwn: ownership.mayOwn,
       holder: ownership.newestHolder,
-      strays: unownedReports.count(),
+      unownedReports: unownedReports.count(),
       jobsRevision: jobs.cache.completeTo,
     };
     statuses.send(own, now);
@@ -121,7 +121,7 @@
     const heardByPeers = this.countHeardByPeers(now);
     if (!cutFromWorkers(machines, heard, heardByPeers)) return;
     const term = owner.term.term;
-    log.info({ term, machines, heard, strays: heardByPeers }, 'cut from the workers');
+    log.info({ term, machines, heard, heardByPeers }, 'cut from the workers');
     ownership.resign(settings.deployment.workers.lease_s);
   }
 
@@ -131,7 +131,7 @@
     let workers = 0;
     for (const peer of statuses.statuses()) {
       if (peer && now - peer.heardAt <= CURRENT_PERIODS * this.reportS)
-        workers += peer.frame.strays;
+        workers += peer.frame.unownedReports;
     }
     return workers;
   }
--- a/packages/controller/peer-status.test.ts
+++ b/packages/controller/peer-status.test.ts
@@ -17,7 +17,7 @@
     owner: false,
     mayOwn: false,
     holder: { term: 0, name: '' },
-    strays: 0,
+    unownedReports: 0,
     jobsRevision: 0,
     cancelledSince: 0,
     cancelled: [],
--- a/packages/controller/status-exchange.ts
+++ b/packages/controller/status-exchange.ts
@@ -5,7 +5,14 @@
 /** What a controller states to all peers alike. */
 export type OwnStatus = Pick<
   StatusFrame,
-  'servedAgoMs' | 'refused' | 'loaded' | 'owner' | 'mayOwn' | 'holder' | 'strays' | 'jobsRevision'
+  | 'servedAgoMs'
+  | 'refused'
+  | 'loaded'
+  | 'owner'
+  | 'mayOwn'
+  | 'holder'
+  | 'unownedReports'
+  | 'jobsRevision'
 >;
 
 export interface StatusExchangeOptions {
--- a/packages/peer/frames.ts
+++ b/packages/peer/frames.ts
@@ -38,7 +38,7 @@
   /** Newest owner of the part that the sender has seen; term 0 if none. */
   holder: { term: number; name: string };
   /** How many workers lately reported to the sender though it does not own. */
-  strays: number;
+  unownedReports: number;
   /** Revision up to which the sender's cache of the jobs is complete. */
   jobsRevision: number;
   /** `cancelled` holds all cancellations known to the sender that are newer than this revision. */
@@ -99,7 +99,7 @@
   out.u64(frame.life).u32(frame.sequence);
   out.flags(frame.refused, frame.loaded, frame.owner, frame.mayOwn, echo !== null);
   if (echo) out.u64(echo.life).u32(echo.sequence);
-  out.u32(frame.servedAgoMs).u32(frame.strays);
+  out.u32(frame.servedAgoMs).u32(frame.unownedReports);
   out.u64(holder.term).text(holder.name);
   out.u64(frame.jobsRevision).u64(frame.cancelledSince);
   out.list(frame.cancelled, (job) => out.text(job));
@@ -161,7 +161,7 @@
     owner: flag(2),
     mayOwn: flag(3),
     servedAgoMs: payload.u32(),
-    strays: payload.u32(),
+    unownedReports: payload.u32(),
     holder: { term: payload.u64(), name: payload.text() },
     jobsRevision: payload.u64(),
     cancelledSince: payload.u64(),
--- a/packages/testing/ownership-model.ts
+++ b/packages/testing/ownership-model.ts
@@ -169,7 +169,7 @@
       owner: this.judge !== null,
       mayOwn: this.judge !== null,
       holder,
-      strays: 0,
+      unownedReports: 0,
       jobsRevision,
       cancelledSince: list.since,
       cancelled: list.jobs,
--- a/packages/testing/wire.test.ts
+++ b/packages/testing/wire.test.ts
@@ -172,7 +172,7 @@
       owner: fc.boolean(),
       mayOwn: fc.boolean(),
       holder: record({ term: u53, name }),
-      strays: u32,
+      unownedReports: u32,
       jobsRevision: u53,
       cancelledSince: fc.oneof(u53, fc.constant(Infinity)),
       cancelled: fc.array(jobId, { maxLength: 5 }),
