--- a/packages/controller/report-handler.ts
+++ b/packages/controller/report-handler.ts
@@ -10,7 +10,7 @@
 import { readBody, reply } from './http-bodies.js';
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
-import { WorkerLines } from './sockets.js';
+import { WorkerConnections } from './sockets.js';
 import type { UnownedReports } from './unowned-reports.js';
 import type { Vitals } from './vitals.js';
 
@@ -28,7 +28,7 @@
 
 /** Answers the reports of workers: as the owner if entitled, else with who owns. */
 export class ReportHandler {
-  private readonly connections = new WorkerLines();
+  private readonly connections = new WorkerConnections();
 
   constructor(private readonly options: ReportHandlerOptions) {}
 
--- a/packages/controller/sockets.ts
+++ b/packages/controller/sockets.ts
@@ -19,17 +19,17 @@
  * The connection on which each worker reports. One that was cut off and reports anew leaves its old
  * connection open here without a sign; the old ones of a whole zone would use up the sockets.
  */
-export class WorkerLines {
-  private readonly lines = new Map<string, Duplex>();
+export class WorkerConnections {
+  private readonly connections = new Map<string, Duplex>();
 
   /** A worker's newest report came on this connection; copies of older ones must not be told here. */
   heard(machine: string, socket: Duplex | null): void {
-    const before = this.lines.get(machine);
+    const before = this.connections.get(machine);
     if (socket === null || before === socket) return;
     before?.destroy();
-    this.lines.set(machine, socket);
+    this.connections.set(machine, socket);
     socket.once('close', () => {
-      if (this.lines.get(machine) === socket) this.lines.delete(machine);
+      if (this.connections.get(machine) === socket) this.connections.delete(machine);
     });
   }
 }
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -13,7 +13,7 @@
   reply,
   socketShares,
   UserApi,
-  WorkerLines,
+  WorkerConnections,
 } from '#controller';
 import { aBook, aJob, aMachine, aReport } from './samples.js';
 import { serve } from './services.js';
@@ -150,11 +150,11 @@
   }
   // Guards against the half-open connections of a zone that was cut off: with those of its machines
   // that came back they used up the owner's sockets, and others could not report.
-  const lines = new WorkerLines();
+  const connections = new WorkerConnections();
   const [first, second] = [new Socket(), new Socket()];
-  lines.heard('n-1', first);
-  lines.heard('n-1', first);
+  connections.heard('n-1', first);
+  connections.heard('n-1', first);
   assert.ok(!first.destroyed);
-  lines.heard('n-1', second);
+  connections.heard('n-1', second);
   assert.ok(first.destroyed && !second.destroyed);
 });
