--- a/packages/controller/user-api.ts
+++ b/packages/controller/user-api.ts
@@ -23,7 +23,7 @@
 import { readBody, reply } from './http-bodies.js';
 import { JobTable } from './jobs.js';
 
-export interface ApiParts {
+export interface UserApiOptions {
   clock: Clock;
   client: StateClient;
   commits: GroupCommit;
@@ -42,15 +42,15 @@
 
 /** What users ask: submissions, queries, aborts. */
 export class UserApi {
-  constructor(private readonly parts: ApiParts) {}
+  constructor(private readonly options: UserApiOptions) {}
 
   mount(app: Express): void {
     const guard =
       (kind: string, run: (req: Request, res: Response) => Promise<void>) =>
       (req: Request, res: Response) => {
-        res.once('finish', this.parts.onRequest(kind));
+        res.once('finish', this.options.onRequest(kind));
         // Reports keep their connections when users overrun.
-        if (this.parts.crowded()) res.setHeader('Connection', 'close');
+        if (this.options.crowded()) res.setHeader('Connection', 'close');
         run(req, res).catch((err: unknown) => this.refuse(res, err));
       };
     app.post(
@@ -77,7 +77,7 @@
 
   /** The job as durable now, or undefined; a final state never changes and needs no asking. */
   private async lookUp(id: string): Promise<JobRecord | undefined> {
-    const { jobs } = this.parts;
+    const { jobs } = this.options;
     const known = jobs.get(id);
     if (known && known.phase !== 'accepted') return known;
     await jobs.cache.sync();
@@ -85,8 +85,8 @@
   }
 
   private async submit(req: Request, res: Response): Promise<void> {
-    const { jobs, commits } = this.parts;
-    if (this.parts.overloaded() || commits.full) {
+    const { jobs, commits } = this.options;
+    if (this.options.overloaded() || commits.full) {
       reply(res, 503, { error: 'overloaded' }, 2);
       return;
     }
@@ -118,7 +118,7 @@
       else reply(res, refusal?.status ?? 400, { error: refusal?.error ?? 'invalid' });
       return;
     }
-    if (this.parts.types().length === 0) {
+    if (this.options.types().length === 0) {
       reply(res, 503, { error: 'machine types are not known yet' }, 1);
       return;
     }
@@ -126,8 +126,8 @@
   }
 
   private async accept(job: Job, res: Response): Promise<void> {
-    const { clock, client, commits, jobs } = this.parts;
-    const known = new Set(this.parts.types().map((t) => t.name));
+    const { clock, client, commits, jobs } = this.options;
+    const known = new Set(this.options.types().map((t) => t.name));
     // Types that do not exist here need no place in the record.
     const kept =
       job.types && job.types.length > known.size
@@ -161,14 +161,14 @@
 
   /** Why a job can never run, or null. */
   private neverRuns(job: Job): string | null {
-    const terms = this.parts.teams.get(job.team);
+    const terms = this.options.teams.get(job.team);
     if (!terms) return 'unknown team';
     const n = job.kind === 'array' ? 1 : job.tasks;
     const need = { cpus: job.cpus * n, gpus: job.gpus * n, memory: 0 };
     if (!withinLimit(terms, { cpus: 0, gpus: 0, memory: 0 }, need)) {
       return "more than the team's limit";
     }
-    const types = this.parts.types();
+    const types = this.options.types();
     if (types.length > 0 && !types.some((t) => typeFits(job, t))) {
       return 'a task fits no allowed machine type';
     }
@@ -178,18 +178,18 @@
   private async query(req: Request, res: Response): Promise<void> {
     const id = String(req.params.id);
     const record = isJobId(id) ? await this.lookUp(id) : undefined;
-    if (record) reply(res, 200, this.parts.jobs.view(record));
+    if (record) reply(res, 200, this.options.jobs.view(record));
     else reply(res, 404, { error: 'unknown job' });
   }
 
   private async abort(req: Request, res: Response): Promise<void> {
-    const { client, commits, jobs } = this.parts;
+    const { client, commits, jobs } = this.options;
     const id = String(req.params.id);
     const key = jobKey(id);
     let record = isJobId(id) ? await this.lookUp(id) : undefined;
     // Whoever owns hears of it first: once it is recorded we may end, and the state service with us, and
     // the user may have been told. Nobody has use for the tasks of a job whose user gives it up.
-    if (record?.phase === 'accepted') this.parts.onAbort(id);
+    if (record?.phase === 'accepted') this.options.onAbort(id);
     for (let attempt = 0; record && record.phase === 'accepted' && attempt < 3; attempt++) {
       const value = encodeJob({ ...record, phase: 'aborted' });
       try {
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { encode, NoAnswer, nodeRuntime } from '#wire';
 import {
-  ApiParts,
+  UserApiOptions,
   DirectCommands,
   withReports,
   makeApp,
@@ -65,7 +65,7 @@
   // before it told the owner, and an outage of the state service began.
   const seen: string[] = [];
   const record = { job: aJob(), acceptedAtMs: 0, phase: 'accepted', version: 3 };
-  const parts = {
+  const options = {
     client: { call: () => Promise.reject(new NoAnswer('cut')) },
     commits: {
       commit: () => {
@@ -79,7 +79,7 @@
     onAbort: (id: string) => seen.push(id),
   };
   const app = makeApp();
-  new UserApi(parts as unknown as ApiParts).mount(app);
+  new UserApi(options as unknown as UserApiOptions).mount(app);
   const server = http.createServer(app).listen(0, '127.0.0.1');
   await new Promise((resolve) => server.once('listening', resolve));
   const { port } = server.address() as AddressInfo;
