--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -17,10 +17,25 @@
 /** Multiples of a type's boot time. */
 const BOOT_LATE = 4;
 const REFUSED_FOR = 1 / 3;
+/** Leases for which a machine may be silent before it is given back. */
+const DARK_LEASES = 2;
+/** Failed tasks after which a machine counts as broken. */
+const BROKEN_ERRORS = 3;
+/** Report periods from one look at the machine types to the next, and from one list to the next. */
+const CATALOG_PERIODS = 30;
+const LIST_PERIODS = 2;
+/** Report periods that a new owner listens before it plans, unless it is the first. */
+const LISTEN_PERIODS = 4;
+/** Multiple of the list's lag for which a release is remembered. */
+const RELEASE_MEMORY = 20;
+/** Calls for one rental whose outcome is unknown. */
+const RENT_ATTEMPTS = 4;
 
 /** Share of the allowed rate that is used; a former owner's last calls may still count. */
 const RATE_SHARE = 0.85;
 
+type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
+
 export interface CloudDutyOptions {
   runtime: Runtime;
   cloud: CloudClient;
@@ -87,39 +102,45 @@
     const { reportS, listLagS, mayRent, mayRelease, onTypes } = this.options;
     const now = this.clock.now();
     const book = this.owner.book;
-    if (now - this.typesAt > 30 * reportS || book.types.size === 0) {
+    if (now - this.typesAt > CATALOG_PERIODS * reportS || book.types.size === 0) {
       await this.budget.take(1, false, signal);
       const types = await this.cloud.catalog(signal);
-      for (const t of types) book.types.set(t.name, t);
+      for (const type of types) book.types.set(type.name, type);
       await onTypes(types, signal);
       this.typesAt = now;
     }
-    if (now - this.listedAt > Math.max(2 * reportS, listLagS / 2)) {
-      await this.list(signal);
-    }
+    const listEveryS = Math.max(LIST_PERIODS * reportS, listLagS / 2);
+    if (now - this.listedAt > listEveryS) await this.list(signal);
     // A former owner that doesn't know of its successor yet takes every machine for silent, and those
     // that it was about to return for empty: it must neither rent nor release on that.
     if (!mayRent()) return;
-    const doomed = mayRelease() ? this.doomed(now) : [];
-    if (doomed.length > 0) await this.release(doomed, signal);
-    // After a take-over, first hear what is there.
-    const hears = this.owner.first ? 0 : 4 * reportS;
-    const settled =
-      now - this.owner.startedAt > hears && this.listedAt > -Infinity && this.owner.ready;
-    if (!settled || now - this.planAt < reportS) return;
+    const useless = mayRelease() ? this.uselessMachines(now) : [];
+    if (useless.length > 0) await this.release(useless, signal);
+    if (!this.settled(now) || now - this.planAt < reportS) return;
     this.planAt = now;
+    await this.carryOutPlan(now, signal);
+  }
+
+  /** After a take-over, first hear what is there. */
+  private settled(now: number): boolean {
+    const { owner, options, listedAt } = this;
+    const listenS = owner.first ? 0 : LISTEN_PERIODS * options.reportS;
+    return owner.ready && listedAt > -Infinity && now - owner.startedAt > listenS;
+  }
+
+  private async carryOutPlan(now: number, signal: AbortSignal): Promise<void> {
     const { rent, release, empty } = this.owner.planner.plan(now);
-    if (empty !== null && mayRelease()) {
+    if (empty !== null && this.options.mayRelease()) {
       this.owner.scheduler.empty(empty, now);
       this.owner.nudge();
       const { machine, moves } = empty;
       this.log.info({ machine: machine.name, replicas: moves.length }, 'emptied');
     }
     if (release.length > 0) {
-      for (const m of release) m.draining = true;
-      this.log.info({ machines: release.map((m) => m.name) }, 'surplus');
+      for (const machine of release) machine.draining = true;
+      this.log.info({ machines: release.map((machine) => machine.name) }, 'surplus');
     }
-    await Promise.all(rent.flatMap(portions).map((r) => this.rent(r, signal)));
+    await Promise.all(rent.flatMap(portions).map((portion) => this.rent(portion, signal)));
   }
 
   private async list(signal: AbortSignal): Promise<void> {
@@ -128,54 +149,54 @@
     let after: string | null = null;
     for (;;) {
       await this.budget.take(1, false, signal);
-      const page: { machines: ListedMachine[]; more: boolean } = await this.cloud.list(
-        after,
-        signal,
-      );
-      for (const m of page.machines) this.listed(m, now);
+      const page: MachinePage = await this.cloud.list(after, signal);
+      for (const machine of page.machines) this.takeListed(machine, now);
       if (!page.more || page.machines.length === 0) break;
-      after = page.machines[page.machines.length - 1].name;
+      after = page.machines.at(-1)!.name;
     }
     this.listedAt = now;
-    for (const [name, at] of this.releasedAt) {
-      if (now - at > 20 * Math.max(this.options.listLagS, this.options.reportS))
-        this.releasedAt.delete(name);
+    const { listLagS, reportS } = this.options;
+    const memoryS = RELEASE_MEMORY * Math.max(listLagS, reportS);
+    for (const [name, releasedAt] of this.releasedAt) {
+      if (now - releasedAt > memoryS) this.releasedAt.delete(name);
     }
     book.recomputeFleet();
   }
 
-  private listed(m: ListedMachine, now: number): void {
+  private takeListed(listed: ListedMachine, now: number): void {
     const book = this.owner.book;
-    if (this.releasedAt.has(m.name)) return;
-    const known = book.machines.get(m.name);
+    // The list lags behind what was released.
+    if (this.releasedAt.has(listed.name)) return;
+    const known = book.machines.get(listed.name);
     if (known) {
-      if (m.state === 'failed') known.listedFailed = true;
+      if (listed.state === 'failed') known.listedFailed = true;
       return;
     }
-    const bootS = book.types.get(m.type)?.bootS ?? 0;
+    const bootS = book.types.get(listed.type)?.bootS ?? 0;
     // One that is listed as running has a boot time's worth of patience to report to us.
-    const bornAt = m.state === 'booting' ? now - m.ageS : now - bootS;
-    const met = book.meet(m, 'booting', bornAt);
-    met.listedFailed = m.state === 'failed';
+    const bornAt = listed.state === 'booting' ? now - listed.ageS : now - bootS;
+    const machine = book.meet(listed, 'booting', bornAt);
+    machine.listedFailed = listed.state === 'failed';
   }
 
   /** Machines that cost money for nothing. */
-  private doomed(now: number): Machine[] {
-    const out: Machine[] = [];
-    for (const m of this.owner.book.machines.values()) {
-      const bootS = this.owner.book.types.get(m.type)?.bootS ?? 0;
-      const neverUp = m.state === 'booting' && now - m.bornAt > BOOT_LATE * bootS;
-      const longDark = m.state === 'dark' && now - m.darkAt > 2 * this.options.leaseS;
-      const drained = m.draining && m.tasks.size === 0;
-      const broken = m.errors >= 3 && m.tasks.size === 0;
-      if (m.listedFailed || neverUp || longDark || drained || broken) out.push(m);
-    }
-    return out.slice(0, RELEASE_AT_ONCE);
+  private uselessMachines(now: number): Machine[] {
+    const { machines, types } = this.owner.book;
+    const isUseless = (machine: Machine) => {
+      const { state, draining, errors, bornAt, darkAt } = machine;
+      const bootS = types.get(machine.type)?.bootS ?? 0;
+      const neverUp = state === 'booting' && now - bornAt > BOOT_LATE * bootS;
+      const longDark = state === 'dark' && now - darkAt > DARK_LEASES * this.options.leaseS;
+      const empty = machine.tasks.size === 0;
+      const broken = errors >= BROKEN_ERRORS;
+      return machine.listedFailed || neverUp || longDark || (empty && (draining || broken));
+    };
+    return [...machines.values()].filter(isUseless).slice(0, RELEASE_AT_ONCE);
   }
 
   private async release(machines: Machine[], signal: AbortSignal): Promise<void> {
-    const names = machines.map((m) => m.name);
-    for (const m of machines) m.draining = true;
+    const names = machines.map((machine) => machine.name);
+    for (const machine of machines) machine.draining = true;
     await this.budget.take(1, true, signal);
     // The wait for the budget may have been long, or the process may have stood still in it.
     if (!this.options.mayRelease()) return;
@@ -192,23 +213,13 @@
   private async rent(rental: Rental, signal: AbortSignal): Promise<void> {
     // The term is in the name, so no other life of any controller uses the same.
     const request = `${this.options.name}-${this.owner.term.term}-${++this.requests}`;
-    for (let attempt = 0; attempt < 4; attempt++) {
+    for (let attempt = 0; attempt < RENT_ATTEMPTS; attempt++) {
       await this.budget.take(1, true, signal);
       if (!this.options.mayRent()) return;
       try {
-        const out = await this.cloud.rent(request, rental, signal);
-        if (out === 'trouble') continue;
-        const now = this.clock.now();
-        const names = out === 'no-capacity' ? [] : out.machines;
-        if (names.length < rental.count) {
-          const bootS = this.owner.book.types.get(rental.type)?.bootS ?? 0;
-          this.owner.planner.noteRefused(rental, now + bootS * REFUSED_FOR);
-        }
-        for (const name of names) {
-          const { type, zone, spot } = rental;
-          this.owner.book.meet({ name, addr: '', type, zone, spot }, 'booting', now);
-        }
-        this.log.info({ request, ...rental, got: names.length }, 'rent');
+        const outcome = await this.cloud.rent(request, rental, signal);
+        if (outcome === 'trouble') continue;
+        this.rented(request, rental, outcome === 'no-capacity' ? [] : outcome.machines);
         return;
       } catch (err) {
         // Unknown outcome: the same name again gives the same answer and rents nothing more.
@@ -216,13 +227,25 @@
       }
     }
   }
+
+  private rented(request: string, rental: Rental, names: string[]): void {
+    const { book, planner } = this.owner;
+    const { type, zone, spot, count } = rental;
+    const now = this.clock.now();
+    if (names.length < count) {
+      const bootS = book.types.get(type)?.bootS ?? 0;
+      planner.noteRefused(rental, now + bootS * REFUSED_FOR);
+    }
+    for (const name of names) book.meet({ name, addr: '', type, zone, spot }, 'booting', now);
+    this.log.info({ request, ...rental, got: names.length }, 'rent');
+  }
 }
 
-/** What one call may rent. */
+/** Parts that one call each may rent. */
 function portions(rental: Rental): Rental[] {
-  const out: Rental[] = [];
+  const portions: Rental[] = [];
   for (let left = rental.count; left > 0; left -= RENT_AT_ONCE) {
-    out.push({ ...rental, count: Math.min(left, RENT_AT_ONCE) });
+    portions.push({ ...rental, count: Math.min(left, RENT_AT_ONCE) });
   }
-  return out;
+  return portions;
 }
