--- a/packages/controller/jobs.ts
+++ b/packages/controller/jobs.ts
@@ -13,12 +13,12 @@
     readonly cache: PrefixCache,
     private readonly cancellations: Cancellations,
   ) {
-    cache.changes.subscribe((e) => {
+    cache.changes.subscribe((event) => {
       // Job keys are never removed: a final state must be kept.
-      if (e.value === undefined) return;
-      const record = decodeJob(e.value, e.version);
-      this.records.set(e.key.slice(JOBS.length), record);
-      if (record.phase === 'aborted') cancellations.noteRecorded(record.job.id, e.version);
+      if (event.value === undefined) return;
+      const record = decodeJob(event.value, event.version);
+      this.records.set(event.key.slice(JOBS.length), record);
+      if (record.phase === 'aborted') cancellations.noteRecorded(record.job.id, event.version);
       if (record.phase !== 'accepted') this.counts.delete(record.job.id);
       this.changed.next(record);
     });
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -95,16 +95,12 @@
   private async send(items: Item[], signal: AbortSignal): Promise<boolean> {
     const conditions: Condition[] = [
       { key: partKey(this.term.part), version: this.term.term },
-      ...items.map((i) => ({ key: i.key, version: i.version })),
+      ...items.map(({ key, version }) => ({ key, version })),
     ];
-    const out = await this.client.txn(
-      conditions,
-      items.map((i) => i.change),
-      true,
-      signal,
-    );
+    const changes = items.map((item) => item.change);
+    const out = await this.client.txn(conditions, changes, true, signal);
     if (out.ok) {
-      for (const i of items) i.durable(out.revision);
+      for (const item of items) item.durable(out.revision);
       return true;
     }
     if (!('failed' in out)) throw new TermBroken('no such grant');
@@ -115,14 +111,14 @@
   /** A record differs: an earlier send of the same was applied, or a user's abort came between. */
   private async settle(items: Item[], failed: string[], signal: AbortSignal): Promise<boolean> {
     for (const key of failed) {
-      const item = items.find((i) => i.key === key);
+      const item = items.find((candidate) => candidate.key === key);
       if (!item) throw new TermBroken(`unexpected condition ${key}`);
       const now = await this.client.call(true, signal, (api) => api.get(key, signal));
       const wanted = 'put' in item.change ? item.change.value : undefined;
       if (now ? same(now.value, wanted) : wanted === undefined) {
         // All or nothing: the whole transaction was applied.
         const revision = now?.version ?? 0;
-        for (const i of items) i.durable(revision);
+        for (const each of items) each.durable(revision);
         return true;
       }
       if (key.startsWith('jobs/') && now) {
@@ -130,7 +126,7 @@
         this.log.debug({ key }, 'aborted before its end was recorded');
       } else throw new TermBroken(`record ${key} changed under this term`);
     }
-    for (const i of items) i.again();
+    for (const item of items) item.again();
     return true;
   }
 
@@ -155,7 +151,7 @@
       if (!job || job.phase !== 'accepted') continue;
       const made = this.jobItems(job, chunks);
       items.push(...made);
-      bytes += sizeOf(made.map((i) => i.change));
+      bytes += sizeOf(made.map((item) => item.change));
     }
     return items;
   }
@@ -183,7 +179,7 @@
       change: { put: key, value: encodeMachine(machine, held) },
       durable: (revision) => {
         this.versions.set(key, revision);
-        for (const a of held) a.recorded = true;
+        for (const assignment of held) assignment.recorded = true;
         this.book.handedOver(machine, revision);
       },
       again,
@@ -210,12 +206,12 @@
       ];
     }
     const items: Item[] = [];
-    for (let c = 0; c < chunks; c++) {
-      const key = progressKey(id, c);
+    for (let chunk = 0; chunk < chunks; chunk++) {
+      const key = progressKey(id, chunk);
       items.push({
         key,
         version: this.versions.get(key) ?? 0,
-        change: { put: key, value: { done: job.done.chunkText(c, this.chunkTasks) } },
+        change: { put: key, value: { done: job.done.chunkText(chunk, this.chunkTasks) } },
         durable: (revision) => {
           this.versions.set(key, revision);
           if (job.done.size === size) job.unsaved = false;
@@ -233,18 +229,19 @@
     type: machine.type,
     zone: machine.zone,
     spot: machine.spot,
-    tasks: held.map((a) => [a.job.job.id, a.index, a.attempt]),
+    tasks: held.map(({ job, index, attempt }) => [job.job.id, index, attempt]),
   };
 }
 
+/** Key order does not matter. */
 function same(a: unknown, b: unknown): boolean {
   return canonical(a) === canonical(b);
 }
 
 function canonical(value: unknown): string {
-  return JSON.stringify(value, (_key, v: unknown) =>
-    v !== null && typeof v === 'object' && !Array.isArray(v)
-      ? Object.fromEntries(Object.entries(v).sort(([x], [y]) => (x < y ? -1 : 1)))
-      : v,
+  return JSON.stringify(value, (_key, part: unknown) =>
+    part !== null && typeof part === 'object' && !Array.isArray(part)
+      ? Object.fromEntries(Object.entries(part).sort(([x], [y]) => (x < y ? -1 : 1)))
+      : part,
   );
 }
--- a/packages/store/budget.ts
+++ b/packages/store/budget.ts
@@ -1,5 +1,8 @@
 import { Clock, sleep } from '#wire';
 
+/** Share of a second's worth that is left to urgent takers. */
+const RESERVE = 1 / 4;
+
 /** A rate with one second's worth of burst. Urgent takers overdraw; others wait for a reserve. */
 export class Budget {
   private level: number;
@@ -31,20 +34,20 @@
     return this.level;
   }
 
-  /** Milliseconds until `n` may be taken, 0 if now. */
-  waitMs(n: number, urgent: boolean): number {
+  /** Milliseconds until so many may be taken, 0 if now. */
+  waitMs(count: number, urgent: boolean): number {
     this.refill();
-    const floor = urgent ? 0 : this.perSecond / 4;
-    const missing = Math.min(n, this.perSecond) + floor - this.level;
+    const floor = urgent ? 0 : this.perSecond * RESERVE;
+    const missing = Math.min(count, this.perSecond) + floor - this.level;
     return missing <= 0 ? 0 : Math.ceil((missing / this.perSecond) * 1000);
   }
 
-  async take(n: number, urgent: boolean, signal?: AbortSignal): Promise<void> {
+  async take(count: number, urgent: boolean, signal?: AbortSignal): Promise<void> {
     for (;;) {
-      const wait = this.waitMs(n, urgent);
+      const wait = this.waitMs(count, urgent);
       if (wait === 0) break;
       await sleep(this.clock, wait, signal);
     }
-    this.level -= n;
+    this.level -= count;
   }
 }
--- a/packages/store/cache.ts
+++ b/packages/store/cache.ts
@@ -125,9 +125,9 @@
     const sentAt = runtime.clock.now();
     const { entries, revision: base } = await listAll(client, prefix, signal);
     const seen = new Set<string>();
-    for (const e of entries) {
-      seen.add(e.key);
-      this.take(e);
+    for (const entry of entries) {
+      seen.add(entry.key);
+      this.take(entry);
     }
     for (const [key, version] of this.versions) {
       if (!seen.has(key) && version <= base) this.take({ key, version: base });
@@ -137,15 +137,16 @@
   }
 
   private apply(events: WatchEvent[], revision: number): void {
-    for (const e of events) this.take(e);
+    for (const event of events) this.take(event);
     if (this.revision !== null) this.revision = Math.max(this.revision, revision);
   }
 
-  private take(e: WatchEvent): void {
-    const known = this.versions.get(e.key) ?? 0;
-    if (e.version <= known) return;
-    this.versions.set(e.key, e.version);
-    this.changes.next(e);
+  /** Older events than what is known of their key change nothing. */
+  private take(event: WatchEvent): void {
+    const known = this.versions.get(event.key) ?? 0;
+    if (event.version <= known) return;
+    this.versions.set(event.key, event.version);
+    this.changes.next(event);
   }
 }
 
--- a/packages/store/commit.ts
+++ b/packages/store/commit.ts
@@ -3,6 +3,9 @@
 
 export type CommitOutcome = { ok: true; revision: number } | { ok: false };
 
+/** Half of a transaction's 64 KiB, so that one more of the largest changes still fits. */
+const BATCH_BYTES = 32 * 1024;
+
 interface Intent {
   conditions: Condition[];
   changes: Change[];
@@ -42,16 +45,16 @@
   private async drain(): Promise<void> {
     while (this.queue.length > 0) {
       const batch = this.nextBatch();
-      const conditions = batch.flatMap((i) => i.conditions);
-      const changes = batch.flatMap((i) => i.changes);
+      const conditions = batch.flatMap((intent) => intent.conditions);
+      const changes = batch.flatMap((intent) => intent.changes);
       try {
         const out = await this.client.txn(conditions, changes, false);
-        if (out.ok) for (const i of batch) i.resolve({ ok: true, revision: out.revision });
+        if (out.ok) for (const { resolve } of batch) resolve({ ok: true, revision: out.revision });
         else if ('failed' in out) this.split(batch, out.failed);
-        else for (const i of batch) i.resolve({ ok: false });
+        else for (const { resolve } of batch) resolve({ ok: false });
       } catch (err) {
         const known = err instanceof StateRefused || err instanceof NoAnswer;
-        for (const i of batch) i.reject(known ? err : new NoAnswer(String(err)));
+        for (const { reject } of batch) reject(known ? err : new NoAnswer(String(err)));
       }
     }
     this.running = false;
@@ -61,36 +64,38 @@
     const batch: Intent[] = [];
     const keys = new Set<string>();
     let ops = 0;
-    // Half of the transaction's 64 KiB, so that one more of the largest still fits.
     let bytes = 0;
     while (this.queue.length > 0) {
       const next = this.queue[0];
       if (batch.length > 0) {
         if (ops + next.changes.length > this.client.limits.txnOps) break;
-        if (bytes > 32 * 1024) break;
-        if (next.conditions.some((c) => keys.has(c.key))) break;
+        if (bytes > BATCH_BYTES) break;
+        if (next.conditions.some(({ key }) => keys.has(key))) break;
       }
       this.queue.shift();
       batch.push(next);
       ops += next.changes.length;
-      for (const c of next.conditions) keys.add(c.key);
+      for (const { key } of next.conditions) keys.add(key);
       bytes += sizeOf(next.changes);
     }
     return batch;
   }
 
+  /** Those whose own conditions failed are told so; the others go again. */
   private split(batch: Intent[], failed: string[]): void {
-    const bad = new Set(failed);
+    const failedKeys = new Set(failed);
     const again: Intent[] = [];
-    for (const i of batch) {
-      if (i.conditions.some((c) => bad.has(c.key))) i.resolve({ ok: false });
-      else again.push(i);
+    for (const intent of batch) {
+      const isFailed = intent.conditions.some(({ key }) => failedKeys.has(key));
+      if (isFailed) intent.resolve({ ok: false });
+      else again.push(intent);
     }
-    if (again.length === batch.length) for (const i of again) i.resolve({ ok: false });
+    if (again.length === batch.length) for (const { resolve } of again) resolve({ ok: false });
     else this.queue.unshift(...again);
   }
 }
 
+/** Length in JSON, by which the state service's limits count. */
 export function sizeOf(changes: Change[]): number {
   return JSON.stringify(changes).length;
 }
--- a/packages/store/ownership.ts
+++ b/packages/store/ownership.ts
@@ -46,11 +46,11 @@
 
   constructor(private readonly options: OwnershipOptions) {
     this.idle = new WakeablePause(options.runtime.clock);
-    options.cache.changes.subscribe((e) => {
-      if (e.key !== partKey(options.part)) return;
-      this.holder = e.value ? { ...(e.value as PartRecord), version: e.version } : null;
+    options.cache.changes.subscribe((event) => {
+      if (event.key !== partKey(options.part)) return;
+      this.holder = event.value ? { ...(event.value as PartRecord), version: event.version } : null;
       if (this.holder) {
-        this.newestHolder = { term: e.version, name: this.holder.owner };
+        this.newestHolder = { term: event.version, name: this.holder.owner };
         // A claim that is still to be carried out fails while the key is there.
         this.claimOpen = false;
       }
--- a/packages/store/records.ts
+++ b/packages/store/records.ts
@@ -23,8 +23,8 @@
   return `world/parts/${part}`;
 }
 
-export function encodeJob(r: Omit<JobRecord, 'version'>): unknown {
-  return { job: jobToWire(r.job), at: r.acceptedAtMs, phase: r.phase };
+export function encodeJob({ job, acceptedAtMs, phase }: Omit<JobRecord, 'version'>): unknown {
+  return { job: jobToWire(job), at: acceptedAtMs, phase };
 }
 
 export function decodeJob(value: unknown, version: number): JobRecord {
