--- a/packages/testing/standins/index.ts
+++ b/packages/testing/standins/index.ts
@@ -11,3 +11,4 @@
 export * from './worker/index.js';
 export * from './users/index.js';
 export * from './world-state.js';
+export * from './workload/index.js';
--- /dev/null
+++ b/packages/testing/standins/workload/index.ts
@@ -0,0 +1,2 @@
+export * from './job-class.js';
+export * from './workload.js';
--- /dev/null
+++ b/packages/testing/standins/workload/workload.ts
@@ -0,0 +1,122 @@
+/** Makes up the jobs of a run, seeded by the source of chance that it is given. */
+import type { Job } from '#wire';
+import type { JobProgram } from '../job-storage.js';
+import type { PlannedJob } from '../users/index.js';
+import {
+  exponential,
+  logNormal,
+  uniform,
+  uniformInteger,
+  type Random,
+  type Span,
+} from './distributions.js';
+import type { JobClass } from './job-class.js';
+
+export interface WorkloadOptions {
+  classes: JobClass[];
+  /** Names of the teams; each job is one's at random. */
+  teams: string[];
+  /** Jobs come during this time. */
+  lengthS: number;
+  /** Multiplies the rates of arrival. */
+  intensity?: number;
+}
+
+/** Ids are chosen from this many numbers, in no order; higher ones belong to odd requests. */
+const ID_RANGE = 900_000;
+/** Coprime to the range, so that no id comes twice. */
+const ID_STEP = 410_647;
+const ID_DIGITS = 6;
+/** An estimate as a multiple of the true run time. */
+const ESTIMATE_ERROR: Span = [0.5, 1.8];
+/** A deadline as a multiple of the estimate, and what comes on top. */
+const DEADLINE_FACTOR = 3;
+const DEADLINE_EXTRA_S = 60;
+/** A cancelled job is called off at this part of its estimate. */
+const CANCEL_AT: Span = [0, 1.2];
+const REPEATED_SHARE = 0.05;
+const REPEATED_AFTER_S: Span = [1, 120];
+const FAILS_AFTER_S: Span = [1, 10];
+/** The user of a job that always fails calls it off after this time. */
+const MISTAKE_SEEN_AFTER_S: Span = [30, 120];
+
+/** All jobs of a run, in the order in which they come. */
+export function makeWorkload(random: Random, options: WorkloadOptions): PlannedJob[] {
+  const { classes, teams, lengthS, intensity = 1 } = options;
+  const maker = new JobMaker(random, teams);
+  const plan = classes.flatMap((jobClass) => {
+    const times = arrivalTimes(random, jobClass, intensity, lengthS);
+    return times.map((submitAtS) => maker.make(jobClass, submitAtS));
+  });
+  return plan.sort((first, second) => first.submitAtS - second.submitAtS);
+}
+
+function arrivalTimes(
+  random: Random,
+  { arrivals }: JobClass,
+  intensity: number,
+  lengthS: number,
+): number[] {
+  const times: number[] = [];
+  const perSecond = (arrivals.perMinute * intensity) / 60;
+  for (let atS = 0; ;) {
+    atS += exponential(random, perSecond);
+    if (atS >= lengthS) return times;
+    const count = uniformInteger(random, arrivals.together);
+    times.push(...Array<number>(count).fill(atS));
+  }
+}
+
+class JobMaker {
+  private nextId: number;
+
+  constructor(
+    private readonly random: Random,
+    private readonly teams: string[],
+  ) {
+    this.nextId = Math.floor(random() * ID_RANGE);
+  }
+
+  make(jobClass: JobClass, submitAtS: number): PlannedJob {
+    const program = this.makeProgram(jobClass);
+    const repeated = this.random() < REPEATED_SHARE;
+    return {
+      program,
+      submitAtS,
+      cancelAfterS: this.drawCancellation(jobClass, program),
+      repeatAfterS: repeated ? uniform(this.random, REPEATED_AFTER_S) : null,
+    };
+  }
+
+  private makeProgram(jobClass: JobClass): JobProgram {
+    const { template, run, images } = jobClass;
+    const tasks = uniformInteger(this.random, jobClass.tasks);
+    const isService = template.kind === 'service';
+    const runS = Array.from({ length: tasks }, () => logNormal(this.random, run));
+    const estimateS = isService ? 0 : Math.max(...runS) * uniform(this.random, ESTIMATE_ERROR);
+    const job: Job = {
+      ...template,
+      id: this.drawId(),
+      team: this.teams[Math.floor(this.random() * this.teams.length)],
+      tasks,
+      image: `${template.class}-${uniformInteger(this.random, [1, images])}`,
+      estimateS,
+      deadlineS: isService ? null : estimateS * DEADLINE_FACTOR + DEADLINE_EXTRA_S,
+    };
+    const mistaken = this.random() < jobClass.mistakenShare;
+    return { job, runS, failsAfterS: mistaken ? uniform(this.random, FAILS_AFTER_S) : null };
+  }
+
+  private drawCancellation({ run, cancelledShare }: JobClass, program: JobProgram): number | null {
+    const { job, failsAfterS } = program;
+    if (failsAfterS !== null) return uniform(this.random, MISTAKE_SEEN_AFTER_S);
+    if (job.kind === 'service') return logNormal(this.random, run);
+    if (this.random() >= cancelledShare) return null;
+    return job.estimateS * uniform(this.random, CANCEL_AT);
+  }
+
+  private drawId(): string {
+    this.nextId = (this.nextId + ID_STEP) % ID_RANGE;
+    return `j-${String(this.nextId).padStart(ID_DIGITS, '0')}`;
+  }
+}
