Rate budget: every batch is granted in time, and nobody starves

Cause: takers that were not urgent had to leave a quarter of a second's worth, so a batch larger than three quarters of the rate was never granted. At a controller that does not own (0.3 of the rate) a burst of submissions or aborts then hung for good, and every later one with it. Besides, a controller that had not owned yet used 0.55 of the rate of changes instead of 0.3, since the first state of the ownership was filtered out, and at the owner urgent records kept users' commits waiting without end.

The recorder stands in the same line as users' commits. Batches are cut to what the budget grants within half a second. The share of a controller that does not own holds from its start.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -411,7 +411,12 @@
     this.ownership.resign(leaseS);
   }
 
+  private shareWrites(share: number): void {
+    if (this.settings.deployment.nodes > 1) this.client.shareWrites(share);
+  }
+
   private async ownerDuty(signal: AbortSignal): Promise<void> {
+    this.shareWrites(OTHERS_WRITE);
     let current: { term: Term; stop: AbortController } | null = null;
     const running = new Set<Promise<void>>();
     const terms: Subscription = this.ownership.term
@@ -420,9 +425,7 @@
         current?.stop.abort();
         current = null;
         this.owner = null;
-        if (this.settings.deployment.nodes > 1) {
-          this.client.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
-        }
+        this.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
         if (!term) return;
         this.log.info({ term: term.term }, 'term begins');
         const stop = new AbortController();
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -100,7 +100,7 @@
     const out = await this.client.txn(
       conditions,
       items.map((i) => i.change),
-      true,
+      false,
       signal,
     );
     if (out.ok) {
--- /dev/null
+++ b/packages/controller/user-burst.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { UserClient } from '#wire';
+import { aJob, Cluster, formatAddress, serviceAddress, SMALL_CLUSTER, USERS_HOST } from '#testing';
+
+const WRITE_RPS = SMALL_CLUSTER.deployment.state.write_rps;
+/** The part of all changes that a controller may make that does not own. */
+const SHARE = 0.3;
+
+/** A cluster with an owner, and a way to make users of a controller that has never owned. */
+async function aClusterAndUsers() {
+  const cluster = new Cluster(SMALL_CLUSTER, 1);
+  const runtime = cluster.serviceRuntime('users', 'users', USERS_HOST);
+  await cluster.start();
+  await cluster.world.runUntil(5);
+  const owner = cluster.ownership.current()?.owner;
+  const follower = cluster.controllers.find(({ name }) => name !== owner)!;
+  const address = formatAddress(serviceAddress(follower.index));
+  const aUser = () => new UserClient(address, 20_000, runtime);
+  return { cluster, aUser, now: () => cluster.world.now };
+}
+
+test('a burst of submissions and aborts at a controller that has never owned is answered in its share', async () => {
+  const { cluster, aUser, now } = await aClusterAndUsers();
+  const ids = Array.from({ length: 40 }, (_, i) => `j-${i}`);
+  const submitted: number[] = [];
+  for (const id of ids) {
+    void aUser()
+      .submit(aJob({ id }))
+      .then(({ status }) => status === 201 && submitted.push(now()));
+  }
+  await cluster.world.runUntil(now() + 0.5);
+  const most = SHARE * WRITE_RPS * 1.5 + 1;
+  assert.ok(submitted.length > 10 && submitted.length <= most, `${submitted.length} accepted`);
+  await cluster.world.runUntil(now() + 5);
+  assert.equal(submitted.length, ids.length);
+  // The state service answers slowly, so that all that come meanwhile share the next transaction.
+  cluster.state.setLatency({ usualMs: [400, 400], slowShare: 0, slowMs: [0, 0] });
+  let aborted = 0;
+  for (const id of ids)
+    void aUser()
+      .abort(id)
+      .then(({ status }) => status === 200 && aborted++);
+  await cluster.world.runUntil(now() + 10);
+  assert.equal(aborted, ids.length);
+  assert.deepEqual(cluster.world.uncaught, []);
+});
--- /dev/null
+++ b/packages/store/budget.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { SEEDED, StateWorld } from '#testing';
+import { Budget } from './budget.js';
+
+const LIMITS = { rps: 100, writeRps: 100, valueBytes: 1024, txnOps: 24 };
+
+async function aBudget(perSecond: number) {
+  const world = await StateWorld.start(LIMITS);
+  return { world, budget: new Budget(world.controller().clock, perSecond) };
+}
+
+test('whatever the rate and the number taken, the wait is what the rate asks for', async () => {
+  // Guards against a reserve for urgent takers that could never be left over.
+  const rates = fc.double({ min: 0.2, max: 500, noNaN: true });
+  const takes = fc.array(
+    fc.record({ units: fc.integer({ min: 1, max: 100 }), urgent: fc.boolean() }),
+    {
+      minLength: 1,
+      maxLength: 4,
+    },
+  );
+  await fc.assert(
+    fc.asyncProperty(rates, takes, async (rate, wanted) => {
+      const { world, budget } = await aBudget(rate);
+      let taken = 0;
+      for (const { units, urgent } of wanted) void budget.take(units, urgent).then(() => taken++);
+      const units = wanted.reduce((sum, take) => sum + take.units, 0);
+      await world.run(units / rate + 1.25);
+      assert.equal(taken, wanted.length);
+    }),
+    SEEDED,
+  );
+});
+
+test('a taker without an end starves nobody, and urgent ones go first', async () => {
+  const { world, budget } = await aBudget(10);
+  const order: string[] = [];
+  const takeFor = async (name: string, units: number) => {
+    for (;;) {
+      await budget.take(units, false);
+      order.push(name);
+    }
+  };
+  void takeFor('a', 8);
+  void takeFor('b', 3);
+  await world.run(11);
+  // Turn by turn: eleven units a round, at ten a second.
+  assert.equal(order.join(''), 'ab'.repeat(10) + 'a');
+  void budget.take(1, true).then(() => order.push('urgent'));
+  const served = order.length;
+  await world.run(0.5);
+  assert.equal(order[served], 'urgent');
+});
+
+test('who gives up leaves the line', async () => {
+  const { world, budget } = await aBudget(10);
+  const stop = new AbortController();
+  let taken = 0;
+  await budget.take(10, false);
+  const given = assert.rejects(budget.take(10, false, stop.signal));
+  void budget.take(1, false).then(() => taken++);
+  await world.run(0.5);
+  assert.equal(taken, 0);
+  stop.abort();
+  await given;
+  await world.run(0.001);
+  assert.equal(taken, 1);
+  await assert.rejects(budget.take(1, false, stop.signal));
+});
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -61,7 +61,12 @@
     return { requests: this.reads.left(), changes: this.writes.left() };
   }
 
-  /** Runs one request and notes whether the service served it. */
+  /** Changes that a transaction may hold so that it needs not wait long for the budget; at least one. */
+  get txnChanges(): number {
+    return Math.max(1, Math.min(this.limits.txnOps, Math.floor(this.writes.soon())));
+  }
+
+  /** Runs one request and notes whether the service served it; urgent ones go ahead of the line. */
   async call<T>(
     urgent: boolean,
     signal: AbortSignal | undefined,
--- /dev/null
+++ b/packages/store/commit.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { StateWorld } from '#testing';
+import { GroupCommit } from './commit.js';
+
+const LIMITS = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
+/** The share of all changes that a controller may make that does not own. */
+const SHARE = 0.3;
+
+test('a burst of changes at a controller that does not own is recorded as fast as its share allows', async () => {
+  const state = await StateWorld.start(LIMITS);
+  const client = state.client(state.controller(), SHARE);
+  state.service.setLatency({ usualMs: [400, 400], slowShare: 0, slowMs: [0, 0] });
+  const commits = new GroupCommit(client, 100);
+  const recorded: number[] = [];
+  for (let i = 0; i < 40; i++) {
+    const key = `jobs/${i}`;
+    void commits
+      .commit([{ key, version: 0 }], [{ put: key, value: i }])
+      .then((outcome) => outcome.ok && recorded.push(state.now));
+  }
+  // The first goes alone; those that come meanwhile share transactions.
+  await state.run(0.85);
+  assert.ok(recorded.length >= 13, `${recorded.length} recorded`);
+  await state.run(40 / (SHARE * LIMITS.writeRps) + 1.25 - 0.85);
+  assert.equal(recorded.length, 40);
+  assert.equal(client.refused, 0);
+});
--- a/packages/store/commit.ts
+++ b/packages/store/commit.ts
@@ -60,13 +60,14 @@
   private nextBatch(): Intent[] {
     const batch: Intent[] = [];
     const keys = new Set<string>();
+    const maxOps = this.client.txnChanges;
     let ops = 0;
     // Half of the transaction's 64 KiB, so that one more of the largest still fits.
     let bytes = 0;
     while (this.queue.length > 0) {
       const next = this.queue[0];
       if (batch.length > 0) {
-        if (ops + next.changes.length > this.client.limits.txnOps) break;
+        if (ops + next.changes.length > maxOps) break;
         if (bytes > 32 * 1024) break;
         if (next.conditions.some((c) => keys.has(c.key))) break;
       }
--- /dev/null
+++ b/packages/testing/state-world.ts
@@ -0,0 +1,72 @@
+/** A state service and processes that use it, in one simulated world. */
+import { type Runtime, StateApi } from '#wire';
+import { StateClient, type StateLimits } from '#store';
+import {
+  formatAddress,
+  type HostRole,
+  SimulatedHost,
+  SimulatedNetwork,
+  SimulatedProcess,
+  STATE_ADDRESS,
+  World,
+} from './simulation/index.js';
+import { StateService } from './standins/index.js';
+
+const NO_SKEW = { zeroS: 0, drift: 0, wallOffsetMs: 0 };
+/** Between two looks at a condition that is waited for; seconds. */
+const LOOK_S = 0.01;
+
+export class StateWorld {
+  readonly network: SimulatedNetwork;
+  readonly service: StateService;
+
+  private constructor(
+    readonly world: World,
+    private readonly limits: StateLimits,
+  ) {
+    this.network = new SimulatedNetwork(world);
+    const runtime = this.addHost('state', 'state', STATE_ADDRESS.host);
+    this.service = new StateService(runtime, { ...limits, valueKb: limits.valueBytes / 1024 });
+  }
+
+  static async start(limits: StateLimits, seed = 1): Promise<StateWorld> {
+    const state = new StateWorld(new World(seed), limits);
+    await state.service.listen(STATE_ADDRESS);
+    return state;
+  }
+
+  get now(): number {
+    return this.world.now;
+  }
+
+  /** The runtime of a controller's process on a host of its own. */
+  controller(address = '10.0.0.1'): Runtime {
+    return this.addHost(`controller at ${address}`, 'controller', address);
+  }
+
+  /** A client of the service with a share of its rates. */
+  client(runtime: Runtime, share = 1, timeoutMs = 1000): StateClient {
+    const api = new StateApi(runtime, formatAddress(STATE_ADDRESS), timeoutMs);
+    return new StateClient(runtime.clock, api, this.limits, share);
+  }
+
+  /** Lets time pass; throws the first error that a simulated callback threw. */
+  async run(seconds: number): Promise<void> {
+    await this.world.runUntil(this.world.now + seconds);
+    if (this.world.uncaught.length > 0) throw this.world.uncaught[0].error;
+  }
+
+  /** Lets time pass until the condition holds; false if that takes more than so many seconds. */
+  async runUntil(condition: () => boolean, withinS: number): Promise<boolean> {
+    const end = this.world.now + withinS;
+    while (!condition() && this.world.now < end) await this.run(LOOK_S);
+    return condition();
+  }
+
+  private addHost(name: string, role: HostRole, address: string): Runtime {
+    const host = this.network.addHost(new SimulatedHost(name, role, address, null));
+    const program = () => {};
+    return new SimulatedProcess(this.world, this.network, host, name, program, NO_SKEW).start()
+      .runtime;
+  }
+}
