--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -40,6 +40,7 @@
 
   /** Follows the ownership until the signal aborts; resolves once the last term has ended. */
   async run(signal: AbortSignal): Promise<void> {
+    this.shareWrites(OTHERS_WRITE);
     const terms = this.options.ownership.term
       .pipe(filter((term) => term?.term !== this.term?.id))
       .subscribe((term) => this.change(term, signal));
@@ -49,11 +50,11 @@
   }
 
   private change(term: Term | null, signal: AbortSignal): void {
-    const { settings, client, log } = this.options;
+    const { log } = this.options;
     this.term?.end.abort();
     this.term = null;
     this.current = null;
-    if (settings.deployment.nodes > 1) client.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
+    this.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
     if (!term) return;
     log.info({ term: term.term }, 'term begins');
     const end = new AbortController();
@@ -63,6 +64,11 @@
     void done.finally(() => this.running.delete(done));
   }
 
+  private shareWrites(share: number): void {
+    const { settings, client } = this.options;
+    if (settings.deployment.nodes > 1) client.shareWrites(share);
+  }
+
   private async own(term: Term, signal: AbortSignal): Promise<void> {
     const { runtime, settings, log } = this.options;
     while (!signal.aborted) {
