--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -98,7 +98,7 @@
       ...items.map(({ key, version }) => ({ key, version })),
     ];
     const changes = items.map((item) => item.change);
-    const out = await this.client.txn(conditions, changes, true, signal);
+    const out = await this.client.txn(conditions, changes, false, signal);
     if (out.ok) {
       for (const item of items) item.durable(out.revision);
       return true;
--- a/packages/store/commit.ts
+++ b/packages/store/commit.ts
@@ -63,12 +63,13 @@
   private nextBatch(): Intent[] {
     const batch: Intent[] = [];
     const keys = new Set<string>();
+    const maxOps = this.client.txnChanges;
     let ops = 0;
     let bytes = 0;
     while (this.queue.length > 0) {
       const next = this.queue[0];
       if (batch.length > 0) {
-        if (ops + next.changes.length > this.client.limits.txnOps) break;
+        if (ops + next.changes.length > maxOps) break;
         if (bytes > BATCH_BYTES) break;
         if (next.conditions.some(({ key }) => keys.has(key))) break;
       }
