--- a/packages/testing/standins/users/users.ts
+++ b/packages/testing/standins/users/users.ts
@@ -1,4 +1,5 @@
 /** All users: they submit jobs through the load balancer, ask about them and cancel some. */
+import { setMaxListeners } from 'node:events';
 import { pause, type Runtime } from '#wire';
 import type { Observer } from '../events.js';
 import type { JobStorage } from '../job-storage.js';
@@ -45,6 +46,8 @@
     this.nodes = nodes.map(({ address }) => new UserRequests(runtime, address, observer));
     this.closeLooks = new CloseLooks(runtime, this.nodes);
     this.oddRequests = new OddRequests(runtime, this.requests, observer);
+    // Each job under way listens to it.
+    setMaxListeners(0, this.stopping.signal);
     storage.onJobComplete((job) => this.jobEnded(job));
   }
 
