Cancellations that nobody recorded are recorded by the owner

Cause: an owner that hears of a request ends the job in memory at once, for the rest of its term. If the controller that took the request ended before its transaction, or its user gave up repeating, the record stayed accepted: nothing of the job ran, its results were dropped, and it was called pending until another owner began it anew. Besides, each status frame renewed the time of every request that it listed at its receivers, which listed it again, so that requests were told to and fro for ever.

Change: the owner keeps which jobs it ended on request and records the cancellation itself once the record is still open after four report periods, on the condition of the record's version; a job recorded as done before stays done. Frames carry the age of each request. What a peer tells renews no request that is known and takes none up again that is too old; only a user who asks anew renews one.

Measured in the simulation: the controller that took the request crashes 0.2 s after it, its transaction carried out 30 s late: recorded as aborted within 8 report periods (before: accepted for good). Three tables that tell each other each half second, frames up to 2 s on their way: all have forgotten a request 20 s after its time at the latest.

--- /dev/null
+++ b/packages/controller/cancellation-recorder.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { NoAnswer, UserClient } from '#wire';
+import { decodeJob, jobKey } from '#store';
+import {
+  aJob,
+  Cluster,
+  formatAddress,
+  serviceAddress,
+  type SimulatedController,
+  SMALL_CLUSTER,
+  USERS_HOST,
+} from '#testing';
+
+const REPORT_S = SMALL_CLUSTER.deployment.workers.report_s;
+const ID = 'j-1';
+
+/** A cluster whose job runs, and the controllers that don't own. */
+async function aClusterWithJob() {
+  const cluster = new Cluster(SMALL_CLUSTER, 3);
+  const runtime = cluster.serviceRuntime('users', 'users', USERS_HOST);
+  const userAt = ({ index }: SimulatedController) =>
+    new UserClient(formatAddress(serviceAddress(index)), 5000, runtime);
+  const job = aJob({ id: ID });
+  cluster.storage.upload({ job, runS: [1000], failsAfterS: null });
+  await cluster.start();
+  await cluster.world.runUntil(10);
+  const owner = cluster.ownership.current()?.owner;
+  const followers = cluster.controllers.filter(({ name }) => name !== owner);
+  void userAt(followers[0]).submit(job);
+  await cluster.world.runUntil(60);
+  return { cluster, followers, userAt };
+}
+
+function recordOf(cluster: Cluster) {
+  const entry = cluster.state.store.get(jobKey(ID))!;
+  return decodeJob(entry.value, entry.version);
+}
+
+test('a cancellation whose controller ends before it is recorded is recorded by the owner', async () => {
+  // Guards against jobs that were ended in memory, but called pending until another owner began them anew.
+  const { cluster, followers, userAt } = await aClusterWithJob();
+  assert.equal(cluster.timeline.of('task-started').length, 1);
+  cluster.state.beginLateWrites(1, [30, 30]);
+  userAt(followers[0])
+    .abort(ID)
+    .catch((err: unknown) => assert.ok(err instanceof NoAnswer));
+  await cluster.world.runUntil(60.2);
+  cluster.state.endLateWrites();
+  followers[0].process.crash();
+  await cluster.world.runUntil(60.2 + 3 * REPORT_S);
+  assert.equal(recordOf(cluster).phase, 'accepted');
+  await cluster.world.runUntil(60.2 + 8 * REPORT_S);
+  const recorded = recordOf(cluster);
+  assert.equal(recorded.phase, 'aborted');
+  // The late write of the controller that ended changes nothing.
+  await cluster.world.runUntil(100);
+  assert.equal(recordOf(cluster).version, recorded.version);
+  assert.deepEqual(cluster.world.uncaught, []);
+});
+
+test('a job that is recorded as done while its cancellation waits for its record stays done', async () => {
+  const { cluster, followers, userAt } = await aClusterWithJob();
+  cluster.state.beginLateWrites(1, [30, 30]);
+  userAt(followers[0])
+    .abort(ID)
+    .catch((err: unknown) => assert.ok(err instanceof NoAnswer));
+  await cluster.world.runUntil(60.2);
+  cluster.state.endLateWrites();
+  const { value } = cluster.state.store.get(jobKey(ID))!;
+  const done = { ...(value as object), phase: 'done' };
+  const version = cluster.state.store.apply([{ put: jobKey(ID), value: done }]);
+  await cluster.world.runUntil(60.2 + 12 * REPORT_S);
+  assert.equal(recordOf(cluster).phase, 'done');
+  assert.equal(recordOf(cluster).version, version);
+  assert.deepEqual(cluster.world.uncaught, []);
+});
--- a/packages/controller/cancellation-relay.ts
+++ b/packages/controller/cancellation-relay.ts
@@ -1,4 +1,4 @@
-import type { Frame } from '#peer';
+import type { CancellationNotice, Frame } from '#peer';
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
 
@@ -20,13 +20,14 @@
 
   /** A user asks here. */
   request(job: string): void {
-    this.heard(job);
-    this.options.send({ kind: 'abort', job });
+    this.options.cancellations.noteRequested(job, this.now());
+    this.endTasks();
+    this.options.send({ kind: 'abort', job, ageMs: 0 });
   }
 
-  /** A user has asked, here or at a peer. */
-  heard(job: string): void {
-    this.options.cancellations.noteRequested(job, this.options.runtime.clock.now());
+  /** A peer tells that a user has asked. */
+  heard(notice: CancellationNotice): void {
+    this.options.cancellations.noteTold(notice, this.now());
     this.endTasks();
   }
 
@@ -34,14 +35,16 @@
   endTasks(): void {
     const owner = this.options.owner();
     if (!owner?.ready) return;
-    const now = this.options.runtime.clock.now();
-    for (const job of this.options.cancellations.requestedJobs(now)) owner.abort(job, now);
+    for (const { job } of this.options.cancellations.requests(this.now())) owner.abort(job);
   }
 
   /** What a peer is told on a new connection. */
   greeting(): Frame[] {
-    const now = this.options.runtime.clock.now();
-    const jobs = this.options.cancellations.requestedJobs(now);
-    return jobs.map((job) => ({ kind: 'abort', job }));
+    const requests = this.options.cancellations.requests(this.now());
+    return requests.map((request) => ({ kind: 'abort', ...request }));
+  }
+
+  private now(): number {
+    return this.options.runtime.clock.now();
   }
 }
--- a/packages/controller/cancellations.test.ts
+++ b/packages/controller/cancellations.test.ts
@@ -1,23 +1,32 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { CancellationNotice } from '#peer';
+import { Chance } from '#testing';
 import { Cancellations } from './cancellations.js';
 
+function sorted(notices: CancellationNotice[]): CancellationNotice[] {
+  return notices.sort((a, b) => (a.job < b.job ? -1 : 1));
+}
+
 test('what is told holds all newer records and all requests that may still be recorded', () => {
   const known = new Cancellations(100, 60);
   known.noteRecorded('j-1', 10);
   known.noteRecorded('j-2', 20);
   known.noteRequested('j-3', 5);
   known.noteRequested('j-2', 5);
-  assert.deepEqual(known.listSince(10, 6), { since: 10, jobs: ['j-2', 'j-3'] });
-  assert.deepEqual(known.listSince(20, 6).jobs.sort(), ['j-2', 'j-3']);
+  const asked = ['j-2', 'j-3'].map((job) => ({ job, ageMs: 1000 }));
+  assert.deepEqual(known.listSince(10, 6), { since: 10, cancelled: asked });
+  assert.deepEqual(sorted(known.listSince(20, 6).cancelled), asked);
   // A request is dropped after its time; a record stays.
-  assert.deepEqual(known.listSince(0, 66), { since: 0, jobs: ['j-1', 'j-2'] });
+  const recorded = ['j-1', 'j-2'].map((job) => ({ job, ageMs: 0 }));
+  assert.deepEqual(known.listSince(0, 66), { since: 0, cancelled: recorded });
 });
 
 test('a list that lacks older records, or is too long, does not claim to be complete', () => {
   const known = new Cancellations(10, 60);
   for (let i = 1; i <= 25; i++) known.noteRecorded(`j-${i}`, i);
-  const { since, jobs } = known.listSince(0, 0);
+  const { since, cancelled } = known.listSince(0, 0);
+  const jobs = cancelled.map((notice) => notice.job);
   assert.ok(since > 0);
   for (let i = since + 1; i <= 25; i++) assert.ok(jobs.includes(`j-${i}`));
   const many = new Cancellations(10_000, 60);
@@ -25,3 +34,30 @@
   assert.equal(many.listSince(0, 0).since, Infinity);
   assert.equal(many.listSince(2000, 0).since, 2000);
 });
+
+test('controllers do not remind each other of a request for ever', () => {
+  // Guards against requests that each status frame renewed at its receivers, which told them again.
+  const KEEP_S = 60;
+  const STATUS_S = 0.5;
+  const chance = new Chance(1);
+  const controllers = [0, 1, 2].map(() => new Cancellations(100, KEEP_S));
+  const frames: { to: Cancellations; arrivesAt: number; notices: CancellationNotice[] }[] = [];
+  const known = (now: number) => controllers.filter((c) => c.requests(now).length > 0).length;
+  controllers[0].noteRequested('j-1', 0);
+  let lastKnownAt = 0;
+  for (let now = 0; now < 10 * KEEP_S; now += STATUS_S / 10) {
+    for (const { to, notices } of frames.filter((frame) => frame.arrivesAt <= now)) {
+      for (const notice of notices) to.noteTold(notice, now);
+    }
+    frames.splice(0, frames.length, ...frames.filter((frame) => frame.arrivesAt > now));
+    for (const from of controllers.filter(() => chance.hit(0.1))) {
+      const notices = from.listSince(0, now).cancelled;
+      for (const to of controllers.filter((c) => c !== from)) {
+        frames.push({ to, notices, arrivesAt: now + 2 * chance.next() });
+      }
+    }
+    if (now > 5 && now < KEEP_S) assert.equal(known(now), 3);
+    if (known(now) > 0) lastKnownAt = now;
+  }
+  assert.ok(lastKnownAt < KEEP_S + 20, `known until ${lastKnownAt}`);
+});
--- a/packages/controller/cancellations.ts
+++ b/packages/controller/cancellations.ts
@@ -1,3 +1,5 @@
+import type { CancellationNotice } from '#peer';
+
 /** A cancellation that the state service holds, at the revision of its record. */
 interface RecordedCancellation {
   job: string;
@@ -8,7 +10,7 @@
 export interface CancellationList {
   /** The list is complete from this revision on; Infinity if it can't be complete. */
   since: number;
-  jobs: string[];
+  cancelled: CancellationNotice[];
 }
 
 /** Cancellations told at once; more do not fit a status frame's purpose of being small. */
@@ -21,7 +23,7 @@
  */
 export class Cancellations {
   private recorded: RecordedCancellation[] = [];
-  /** Requests by job, and when they were heard; steady seconds. */
+  /** Requests by job, and when the user asked; steady seconds. */
   private readonly requested = new Map<string, number>();
   /** Recorded ones up to this revision may have been dropped from the list. */
   private droppedUpTo = 0;
@@ -38,27 +40,47 @@
     for (const { revision: at } of dropped) this.droppedUpTo = Math.max(this.droppedUpTo, at);
   }
 
+  /** A user asks here. */
   noteRequested(job: string, now: number): void {
     this.requested.set(job, now);
   }
 
+  /**
+   * A peer tells of a cancellation. What it tells never renews a request that is known, and one that is
+   * too old is not taken up again: else controllers would remind each other of it for ever.
+   */
+  noteTold({ job, ageMs }: CancellationNotice, now: number): void {
+    const ageS = ageMs / 1000;
+    if (!this.requested.has(job) && ageS <= this.keepRequestedS) {
+      this.requested.set(job, now - ageS);
+    }
+  }
+
   wasRequested(job: string): boolean {
     return this.requested.has(job);
   }
 
-  /** Jobs whose cancellation was asked for; what was heard too long ago is dropped. */
-  requestedJobs(now: number): string[] {
+  /** What users have asked for; what was asked for too long ago is dropped. */
+  requests(now: number): CancellationNotice[] {
+    const notices: CancellationNotice[] = [];
     for (const [job, at] of this.requested) {
       if (now - at > this.keepRequestedS) this.requested.delete(job);
+      else notices.push({ job, ageMs: Math.max(0, Math.round((now - at) * 1000)) });
     }
-    return [...this.requested.keys()];
+    return notices;
   }
 
   /** All that is known and newer than the revision, and all that may still be recorded. */
   listSince(revision: number, now: number): CancellationList {
-    const newer = this.recorded.filter((c) => c.revision > revision).map((c) => c.job);
-    const jobs = [...new Set([...newer, ...this.requestedJobs(now)])];
-    if (jobs.length > MAX_TOLD) return { since: Infinity, jobs: jobs.slice(0, MAX_TOLD) };
-    return { since: Math.max(revision, this.droppedUpTo), jobs };
+    const told = new Map<string, CancellationNotice>();
+    for (const { job, revision: at } of this.recorded) {
+      if (at > revision) told.set(job, { job, ageMs: 0 });
+    }
+    for (const request of this.requests(now)) told.set(request.job, request);
+    const cancelled = [...told.values()];
+    if (cancelled.length > MAX_TOLD) {
+      return { since: Infinity, cancelled: cancelled.slice(0, MAX_TOLD) };
+    }
+    return { since: Math.max(revision, this.droppedUpTo), cancelled };
   }
 }
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,6 +1,5 @@
 import { setMaxListeners } from 'node:events';
 import { PeerLink } from '#peer';
-import { GroupCommit } from '#store';
 import { CloudClient, parseHostPort, type Runtime } from '#wire';
 import { CancellationRelay } from './cancellation-relay.js';
 import type { Entitlement } from './entitlement.js';
@@ -27,8 +26,6 @@
 const CLOUD_TIMEOUT = 4;
 /** Attempts to reach a peer in a report period. */
 const DIALS = 2;
-/** Submissions and cancellations that may wait for their record, in seconds of the allowed rate. */
-const COMMIT_QUEUE_S = 2;
 
 /** One controller: joins its parts, starts and ends them. */
 export class Controller {
@@ -218,13 +215,13 @@
   }
 
   private makeUserApi(): UserApi {
-    const { state, teams } = this.settings.deployment;
-    const { client } = this.state;
+    const { teams } = this.settings.deployment;
+    const { client, commits, jobs } = this.services;
     return new UserApi({
       clock: this.runtime.clock,
       client,
-      commits: new GroupCommit(client, Math.ceil(state.write_rps * COMMIT_QUEUE_S)),
-      jobs: this.services.jobs,
+      commits,
+      jobs,
       teams: teamTerms(teams),
       types: () => this.services.types.all(),
       onRequest: (kind) => {
--- /dev/null
+++ b/packages/controller/job-intake.ts
@@ -0,0 +1,44 @@
+import type { Book, CapacityPlanner } from '#core';
+import type { JobRecord } from '#store';
+import type { Clock } from '#wire';
+
+export interface JobIntakeOptions {
+  clock: Clock;
+  book: Book;
+  planner: CapacityPlanner;
+}
+
+/** Brings jobs into an owner's book, and ends those whose users have asked for it. */
+export class JobIntake {
+  /**
+   * Jobs that were ended here on request while their record was open, and when that was or when an attempt
+   * to record it was last made; steady seconds. Within the term they stay ended, whatever becomes of the
+   * request.
+   */
+  readonly unrecorded = new Map<string, number>();
+
+  constructor(private readonly options: JobIntakeOptions) {}
+
+  /** Takes a record in as the state service holds it. */
+  take(record: JobRecord): void {
+    const { clock, book, planner } = this.options;
+    const { job, phase, acceptedAtMs } = record;
+    const now = clock.now();
+    const ageS = Math.max(0, (clock.wallMs() - acceptedAtMs) / 1000);
+    const isNew = !book.jobs.has(job.id);
+    book.addJob(job, now - ageS, phase, now);
+    if (phase !== 'accepted') this.unrecorded.delete(job.id);
+    else if (isNew) planner.noteArrival(job, now);
+  }
+
+  /** A user gives the job up; its record may be still to come. False if there is nothing to end. */
+  cancel(id: string): boolean {
+    const { clock, book } = this.options;
+    const job = book.jobs.get(id);
+    if (job?.phase !== 'accepted') return false;
+    const now = clock.now();
+    book.closeJob(job, 'aborted', now);
+    this.unrecorded.set(id, now);
+    return true;
+  }
+}
--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -102,11 +102,12 @@
   }
 
   private makeOwner(term: Term): PartOwner {
-    const { runtime, settings, client, jobs, types, entitlement, log } = this.options;
+    const { runtime, settings, client, commits, jobs, types, entitlement, log } = this.options;
     return new PartOwner({
       runtime,
       settings,
       client,
+      commits,
       jobs,
       term,
       types: () => types.all(),
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,13 +1,16 @@
 import { Clock, MachineType, Order, Report, Runtime, WakeablePause } from '#wire';
 import { Book, CapacityPlanner, Scheduler } from '#core';
-import { JobRecord, StateClient, Term } from '#store';
+import { GroupCommit, StateClient, Term } from '#store';
 import { followBook } from './book-events.js';
+import { CancellationRecorder } from './cancellation-recorder.js';
 import { makeBook, makePlanner, makeScheduler, ROUND_DECISIONS } from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
 import { countTasks, FleetSummary, summariseFleet, TaskCounts } from './fleet-summary.js';
+import { JobIntake } from './job-intake.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
 import { OwnerRecords } from './owner-records.js';
+import { stopOnNotices } from './notices.js';
 import { Pacer } from './pacer.js';
 import { Recorder } from './recorder.js';
 import type { Settings } from './settings.js';
@@ -24,6 +27,8 @@
   runtime: Runtime;
   settings: Settings;
   client: StateClient;
+  /** Users' changes of jobs. */
+  commits: GroupCommit;
   jobs: JobTable;
   term: Term;
   types: () => MachineType[];
@@ -46,10 +51,10 @@
   readonly startedAt: number;
   private readonly clock: Clock;
   private readonly settings: Settings;
-  private readonly client: StateClient;
-  private readonly jobs: JobTable;
   private readonly log: Log;
   private readonly direct: DirectCommands;
+  private readonly intake: JobIntake;
+  private readonly cancellationRecorder: CancellationRecorder;
   private rounds: Pacer | null = null;
   private readonly idle: WakeablePause;
   /** The records are read and orders may have been given. */
@@ -63,12 +68,18 @@
     this.clock = runtime.clock;
     this.startedAt = this.clock.now();
     this.idle = new WakeablePause(this.clock);
-    ({ settings: this.settings, client: this.client, jobs: this.jobs } = options);
-    ({ term: this.term, log: this.log } = options);
+    ({ settings: this.settings, term: this.term, log: this.log } = options);
     this.book = makeBook(settings, term, client.limits.valueBytes);
     this.planner = makePlanner(settings, this.book);
     this.scheduler = makeScheduler(settings, this.book);
     this.recorder = new Recorder({ runtime, client, book: this.book, jobs, term, log });
+    this.intake = new JobIntake({ clock: this.clock, book: this.book, planner: this.planner });
+    this.cancellationRecorder = new CancellationRecorder({
+      ...options,
+      clock: this.clock,
+      unrecorded: this.intake.unrecorded,
+      reportS: settings.deployment.workers.report_s,
+    });
     this.direct = new DirectCommands({
       runtime,
       book: this.book,
@@ -88,8 +99,8 @@
       { term: this.term.term, jobs: this.book.open.size, machines: this.book.machines.size },
       'owner',
     );
-    const jobs = this.jobs.changed.subscribe((record) => {
-      this.takeJob(record);
+    const jobs = this.options.jobs.changed.subscribe((record) => {
+      this.intake.take(record);
       this.nudge();
     });
     const rounds = this.makePacer(signal);
@@ -110,30 +121,20 @@
   }
 
   /** A user gives the job up; its record may be still to come. */
-  abort(id: string, now: number): void {
-    const job = this.book.jobs.get(id);
-    if (job?.phase !== 'accepted') return;
-    this.book.closeJob(job, 'aborted', now);
-    this.nudge();
-  }
-
-  private takeJob(record: JobRecord): void {
-    const now = this.clock.now();
-    const ageS = Math.max(0, (this.clock.wallMs() - record.acceptedAtMs) / 1000);
-    const isNew = !this.book.jobs.has(record.job.id);
-    this.book.addJob(record.job, now - ageS, record.phase, now);
-    if (isNew && record.phase === 'accepted') this.planner.noteArrival(record.job, now);
+  abort(id: string): void {
+    if (this.intake.cancel(id)) this.nudge();
   }
 
   private async load(signal: AbortSignal): Promise<void> {
-    const { client, jobs, book, recorder } = this;
-    for (const type of this.options.types()) book.types.set(type.name, type);
+    const { client, jobs, types } = this.options;
+    const { book, recorder } = this;
+    for (const type of types()) book.types.set(type.name, type);
     const records = new OwnerRecords({
       client,
       jobs,
       book,
       recorder,
-      takeJob: (record) => this.takeJob(record),
+      takeJob: (record) => this.intake.take(record),
       onJobs: (now) => this.planner.assumeSteady(now),
       now: () => this.clock.now(),
     });
@@ -169,27 +170,16 @@
       this.log.info({ machine: name }, 'machine silent past its lease');
     }
     this.book.recomputeFleet();
-    this.stopOnNotices(now);
+    stopOnNotices(this.book, this.scheduler, now);
     this.scheduler.reserve(now);
     const decided = this.scheduler.round(now);
     if (this.recorder.pending) this.idle.wake();
     if (this.options.entitled()) this.direct.push(signal);
+    this.cancellationRecorder.push();
     this.summarise(now);
     return decided;
   }
 
-  /** What can be saved is saved before the cloud takes a machine; services move at once. */
-  private stopOnNotices(now: number): void {
-    for (const machine of this.book.machines.values()) {
-      if (machine.noticeAt === null) continue;
-      for (const task of machine.tasks.values()) {
-        const { checkpointS, kind } = task.job.job;
-        const worthStopping = checkpointS > 0 || kind === 'service';
-        if (task.stop === null && worthStopping) this.scheduler.stopOrderly(task, now);
-      }
-    }
-  }
-
   private summarise(now: number): void {
     if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
     this.summaryAt = now;
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -52,7 +52,7 @@
       this.yieldToNewer(frame.holder);
     } else if (frame.kind === 'counts') {
       for (const { job, done, running } of frame.jobs) jobs.noteCounts(job, done, running);
-    } else if (frame.kind === 'abort') cancellationRelay.heard(frame.job);
+    } else if (frame.kind === 'abort') cancellationRelay.heard(frame);
   }
 
   /** Tells the peers twice in a report period until the signal aborts. */
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -1,4 +1,4 @@
-import { Ownership, StateClient } from '#store';
+import { GroupCommit, Ownership, StateClient } from '#store';
 import type { Runtime } from '#wire';
 import { Cancellations } from './cancellations.js';
 import { JobTable } from './jobs.js';
@@ -12,12 +12,17 @@
 /** Multiple of the time to cancel for which a request to cancel is remembered. */
 const CANCELLATION_MEMORY = 2;
 
+/** Submissions and cancellations that may wait for their record, in seconds of the allowed rate. */
+const COMMIT_QUEUE_S = 2;
+
 /** What most duties of a controller need: its surroundings, and what it knows by the state service. */
 export interface ControllerServices {
   runtime: Runtime;
   settings: Settings;
   log: Log;
   client: StateClient;
+  /** Users' changes of jobs, which share transactions. */
+  commits: GroupCommit;
   ownership: Ownership;
   jobs: JobTable;
   types: MachineTypes;
@@ -30,7 +35,8 @@
   log: Log,
   { client, world, jobs }: StateAccess,
 ): ControllerServices {
-  const memoryS = CANCELLATION_MEMORY * settings.deployment.workers.cancel_s;
+  const { workers, state } = settings.deployment;
+  const memoryS = CANCELLATION_MEMORY * workers.cancel_s;
   const cancellations = new Cancellations(RECORDED_CANCELLATIONS, memoryS);
   const ownership = new Ownership({
     client,
@@ -45,6 +51,7 @@
     settings,
     log,
     client,
+    commits: new GroupCommit(client, Math.ceil(state.write_rps * COMMIT_QUEUE_S)),
     ownership,
     jobs: new JobTable(jobs, cancellations),
     types: new MachineTypes(client, world),
--- a/packages/controller/status-exchange.ts
+++ b/packages/controller/status-exchange.ts
@@ -45,7 +45,7 @@
 
   /** Takes a peer's frame in; its cancellations count however late it comes. */
   receive(peer: string, frame: StatusFrame, now: number): void {
-    for (const job of frame.cancelled) this.options.cancellations.noteRequested(job, now);
+    for (const notice of frame.cancelled) this.options.cancellations.noteTold(notice, now);
     this.table.heard(peer, frame, now);
   }
 
@@ -56,14 +56,14 @@
     now: number,
   ): StatusFrame {
     const known = this.table.get(peer)?.frame.jobsRevision ?? 0;
-    const { since, jobs } = this.options.cancellations.listSince(known, now);
+    const { since, cancelled } = this.options.cancellations.listSince(known, now);
     return {
       kind: 'status',
       ...own,
       ...reference,
       echo: this.table.echoFor(peer),
       cancelledSince: since,
-      cancelled: jobs,
+      cancelled,
     };
   }
 }
--- a/packages/peer/frames.ts
+++ b/packages/peer/frames.ts
@@ -44,7 +44,14 @@
   /** `cancelled` holds all cancellations known to the sender that are newer than this revision. */
   cancelledSince: number;
   /** Jobs that are cancelled, or whose cancellation the sender was asked for and may have recorded. */
-  cancelled: string[];
+  cancelled: CancellationNotice[];
+}
+
+/** A cancellation that the sender knows of. */
+export interface CancellationNotice {
+  job: string;
+  /** How long ago a user asked for it, as far as the sender knows; 0 if it is recorded. Milliseconds. */
+  ageMs: number;
 }
 
 /** One status frame among those of its sender. */
@@ -53,10 +60,9 @@
   sequence: number;
 }
 
-/** A user has asked the sender to abort this job; sent before the record is made. */
-export interface AbortFrame {
+/** A user has asked for this cancellation; sent before the record is made. */
+export interface AbortFrame extends CancellationNotice {
   kind: 'abort';
-  job: string;
 }
 
 /** Task counts for display. */
@@ -83,7 +89,7 @@
       out.text(frame.name);
       break;
     case 'abort':
-      out.text(frame.job);
+      writeNotice(out, frame);
       break;
     case 'status':
       writeStatus(out, frame);
@@ -102,7 +108,11 @@
   out.u32(frame.servedAgoMs).u32(frame.strays);
   out.u64(holder.term).text(holder.name);
   out.u64(frame.jobsRevision).u64(frame.cancelledSince);
-  out.list(frame.cancelled, (job) => out.text(job));
+  out.list(frame.cancelled, (notice) => writeNotice(out, notice));
+}
+
+function writeNotice(out: PayloadWriter, { job, ageMs }: CancellationNotice): void {
+  out.text(job).u32(ageMs);
 }
 
 /** Cuts a byte stream into frames; throws BadFrame on what no controller sends. */
@@ -129,7 +139,7 @@
     case KINDS.hello:
       return { kind: 'hello', name: payload.text() };
     case KINDS.abort:
-      return { kind: 'abort', job: payload.text() };
+      return { kind: 'abort', ...readNotice(payload) };
     case KINDS.status:
       return readStatus(payload);
     case KINDS.counts:
@@ -165,6 +175,10 @@
     holder: { term: payload.u64(), name: payload.text() },
     jobsRevision: payload.u64(),
     cancelledSince: payload.u64(),
-    cancelled: payload.list(() => payload.text()),
+    cancelled: payload.list(() => readNotice(payload)),
   };
 }
+
+function readNotice(payload: PayloadReader): CancellationNotice {
+  return { job: payload.text(), ageMs: payload.u32() };
+}
--- a/packages/peer/link.test.ts
+++ b/packages/peer/link.test.ts
@@ -49,7 +49,7 @@
   await pause(nodeRuntime.clock, 4 * RETRY_MS);
   const runA = a.run(stop.signal);
   for (let i = 0; i < 40 && heard === 0; i++) {
-    a.send({ kind: 'abort', job: 'j-1' });
+    a.send({ kind: 'abort', job: 'j-1', ageMs: 0 });
     await pause(nodeRuntime.clock, RETRY_MS);
   }
   assert.ok(heard > 0);
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -1,5 +1,6 @@
 export * from './generators.js';
 export * from './ownership-model.js';
+export * from './random.js';
 export * from './samples.js';
 export * from './simulation/index.js';
 export * from './state-world.js';
--- a/packages/testing/ownership-model.ts
+++ b/packages/testing/ownership-model.ts
@@ -1,4 +1,4 @@
-import type { StatusFrame } from '#peer';
+import type { AbortFrame, StatusFrame } from '#peer';
 import {
   Cancellations,
   EntitlementJudge,
@@ -172,7 +172,7 @@
       strays: 0,
       jobsRevision,
       cancelledSince: list.since,
-      cancelled: list.jobs,
+      cancelled: list.cancelled,
     };
   }
 
@@ -190,11 +190,11 @@
   }
 
   knows(job: string): boolean {
-    return this.cancellations.listSince(0, 0).jobs.includes(job);
+    return this.cancellations.listSince(0, 0).cancelled.some((notice) => notice.job === job);
   }
 }
 
-type Message = { kind: 'status'; frame: StatusFrame } | { kind: 'abort'; job: string };
+type Message = { kind: 'status'; frame: StatusFrame } | AbortFrame;
 
 /** One direction between two nodes: in order, and slow, held back or dead for a while. */
 class LinkModel {
@@ -357,13 +357,13 @@
   private receive(node: NodeModel): void {
     for (const peer of this.peersOf(node.name)) {
       for (const message of this.links.get(`${peer} ${node.name}`)!.arrived(this.now)) {
-        if (message.kind === 'abort') node.cancellations.noteRequested(message.job, this.now);
+        if (message.kind === 'abort') node.cancellations.noteTold(message, this.now);
         else {
           node.table.heard(peer, message.frame, this.now);
           node.yieldTo(message.frame.holder.term);
           if (this.fault === 'ignores-cancelled') continue;
-          for (const job of message.frame.cancelled) {
-            node.cancellations.noteRequested(job, this.now);
+          for (const notice of message.frame.cancelled) {
+            node.cancellations.noteTold(notice, this.now);
           }
         }
       }
@@ -391,7 +391,7 @@
     const job = `j-${this.confirmed.length + 1}`;
     node.cancellations.noteRequested(job, this.now);
     for (const peer of this.peersOf(node.name)) {
-      this.links.get(`${node.name} ${peer}`)!.send({ kind: 'abort', job }, this.now);
+      this.links.get(`${node.name} ${peer}`)!.send({ kind: 'abort', job, ageMs: 0 }, this.now);
     }
     this.service.cancel(job);
     this.confirmed.push({ job, at: this.now });
--- a/packages/testing/wire.test.ts
+++ b/packages/testing/wire.test.ts
@@ -160,7 +160,7 @@
   const u53 = fc.nat(Number.MAX_SAFE_INTEGER);
   const frame: fc.Arbitrary<Frame> = fc.oneof(
     record({ kind: fc.constant('hello' as const), name }),
-    record({ kind: fc.constant('abort' as const), job: jobId }),
+    record({ kind: fc.constant('abort' as const), job: jobId, ageMs: u32 }),
     record({
       kind: fc.constant('status' as const),
       life: u53,
@@ -175,7 +175,7 @@
       strays: u32,
       jobsRevision: u53,
       cancelledSince: fc.oneof(u53, fc.constant(Infinity)),
-      cancelled: fc.array(jobId, { maxLength: 5 }),
+      cancelled: fc.array(record({ job: jobId, ageMs: u32 }), { maxLength: 5 }),
     }),
     record({
       kind: fc.constant('counts' as const),
