--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,489 +1,245 @@
 import { setMaxListeners } from 'node:events';
-import http from 'node:http';
-import { filter, Subscription } from 'rxjs';
-import { setTimeout as sleep } from 'node:timers/promises';
-import {
-  answerToWire,
-  CloudClient,
-  MachineType,
-  MalformedBody,
-  parseReport,
-  redirectToWire,
-  StateApi,
-} from '#wire';
 import { PeerLink } from '#peer';
-import {
-  GroupCommit,
-  JOBS,
-  Ownership,
-  PrefixCache,
-  StateClient,
-  steady,
-  Term,
-  TYPES_KEY,
-  WORLD,
-} from '#store';
-import { frontOf, makeApp, mountFallbacks, readBody, reply, UserApi } from './api.js';
-import { CloudDuty } from './cloud.js';
-import { aloneBound, cutFromWorkers, entitlement, Entitlement, PeerWord } from './entitlement.js';
-import { JobTable } from './jobs.js';
+import { CloudClient, parseHostPort, type Runtime } from '#wire';
+import { CancellationRelay } from './cancellation-relay.js';
+import type { Entitlement } from './entitlement.js';
+import { HealthEndpoint } from './health-endpoint.js';
+import { HttpServer } from './http-server.js';
+import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
-import { Metrics } from './metrics.js';
-import { PartOwner } from './owner.js';
-import { TermBroken } from './recorder.js';
+import { MetricsEndpoint } from './metrics-endpoint.js';
+import { OwnerEntitlement } from './owner-entitlement.js';
+import { OwnerTerms } from './owner-terms.js';
+import type { PartOwner } from './owner.js';
+import { PeerCoordinator } from './peer-coordinator.js';
+import { ReportHandler } from './report-handler.js';
+import { type ControllerServices, makeServices } from './services.js';
 import { Settings, teamTerms } from './settings.js';
-import { socketShares, WorkerLines } from './sockets.js';
+import { socketShares } from './sockets.js';
+import { accessState, type StateAccess } from './state-access.js';
+import { StatusExchange } from './status-exchange.js';
+import { UnownedReports } from './unowned-reports.js';
+import { UserApi } from './user-api.js';
 import { Vitals } from './vitals.js';
 
-const WATCH_MS = 10_000;
-/** Event-loop lag, as a share of the users' second, from which submissions are turned away. */
-const LAG_LIMIT_MS = 500;
-/** What a lag counts for at the next look; looks are as far apart as the limit is long. */
-const LAG_KEPT = 1 / 3;
-/** Shares of a report period for which changes of jobs gather, at the owner and elsewhere. */
-const OWNER_GATHERS = 1 / 50;
-const OTHERS_GATHER = 1 / 2;
-/** Report periods within which a worker counts as heard, here or by a peer. */
-const STRAY_REPORTS = 3;
-/**
- * Shares of the state service's rates that one controller may use: of requests, and of changes while it
- * owns or does not. The owner's records are nearly all changes that there are.
- */
-const STATE_SHARE = 0.55;
-const OWNER_WRITES = 0.8;
-const OTHERS_WRITE = 0.3;
-/** Share of the server's connections above which users' connections are not kept. */
-const CROWDED = 0.9;
-/** Report periods between two looks at what the process does and holds. */
-const VITALS_REPORTS = 10;
+/** Report periods that a call to the cloud may take. */
+const CLOUD_TIMEOUT = 4;
+/** Attempts to reach a peer in a report period. */
+const DIALS = 2;
 
+/** One controller: joins its parts, starts and ends them. */
 export class Controller {
-  private readonly client: StateClient;
-  private readonly world: PrefixCache;
-  private readonly jobs: JobTable;
-  private readonly ownership: Ownership;
-  private readonly peers: PeerLink;
+  private readonly reportS: number;
+  private readonly sockets: { server: number; direct: number };
+  private readonly state: StateAccess;
+  private readonly services: ControllerServices;
   private readonly cloud: CloudClient;
-  private readonly words = new Map<string, PeerWord & { strays: number }>();
-  /** Workers that reported here though we do not own, and when. */
-  private readonly strays = new Map<string, number>();
-  /** Jobs whose users asked for an abort, here or at a peer, and when we heard. */
-  private readonly asked = new Map<string, number>();
-  private types: MachineType[] = [];
-  private owner: PartOwner | null = null;
+  private readonly cancellationRelay: CancellationRelay;
+  private readonly peers: PeerLink;
+  private readonly statuses: StatusExchange;
+  private readonly entitlement: OwnerEntitlement;
+  private readonly terms: OwnerTerms;
+  private readonly lag: LagMonitor;
   private readonly vitals: Vitals;
-  private readonly sockets: { server: number; direct: number };
-  private readonly workerLines = new WorkerLines();
-  /** From the first request for it on. */
-  private metrics: Promise<Metrics> | null = null;
-  private observed: Metrics | null = null;
-  private outageSeenAt = -Infinity;
-  private lagMs = 0;
-  private readonly reportS: number;
+  private readonly metrics: MetricsEndpoint;
+  private readonly unownedReports: UnownedReports;
+  private readonly coordinator: PeerCoordinator;
+  private readonly httpServer: HttpServer;
 
   constructor(
+    private readonly runtime: Runtime,
     private readonly settings: Settings,
     private readonly log: Log,
   ) {
-    const { deployment: d, external, operator } = settings;
-    this.reportS = d.workers.report_s;
-    this.sockets = socketShares(d.limits.sockets, settings.peers.length);
-    const timeoutMs = this.reportS * 1000;
-    this.client = new StateClient(
-      new StateApi(external.state, timeoutMs),
-      {
-        rps: d.state.rps,
-        writeRps: d.state.write_rps,
-        valueBytes: Math.floor(d.state.value_kb * 1024),
-        txnOps: d.state.txn_ops,
-      },
-      d.nodes === 1 ? 0.9 : STATE_SHARE,
-    );
-    // Questions wait at the most a fifth of a report period for the read index, and share it.
-    this.vitals = new Vitals(() => ({
-      stateRequests: this.client.requests,
-      stateRefused: this.client.refused,
-      stateChanges: this.client.changes,
-    }));
-    const syncSpacingMs = Math.max((5 * d.nodes * 1000) / d.state.rps, timeoutMs / 5);
-    const gatherMs = () => timeoutMs * (this.owner ? OWNER_GATHERS : OTHERS_GATHER);
-    this.world = new PrefixCache(this.client, WORLD, WATCH_MS, syncSpacingMs);
-    this.jobs = new JobTable(new PrefixCache(this.client, JOBS, WATCH_MS, syncSpacingMs, gatherMs));
-    this.ownership = new Ownership(
-      this.client,
-      this.world,
-      settings.host_name,
-      0,
-      operator.ownerTtlS,
-    );
-    const [host, port] = settings.cluster_listen.split(':');
-    this.peers = new PeerLink(
-      settings.host_name,
-      { host, port: Number(port) },
-      settings.peers.map((p) => ({ name: p.host_name, addr: p.peer_addr })),
-      timeoutMs / 2,
-      () => [...this.asked.keys()].map((job) => ({ kind: 'abort', job })),
-    );
-    this.cloud = new CloudClient(external.cloud, 4 * timeoutMs);
+    const { clock } = runtime;
+    const { workers, limits } = settings.deployment;
+    this.reportS = workers.report_s;
+    this.sockets = socketShares(limits.sockets, settings.peers.length);
+    this.state = accessState(runtime, settings, () => this.owner() !== null);
+    this.services = makeServices(runtime, settings, log, this.state);
+    const cloudTimeoutMs = CLOUD_TIMEOUT * this.reportS * 1000;
+    this.cloud = new CloudClient(runtime, settings.external.cloud, cloudTimeoutMs);
+    this.cancellationRelay = new CancellationRelay({
+      ...this.services,
+      owner: () => this.owner(),
+      send: (frame) => this.peers.send(frame),
+    });
+    this.peers = this.makePeerLink();
+    this.statuses = this.makeStatusExchange();
+    this.entitlement = new OwnerEntitlement({ ...this.services, statuses: this.statuses });
+    this.vitals = this.makeVitals();
+    this.metrics = this.makeMetrics();
+    this.terms = this.makeOwnerTerms();
+    this.lag = new LagMonitor(clock);
+    this.unownedReports = new UnownedReports(clock, this.reportS);
+    this.coordinator = new PeerCoordinator({
+      ...this.services,
+      peers: this.peers,
+      statuses: this.statuses,
+      unownedReports: this.unownedReports,
+      cancellationRelay: this.cancellationRelay,
+      owner: () => this.owner(),
+    });
+    this.httpServer = this.makeHttpServer();
   }
 
+  /**
+   * Runs until the signal aborts, and resolves once all that was started has ended. Rejects, also only
+   * then, with ListenError if an address cannot be had, or with an unexpected error of a duty.
+   */
   async run(signal: AbortSignal): Promise<void> {
-    this.log.info({ startedMs: Math.round(performance.now()) }, 'controller');
+    const stop = new AbortController();
     // Every connection and duty listens to it, and there is one to each peer.
-    setMaxListeners(0, signal);
-    this.world.changes.subscribe((e) => {
-      if (e.key === TYPES_KEY && e.value) this.types = e.value as MachineType[];
-    });
+    setMaxListeners(0, stop.signal);
+    const end = () => stop.abort();
+    if (signal.aborted) end();
+    signal.addEventListener('abort', end, { once: true });
+    const duties = this.start(stop.signal);
+    try {
+      await Promise.all(duties);
+    } finally {
+      end();
+      signal.removeEventListener('abort', end);
+      this.cloud.close();
+      this.state.client.close();
+      await Promise.allSettled(duties);
+    }
+  }
+
+  private start(signal: AbortSignal): Promise<void>[] {
     this.peers.heard.subscribe(({ from, frame }) => {
-      const now = steady();
       this.vitals.peerFrames++;
-      if (frame.kind === 'status') {
-        const servedAt = now - frame.servedAgoMs / 1000;
-        this.words.set(from, { heardAt: now, servedAt, strays: frame.strays });
-      } else if (frame.kind === 'counts') {
-        for (const c of frame.jobs) this.jobs.noteCounts(c.job, c.done, c.running);
-      } else if (frame.kind === 'abort') this.abortAsked(frame.job);
+      this.coordinator.receive(from, frame);
     });
-    const server = this.listen();
-    signal.addEventListener('abort', () => {
-      server.close();
-      server.closeAllConnections();
-    });
-    await Promise.all([
-      this.world.run(signal),
-      this.jobs.cache.run(signal),
-      this.ownership.run(signal),
+    return [
+      this.httpServer.run(signal),
+      this.state.world.run(signal),
+      this.state.jobs.run(signal),
+      this.services.ownership.run(signal),
       this.peers.run(signal),
-      this.statusDuty(signal),
-      this.ownerDuty(signal),
-      this.lagDuty(signal),
-      this.vitalsDuty(signal),
-    ]);
-    this.cloud.close();
-    this.client.api.close();
-  }
-
-  private async loadMetrics(): Promise<Metrics> {
-    const metrics = await Metrics.load(this.reportS);
-    this.observed = metrics;
-    const { vitals } = this;
-    metrics.gauge('total', 'Counts since the start', 'of', () => vitals.totals());
-    metrics.gauge('held', 'What the process holds now', 'of', () => vitals.held());
-    metrics.gauge('term', 'Term of the part that is owned here, 0 if none', null, () => ({
-      '': this.owner?.term.term ?? 0,
-    }));
-    metrics.gauge(
-      'budget',
-      "Left of this controller's part of the state service's rates",
-      'of',
-      () => this.client.left(),
-    );
-    metrics.gauge(
-      'team_index',
-      'Index of each team',
-      'team',
-      () => this.owner?.fleet().index ?? {},
-    );
-    metrics.gauge('waiting', 'Tasks that wait for a place', 'class', () =>
-      this.owner ? this.owner.fleet().waiting : {},
-    );
-    metrics.gauge('machines', 'Machines by state', 'state', () =>
-      this.owner ? this.owner.fleet().machines : {},
-    );
-    return metrics;
-  }
-
-  private listen(): http.Server {
-    const { deployment: d, listen } = this.settings;
-    const app = makeApp();
-    app.get('/healthz', (_req, res) => {
-      const ok = this.healthy();
-      reply(res, ok ? 200 : 503, { ok });
-    });
-    app.get('/metrics', (_req, res, next) => {
-      this.metrics ??= this.loadMetrics();
-      this.metrics
-        .then(async (metrics) => res.type(metrics.contentType).end(await metrics.text()))
-        .catch(next);
-    });
-    new UserApi({
-      client: this.client,
-      commits: new GroupCommit(this.client, Math.ceil(d.state.write_rps * 2)),
-      jobs: this.jobs,
-      teams: teamTerms(d.teams),
-      types: () => this.types,
-      onRequest: (kind) => {
-        this.vitals.questions++;
-        return this.observed?.questions.startTimer({ kind }) ?? (() => {});
-      },
-      overloaded: () => this.lagMs > LAG_LIMIT_MS,
-      onAbort: (id) => {
-        this.abortAsked(id);
-        this.peers.send({ kind: 'abort', job: id });
-      },
-      crowded: () => this.vitals.connections > CROWDED * server.maxConnections,
-    }).mount(app);
-    mountFallbacks(app);
-    const front = frontOf(app, (body, res) => {
-      const answered = this.observed?.reports.startTimer();
-      this.hello(body, res);
-      answered?.();
-    });
-    const server = http.createServer({ requestTimeout: 0, keepAliveTimeout: 75_000 }, front);
-    server.maxConnections = this.sockets.server;
-    this.vitals.watch(server);
-    const [host, port] = listen.split(':');
-    server.on('error', (err) => {
-      this.log.error({ err: err.message, listen }, 'cannot listen');
-      process.exit(1);
-    });
-    server.listen(Number(port), host);
-    return server;
+      this.coordinator.run(signal),
+      this.terms.run(signal),
+      this.lag.run(signal),
+      this.vitals.run(signal),
+    ];
   }
 
-  /** False only when requests cannot be taken: not loaded yet, or refused while others are served. */
-  private healthy(): boolean {
-    if (!this.jobs.cache.ready || this.types.length === 0) return false;
-    const { lastOkAt, lastFailAt, failing } = this.client;
-    if (!failing || lastFailAt - lastOkAt < 2 * this.reportS) return true;
-    const othersServed = [...this.words.values()].some(
-      (w) => w.servedAt > lastOkAt + 2 * this.reportS,
-    );
-    return !othersServed;
+  /** The owner of the present term, null while nothing is owned here. */
+  private owner(): PartOwner | null {
+    return this.terms.current;
   }
 
   private entitled(): Entitlement {
-    if (!this.owner) return 'none';
-    const now = steady();
-    const w = this.settings.deployment.workers;
-    const out = entitlement({
-      now,
-      provenUntil: this.ownership.provenUntil,
-      syncedAt: this.jobs.cache.syncedAt,
-      failingSince: this.client.failingSince,
-      peers: this.settings.peers.map((p) => this.words.get(p.host_name) ?? null),
-      silenceS: 2 * this.reportS,
-      aloneS: aloneBound(w.cancel_s, w.lease_s, w.report_s),
-      outageSeenAt: this.outageSeenAt,
+    return this.entitlement.of(this.owner());
+  }
+
+  private makePeerLink(): PeerLink {
+    const { host_name, cluster_listen, peers } = this.settings;
+    return new PeerLink({
+      runtime: this.runtime,
+      self: host_name,
+      listen: parseHostPort(cluster_listen),
+      peers: peers.map((peer) => ({ name: peer.host_name, addr: peer.peer_addr })),
+      retryMs: (this.reportS * 1000) / DIALS,
+      greeting: () => this.cancellationRelay.greeting(),
     });
-    if (out === 'outage') this.outageSeenAt = now;
-    return out;
-  }
-
-  private hello(body: unknown, res: Parameters<typeof reply>[0]): void {
-    let report;
-    try {
-      report = parseReport(readBody(body));
-    } catch (err) {
-      reply(res, 400, { error: err instanceof MalformedBody ? err.message : 'unreadable' });
-      return;
-    }
-    this.vitals.reports++;
-    const owner = this.owner;
-    if (owner && this.entitled() !== 'none') {
-      if (!owner.ready) {
-        // While the records are being read the leases must not run out. Nothing can be ordered yet;
-        // until the same bound as for a former owner, every machine counts as just answered.
-        const w = this.settings.deployment.workers;
-        const until = owner.term.claimedAt + aloneBound(w.cancel_s, w.lease_s, w.report_s);
-        if (steady() > until) {
-          reply(res, 503, { error: 'records are not read yet' });
-          return;
-        }
-        reply(res, 200, answerToWire(owner.term.term, []));
-        return;
-      }
-      if (report.token > owner.tokenFor(report.machine)) {
-        // Somebody newer commands this worker: what we hold is out of date.
-        this.log.info({ machine: report.machine, token: report.token }, 'a newer token is out');
-        this.ownership.resign();
-        reply(res, 421, redirectToWire(null));
-        return;
-      }
-      const orders = owner.report(report);
-      // A late copy gets a token that its worker drops, since the answer is not counted as a renewal.
-      const token = orders === null ? 0 : owner.tokenFor(report.machine);
-      if (orders !== null) this.workerLines.heard(report.machine, res.socket);
-      reply(res, 200, answerToWire(token, orders ?? []));
-      return;
-    }
-    const holder = this.ownership.holder;
-    this.strays.set(report.machine, steady());
-    if (holder && holder.owner !== this.settings.host_name) {
-      reply(res, 421, redirectToWire(holder.owner));
-    } else reply(res, 503, { error: 'no owner yet' });
-  }
-
-  /**
-   * The record comes by the watch, or not at all if an outage begins in between; the tasks end in any
-   * case. Kept for whoever owns next, and for peers whose connection was down, until nothing of the job
-   * could still be allowed to run.
-   */
-  private abortAsked(id: string): void {
-    this.asked.set(id, steady());
-    this.endAsked();
-  }
-
-  private endAsked(): void {
-    const now = steady();
-    const { cancel_s } = this.settings.deployment.workers;
-    for (const [id, at] of this.asked) {
-      if (now - at > 2 * cancel_s) this.asked.delete(id);
-      else if (this.owner?.ready) this.owner.abort(id, now);
-    }
-  }
-
-  private async statusDuty(signal: AbortSignal): Promise<void> {
-    let round = 0;
-    while (!signal.aborted) {
-      const agoMs = (steady() - this.client.lastOkAt) * 1000;
-      const strays = this.recentStrays();
-      this.peers.send({ kind: 'status', servedAgoMs: agoMs, owner: this.owner !== null, strays });
-      this.yieldIfCut();
-      this.endAsked();
-      if (this.owner?.ready && round++ % 2 === 0) {
-        const counts = this.owner.counts();
-        for (const c of counts) this.jobs.noteCounts(c.job, c.done, c.running);
-        for (let i = 0; i < counts.length; i += 500) {
-          this.peers.send({ kind: 'counts', jobs: counts.slice(i, i + 500) });
-        }
-        // Cancellations that others took must be known, however quiet the users are here.
-        this.jobs.cache.sync().catch(() => {});
-      }
-      await sleep(this.reportS * 500, undefined, { signal }).catch(() => {});
-    }
   }
 
-  private recentStrays(): number {
-    const since = steady() - STRAY_REPORTS * this.reportS;
-    for (const [machine, at] of this.strays) if (at < since) this.strays.delete(machine);
-    return this.strays.size;
+  private makeStatusExchange(): StatusExchange {
+    return new StatusExchange({
+      life: Math.floor(this.runtime.random() * Number.MAX_SAFE_INTEGER),
+      peers: this.settings.peers.map((peer) => peer.host_name),
+      cancellations: this.services.cancellations,
+      sendTo: (peer, frame) => this.peers.sendTo(peer, frame),
+    });
   }
 
-  /** Leaves the part to a controller that the workers can reach. */
-  private yieldIfCut(): void {
-    const { owner } = this;
-    const now = steady();
-    const { lease_s: leaseS } = this.settings.deployment.workers;
-    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
-    // owner that none of them ever reaches would let all their leases run out.
-    if (!owner?.ready || now - owner.startedAt < (STRAY_REPORTS + 1) * this.reportS) return;
-    const { machines, heard } = owner.hearing(now, STRAY_REPORTS * this.reportS);
-    let strays = 0;
-    for (const w of this.words.values()) {
-      if (now - w.heardAt <= 2 * this.reportS) strays += w.strays;
-    }
-    if (!cutFromWorkers(machines, heard, strays)) return;
-    this.log.info({ term: owner.term.term, machines, heard, strays }, 'cut from the workers');
-    this.ownership.resign(leaseS);
+  private makeVitals(): Vitals {
+    const { client } = this.state;
+    return new Vitals({
+      clock: this.runtime.clock,
+      reportS: this.reportS,
+      counted: () => ({
+        stateRequests: client.requests,
+        stateRefused: client.refused,
+        stateChanges: client.changes,
+      }),
+      connections: () => this.httpServer.connections,
+      onLook: (look) => this.log.info({ owner: this.owner() !== null, ...look }, 'vitals'),
+    });
   }
 
-  private async lagDuty(signal: AbortSignal): Promise<void> {
-    const stepMs = LAG_LIMIT_MS;
-    while (!signal.aborted) {
-      const before = performance.now();
-      await sleep(stepMs, undefined, { signal }).catch(() => {});
-      const lag = performance.now() - before - stepMs;
-      // One look later a lag that is over turns nobody away.
-      this.lagMs = Math.max(lag, this.lagMs * LAG_KEPT);
-    }
+  private makeMetrics(): MetricsEndpoint {
+    return new MetricsEndpoint({
+      clock: this.runtime.clock,
+      reportS: this.reportS,
+      vitals: this.vitals,
+      client: this.state.client,
+      owner: () => this.owner(),
+    });
   }
 
-  private async vitalsDuty(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await sleep(VITALS_REPORTS * this.reportS * 1000, undefined, { signal }).catch(() => {});
-      this.log.info({ owner: this.owner !== null, ...this.vitals.look() }, 'vitals');
-    }
+  private makeOwnerTerms(): OwnerTerms {
+    return new OwnerTerms({
+      ...this.services,
+      cloud: this.cloud,
+      entitlement: () => this.entitled(),
+      onRound: (roundMs) => {
+        this.vitals.rounds++;
+        this.vitals.roundMs += roundMs;
+        this.metrics.observeRound(roundMs);
+      },
+      directSockets: this.sockets.direct,
+    });
   }
 
-  private async ownerDuty(signal: AbortSignal): Promise<void> {
-    let current: { term: Term; stop: AbortController; done: Promise<void> } | null = null;
-    const terms: Subscription = this.ownership.term
-      .pipe(filter((t) => t?.term !== current?.term.term))
-      .subscribe((term) => {
-        current?.stop.abort();
-        current = null;
-        this.owner = null;
-        if (this.settings.deployment.nodes > 1) {
-          this.client.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
-        }
-        if (!term) return;
-        this.log.info({ term: term.term }, 'term begins');
-        const stop = new AbortController();
-        current = { term, stop, done: this.own(term, AbortSignal.any([signal, stop.signal])) };
-      });
-    await new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve()));
-    terms.unsubscribe();
+  private makeHttpServer(): HttpServer {
+    const health = new HealthEndpoint({ ...this.services, statuses: this.statuses });
+    const users = this.makeUserApi();
+    const reports = this.makeReportHandler();
+    return new HttpServer({
+      network: this.runtime.network,
+      address: parseHostPort(this.settings.listen),
+      maxConnections: this.sockets.server,
+      mount: (app) => {
+        health.mount(app);
+        this.metrics.mount(app);
+        users.mount(app);
+      },
+      onReport: (body, res) => {
+        const answered = this.metrics.timeReport();
+        reports.handle(body, res);
+        answered();
+      },
+    });
   }
 
-  private async own(term: Term, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const owner = new PartOwner(
-        this.settings,
-        this.client,
-        this.jobs,
-        term,
-        () => this.types,
-        () => this.entitled() !== 'none',
-        (roundMs) => {
-          this.vitals.rounds++;
-          this.vitals.roundMs += roundMs;
-          this.observed?.rounds.observe(roundMs / 1000);
-        },
-        this.sockets.direct,
-        this.log,
-      );
-      const { deployment: d, host_name } = this.settings;
-      const duty = new CloudDuty(
-        this.cloud,
-        owner,
-        host_name,
-        d.cloud.rps,
-        d.cloud.list_lag_s,
-        this.reportS,
-        d.workers.lease_s,
-        (types) => this.publishTypes(types),
-        () => this.entitled() !== 'none',
-        () => this.entitled() === 'proven' && !this.client.failing,
-        this.log,
-      );
-      this.owner = owner;
-      const both = new AbortController();
-      const own = AbortSignal.any([signal, both.signal]);
-      // Every call to a worker listens to it.
-      setMaxListeners(0, own);
-      try {
-        const cloud = duty.run(own);
-        await owner.run(own);
-        await cloud;
-      } catch (err) {
-        if (signal.aborted) return;
-        // A book that has given orders knows what may still arrive; it can't be made anew in its term.
-        if (err instanceof TermBroken || owner.ready) {
-          this.log.info({ why: String(err), term: term.term }, 'term given up');
-          this.ownership.resign();
-          return;
-        }
-        this.log.debug({ err: String(err) }, 'owner starts anew');
-        await sleep(this.reportS * 200, undefined, { signal }).catch(() => {});
-      } finally {
-        both.abort();
-      }
-    }
+  private makeUserApi(): UserApi {
+    const { teams } = this.settings.deployment;
+    const { client, commits, jobs } = this.services;
+    return new UserApi({
+      clock: this.runtime.clock,
+      client,
+      commits,
+      jobs,
+      teams: teamTerms(teams),
+      types: () => this.services.types.all(),
+      onRequest: (kind) => {
+        this.vitals.questions++;
+        return this.metrics.timeQuestion(kind);
+      },
+      overloaded: () => this.lag.overloaded,
+      onAbort: (job) => this.cancellationRelay.request(job),
+      crowded: () => this.httpServer.crowded,
+    });
   }
 
-  /** Types and their nominal sizes, for the controllers that don't ask the cloud themselves. */
-  private async publishTypes(types: MachineType[]): Promise<void> {
-    const known = JSON.stringify(this.types.map(sizesOf));
-    if (this.types.length > 0 && known === JSON.stringify(types.map(sizesOf))) {
-      this.types = types;
-      return;
-    }
-    const out = await this.client.txn([], [{ put: TYPES_KEY, value: types }], true);
-    if (out.ok) this.world.learn(TYPES_KEY, types, out.revision);
+  private makeReportHandler(): ReportHandler {
+    return new ReportHandler({
+      ...this.services,
+      entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
+      unownedReports: this.unownedReports,
+      vitals: this.vitals,
+    });
   }
 }
-
-function sizesOf(t: MachineType): unknown {
-  return [t.name, t.cpus, t.gpus, t.memory, t.zones];
-}
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,139 +1,99 @@
-import { interval, merge, Subject, throttle, timer } from 'rxjs';
-import { setTimeout as sleep } from 'node:timers/promises';
-import type { MachineType, Order, Report } from '#wire';
-import { FleetState, CapacityPlanner, FleetListener, JobState, Scheduler } from '#core';
+import { Clock, MachineType, Order, Report, Runtime, WakeablePause } from '#wire';
+import { FleetState, CapacityPlanner, Scheduler } from '#core';
+import { GroupCommit, StateClient, Term } from '#store';
+import { CancellationRecorder } from './cancellation-recorder.js';
 import {
-  JobRecord,
-  listAll,
-  MACHINES,
-  MachineRecord,
-  maxTasksPerMachine,
-  PROGRESS,
-  StateClient,
-  steady,
-  Term,
-} from '#store';
+  makeFleetState,
+  makePlanner,
+  makeScheduler,
+  ROUND_DECISIONS,
+} from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
-import { aloneBound } from './entitlement.js';
+import { countTasks, FleetSummary, summariseFleet, TaskCounts } from './fleet-summary.js';
+import { fleetListener } from './fleet-events.js';
+import { JobIntake } from './job-intake.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
-import { Recorder, runningCount, TermBroken } from './recorder.js';
-import { Settings, teamTerms } from './settings.js';
-
-/** Decisions in one scheduling round; the next round follows at once if more could be made. */
-const ROUND_DECISIONS = 200;
-
+import { OwnerRecords } from './owner-records.js';
+import { stopOnNotices } from './notices.js';
+import { Pacer } from './pacer.js';
+import { Recorder } from './recorder.js';
+import type { Settings } from './settings.js';
+
+/** Report periods that a direct command may take. */
+const DIRECT_TIMEOUT = 2;
+/** Rounds in a report period if nothing asks for more. */
+const ROUND_TICKS = 4;
 /** Rounds per decision tick at the most, and the multiple of its own time that a round pauses after. */
 const ROUNDS_A_TICK = 5;
 const ROUND_REST = 3;
 
+export interface PartOwnerOptions {
+  runtime: Runtime;
+  settings: Settings;
+  client: StateClient;
+  /** Users' changes of jobs. */
+  commits: GroupCommit;
+  jobs: JobTable;
+  term: Term;
+  types: () => MachineType[];
+  entitled: () => boolean;
+  /** Told how long each scheduling round took. */
+  onRound: (ms: number) => void;
+  /** Connections that may be open for direct commands. */
+  directSockets: number;
+  log: Log;
+}
+
 /** One term of owning a part: its book, the recorder behind it and the duties that drive it. */
 export class PartOwner {
   readonly book: FleetState;
   readonly planner: CapacityPlanner;
   readonly scheduler: Scheduler;
   readonly recorder: Recorder;
+  readonly term: Term;
+  /** Steady seconds. */
+  readonly startedAt: number;
+  private readonly clock: Clock;
+  private readonly settings: Settings;
+  private readonly log: Log;
   private readonly direct: DirectCommands;
-  readonly startedAt = steady();
+  private readonly intake: JobIntake;
+  private readonly cancellationRecorder: CancellationRecorder;
+  private rounds: Pacer | null = null;
+  private readonly idle: WakeablePause;
   /** The records are read and orders may have been given. */
   ready = false;
   /** No earlier owner has recorded any machine. */
   first = false;
   private summaryAt = -Infinity;
-  /** How long the last round took. */
-  private roundMs = 0;
-  private readonly poke = new Subject<void>();
-  private wakeFlush: () => void = () => {};
 
-  constructor(
-    private readonly settings: Settings,
-    private readonly client: StateClient,
-    private readonly jobs: JobTable,
-    readonly term: Term,
-    private readonly types: () => MachineType[],
-    private readonly entitled: () => boolean,
-    private readonly onRound: (ms: number) => void,
-    directSockets: number,
-    private readonly log: Log,
-  ) {
-    const { deployment, operator } = settings;
-    const w = deployment.workers;
-    this.book = new FleetState({
-      settings: {
-        leaseS: w.lease_s,
-        reportS: w.report_s,
-        gangPeerS: w.gang_peer_s,
-        formerOwnerS: aloneBound(w.cancel_s, w.lease_s, w.report_s) + 2 * w.report_s,
-        halfLifeS: operator.shareHalfLifeS,
-        maxTasksPerMachine: maxTasksPerMachine(client.limits.valueBytes),
-      },
-      term: term.term,
-      claimedAt: term.claimedAt,
-      listener: this.listener(),
+  constructor(private readonly options: PartOwnerOptions) {
+    const { runtime, settings, client, jobs, term, log } = options;
+    this.clock = runtime.clock;
+    this.startedAt = this.clock.now();
+    this.idle = new WakeablePause(this.clock);
+    ({ settings: this.settings, term: this.term, log: this.log } = options);
+    const listener = fleetListener(() => this.planner, log);
+    this.book = makeFleetState(settings, term, client.limits.valueBytes, listener);
+    this.planner = makePlanner(settings, this.book);
+    this.scheduler = makeScheduler(settings, this.book);
+    this.recorder = new Recorder({ runtime, client, book: this.book, jobs, term, log });
+    this.intake = new JobIntake({ clock: this.clock, book: this.book, planner: this.planner });
+    this.cancellationRecorder = new CancellationRecorder({
+      ...options,
+      clock: this.clock,
+      unrecorded: this.intake.unrecorded,
+      reportS: settings.deployment.workers.report_s,
     });
-    const teams = teamTerms(deployment.teams);
-    this.planner = new CapacityPlanner(
-      this.book,
-      {
-        reserveSigmas: operator.reserveSigmas,
-        idleHoldS: operator.idleHoldS,
-        memoryS: operator.arrivalMemoryS,
-      },
-      deployment.objectives
-        .filter((o) => o.class !== undefined)
-        .map((o) => ({ class: o.class!, kind: o.kind, withinS: o.within_s ?? Infinity })),
-      teams,
-    );
-    this.scheduler = new Scheduler(this.book, teams, {
-      floorWeight: operator.floorWeight,
-      stopThreshold: operator.stopThreshold,
-      gangLeaseS: operator.gangLeaseS,
-      preemptAfterS: operator.preemptAfterS,
-      decisionsPerRound: ROUND_DECISIONS,
+    this.direct = new DirectCommands({
+      runtime,
+      book: this.book,
+      timeoutMs: DIRECT_TIMEOUT * settings.deployment.workers.report_s * 1000,
+      maxConnections: options.directSockets,
+      onOrders: (machine, orders) => this.logOrders(machine.name, orders),
+      onDone: () => this.nudge(),
     });
-    this.recorder = new Recorder(client, this.book, jobs, term, log);
-    this.direct = new DirectCommands(
-      this.book,
-      2 * w.report_s * 1000,
-      directSockets,
-      (machine, orders) => this.logOrders(machine.name, orders),
-      () => this.nudge(),
-    );
-  }
-
-  /** Feeds the planner's statistics and the log. */
-  private listener(): FleetListener {
-    return {
-      machineUp: (machine, now) => {
-        this.planner.noteUp(machine, now);
-        const { name, type, zone, spot, bornAt } = machine;
-        this.log.debug({ machine: name, type, zone, spot, bootedS: seconds(now - bornAt) }, 'up');
-      },
-      jobClosed: (job, now) => this.planner.noteEnd(job.job, now),
-      taskRunning: (assignment, now) => {
-        const { job, index, machine, since } = assignment;
-        this.log.debug(
-          {
-            job: job.job.id,
-            task: index,
-            class: job.job.class,
-            machine: machine.name,
-            image: job.job.image,
-            placedS: seconds(since - job.acceptedAt),
-            fetchedS: seconds(now - since),
-          },
-          'task running',
-        );
-      },
-      taskEnded: ({ assignment, cause }, now) => {
-        const { job, index, attempt, machine, runningSince } = assignment;
-        const ranS = now - (runningSince ?? now);
-        this.log.debug(
-          { job: job.job.id, task: index, attempt, machine: machine.name, cause, ranS },
-          'task over',
-        );
-      },
-    };
   }
 
   /** Runs until the term ends; throws TermBroken if it must be given up. */
@@ -148,112 +108,85 @@
       },
       'owner',
     );
-    const tickMs = (this.settings.deployment.workers.report_s * 1000) / 4;
-    const jobs = this.jobs.changed.subscribe((r) => this.takeJob(r, true));
-    const rounds = merge(this.poke, interval(tickMs))
-      .pipe(
-        // However long rounds become, reports and users get the larger part of the processor.
-        throttle(() => timer(Math.max(tickMs / ROUNDS_A_TICK, ROUND_REST * this.roundMs)), {
-          leading: true,
-          trailing: true,
-        }),
-      )
-      .subscribe(() => {
-        const startedAt = performance.now();
-        this.round(signal);
-        this.roundMs = performance.now() - startedAt;
-        this.onRound(this.roundMs);
-      });
+    const jobs = this.options.jobs.changed.subscribe((record) => {
+      this.intake.take(record);
+      this.nudge();
+    });
+    const rounds = this.makePacer(signal);
+    this.rounds = rounds;
+    rounds.start();
     try {
       await this.flushLoop(signal);
     } finally {
       jobs.unsubscribe();
-      rounds.unsubscribe();
+      rounds.stop();
       this.direct.close();
     }
   }
 
   /** Asks for a scheduling round soon. */
   nudge(): void {
-    this.poke.next();
+    this.rounds?.request();
   }
 
   /** A user gives the job up; its record may be still to come. */
-  abort(id: string, now: number): void {
-    const job = this.book.jobs.get(id);
-    if (job?.phase !== 'accepted') return;
-    this.book.closeJob(job, 'aborted', now);
-    this.nudge();
+  abort(id: string): void {
+    if (this.intake.cancel(id)) this.nudge();
   }
 
-  private takeJob(record: JobRecord, fresh: boolean): JobState {
-    const now = steady();
-    const ageS = Math.max(0, (Date.now() - record.acceptedAtMs) / 1000);
-    const isNew = !this.book.jobs.has(record.job.id);
-    const state = this.book.addJob(record.job, now - ageS, record.phase, now);
-    if (isNew && record.phase === 'accepted') this.planner.noteArrival(record.job, now);
-    if (fresh) this.nudge();
-    return state;
+  private async load(signal: AbortSignal): Promise<void> {
+    const { client, jobs, types } = this.options;
+    const { book, recorder } = this;
+    for (const type of types()) book.machines.types.set(type.name, type);
+    const records = new OwnerRecords({
+      client,
+      jobs,
+      book,
+      recorder,
+      takeJob: (record) => this.intake.take(record),
+      onJobs: (now) => this.planner.assumeSteady(now),
+      now: () => this.clock.now(),
+    });
+    this.first = (await records.load(signal)) === 0;
+  }
+
+  private makePacer(signal: AbortSignal): Pacer {
+    const tickMs = (this.settings.deployment.workers.report_s * 1000) / ROUND_TICKS;
+    return new Pacer({
+      clock: this.clock,
+      periodMs: tickMs,
+      minRestMs: tickMs / ROUNDS_A_TICK,
+      restRatio: ROUND_REST,
+      run: () => this.timedRound(signal),
+      onError: (err) => {
+        this.log.error({ err: err instanceof Error ? err.stack : String(err) }, 'unexpected');
+      },
+    });
   }
 
-  private async load(signal: AbortSignal): Promise<void> {
-    for (const type of this.types()) this.book.machines.types.set(type.name, type);
-    // All that is durable before our claim, jobs first: records name them.
-    await this.jobs.cache.sync();
-    const machines = await listAll(this.client, MACHINES, signal);
-    const progress = await listAll(this.client, PROGRESS, signal);
-    const now = steady();
-    const held = new Set(
-      machines.entries.flatMap((e) => (e.value as MachineRecord).tasks.map(([job]) => job)),
-    );
-    for (const record of this.jobs.all()) {
-      if (record.phase === 'accepted' || held.has(record.job.id)) this.takeJob(record, false);
-    }
-    this.planner.assumeSteady(now);
-    for (const e of progress.entries) {
-      this.recorder.loaded(e.key, e.version);
-      const [id, chunk] = e.key.slice(PROGRESS.length).split('/');
-      const job = this.book.jobs.get(id);
-      if (job) {
-        this.recorder.loadProgress(job, Number(chunk), (e.value as { done: string }).done);
-      }
-    }
-    this.first = machines.entries.length === 0;
-    for (const e of machines.entries) {
-      this.recorder.loaded(e.key, e.version);
-      const { addr, type, zone, spot, tasks } = e.value as MachineRecord;
-      const name = e.key.slice(MACHINES.length);
-      const machine = this.book.machines.register({ name, addr, type, zone, spot }, 'up', now);
-      for (const [id, index, attempt] of tasks) {
-        const job = this.book.jobs.get(id);
-        if (job) this.book.assignments.inherit(job, index, machine, attempt, now);
-        else throw new TermBroken(`record of ${name} names unknown job ${id}`);
-      }
-    }
-    this.book.machines.updateTotals();
+  /** True if the round made as many decisions as it may, and the next one is to follow at once. */
+  private timedRound(signal: AbortSignal): boolean {
+    const startedAt = this.clock.now();
+    const decided = this.round(signal);
+    this.options.onRound((this.clock.now() - startedAt) * 1000);
+    return decided >= ROUND_DECISIONS;
   }
 
-  private round(signal: AbortSignal): void {
-    const now = steady();
-    const dark = this.book.leases.expire(now);
-    for (const m of dark) this.log.info({ machine: m.name }, 'machine silent past its lease');
-    this.book.machines.updateTotals();
-    for (const m of this.book.machines.values()) {
-      if (m.noticeAt === null) continue;
-      for (const a of m.tasks.values()) {
-        // What can be saved is saved before the cloud takes the machine; services move at once.
-        const saves = a.job.job.checkpointS > 0;
-        if (a.stop === null && (saves || a.job.job.kind === 'service')) {
-          this.scheduler.stopOrderly(a, now);
-        }
-      }
+  /** Returns the number of decisions. */
+  private round(signal: AbortSignal): number {
+    const now = this.clock.now();
+    for (const { name } of this.book.leases.expire(now)) {
+      this.log.info({ machine: name }, 'machine silent past its lease');
     }
+    this.book.machines.updateTotals();
+    stopOnNotices(this.book, this.scheduler, now);
     this.scheduler.reserve(now);
     const decided = this.scheduler.round(now);
-    if (decided >= ROUND_DECISIONS) this.nudge();
-    if (this.recorder.pending) this.wakeFlush();
-    if (this.entitled()) this.direct.push(signal);
+    if (this.recorder.pending) this.idle.wake();
+    if (this.options.entitled()) this.direct.push(signal);
+    this.cancellationRecorder.push();
     this.summarise(now);
+    return decided;
   }
 
   private summarise(now: number): void {
@@ -263,73 +196,48 @@
     this.log.info(this.fleet(), 'fleet');
   }
 
-  /** The fleet, its use and what waits, as operators want to see it. */
-  fleet() {
-    const now = steady();
-    const states: Record<string, number> = {};
-    let idle = 0;
-    for (const m of this.book.machines.values()) {
-      const kind = `${m.state}${m.spot ? ' spot' : ''}`;
-      states[kind] = (states[kind] ?? 0) + 1;
-      if (m.state === 'up' && m.tasks.size === 0) idle++;
-    }
-    const waiting: Record<string, number> = {};
-    for (const j of this.book.jobs.waiting) {
-      waiting[j.job.class] = (waiting[j.job.class] ?? 0) + this.book.jobs.waitingCount(j);
-    }
-    const use: Record<string, number> = {};
-    const index: Record<string, number> = {};
-    for (const t of this.settings.deployment.teams) {
-      use[t.name] = this.book.usage.ofTeam(t.name).gpus;
-      index[t.name] = Number(this.scheduler.index(t.name, now).toFixed(3));
-    }
-    const { gpus } = this.book.machines.totals;
-    return { machines: states, idle, gpus, use, index, waiting };
+  /** The fleet, its use and what waits. */
+  fleet(): FleetSummary {
+    const teams = this.settings.deployment.teams.map((team) => team.name);
+    return summariseFleet(this.book, this.scheduler, teams, this.clock.now());
   }
 
   private async flushLoop(signal: AbortSignal): Promise<void> {
-    const tickMs = this.settings.deployment.workers.report_s * 250;
+    const tickMs = (this.settings.deployment.workers.report_s * 1000) / ROUND_TICKS;
     while (!signal.aborted) {
       if (this.recorder.pending) {
         await this.recorder.flush(signal);
-        if (this.entitled()) this.direct.push(signal);
-        continue;
-      }
-      const early = new AbortController();
-      this.wakeFlush = () => early.abort();
-      await sleep(tickMs, undefined, { signal: AbortSignal.any([signal, early.signal]) }).catch(
-        () => {},
-      );
-      this.wakeFlush = () => {};
+        if (this.options.entitled()) this.direct.push(signal);
+      } else await this.idle.wait(tickMs, signal);
     }
   }
 
   /** Takes a report and says what to answer; null for a late copy. */
-  report(r: Report): Order[] | null {
+  report(report: Report): Order[] | null {
     const before = this.recorder.pending;
-    const outcome = this.book.reports.handle(r, steady());
+    const outcome = this.book.reports.handle(report, this.clock.now());
     if (outcome.kind === 'late-copy') return null;
     const { orders } = outcome;
-    this.logOrders(r.machine, orders);
+    this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
-      this.wakeFlush();
+      this.idle.wake();
       this.nudge();
     }
     return orders;
   }
 
   private logOrders(machine: string, orders: Order[]): void {
-    for (const o of orders) this.log.debug({ machine, ...o }, 'order');
+    for (const order of orders) this.log.debug({ machine, ...order }, 'order');
   }
 
   /** How many machines should report, and how many did so within the time. */
   hearing(now: number, withinS: number): { machines: number; heard: number } {
     let machines = 0;
     let heard = 0;
-    for (const m of this.book.machines.values()) {
-      if (m.state !== 'up') continue;
+    for (const { state, answeredAt } of this.book.machines.values()) {
+      if (state !== 'up') continue;
       machines++;
-      if (now - m.answeredAt <= withinS) heard++;
+      if (now - answeredAt <= withinS) heard++;
     }
     return { machines, heard };
   }
@@ -339,16 +247,7 @@
     return this.book.machines.get(machine)?.token ?? this.term.term;
   }
 
-  counts(): { job: string; done: number; running: number }[] {
-    const out = [];
-    for (const job of this.book.jobs.values()) {
-      if (job.phase !== 'accepted') continue;
-      out.push({ job: job.job.id, done: job.done.size, running: runningCount(job) });
-    }
-    return out;
+  counts(): TaskCounts[] {
+    return countTasks(this.book);
   }
 }
-
-function seconds(s: number): number {
-  return Math.round(s * 100) / 100;
-}
--- a/packages/controller/api.ts
+++ b/packages/controller/user-api.ts
@@ -1,8 +1,6 @@
-import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
-import express, { Express, Request, Response } from 'express';
+import type { Express, Request, Response } from 'express';
 import {
-  decode,
-  encode,
+  Clock,
   isJobId,
   Job,
   MachineType,
@@ -22,11 +20,11 @@
   sizeOf,
   StateClient,
 } from '#store';
+import { readBody, reply } from './http-bodies.js';
 import { JobTable } from './jobs.js';
 
-const BODY_LIMIT = 64 * 1024;
-
-export interface ApiParts {
+export interface UserApiOptions {
+  clock: Clock;
   client: StateClient;
   commits: GroupCommit;
   jobs: JobTable;
@@ -42,60 +40,17 @@
   crowded: () => boolean;
 }
 
-/** Answers with one write: head and body go out together. */
-export function reply(
-  res: ServerResponse,
-  status: number,
-  body: unknown,
-  retryAfterS?: number,
-): void {
-  const bytes = encode(body);
-  const head: Record<string, string | number> = {
-    'Content-Type': 'application/cbor',
-    'Content-Length': bytes.length,
-  };
-  if (retryAfterS !== undefined) head['Retry-After'] = Math.ceil(retryAfterS);
-  res.writeHead(status, head).end(bytes);
-}
-
-/**
- * Takes a body in without express's body parsers: most of what an owner of a large fleet does is read
- * reports, and the parsers' streams cost more than reading the report itself.
- */
-export function takeBody(req: IncomingMessage, take: (body: unknown) => void): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  req.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    // What is too large is read to its end, so that the answer can be sent, but not kept.
-    if (size <= BODY_LIMIT) chunks.push(chunk);
-  });
-  req.on('end', () => {
-    if (size > BODY_LIMIT) take(undefined);
-    else take(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
-  });
-}
-
-export function readBody(body: unknown): unknown {
-  if (!Buffer.isBuffer(body)) throw new MalformedBody('no body');
-  const value = decode(body);
-  if (value === null || typeof value !== 'object' || Array.isArray(value)) {
-    throw new MalformedBody('not a map');
-  }
-  return value;
-}
-
 /** What users ask: submissions, queries, aborts. */
 export class UserApi {
-  constructor(private readonly parts: ApiParts) {}
+  constructor(private readonly options: UserApiOptions) {}
 
   mount(app: Express): void {
     const guard =
       (kind: string, run: (req: Request, res: Response) => Promise<void>) =>
       (req: Request, res: Response) => {
-        res.once('finish', this.parts.onRequest(kind));
+        res.once('finish', this.options.onRequest(kind));
         // Reports keep their connections when users overrun.
-        if (this.parts.crowded()) res.setHeader('Connection', 'close');
+        if (this.options.crowded()) res.setHeader('Connection', 'close');
         run(req, res).catch((err: unknown) => this.refuse(res, err));
       };
     app.post(
@@ -122,7 +77,7 @@
 
   /** The job as durable now, or undefined; a final state never changes and needs no asking. */
   private async lookUp(id: string): Promise<JobRecord | undefined> {
-    const { jobs } = this.parts;
+    const { jobs } = this.options;
     const known = jobs.get(id);
     if (known && known.phase !== 'accepted') return known;
     await jobs.cache.sync();
@@ -130,8 +85,8 @@
   }
 
   private async submit(req: Request, res: Response): Promise<void> {
-    const { jobs, commits } = this.parts;
-    if (this.parts.overloaded() || commits.full) {
+    const { jobs, commits } = this.options;
+    if (this.options.overloaded() || commits.full) {
       reply(res, 503, { error: 'overloaded' }, 2);
       return;
     }
@@ -163,7 +118,7 @@
       else reply(res, refusal?.status ?? 400, { error: refusal?.error ?? 'invalid' });
       return;
     }
-    if (this.parts.types().length === 0) {
+    if (this.options.types().length === 0) {
       reply(res, 503, { error: 'machine types are not known yet' }, 1);
       return;
     }
@@ -171,15 +126,15 @@
   }
 
   private async accept(job: Job, res: Response): Promise<void> {
-    const { client, commits, jobs } = this.parts;
-    const known = new Set(this.parts.types().map((t) => t.name));
+    const { clock, client, commits, jobs } = this.options;
+    const known = new Set(this.options.types().map((t) => t.name));
     // Types that do not exist here need no place in the record.
     const kept =
       job.types && job.types.length > known.size
         ? { ...job, types: job.types.filter((t) => known.has(t)) }
         : job;
     const key = jobKey(job.id);
-    const record = { job: kept, acceptedAtMs: Date.now(), phase: 'accepted' as const };
+    const record = { job: kept, acceptedAtMs: clock.wallMs(), phase: 'accepted' as const };
     const value = encodeJob(record);
     if (sizeOf([{ put: key, value }]) > client.limits.valueBytes) {
       throw new MalformedBody('texts are too long');
@@ -206,14 +161,14 @@
 
   /** Why a job can never run, or null. */
   private neverRuns(job: Job): string | null {
-    const terms = this.parts.teams.get(job.team);
+    const terms = this.options.teams.get(job.team);
     if (!terms) return 'unknown team';
     const n = job.kind === 'array' ? 1 : job.tasks;
     const need = { cpus: job.cpus * n, gpus: job.gpus * n, memory: 0 };
     if (!withinLimit(terms, { cpus: 0, gpus: 0, memory: 0 }, need)) {
       return "more than the team's limit";
     }
-    const types = this.parts.types();
+    const types = this.options.types();
     if (types.length > 0 && !types.some((t) => typeFits(job, t))) {
       return 'a task fits no allowed machine type';
     }
@@ -223,18 +178,18 @@
   private async query(req: Request, res: Response): Promise<void> {
     const id = String(req.params.id);
     const record = isJobId(id) ? await this.lookUp(id) : undefined;
-    if (record) reply(res, 200, this.parts.jobs.view(record));
+    if (record) reply(res, 200, this.options.jobs.view(record));
     else reply(res, 404, { error: 'unknown job' });
   }
 
   private async abort(req: Request, res: Response): Promise<void> {
-    const { client, commits, jobs } = this.parts;
+    const { client, commits, jobs } = this.options;
     const id = String(req.params.id);
     const key = jobKey(id);
     let record = isJobId(id) ? await this.lookUp(id) : undefined;
     // Whoever owns hears of it first: once it is recorded we may end, and the state service with us, and
     // the user may have been told. Nobody has use for the tasks of a job whose user gives it up.
-    if (record?.phase === 'accepted') this.parts.onAbort(id);
+    if (record?.phase === 'accepted') this.options.onAbort(id);
     for (let attempt = 0; record && record.phase === 'accepted' && attempt < 3; attempt++) {
       const value = encodeJob({ ...record, phase: 'aborted' });
       try {
@@ -256,54 +211,3 @@
     else reply(res, 200, { id, phase: record.phase });
   }
 }
-
-/**
- * Reports go past express: nearly all requests to an owner are reports, and express's way to the handler
- * cost more than the handler. All else is express's.
- */
-export function frontOf(
-  app: Express,
-  hello: (body: unknown, res: ServerResponse) => void,
-): RequestListener {
-  return (req, res) => {
-    if (req.method === 'POST' && req.url === '/hello') takeBody(req, (body) => hello(body, res));
-    else app(req, res);
-  };
-}
-
-/** The common frame of the HTTP side: raw bodies within the limit, and an answer to everything. */
-export function makeApp(): Express {
-  const app = express();
-  app.disable('x-powered-by');
-  app.disable('etag');
-  app.set('query parser', false);
-  app.use((req, _res, next) =>
-    takeBody(req, (body) => {
-      req.body = body;
-      next();
-    }),
-  );
-  return app;
-}
-
-/** Unknown paths, wrong methods and bodies that could not be read. To be mounted last. */
-export function mountFallbacks(app: Express): void {
-  const methods: [RegExp, string][] = [
-    [/^\/(submissions|hello)\/?$/, 'POST'],
-    [/^\/submissions\/[^/]+\/?$/, 'GET'],
-    [/^\/submissions\/[^/]+\/abort\/?$/, 'POST'],
-    [/^\/(healthz|metrics)\/?$/, 'GET'],
-  ];
-  app.use((req: Request, res: Response) => {
-    const known = methods.find(([path]) => path.test(req.path));
-    if (!known) reply(res, 404, { error: 'unknown path' });
-    else {
-      res.setHeader('Allow', known[1]);
-      reply(res, 405, { error: 'wrong method' });
-    }
-  });
-  app.use((err: unknown, _req: Request, res: Response, next: () => void) => {
-    if (res.headersSent) next();
-    else reply(res, 400, { error: err instanceof Error ? err.message : 'unreadable' });
-  });
-}
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -2,18 +2,18 @@
 import http from 'node:http';
 import { type AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
-import { encode, NoAnswer } from '#wire';
+import { encode, NoAnswer, nodeRuntime } from '#wire';
 import {
-  ApiParts,
+  UserApiOptions,
   DirectCommands,
-  frontOf,
+  withReports,
   makeApp,
   mountFallbacks,
   readBody,
   reply,
   socketShares,
   UserApi,
-  WorkerLines,
+  WorkerConnections,
 } from '#controller';
 import { aBook, aJob, aMachine, aReport } from './samples.js';
 import { serve } from './services.js';
@@ -42,7 +42,7 @@
   const app = makeApp();
   app.post('/submissions', (req, res) => take(req.body, res));
   mountFallbacks(app);
-  const server = http.createServer(frontOf(app, take)).listen(0, '127.0.0.1');
+  const server = http.createServer(withReports(app, take)).listen(0, '127.0.0.1');
   await new Promise((resolve) => server.once('listening', resolve));
   const { port } = server.address() as AddressInfo;
   for (const path of ['/hello', '/submissions']) {
@@ -65,7 +65,7 @@
   // before it told the owner, and an outage of the state service began.
   const seen: string[] = [];
   const record = { job: aJob(), acceptedAtMs: 0, phase: 'accepted', version: 3 };
-  const parts = {
+  const options = {
     client: { call: () => Promise.reject(new NoAnswer('cut')) },
     commits: {
       commit: () => {
@@ -79,7 +79,7 @@
     onAbort: (id: string) => seen.push(id),
   };
   const app = makeApp();
-  new UserApi(parts as unknown as ApiParts).mount(app);
+  new UserApi(options as unknown as UserApiOptions).mount(app);
   const server = http.createServer(app).listen(0, '127.0.0.1');
   await new Promise((resolve) => server.once('listening', resolve));
   const { port } = server.address() as AddressInfo;
@@ -111,25 +111,26 @@
     workers.push(worker);
     const machine = aMachine(book, name);
     book.reports.handle(aReport({ machine: name, addr: worker.address }), 0);
-    machine.answeredAt = performance.now() / 1000;
+    machine.answeredAt = nodeRuntime.clock.now();
     const job = book.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
     book.assignments.assign(job, 0, machine, book.assignments.newAttempt(), 0).recorded = true;
   }
   const stop = new AbortController();
   await new Promise<void>((resolve) => {
-    const direct = new DirectCommands(
+    const direct = new DirectCommands({
+      runtime: nodeRuntime,
       book,
-      5000,
-      most,
-      () => {},
-      () => {
+      timeoutMs: 5000,
+      maxConnections: most,
+      onOrders: () => {},
+      onDone: () => {
         assert.ok(direct.connections <= most);
         if (ordered === machines) {
           direct.close();
           resolve();
         } else direct.push(stop.signal);
       },
-    );
+    });
     direct.push(stop.signal);
   });
   assert.equal(ordered, machines);
@@ -149,11 +150,11 @@
   }
   // Guards against the half-open connections of a zone that was cut off: with those of its machines
   // that came back they used up the owner's sockets, and others could not report.
-  const lines = new WorkerLines();
+  const connections = new WorkerConnections();
   const [first, second] = [new Socket(), new Socket()];
-  lines.heard('n-1', first);
-  lines.heard('n-1', first);
+  connections.heard('n-1', first);
+  connections.heard('n-1', first);
   assert.ok(!first.destroyed);
-  lines.heard('n-1', second);
+  connections.heard('n-1', second);
   assert.ok(first.destroyed && !second.destroyed);
 });
