An owner never begins a job whose cancellation was asked for before

Cause: a request for a job that was not in the owner's book yet did nothing, and a new owner looked at the requests only with its next round of status, up to half a report period after its first scheduling round. Until then it started tasks of jobs whose users had been told that they are cancelled.

Change: the intake of jobs asks for each new one whether its cancellation was asked for, and ends it at once. This holds for the records that a new owner loads as well, before its first round.

--- a/packages/controller/job-intake.ts
+++ b/packages/controller/job-intake.ts
@@ -1,11 +1,13 @@
 import type { Book, CapacityPlanner } from '#core';
 import type { JobRecord } from '#store';
 import type { Clock } from '#wire';
+import type { JobTable } from './jobs.js';
 
 export interface JobIntakeOptions {
   clock: Clock;
   book: Book;
-  planner: CapacityPlanner;
+  planner: Pick<CapacityPlanner, 'noteArrival'>;
+  jobs: Pick<JobTable, 'isCancelled'>;
 }
 
 /** Brings jobs into an owner's book, and ends those whose users have asked for it. */
@@ -19,16 +21,19 @@
 
   constructor(private readonly options: JobIntakeOptions) {}
 
-  /** Takes a record in as the state service holds it. */
+  /** Takes a record in as the state service holds it; what a user has asked to cancel is never begun. */
   take(record: JobRecord): void {
-    const { clock, book, planner } = this.options;
+    const { clock, book, planner, jobs } = this.options;
     const { job, phase, acceptedAtMs } = record;
     const now = clock.now();
     const ageS = Math.max(0, (clock.wallMs() - acceptedAtMs) / 1000);
     const isNew = !book.jobs.has(job.id);
     book.addJob(job, now - ageS, phase, now);
     if (phase !== 'accepted') this.unrecorded.delete(job.id);
-    else if (isNew) planner.noteArrival(job, now);
+    else if (isNew) {
+      planner.noteArrival(job, now);
+      if (jobs.isCancelled(job.id)) this.cancel(job.id);
+    }
   }
 
   /** A user gives the job up; its record may be still to come. False if there is nothing to end. */
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -73,7 +73,12 @@
     this.planner = makePlanner(settings, this.book);
     this.scheduler = makeScheduler(settings, this.book);
     this.recorder = new Recorder({ runtime, client, book: this.book, jobs, term, log });
-    this.intake = new JobIntake({ clock: this.clock, book: this.book, planner: this.planner });
+    this.intake = new JobIntake({
+      ...options,
+      clock: this.clock,
+      book: this.book,
+      planner: this.planner,
+    });
     this.cancellationRecorder = new CancellationRecorder({
       ...options,
       clock: this.clock,
