No task is recorded, and so none begins, after its job's cancellation

Cause: the transaction that names a task in its machine's record depended on the term and on that record only. A cancellation that was confirmed while the watch was late did not stop it, and the task was started.

Change: the transaction is conditional on the version of the job's accepted record as well, for each job that it names a task of for the first time. If such a condition fails, the jobs are read anew with one read index before anything else is judged, so that cancelled work is dropped before the rest is recorded.

--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -1,37 +1,25 @@
-import { Change, Condition, Runtime, sleep } from '#wire';
+import { Condition, Runtime, sleep } from '#wire';
 import type { Assignment, Book, JobState, Machine } from '#core';
 import {
   encodeJob,
   jobKey,
+  JOBS,
   MACHINES,
   MachineRecord,
   partKey,
   progressChunkTasks,
   progressKey,
-  sizeOf,
   StateClient,
   Term,
 } from '#store';
 import type { JobTable } from './jobs.js';
 import type { Log } from './log.js';
-
-interface Item {
-  key: string;
-  version: number;
-  change: Change;
-  /** What follows from the change being durable. */
-  durable: (revision: number) => void;
-  /** Puts the change back in line. */
-  again: () => void;
-}
+import { RecordBatch, type RecordChange } from './record-batch.js';
 
 /** Before a transaction is sent again: at least so long, and up to so much longer. */
 const RETRY_MS = 100;
 const RETRY_SPREAD_MS = 200;
 
-/** Half of a transaction's 64 KiB: keys, conditions and CBOR come on top. */
-const TXN_BYTES = 48 * 1024;
-
 /** Our own records are not as this term left them: the term must not be used further. */
 export class TermBroken extends Error {}
 
@@ -79,11 +67,12 @@
 
   /** Writes as much as one transaction takes. */
   async flush(signal: AbortSignal): Promise<void> {
-    const items = this.collect();
-    if (items.length === 0) return;
+    const batch = this.collect();
+    if (batch.changes.length === 0) return;
     for (;;) {
       try {
-        if (await this.send(items, signal)) return;
+        await this.send(batch, signal);
+        return;
       } catch (err) {
         if (err instanceof TermBroken || signal.aborted) throw err;
         const { runtime } = this.options;
@@ -92,101 +81,105 @@
     }
   }
 
-  private async send(items: Item[], signal: AbortSignal): Promise<boolean> {
-    const conditions: Condition[] = [
-      { key: partKey(this.term.part), version: this.term.term },
-      ...items.map(({ key, version }) => ({ key, version })),
-    ];
-    const changes = items.map((item) => item.change);
-    const out = await this.client.txn(conditions, changes, false, signal);
+  private async send(batch: RecordBatch, signal: AbortSignal): Promise<void> {
+    const changes = batch.changes.map(({ change }) => change);
+    const out = await this.client.txn(batch.allConditions(), changes, false, signal);
     if (out.ok) {
-      for (const item of items) item.durable(out.revision);
-      return true;
+      for (const change of batch.changes) change.durable(out.revision);
+      return;
     }
     if (!('failed' in out)) throw new TermBroken('no such grant');
     if (out.failed.includes(partKey(this.term.part))) throw new TermBroken('term is over');
-    return this.settle(items, out.failed, signal);
+    await this.settle(batch, out.failed, signal);
   }
 
   /** A record differs: an earlier send of the same was applied, or a user's abort came between. */
-  private async settle(items: Item[], failed: string[], signal: AbortSignal): Promise<boolean> {
+  private async settle(batch: RecordBatch, failed: string[], signal: AbortSignal): Promise<void> {
+    // First of all, so that nothing of a cancelled job is begun, whatever else was applied.
+    if (failed.some((key) => key.startsWith(JOBS))) {
+      this.log.debug({ failed }, 'aborted before its tasks or its end were recorded');
+      await this.jobs.cache.sync();
+    }
     for (const key of failed) {
-      const item = items.find((candidate) => candidate.key === key);
+      const item = batch.changes.find((candidate) => candidate.key === key);
+      if (!item && key.startsWith(JOBS)) continue;
       if (!item) throw new TermBroken(`unexpected condition ${key}`);
       const now = await this.client.call(true, signal, (api) => api.get(key, signal));
       const wanted = 'put' in item.change ? item.change.value : undefined;
       if (now ? same(now.value, wanted) : wanted === undefined) {
         // All or nothing: the whole transaction was applied.
         const revision = now?.version ?? 0;
-        for (const each of items) each.durable(revision);
-        return true;
+        for (const each of batch.changes) each.durable(revision);
+        return;
       }
-      if (key.startsWith('jobs/') && now) {
-        this.jobs.cache.learn(key, now.value, now.version);
-        this.log.debug({ key }, 'aborted before its end was recorded');
-      } else throw new TermBroken(`record ${key} changed under this term`);
+      if (!key.startsWith(JOBS)) throw new TermBroken(`record ${key} changed under this term`);
     }
-    for (const item of items) item.again();
-    return true;
+    for (const item of batch.changes) item.again();
   }
 
-  private collect(): Item[] {
-    const { txnOps, valueBytes } = this.client.limits;
-    const items: Item[] = [];
-    let bytes = 0;
-    const room = () => items.length < txnOps && bytes + valueBytes < TXN_BYTES;
+  private collect(): RecordBatch {
+    const batch = new RecordBatch(this.term, this.client.limits);
     for (const name of [...this.book.dirtyMachines]) {
-      if (!room()) break;
+      const change = this.machineChange(name);
+      if (change && !batch.add(change)) break;
       this.book.dirtyMachines.delete(name);
-      const item = this.machineItem(name);
-      if (!item) continue;
-      items.push(item);
-      bytes += sizeOf([item.change]);
     }
     for (const id of [...this.book.dirtyJobs]) {
       const job = this.book.jobs.get(id);
-      const chunks = job ? Math.ceil(job.job.tasks / this.chunkTasks) : 0;
-      if (items.length > 0 && (!room() || items.length + chunks > txnOps)) break;
+      const changes = job?.phase === 'accepted' ? this.jobChanges(job) : [];
+      const { txnOps } = this.client.limits;
+      if (batch.changes.length > 0 && batch.changes.length + changes.length > txnOps) break;
+      if (!changes.every((change) => batch.add(change))) break;
       this.book.dirtyJobs.delete(id);
-      if (!job || job.phase !== 'accepted') continue;
-      const made = this.jobItems(job, chunks);
-      items.push(...made);
-      bytes += sizeOf(made.map((item) => item.change));
     }
-    return items;
+    return batch;
   }
 
-  private machineItem(name: string): Item | null {
+  private machineChange(name: string): RecordChange | null {
     const key = MACHINES + name;
     const version = this.versions.get(key) ?? 0;
     const machine = this.book.machines.get(name);
     const again = () => void this.book.dirtyMachines.add(name);
     if (!machine) {
       if (version === 0) return null;
-      return {
-        key,
-        version,
-        change: { delete: key },
-        durable: () => this.versions.delete(key),
-        again,
-      };
+      const durable = () => void this.versions.delete(key);
+      return { key, version, change: { delete: key }, guards: [], durable, again };
     }
     if (machine.tasks.size === 0 && version === 0) return null;
-    const held = [...machine.tasks.values()];
-    return {
-      key,
-      version,
-      change: { put: key, value: encodeMachine(machine, held) },
-      durable: (revision) => {
-        this.versions.set(key, revision);
-        for (const assignment of held) assignment.recorded = true;
-        this.book.handedOver(machine, revision);
-      },
-      again,
+    const { assignments, guards, complete } = this.nameable(machine);
+    const durable = (revision: number) => {
+      this.versions.set(key, revision);
+      for (const assignment of assignments) assignment.recorded = true;
+      this.book.handedOver(machine, revision);
+      if (!complete) again();
     };
+    const change = { put: key, value: encodeMachine(machine, assignments) };
+    return { key, version, change, guards, durable, again };
+  }
+
+  /**
+   * What a machine's record may name. A task that it names for the first time may start once it is
+   * durable, so it must not be if the task's job was cancelled before: that is a condition, and there
+   * may be only so many in a transaction.
+   */
+  private nameable(machine: Machine) {
+    const maxGuards = RecordBatch.maxGuards(this.client.limits);
+    const guards = new Map<string, Condition>();
+    const assignments: Assignment[] = [];
+    for (const assignment of machine.tasks.values()) {
+      const { id } = assignment.job.job;
+      const guarded = !assignment.recorded && assignment.stop === null;
+      if (guarded && !guards.has(id)) {
+        if (guards.size === maxGuards) continue;
+        guards.set(id, { key: jobKey(id), version: this.jobs.get(id)?.version ?? 0 });
+      }
+      assignments.push(assignment);
+    }
+    const complete = assignments.length === machine.tasks.size;
+    return { assignments, guards: [...guards.values()], complete };
   }
 
-  private jobItems(job: JobState, chunks: number): Item[] {
+  private jobChanges(job: JobState): RecordChange[] {
     const size = job.done.size;
     const id = job.job.id;
     const again = () => void this.book.dirtyJobs.add(id);
@@ -200,18 +193,21 @@
           key,
           version: record.version,
           change: { put: key, value },
+          guards: [],
           durable: (revision) => this.jobs.cache.learn(key, value, revision),
           again,
         },
       ];
     }
-    const items: Item[] = [];
+    const items: RecordChange[] = [];
+    const chunks = Math.ceil(job.job.tasks / this.chunkTasks);
     for (let chunk = 0; chunk < chunks; chunk++) {
       const key = progressKey(id, chunk);
       items.push({
         key,
         version: this.versions.get(key) ?? 0,
         change: { put: key, value: { done: job.done.chunkText(chunk, this.chunkTasks) } },
+        guards: [],
         durable: (revision) => {
           this.versions.set(key, revision);
           if (job.done.size === size) job.unsaved = false;
