--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -183,13 +183,13 @@
   private uselessMachines(now: number): Machine[] {
     const { machines, types } = this.owner.book;
     const isUseless = (machine: Machine) => {
-      const { state, draining, errors, bornAt, darkAt } = machine;
+      const { state, draining, bornAt, darkAt } = machine;
       const bootS = types.get(machine.type)?.bootS ?? 0;
       const neverUp = state === 'booting' && now - bornAt > BOOT_LATE * bootS;
       const longDark = state === 'dark' && now - darkAt > DARK_LEASES * this.options.leaseS;
-      const empty = machine.tasks.size === 0;
-      const broken = errors >= BROKEN_ERRORS;
-      return machine.listedFailed || neverUp || longDark || (empty && (draining || broken));
+      const unwanted = draining || machine.errors >= BROKEN_ERRORS;
+      const emptied = unwanted && machine.tasks.size === 0;
+      return machine.listedFailed || neverUp || longDark || emptied;
     };
     return [...machines.values()].filter(isUseless).slice(0, RELEASE_AT_ONCE);
   }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -232,14 +232,9 @@
 
   /** How many machines should report, and how many did so within the time. */
   hearing(now: number, withinS: number): { machines: number; heard: number } {
-    let machines = 0;
-    let heard = 0;
-    for (const { state, answeredAt } of this.book.machines.values()) {
-      if (state !== 'up') continue;
-      machines++;
-      if (now - answeredAt <= withinS) heard++;
-    }
-    return { machines, heard };
+    const machines = [...this.book.machines.values()].filter(({ state }) => state === 'up');
+    const heard = machines.filter(({ answeredAt }) => now - answeredAt <= withinS);
+    return { machines: machines.length, heard: heard.length };
   }
 
   /** What the worker's answers carry. */
