Tests and load use the new stand-ins; the older services are gone

The older state service and cloud knew neither limits nor faults. The reader of a worker's answers moved to the serving side of the wire package.

--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -16,7 +16,7 @@
   WorkerLines,
 } from '#controller';
 import { aBook, aJob, aMachine, aReport } from './samples.js';
-import { serve } from './services.js';
+import { FREE_LOOPBACK_PORT, serveCbor } from './standins/index.js';
 
 async function post(port: number, path: string, body: Uint8Array): Promise<number> {
   return new Promise((resolve, reject) => {
@@ -101,7 +101,7 @@
   const workers = [];
   for (let i = 0; i < machines; i++) {
     const name = `n-${i}`;
-    const worker = await serve(async (_method, _url, body) => {
+    const worker = await serveCbor(nodeRuntime, FREE_LOOPBACK_PORT, async ({ body }) => {
       atOnce = Math.max(atOnce, ++underWay);
       await new Promise((resolve) => setImmediate(resolve));
       ordered += (body as { orders: unknown[] }).orders.length;
@@ -110,7 +110,7 @@
     });
     workers.push(worker);
     const machine = aMachine(book, name);
-    book.report(aReport({ machine: name, addr: worker.address }), 0);
+    book.report(aReport({ machine: name, addr: worker.target }), 0);
     machine.answeredAt = nodeRuntime.clock.now();
     const job = book.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
     book.assign(job, 0, machine, book.newAttempt(), 0).recorded = true;
--- a/packages/testing/load.ts
+++ b/packages/testing/load.ts
@@ -7,42 +7,65 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import {
-  CborClient,
-  commandToWire,
-  jobToWire,
-  nodeRuntime,
-  parseAnswer,
-  reportToWire,
-  type Job,
-  type Order,
-} from '#wire';
+import { nodeRuntime, type Job, type MachineType } from '#wire';
 import { aJob } from './samples.js';
-import { serve, StandInCloud, StandInState } from './services.js';
-import { StandInWorker } from './worker.js';
+import {
+  CloudService,
+  Fleet,
+  FREE_LOOPBACK_PORT,
+  GangNetwork,
+  JobStorage,
+  LateReports,
+  QUICK_BOOTS,
+  ReplyLoss,
+  StateService,
+  Users,
+  type PlannedJob,
+} from './standins/index.js';
 
-const [machines, seconds, ...nodeOptions] = process.argv.slice(2);
-const rig = {
+const LOOPBACK = '127.0.0.1';
+const FIRST_WORKER_PORT = 20_000;
+const STATE = { rps: 500, writeRps: 180, valueKb: 8, txnOps: 24 };
+const CLOUD = { rps: 8, listLagS: 4 };
+const TIMES = { reportS: 2.5, leaseS: 15.25, gangWaitS: 45, gangPeerS: 8 };
+const TYPE: MachineType = {
   name: 'std',
-  cores: 96,
-  accelerators: 8,
-  ramGb: 384,
+  cpus: 96,
+  gpus: 8,
+  memory: 384,
   cacheGb: 600,
-  pullGbPerS: 5,
+  fetchGbPerS: 5,
   price: 20,
-  marketPrice: 6,
-  startupS: 60,
-  yards: ['a', 'b', 'c'],
+  spotPrice: 6,
+  bootS: 60,
+  zones: ['a', 'b', 'c'],
 };
-const REPORT_S = 2.5;
-const LEASE_S = 15.25;
-const now = () => performance.now() / 1000;
-const state = new StandInState();
-const cloud = new StandInCloud([rig], Number(machines));
-const stateAt = await serve(state.handle);
-const cloudAt = await serve(cloud.handle);
+
+const [machines, seconds, ...nodeOptions] = process.argv.slice(2);
+const listen = `${LOOPBACK}:18080`;
+const controllers = [{ name: 'c-0', address: listen }];
+const observer = () => {};
+const storage = new JobStorage(observer);
+const fleet = new Fleet({
+  surroundings: {
+    times: TIMES,
+    controllers,
+    storage,
+    gangs: new GangNetwork(nodeRuntime),
+    observer,
+    lateReports: new LateReports(),
+    lateCommands: new ReplyLoss(nodeRuntime),
+  },
+  addressOf: (number) => ({ host: LOOPBACK, port: FIRST_WORKER_PORT + number }),
+  hostFor: () => ({ runtime: nodeRuntime, powerOff: () => {} }),
+});
+const state = new StateService(nodeRuntime, STATE);
+const capacity = [{ machines: Number(machines) }];
+const cloud = new CloudService(nodeRuntime, { types: [TYPE], capacity, ...CLOUD }, fleet);
+cloud.setBootProfile(QUICK_BOOTS);
+const stateAt = (await state.listen(FREE_LOOPBACK_PORT)).target;
+const cloudAt = (await cloud.listen(FREE_LOOPBACK_PORT)).target;
 const dir = mkdtempSync(path.join(tmpdir(), 'sorreldale-load-'));
-const listen = '127.0.0.1:18080';
 const file = path.join(dir, 'settings.toml');
 writeFileSync(
   file,
@@ -51,8 +74,8 @@
 listen = "${listen}"
 cluster_listen = "127.0.0.1:18081"
 [external]
-cloud = "${cloudAt.address}"
-state = "${stateAt.address}"
+cloud = "${cloudAt}"
+state = "${stateAt}"
 [deployment]
 nodes = 1
 zones = ["a", "b", "c"]
@@ -63,19 +86,19 @@
 class = "replica"
 within_s = 4.0
 [deployment.workers]
-report_s = ${REPORT_S}
-lease_s = ${LEASE_S}
-gang_wait_s = 45.0
-gang_peer_s = 8.0
+report_s = ${TIMES.reportS}
+lease_s = ${TIMES.leaseS}
+gang_wait_s = ${TIMES.gangWaitS}
+gang_peer_s = ${TIMES.gangPeerS}
 cancel_s = 35.0
 [deployment.state]
-rps = 500.0
-write_rps = 180.0
-value_kb = 8.0
-txn_ops = 24
+rps = ${STATE.rps}
+write_rps = ${STATE.writeRps}
+value_kb = ${STATE.valueKb}
+txn_ops = ${STATE.txnOps}
 [deployment.cloud]
-rps = 8.0
-list_lag_s = 4.0
+rps = ${CLOUD.rps}
+list_lag_s = ${CLOUD.listLagS}
 [deployment.limits]
 cpu_share = 0.782
 memory_mb = 250.0
@@ -90,120 +113,76 @@
   return (Number(fields[11]) + Number(fields[12])) / 100;
 };
 
-const stop = new AbortController();
-const runs = new Map<string, number>();
-cloud.onRent = (name) => void runWorker(name);
+const RUN_S = 60;
+const START_S = 2;
+const ROUND_S = 5;
+let planned = 0;
 
-async function runWorker(name: string): Promise<void> {
-  const facts = cloud.machines.get(name)!;
-  const worker = new StandInWorker(name, facts.yard, facts.loaner, LEASE_S, now());
-  const runS = (job: string) => runs.get(job) ?? 60;
-  const direct = await serve((_m, _u, body) => {
-    const { baton, tenure, orders } = body as ReturnType<typeof commandToWire>;
-    const read = parseAnswer({ baton, orders }).orders as Order[];
-    const report = worker.command(baton, tenure, read, now(), runS);
-    if (!report) return { status: 409, body: {} };
-    return { status: 200, body: reportToWire({ ...report, addr: direct.address, type: 'std' }) };
+/** Jobs of one kind; a service stands until the end. */
+function plan(count: number, atS: number, own: (index: number) => Partial<Job>): PlannedJob[] {
+  return Array.from({ length: count }, (_, index) => {
+    const job = aJob({ gpus: 1, ...own(index), id: `j-${String(++planned).padStart(6, '0')}` });
+    const program = { job, runS: Array<number>(job.tasks).fill(RUN_S), failsAfterS: null };
+    return { program, submitAtS: atS, cancelAfterS: null, repeatAfterS: null };
   });
-  const http = new CborClient(nodeRuntime, listen, 1);
-  while (!stop.signal.aborted && cloud.machines.has(name)) {
-    worker.advance(now());
-    const sentAt = now();
-    const report = worker.report();
-    const body = reportToWire({ ...report, addr: direct.address, type: 'std' });
-    try {
-      const res = await http.call('POST', '/hello', { timeoutMs: 4000, body });
-      if (res.status === 200) {
-        const { token, orders } = parseAnswer(res.body);
-        worker.answer({ session: report.session, sentAt }, token, orders, now(), runS);
-      }
-    } catch {
-      // The controller may not be up yet.
-    }
-    await sleep(REPORT_S * (750 + Math.random() * 500));
-  }
-  direct.close();
-  http.close();
 }
 
-const users = new CborClient(nodeRuntime, listen, 8);
-let made = 0;
-async function submit(own: Partial<Job>, runS: number): Promise<void> {
-  const job = aJob({ ...own, id: `j-${String(++made).padStart(6, '0')}` });
-  runs.set(job.id, runS);
-  for (let i = 0; i < 30 && !stop.signal.aborted; i++) {
-    const body = jobToWire(job);
-    const res = await users
-      .call('POST', '/submissions', { timeoutMs: 5000, body })
-      .catch(() => null);
-    if (res && res.status < 300) return;
-    await sleep(1000);
-  }
+const replica = (index: number): Partial<Job> => ({
+  class: 'replica',
+  kind: 'service',
+  rank: 1,
+  tasks: 1 + (index % 4),
+  cpus: 8,
+  memory: 25,
+});
+const large = (): Partial<Job> => ({
+  class: 'big',
+  kind: 'service',
+  rank: 0,
+  tasks: 2,
+  cpus: 33,
+  gpus: 4,
+  memory: 100,
+  spread: true,
+});
+const batch = (): Partial<Job> => ({ class: 'batch', tasks: 20, cpus: 8, memory: 25, spot: true });
+const gang = (index: number): Partial<Job> => ({
+  class: 'gang',
+  kind: 'gang',
+  rank: 1,
+  tasks: 1 + (index % 4),
+  cpus: 86,
+  gpus: 8,
+  memory: 310,
+  oneZone: true,
+  spot: true,
+});
+
+const jobs = [
+  ...plan(Number(machines) / 2, START_S, replica),
+  ...plan(Number(machines) / 5, START_S, large),
+];
+for (let atS = START_S; atS < Number(seconds); atS += ROUND_S) {
+  jobs.push(...plan(3, atS, batch), ...plan(2, atS, gang));
 }
-const replica = () =>
-  submit(
-    {
-      class: 'replica',
-      kind: 'service',
-      rank: 1,
-      tasks: 1 + (made % 4),
-      cpus: 8,
-      gpus: 1,
-      memory: 25,
-    },
-    1e6,
-  );
-const batch = () =>
-  submit({ class: 'batch', tasks: 20, cpus: 8, gpus: 1, memory: 25, spot: true }, 60);
-const gang = () =>
-  submit(
-    {
-      class: 'gang',
-      kind: 'gang',
-      rank: 1,
-      tasks: 1 + (made % 4),
-      cpus: 86,
-      gpus: 8,
-      memory: 310,
-      oneZone: true,
-      spot: true,
-    },
-    60,
-  );
-const big = () =>
-  submit(
-    {
-      class: 'big',
-      kind: 'service',
-      rank: 0,
-      tasks: 2,
-      cpus: 33,
-      gpus: 4,
-      memory: 100,
-      spread: true,
-    },
-    1e6,
-  );
-await sleep(2000);
-for (let i = 0; i < Number(machines) / 2; i++) void replica();
-for (let i = 0; i < Number(machines) / 5; i++) void big();
+const users = new Users({
+  runtime: nodeRuntime,
+  balancer: listen,
+  nodes: controllers,
+  storage,
+  observer,
+});
+users.start(jobs);
 let last = cpuS();
-for (let s = 0; s < Number(seconds); s += 5) {
-  for (let i = 0; i < 3; i++) void batch();
-  for (let i = 0; i < 2; i++) void gang();
-  await sleep(5000);
+for (let s = 0; s < Number(seconds); s += ROUND_S) {
+  await sleep(ROUND_S * 1000);
   const cpu = cpuS();
-  process.stdout.write(
-    `${s + 5} s: ${((cpu - last) / 5).toFixed(3)} cores, ${cloud.machines.size} machines\n`,
-  );
+  const cores = ((cpu - last) / ROUND_S).toFixed(3);
+  process.stdout.write(`${s + ROUND_S} s: ${cores} cores, ${fleet.workers().length} machines\n`);
   last = cpu;
 }
-stop.abort();
+users.stop();
 child.kill('SIGTERM');
 await new Promise((resolve) => child.once('exit', resolve));
-state.close();
-stateAt.close();
-cloudAt.close();
-users.close();
 rmSync(dir, { recursive: true });
 process.exit(0);
--- a/packages/testing/plan.test.ts
+++ b/packages/testing/plan.test.ts
@@ -4,7 +4,7 @@
 import { CapacityPlanner } from '#core';
 import { CloudDuty, makeLog, type PartOwner } from '#controller';
 import { aBook, aJob, aMachine, STD } from './samples.js';
-import { serve } from './services.js';
+import { FREE_LOOPBACK_PORT, serveCbor } from './standins/index.js';
 
 const TERMS = new Map([['red', { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }]]);
 const AIMS = [{ class: 'c', kind: 'wait', withinS: 4 }];
@@ -108,8 +108,8 @@
   const asked: number[] = [];
   let release = () => {};
   const all = new Promise<void>((resolve) => (release = resolve));
-  const cloud = await serve(async (method, url, body) => {
-    if (url.pathname === '/catalog') return { status: 200, body: { rigs: [] } };
+  const cloud = await serveCbor(nodeRuntime, FREE_LOOPBACK_PORT, async ({ method, path, body }) => {
+    if (path === '/catalog') return { status: 200, body: { rigs: [] } };
     if (method === 'GET') return { status: 200, body: { hosts: [], more: false } };
     asked.push((body as { number: number }).number);
     // Nobody is answered before everybody has asked.
@@ -136,7 +136,7 @@
       },
     },
   } as unknown as PartOwner;
-  const client = new CloudClient(nodeRuntime, cloud.address, 60_000);
+  const client = new CloudClient(nodeRuntime, cloud.target, 60_000);
   const log = makeLog(nodeRuntime.clock, 'c-0', 'error');
   const duty = new CloudDuty({
     runtime: nodeRuntime,
--- a/packages/testing/runtime.test.ts
+++ b/packages/testing/runtime.test.ts
@@ -19,8 +19,8 @@
   WakeablePause,
 } from '#wire';
 import { Controller, makeLog, Pacer, type Settings } from '#controller';
-import { aJob } from './samples.js';
-import { serve, StandInCloud, StandInState } from './services.js';
+import { aJob, STD } from './samples.js';
+import { CloudService, FREE_LOOPBACK_PORT, StateService, USUAL_BOOTS } from './standins/index.js';
 
 /** The machine itself, counting the timers and connections that have been started and not ended. */
 class CountingRuntime implements Runtime {
@@ -90,18 +90,29 @@
   return here;
 }
 
-const RIG = {
-  name: 'std',
-  cores: 8,
-  accelerators: 2,
-  ramGb: 64,
-  cacheGb: 50,
-  pullGbPerS: 1,
-  price: 2,
-  marketPrice: 1,
-  startupS: 5,
-  yards: ['a'],
-};
+/** A state service on the machine's own loopback. */
+async function aStateService() {
+  const limits = { rps: 500, writeRps: 200, valueKb: 8, txnOps: 24 };
+  const state = new StateService(nodeRuntime, limits);
+  const { target } = await state.listen(FREE_LOOPBACK_PORT);
+  return { state, stateAt: target };
+}
+
+/** A cloud whose machines never come up. */
+async function aCloud() {
+  let rented = 0;
+  const hosting = {
+    addressOf: (number: number) => ({ host: '127.0.0.1', port: (rented = number) }),
+    powerOn: () => {},
+    powerOff: () => {},
+    giveNotice: () => {},
+  };
+  const options = { types: [STD], capacity: [{ machines: 3 }], rps: 20, listLagS: 1 };
+  const cloud = new CloudService(nodeRuntime, options, hosting);
+  cloud.setBootProfile({ ...USUAL_BOOTS, neverShare: 1 });
+  const { target } = await cloud.listen(FREE_LOOPBACK_PORT);
+  return { cloud, cloudAt: target, rented: () => rented };
+}
 
 function settingsFor(stateAt: string, cloudAt: string, number: number): Settings {
   const peer = 1 - number;
@@ -142,22 +153,18 @@
 }
 
 test('two controllers in one process serve over plain streams and end all that they started', async () => {
-  const state = new StandInState();
-  const cloud = new StandInCloud([RIG], 3);
-  const stateAt = await serve(state.handle);
-  const cloudAt = await serve(cloud.handle);
+  const { state, stateAt } = await aStateService();
+  const { cloud, cloudAt, rented } = await aCloud();
   const log = makeLog(nodeRuntime.clock, 'c', 'error');
   const runtime = new CountingRuntime();
   const stop = new AbortController();
   const runs = [0, 1].map((number) =>
-    new Controller(runtime, settingsFor(stateAt.address, cloudAt.address, number), log).run(
-      stop.signal,
-    ),
+    new Controller(runtime, settingsFor(stateAt, cloudAt, number), log).run(stop.signal),
   );
   const client = new UserClient('127.0.0.1:101', 5000, runtime);
   const job = aJob({ cpus: 1, gpus: 1, memory: 1 });
   await until(async () => (await client.submit(job).catch(() => null))?.status === 201);
-  await until(() => cloud.machines.size > 0);
+  await until(() => rented() > 0);
   // One call is under way when the controllers end.
   const last = client.abort(job.id).catch(() => null);
   stop.abort();
@@ -170,15 +177,13 @@
     { timers: 0, connections: 0, listening: 0 },
   );
   state.close();
-  stateAt.close();
-  cloudAt.close();
+  cloud.close();
 });
 
 test('an address that is taken ends the controller with an error and all that it started', async () => {
-  const state = new StandInState();
-  const stateAt = await serve(state.handle);
+  const { state, stateAt } = await aStateService();
   const runtime = new CountingRuntime();
-  const settings = settingsFor(stateAt.address, stateAt.address, 0);
+  const settings = settingsFor(stateAt, stateAt, 0);
   const log = makeLog(nodeRuntime.clock, 'c', 'error');
   for (const port of [100, 200]) {
     const taken = net.createServer();
@@ -192,7 +197,6 @@
     assert.deepEqual([runtime.timers, runtime.connections, runtime.listening], [0, 0, 0]);
   }
   state.close();
-  stateAt.close();
 });
 
 test('the network of the machine says when an address is taken, and closes what it serves', async () => {
--- a/packages/testing/standins/http-server.ts
+++ b/packages/testing/standins/http-server.ts
@@ -24,9 +24,14 @@
   remoteAddress?: string;
 }
 
+/** Any free port of this machine's loopback. */
+export const FREE_LOOPBACK_PORT: HostPort = { host: '127.0.0.1', port: 0 };
+
 export interface CborServer {
   /** Where it listens; on a real machine port 0 has been replaced by the port that was free. */
   readonly address: HostPort;
+  /** The same as `host:port`. */
+  readonly target: string;
   /** Ends all connections and listens no more. */
   close(): void;
 }
@@ -44,8 +49,10 @@
   const listener = new Listener(runtime.network, server);
   await listener.open(address);
   const bound = server.address() as AddressInfo | null;
+  const port = bound?.port ?? address.port;
   return {
-    address: { host: address.host, port: bound?.port ?? address.port },
+    address: { host: address.host, port },
+    target: `${address.host}:${port}`,
     close: () => void listener.close(),
   };
 }
--- a/packages/testing/standins/state/state-service.test.ts
+++ b/packages/testing/standins/state/state-service.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { nodeRuntime, NoAnswer, StateApi, StateRefused, type Change } from '#wire';
+import { FREE_LOOPBACK_PORT } from '../http-server.js';
 import { SampleWorld } from '../sample-world.js';
 import { KEPT_CHANGES, KeyStore } from './key-store.js';
 import { StateService } from './state-service.js';
@@ -183,8 +184,8 @@
 
 test('the service runs on loopback as well', async () => {
   const service = new StateService(nodeRuntime, LIMITS);
-  const { address } = await service.listen({ host: '127.0.0.1', port: 0 });
-  const api = new StateApi(nodeRuntime, `127.0.0.1:${address.port}`, 2000);
+  const { target } = await service.listen(FREE_LOOPBACK_PORT);
+  const api = new StateApi(nodeRuntime, target, 2000);
   assert.deepEqual(await api.txn([], [put('a')]), { ok: true, revision: 1 });
   api.close();
   service.close();
--- a/packages/testing/standins/users/users.ts
+++ b/packages/testing/standins/users/users.ts
@@ -1,4 +1,5 @@
 /** All users: they submit jobs through the load balancer, ask about them and cancel some. */
+import { setMaxListeners } from 'node:events';
 import { pause, type Runtime } from '#wire';
 import type { Observer } from '../events.js';
 import type { JobStorage } from '../job-storage.js';
@@ -41,6 +42,8 @@
 
   constructor(private readonly options: UsersOptions) {
     const { runtime, balancer, nodes, storage, observer } = options;
+    // Each job listens to it.
+    setMaxListeners(0, this.stopping.signal);
     this.requests = new UserRequests(runtime, balancer, observer);
     this.nodes = nodes.map(({ address }) => new UserRequests(runtime, address, observer));
     this.closeLooks = new CloseLooks(runtime, this.nodes);
--- a/packages/testing/wire.test.ts
+++ b/packages/testing/wire.test.ts
@@ -7,13 +7,13 @@
   Job,
   jobToWire,
   MalformedBody,
-  parseAnswer,
   answerToWire,
   parseJob,
   parseReport,
   Report,
   reportToWire,
 } from '#wire';
+import { parseReportAnswer } from '#wire/serving';
 import { encodeFrame, Frame, FrameReader } from '#peer';
 import { record, SEEDED } from './generators.js';
 
@@ -86,7 +86,7 @@
   );
   fc.assert(
     fc.property(count, fc.array(order), (token, orders) => {
-      assert.deepEqual(parseAnswer(decode(encode(answerToWire(token, orders)))), {
+      assert.deepEqual(parseReportAnswer(decode(encode(answerToWire(token, orders)))), {
         token,
         orders,
       });
--- a/packages/wire/worker.ts
+++ b/packages/wire/worker.ts
@@ -192,26 +192,3 @@
 export function redirectToWire(owner: string | null): Record<string, unknown> {
   return owner === null ? {} : { overseer: owner };
 }
-
-interface RawAnswer {
-  baton: number;
-  orders: { verb: string; piece: string; tryNo: number; windDownS?: number }[];
-}
-
-/** Reads an answer to a report; what a worker does. */
-export function parseAnswer(raw: unknown): { token: number; orders: Order[] } {
-  const { baton, orders } = raw as RawAnswer;
-  return {
-    token: baton,
-    orders: orders.map((o) => {
-      const slash = o.piece.lastIndexOf('/');
-      const ref = {
-        job: o.piece.slice(0, slash),
-        index: Number(o.piece.slice(slash + 1)),
-        attempt: o.tryNo,
-      };
-      if (o.verb === 'halt') return { op: 'stop', graceS: o.windDownS ?? 0, ...ref };
-      return { op: o.verb === 'start' ? 'start' : 'forget', ...ref };
-    }),
-  };
-}
