--- a/packages/testing/standins/users/users.ts
+++ b/packages/testing/standins/users/users.ts
@@ -48,6 +48,8 @@
     this.nodes = nodes.map(({ address }) => new UserRequests(runtime, address, observer));
     this.closeLooks = new CloseLooks(runtime, this.nodes);
     this.oddRequests = new OddRequests(runtime, this.requests, observer);
+    // Each job under way listens to it.
+    setMaxListeners(0, this.stopping.signal);
     storage.onJobComplete((job) => this.jobEnded(job));
   }
 
