Stand-ins: late copies of reports outlive their machines

Copies were sent by the machine itself, so none came of a machine that was gone, and those kept for the next leader arrived only if their machine saw it. They are the network's now; all that is kept arrives as soon as any worker obeys another controller than before. Answers over 64 KiB count as none.

--- a/packages/testing/load.ts
+++ b/packages/testing/load.ts
@@ -53,7 +53,7 @@
     storage,
     gangs: new GangNetwork(nodeRuntime),
     observer,
-    lateReports: new LateReports(),
+    lateReports: new LateReports(nodeRuntime),
     lateCommands: new ReplyLoss(nodeRuntime),
   },
   addressOf: (number) => ({ host: LOOPBACK, port: FIRST_WORKER_PORT + number }),
--- a/packages/testing/simulation/machines.ts
+++ b/packages/testing/simulation/machines.ts
@@ -40,11 +40,12 @@
 /** Gives each machine that the cloud has up a host of its own, on which its worker runs. */
 export class Machines {
   readonly fleet: Fleet;
-  readonly lateReports = new LateReports();
+  readonly lateReports: LateReports;
   readonly lateCommands: ReplyLoss;
   private readonly hosts = new Map<string, SimulatedHost>();
 
   constructor(private readonly options: MachinesOptions) {
+    this.lateReports = new LateReports(options.runtime);
     this.lateCommands = new ReplyLoss(options.runtime);
     this.fleet = new Fleet({
       surroundings: this.surroundings(),
--- a/packages/testing/standins/worker/reporter.ts
+++ b/packages/testing/standins/worker/reporter.ts
@@ -5,6 +5,7 @@
 
 /** How long a worker waits for the answer to a report, in seconds. */
 export const ANSWER_TIMEOUT_S = 4;
+const MAX_ANSWER_BYTES = 64 * 1024;
 
 /** The worker as its reporter sees it. */
 export interface ReportSource {
@@ -87,7 +88,11 @@
     this.client ??= new CborClient(this.runtime, node.address, 1);
     const timeoutMs = ANSWER_TIMEOUT_S * 1000;
     try {
-      const answer = await this.client.call('POST', '/hello', { timeoutMs, body });
+      const answer = await this.client.call('POST', '/hello', {
+        timeoutMs,
+        body,
+        maxBytes: MAX_ANSWER_BYTES,
+      });
       return this.deaf ? await this.waitInVain(sentAt) : answer;
     } catch (err) {
       if (err instanceof NoAnswer) return null;
--- a/packages/testing/standins/worker/sample-workers.ts
+++ b/packages/testing/standins/worker/sample-workers.ts
@@ -51,7 +51,7 @@
 export class SampleFleet {
   readonly world = new SampleWorld();
   readonly storage = new JobStorage(this.world.observer);
-  readonly lateReports = new LateReports();
+  readonly lateReports = new LateReports(this.world.runtime('10.9.0.3'));
   readonly lateCommands = new ReplyLoss(this.world.runtime('10.9.0.1'));
   readonly controllers = NAMES.map(() => new ScriptedController(this.world));
   private readonly commander = this.world.runtime('10.0.0.9', 'controller');
