--- a/packages/controller/ownership-model.test.ts
+++ b/packages/controller/ownership-model.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { OwnershipFault, OwnershipViolation, playOwnership } from '#testing';
 
-const SEEDS = 150;
+const SEEDS = 200;
 
 function playAll(fault: OwnershipFault) {
   const violations = new Set<OwnershipViolation>();
