Peers renew workers' leases for an owner that has ended in an outage

Cause: nobody can claim the part while the state service is out, so when the owner's process ended, all tasks ran into the end of their leases, though its peers stand and know all cancellations.

A controller that does not own answers reports with the ended owner's token and nothing but halts of cancelled tasks, while all peers attest that the state service serves nobody and none of them may own, and the owner's process has a new life or has resigned. It knows the cancellations as of the owner's last complete statement and goes on for the same grace as an owner. Statements of earlier connections of a peer no longer count once a later one has greeted, so lives come in their order. The ownership model plays standbys too, and notices one that renews for a living owner.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -3,7 +3,7 @@
 import { GroupCommit } from '#store';
 import { CloudClient, parseHostPort, type Runtime } from '#wire';
 import { CancellationRelay } from './cancellation-relay.js';
-import type { Entitlement } from './entitlement.js';
+import type { Entitlement, EntitlementLimits } from './entitlement.js';
 import { HealthEndpoint } from './health-endpoint.js';
 import { HttpServer } from './http-server.js';
 import { LagMonitor } from './lag.js';
@@ -17,8 +17,10 @@
 import { type ControllerServices, makeServices } from './services.js';
 import { Settings, teamTerms } from './settings.js';
 import { socketShares } from './sockets.js';
+import { StandbyRenewal } from './standby-renewal.js';
 import { accessState, type StateAccess } from './state-access.js';
 import { StatusExchange } from './status-exchange.js';
+import { graceAfterLoss } from './time-bounds.js';
 import { UnownedReports } from './unowned-reports.js';
 import { UserApi } from './user-api.js';
 import { Vitals } from './vitals.js';
@@ -30,6 +32,9 @@
 /** Submissions and cancellations that may wait for their record, in seconds of the allowed rate. */
 const COMMIT_QUEUE_S = 2;
 
+/** Report periods after which a peer that was not heard counts as out of reach. */
+const SILENCE_PERIODS = 2;
+
 /** One controller: joins its parts, starts and ends them. */
 export class Controller {
   private readonly reportS: number;
@@ -41,6 +46,7 @@
   private readonly peers: PeerLink;
   private readonly statuses: StatusExchange;
   private readonly entitlement: OwnerEntitlement;
+  private readonly standby: StandbyRenewal;
   private readonly terms: OwnerTerms;
   private readonly lag: LagMonitor;
   private readonly vitals: Vitals;
@@ -69,7 +75,9 @@
     });
     this.peers = this.makePeerLink();
     this.statuses = this.makeStatusExchange();
-    this.entitlement = new OwnerEntitlement({ ...this.services, statuses: this.statuses });
+    const judging = { ...this.services, statuses: this.statuses, limits: this.entitlementLimits() };
+    this.entitlement = new OwnerEntitlement(judging);
+    this.standby = new StandbyRenewal(judging);
     this.vitals = this.makeVitals();
     this.metrics = this.makeMetrics();
     this.terms = this.makeOwnerTerms();
@@ -81,6 +89,7 @@
       statuses: this.statuses,
       unownedReports: this.unownedReports,
       cancellationRelay: this.cancellationRelay,
+      standby: this.standby,
       owner: () => this.owner(),
     });
     this.httpServer = this.makeHttpServer();
@@ -241,8 +250,18 @@
     return new ReportHandler({
       ...this.services,
       entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
+      standby: this.standby,
       unownedReports: this.unownedReports,
       vitals: this.vitals,
     });
   }
+
+  private entitlementLimits(): EntitlementLimits {
+    const { nodes, workers } = this.settings.deployment;
+    return {
+      peerCount: nodes - 1,
+      silenceS: SILENCE_PERIODS * workers.report_s,
+      graceS: graceAfterLoss(workers.cancel_s, workers.lease_s, workers.report_s),
+    };
+  }
 }
--- a/packages/controller/owner-entitlement.ts
+++ b/packages/controller/owner-entitlement.ts
@@ -1,31 +1,31 @@
-import { Entitlement, EntitlementJudge } from './entitlement.js';
+import { Entitlement, EntitlementJudge, EntitlementLimits } from './entitlement.js';
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
 import type { StatusExchange } from './status-exchange.js';
-import { graceAfterLoss } from './time-bounds.js';
 
 type Services = Pick<ControllerServices, 'runtime' | 'settings' | 'client' | 'jobs' | 'ownership'>;
 
 export interface OwnerEntitlementOptions extends Services {
+  limits: EntitlementLimits;
   statuses: StatusExchange;
 }
 
 /** Judges the present owner by all that this controller knows. */
 export class OwnerEntitlement {
-  /** Whom the judge was made for. */
-  private judged: PartOwner | null = null;
+  /** The term that the judge was made for. */
+  private term = 0;
   private judge: EntitlementJudge;
 
   constructor(private readonly options: OwnerEntitlementOptions) {
-    this.judge = this.makeJudge();
+    this.judge = new EntitlementJudge(options.limits);
   }
 
   /** Whether the owner may answer workers now; null if nothing is owned here. */
   of(owner: PartOwner | null): Entitlement {
     if (owner === null) return 'none';
-    if (owner !== this.judged) {
-      this.judged = owner;
-      this.judge = this.makeJudge();
+    if (owner.term.term !== this.term) {
+      this.term = owner.term.term;
+      this.judge = new EntitlementJudge(this.options.limits);
     }
     const { runtime, client, jobs, ownership, statuses } = this.options;
     return this.judge.judge({
@@ -39,13 +39,4 @@
       peers: statuses.statuses(),
     });
   }
-
-  private makeJudge(): EntitlementJudge {
-    const { nodes, workers } = this.options.settings.deployment;
-    return new EntitlementJudge({
-      peerCount: nodes - 1,
-      silenceS: 2 * workers.report_s,
-      graceS: graceAfterLoss(workers.cancel_s, workers.lease_s, workers.report_s),
-    });
-  }
 }
--- a/packages/controller/ownership-model.test.ts
+++ b/packages/controller/ownership-model.test.ts
@@ -7,18 +7,21 @@
 function playAll(fault: OwnershipFault) {
   const violations = new Set<OwnershipViolation>();
   let attestedSteps = 0;
+  let standbySteps = 0;
   for (let seed = 1; seed <= SEEDS; seed++) {
     const run = playOwnership(seed, fault);
     for (const violation of run.violations) violations.add(violation);
     attestedSteps += run.attestedSteps;
+    standbySteps += run.standbySteps;
   }
-  return { violations, attestedSteps };
+  return { violations, attestedSteps, standbySteps };
 }
 
 test('an owner that goes on harms nobody, whatever the state service, peers and connections do', () => {
-  const { violations, attestedSteps } = playAll('none');
+  const { violations, attestedSteps, standbySteps } = playAll('none');
   assert.deepEqual([...violations], []);
   assert.ok(attestedSteps > 1000, 'owners did go on by the statements of their peers');
+  assert.ok(standbySteps > 100, 'leases were renewed for owners that had ended');
 });
 
 // Each check is shown to be able to fail by one deliberate mistake.
@@ -26,6 +29,7 @@
   ['trusts-arrival', 'acts-beside-successor'],
   ['trusts-restarted', 'acts-on-unknown-cancellation'],
   ['ignores-cancelled', 'acts-on-unknown-cancellation'],
+  ['renews-for-the-living', 'renews-beside-owner'],
 ];
 for (const [fault, violation] of noticed) {
   test(`the model notices an owner that ${fault}`, () => {
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -4,6 +4,7 @@
 import { cutFromWorkers } from './entitlement.js';
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
+import type { StandbyRenewal } from './standby-renewal.js';
 import type { StatusExchange } from './status-exchange.js';
 import { HEARD_PERIODS, type UnownedReports } from './unowned-reports.js';
 
@@ -26,6 +27,7 @@
   statuses: StatusExchange;
   unownedReports: UnownedReports;
   cancellationRelay: CancellationRelay;
+  standby: StandbyRenewal;
   /** Null while nothing is owned here. */
   owner: () => PartOwner | null;
 }
@@ -45,9 +47,10 @@
   }
 
   receive(from: string, frame: Frame): void {
-    const { statuses, cancellationRelay, jobs } = this.options;
+    const { statuses, cancellationRelay, standby, jobs } = this.options;
     if (frame.kind === 'status') {
       statuses.receive(from, frame, this.clock.now());
+      standby.note();
       cancellationRelay.endTasks();
       this.yieldToNewer(frame.holder);
     } else if (frame.kind === 'counts') {
--- a/packages/controller/report-handler.ts
+++ b/packages/controller/report-handler.ts
@@ -11,6 +11,7 @@
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
 import { WorkerConnections } from './sockets.js';
+import type { StandbyRenewal } from './standby-renewal.js';
 import type { UnownedReports } from './unowned-reports.js';
 import type { Vitals } from './vitals.js';
 
@@ -22,6 +23,7 @@
 export interface ReportHandlerOptions extends Services {
   /** The owner of the present term if it may answer workers now. */
   entitledOwner: () => PartOwner | null;
+  standby: StandbyRenewal;
   unownedReports: UnownedReports;
   vitals: Vitals;
 }
@@ -42,9 +44,28 @@
     }
     this.options.vitals.reports++;
     const owner = this.options.entitledOwner();
-    if (owner === null) this.redirect(report, res);
+    if (owner === null) this.answerAsOther(report, res);
+    else if (this.isNewer(report, owner.tokenFor(report.machine))) this.resign(report, res);
     else if (owner.ready) this.answer(owner, report, res);
-    else this.answerWhileLoading(owner, report, res);
+    else this.renewLease(owner.term.term, report, res);
+  }
+
+  /** Not the owner, or not entitled. */
+  private answerAsOther(report: Report, res: ServerResponse): void {
+    const term = this.options.standby.renewableTerm();
+    if (term !== null && !this.isNewer(report, term)) this.renewLease(term, report, res);
+    else this.redirect(report, res);
+  }
+
+  /** Somebody commands this worker whose term is newer than the token. */
+  private isNewer(report: Report, token: number): boolean {
+    return report.token > token;
+  }
+
+  private resign({ machine, token }: Report, res: ServerResponse): void {
+    this.options.log.info({ machine, token }, 'a newer token is out');
+    this.options.ownership.resign();
+    reply(res, 421, redirectToWire(null));
   }
 
   private redirect(report: Report, res: ServerResponse): void {
@@ -57,25 +78,18 @@
   }
 
   /**
-   * While the records are being read the leases must not run out. Nothing can be started yet, but what
-   * users have cancelled ends.
+   * Leases must not run out while an owner reads its records, nor because an owner has ended in an
+   * outage. Nothing can be started, but what users have cancelled ends.
    */
-  private answerWhileLoading(owner: PartOwner, report: Report, res: ServerResponse): void {
+  private renewLease(term: number, report: Report, res: ServerResponse): void {
     const stops: Order[] = report.tasks
       .filter((task) => task.state !== 'exited' && this.options.jobs.isCancelled(task.job))
       .map(({ job, index, attempt }) => ({ op: 'stop', graceS: 0, job, index, attempt }));
-    reply(res, 200, answerToWire(owner.term.term, stops));
+    reply(res, 200, answerToWire(term, stops));
   }
 
   private answer(owner: PartOwner, report: Report, res: ServerResponse): void {
-    const { machine, token } = report;
-    if (token > owner.tokenFor(machine)) {
-      // Somebody newer commands this worker: what we hold is out of date.
-      this.options.log.info({ machine, token }, 'a newer token is out');
-      this.options.ownership.resign();
-      reply(res, 421, redirectToWire(null));
-      return;
-    }
+    const { machine } = report;
     const orders = owner.report(report);
     if (orders === null) {
       // A late copy: its worker must drop the answer, which is not counted as a renewal.
--- /dev/null
+++ b/packages/controller/standby.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { StatusFrame } from '#peer';
+import type { PeerStatus } from './peer-status.js';
+import { StandbyJudge, StandbyView } from './standby.js';
+
+const LIMITS = { peerCount: 2, silenceS: 2, graceS: 12 };
+const TERM = 50;
+const OWNER_LIFE = 5;
+
+function statusAt(at: number, frame: Partial<StatusFrame>): PeerStatus {
+  return {
+    heardAt: at,
+    asOf: at - 0.5,
+    servedAt: 10,
+    frame: {
+      kind: 'status',
+      life: 1,
+      sequence: 1,
+      echo: null,
+      servedAgoMs: 0,
+      refused: true,
+      loaded: true,
+      owner: false,
+      mayOwn: false,
+      holder: { term: TERM, name: 'c-0' },
+      unownedReports: 0,
+      jobsRevision: 100,
+      cancelledSince: 100,
+      cancelled: [],
+      ...frame,
+    },
+  };
+}
+
+const owning = (at: number) => statusAt(at, { life: OWNER_LIFE, owner: true, mayOwn: true });
+/** The owner's next life, which could not read the records. */
+const restarted = (at: number) => statusAt(at, { life: OWNER_LIFE + 1, loaded: false });
+
+function viewAt(now: number, owner: PeerStatus | null, over: Partial<StandbyView> = {}) {
+  return {
+    now,
+    term: TERM,
+    mayOwn: false,
+    jobsCurrentAt: 10,
+    jobsRevision: 100,
+    failingSince: 10,
+    peers: [owner, statusAt(now, {})],
+    ...over,
+  };
+}
+
+/** What a controller may do at second 20, which has heard the owner until 18 and these words at 20. */
+function renewsAt20(owner: PeerStatus | null, over: Partial<StandbyView> = {}): boolean {
+  const judge = new StandbyJudge(LIMITS);
+  for (let now = 10; now <= 18; now++) judge.note(viewAt(now, owning(now)), owning(now));
+  const view = viewAt(20, owner, over);
+  judge.note(view, owner);
+  return judge.mayRenew(view, owner);
+}
+
+test('leases are renewed for an owner whose process has a new life, or that has resigned', () => {
+  assert.ok(renewsAt20(restarted(20)));
+  assert.ok(renewsAt20(statusAt(20, { life: OWNER_LIFE })));
+});
+
+test('leases are not renewed for an owner that may live', () => {
+  assert.ok(!renewsAt20(owning(20)));
+  assert.ok(!renewsAt20(null));
+  // Whether this life is a new one can't be told if the owning life was never heard.
+  const judge = new StandbyJudge(LIMITS);
+  const view = viewAt(20, restarted(20));
+  judge.note(view, restarted(20));
+  assert.ok(!judge.mayRenew(view, restarted(20)));
+});
+
+test('leases are not renewed where somebody else may own', () => {
+  const served = { ...statusAt(20, { refused: false }), servedAt: 19 };
+  assert.ok(!renewsAt20(restarted(20), { peers: [restarted(20), served] }));
+  const newer = statusAt(20, { holder: { term: TERM + 1, name: 'c-2' } });
+  assert.ok(!renewsAt20(restarted(20), { peers: [restarted(20), newer] }));
+  assert.ok(!renewsAt20(restarted(20), { peers: [restarted(20), null] }));
+  assert.ok(!renewsAt20(restarted(20), { mayOwn: true }));
+});
+
+test('renewing ends in time for cancellations that the ended owner may have confirmed at last', () => {
+  const judge = new StandbyJudge(LIMITS);
+  for (let now = 10; now <= 18; now++) judge.note(viewAt(now, owning(now)), owning(now));
+  const renews = (now: number) => {
+    const view = viewAt(now, restarted(now));
+    judge.note(view, restarted(now));
+    return judge.mayRenew(view, restarted(now));
+  };
+  // The owner's last complete statement counts as of second 17.5.
+  assert.ok(renews(29));
+  assert.ok(!renews(30));
+});
--- /dev/null
+++ b/packages/controller/standby.ts
@@ -0,0 +1,50 @@
+import { EntitlementLimits, isSuccessor, SuccessorView } from './entitlement.js';
+import { PeerProof, ProofView } from './peer-proof.js';
+import type { PeerStatus } from './peer-status.js';
+
+/** What a controller that does not own knows; steady seconds of this process. */
+export interface StandbyView extends ProofView, SuccessorView {
+  /** This controller owns, or a claim of its may still be carried out. */
+  mayOwn: boolean;
+  /** When the newest request was sent that brought all cancellations in. */
+  jobsCurrentAt: number;
+}
+
+/**
+ * Whether a controller that does not own may renew the leases of workers for an owner that has ended,
+ * while the state service serves nobody and no other can take over. It starts nothing; it answers with
+ * the ended owner's token, and halts what users have cancelled. Judges one term; make a new one for
+ * each. The argument is that of an owner in an outage (docs/safety.md, point 7), and besides that the owner
+ * of the term has ended: otherwise it would count the leases that we renew as run out.
+ */
+export class StandbyJudge {
+  private readonly proof: PeerProof;
+  /** The life of the owner's process in which it owned the term, once it has stated so. */
+  private ownerLife: number | null = null;
+
+  constructor(private readonly limits: EntitlementLimits) {
+    this.proof = new PeerProof(limits.peerCount);
+  }
+
+  /** Takes in the peers' statements; to be called whenever one has come. */
+  note(view: StandbyView, owner: PeerStatus | null): void {
+    const ownsTerm = owner?.frame.owner && owner.frame.holder.term === view.term;
+    if (ownsTerm) this.ownerLife = owner.frame.life;
+    if (this.ownerHasEnded(owner)) this.proof.note(view);
+    else this.proof.noteInformed(view);
+  }
+
+  mayRenew(view: StandbyView, owner: PeerStatus | null): boolean {
+    const { graceS, silenceS } = this.limits;
+    if (view.mayOwn || !this.ownerHasEnded(owner)) return false;
+    if (view.peers.some((peer) => isSuccessor(view, peer, silenceS))) return false;
+    const informedAt = Math.max(view.jobsCurrentAt, this.proof.informedAt);
+    return view.now < Math.min(informedAt, this.proof.soleAt) + graceS;
+  }
+
+  /** The process that owned the term has a new life, or states that it owns no longer. */
+  private ownerHasEnded(owner: PeerStatus | null): boolean {
+    if (owner === null || this.ownerLife === null) return false;
+    return owner.frame.life !== this.ownerLife || !owner.frame.mayOwn;
+  }
+}
--- a/packages/controller/status-exchange.ts
+++ b/packages/controller/status-exchange.ts
@@ -42,6 +42,11 @@
     return this.table.all();
   }
 
+  /** The latest statement of one peer; null if it was never heard, or is no peer. */
+  statusOf(peer: string): PeerStatus | null {
+    return this.table.get(peer) ?? null;
+  }
+
   /** One round: a frame to each peer. */
   send(own: OwnStatus, now: number): void {
     const reference = this.table.beginRound(now);
--- a/packages/peer/link.ts
+++ b/packages/peer/link.ts
@@ -38,8 +38,9 @@
 export class PeerLink {
   readonly heard = new Subject<{ from: string; frame: Frame }>();
   private readonly out = new Map<string, Duplex>();
-  /** The newest connection that each peer has dialled. */
-  private readonly incoming = new Map<string, Duplex>();
+  /** The newest connection that each peer has dialled, by the order in which they were accepted. */
+  private readonly incoming = new Map<string, { connection: Duplex; order: number }>();
+  private accepted = 0;
   /** When each peer was last heard; steady seconds. */
   private readonly lastHeard = new Map<string, number>();
   private readonly listener: Listener;
@@ -117,6 +118,7 @@
   private receive(connection: Duplex): void {
     const { clock } = this.options.runtime;
     const reader = new FrameReader();
+    const order = ++this.accepted;
     let from: string | null = null;
     let heardAt = clock.now();
     const silence = this.onSilence(
@@ -126,13 +128,13 @@
     connection.on('error', () => {});
     connection.on('close', () => {
       silence.cancel();
-      if (from !== null && this.incoming.get(from) === connection) this.incoming.delete(from);
+      if (from !== null && this.incoming.get(from)?.order === order) this.incoming.delete(from);
     });
     connection.on('data', (chunk: Buffer) => {
       heardAt = clock.now();
       try {
         for (const frame of reader.push(chunk)) {
-          if (frame.kind === 'hello') from = this.greeted(frame.name, connection);
+          if (frame.kind === 'hello') from = this.greeted(frame.name, connection, order);
           else if (from === null) throw new BadFrame('no hello');
           else {
             this.lastHeard.set(from, heardAt);
@@ -146,14 +148,16 @@
   }
 
   /**
-   * A peer that dials anew has given up its earlier connection, which a cut may have left open here
-   * without a sign; kept, such connections would in time use up all that are taken.
+   * A peer that dials anew has given up its earlier connection, or has begun a new life. A cut may have
+   * left the earlier one open here without a sign; kept, such connections would in time use up all that
+   * are taken. What a cut held back on it may still come, and must not pass for news.
    */
-  private greeted(name: string, connection: Duplex): string {
+  private greeted(name: string, connection: Duplex, order: number): string {
     if (!this.options.peers.some((peer) => peer.name === name)) throw new BadFrame('unknown peer');
-    const before = this.incoming.get(name);
-    this.incoming.set(name, connection);
-    if (before !== connection) before?.destroy();
+    const known = this.incoming.get(name);
+    if (known && known.order > order) throw new BadFrame('an earlier connection of this peer');
+    this.incoming.set(name, { connection, order });
+    if (known && known.connection !== connection) known.connection.destroy();
     return name;
   }
 
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -1,5 +1,5 @@
 export * from './generators.js';
-export * from './ownership-model.js';
+export * from './ownership/world.js';
 export * from './samples.js';
 export * from './simulation/index.js';
 export * from './state-world.js';
--- /dev/null
+++ b/packages/testing/ownership/link.ts
@@ -0,0 +1,24 @@
+import type { StatusFrame } from '#peer';
+import { STEP_S } from './timing.js';
+
+/** What one node tells another. */
+export type Message = { kind: 'status'; frame: StatusFrame } | { kind: 'abort'; job: string };
+
+/** One direction between two nodes: in order, and slow, held back or dead for a while. */
+export class LinkModel {
+  delayS = STEP_S / 2;
+  heldUntil = -Infinity;
+  deadUntil = -Infinity;
+  private readonly queue: { at: number; message: Message }[] = [];
+
+  send(message: Message, now: number): void {
+    if (now >= this.deadUntil) this.queue.push({ at: now + this.delayS, message });
+  }
+
+  arrived(now: number): Message[] {
+    if (now < this.heldUntil) return [];
+    const next = this.queue.findIndex((m) => m.at > now);
+    const out = this.queue.splice(0, next < 0 ? this.queue.length : next);
+    return out.map((m) => m.message);
+  }
+}
--- /dev/null
+++ b/packages/testing/ownership/node.ts
@@ -0,0 +1,156 @@
+import {
+  Cancellations,
+  EntitlementJudge,
+  type EntitlementLimits,
+  type PeerStatus,
+  PeerStatusTable,
+  StandbyJudge,
+  type StandbyView,
+} from '#controller';
+import type { StatusFrame } from '#peer';
+import type { Claim, ServiceModel } from './service.js';
+import { CANCEL_S, GRACE_S, GRANT_S, SILENCE_S } from './timing.js';
+
+/** What a node goes by: the latest statement of each peer, and of the newest owner that it saw. */
+export interface Statements {
+  peers: (PeerStatus | null)[];
+  owner: PeerStatus | null;
+}
+
+/** One life of a controller. */
+export class NodeModel {
+  readonly table: PeerStatusTable;
+  readonly cancellations = new Cancellations(1000, 2 * CANCEL_S);
+  judge: EntitlementJudge | null = null;
+  term = 0;
+  renewedAt = -Infinity;
+  jobsCurrentAt = -Infinity;
+  jobsRevision = 0;
+  /** The newest owner that was seen. */
+  holder = { term: 0, name: '' };
+  loaded = false;
+  refused = false;
+  lastOkAt = -Infinity;
+  failingSince = Infinity;
+  frozenUntil = -Infinity;
+  private standby: StandbyJudge;
+  private readonly limits: EntitlementLimits;
+
+  constructor(
+    readonly name: string,
+    readonly life: number,
+    peers: string[],
+  ) {
+    this.table = new PeerStatusTable(life, peers);
+    this.limits = { peerCount: peers.length, silenceS: SILENCE_S, graceS: GRACE_S };
+    this.standby = new StandbyJudge(this.limits);
+  }
+
+  contact(service: ServiceModel, served: boolean, now: number): void {
+    if (!served) {
+      if (!this.refused) this.failingSince = now;
+      this.refused = true;
+      return;
+    }
+    this.refused = false;
+    this.failingSince = Infinity;
+    this.lastOkAt = now;
+    service.renew(this.life, now);
+    this.renewedAt = now;
+    this.readJobs(service, now);
+    if (service.holder === null) service.claim(this.name, this.life, now);
+    this.follow(service.holder);
+  }
+
+  private readJobs(service: ServiceModel, now: number): void {
+    for (const { job, revision } of service.cancelled) {
+      if (revision > this.jobsRevision) this.cancellations.noteRecorded(job, revision);
+    }
+    this.jobsRevision = service.revision;
+    this.jobsCurrentAt = now;
+    this.loaded = true;
+  }
+
+  private follow(holder: Claim | null): void {
+    if (holder !== null && holder.term !== this.holder.term) {
+      this.holder = { term: holder.term, name: holder.node };
+      this.standby = new StandbyJudge(this.limits);
+    }
+    const own = holder !== null && holder.life === this.life;
+    if (!own) {
+      this.judge = null;
+      this.term = 0;
+    } else if (this.term !== holder.term) {
+      this.term = holder.term;
+      this.judge = new EntitlementJudge(this.limits);
+    }
+  }
+
+  /** A peer has seen a newer owner, so the own term is over. */
+  yieldTo(term: number): void {
+    if (term <= this.term) return;
+    this.judge = null;
+    this.term = 0;
+  }
+
+  statusFor(peer: string, sequence: number, now: number): StatusFrame {
+    const { life, refused, loaded, holder, jobsRevision } = this;
+    const basis = this.table.get(peer)?.frame.jobsRevision ?? 0;
+    const list = this.cancellations.listSince(basis, now);
+    return {
+      kind: 'status',
+      life,
+      sequence,
+      echo: this.table.echoFor(peer),
+      servedAgoMs: (now - this.lastOkAt) * 1000,
+      refused,
+      loaded,
+      owner: this.judge !== null,
+      mayOwn: this.judge !== null,
+      holder,
+      unownedReports: 0,
+      jobsRevision,
+      cancelledSince: list.since,
+      cancelled: list.jobs,
+    };
+  }
+
+  entitlement(now: number, { peers }: Statements) {
+    return this.judge?.judge({
+      now,
+      term: this.term,
+      grantedUntil: this.renewedAt + GRANT_S * 0.95,
+      grantAliveAt: this.renewedAt,
+      jobsCurrentAt: this.jobsCurrentAt,
+      jobsRevision: this.jobsRevision,
+      failingSince: this.failingSince,
+      peers,
+    });
+  }
+
+  /** A peer's statement has come. */
+  noteStandby(now: number, statements: Statements): void {
+    this.standby.note(this.standbyView(now, statements), statements.owner);
+  }
+
+  /** Whether this node renews leases for the owner of the term that it saw last. */
+  renews(now: number, statements: Statements): boolean {
+    return this.standby.mayRenew(this.standbyView(now, statements), statements.owner);
+  }
+
+  private standbyView(now: number, { peers }: Statements): StandbyView {
+    return {
+      now,
+      term: this.holder.term,
+      mayOwn: this.judge !== null,
+      jobsCurrentAt: this.jobsCurrentAt,
+      jobsRevision: this.jobsRevision,
+      failingSince: this.failingSince,
+      peers,
+    };
+  }
+
+  knows(job: string): boolean {
+    return this.cancellations.listSince(0, 0).jobs.includes(job);
+  }
+}
--- a/packages/testing/ownership-model.ts
+++ b/packages/testing/ownership/world.ts
@@ -1,12 +1,9 @@
-import type { StatusFrame } from '#peer';
-import {
-  Cancellations,
-  EntitlementJudge,
-  graceAfterLoss,
-  type PeerStatus,
-  PeerStatusTable,
-} from '#controller';
-import { Chance } from './random.js';
+import type { PeerStatus } from '#controller';
+import { Chance } from '../random.js';
+import { LinkModel } from './link.js';
+import { NodeModel, Statements } from './node.js';
+import { ServiceModel } from './service.js';
+import { CANCEL_S, FORMER_OWNER_S, GRACE_S, GRANT_S, LEASE_S, REPORT_S, STEP_S } from './timing.js';
 
 /**
  * A small model of controllers that hold and lose a part: it runs the production code that judges
@@ -14,33 +11,20 @@
  * service, grants, connections, crashes, users who cancel). One step is a quarter of a report period.
  */
 
-const REPORT_S = 1;
-const LEASE_S = 10;
-const CANCEL_S = 35;
-const STEP_S = REPORT_S / 4;
-const GRANT_S = LEASE_S / 4;
-const SILENCE_S = 2 * REPORT_S;
-const GRACE_S = graceAfterLoss(CANCEL_S, LEASE_S, REPORT_S);
-/** How long a new owner allows a former one to go on. */
-const FORMER_OWNER_S = GRACE_S + 2 * REPORT_S;
-
 /** One deliberate mistake, to show that the checks can fail. */
-export type OwnershipFault = 'none' | 'trusts-arrival' | 'trusts-restarted' | 'ignores-cancelled';
+export type OwnershipFault =
+  'none' | 'trusts-arrival' | 'trusts-restarted' | 'ignores-cancelled' | 'renews-for-the-living';
 
 /** What the model found wrong. */
-export type OwnershipViolation = 'acts-beside-successor' | 'acts-on-unknown-cancellation';
+export type OwnershipViolation =
+  'acts-beside-successor' | 'acts-on-unknown-cancellation' | 'renews-beside-owner';
 
 export interface OwnershipRun {
   violations: Set<OwnershipViolation>;
   /** Steps in which an owner went on by the statements of its peers alone. */
   attestedSteps: number;
-}
-
-interface Claim {
-  node: string;
-  life: number;
-  term: number;
-  at: number;
+  /** Steps in which a node renewed leases for an owner that had ended. */
+  standbySteps: number;
 }
 
 interface Confirmed {
@@ -48,173 +32,6 @@
   at: number;
 }
 
-/** The state service: one revision, the part's holder, and the grants that it hangs on. */
-class ServiceModel {
-  revision = 10;
-  holder: Claim | null = null;
-  down = false;
-  readonly claims: Claim[] = [];
-  readonly cancelled: { job: string; revision: number }[] = [];
-  private readonly grants = new Map<number, number>();
-
-  renew(life: number, now: number): void {
-    this.grants.set(life, now + GRANT_S);
-  }
-
-  claim(node: string, life: number, now: number): Claim {
-    this.holder = { node, life, term: ++this.revision, at: now };
-    this.claims.push(this.holder);
-    return this.holder;
-  }
-
-  cancel(job: string): void {
-    this.cancelled.push({ job, revision: ++this.revision });
-  }
-
-  /** Grants run out while the service is up, and have their full time again after an outage. */
-  step(now: number, down: boolean): void {
-    if (this.down && !down) {
-      for (const life of this.grants.keys()) this.grants.set(life, now + GRANT_S);
-    }
-    this.down = down;
-    if (down || this.holder === null) return;
-    if (now > (this.grants.get(this.holder.life) ?? 0)) {
-      this.holder = null;
-      this.revision++;
-    }
-  }
-}
-
-/** One life of a controller. */
-class NodeModel {
-  readonly table: PeerStatusTable;
-  readonly cancellations = new Cancellations(1000, 2 * CANCEL_S);
-  judge: EntitlementJudge | null = null;
-  term = 0;
-  renewedAt = -Infinity;
-  jobsCurrentAt = -Infinity;
-  jobsRevision = 0;
-  holder = { term: 0, name: '' };
-  loaded = false;
-  refused = false;
-  lastOkAt = -Infinity;
-  failingSince = Infinity;
-  frozenUntil = -Infinity;
-
-  constructor(
-    readonly name: string,
-    readonly life: number,
-    private readonly peers: string[],
-  ) {
-    this.table = new PeerStatusTable(life, peers);
-  }
-
-  contact(service: ServiceModel, served: boolean, now: number): void {
-    if (!served) {
-      if (!this.refused) this.failingSince = now;
-      this.refused = true;
-      return;
-    }
-    this.refused = false;
-    this.failingSince = Infinity;
-    this.lastOkAt = now;
-    service.renew(this.life, now);
-    this.renewedAt = now;
-    this.readJobs(service, now);
-    if (service.holder === null) service.claim(this.name, this.life, now);
-    this.follow(service.holder);
-  }
-
-  private readJobs(service: ServiceModel, now: number): void {
-    for (const { job, revision } of service.cancelled) {
-      if (revision > this.jobsRevision) this.cancellations.noteRecorded(job, revision);
-    }
-    this.jobsRevision = service.revision;
-    this.jobsCurrentAt = now;
-    this.loaded = true;
-  }
-
-  private follow(holder: Claim | null): void {
-    this.holder = { term: holder?.term ?? 0, name: holder?.node ?? '' };
-    const own = holder !== null && holder.life === this.life;
-    if (!own) {
-      this.judge = null;
-      this.term = 0;
-    } else if (this.term !== holder.term) {
-      this.term = holder.term;
-      const limits = { peerCount: this.peers.length, silenceS: SILENCE_S, graceS: GRACE_S };
-      this.judge = new EntitlementJudge(limits);
-    }
-  }
-
-  /** A peer has seen a newer owner, so the own term is over. */
-  yieldTo(term: number): void {
-    if (term <= this.term) return;
-    this.judge = null;
-    this.term = 0;
-  }
-
-  statusFor(peer: string, sequence: number, now: number): StatusFrame {
-    const { life, refused, loaded, holder, jobsRevision } = this;
-    const basis = this.table.get(peer)?.frame.jobsRevision ?? 0;
-    const list = this.cancellations.listSince(basis, now);
-    return {
-      kind: 'status',
-      life,
-      sequence,
-      echo: this.table.echoFor(peer),
-      servedAgoMs: (now - this.lastOkAt) * 1000,
-      refused,
-      loaded,
-      owner: this.judge !== null,
-      mayOwn: this.judge !== null,
-      holder,
-      unownedReports: 0,
-      jobsRevision,
-      cancelledSince: list.since,
-      cancelled: list.jobs,
-    };
-  }
-
-  entitlement(now: number, peers: (PeerStatus | null)[]) {
-    return this.judge?.judge({
-      now,
-      term: this.term,
-      grantedUntil: this.renewedAt + GRANT_S * 0.95,
-      grantAliveAt: this.renewedAt,
-      jobsCurrentAt: this.jobsCurrentAt,
-      jobsRevision: this.jobsRevision,
-      failingSince: this.failingSince,
-      peers,
-    });
-  }
-
-  knows(job: string): boolean {
-    return this.cancellations.listSince(0, 0).jobs.includes(job);
-  }
-}
-
-type Message = { kind: 'status'; frame: StatusFrame } | { kind: 'abort'; job: string };
-
-/** One direction between two nodes: in order, and slow, held back or dead for a while. */
-class LinkModel {
-  delayS = STEP_S / 2;
-  heldUntil = -Infinity;
-  deadUntil = -Infinity;
-  private readonly queue: { at: number; message: Message }[] = [];
-
-  send(message: Message, now: number): void {
-    if (now >= this.deadUntil) this.queue.push({ at: now + this.delayS, message });
-  }
-
-  arrived(now: number): Message[] {
-    if (now < this.heldUntil) return [];
-    const next = this.queue.findIndex((m) => m.at > now);
-    const out = this.queue.splice(0, next < 0 ? this.queue.length : next);
-    return out.map((m) => m.message);
-  }
-}
-
 /** Plays one world and returns what was broken: nothing, unless a fault is seeded. */
 export function playOwnership(seed: number, fault: OwnershipFault, lengthS = 200): OwnershipRun {
   return new OwnershipWorld(seed, fault).play(lengthS);
@@ -229,7 +46,11 @@
   private readonly refusedUntil = new Map<string, number>();
   private readonly links = new Map<string, LinkModel>();
   private readonly confirmed: Confirmed[] = [];
-  private readonly result: OwnershipRun = { violations: new Set(), attestedSteps: 0 };
+  private readonly result: OwnershipRun = {
+    violations: new Set(),
+    attestedSteps: 0,
+    standbySteps: 0,
+  };
   private outageFrom = -Infinity;
   private outageUntil = -Infinity;
   private lastCancellation: { peer: string; at: number } | null = null;
@@ -361,6 +182,7 @@
         else {
           node.table.heard(peer, message.frame, this.now);
           node.yieldTo(message.frame.holder.term);
+          node.noteStandby(this.now, this.statements(node));
           if (this.fault === 'ignores-cancelled') continue;
           for (const job of message.frame.cancelled) {
             node.cancellations.noteRequested(job, this.now);
@@ -399,11 +221,24 @@
 
   /** Whatever an owner does while it believes itself entitled must be harmless. */
   private check(node: NodeModel): void {
-    const entitlement = node.entitlement(this.now, this.statements(node));
-    if (entitlement === undefined || entitlement === 'none') return;
+    const statements = this.statements(node);
+    const entitlement = node.entitlement(this.now, statements);
     if (entitlement === 'attested') this.result.attestedSteps++;
+    if (entitlement !== undefined && entitlement !== 'none') this.checkActing(node, node.term);
+    if (!node.renews(this.now, statements)) return;
+    this.result.standbySteps++;
+    this.checkActing(node, node.holder.term);
+    const owner = this.nodes.get(node.holder.name);
+    if (owner?.judge && owner.term === node.holder.term) {
+      this.result.violations.add('renews-beside-owner');
+    }
+  }
+
+  private checkActing(node: NodeModel, term: number): void {
     for (const claim of this.service.claims) {
-      const successor = claim.term > node.term && claim.life !== node.life;
+      // One that has ended counts on nothing any more.
+      const living = this.nodes.get(claim.node)?.life === claim.life;
+      const successor = living && claim.term > term && claim.life !== node.life;
       if (successor && this.now > claim.at + FORMER_OWNER_S) {
         this.result.violations.add('acts-beside-successor');
       }
@@ -416,12 +251,24 @@
     }
   }
 
-  private statements(node: NodeModel): (PeerStatus | null)[] {
-    return node.table.all().map((status) => {
-      if (status === null) return null;
-      if (this.fault === 'trusts-arrival') return { ...status, asOf: status.heardAt };
-      if (this.fault !== 'trusts-restarted') return status;
-      return { ...status, frame: { ...status.frame, loaded: true } };
-    });
+  private statements(node: NodeModel): Statements {
+    const peers = node.table.all().map((status) => this.distort(status));
+    return { peers, owner: this.distort(node.table.get(node.holder.name) ?? null) };
+  }
+
+  /** A statement as a node with the seeded mistake takes it. */
+  private distort(status: PeerStatus | null): PeerStatus | null {
+    if (status === null) return null;
+    const { frame, heardAt } = status;
+    switch (this.fault) {
+      case 'trusts-arrival':
+        return { ...status, asOf: heardAt };
+      case 'trusts-restarted':
+        return { ...status, frame: { ...frame, loaded: true } };
+      case 'renews-for-the-living':
+        return { ...status, frame: { ...frame, mayOwn: false } };
+      default:
+        return status;
+    }
   }
 }
