--- a/packages/testing/ownership/node.ts
+++ b/packages/testing/ownership/node.ts
@@ -111,7 +111,7 @@
       unownedReports: 0,
       jobsRevision,
       cancelledSince: list.since,
-      cancelled: list.jobs,
+      cancelled: list.cancelled,
     };
   }
 
@@ -151,6 +151,6 @@
   }
 
   knows(job: string): boolean {
-    return this.cancellations.listSince(0, 0).jobs.includes(job);
+    return this.cancellations.listSince(0, 0).cancelled.some((notice) => notice.job === job);
   }
 }
