--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -65,7 +65,7 @@
     attempt: number,
     now: number,
   ): Assignment {
-    const { machines, due } = this.tables;
+    const { machines, holds, due } = this.tables;
     const share = dominantShare(job.job, machines.totals);
     const assignment = newAssignment(job, index, machine, attempt, share, now);
     const others = job.places.get(index);
@@ -74,8 +74,7 @@
     machine.tasks.set(taskName(job.job.id, index), assignment);
     useImage(machine, job.job, machines.typeOf(machine)?.cacheGb ?? Infinity);
     due.add(machine);
-    // The room made here is taken: what the job still waits for needs room of its own.
-    if (machine.heldFor?.job === job) machine.heldFor = null;
+    holds.taken(machine, job);
     this.count(assignment, 1, now);
     return assignment;
   }
--- a/packages/core/capacity.ts
+++ b/packages/core/capacity.ts
@@ -1,10 +1,10 @@
 import type { Job } from '#wire';
 import type { FleetState } from './fleet-state.js';
-import { requirementsKey } from './job-registry.js';
 import type { JobState, Machine } from './model.js';
 import { Emptying, machineToEmpty, Room } from './packing.js';
-import { hasRoom, tasksThatFit, typeFits, usable, zoneCap } from './placement.js';
-import { Amounts, withinLimit, TeamTerms } from './fairshare.js';
+import { canTakeTasks } from './availability.js';
+import { hasRoom, kindAllowed, requirementsKey, tasksThatFit, typeFits, zoneCap } from './fit.js';
+import { Amounts, TeamTerms, withinLimit, ZERO_AMOUNTS } from './fairshare.js';
 
 export interface CapacitySettings {
   /** Standard deviations of arrivals kept free for classes that must start sooner than a boot. */
@@ -202,11 +202,11 @@
   private slots(now: number): Slot[] {
     const out: Slot[] = [];
     const lateFrom = this.lateFrom();
+    const { maxTasksPerMachine } = this.book.settings;
     for (const machine of this.book.machines.values()) {
       const type = this.book.machines.types.get(machine.type);
       if (!type || machine.state === 'dark' || machine.draining || machine.listedFailed) continue;
-      if (machine.state === 'up' && !usable(this.book, { ...machine, avoidUntil: 0 }, now))
-        continue;
+      if (machine.state === 'up' && !canTakeTasks(machine, maxTasksPerMachine)) continue;
       // One that should be up is not counted on: it may come very late or never.
       if (machine.state === 'booting' && now - machine.bornAt > lateFrom * type.bootS) continue;
       out.push({
@@ -215,7 +215,7 @@
         zone: machine.zone,
         spot: machine.spot,
         // What a gang waits for will be empty when it starts.
-        used: machine.reservedFor === null ? { ...machine.used } : { cpus: 0, gpus: 0, memory: 0 },
+        used: { ...(machine.reservedFor === null ? machine.used : ZERO_AMOUNTS) },
         touched: machine.tasks.size > 0,
         reservedFor: machine.reservedFor,
       });
@@ -292,8 +292,7 @@
     let best: { slot: Slot; cost: number } | null = null;
     for (const type of this.book.machines.types.values()) {
       if (!typeFits(job, type)) continue;
-      const empty = { used: { cpus: 0, gpus: 0, memory: 0 } };
-      const holds = Math.max(1, Math.min(1000, tasksThatFit(job, empty, type)));
+      const holds = Math.max(1, Math.min(1000, tasksThatFit(job, ZERO_AMOUNTS, type)));
       for (const zone of type.zones) {
         if (job.zone !== null && zone !== job.zone) continue;
         if (zones && (zones.get(zone) ?? 0) >= zoneCap(job)) continue;
@@ -330,8 +329,8 @@
 }
 
 function holds(slot: Slot, job: Job): boolean {
-  if (!hasRoom(job, slot, slot.type) || (slot.spot && !job.spot)) return false;
-  return (job.zone === null || slot.zone === job.zone) && typeFits(job, slot.type);
+  const { used, type, zone, spot } = slot;
+  return hasRoom(job, used, type) && kindAllowed(job, type, zone, spot);
 }
 
 function take(slot: Slot, job: Job): Slot {
--- /dev/null
+++ b/packages/core/choose-machine.ts
@@ -0,0 +1,35 @@
+import { zoneAllowed } from './fit.js';
+import type { FleetState } from './fleet-state.js';
+import type { JobState, Machine } from './model.js';
+import type { PlacementCandidates } from './placement-candidates.js';
+import { CROWDED_ZONE_S } from './placement-cost.js';
+
+/**
+ * The machine that a single task of the job should take now, or null. Nothing is assigned. `ownZones`
+ * counts the job's tasks by zone.
+ */
+export function chooseMachine(
+  fleet: FleetState,
+  job: JobState,
+  ownZones: Map<string, number>,
+  candidates: PlacementCandidates,
+  now: number,
+): Machine | null {
+  const { job: spec } = job;
+  const classZones = fleet.usage.tasksByZone(spec.class);
+  let best: Machine | null = null;
+  let lowest = Infinity;
+  for (const candidate of candidates.forJob(job)) {
+    const { machine } = candidate;
+    let cost = candidates.cost(candidate, spec);
+    // Replicas of a class spread over zones lose less together.
+    if (spec.spread) cost += (classZones.get(machine.zone) ?? 0) * CROWDED_ZONE_S;
+    if (cost >= lowest) continue;
+    if (machine.reservedFor !== null && machine.reservedFor !== spec.id) continue;
+    if (fleet.holds.isHeldFromJob(machine, job, now)) continue;
+    if (!zoneAllowed(spec, machine.zone, ownZones)) continue;
+    best = machine;
+    lowest = cost;
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/core/fit.ts
@@ -0,0 +1,86 @@
+import type { Job, MachineType } from '#wire';
+import type { Amounts } from './fairshare.js';
+import { assignmentsOf, JobState } from './model.js';
+
+/** Amounts are sums of decimal numbers; differences below this are rounding. */
+const ROUNDING = 1e-9;
+
+/** Where a task could run, as far as the job's own conditions decide. */
+export interface MachineKind {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+}
+
+/** Whether a task of the job could ever run on a machine of this type. */
+export function typeFits(job: Job, type: MachineType): boolean {
+  return (
+    (job.types === null || job.types.includes(type.name)) &&
+    (job.zone === null || type.zones.includes(job.zone)) &&
+    job.cpus <= type.cpus + ROUNDING &&
+    job.gpus <= type.gpus + ROUNDING &&
+    job.memory <= type.memory + ROUNDING
+  );
+}
+
+/**
+ * Whether the job allows machines of this type, kind and zone, its other tasks apart: what the protocol
+ * calls a wrong place otherwise.
+ */
+export function kindAllowed(job: Job, type: MachineType, zone: string, spot: boolean): boolean {
+  return (!spot || job.spot) && (job.zone === null || job.zone === zone) && typeFits(job, type);
+}
+
+/** Whether one more task of the job fits beside what is used. */
+export function hasRoom(job: Job, used: Readonly<Amounts>, type: MachineType): boolean {
+  return (
+    used.cpus + job.cpus <= type.cpus + ROUNDING &&
+    used.gpus + job.gpus <= type.gpus + ROUNDING &&
+    used.memory + job.memory <= type.memory + ROUNDING
+  );
+}
+
+/** How many tasks of the job fit beside what is used; Infinity if they need nothing. */
+export function tasksThatFit(job: Job, used: Readonly<Amounts>, type: MachineType): number {
+  return Math.max(
+    0,
+    Math.min(
+      unitsThatFit(type.cpus - used.cpus, job.cpus),
+      unitsThatFit(type.gpus - used.gpus, job.gpus),
+      unitsThatFit(type.memory - used.memory, job.memory),
+    ),
+  );
+}
+
+function unitsThatFit(free: number, need: number): number {
+  return need > 0 ? Math.floor((free + ROUNDING) / need) : Infinity;
+}
+
+/** Most tasks of the job that one zone may hold. */
+export function zoneCap(job: Job): number {
+  return job.spread ? Math.ceil(job.tasks / 2) : job.tasks;
+}
+
+/** Where a job's tasks are, old attempts included until they are proven gone. */
+export function tasksByZone(job: JobState): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { machine } of assignmentsOf(job)) {
+    counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/** Whether one more task of the job may go to the zone, given where its other tasks are. */
+export function zoneAllowed(job: Job, zone: string, counts: Map<string, number>): boolean {
+  if (job.zone !== null && job.zone !== zone) return false;
+  if (job.oneZone) {
+    for (const [other, count] of counts) if (count > 0 && other !== zone) return false;
+  }
+  return (counts.get(zone) ?? 0) < zoneCap(job);
+}
+
+/** What decides, zones of its other tasks apart, on which machines a task of the job fits. */
+export function requirementsKey(job: Job): string {
+  const types = job.types === null ? '*' : job.types.join(',');
+  return `${job.cpus} ${job.gpus} ${job.memory} ${types} ${job.zone ?? '*'} ${job.spot}`;
+}
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -2,6 +2,7 @@
 import { FleetListener, NO_LISTENER } from './listener.js';
 import { MachineRegistry } from './machine-registry.js';
 import type { FleetSettings, Machine } from './model.js';
+import { RoomHolds } from './room-holds.js';
 import { UnrecordedChanges } from './unrecorded-changes.js';
 import { UsageLedger } from './usage-ledger.js';
 
@@ -24,6 +25,7 @@
   readonly jobs: JobRegistry;
   readonly machines: MachineRegistry;
   readonly usage: UsageLedger;
+  readonly holds = new RoomHolds();
   /** Machines for which a direct command may be due. */
   readonly due = new Set<Machine>();
 
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -1,5 +1,6 @@
 import type { Job } from '#wire';
 import { ServiceCounter } from './fairshare.js';
+import { requirementsKey } from './fit.js';
 import type { JobState } from './model.js';
 import { TaskSet } from './taskset.js';
 import type { UnrecordedChanges } from './unrecorded-changes.js';
@@ -106,9 +107,3 @@
     this.waiting.add(job);
   }
 }
-
-/** What decides, zones of its other tasks apart, on which machines a task of the job fits. */
-export function requirementsKey(job: Job): string {
-  const types = job.types === null ? '*' : job.types.join(',');
-  return `${job.cpus} ${job.gpus} ${job.memory} ${types} ${job.zone ?? '*'} ${job.spot}`;
-}
--- a/packages/core/packing.ts
+++ b/packages/core/packing.ts
@@ -2,7 +2,9 @@
 import type { FleetState } from './fleet-state.js';
 import type { Amounts } from './fairshare.js';
 import type { Assignment, Machine } from './model.js';
-import { hasRoom, SETTLED_S, typeFits, usable } from './placement.js';
+import { isUsable } from './availability.js';
+import { hasRoom, kindAllowed } from './fit.js';
+import { SETTLED_S } from './settled.js';
 
 /** A machine that can be given back once its replicas run elsewhere. */
 export interface Emptying {
@@ -30,7 +32,12 @@
   const candidates: { room: Room; machine: Machine; cost: number }[] = [];
   for (const room of rooms) {
     const { machine } = room;
-    if (!machine || !usable(book, machine, now) || machine.tasks.size === 0) continue;
+    if (
+      !machine ||
+      !isUsable(machine, book.settings.maxTasksPerMachine, now) ||
+      machine.tasks.size === 0
+    )
+      continue;
     // Room there that others count on is not given up.
     if (room.reservedFor !== null || room.used.cpus > machine.used.cpus) continue;
     if (load(machine, room.type) > MOST_USED) continue;
@@ -68,13 +75,12 @@
         room !== from &&
         room.reservedFor === null &&
         to.zone === machine.zone &&
-        (!to.spot || job.spot) &&
         to.heldFor === null &&
         to.images.has(job.image) &&
         load(to, room.type) >= load(machine, from.type) &&
-        usable(book, to, now) &&
-        typeFits(job, room.type) &&
-        hasRoom(job, { used: taken.get(room) ?? room.used }, room.type)
+        isUsable(to, book.settings.maxTasksPerMachine, now) &&
+        kindAllowed(job, room.type, to.zone, to.spot) &&
+        hasRoom(job, taken.get(room) ?? room.used, room.type)
       );
     });
     if (!target) return null;
--- /dev/null
+++ b/packages/core/placement-candidates.ts
@@ -0,0 +1,85 @@
+import type { Job, MachineType } from '#wire';
+import { isUsable } from './availability.js';
+import { hasRoom, kindAllowed } from './fit.js';
+import type { FleetState } from './fleet-state.js';
+import type { JobState, Machine } from './model.js';
+import { placementCost } from './placement-cost.js';
+
+/** A machine that had room for one more task of a job when the list was made. */
+export interface Candidate {
+  machine: Machine;
+  type: MachineType;
+  /** Cost of a place there; Infinity: no room any more. */
+  cost: number;
+  /** The machine's changes when the cost was worked out. */
+  changes: number;
+}
+
+interface RoomyMachine {
+  machine: Machine;
+  type: MachineType;
+}
+
+/**
+ * Candidates by requirements and image, as they stood when first asked for. Within a round room only
+ * shrinks, so a machine that is not in a list can't come into question later in it, and the cost of a
+ * place changes only with the tasks on its machine. Without this each of hundreds of waiting jobs
+ * looked at each of hundreds of machines in every round. What else may change within a round (holds,
+ * reservations) is looked at by those who choose.
+ */
+export class PlacementCandidates {
+  private readonly byRequirementsAndImage = new Map<string, Candidate[]>();
+  private readonly byRequirements = new Map<string, RoomyMachine[]>();
+  private zoneNames: Set<string> | null = null;
+
+  constructor(
+    private readonly fleet: FleetState,
+    private readonly now: number,
+  ) {}
+
+  /** Machines that had room for a task of the job when first asked for. */
+  forJob(job: JobState): Candidate[] {
+    const key = `${job.shape} ${job.job.image}`;
+    let candidates = this.byRequirementsAndImage.get(key);
+    if (!candidates) {
+      candidates = this.withRoom(job).map((roomy) => ({ ...roomy, cost: 0, changes: -1 }));
+      this.byRequirementsAndImage.set(key, candidates);
+    }
+    return candidates;
+  }
+
+  /** Cost of a place for the job now; Infinity if the place is gone. */
+  cost(candidate: Candidate, job: Job): number {
+    const { machine, type } = candidate;
+    if (candidate.changes !== machine.changes) {
+      const room = hasRoom(job, machine.used, type) && this.isUsable(machine);
+      candidate.cost = room ? placementCost(job, machine, type) : Infinity;
+      candidate.changes = machine.changes;
+    }
+    return candidate.cost;
+  }
+
+  /** Zones of all machines. */
+  zones(): Set<string> {
+    this.zoneNames ??= new Set([...this.fleet.machines.values()].map(({ zone }) => zone));
+    return this.zoneNames;
+  }
+
+  private withRoom({ shape, job }: JobState): RoomyMachine[] {
+    let roomy = this.byRequirements.get(shape);
+    if (!roomy) {
+      this.byRequirements.set(shape, (roomy = []));
+      for (const machine of this.fleet.machines.values()) {
+        const type = this.fleet.machines.typeOf(machine);
+        if (!type || !hasRoom(job, machine.used, type)) continue;
+        if (!kindAllowed(job, type, machine.zone, machine.spot)) continue;
+        if (this.isUsable(machine)) roomy.push({ machine, type });
+      }
+    }
+    return roomy;
+  }
+
+  private isUsable(machine: Machine): boolean {
+    return isUsable(machine, this.fleet.settings.maxTasksPerMachine, this.now);
+  }
+}
--- /dev/null
+++ b/packages/core/room-holds.ts
@@ -0,0 +1,49 @@
+import type { JobState, Machine } from './model.js';
+
+/** Room that is made by stopping work, or counted on for a move, waits for the job it was made for. */
+export class RoomHolds {
+  /** All machines with a hold, so that few machines are looked at for a count. */
+  private readonly machines = new Set<Machine>();
+
+  /** Holds the machine's room for the job, until then (seconds of the steady clock) at the longest. */
+  hold(machine: Machine, job: JobState, until: number): void {
+    machine.heldFor = { job, until };
+    this.machines.add(machine);
+  }
+
+  release(machine: Machine): void {
+    if (machine.heldFor === null) return;
+    machine.heldFor = null;
+    this.machines.delete(machine);
+  }
+
+  /** The job got a place there: what it still waits for needs room of its own. */
+  taken(machine: Machine, job: JobState): void {
+    if (machine.heldFor?.job === job) this.release(machine);
+  }
+
+  /**
+   * Whether the room is held for another job that still waits and is not of lower rank. A hold that has
+   * run out, or whose job is over, is released.
+   */
+  isHeldFromJob(machine: Machine, job: JobState, now: number): boolean {
+    const hold = machine.heldFor;
+    if (hold === null || hold.job === job) return false;
+    if (now > hold.until || hold.job.phase !== 'accepted') {
+      this.release(machine);
+      return false;
+    }
+    return hold.job.job.rank <= job.job.rank && hold.job.places.size < hold.job.job.tasks;
+  }
+
+  /** On how many machines room is held for each job. */
+  machinesByJob(now: number): Map<JobState, number> {
+    const counts = new Map<JobState, number>();
+    for (const { heldFor } of this.machines) {
+      if (heldFor && heldFor.until >= now) {
+        counts.set(heldFor.job, (counts.get(heldFor.job) ?? 0) + 1);
+      }
+    }
+    return counts;
+  }
+}
--- a/packages/core/schedule.ts
+++ b/packages/core/schedule.ts
@@ -3,18 +3,11 @@
 import { teamWeight, TeamTerms, withinLimit, ZERO_AMOUNTS } from './fairshare.js';
 import { assignmentsOf, JobState, Machine } from './model.js';
 import type { Emptying } from './packing.js';
-import {
-  chooseGang,
-  choosePlace,
-  hasRoom,
-  heldFromUs,
-  Places,
-  SETTLED_S,
-  tasksThatFit,
-  typeFits,
-  zoneAllowed,
-  zoneCounts,
-} from './placement.js';
+import { chooseGangMachines } from './choose-gang-machines.js';
+import { chooseMachine } from './choose-machine.js';
+import { hasRoom, kindAllowed, tasksByZone, tasksThatFit, zoneAllowed } from './fit.js';
+import { PlacementCandidates } from './placement-candidates.js';
+import { SETTLED_S } from './settled.js';
 
 export interface ScheduleSettings {
   floorWeight: number;
@@ -32,8 +25,6 @@
   terms: TeamTerms;
 }
 
-const EMPTY = { used: ZERO_AMOUNTS };
-
 /** A machine that becomes empty by itself, and in how many seconds. */
 interface Soon {
   machine: Machine;
@@ -58,8 +49,8 @@
   /** One round of decisions. Returns how many tasks were given a place. */
   round(now: number): number {
     const stuck = new Set<string>();
-    const places = new Places(this.book, now);
-    const coming = this.roomComing(now);
+    const places = new PlacementCandidates(this.book, now);
+    const coming = this.book.holds.machinesByJob(now);
     let decided = 0;
     // Work that others would have to be stopped for goes first, so that nothing is started only to
     // be stopped again; among equals the design's order decides.
@@ -113,7 +104,7 @@
   private serve(
     state: JobState,
     stuck: Set<string>,
-    places: Places,
+    places: PlacementCandidates,
     coming: Map<JobState, number>,
     now: number,
   ): number {
@@ -125,7 +116,7 @@
       if (state.places.size > 0) return 0;
       const all = { cpus: job.cpus * job.tasks, gpus: job.gpus * job.tasks, memory: 0 };
       if (!withinLimit(terms, book.usage.ofTeam(job.team), all)) return 0;
-      const chosen = chooseGang(book, state, places, now);
+      const chosen = chooseGangMachines(book, state, places, now);
       if (!chosen) return 0;
       const attempt = book.assignments.newAttempt();
       chosen.forEach((machine, i) => book.assignments.assign(state, i, machine, attempt, now));
@@ -137,11 +128,10 @@
     // The least-served job takes a few tasks and then queues again behind the others.
     const most = Math.min(8, this.settings.decisionsPerRound);
     let placed = 0;
-    const counts = zoneCounts(state);
-    const zones = book.usage.tasksByZone(job.class);
+    const counts = tasksByZone(state);
     for (const i of book.jobs.waitingTasks(state, most)) {
       if (!withinLimit(terms, book.usage.ofTeam(job.team), job)) break;
-      const machine = choosePlace(state, counts, zones, places, now);
+      const machine = chooseMachine(book, state, counts, places, now);
       if (!machine) {
         stuck.add(shapeOf(state));
         break;
@@ -153,15 +143,6 @@
     return placed;
   }
 
-  /** On how many machines room is being made for each job. */
-  private roomComing(now: number): Map<JobState, number> {
-    const out = new Map<JobState, number>();
-    for (const { heldFor } of this.book.machines.values()) {
-      if (heldFor && heldFor.until >= now) out.set(heldFor.job, (out.get(heldFor.job) ?? 0) + 1);
-    }
-    return out;
-  }
-
   /**
    * Keeps machines free for gangs that wait, so that small work does not fill every gap: those that
    * can be empty soonest are reserved, oldest gang first.
@@ -220,13 +201,12 @@
       const next = mine ? own[k++] : emptying[i++];
       if (!next) break;
       const { machine, type } = next;
-      if (!typeFits(job, type) || (machine.spot && !job.spot)) continue;
-      if (job.zone !== null && machine.zone !== job.zone) continue;
+      if (!kindAllowed(job, type, machine.zone, machine.spot)) continue;
       const key = job.oneZone ? machine.zone : '';
       let zone = byZone.get(key);
       if (!zone) byZone.set(key, (zone = { machines: [], room: 0 }));
       zone.machines.push(machine);
-      zone.room += tasksThatFit(job, EMPTY, type);
+      zone.room += tasksThatFit(job, ZERO_AMOUNTS, type);
       if (zone.room < job.tasks) continue;
       chosen = zone.machines;
       break;
@@ -250,7 +230,7 @@
     for (const m of book.machines.values()) {
       for (const a of m.tasks.values()) if (a.stop !== null) stopping.add(m);
     }
-    const coming = this.roomComing(now);
+    const coming = this.book.holds.machinesByJob(now);
     const failed = new Set<string>();
     let rounds = 0;
     for (const job of waiting) {
@@ -308,15 +288,16 @@
   ): boolean {
     const { book } = this;
     const job = state.job;
-    const counts = zoneCounts(state);
+    const counts = tasksByZone(state);
     let best: { machine: Machine; victims: JobTask[]; cost: number } | null = null;
     for (const machine of book.machines.values()) {
       const type = book.machines.types.get(machine.type);
       if (!type || machine.state !== 'up' || machine.draining || machine.noticeAt !== null)
         continue;
-      if (stopping.has(machine) || heldFromUs(machine, state, now)) continue;
-      if (machine.reservedFor !== null || (machine.spot && !job.spot)) continue;
-      if (!typeFits(job, type) || !zoneAllowed(job, machine.zone, counts)) continue;
+      if (stopping.has(machine) || book.holds.isHeldFromJob(machine, state, now)) continue;
+      if (machine.reservedFor !== null) continue;
+      if (!kindAllowed(job, type, machine.zone, machine.spot)) continue;
+      if (!zoneAllowed(job, machine.zone, counts)) continue;
       const options: JobTask[] = [];
       for (const a of machine.tasks.values()) {
         if (a.stop === null && settled(a, job, now) && this.mayStop(state, a.job, now)) {
@@ -328,13 +309,13 @@
       const victims: JobTask[] = [];
       const used = { ...machine.used };
       for (const a of options) {
-        if (hasRoom(job, { ...machine, used }, type)) break;
+        if (hasRoom(job, used, type)) break;
         used.cpus -= a.job.job.cpus;
         used.gpus -= a.job.job.gpus;
         used.memory -= a.job.job.memory;
         victims.push(a);
       }
-      if (!hasRoom(job, { ...machine, used }, type)) continue;
+      if (!hasRoom(job, used, type)) continue;
       if (victims.length === 0) continue;
       const cost = victims.reduce((sum, a) => sum + lostWork(a, now), 0);
       if (best === null || cost < best.cost) best = { machine, victims, cost };
@@ -345,16 +326,17 @@
     const until = now + 4 * book.settings.reportS + grace + book.settings.gangPeerS;
     const before = best.machine.heldFor?.job;
     if (before) coming.set(before, (coming.get(before) ?? 1) - 1);
-    best.machine.heldFor = { job: state, until };
+    book.holds.hold(best.machine, state, until);
     for (const a of best.victims) this.stopOrderly(a, now);
     return true;
   }
 
   /** Takes the replicas off a machine that is to be given back; the room found for them is held. */
   empty({ machine, moves }: Emptying, now: number): void {
+    const { holds, settings } = this.book;
     machine.draining = true;
     for (const { task, to } of moves) {
-      to.heldFor ??= { job: task.job, until: now + 4 * this.book.settings.reportS };
+      if (to.heldFor === null) holds.hold(to, task.job, now + 4 * settings.reportS);
       this.stopOrderly(task, now);
     }
   }
--- a/packages/testing/placement.test.ts
+++ b/packages/testing/placement.test.ts
@@ -2,17 +2,16 @@
 import { test } from 'node:test';
 import {
   FleetState,
-  choosePlace,
+  chooseMachine,
   hasRoom,
-  heldFromUs,
+  isUsable,
   JobState,
   Machine,
-  placeCost,
-  Places,
+  placementCost,
+  PlacementCandidates,
   typeFits,
-  usable,
   zoneAllowed,
-  zoneCounts,
+  tasksByZone,
 } from '#core';
 import { Chance } from './random.js';
 import { aBook, aJob, aMachine } from './samples.js';
@@ -30,13 +29,14 @@
   let best: { machine: Machine; cost: number } | null = null;
   for (const machine of book.machines.values()) {
     const type = book.machines.types.get(machine.type)!;
-    if (!usable(book, machine, now) || heldFromUs(machine, state, now)) continue;
+    if (!isUsable(machine, book.settings.maxTasksPerMachine, now)) continue;
+    if (book.holds.isHeldFromJob(machine, state, now)) continue;
     if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
     if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
-    if (!hasRoom(job, machine, type) || !zoneAllowed(job, machine.zone, zoneCounts(state)))
+    if (!hasRoom(job, machine.used, type) || !zoneAllowed(job, machine.zone, tasksByZone(state)))
       continue;
     const crowd = job.spread ? (classZones.get(machine.zone) ?? 0) / 4 : 0;
-    const cost = placeCost(job, machine, type) + crowd;
+    const cost = placementCost(job, machine, type) + crowd;
     if (best === null || cost < best.cost) best = { machine, cost };
   }
   return best?.machine ?? null;
@@ -71,18 +71,17 @@
       const machine = aMachine(book, `n-${i}`, { zone: i % 2 ? 'a' : 'b', spot: chance.hit(0.3) });
       if (chance.hit(0.1)) machine.draining = true;
       if (chance.hit(0.1)) machine.avoidUntil = 5;
-      if (chance.hit(0.2)) machine.heldFor = { job: jobs[chance.int(0, 23)], until: 20 };
+      if (chance.hit(0.2)) book.holds.hold(machine, jobs[chance.int(0, 23)], 20);
       if (chance.hit(0.1)) machine.reservedFor = jobs[chance.int(0, 23)].job.id;
     }
     const now = 10;
-    const places = new Places(book, now);
+    const places = new PlacementCandidates(book, now);
     for (let i = 0; i < 80; i++) {
       const state = jobs[chance.int(0, 23)];
       const [index] = book.jobs.waitingTasks(state, 1);
       if (index === undefined) continue;
-      const zones = book.usage.tasksByZone(state.job.class);
       const expected = byEveryMachine(book, state, now);
-      assert.equal(choosePlace(state, zoneCounts(state), zones, places, now), expected);
+      assert.equal(chooseMachine(book, state, tasksByZone(state), places, now), expected);
       compared++;
       if (expected)
         book.assignments.assign(state, index, expected, book.assignments.newAttempt(), now);
