Core: the scheduler split into shares, queues, reservations and preemption

schedule.ts (406 lines) held the order of jobs, placing, reservations for gangs and preemption. These are modules of their own with named settings. Which reservations no longer hold is looked up in a set of the machines that become empty, not by a search in a list for each machine. Stopping with time to save belongs to Assignments.

--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -9,7 +9,7 @@
   RENT_AT_ONCE,
   Runtime,
 } from '#wire';
-import { Machine, Rental } from '#core';
+import { Machine, Rental, startEmptying } from '#core';
 import { Budget } from '#store';
 import type { Log } from './log.js';
 import type { PartOwner } from './owner.js';
@@ -131,7 +131,7 @@
   private async carryOutPlan(now: number, signal: AbortSignal): Promise<void> {
     const { rent, release, empty } = this.owner.planner.plan(now);
     if (empty !== null && this.options.mayRelease()) {
-      this.owner.scheduler.empty(empty, now);
+      startEmptying(this.owner.book, empty, now);
       this.owner.nudge();
       const { machine, moves } = empty;
       this.log.info({ machine: machine.name, replicas: moves.length }, 'emptied');
--- a/packages/controller/notices.ts
+++ b/packages/controller/notices.ts
@@ -1,13 +1,13 @@
-import type { FleetState, Scheduler } from '#core';
+import type { FleetState } from '#core';
 
 /** What can be saved is saved before the cloud takes a machine that it gave notice of; services move at once. */
-export function stopOnNotices(book: FleetState, scheduler: Scheduler, now: number): void {
+export function stopOnNotices(book: FleetState, now: number): void {
   for (const machine of book.machines.values()) {
     if (machine.noticeAt === null) continue;
     for (const task of machine.tasks.values()) {
       const { checkpointS, kind } = task.job.job;
       const worthStopping = checkpointS > 0 || kind === 'service';
-      if (task.stop === null && worthStopping) scheduler.stopOrderly(task, now);
+      if (task.stop === null && worthStopping) book.assignments.stopGracefully(task, now);
     }
   }
 }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -184,8 +184,8 @@
       this.log.info({ machine: name }, 'machine silent past its lease');
     }
     this.book.machines.updateTotals();
-    stopOnNotices(this.book, this.scheduler, now);
-    this.scheduler.reserve(now);
+    stopOnNotices(this.book, now);
+    this.scheduler.reservations.update(now);
     const decided = this.scheduler.round(now);
     if (this.recorder.pending) this.idle.wake();
     if (this.options.entitled()) this.direct.push(signal);
--- /dev/null
+++ b/packages/core/gang-reservations.ts
@@ -0,0 +1,162 @@
+import type { MachineType } from '#wire';
+import { ZERO_AMOUNTS } from './fairshare.js';
+import { kindAllowed, tasksThatFit } from './fit.js';
+import type { FleetState } from './fleet-state.js';
+import { byRankAndAge } from './job-queues.js';
+import type { JobState, Machine } from './model.js';
+
+/** Run times are estimated by their owners; a task is expected to take this many times as long... */
+const ESTIMATE_MARGIN = 1.5;
+/** ...and at least this share of the estimate from now, however long it has run already. */
+const ESTIMATE_REST = 1 / 4;
+/** A gang's own machines are kept unless another is empty in less than this share of their time. */
+const CHANGE_RATIO = 1 / 2;
+
+/** A machine that becomes empty by itself. */
+interface EmptyingMachine {
+  machine: Machine;
+  type: MachineType;
+  /** Seconds until then. */
+  waitS: number;
+}
+
+/** Machines found for a gang so far, in one zone or all. */
+interface Found {
+  machines: Machine[];
+  /** Tasks of the gang that they hold when empty. */
+  room: number;
+}
+
+/**
+ * Keeps machines free for gangs that wait, so that small work does not fill every gap: those that can
+ * be empty soonest are reserved, oldest gang of the highest rank first.
+ */
+export class GangReservations {
+  constructor(private readonly fleet: FleetState) {}
+
+  /** Brings all reservations up to date. */
+  update(now: number): void {
+    const gangs = [...this.fleet.jobs.waiting].filter(isWaitingGang);
+    this.releaseObsolete(new Set(gangs.map((gang) => gang.job.id)));
+    if (gangs.length === 0) return;
+    const emptying = this.emptyingMachines(now);
+    this.releaseIfNotEmptying(emptying);
+    const byGang = reservedByGang(emptying);
+    for (const gang of gangs.sort(byRankAndAge)) {
+      reserveFor(gang, emptying, byGang.get(gang.job.id) ?? []);
+    }
+  }
+
+  /** The gang has started. */
+  release(gangId: string): void {
+    for (const machine of this.fleet.machines.values()) {
+      if (machine.reservedFor === gangId) machine.reservedFor = null;
+    }
+  }
+
+  private releaseObsolete(waitingGangs: Set<string>): void {
+    for (const machine of this.fleet.machines.values()) {
+      if (machine.reservedFor === null) continue;
+      const leaves = machine.state === 'dark' || machine.draining || machine.noticeAt !== null;
+      if (leaves || !waitingGangs.has(machine.reservedFor)) machine.reservedFor = null;
+    }
+  }
+
+  /** One that something keeps from becoming empty is no longer waited for. */
+  private releaseIfNotEmptying(emptying: EmptyingMachine[]): void {
+    const machines = new Set(emptying.map(({ machine }) => machine));
+    for (const machine of this.fleet.machines.values()) {
+      if (machine.reservedFor !== null && !machines.has(machine)) machine.reservedFor = null;
+    }
+  }
+
+  /** Machines that become empty by themselves, soonest first. */
+  private emptyingMachines(now: number): EmptyingMachine[] {
+    const found: EmptyingMachine[] = [];
+    for (const machine of this.fleet.machines.values()) {
+      const type = this.fleet.machines.typeOf(machine);
+      if (!type || machine.state === 'dark' || machine.draining) continue;
+      if (machine.noticeAt !== null || machine.avoidUntil > now) continue;
+      const waitS = emptyInS(machine, type.bootS, now);
+      if (waitS !== null) found.push({ machine, type, waitS });
+    }
+    return found.sort((a, b) => a.waitS - b.waitS);
+  }
+}
+
+function isWaitingGang(job: JobState): boolean {
+  return job.job.kind === 'gang' && job.places.size === 0;
+}
+
+function reservedByGang(emptying: EmptyingMachine[]): Map<string, EmptyingMachine[]> {
+  const byGang = new Map<string, EmptyingMachine[]>();
+  for (const candidate of emptying) {
+    const gang = candidate.machine.reservedFor;
+    if (gang === null) continue;
+    const own = byGang.get(gang);
+    if (own) own.push(candidate);
+    else byGang.set(gang, [candidate]);
+  }
+  return byGang;
+}
+
+/** Reserves the machines that are empty soonest and hold the whole gang; none if no set does. */
+function reserveFor(
+  { job: spec }: JobState,
+  emptying: EmptyingMachine[],
+  own: EmptyingMachine[],
+): void {
+  const byZone = new Map<string, Found>();
+  let chosen: Machine[] = [];
+  for (const { machine, type } of soonestFirst(emptying, own)) {
+    if (!kindAllowed(spec, type, machine.zone, machine.spot)) continue;
+    const zone = spec.oneZone ? machine.zone : '';
+    let found = byZone.get(zone);
+    if (!found) byZone.set(zone, (found = { machines: [], room: 0 }));
+    found.machines.push(machine);
+    found.room += tasksThatFit(spec, ZERO_AMOUNTS, type);
+    if (found.room < spec.tasks) continue;
+    chosen = found.machines;
+    break;
+  }
+  for (const { machine } of own) machine.reservedFor = null;
+  for (const machine of chosen) machine.reservedFor = spec.id;
+}
+
+/**
+ * The machines that nobody has reserved and the gang's own, by time. Its own count as empty in half the
+ * time, so that the choice does not flap.
+ */
+function* soonestFirst(
+  emptying: EmptyingMachine[],
+  own: EmptyingMachine[],
+): Generator<EmptyingMachine> {
+  let free = 0;
+  let mine = 0;
+  for (;;) {
+    while (free < emptying.length && emptying[free].machine.reservedFor !== null) free++;
+    const nextFree = emptying[free];
+    const nextOwn = own[mine];
+    if (nextOwn && !(nextFree && nextFree.waitS < nextOwn.waitS * CHANGE_RATIO)) {
+      mine++;
+      yield nextOwn;
+    } else if (nextFree) {
+      free++;
+      yield nextFree;
+    } else return;
+  }
+}
+
+/** Seconds until a machine could be empty, or null if something on it does not end by itself. */
+function emptyInS(machine: Machine, bootS: number, now: number): number | null {
+  if (machine.state === 'booting') return Math.max(1, machine.bornAt + bootS - now);
+  let waitS = 0;
+  for (const { job, stop, runningSince } of machine.tasks.values()) {
+    const { kind, estimateS } = job.job;
+    if (stop !== null) continue;
+    if (kind === 'service') return null;
+    const ranS = runningSince === null ? 0 : now - runningSince;
+    waitS = Math.max(waitS, estimateS * ESTIMATE_MARGIN - ranS, estimateS * ESTIMATE_REST);
+  }
+  return waitS;
+}
--- a/packages/core/index.ts
+++ b/packages/core/index.ts
@@ -11,5 +11,5 @@
 export * from './placement-candidates.js';
 export * from './placement-cost.js';
 export * from './report-handler.js';
-export * from './schedule.js';
+export * from './scheduler.js';
 export * from './taskset.js';
--- a/packages/core/packing.ts
+++ b/packages/core/packing.ts
@@ -23,6 +23,9 @@
 /** No machine that is used more than this is emptied. */
 const MOST_USED = 0.5;
 
+/** Report periods for which the room found for a replica is held. */
+const HOLD_REPORTS = 4;
+
 /**
  * The dearest machine, per replica on it, whose replicas all find room beside their image on machines
  * of the same zone that are used more. Such a move takes a stop and a start without a fetch. Without
@@ -52,6 +55,17 @@
   return null;
 }
 
+/** Takes the replicas off a machine that is to be given back; the room found for them is held. */
+export function startEmptying(fleet: FleetState, { machine, moves }: Emptying, now: number): void {
+  machine.draining = true;
+  for (const { task, to } of moves) {
+    if (to.heldFor === null) {
+      fleet.holds.hold(to, task.job, now + HOLD_REPORTS * fleet.settings.reportS);
+    }
+    fleet.assignments.stopGracefully(task, now);
+  }
+}
+
 function movable(a: Assignment, now: number): boolean {
   const settled = a.runningSince !== null && now - a.runningSince >= SETTLED_S;
   return a.job.job.kind === 'service' && a.stop === null && settled && a.reported === 'running';
--- /dev/null
+++ b/packages/core/preemption.ts
@@ -0,0 +1,173 @@
+import type { Job } from '#wire';
+import { addAmounts } from './fairshare.js';
+import { hasRoom, kindAllowed, tasksByZone, zoneAllowed } from './fit.js';
+import type { FleetState } from './fleet-state.js';
+import { byRankAndAge, placementKey } from './job-queues.js';
+import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
+import { SETTLED_S } from './settled.js';
+import type { TeamShares } from './team-shares.js';
+
+/** Tasks that room is made for in one round at the most. */
+const TASKS_PER_ROUND = 4;
+/** Report periods for which room is held beside the time that the stopped work takes to save. */
+const HOLD_REPORTS = 4;
+/** Processors that count as much as one accelerator when lost work is compared. */
+const CPUS_PER_GPU = 8;
+
+export interface PreemptionSettings {
+  /** Waiting time, in seconds, after which work may stop other work. */
+  preemptAfterS: number;
+  /** Seconds that a gang runs before another team may stop it. */
+  gangLeaseS: number;
+  /** A gang may be stopped at its lease end below this ratio of indexes. */
+  stopThreshold: number;
+}
+
+/** Work to be stopped on one machine. */
+interface Victims {
+  machine: Machine;
+  assignments: Assignment[];
+  /** Work that is lost by stopping them. */
+  cost: number;
+}
+
+/**
+ * The exceptions to leases that the rules need: work of higher rank, and work within its team's
+ * guarantee, may stop other work when it has waited; and gangs at their lease end give way to a team
+ * that is far behind. No work is stopped for its own rank or a lower one otherwise. Room for gangs is
+ * not made.
+ */
+export class Preemption {
+  constructor(
+    private readonly fleet: FleetState,
+    private readonly shares: TeamShares,
+    private readonly settings: PreemptionSettings,
+  ) {}
+
+  /** Makes room for some tasks that have waited long enough. */
+  run(now: number): void {
+    const waiting = this.impatientJobs(now);
+    if (waiting.length === 0) return;
+    const stopping = this.machinesWithStops();
+    const heldRoom = this.fleet.holds.machinesByJob(now);
+    const failed = new Set<string>();
+    let made = 0;
+    for (const job of waiting) {
+      if (made >= TASKS_PER_ROUND) break;
+      if (job.job.kind === 'gang' || failed.has(placementKey(job))) continue;
+      // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
+      if ((heldRoom.get(job) ?? 0) >= this.fleet.jobs.waitingCount(job)) continue;
+      if (!this.shares.withinLimit(job.job.team, job.job)) continue;
+      const victims = this.cheapestVictims(job, stopping, now);
+      if (victims) {
+        stopping.add(victims.machine);
+        this.makeRoom(job, victims, heldRoom, now);
+        made++;
+      } else failed.add(placementKey(job));
+    }
+  }
+
+  private impatientJobs(now: number): JobState[] {
+    const { preemptAfterS } = this.settings;
+    return [...this.fleet.jobs.waiting]
+      .filter((job) => job.notBefore <= now && now - job.waitingSince >= preemptAfterS)
+      .sort(byRankAndAge);
+  }
+
+  private machinesWithStops(): Set<Machine> {
+    const stopping = new Set<Machine>();
+    for (const machine of this.fleet.machines.values()) {
+      for (const { stop } of machine.tasks.values()) if (stop !== null) stopping.add(machine);
+    }
+    return stopping;
+  }
+
+  /** The machine where room for the job costs least, and what must be stopped there; null if none. */
+  private cheapestVictims(job: JobState, stopping: Set<Machine>, now: number): Victims | null {
+    const zones = tasksByZone(job);
+    let best: Victims | null = null;
+    for (const machine of this.fleet.machines.values()) {
+      if (machine.state !== 'up' || machine.draining || machine.noticeAt !== null) continue;
+      if (stopping.has(machine) || this.fleet.holds.isHeldFromJob(machine, job, now)) continue;
+      if (machine.reservedFor !== null || !zoneAllowed(job.job, machine.zone, zones)) continue;
+      const assignments = this.victimsOn(machine, job, now);
+      if (assignments === null) continue;
+      const cost = assignments.reduce((sum, each) => sum + lostWork(each, now), 0);
+      if (best === null || cost < best.cost) best = { machine, assignments, cost };
+    }
+    return best;
+  }
+
+  /** What must be stopped on the machine for one task of the job, or null if that makes no room. */
+  private victimsOn(machine: Machine, job: JobState, now: number): Assignment[] | null {
+    const type = this.fleet.machines.typeOf(machine);
+    if (!type || !kindAllowed(job.job, type, machine.zone, machine.spot)) return null;
+    const options = [...machine.tasks.values()].filter(
+      (each) => each.stop === null && isSettled(each, job.job, now) && this.mayStop(job, each, now),
+    );
+    if (options.length === 0) return null;
+    options.sort((a, b) => b.job.job.rank - a.job.job.rank || b.since - a.since);
+    const victims: Assignment[] = [];
+    const used = { ...machine.used };
+    for (const option of options) {
+      if (hasRoom(job.job, used, type)) break;
+      addAmounts(used, option.job.job, -1);
+      victims.push(option);
+    }
+    return victims.length > 0 && hasRoom(job.job, used, type) ? victims : null;
+  }
+
+  private mayStop(forJob: JobState, { job: victim }: Assignment, now: number): boolean {
+    const otherTeam = victim.job.team !== forJob.job.team;
+    if (
+      otherTeam &&
+      this.shares.withinGuarantee(forJob.job) &&
+      this.shares.isBorrowing(victim.job.team)
+    ) {
+      return true;
+    }
+    if (victim.job.rank > forJob.job.rank) return true;
+    return otherTeam && victim.job.kind === 'gang' && this.isFarBehind(forJob, victim, now);
+  }
+
+  /** The design's own stop: a gang's lease has ended and a team that waits is far behind. */
+  private isFarBehind(forJob: JobState, gang: JobState, now: number): boolean {
+    const { gangLeaseS, stopThreshold } = this.settings;
+    const startedAt = Math.min(
+      ...[...assignmentsOf(gang)].map(({ runningSince }) => runningSince ?? now),
+    );
+    if (now - startedAt < gangLeaseS) return false;
+    const gangIndex = this.shares.index(gang.job.team, now);
+    return this.shares.index(forJob.job.team, now) < stopThreshold * gangIndex;
+  }
+
+  private makeRoom(
+    job: JobState,
+    { machine, assignments }: Victims,
+    heldRoom: Map<JobState, number>,
+    now: number,
+  ): void {
+    const { holds, settings } = this.fleet;
+    const { checkpointS, saveS } = job.job;
+    const graceS = checkpointS > 0 ? saveS : 0;
+    const before = machine.heldFor?.job;
+    if (before) heldRoom.set(before, (heldRoom.get(before) ?? 1) - 1);
+    holds.hold(machine, job, now + HOLD_REPORTS * settings.reportS + graceS + settings.gangPeerS);
+    for (const each of assignments) this.fleet.assignments.stopGracefully(each, now);
+  }
+}
+
+/**
+ * A start that is undone at once served nobody. So what has just begun to run is left alone for a
+ * while, except for the most urgent rank; this also bounds how often two jobs can displace each other.
+ */
+function isSettled({ runningSince }: Assignment, forJob: Job, now: number): boolean {
+  return forJob.rank === 0 || runningSince === null || now - runningSince >= SETTLED_S;
+}
+
+/** Accelerator seconds that are lost if the task is stopped; at least one, so that fewer stops win. */
+function lostWork({ job: { job }, runningSince }: Assignment, now: number): number {
+  const ranS = runningSince === null ? 0 : now - runningSince;
+  const lostS = job.checkpointS > 0 ? Math.min(ranS, job.saveS) : ranS;
+  return lostS * (job.gpus + job.cpus / CPUS_PER_GPU) + 1;
+}
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -108,7 +108,7 @@
     }
     this.book.leases.expire(now);
     this.book.machines.updateTotals();
-    this.scheduler.reserve(now);
+    this.scheduler.reservations.update(now);
     this.scheduler.round(now);
     if (this.fault === 'order-before-record') {
       for (const m of this.book.machines.values())
