--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -52,10 +52,10 @@
         return {
           rent: plans === 1 ? [{ type: 'std', zone: 'a', spot: false, count: 1 }] : [],
           release: [],
-          empty: null,
+          consolidation: null,
         };
       },
-      noteRefused: () => {},
+      rentalRefused: () => {},
     },
   } as unknown as PartOwner;
   const duty = new CloudDuty({
--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -9,7 +9,7 @@
   RENT_AT_ONCE,
   Runtime,
 } from '#wire';
-import { Machine, Rental, startEmptying } from '#core';
+import { Machine, Rental, startConsolidation } from '#core';
 import { Budget } from '#store';
 import type { Log } from './log.js';
 import type { PartOwner } from './owner.js';
@@ -129,11 +129,11 @@
   }
 
   private async carryOutPlan(now: number, signal: AbortSignal): Promise<void> {
-    const { rent, release, empty } = this.owner.planner.plan(now);
-    if (empty !== null && this.options.mayRelease()) {
-      startEmptying(this.owner.book, empty, now);
+    const { rent, release, consolidation } = this.owner.planner.plan(now);
+    if (consolidation !== null && this.options.mayRelease()) {
+      startConsolidation(this.owner.book, consolidation, now);
       this.owner.nudge();
-      const { machine, moves } = empty;
+      const { machine, moves } = consolidation;
       this.log.info({ machine: machine.name, replicas: moves.length }, 'emptied');
     }
     if (release.length > 0) {
@@ -234,7 +234,7 @@
     const now = this.clock.now();
     if (names.length < count) {
       const bootS = book.machines.types.get(type)?.bootS ?? 0;
-      planner.noteRefused(rental, now + bootS * REFUSED_FOR);
+      planner.rentalRefused(rental, now + bootS * REFUSED_FOR);
     }
     for (const name of names)
       book.machines.register({ name, addr: '', type, zone, spot }, 'booting', now);
--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -34,16 +34,16 @@
   const objectives = deployment.objectives
     .filter((o) => o.class !== undefined)
     .map((o) => ({ class: o.class!, kind: o.kind, withinS: o.within_s ?? Infinity }));
-  return new CapacityPlanner(
-    book,
-    {
+  return new CapacityPlanner({
+    fleet: book,
+    settings: {
       reserveSigmas: operator.reserveSigmas,
       idleHoldS: operator.idleHoldS,
       memoryS: operator.arrivalMemoryS,
     },
     objectives,
-    teamTerms(deployment.teams),
-  );
+    teams: teamTerms(deployment.teams),
+  });
 }
 
 export function makeScheduler(settings: Settings, book: FleetState): Scheduler {
--- a/packages/controller/fleet-events.ts
+++ b/packages/controller/fleet-events.ts
@@ -8,11 +8,11 @@
 export function fleetListener(planner: () => CapacityPlanner, log: Log): FleetListener {
   return {
     machineUp(machine, now) {
-      planner().noteUp(machine, now);
+      planner().machineUp(machine, now);
       const { name, type, zone, spot, bornAt } = machine;
       log.debug({ machine: name, type, zone, spot, bootedS: hundredths(now - bornAt) }, 'up');
     },
-    jobClosed: (job, now) => planner().noteEnd(job.job, now),
+    jobClosed: (job, now) => planner().jobEnded(job.job, now),
     taskRunning({ job, index, machine, since }, now) {
       const fields = {
         job: job.job.id,
--- a/packages/controller/job-intake.test.ts
+++ b/packages/controller/job-intake.test.ts
@@ -13,7 +13,7 @@
   const intake = new JobIntake({
     clock: world.controller().clock,
     book,
-    planner: { noteArrival: (job) => void arrivals.push(job.id) },
+    planner: { jobArrived: (job) => void arrivals.push(job.id) },
     jobs: { isCancelled: (id) => asked.includes(id) },
   });
   return { book, intake, arrivals };
--- a/packages/controller/job-intake.ts
+++ b/packages/controller/job-intake.ts
@@ -6,7 +6,7 @@
 export interface JobIntakeOptions {
   clock: Clock;
   book: FleetState;
-  planner: Pick<CapacityPlanner, 'noteArrival'>;
+  planner: Pick<CapacityPlanner, 'jobArrived'>;
   jobs: Pick<JobTable, 'isCancelled'>;
 }
 
@@ -31,7 +31,7 @@
     book.addJob(job, now - ageS, phase, now);
     if (phase !== 'accepted') this.unrecorded.delete(job.id);
     else if (isNew) {
-      planner.noteArrival(job, now);
+      planner.jobArrived(job, now);
       if (jobs.isCancelled(job.id)) this.cancel(job.id);
     }
   }
--- /dev/null
+++ b/packages/core/capacity-planner.ts
@@ -0,0 +1,163 @@
+import type { Job } from '#wire';
+import { ArrivalSettings, ArrivalStatistics, ClassObjective } from './arrival-statistics.js';
+import { BootTimes } from './boot-times.js';
+import { Consolidation, findConsolidation } from './consolidation.js';
+import { Amounts, TeamTerms, withinLimit } from './fairshare.js';
+import { typeFits } from './fit.js';
+import type { FleetState } from './fleet-state.js';
+import type { JobState, Machine } from './model.js';
+import { Refusals, Rental } from './refusals.js';
+import { SlotPacking } from './slot-packing.js';
+import { StandingSlot, standingSlots } from './slots.js';
+
+/** Tasks of one job that a plan looks at. */
+const MOST_TASKS_PLANNED = 2000;
+
+/** Once nothing has come for this share of the hold, empty machines are held for the other only. */
+const QUIET_SHARE = 1 / 2;
+const QUIET_HOLD = 1 / 3;
+
+export interface CapacitySettings extends ArrivalSettings {
+  /** Seconds for which an empty machine that nothing needs is kept. */
+  idleHoldS: number;
+}
+
+export interface CapacityPlan {
+  rent: Rental[];
+  /** Machines to be given back. */
+  release: Machine[];
+  /** A machine to be emptied, or null. */
+  consolidation: Consolidation | null;
+}
+
+export interface CapacityPlannerOptions {
+  fleet: FleetState;
+  settings: CapacitySettings;
+  objectives: ClassObjective[];
+  teams: Map<string, TeamTerms>;
+}
+
+/** Sizes the fleet: packs what waits, and room for what may come sooner than a machine boots. */
+export class CapacityPlanner {
+  private readonly arrivals: ArrivalStatistics;
+  private readonly boots = new BootTimes();
+  private readonly refusals = new Refusals();
+
+  constructor(private readonly options: CapacityPlannerOptions) {
+    this.arrivals = new ArrivalStatistics(options.settings, options.objectives);
+  }
+
+  jobArrived(job: Job, now: number): void {
+    this.arrivals.jobArrived(job, now);
+  }
+
+  jobEnded(job: Job, now: number): void {
+    this.arrivals.jobEnded(job, now);
+  }
+
+  /** Takes as much work to have ended before as came. */
+  assumeSteady(now: number): void {
+    this.arrivals.assumeSteady(now);
+  }
+
+  /** A rented machine reported for the first time. */
+  machineUp(machine: Machine, now: number): void {
+    this.boots.machineUp(machine, this.options.fleet.machines.typeOf(machine), now);
+  }
+
+  /** The cloud did not give all that was asked for; it is not asked for the kind again until then. */
+  rentalRefused(rental: Rental, until: number): void {
+    this.refusals.note(rental, until);
+  }
+
+  /** What to rent and to give back now; changes nothing but the statistics' decay. */
+  plan(now: number): CapacityPlan {
+    const { fleet } = this.options;
+    const standing = standingSlots(fleet, this.boots.lateFrom(), now);
+    const { types } = fleet.machines;
+    const packing = new SlotPacking({ standing, types, refusals: this.refusals, now });
+    this.packWaiting(packing);
+    this.packReserve(packing, now);
+    // Replicas are moved only while nothing lacks room.
+    const lacksRoom = packing.rented.length > 0;
+    return {
+      rent: packing.rentals(),
+      release: this.surplus(standing, now),
+      consolidation: lacksRoom ? null : findConsolidation(fleet, standing, now),
+    };
+  }
+
+  private packWaiting(packing: SlotPacking): void {
+    const usage = new Map<string, Amounts>();
+    const waiting = [...this.options.fleet.jobs.waiting].sort(byRankAndSize);
+    for (const job of waiting) this.packJob(job, packing, usage);
+  }
+
+  private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
+    const { fleet, teams } = this.options;
+    const { job: spec } = job;
+    const terms = teams.get(spec.team);
+    if (!terms) return;
+    let used = usage.get(spec.team);
+    if (!used) usage.set(spec.team, (used = { ...fleet.usage.ofTeam(spec.team) }));
+    const zones = new Map<string, number>();
+    const zone = zoneToPack(spec, packing.standing);
+    let request = packing.request({ ...spec, zone }, spec.id, zones);
+    const count = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
+    for (let i = 0; i < count && withinLimit(terms, used, spec); i++) {
+      const slot = packing.place(request);
+      if (!slot) return;
+      if (spec.oneZone && request.job.zone === null) {
+        request = packing.request({ ...spec, zone: slot.zone }, spec.id, zones);
+      }
+      zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + 1);
+      used.cpus += spec.cpus;
+      used.gpus += spec.gpus;
+    }
+  }
+
+  private packReserve(packing: SlotPacking, now: number): void {
+    const types = [...this.options.fleet.machines.types.values()];
+    for (const arrivals of this.arrivals.classes()) {
+      const { sample } = arrivals;
+      const fitting = types.filter((type) => typeFits(sample, type));
+      if (fitting.length === 0) continue;
+      const bootS = Math.min(...fitting.map((type) => type.bootS));
+      const count = this.arrivals.reserveTasks(arrivals, bootS, now);
+      const request = packing.request(sample, null, null);
+      for (let i = 0; i < count; i++) if (!packing.place(request)) break;
+    }
+  }
+
+  /** Empty machines that neither waiting work nor the reserve needs, after a while. */
+  private surplus(standing: StandingSlot[], now: number): Machine[] {
+    const { idleHoldS } = this.options.settings;
+    const isQuiet = now - this.arrivals.lastArrivalAt() > idleHoldS * QUIET_SHARE;
+    const heldS = isQuiet ? idleHoldS * QUIET_HOLD : idleHoldS;
+    return standing
+      .filter(({ machine, touched }) => !touched && isIdle(machine, heldS, now))
+      .map(({ machine }) => machine);
+  }
+}
+
+/** Where a job that must stay in one zone is packed: where machines are reserved for it, if so. */
+function zoneToPack(job: Job, standing: StandingSlot[]): string | null {
+  if (!job.oneZone) return job.zone;
+  return standing.find((slot) => slot.reservedFor === job.id)?.zone ?? job.zone;
+}
+
+function isIdle(machine: Machine, heldS: number, now: number): boolean {
+  const { tasks, reservedFor, state, idleSince } = machine;
+  if (tasks.size > 0 || reservedFor !== null || state === 'booting') return false;
+  return now - idleSince >= heldS;
+}
+
+/** Higher ranks first, then whole-machine work before what fits into gaps, then the oldest. */
+function byRankAndSize(a: JobState, b: JobState): number {
+  return a.job.rank - b.job.rank || sizeOf(b.job) - sizeOf(a.job) || a.acceptedAt - b.acceptedAt;
+}
+
+/** Accelerators count before processors. */
+function sizeOf(job: Job): number {
+  return job.gpus * 1000 + job.cpus;
+}
--- /dev/null
+++ b/packages/core/consolidation.ts
@@ -0,0 +1,130 @@
+import type { Job, MachineType } from '#wire';
+import { isUsable } from './availability.js';
+import { addAmounts, Amounts } from './fairshare.js';
+import { hasRoom, kindAllowed } from './fit.js';
+import type { FleetState } from './fleet-state.js';
+import type { Assignment, Machine } from './model.js';
+import { SETTLED_S } from './settled.js';
+import type { StandingSlot } from './slots.js';
+
+/** No machine that is used more than this is emptied. */
+const MOST_USED = 0.5;
+/** Report periods for which the room found for a replica is held. */
+const HOLD_REPORTS = 4;
+
+export interface Move {
+  task: Assignment;
+  to: Machine;
+}
+
+/** A machine that can be given back once its replicas run elsewhere. */
+export interface Consolidation {
+  machine: Machine;
+  moves: Move[];
+}
+
+/**
+ * The dearest machine, per replica on it, whose replicas all find room beside their image on machines
+ * of the same zone that are used more. Such a move takes a stop and a start without a fetch. Without
+ * moves, a fleet whose demand falls ends as many machines with one replica each.
+ */
+export function findConsolidation(
+  fleet: FleetState,
+  slots: StandingSlot[],
+  now: number,
+): Consolidation | null {
+  const candidates = slots
+    .filter((slot) => canBeEmptied(fleet, slot, now))
+    .sort((a, b) => pricePerTask(b) - pricePerTask(a));
+  for (const slot of candidates) {
+    const moves = findMoves(fleet, slot, slots, now);
+    if (moves) return { machine: slot.machine, moves };
+  }
+  return null;
+}
+
+/** Takes the replicas off a machine that is to be given back; the room found for them is held. */
+export function startConsolidation(
+  fleet: FleetState,
+  { machine, moves }: Consolidation,
+  now: number,
+): void {
+  machine.draining = true;
+  for (const { task, to } of moves) {
+    if (to.heldFor === null) {
+      fleet.holds.hold(to, task.job, now + HOLD_REPORTS * fleet.settings.reportS);
+    }
+    fleet.assignments.stopGracefully(task, now);
+  }
+}
+
+function canBeEmptied(fleet: FleetState, slot: StandingSlot, now: number): boolean {
+  const { machine, type, used, reservedFor } = slot;
+  if (machine.tasks.size === 0 || load(machine, type) > MOST_USED) return false;
+  if (!isUsable(machine, fleet.settings.maxTasksPerMachine, now)) return false;
+  // Room there that others count on is not given up.
+  if (reservedFor !== null || used.cpus > machine.used.cpus) return false;
+  return [...machine.tasks.values()].every((task) => isMovable(task, now));
+}
+
+function pricePerTask({ machine, type }: StandingSlot): number {
+  return type.price / machine.tasks.size;
+}
+
+function isMovable({ job, stop, reported, runningSince }: Assignment, now: number): boolean {
+  const isSettled = runningSince !== null && now - runningSince >= SETTLED_S;
+  return job.job.kind === 'service' && stop === null && isSettled && reported === 'running';
+}
+
+/** A machine for each task of the slot, or null if one finds none. */
+function findMoves(
+  fleet: FleetState,
+  from: StandingSlot,
+  slots: StandingSlot[],
+  now: number,
+): Move[] | null {
+  const taken = new Map<StandingSlot, Amounts>();
+  const moves: Move[] = [];
+  for (const task of from.machine.tasks.values()) {
+    const { job } = task.job;
+    const target = slots.find(
+      (slot) =>
+        slot !== from &&
+        canReceive(fleet, slot, from, job, now) &&
+        hasRoom(job, taken.get(slot) ?? slot.used, slot.type),
+    );
+    if (!target) return null;
+    const used = taken.get(target) ?? { ...target.used };
+    addAmounts(used, job, 1);
+    taken.set(target, used);
+    moves.push({ task, to: target.machine });
+  }
+  return moves;
+}
+
+/** Whether replicas of the job may move there from the other machine, room apart. */
+function canReceive(
+  fleet: FleetState,
+  { machine, type, reservedFor }: StandingSlot,
+  from: StandingSlot,
+  job: Job,
+  now: number,
+): boolean {
+  return (
+    reservedFor === null &&
+    machine.zone === from.machine.zone &&
+    machine.heldFor === null &&
+    machine.images.has(job.image) &&
+    kindAllowed(job, type, machine.zone, machine.spot) &&
+    load(machine, type) >= load(from.machine, from.type) &&
+    isUsable(machine, fleet.settings.maxTasksPerMachine, now)
+  );
+}
+
+/** Share of the machine that is used. */
+function load({ used }: Machine, type: MachineType): number {
+  return Math.max(
+    type.cpus > 0 ? used.cpus / type.cpus : 0,
+    type.gpus > 0 ? used.gpus / type.gpus : 0,
+  );
+}
--- /dev/null
+++ b/packages/core/slots.ts
@@ -0,0 +1,70 @@
+import type { Job, MachineType } from '#wire';
+import { canTakeTasks } from './availability.js';
+import { addAmounts, Amounts, ZERO_AMOUNTS } from './fairshare.js';
+import { hasRoom, kindAllowed, MachineKind } from './fit.js';
+import type { FleetState } from './fleet-state.js';
+import type { Machine } from './model.js';
+
+/** Room on a machine that stands, boots or would be rented, as a plan fills it. */
+export interface Slot extends MachineKind {
+  /** Null if it would be rented. */
+  machine: Machine | null;
+  used: Amounts;
+  /** Something is there or is planned to go there. */
+  touched: boolean;
+  /** The gang that the machine is reserved for. */
+  reservedFor: string | null;
+}
+
+export type StandingSlot = Slot & { machine: Machine };
+
+/**
+ * The machines that are or soon will be up. Fuller ones come first, so that the emptiest stay untouched
+ * and can go; then the cheaper. `lateFrom` is the multiple of its type's boot time from which a machine
+ * that boots is not counted on: it may come very late or never.
+ */
+export function standingSlots(fleet: FleetState, lateFrom: number, now: number): StandingSlot[] {
+  const { maxTasksPerMachine } = fleet.settings;
+  const slots: StandingSlot[] = [];
+  for (const machine of fleet.machines.values()) {
+    const type = fleet.machines.typeOf(machine);
+    if (!type || machine.state === 'dark' || machine.draining || machine.listedFailed) continue;
+    if (machine.state === 'up' && !canTakeTasks(machine, maxTasksPerMachine)) continue;
+    if (machine.state === 'booting' && now - machine.bornAt > lateFrom * type.bootS) continue;
+    slots.push(standingSlot(machine, type));
+  }
+  return slots.sort(
+    (a, b) =>
+      fillOf(b) - fillOf(a) ||
+      a.type.price - b.type.price ||
+      (a.machine.name < b.machine.name ? -1 : 1),
+  );
+}
+
+function standingSlot(machine: Machine, type: MachineType): StandingSlot {
+  const { zone, spot, reservedFor } = machine;
+  // What a gang waits for will be empty when it starts.
+  const used = { ...(reservedFor === null ? machine.used : ZERO_AMOUNTS) };
+  return { machine, type, zone, spot, used, touched: machine.tasks.size > 0, reservedFor };
+}
+
+function fillOf({ used, type }: Slot): number {
+  return Math.max(used.cpus / type.cpus, type.gpus > 0 ? used.gpus / type.gpus : 0);
+}
+
+/** Fields come in the same order as above, so that all slots have one hidden class: plans scan them. */
+export function emptySlot({ type, zone, spot }: MachineKind): Slot {
+  const used = { ...ZERO_AMOUNTS };
+  return { machine: null, type, zone, spot, used, touched: false, reservedFor: null };
+}
+
+/** Whether one more task of the job has room there and may go there, its zones apart. */
+export function holds(slot: Slot, job: Job): boolean {
+  const { used, type, zone, spot } = slot;
+  return hasRoom(job, used, type) && kindAllowed(job, type, zone, spot);
+}
+
+export function takeRoom(slot: Slot, job: Job): void {
+  addAmounts(slot.used, job, 1);
+  slot.touched = true;
+}
--- a/packages/testing/plan.test.ts
+++ b/packages/testing/plan.test.ts
@@ -11,7 +11,7 @@
 const SETTINGS = { reserveSigmas: 0, idleHoldS: 60, memoryS: 120 };
 
 function aPlanner(book = aBook()): CapacityPlanner {
-  return new CapacityPlanner(book, SETTINGS, AIMS, TERMS);
+  return new CapacityPlanner({ fleet: book, settings: SETTINGS, objectives: AIMS, teams: TERMS });
 }
 
 function rented(planner: CapacityPlanner, now: number): number {
@@ -23,14 +23,14 @@
   // waited for a boot each time, since only the swing of arrivals was kept in reserve.
   const service = aJob({ kind: 'service', tasks: 2 });
   const grows = aPlanner();
-  for (let t = 0; t < 120; t++) grows.noteArrival(service, t);
+  for (let t = 0; t < 120; t++) grows.jobArrived(service, t);
   const steady = aPlanner();
   for (let t = 0; t < 120; t++) {
-    steady.noteArrival(service, t);
-    steady.noteEnd(service, t);
+    steady.jobArrived(service, t);
+    steady.jobEnded(service, t);
   }
   const batch = aPlanner();
-  for (let t = 0; t < 120; t++) batch.noteArrival(aJob({ tasks: 2 }), t);
+  for (let t = 0; t < 120; t++) batch.jobArrived(aJob({ tasks: 2 }), t);
   assert.ok(rented(grows, 120) > 10);
   assert.equal(rented(steady, 120), 0);
   assert.equal(rented(batch, 120), 0);
@@ -41,8 +41,13 @@
 
 test('the reserve of a class goes soon after nothing more comes', () => {
   // Guards against a fleet that stays for minutes after the last job, since averages fade slowly.
-  const planner = new CapacityPlanner(aBook(), { ...SETTINGS, reserveSigmas: 2 }, AIMS, TERMS);
-  for (let t = 0; t < 240; t++) planner.noteArrival(aJob(), t);
+  const planner = new CapacityPlanner({
+    fleet: aBook(),
+    settings: { ...SETTINGS, reserveSigmas: 2 },
+    objectives: AIMS,
+    teams: TERMS,
+  });
+  for (let t = 0; t < 240; t++) planner.jobArrived(aJob(), t);
   const during = rented(planner, 240);
   assert.ok(during >= 3);
   assert.ok(rented(planner, 240 + STD.bootS) <= during / 2);
@@ -54,7 +59,7 @@
   const goes = (lastAt: number) => {
     const book = aBook();
     const planner = aPlanner(book);
-    planner.noteArrival(aJob(), lastAt);
+    planner.jobArrived(aJob(), lastAt);
     aMachine(book, 'n-1');
     return [25, 45, 65].map((t) => planner.plan(t).release.length);
   };
@@ -68,7 +73,7 @@
   const late = (boots: number[]) => {
     const book = aBook();
     const planner = aPlanner(book);
-    boots.forEach((bootS, i) => planner.noteUp(aMachine(book, `n-${i}`, { bornAt: -bootS }), 0));
+    boots.forEach((bootS, i) => planner.machineUp(aMachine(book, `n-${i}`, { bornAt: -bootS }), 0));
     for (const { name } of [...book.machines.values()]) book.removeMachine(name, 0);
     book.machines.register(
       { name: 'n-90', addr: '', type: 'std', zone: 'a', spot: false },
@@ -95,8 +100,9 @@
     });
     machines[0].images = new Map([[image, 5]]);
     book.addJob(aJob({ id: 'j-2', tasks: waiting }), 0, 'accepted', 0);
-    const { empty } = aPlanner(book).plan(ranS);
-    return empty === null ? null : [empty.machine.name, ...empty.moves.map((m) => m.to.name)];
+    const { consolidation } = aPlanner(book).plan(ranS);
+    if (consolidation === null) return null;
+    return [consolidation.machine.name, ...consolidation.moves.map((m) => m.to.name)];
   };
   assert.deepEqual(emptied('i', 1, 60), ['n-2', 'n-1']);
   assert.equal(emptied('other', 1, 60), null);
@@ -133,8 +139,8 @@
     startedAt: -1000,
     nudge: () => {},
     planner: {
-      plan: () => ({ rent: refused.length === 0 ? kinds : [], release: [], empty: null }),
-      noteRefused: (r: { zone: string }) => {
+      plan: () => ({ rent: refused.length === 0 ? kinds : [], release: [], consolidation: null }),
+      rentalRefused: (r: { zone: string }) => {
         refused.push(r.zone);
         if (refused.length === calls) stop.abort();
       },
