The revision of a transaction without an answer is read from a record that it put

Cause: a transaction that was applied without an answer fails when it is repeated. The recorder then took the version of the first failed key as the revision of the whole, and version 0 if that key had been deleted: the token of a machine that was being handed over became 0, so that its next report seemed newer than the term, and the next change of its record did not meet its version. Both end the term for nothing.

Change: a batch counts as applied if all its own records have changed and one that it put stands as it was put; its revision is that record's, and must be newer than the term. One record is read instead of one for each failed key.

--- a/packages/controller/record-batch.ts
+++ b/packages/controller/record-batch.ts
@@ -14,7 +14,7 @@
   change: Change;
   /** Conditions on records that the change leaves as they are. */
   guards: Condition[];
-  /** To be called with its revision once the change is durable. */
+  /** To be called with its revision once the change is durable; a delete's has no meaning. */
   durable: (revision: number) => void;
   /** To be called if nothing was changed: it is to be recorded later. */
   again: () => void;
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -116,6 +116,41 @@
   assert.ok([...machine.tasks.values()].every((assignment) => assignment.recorded));
 });
 
+test('a transaction that was applied without an answer is known by a record that it put', async () => {
+  // Guards against version 0 of a deleted record as the revision of all: the token of a machine that was
+  // handed over became 0, and the next change of its record ended the term.
+  const { state, book, record, sync, flush, tasksOn, term } = await aRecorder();
+  record(aJob({ id: 'j-1', tasks: 3 }), 'accepted');
+  await sync();
+  const job = book.jobs.get('j-1')!;
+  const [released, handedOver] = ['n-1', 'n-2'].map((name) => aMachine(book, name));
+  book.assign(job, 0, released, 1, 0);
+  book.assign(job, 1, handedOver, 2, 0);
+  await flush();
+  book.released('n-1', 0);
+  handedOver.fencing = true;
+  book.assign(job, 2, handedOver, 3, 0);
+  state.service.beginLostAnswers(1);
+  const flushed = flush();
+  await state.run(0.5);
+  state.service.endLateWrites();
+  await flushed;
+  assert.equal(tasksOn('n-1'), undefined);
+  assert.equal(handedOver.token, state.service.store.get(`${MACHINES}n-2`)?.version);
+  assert.ok(handedOver.token > term);
+  book.stopTask(job.places.get(2)![0], 0, 0);
+  await flush();
+  assert.deepEqual(tasksOn('n-2'), ['j-1']);
+  // A transaction that only deletes needs no revision.
+  book.released('n-2', 0);
+  state.service.beginLostAnswers(1);
+  const deleted = flush();
+  await state.run(0.5);
+  state.service.endLateWrites();
+  await deleted;
+  assert.equal(tasksOn('n-2'), undefined);
+});
+
 test('a record that somebody else has changed ends the term', async () => {
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -20,6 +20,9 @@
 const RETRY_MS = 100;
 const RETRY_SPREAD_MS = 200;
 
+/** Stands for the revision of a batch that only deletes, which nothing depends on. */
+const NO_REVISION = NaN;
+
 /** Our own records are not as this term left them: the term must not be used further. */
 export class TermBroken extends Error {}
 
@@ -100,21 +103,34 @@
       this.log.debug({ failed }, 'aborted before its tasks or its end were recorded');
       await this.jobs.cache.sync();
     }
-    for (const key of failed) {
-      const item = batch.changes.find((candidate) => candidate.key === key);
-      if (!item && key.startsWith(JOBS)) continue;
-      if (!item) throw new TermBroken(`unexpected condition ${key}`);
-      const now = await this.client.call(true, signal, (api) => api.get(key, signal));
-      const wanted = 'put' in item.change ? item.change.value : undefined;
-      if (now ? same(now.value, wanted) : wanted === undefined) {
-        // All or nothing: the whole transaction was applied.
-        const revision = now?.version ?? 0;
-        for (const each of batch.changes) each.durable(revision);
-        return;
-      }
-      if (!key.startsWith(JOBS)) throw new TermBroken(`record ${key} changed under this term`);
+    const revision = await this.appliedAt(batch, failed, signal);
+    if (revision !== null) {
+      for (const change of batch.changes) change.durable(revision);
+      return;
     }
-    for (const item of batch.changes) item.again();
+    const changed = failed.find((key) => !key.startsWith(JOBS));
+    if (changed) throw new TermBroken(`record ${changed} changed under this term`);
+    for (const change of batch.changes) change.again();
+  }
+
+  /**
+   * The revision at which an earlier send of the batch was applied, or null. It is read from a record that
+   * the batch put: one that it deleted has none.
+   */
+  private async appliedAt(
+    batch: RecordBatch,
+    failed: readonly string[],
+    signal: AbortSignal,
+  ): Promise<number | null> {
+    // All or nothing: what was applied has changed every record.
+    if (!batch.changes.every(({ key }) => failed.includes(key))) return null;
+    const { key, change } = batch.changes.find((each) => 'put' in each.change) ?? batch.changes[0];
+    const entry = await this.client.call(true, signal, (api) => api.get(key, signal));
+    if (!('put' in change)) return entry === null ? NO_REVISION : null;
+    if (entry === null || !same(entry.value, change.value)) return null;
+    if (entry.version <= this.term.term)
+      throw new TermBroken(`record ${key} is older than the term`);
+    return entry.version;
   }
 
   private collect(): RecordBatch {
