Records fit any legal limits, and a malformed transaction is not repeated

Cause: with values of 48 KiB or more the recorder never found room for one and went round without a pause, so that the whole process hung. All parts of a job's progress were written for each task that ended, and in one transaction: with more parts than a transaction takes, the state service refused it and the recorder repeated it for ever. Machines were recorded before jobs, so that while many machines changed no end of a job was recorded. One change that was too large also failed all that shared its transaction.

Change: the first change of a transaction always fits, values have a bound that a transaction holds, and a transaction holds no more than the budget grants. Only parts of the progress that differ from their records are written, oldest first, across transactions if need be. A third of each transaction is kept for jobs. A transaction that is called malformed ends the term with an error in the log; users' changes that shared one are sent one by one. Records of machines and of jobs are modules of their own.

With 100 machines to be recorded a job's end is recorded with the first transaction.

--- /dev/null
+++ b/packages/controller/machine-records.ts
@@ -0,0 +1,80 @@
+import type { Assignment, Book, Machine } from '#core';
+import { jobKey, MACHINES, type MachineRecord, type StateLimits } from '#store';
+import type { Condition } from '#wire';
+import type { JobTable } from './jobs.js';
+import { RecordBatch, type RecordChange } from './record-batch.js';
+
+export interface MachineRecordsOptions {
+  book: Book;
+  jobs: JobTable;
+  limits: StateLimits;
+}
+
+/** The records of machines and what is assigned to them. */
+export class MachineRecords {
+  /** By name of the machine, as far as recorded. */
+  private readonly versions = new Map<string, number>();
+
+  constructor(private readonly options: MachineRecordsOptions) {}
+
+  loaded(name: string, version: number): void {
+    this.versions.set(name, version);
+  }
+
+  /** What is to be recorded of a machine now; null if nothing is. */
+  changeOf(name: string): RecordChange | null {
+    const { book } = this.options;
+    const key = MACHINES + name;
+    const version = this.versions.get(name) ?? 0;
+    const machine = book.machines.get(name);
+    const again = () => void book.dirtyMachines.add(name);
+    if (!machine) {
+      if (version === 0) return null;
+      const durable = () => void this.versions.delete(name);
+      return { key, version, change: { delete: key }, guards: [], durable, again };
+    }
+    if (machine.tasks.size === 0 && version === 0) return null;
+    const { assignments, guards, complete } = this.nameable(machine);
+    const durable = (revision: number) => {
+      this.versions.set(name, revision);
+      for (const assignment of assignments) assignment.recorded = true;
+      book.handedOver(machine, revision);
+      if (!complete) again();
+    };
+    const change = { put: key, value: encodeMachine(machine, assignments) };
+    return { key, version, change, guards, durable, again };
+  }
+
+  /**
+   * What a machine's record may name. A task that it names for the first time may start once it is
+   * durable, so it must not be if the task's job was cancelled before: that is a condition, and there
+   * may be only so many in a transaction.
+   */
+  private nameable(machine: Machine) {
+    const { jobs, limits } = this.options;
+    const maxGuards = RecordBatch.maxGuards(limits);
+    const guards = new Map<string, Condition>();
+    const assignments: Assignment[] = [];
+    for (const assignment of machine.tasks.values()) {
+      const { id } = assignment.job.job;
+      const guarded = !assignment.recorded && assignment.stop === null;
+      if (guarded && !guards.has(id)) {
+        if (guards.size === maxGuards) continue;
+        guards.set(id, { key: jobKey(id), version: jobs.get(id)?.version ?? 0 });
+      }
+      assignments.push(assignment);
+    }
+    const complete = assignments.length === machine.tasks.size;
+    return { assignments, guards: [...guards.values()], complete };
+  }
+}
+
+function encodeMachine(machine: Machine, assignments: Assignment[]): MachineRecord {
+  return {
+    addr: machine.addr,
+    type: machine.type,
+    zone: machine.zone,
+    spot: machine.spot,
+    tasks: assignments.map(({ job, index, attempt }) => [job.job.id, index, attempt]),
+  };
+}
--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -50,17 +50,17 @@
 
   private takeProgress({ key, value, version }: Entry): void {
     const { book, recorder } = this.options;
-    recorder.loaded(key, version);
     const [id, chunk] = key.slice(PROGRESS.length).split('/');
     const job = book.jobs.get(id);
-    if (job) recorder.loadProgress(job, Number(chunk), (value as { done: string }).done);
+    const text = (value as { done: string }).done;
+    if (job) recorder.jobRecords.loaded(job, Number(chunk), { version, text });
   }
 
   private takeMachine({ key, value, version }: Entry, now: number): void {
     const { book, recorder } = this.options;
-    recorder.loaded(key, version);
     const { addr, type, zone, spot, tasks } = value as MachineRecord;
     const name = key.slice(MACHINES.length);
+    recorder.machineRecords.loaded(name, version);
     const machine = book.meet({ name, addr, type, zone, spot }, 'up', now);
     for (const [id, index, attempt] of tasks) {
       const job = book.jobs.get(id);
--- a/packages/controller/record-batch.ts
+++ b/packages/controller/record-batch.ts
@@ -1,11 +1,13 @@
-import { partKey, type StateLimits, type Term } from '#store';
+import {
+  CONDITIONS_PER_CHANGE,
+  partKey,
+  sizeInJson,
+  type StateLimits,
+  type Term,
+  TXN_BYTES,
+} from '#store';
 import type { Change, Condition } from '#wire';
 
-/** Of the 64 KiB of a transaction; the rest is for what stands around conditions and changes. */
-const TXN_BYTES = 60 * 1024;
-/** Conditions that a transaction may have for each change that it may have. */
-const CONDITIONS_PER_CHANGE = 4;
-
 /** A change of one of the owner's records, and what follows from it. */
 export interface RecordChange {
   key: string;
@@ -23,6 +25,7 @@
 /** Changes that share a transaction, within the limits of the state service. */
 export class RecordBatch {
   readonly changes: RecordChange[] = [];
+  private readonly changedKeys = new Set<string>();
   /** Versions by key; each key counts once, however many changes depend on it. */
   private readonly conditions = new Map<string, number>();
   private bytes = 0;
@@ -31,6 +34,7 @@
   constructor(
     term: Term,
     private readonly limits: StateLimits,
+    readonly maxChanges: number,
   ) {
     this.conditions.set(partKey(term.part), term.term);
   }
@@ -41,13 +45,20 @@
     return txnOps * CONDITIONS_PER_CHANGE - 2;
   }
 
-  /** Takes the change in; false if there is no room for it beside the others. */
-  add(change: RecordChange): boolean {
+  /**
+   * Takes the change in unless one of the same record is in already; false if there are `maxChanges`
+   * already or it doesn't fit beside the others.
+   */
+  add(change: RecordChange, maxChanges = this.maxChanges): boolean {
+    if (this.changedKeys.has(change.key)) return true;
     const conditions = [{ key: change.key, version: change.version }, ...change.guards];
     const added = conditions.filter(({ key }) => !this.conditions.has(key));
     const bytes = sizeInJson(change.change) + sizeInJson(added);
-    if (this.changes.length > 0 && !this.hasRoom(added.length, bytes)) return false;
+    const isFirst = this.changes.length === 0;
+    const hasRoom = this.changes.length < maxChanges && this.fits(added.length, bytes);
+    if (!isFirst && !hasRoom) return false;
     this.changes.push(change);
+    this.changedKeys.add(change.key);
     for (const { key, version } of added) this.conditions.set(key, version);
     this.bytes += bytes;
     return true;
@@ -57,17 +68,9 @@
     return [...this.conditions].map(([key, version]) => ({ key, version }));
   }
 
-  private hasRoom(conditions: number, bytes: number): boolean {
-    const { txnOps } = this.limits;
-    return (
-      this.changes.length < txnOps &&
-      this.conditions.size + conditions <= txnOps * CONDITIONS_PER_CHANGE &&
-      this.bytes + bytes <= TXN_BYTES
-    );
+  private fits(conditions: number, bytes: number): boolean {
+    const maxConditions = this.limits.txnOps * CONDITIONS_PER_CHANGE;
+    const enough = this.conditions.size + conditions <= maxConditions;
+    return enough && this.bytes + bytes <= TXN_BYTES;
   }
 }
-
-/** Bytes in JSON, by which the state service's limits count. */
-function sizeInJson(value: unknown): number {
-  return Buffer.byteLength(JSON.stringify(value));
-}
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { Book } from '#core';
 import type { Job } from '#wire';
 import {
   encodeJob,
@@ -7,6 +8,8 @@
   JOBS,
   MACHINES,
   type MachineRecord,
+  MAX_VALUE_BYTES,
+  maxTasksPerMachine,
   partKey,
   PrefixCache,
   type StateLimits,
@@ -19,12 +22,15 @@
 
 const LIMITS: StateLimits = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
 
-/** A recorder of a term whose book follows the jobs of the state service. */
-async function aRecorder(limits: Partial<StateLimits> = {}) {
-  const state = await StateWorld.start({ ...LIMITS, ...limits });
+/** A recorder of a term whose book follows the jobs of the state service; it may take other limits for true. */
+async function aRecorder(
+  limits: Partial<StateLimits> = {},
+  serviceLimits: Partial<StateLimits> = {},
+) {
+  const state = await StateWorld.start({ ...LIMITS, ...limits, ...serviceLimits });
   const { store } = state.service;
   const runtime = state.controller();
-  const client = state.client(runtime);
+  const client = state.client(runtime, { limits: { ...LIMITS, ...limits } });
   const caching = { client, runtime, prefix: JOBS, watchMs: 10_000, syncSpacingMs: 0 };
   const cache = new PrefixCache(caching);
   const jobs = new JobTable(cache, new Cancellations(100, 70));
@@ -38,7 +44,7 @@
     book,
     jobs,
     term: { part: 0, term, grant: 0, claimedAt: 0 },
-    log: makeLog(runtime.clock, 'c', 'error'),
+    log: makeLog(runtime.clock, 'c', 'silent'),
   });
   const record = (job: Job, phase: 'accepted' | 'aborted') =>
     store.apply([{ put: jobKey(job.id), value: encodeJob({ job, acceptedAtMs: 0, phase }) }]);
@@ -64,7 +70,7 @@
     void cache.sync();
     await state.run(0.1);
   };
-  return { state, store, book, record, sync, flush, tasksOn, term };
+  return { state, store, book, recorder, record, sync, flush, tasksOn, term };
 }
 
 test('a task is not recorded, and so never starts, once its job was cancelled', async () => {
@@ -151,6 +157,70 @@
   assert.equal(tasksOn('n-2'), undefined);
 });
 
+/** A job of many tasks of which some are done. */
+function aJobWithDone(book: Book, done: number[], tasks = 100_000) {
+  const job = book.jobs.get('j-1') ?? book.addJob(aJob({ id: 'j-1', tasks }), 0, 'accepted', 0);
+  for (const index of done) book.markDone(job, index);
+  return job;
+}
+
+test('whatever the size of values and transactions, machines and progress are recorded in time', async () => {
+  // Guards against a loop without a pause where no value could be sure to fit, and against transactions
+  // that the state service refuses for ever because all parts of a job were to share one.
+  const done = [0, 30_000, 60_000, 99_999];
+  for (const [valueBytes, txnOps] of [
+    [512, 2],
+    [1024, 24],
+    [8192, 2],
+    [48 * 1024, 24],
+    [MAX_VALUE_BYTES, 4],
+  ]) {
+    const { state, book, record, sync, flush, tasksOn } = await aRecorder({ valueBytes, txnOps });
+    record(aJob({ id: 'j-1', tasks: 100_000 }), 'accepted');
+    await sync();
+    const job = aJobWithDone(book, done);
+    const tasks = Math.min(maxTasksPerMachine(valueBytes), 700);
+    const machine = aMachine(book, 'n-1');
+    for (let index = 1; index <= tasks; index++) book.assign(job, index, machine, 1, 0);
+    await flush();
+    assert.equal(tasksOn('n-1')?.length, tasks);
+    assert.ok(!job.unsaved);
+    const revision = state.service.store.revision;
+    aJobWithDone(book, [60_001]);
+    await flush();
+    // Only the part that differs is written.
+    assert.equal(state.service.store.revision, revision + 1);
+    assert.ok(!job.unsaved);
+    assert.equal(state.service.store.get('jobs/j-1')?.version, 2);
+  }
+});
+
+test('any number of machines to be recorded does not hold up the end of a job', async () => {
+  const { state, book, record, sync, recorder } = await aRecorder();
+  record(aJob({ id: 'j-1' }), 'accepted');
+  await sync();
+  for (let i = 0; i < 100; i++) {
+    const job = book.addJob(aJob({ id: `j-1${i}` }), 0, 'accepted', 0);
+    book.assign(job, 0, aMachine(book, `n-${i}`), 1, 0).recorded = true;
+  }
+  aJobWithDone(book, [0], 1);
+  void recorder.flush(new AbortController().signal);
+  await state.run(0.1);
+  const value = state.service.store.get('jobs/j-1')?.value as { phase: string };
+  assert.equal(value.phase, 'done');
+});
+
+test('a transaction that is called malformed ends the term and is not repeated', async () => {
+  const { state, book, record, sync, flush } = await aRecorder({}, { txnOps: 4 });
+  record(aJob({ id: 'j-1', tasks: 5 }), 'accepted');
+  await sync();
+  const job = book.jobs.get('j-1')!;
+  for (let i = 0; i < 5; i++) book.assign(job, i, aMachine(book, `n-${i}`), 1, 0);
+  const revision = state.service.store.revision;
+  await assert.rejects(flush(0.1), TermBroken);
+  assert.equal(state.service.store.revision, revision);
+});
+
 test('a record that somebody else has changed ends the term', async () => {
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -1,21 +1,16 @@
-import { Condition, Runtime, sleep } from '#wire';
-import type { Assignment, Book, JobState, Machine } from '#core';
-import {
-  encodeJob,
-  jobKey,
-  JOBS,
-  MACHINES,
-  MachineRecord,
-  partKey,
-  progressChunkTasks,
-  progressKey,
-  StateClient,
-  Term,
-} from '#store';
+import type { Book } from '#core';
+import { JOBS, partKey, StateClient, Term } from '#store';
+import { Runtime, sleep, TxnMalformed } from '#wire';
+import { JobRecords } from './job-records.js';
 import type { JobTable } from './jobs.js';
 import type { Log } from './log.js';
-import { RecordBatch, type RecordChange } from './record-batch.js';
+import { MachineRecords } from './machine-records.js';
+import { RecordBatch } from './record-batch.js';
 
+/** Share of a transaction that is kept for jobs, so that no number of machines holds up their ends. */
+const JOB_SHARE = 1 / 3;
+/** Changes that a transaction may have in any case: fewer than two it never has to. */
+const LEAST_CHANGES = 2;
 /** Before a transaction is sent again: at least so long, and up to so much longer. */
 const RETRY_MS = 100;
 const RETRY_SPREAD_MS = 200;
@@ -41,9 +36,8 @@
  * was until the answer is definite.
  */
 export class Recorder {
-  private readonly versions = new Map<string, number>();
-  private readonly chunkTasks: number;
-
+  readonly machineRecords: MachineRecords;
+  readonly jobRecords: JobRecords;
   private readonly client: StateClient;
   private readonly book: Book;
   private readonly jobs: JobTable;
@@ -53,15 +47,9 @@
   constructor(private readonly options: RecorderOptions) {
     ({ client: this.client, book: this.book, jobs: this.jobs } = options);
     ({ term: this.term, log: this.log } = options);
-    this.chunkTasks = progressChunkTasks(this.client.limits.valueBytes);
-  }
-
-  loaded(key: string, version: number): void {
-    this.versions.set(key, version);
-  }
-
-  loadProgress(job: JobState, chunk: number, text: string): void {
-    job.done.addChunk(chunk, this.chunkTasks, text);
+    const recorded = { book: this.book, jobs: this.jobs, limits: this.client.limits };
+    this.machineRecords = new MachineRecords(recorded);
+    this.jobRecords = new JobRecords(recorded);
   }
 
   get pending(): boolean {
@@ -78,12 +66,20 @@
         return;
       } catch (err) {
         if (err instanceof TermBroken || signal.aborted) throw err;
+        if (err instanceof TxnMalformed) throw this.malformed(batch, err);
         const { runtime } = this.options;
         await sleep(runtime.clock, RETRY_MS + runtime.random() * RETRY_SPREAD_MS, signal);
       }
     }
   }
 
+  /** A repetition would fare the same, so the term can't go on. */
+  private malformed(batch: RecordBatch, err: TxnMalformed): TermBroken {
+    const keys = batch.changes.map(({ key }) => key);
+    this.log.error({ err: err.message, keys }, 'transaction refused');
+    return new TermBroken(err.message);
+  }
+
   private async send(batch: RecordBatch, signal: AbortSignal): Promise<void> {
     const changes = batch.changes.map(({ change }) => change);
     const out = await this.client.txn(batch.allConditions(), changes, false, signal);
@@ -134,117 +130,38 @@
   }
 
   private collect(): RecordBatch {
-    const batch = new RecordBatch(this.term, this.client.limits);
-    for (const name of [...this.book.dirtyMachines]) {
-      const change = this.machineChange(name);
-      if (change && !batch.add(change)) break;
-      this.book.dirtyMachines.delete(name);
-    }
-    for (const id of [...this.book.dirtyJobs]) {
-      const job = this.book.jobs.get(id);
-      const changes = job?.phase === 'accepted' ? this.jobChanges(job) : [];
-      const { txnOps } = this.client.limits;
-      if (batch.changes.length > 0 && batch.changes.length + changes.length > txnOps) break;
-      if (!changes.every((change) => batch.add(change))) break;
-      this.book.dirtyJobs.delete(id);
-    }
+    const maxChanges = Math.max(LEAST_CHANGES, this.client.txnChanges);
+    const batch = new RecordBatch(this.term, this.client.limits, maxChanges);
+    this.addJobs(batch, Math.ceil(maxChanges * JOB_SHARE));
+    this.addMachines(batch);
+    this.addJobs(batch, maxChanges);
     return batch;
   }
 
-  private machineChange(name: string): RecordChange | null {
-    const key = MACHINES + name;
-    const version = this.versions.get(key) ?? 0;
-    const machine = this.book.machines.get(name);
-    const again = () => void this.book.dirtyMachines.add(name);
-    if (!machine) {
-      if (version === 0) return null;
-      const durable = () => void this.versions.delete(key);
-      return { key, version, change: { delete: key }, guards: [], durable, again };
+  private addMachines(batch: RecordBatch): void {
+    const { dirtyMachines } = this.book;
+    for (const name of [...dirtyMachines]) {
+      const change = this.machineRecords.changeOf(name);
+      if (change && !batch.add(change)) return;
+      dirtyMachines.delete(name);
     }
-    if (machine.tasks.size === 0 && version === 0) return null;
-    const { assignments, guards, complete } = this.nameable(machine);
-    const durable = (revision: number) => {
-      this.versions.set(key, revision);
-      for (const assignment of assignments) assignment.recorded = true;
-      this.book.handedOver(machine, revision);
-      if (!complete) again();
-    };
-    const change = { put: key, value: encodeMachine(machine, assignments) };
-    return { key, version, change, guards, durable, again };
   }
 
-  /**
-   * What a machine's record may name. A task that it names for the first time may start once it is
-   * durable, so it must not be if the task's job was cancelled before: that is a condition, and there
-   * may be only so many in a transaction.
-   */
-  private nameable(machine: Machine) {
-    const maxGuards = RecordBatch.maxGuards(this.client.limits);
-    const guards = new Map<string, Condition>();
-    const assignments: Assignment[] = [];
-    for (const assignment of machine.tasks.values()) {
-      const { id } = assignment.job.job;
-      const guarded = !assignment.recorded && assignment.stop === null;
-      if (guarded && !guards.has(id)) {
-        if (guards.size === maxGuards) continue;
-        guards.set(id, { key: jobKey(id), version: this.jobs.get(id)?.version ?? 0 });
-      }
-      assignments.push(assignment);
-    }
-    const complete = assignments.length === machine.tasks.size;
-    return { assignments, guards: [...guards.values()], complete };
-  }
-
-  private jobChanges(job: JobState): RecordChange[] {
-    const size = job.done.size;
-    const id = job.job.id;
-    const again = () => void this.book.dirtyJobs.add(id);
-    if (size === job.job.tasks) {
-      const record = this.jobs.get(id);
-      if (!record || record.phase !== 'accepted') return [];
-      const value = encodeJob({ ...record, phase: 'done' });
-      const key = jobKey(id);
-      return [
-        {
-          key,
-          version: record.version,
-          change: { put: key, value },
-          guards: [],
-          durable: (revision) => this.jobs.cache.learn(key, value, revision),
-          again,
-        },
-      ];
-    }
-    const items: RecordChange[] = [];
-    const chunks = Math.ceil(job.job.tasks / this.chunkTasks);
-    for (let chunk = 0; chunk < chunks; chunk++) {
-      const key = progressKey(id, chunk);
-      items.push({
-        key,
-        version: this.versions.get(key) ?? 0,
-        change: { put: key, value: { done: job.done.chunkText(chunk, this.chunkTasks) } },
-        guards: [],
-        durable: (revision) => {
-          this.versions.set(key, revision);
-          if (job.done.size === size) job.unsaved = false;
-        },
-        again,
-      });
+  private addJobs(batch: RecordBatch, maxChanges: number): void {
+    const { dirtyJobs } = this.book;
+    for (const id of [...dirtyJobs]) {
+      const job = this.book.jobs.get(id);
+      const changes = job ? this.jobRecords.changesOf(job) : [];
+      const hasRoom = changes.every((change) => batch.add(change, maxChanges));
+      dirtyJobs.delete(id);
+      if (hasRoom) continue;
+      // Its turn comes after that of the others.
+      dirtyJobs.add(id);
+      return;
     }
-    return items;
   }
 }
 
-function encodeMachine(machine: Machine, held: Assignment[]): MachineRecord {
-  return {
-    addr: machine.addr,
-    type: machine.type,
-    zone: machine.zone,
-    spot: machine.spot,
-    tasks: held.map(({ job, index, attempt }) => [job.job.id, index, attempt]),
-  };
-}
-
 /** Key order does not matter. */
 function same(a: unknown, b: unknown): boolean {
   return canonical(a) === canonical(b);
--- a/packages/controller/state-access.ts
+++ b/packages/controller/state-access.ts
@@ -1,4 +1,4 @@
-import { JOBS, PrefixCache, StateClient, WORLD } from '#store';
+import { JOBS, MAX_VALUE_BYTES, PrefixCache, StateClient, WORLD } from '#store';
 import { type Runtime, StateApi } from '#wire';
 import type { Settings } from './settings.js';
 
@@ -35,7 +35,7 @@
   const limits = {
     rps: state.rps,
     writeRps: state.write_rps,
-    valueBytes: Math.floor(state.value_kb * 1024),
+    valueBytes: Math.min(MAX_VALUE_BYTES, Math.floor(state.value_kb * 1024)),
     txnOps: state.txn_ops,
   };
   const api = new StateApi(runtime, external.state, reportMs);
--- a/packages/controller/user-api.ts
+++ b/packages/controller/user-api.ts
@@ -17,7 +17,7 @@
   jobKey,
   JobRecord,
   NotReady,
-  sizeOf,
+  sizeInJson,
   StateClient,
 } from '#store';
 import { readBody, reply } from './http-bodies.js';
@@ -136,7 +136,7 @@
     const key = jobKey(job.id);
     const record = { job: kept, acceptedAtMs: clock.wallMs(), phase: 'accepted' as const };
     const value = encodeJob(record);
-    if (sizeOf([{ put: key, value }]) > client.limits.valueBytes) {
+    if (sizeInJson([{ put: key, value }]) > client.limits.valueBytes) {
       throw new MalformedBody('texts are too long');
     }
     try {
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events';
-import { Change, Clock, Condition, StateApi, StateRefused, TxnOutcome } from '#wire';
+import { Change, Clock, Condition, StateApi, StateRefused, TxnMalformed, TxnOutcome } from '#wire';
 import { Budget } from './budget.js';
 
 export interface StateLimits {
@@ -81,9 +81,9 @@
       if (this.lastOkAt > this.lastFailAt) this.failingSince = Infinity;
       return result;
     } catch (err) {
-      // A 429 shows that the service is there.
+      // A 429 shows that the service is there, and so does what it finds malformed.
       if (err instanceof StateRefused && err.status === 429) this.refused++;
-      else if (!signal?.aborted) {
+      else if (!(err instanceof TxnMalformed) && !signal?.aborted) {
         this.lastFailAt = Math.max(this.lastFailAt, sentAt);
         if (this.failing && this.failingSince === Infinity) this.failingSince = sentAt;
       }
--- a/packages/store/commit.test.ts
+++ b/packages/store/commit.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { TxnMalformed } from '#wire';
 import { StateWorld } from '#testing';
 import { GroupCommit } from './commit.js';
 
@@ -9,7 +10,7 @@
 
 test('a burst of changes at a controller that does not own is recorded as fast as its share allows', async () => {
   const state = await StateWorld.start(LIMITS);
-  const client = state.client(state.controller(), SHARE);
+  const client = state.client(state.controller(), { share: SHARE });
   state.service.setLatency({ usualMs: [400, 400], slowShare: 0, slowMs: [0, 0] });
   const commits = new GroupCommit(client, 100);
   const recorded: number[] = [];
@@ -26,3 +27,20 @@
   assert.equal(recorded.length, 40);
   assert.equal(client.refused, 0);
 });
+
+test('a change that the state service calls malformed does not fail those that share its transaction', async () => {
+  const state = await StateWorld.start({ ...LIMITS, valueBytes: 1024 });
+  const client = state.client(state.controller(), { limits: LIMITS });
+  const commits = new GroupCommit(client, 100);
+  const outcomes = new Map<string, unknown>();
+  for (const [key, length] of Object.entries({ first: 1, large: 2000, last: 1 })) {
+    const change = { put: key, value: 'x'.repeat(length) };
+    commits.commit([{ key, version: 0 }], [change]).then(
+      ({ ok }) => outcomes.set(key, ok),
+      (err: unknown) => outcomes.set(key, err),
+    );
+  }
+  await state.run(0.2);
+  assert.ok(outcomes.get('large') instanceof TxnMalformed);
+  assert.deepEqual([outcomes.get('first'), outcomes.get('last')], [true, true]);
+});
--- a/packages/store/commit.ts
+++ b/packages/store/commit.ts
@@ -1,14 +1,15 @@
-import { Change, Condition, NoAnswer, StateRefused } from '#wire';
+import { Change, Condition, NoAnswer, StateRefused, TxnMalformed } from '#wire';
 import { StateClient } from './client.js';
+import { sizeInJson, TXN_BYTES } from './txn-limits.js';
 
 export type CommitOutcome = { ok: true; revision: number } | { ok: false };
 
-/** Half of a transaction's 64 KiB, so that one more of the largest changes still fits. */
-const BATCH_BYTES = 32 * 1024;
-
 interface Intent {
   conditions: Condition[];
   changes: Change[];
+  bytes: number;
+  /** It was in a transaction that the service called malformed, and is sent by itself. */
+  suspect: boolean;
   resolve: (outcome: CommitOutcome) => void;
   reject: (err: unknown) => void;
 }
@@ -27,14 +28,19 @@
     return this.queue.length >= this.maxQueue;
   }
 
-  /** Rejects with NoAnswer if the outcome is unknown, with StateRefused if nothing was done. */
+  /**
+   * Rejects with NoAnswer if the outcome is unknown, with StateRefused if nothing was done, and with
+   * TxnMalformed if the change can't be made.
+   */
   commit(conditions: Condition[], changes: Change[]): Promise<CommitOutcome> {
     return new Promise((resolve, reject) => {
       if (this.full) {
         reject(new StateRefused(429));
         return;
       }
-      this.queue.push({ conditions, changes, resolve, reject });
+      const bytes = sizeInJson(conditions) + sizeInJson(changes);
+      const intent = { conditions, changes, bytes, suspect: false, resolve, reject };
+      this.queue.push(intent);
       if (!this.running) {
         this.running = true;
         void this.drain();
@@ -53,13 +59,23 @@
         else if ('failed' in out) this.split(batch, out.failed);
         else for (const { resolve } of batch) resolve({ ok: false });
       } catch (err) {
-        const known = err instanceof StateRefused || err instanceof NoAnswer;
-        for (const { reject } of batch) reject(known ? err : new NoAnswer(String(err)));
+        this.fail(batch, err);
       }
     }
     this.running = false;
   }
 
+  private fail(batch: Intent[], err: unknown): void {
+    if (err instanceof TxnMalformed && batch.length > 1) {
+      for (const intent of batch) intent.suspect = true;
+      this.queue.unshift(...batch);
+      return;
+    }
+    const isKnown =
+      err instanceof StateRefused || err instanceof NoAnswer || err instanceof TxnMalformed;
+    for (const { reject } of batch) reject(isKnown ? err : new NoAnswer(String(err)));
+  }
+
   private nextBatch(): Intent[] {
     const batch: Intent[] = [];
     const keys = new Set<string>();
@@ -70,14 +86,15 @@
       const next = this.queue[0];
       if (batch.length > 0) {
         if (ops + next.changes.length > maxOps) break;
-        if (bytes > BATCH_BYTES) break;
+        if (bytes + next.bytes > TXN_BYTES) break;
+        if (next.suspect || batch[0].suspect) break;
         if (next.conditions.some(({ key }) => keys.has(key))) break;
       }
       this.queue.shift();
       batch.push(next);
       ops += next.changes.length;
       for (const { key } of next.conditions) keys.add(key);
-      bytes += sizeOf(next.changes);
+      bytes += next.bytes;
     }
     return batch;
   }
@@ -95,8 +112,3 @@
     else this.queue.unshift(...again);
   }
 }
-
-/** Length in JSON, by which the state service's limits count. */
-export function sizeOf(changes: Change[]): number {
-  return JSON.stringify(changes).length;
-}
--- a/packages/store/index.ts
+++ b/packages/store/index.ts
@@ -4,3 +4,4 @@
 export * from './commit.js';
 export * from './ownership.js';
 export * from './records.js';
+export * from './txn-limits.js';
--- a/packages/testing/state-world.ts
+++ b/packages/testing/state-world.ts
@@ -45,9 +45,12 @@
   }
 
   /** A client of the service with a share of its rates. */
-  client(runtime: Runtime, share = 1, timeoutMs = 1000): StateClient {
+  client(
+    runtime: Runtime,
+    { share = 1, timeoutMs = 1000, limits = this.limits } = {},
+  ): StateClient {
     const api = new StateApi(runtime, formatAddress(STATE_ADDRESS), timeoutMs);
-    return new StateClient(runtime.clock, api, this.limits, share);
+    return new StateClient(runtime.clock, api, limits, share);
   }
 
   /** Lets time pass; throws the first error that a simulated callback threw. */
--- a/packages/wire/state.ts
+++ b/packages/wire/state.ts
@@ -35,6 +35,13 @@
   }
 }
 
+/** The state service calls a transaction malformed: nothing was done, and a repetition would fare the same. */
+export class TxnMalformed extends Error {
+  constructor(reason: string) {
+    super(`state service calls a transaction malformed: ${reason}`);
+  }
+}
+
 interface RawEntry {
   k: string;
   value: unknown;
@@ -90,7 +97,7 @@
     if (res.status === 200) return { ok: true, revision: raw.epoch };
     if (res.status === 409) return { ok: false, failed: raw.failed ?? [], revision: raw.epoch };
     if (raw?.error === 'no such lease') return { ok: false, leaseGone: true };
-    throw new Error(`state service calls a transaction malformed: ${raw?.error ?? ''}`);
+    throw new TxnMalformed(raw?.error ?? '');
   }
 
   async grant(ttlMs: number, signal?: AbortSignal): Promise<number> {
