--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -4,6 +4,7 @@
 import { CloudDuty } from './cloud.js';
 import { makeLog } from './log.js';
 import type { PartOwner } from './owner.js';
+import { aBook, aMachine } from '../testing/samples.js';
 
 interface Permission {
   rent: boolean;
@@ -35,15 +36,11 @@
 async function callsOf(permission: Permission): Promise<string[]> {
   const stop = new AbortController();
   const cloud = new RecordingCloud();
-  const failed = { name: 'n-1', type: 'std', state: 'up', listedFailed: true, tasks: new Map() };
+  const book = aBook();
+  aMachine(book, 'n-1').listedFailed = true;
   let plans = 0;
   const owner = {
-    book: {
-      types: new Map([['std', { bootS: 30 }]]),
-      machines: new Map([['n-1', failed]]),
-      released: () => {},
-      recomputeFleet: () => {},
-    },
+    book,
     term: { term: 1 },
     ready: true,
     first: true,
--- a/packages/controller/job-intake.test.ts
+++ b/packages/controller/job-intake.test.ts
@@ -31,13 +31,13 @@
   intake.take(accepted('j-2'));
   assert.deepEqual(arrivals, ['j-1', 'j-2']);
   assert.deepEqual(
-    [...book.open].map((job) => job.job.id),
+    [...book.jobs.waiting].map((job) => job.job.id),
     ['j-2'],
   );
   assert.deepEqual([...intake.unrecorded.keys()], ['j-1']);
   // What an earlier term has started of it ends.
   const job = book.jobs.get('j-1')!;
-  book.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
+  book.assignments.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
   assert.equal(job.places.get(0)?.[0].stop?.graceS, 0);
   intake.take({ ...accepted('j-1'), phase: 'aborted', version: 2 });
   assert.equal(intake.unrecorded.size, 0);
@@ -49,5 +49,5 @@
   assert.ok(intake.cancel('j-1'));
   assert.ok(!intake.cancel('j-1'));
   assert.ok(!intake.cancel('j-2'));
-  assert.equal(book.open.size, 0);
+  assert.equal(book.jobs.waiting.size, 0);
 });
--- a/packages/controller/job-intake.ts
+++ b/packages/controller/job-intake.ts
@@ -1,11 +1,11 @@
-import type { Book, CapacityPlanner } from '#core';
+import type { FleetState, CapacityPlanner } from '#core';
 import type { JobRecord } from '#store';
 import type { Clock } from '#wire';
 import type { JobTable } from './jobs.js';
 
 export interface JobIntakeOptions {
   clock: Clock;
-  book: Book;
+  book: FleetState;
   planner: Pick<CapacityPlanner, 'noteArrival'>;
   jobs: Pick<JobTable, 'isCancelled'>;
 }
--- a/packages/controller/notices.ts
+++ b/packages/controller/notices.ts
@@ -1,7 +1,7 @@
-import type { Book, Scheduler } from '#core';
+import type { FleetState, Scheduler } from '#core';
 
 /** What can be saved is saved before the cloud takes a machine that it gave notice of; services move at once. */
-export function stopOnNotices(book: Book, scheduler: Scheduler, now: number): void {
+export function stopOnNotices(book: FleetState, scheduler: Scheduler, now: number): void {
   for (const machine of book.machines.values()) {
     if (machine.noticeAt === null) continue;
     for (const task of machine.tasks.values()) {
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -74,8 +74,8 @@
   for (const job of [kept, cancelled]) record(job, 'accepted');
   await sync();
   const [one, two] = ['n-1', 'n-2'].map((name) => aMachine(book, name));
-  book.assign(book.jobs.get('j-1')!, 0, one, 1, 0);
-  book.assign(book.jobs.get('j-2')!, 0, two, 2, 0);
+  book.assignments.assign(book.jobs.get('j-1')!, 0, one, 1, 0);
+  book.assignments.assign(book.jobs.get('j-2')!, 0, two, 2, 0);
   record(cancelled, 'aborted');
   await flush();
   assert.deepEqual(tasksOn('n-1'), ['j-1']);
@@ -90,7 +90,7 @@
   record(job, 'accepted');
   await sync();
   const machine = aMachine(book, 'n-1');
-  const assignment = book.assign(book.jobs.get('j-1')!, 0, machine, 1, 0);
+  const assignment = book.assignments.assign(book.jobs.get('j-1')!, 0, machine, 1, 0);
   state.service.beginLostAnswers(1);
   const flushed = flush();
   await state.run(0.5);
@@ -110,7 +110,7 @@
   for (const id of ids) record(aJob({ id, cpus: 1 }), 'accepted');
   await sync();
   const machine = aMachine(book, 'n-1');
-  for (const id of ids) book.assign(book.jobs.get(id)!, 0, machine, 1, 0);
+  for (const id of ids) book.assignments.assign(book.jobs.get(id)!, 0, machine, 1, 0);
   await flush();
   assert.deepEqual(tasksOn('n-1'), ids);
   assert.ok([...machine.tasks.values()].every((assignment) => assignment.recorded));
@@ -120,7 +120,7 @@
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
   await sync();
-  book.assign(book.jobs.get('j-1')!, 0, aMachine(book, 'n-1'), 1, 0);
+  book.assignments.assign(book.jobs.get('j-1')!, 0, aMachine(book, 'n-1'), 1, 0);
   store.apply([{ put: `${MACHINES}n-1`, value: { tasks: [] } }]);
   await assert.rejects(flush(), TermBroken);
 });
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -1,5 +1,5 @@
 import { Condition, Runtime, sleep } from '#wire';
-import type { Assignment, Book, JobState, Machine } from '#core';
+import type { Assignment, FleetState, JobState, Machine } from '#core';
 import {
   encodeJob,
   jobKey,
@@ -26,7 +26,7 @@
 export interface RecorderOptions {
   runtime: Runtime;
   client: StateClient;
-  book: Book;
+  book: FleetState;
   jobs: JobTable;
   term: Term;
   log: Log;
@@ -42,7 +42,7 @@
   private readonly chunkTasks: number;
 
   private readonly client: StateClient;
-  private readonly book: Book;
+  private readonly book: FleetState;
   private readonly jobs: JobTable;
   private readonly term: Term;
   private readonly log: Log;
@@ -62,7 +62,7 @@
   }
 
   get pending(): boolean {
-    return this.book.dirtyMachines.size > 0 || this.book.dirtyJobs.size > 0;
+    return this.book.unrecorded.any;
   }
 
   /** Writes as much as one transaction takes. */
@@ -119,18 +119,18 @@
 
   private collect(): RecordBatch {
     const batch = new RecordBatch(this.term, this.client.limits);
-    for (const name of [...this.book.dirtyMachines]) {
+    for (const name of [...this.book.unrecorded.machines]) {
       const change = this.machineChange(name);
       if (change && !batch.add(change)) break;
-      this.book.dirtyMachines.delete(name);
+      this.book.unrecorded.machines.delete(name);
     }
-    for (const id of [...this.book.dirtyJobs]) {
+    for (const id of [...this.book.unrecorded.jobs]) {
       const job = this.book.jobs.get(id);
       const changes = job?.phase === 'accepted' ? this.jobChanges(job) : [];
       const { txnOps } = this.client.limits;
       if (batch.changes.length > 0 && batch.changes.length + changes.length > txnOps) break;
       if (!changes.every((change) => batch.add(change))) break;
-      this.book.dirtyJobs.delete(id);
+      this.book.unrecorded.jobs.delete(id);
     }
     return batch;
   }
@@ -139,7 +139,7 @@
     const key = MACHINES + name;
     const version = this.versions.get(key) ?? 0;
     const machine = this.book.machines.get(name);
-    const again = () => void this.book.dirtyMachines.add(name);
+    const again = () => void this.book.unrecorded.machines.add(name);
     if (!machine) {
       if (version === 0) return null;
       const durable = () => void this.versions.delete(key);
@@ -150,7 +150,7 @@
     const durable = (revision: number) => {
       this.versions.set(key, revision);
       for (const assignment of assignments) assignment.recorded = true;
-      this.book.handedOver(machine, revision);
+      this.book.fencing.recorded(machine, revision);
       if (!complete) again();
     };
     const change = { put: key, value: encodeMachine(machine, assignments) };
@@ -182,7 +182,7 @@
   private jobChanges(job: JobState): RecordChange[] {
     const size = job.done.size;
     const id = job.job.id;
-    const again = () => void this.book.dirtyJobs.add(id);
+    const again = () => void this.book.unrecorded.jobs.add(id);
     if (size === job.job.tasks) {
       const record = this.jobs.get(id);
       if (!record || record.phase !== 'accepted') return [];
