--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,4 +1,4 @@
-import { Book, CapacityPlanner, Scheduler } from '#core';
+import { CapacityPlanner, FleetListener, FleetState, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
 import { Settings, teamTerms } from './settings.js';
@@ -6,11 +6,16 @@
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 export const ROUND_DECISIONS = 200;
 
-/** The book of a term; `valueBytes` is the state service's limit for one record. */
-export function makeBook(settings: Settings, term: Term, valueBytes: number): Book {
+/** The state of a term's part; `valueBytes` is the state service's limit for one record. */
+export function makeFleetState(
+  settings: Settings,
+  term: Term,
+  valueBytes: number,
+  listener: FleetListener,
+): FleetState {
   const { cancel_s, lease_s, report_s, gang_peer_s } = settings.deployment.workers;
-  return new Book(
-    {
+  return new FleetState({
+    settings: {
       leaseS: lease_s,
       reportS: report_s,
       gangPeerS: gang_peer_s,
@@ -18,12 +23,13 @@
       halfLifeS: settings.operator.shareHalfLifeS,
       maxTasksPerMachine: maxTasksPerMachine(valueBytes),
     },
-    term.term,
-    term.claimedAt,
-  );
+    term: term.term,
+    claimedAt: term.claimedAt,
+    listener,
+  });
 }
 
-export function makePlanner(settings: Settings, book: Book): CapacityPlanner {
+export function makePlanner(settings: Settings, book: FleetState): CapacityPlanner {
   const { deployment, operator } = settings;
   const objectives = deployment.objectives
     .filter((o) => o.class !== undefined)
@@ -40,7 +46,7 @@
   );
 }
 
-export function makeScheduler(settings: Settings, book: Book): Scheduler {
+export function makeScheduler(settings: Settings, book: FleetState): Scheduler {
   const { deployment, operator } = settings;
   return new Scheduler(book, teamTerms(deployment.teams), {
     floorWeight: operator.floorWeight,
--- a/packages/controller/direct.ts
+++ b/packages/controller/direct.ts
@@ -1,9 +1,9 @@
 import { CborClient, commandToWire, Order, parseReport, Runtime } from '#wire';
-import type { Book, Machine } from '#core';
+import type { FleetState, Machine } from '#core';
 
 export interface DirectCommandsOptions {
   runtime: Runtime;
-  book: Book;
+  book: FleetState;
   timeoutMs: number;
   /** Connections that may be open at once: one for each machine would not fit a large fleet. */
   maxConnections: number;
@@ -29,7 +29,7 @@
     for (const machine of [...book.due]) {
       // The rest goes out with the next push, or in answers to reports.
       if (this.busy.size >= maxConnections) return;
-      const orders = book.directOrders(machine, now);
+      const orders = book.directOrders.take(machine, now);
       if (orders.length === 0) continue;
       onOrders(machine, orders);
       void this.send(machine, orders, signal);
@@ -77,14 +77,24 @@
     try {
       const res = await this.client(machine).call('POST', '/orders', options);
       if (res.status === 200) {
-        book.directAnswered(machine, orders, { report: parseReport(res.body) }, clock.now());
+        book.directOrders.finish(
+          machine,
+          orders,
+          { kind: 'executed', report: parseReport(res.body) },
+          clock.now(),
+        );
       } else {
         const refused = res.status === 409 || res.status === 400;
-        book.directAnswered(machine, orders, refused ? 'refused' : 'unknown', clock.now());
+        book.directOrders.finish(
+          machine,
+          orders,
+          { kind: refused ? 'refused' : 'unknown' },
+          clock.now(),
+        );
       }
     } catch {
       // No answer, or one that can't be read: the commands may have been carried out.
-      book.directAnswered(machine, orders, 'unknown', clock.now());
+      book.directOrders.finish(machine, orders, { kind: 'unknown' }, clock.now());
     }
     this.busy.delete(machine.name);
     if (!book.machines.has(machine.name)) this.drop(machine.name);
--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -1,4 +1,4 @@
-import { allPlaces, Book, JobState, Scheduler } from '#core';
+import { assignmentsOf, FleetState, JobState, Scheduler } from '#core';
 
 /** The fleet, its use and what waits, as operators want to see it. */
 export interface FleetSummary {
@@ -17,7 +17,7 @@
 }
 
 export function summariseFleet(
-  book: Book,
+  book: FleetState,
   scheduler: Scheduler,
   teams: readonly string[],
   now: number,
@@ -25,7 +25,7 @@
   const summary: FleetSummary = {
     machines: {},
     idle: 0,
-    gpus: book.fleet.gpus,
+    gpus: book.machines.totals.gpus,
     use: {},
     index: {},
     waiting: {},
@@ -34,9 +34,10 @@
     add(summary.machines, `${machine.state}${machine.spot ? ' spot' : ''}`, 1);
     if (machine.state === 'up' && machine.tasks.size === 0) summary.idle++;
   }
-  for (const job of book.open) add(summary.waiting, job.job.class, book.waitingCount(job));
+  for (const job of book.jobs.waiting)
+    add(summary.waiting, job.job.class, book.jobs.waitingCount(job));
   for (const team of teams) {
-    summary.use[team] = book.teamUse.get(team)?.gpus ?? 0;
+    summary.use[team] = book.usage.ofTeam(team).gpus;
     summary.index[team] = Number(scheduler.index(team, now).toFixed(3));
   }
   return summary;
@@ -54,7 +55,7 @@
 }
 
 /** The counts of all jobs that are not over. */
-export function countTasks(book: Book): TaskCounts[] {
+export function countTasks(book: FleetState): TaskCounts[] {
   const counts: TaskCounts[] = [];
   for (const job of book.jobs.values()) {
     if (job.phase !== 'accepted') continue;
@@ -65,6 +66,6 @@
 
 function runningTasks(job: JobState): number {
   let running = 0;
-  for (const place of allPlaces(job)) if (place.reported === 'running') running++;
+  for (const place of assignmentsOf(job)) if (place.reported === 'running') running++;
   return running;
 }
--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -1,4 +1,4 @@
-import type { Book, JobState } from '#core';
+import type { FleetState, JobState } from '#core';
 import { encodeJob, jobKey, progressChunkTasks, progressKey, type StateLimits } from '#store';
 import type { JobTable } from './jobs.js';
 import type { RecordChange } from './record-batch.js';
@@ -10,7 +10,7 @@
 }
 
 export interface JobRecordsOptions {
-  book: Book;
+  book: FleetState;
   jobs: JobTable;
   limits: StateLimits;
 }
@@ -45,13 +45,13 @@
     const key = jobKey(id);
     const value = encodeJob({ ...record, phase: 'done' });
     const durable = (revision: number) => jobs.cache.learn(key, value, revision);
-    const again = () => void book.dirtyJobs.add(id);
+    const again = () => void book.unrecorded.jobs.add(id);
     const change = { put: key, value };
     return [{ key, version: record.version, change, guards: [], durable, again }];
   }
 
   private progressChanges(job: JobState): RecordChange[] {
-    const again = () => void this.options.book.dirtyJobs.add(job.job.id);
+    const again = () => void this.options.book.unrecorded.jobs.add(job.job.id);
     return this.unrecordedChunks(job).map(({ key, text, version }) => {
       const durable = (revision: number) => {
         this.chunks.set(key, { version: revision, text });
--- a/packages/controller/machine-records.ts
+++ b/packages/controller/machine-records.ts
@@ -1,11 +1,11 @@
-import type { Assignment, Book, Machine } from '#core';
+import type { Assignment, FleetState, Machine } from '#core';
 import { jobKey, MACHINES, type MachineRecord, type StateLimits } from '#store';
 import type { Condition } from '#wire';
 import type { JobTable } from './jobs.js';
 import { RecordBatch, type RecordChange } from './record-batch.js';
 
 export interface MachineRecordsOptions {
-  book: Book;
+  book: FleetState;
   jobs: JobTable;
   limits: StateLimits;
 }
@@ -27,7 +27,7 @@
     const key = MACHINES + name;
     const version = this.versions.get(name) ?? 0;
     const machine = book.machines.get(name);
-    const again = () => void book.dirtyMachines.add(name);
+    const again = () => void book.unrecorded.machines.add(name);
     if (!machine) {
       if (version === 0) return null;
       const durable = () => void this.versions.delete(name);
@@ -38,7 +38,7 @@
     const durable = (revision: number) => {
       this.versions.set(name, revision);
       for (const assignment of assignments) assignment.recorded = true;
-      book.handedOver(machine, revision);
+      book.fencing.recorded(machine, revision);
       if (!complete) again();
     };
     const change = { put: key, value: encodeMachine(machine, assignments) };
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Book } from '#core';
+import { pino } from 'pino';
+import type { FleetState } from '#core';
 import type { Job } from '#wire';
 import {
   encodeJob,
@@ -17,7 +18,6 @@
 import { aBook, aJob, aMachine, StateWorld } from '#testing';
 import { Cancellations } from './cancellations.js';
 import { JobTable } from './jobs.js';
-import { makeLog } from './log.js';
 import { Recorder, TermBroken } from './recorder.js';
 
 const LIMITS: StateLimits = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
@@ -44,7 +44,7 @@
     book,
     jobs,
     term: { part: 0, term, grant: 0, claimedAt: 0 },
-    log: makeLog(runtime.clock, 'c', 'silent'),
+    log: pino({ enabled: false }),
   });
   const record = (job: Job, phase: 'accepted' | 'aborted') =>
     store.apply([{ put: jobKey(job.id), value: encodeJob({ job, acceptedAtMs: 0, phase }) }]);
@@ -80,8 +80,8 @@
   for (const job of [kept, cancelled]) record(job, 'accepted');
   await sync();
   const [one, two] = ['n-1', 'n-2'].map((name) => aMachine(book, name));
-  book.assign(book.jobs.get('j-1')!, 0, one, 1, 0);
-  book.assign(book.jobs.get('j-2')!, 0, two, 2, 0);
+  book.assignments.assign(book.jobs.get('j-1')!, 0, one, 1, 0);
+  book.assignments.assign(book.jobs.get('j-2')!, 0, two, 2, 0);
   record(cancelled, 'aborted');
   await flush();
   assert.deepEqual(tasksOn('n-1'), ['j-1']);
@@ -96,7 +96,7 @@
   record(job, 'accepted');
   await sync();
   const machine = aMachine(book, 'n-1');
-  const assignment = book.assign(book.jobs.get('j-1')!, 0, machine, 1, 0);
+  const assignment = book.assignments.assign(book.jobs.get('j-1')!, 0, machine, 1, 0);
   state.service.beginLostAnswers(1);
   const flushed = flush();
   await state.run(0.5);
@@ -116,7 +116,7 @@
   for (const id of ids) record(aJob({ id, cpus: 1 }), 'accepted');
   await sync();
   const machine = aMachine(book, 'n-1');
-  for (const id of ids) book.assign(book.jobs.get(id)!, 0, machine, 1, 0);
+  for (const id of ids) book.assignments.assign(book.jobs.get(id)!, 0, machine, 1, 0);
   await flush();
   assert.deepEqual(tasksOn('n-1'), ids);
   assert.ok([...machine.tasks.values()].every((assignment) => assignment.recorded));
@@ -130,12 +130,12 @@
   await sync();
   const job = book.jobs.get('j-1')!;
   const [released, handedOver] = ['n-1', 'n-2'].map((name) => aMachine(book, name));
-  book.assign(job, 0, released, 1, 0);
-  book.assign(job, 1, handedOver, 2, 0);
+  book.assignments.assign(job, 0, released, 1, 0);
+  book.assignments.assign(job, 1, handedOver, 2, 0);
   await flush();
-  book.released('n-1', 0);
+  book.removeMachine('n-1', 0);
   handedOver.fencing = true;
-  book.assign(job, 2, handedOver, 3, 0);
+  book.assignments.assign(job, 2, handedOver, 3, 0);
   state.service.beginLostAnswers(1);
   const flushed = flush();
   await state.run(0.5);
@@ -144,11 +144,11 @@
   assert.equal(tasksOn('n-1'), undefined);
   assert.equal(handedOver.token, state.service.store.get(`${MACHINES}n-2`)?.version);
   assert.ok(handedOver.token > term);
-  book.stopTask(job.places.get(2)![0], 0, 0);
+  book.assignments.stop(job.places.get(2)![0], 0, 0);
   await flush();
   assert.deepEqual(tasksOn('n-2'), ['j-1']);
   // A transaction that only deletes needs no revision.
-  book.released('n-2', 0);
+  book.removeMachine('n-2', 0);
   state.service.beginLostAnswers(1);
   const deleted = flush();
   await state.run(0.5);
@@ -158,9 +158,9 @@
 });
 
 /** A job of many tasks of which some are done. */
-function aJobWithDone(book: Book, done: number[], tasks = 100_000) {
+function aJobWithDone(book: FleetState, done: number[], tasks = 100_000) {
   const job = book.jobs.get('j-1') ?? book.addJob(aJob({ id: 'j-1', tasks }), 0, 'accepted', 0);
-  for (const index of done) book.markDone(job, index);
+  for (const index of done) book.jobs.markDone(job, index);
   return job;
 }
 
@@ -181,7 +181,7 @@
     const job = aJobWithDone(book, done);
     const tasks = Math.min(maxTasksPerMachine(valueBytes), 700);
     const machine = aMachine(book, 'n-1');
-    for (let index = 1; index <= tasks; index++) book.assign(job, index, machine, 1, 0);
+    for (let index = 1; index <= tasks; index++) book.assignments.assign(job, index, machine, 1, 0);
     await flush();
     assert.equal(tasksOn('n-1')?.length, tasks);
     assert.ok(!job.unsaved);
@@ -201,7 +201,7 @@
   await sync();
   for (let i = 0; i < 100; i++) {
     const job = book.addJob(aJob({ id: `j-1${i}` }), 0, 'accepted', 0);
-    book.assign(job, 0, aMachine(book, `n-${i}`), 1, 0).recorded = true;
+    book.assignments.assign(job, 0, aMachine(book, `n-${i}`), 1, 0).recorded = true;
   }
   aJobWithDone(book, [0], 1);
   void recorder.flush(new AbortController().signal);
@@ -215,7 +215,7 @@
   record(aJob({ id: 'j-1', tasks: 5 }), 'accepted');
   await sync();
   const job = book.jobs.get('j-1')!;
-  for (let i = 0; i < 5; i++) book.assign(job, i, aMachine(book, `n-${i}`), 1, 0);
+  for (let i = 0; i < 5; i++) book.assignments.assign(job, i, aMachine(book, `n-${i}`), 1, 0);
   const revision = state.service.store.revision;
   await assert.rejects(flush(0.1), TermBroken);
   assert.equal(state.service.store.revision, revision);
@@ -225,7 +225,7 @@
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
   await sync();
-  book.assign(book.jobs.get('j-1')!, 0, aMachine(book, 'n-1'), 1, 0);
+  book.assignments.assign(book.jobs.get('j-1')!, 0, aMachine(book, 'n-1'), 1, 0);
   store.apply([{ put: `${MACHINES}n-1`, value: { tasks: [] } }]);
   await assert.rejects(flush(), TermBroken);
 });
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -1,4 +1,4 @@
-import type { Book } from '#core';
+import type { FleetState } from '#core';
 import { JOBS, partKey, StateClient, Term } from '#store';
 import { Runtime, sleep, TxnMalformed } from '#wire';
 import { JobRecords } from './job-records.js';
@@ -24,7 +24,7 @@
 export interface RecorderOptions {
   runtime: Runtime;
   client: StateClient;
-  book: Book;
+  book: FleetState;
   jobs: JobTable;
   term: Term;
   log: Log;
@@ -39,7 +39,7 @@
   readonly machineRecords: MachineRecords;
   readonly jobRecords: JobRecords;
   private readonly client: StateClient;
-  private readonly book: Book;
+  private readonly book: FleetState;
   private readonly jobs: JobTable;
   private readonly term: Term;
   private readonly log: Log;
@@ -53,7 +53,7 @@
   }
 
   get pending(): boolean {
-    return this.book.dirtyMachines.size > 0 || this.book.dirtyJobs.size > 0;
+    return this.book.unrecorded.any;
   }
 
   /** Writes as much as one transaction takes. */
@@ -139,24 +139,24 @@
   }
 
   private addMachines(batch: RecordBatch): void {
-    const { dirtyMachines } = this.book;
-    for (const name of [...dirtyMachines]) {
+    const { machines } = this.book.unrecorded;
+    for (const name of [...machines]) {
       const change = this.machineRecords.changeOf(name);
       if (change && !batch.add(change)) return;
-      dirtyMachines.delete(name);
+      machines.delete(name);
     }
   }
 
   private addJobs(batch: RecordBatch, maxChanges: number): void {
-    const { dirtyJobs } = this.book;
-    for (const id of [...dirtyJobs]) {
+    const { jobs } = this.book.unrecorded;
+    for (const id of [...jobs]) {
       const job = this.book.jobs.get(id);
       const changes = job ? this.jobRecords.changesOf(job) : [];
       const hasRoom = changes.every((change) => batch.add(change, maxChanges));
-      dirtyJobs.delete(id);
+      jobs.delete(id);
       if (hasRoom) continue;
       // Its turn comes after that of the others.
-      dirtyJobs.add(id);
+      jobs.add(id);
       return;
     }
   }
