--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -102,10 +102,10 @@
     const { reportS, listLagS, mayRent, mayRelease, onTypes } = this.options;
     const now = this.clock.now();
     const book = this.owner.book;
-    if (now - this.typesAt > CATALOG_PERIODS * reportS || book.types.size === 0) {
+    if (now - this.typesAt > CATALOG_PERIODS * reportS || book.machines.types.size === 0) {
       await this.budget.take(1, false, signal);
       const types = await this.cloud.catalog(signal);
-      for (const type of types) book.types.set(type.name, type);
+      for (const type of types) book.machines.types.set(type.name, type);
       await onTypes(types, signal);
       this.typesAt = now;
     }
@@ -160,7 +160,7 @@
     for (const [name, releasedAt] of this.releasedAt) {
       if (now - releasedAt > memoryS) this.releasedAt.delete(name);
     }
-    book.recomputeFleet();
+    book.machines.updateTotals();
   }
 
   private takeListed(listed: ListedMachine, now: number): void {
@@ -172,19 +172,19 @@
       if (listed.state === 'failed') known.listedFailed = true;
       return;
     }
-    const bootS = book.types.get(listed.type)?.bootS ?? 0;
+    const bootS = book.machines.types.get(listed.type)?.bootS ?? 0;
     // One that is listed as running has a boot time's worth of patience to report to us.
     const bornAt = listed.state === 'booting' ? now - listed.ageS : now - bootS;
-    const machine = book.meet(listed, 'booting', bornAt);
+    const machine = book.machines.register(listed, 'booting', bornAt);
     machine.listedFailed = listed.state === 'failed';
   }
 
   /** Machines that cost money for nothing. */
   private uselessMachines(now: number): Machine[] {
-    const { machines, types } = this.owner.book;
+    const { machines } = this.owner.book;
     const isUseless = (machine: Machine) => {
       const { state, draining, bornAt, darkAt } = machine;
-      const bootS = types.get(machine.type)?.bootS ?? 0;
+      const bootS = machines.typeOf(machine)?.bootS ?? 0;
       const neverUp = state === 'booting' && now - bornAt > BOOT_LATE * bootS;
       const longDark = state === 'dark' && now - darkAt > DARK_LEASES * this.options.leaseS;
       const unwanted = draining || machine.errors >= BROKEN_ERRORS;
@@ -203,7 +203,7 @@
     await this.cloud.release(names, signal);
     const now = this.clock.now();
     for (const name of names) {
-      this.owner.book.released(name, now);
+      this.owner.book.removeMachine(name, now);
       this.releasedAt.set(name, now);
     }
     this.log.info({ machines: names }, 'released');
@@ -233,10 +233,11 @@
     const { type, zone, spot, count } = rental;
     const now = this.clock.now();
     if (names.length < count) {
-      const bootS = book.types.get(type)?.bootS ?? 0;
+      const bootS = book.machines.types.get(type)?.bootS ?? 0;
       planner.noteRefused(rental, now + bootS * REFUSED_FOR);
     }
-    for (const name of names) book.meet({ name, addr: '', type, zone, spot }, 'booting', now);
+    for (const name of names)
+      book.machines.register({ name, addr: '', type, zone, spot }, 'booting', now);
     this.log.info({ request, ...rental, got: names.length }, 'rent');
   }
 }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,11 +1,16 @@
 import { Clock, MachineType, Order, Report, Runtime, WakeablePause } from '#wire';
-import { Book, CapacityPlanner, Scheduler } from '#core';
+import { FleetState, CapacityPlanner, Scheduler } from '#core';
 import { GroupCommit, StateClient, Term } from '#store';
-import { followBook } from './book-events.js';
 import { CancellationRecorder } from './cancellation-recorder.js';
-import { makeBook, makePlanner, makeScheduler, ROUND_DECISIONS } from './core-from-settings.js';
+import {
+  makeFleetState,
+  makePlanner,
+  makeScheduler,
+  ROUND_DECISIONS,
+} from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
 import { countTasks, FleetSummary, summariseFleet, TaskCounts } from './fleet-summary.js';
+import { fleetListener } from './fleet-events.js';
 import { JobIntake } from './job-intake.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
@@ -42,7 +47,7 @@
 
 /** One term of owning a part: its book, the recorder behind it and the duties that drive it. */
 export class PartOwner {
-  readonly book: Book;
+  readonly book: FleetState;
   readonly planner: CapacityPlanner;
   readonly scheduler: Scheduler;
   readonly recorder: Recorder;
@@ -69,7 +74,8 @@
     this.startedAt = this.clock.now();
     this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, term: this.term, log: this.log } = options);
-    this.book = makeBook(settings, term, client.limits.valueBytes);
+    const listener = fleetListener(() => this.planner, log);
+    this.book = makeFleetState(settings, term, client.limits.valueBytes, listener);
     this.planner = makePlanner(settings, this.book);
     this.scheduler = makeScheduler(settings, this.book);
     this.recorder = new Recorder({ runtime, client, book: this.book, jobs, term, log });
@@ -93,7 +99,6 @@
       onOrders: (machine, orders) => this.logOrders(machine.name, orders),
       onDone: () => this.nudge(),
     });
-    followBook(this.book, this.planner, log);
   }
 
   /** Runs until the term ends; throws TermBroken if it must be given up. */
@@ -101,7 +106,11 @@
     await this.load(signal);
     this.ready = true;
     this.log.info(
-      { term: this.term.term, jobs: this.book.open.size, machines: this.book.machines.size },
+      {
+        term: this.term.term,
+        jobs: this.book.jobs.waiting.size,
+        machines: this.book.machines.size,
+      },
       'owner',
     );
     const jobs = this.options.jobs.changed.subscribe((record) => {
@@ -133,7 +142,7 @@
   private async load(signal: AbortSignal): Promise<void> {
     const { client, jobs, types } = this.options;
     const { book, recorder } = this;
-    for (const type of types()) book.types.set(type.name, type);
+    for (const type of types()) book.machines.types.set(type.name, type);
     const records = new OwnerRecords({
       client,
       jobs,
@@ -171,10 +180,10 @@
   /** Returns the number of decisions. */
   private round(signal: AbortSignal): number {
     const now = this.clock.now();
-    for (const { name } of this.book.expire(now)) {
+    for (const { name } of this.book.leases.expire(now)) {
       this.log.info({ machine: name }, 'machine silent past its lease');
     }
-    this.book.recomputeFleet();
+    this.book.machines.updateTotals();
     stopOnNotices(this.book, this.scheduler, now);
     this.scheduler.reserve(now);
     const decided = this.scheduler.round(now);
@@ -188,7 +197,7 @@
   private summarise(now: number): void {
     if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
     this.summaryAt = now;
-    this.book.dropEnded();
+    this.book.jobs.removeEnded();
     this.log.info(this.fleet(), 'fleet');
   }
 
@@ -211,8 +220,9 @@
   /** Takes a report and says what to answer; null for a late copy. */
   report(report: Report): Order[] | null {
     const before = this.recorder.pending;
-    const orders = this.book.report(report, this.clock.now());
-    if (orders === null) return null;
+    const outcome = this.book.reports.handle(report, this.clock.now());
+    if (outcome.kind === 'late-copy') return null;
+    const { orders } = outcome;
     this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
       this.idle.wake();
