The end of an old attempt's task no longer ends a gang's present attempt

A gang whose machines were cut off for longer than a lease is placed anew. When the cut ends, a report that it held lists the old attempt, which then holds its place again until the next session proves it gone; that end stopped every task of the gang with no grace, whatever attempt it was. The same came of a late copy that a new owner read first. And while the old attempt held its place, the new one waited for it to be recorded.

Now the end of a task stops only tasks of the same attempt, and a gang may start once all tasks of the attempt itself are recorded.

--- a/packages/core/answer-orders.ts
+++ b/packages/core/answer-orders.ts
@@ -18,15 +18,18 @@
 
 /** Nothing is started before it is recorded, a gang only when all of it is (docs/safety.md, point 4). */
 export function isStartable(assignment: Assignment): boolean {
-  const { reported, inherited, recorded, job } = assignment;
-  return reported === null && !inherited && recorded && isGangRecorded(job);
+  const { reported, inherited, recorded, job, attempt } = assignment;
+  if (reported !== null || inherited || !recorded) return false;
+  return job.job.kind !== 'gang' || isAttemptRecorded(job, attempt);
 }
 
-function isGangRecorded(job: JobState): boolean {
-  if (job.job.kind !== 'gang') return true;
-  if (job.places.size < job.job.tasks) return false;
-  for (const assignment of assignmentsOf(job)) if (!assignment.recorded) return false;
-  return true;
+/** All tasks of the gang's attempt have a recorded place. Older attempts may be on their way out. */
+function isAttemptRecorded(job: JobState, attempt: number): boolean {
+  let recorded = 0;
+  for (const assignment of assignmentsOf(job)) {
+    if (assignment.attempt === attempt && assignment.recorded) recorded++;
+  }
+  return recorded === job.job.tasks;
 }
 
 export function taskRef({ job, index, attempt }: Assignment): TaskRef {
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -123,7 +123,7 @@
     if (job.phase === 'accepted' && !job.done.has(index)) {
       if (index < job.cursor) job.requeued.add(index);
       noteFailure(assignment, cause, settings.reportS, now);
-      if (job.job.kind === 'gang') this.stopRestOfGang(job, now);
+      if (job.job.kind === 'gang') this.stopRestOfAttempt(assignment, now);
     }
     listener.taskEnded({ assignment, cause, saved }, now);
   }
@@ -133,9 +133,14 @@
     for (const assignment of [...machine.tasks.values()]) this.end(assignment, 'lost', false, now);
   }
 
-  /** A gang that lost a task ends as a whole; the next attempt goes on from its checkpoint. */
-  private stopRestOfGang(job: JobState, now: number): void {
-    for (const peer of assignmentsOf(job)) if (peer.stop === null) this.stop(peer, 0, now);
+  /**
+   * A gang that lost a task ends as a whole; the next attempt goes on from its checkpoint. The tasks of a
+   * gang find each other by attempt, so the end of an older attempt's task does not touch a newer one.
+   */
+  private stopRestOfAttempt({ job, attempt }: Assignment, now: number): void {
+    for (const peer of assignmentsOf(job)) {
+      if (peer.attempt === attempt && peer.stop === null) this.stop(peer, 0, now);
+    }
   }
 }
 
