--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { pino } from 'pino';
+import type { FleetState } from '#core';
 import type { Job } from '#wire';
 import {
   encodeJob,
@@ -7,6 +9,8 @@
   JOBS,
   MACHINES,
   type MachineRecord,
+  MAX_VALUE_BYTES,
+  maxTasksPerMachine,
   partKey,
   PrefixCache,
   type StateLimits,
@@ -14,17 +18,20 @@
 import { aBook, aJob, aMachine, StateWorld } from '#testing';
 import { Cancellations } from './cancellations.js';
 import { JobTable } from './jobs.js';
-import { makeLog } from './log.js';
 import { Recorder, TermBroken } from './recorder.js';
 
+const REPORT_S = 1;
 const LIMITS: StateLimits = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
 
-/** A recorder of a term whose book follows the jobs of the state service. */
-async function aRecorder(limits: Partial<StateLimits> = {}) {
-  const state = await StateWorld.start({ ...LIMITS, ...limits });
+/** A recorder of a term whose book follows the jobs of the state service; it may take other limits for true. */
+async function aRecorder(
+  limits: Partial<StateLimits> = {},
+  serviceLimits: Partial<StateLimits> = {},
+) {
+  const state = await StateWorld.start({ ...LIMITS, ...limits, ...serviceLimits });
   const { store } = state.service;
   const runtime = state.controller();
-  const client = state.client(runtime);
+  const client = state.client(runtime, { limits: { ...LIMITS, ...limits } });
   const caching = { client, runtime, prefix: JOBS, watchMs: 10_000, syncSpacingMs: 0 };
   const cache = new PrefixCache(caching);
   const jobs = new JobTable(cache, new Cancellations(100, 70));
@@ -38,7 +45,8 @@
     book,
     jobs,
     term: { part: 0, term, grant: 0, claimedAt: 0 },
-    log: makeLog(runtime.clock, 'c', 'error'),
+    reportS: REPORT_S,
+    log: pino({ enabled: false }),
   });
   const record = (job: Job, phase: 'accepted' | 'aborted') =>
     store.apply([{ put: jobKey(job.id), value: encodeJob({ job, acceptedAtMs: 0, phase }) }]);
@@ -64,7 +72,7 @@
     void cache.sync();
     await state.run(0.1);
   };
-  return { state, store, book, record, sync, flush, tasksOn, term };
+  return { state, store, book, recorder, record, sync, flush, tasksOn, term };
 }
 
 test('a task is not recorded, and so never starts, once its job was cancelled', async () => {
@@ -93,7 +101,7 @@
   const assignment = book.assignments.assign(book.jobs.get('j-1')!, 0, machine, 1, 0);
   state.service.beginLostAnswers(1);
   const flushed = flush();
-  await state.run(0.5);
+  await state.run(0.2);
   state.service.endLateWrites();
   assert.deepEqual(tasksOn('n-1'), ['j-1']);
   assert.ok(!assignment.recorded);
@@ -116,6 +124,108 @@
   assert.ok([...machine.tasks.values()].every((assignment) => assignment.recorded));
 });
 
+test('a transaction that was applied without an answer is known by a record that it put', async () => {
+  // Guards against version 0 of a deleted record as the revision of all: the token of a machine that was
+  // handed over became 0, and the next change of its record ended the term.
+  const { state, book, record, sync, flush, tasksOn, term } = await aRecorder();
+  record(aJob({ id: 'j-1', tasks: 3 }), 'accepted');
+  await sync();
+  const job = book.jobs.get('j-1')!;
+  const [released, handedOver] = ['n-1', 'n-2'].map((name) => aMachine(book, name));
+  book.assignments.assign(job, 0, released, 1, 0);
+  book.assignments.assign(job, 1, handedOver, 2, 0);
+  await flush();
+  book.removeMachine('n-1', 0);
+  handedOver.fencing = true;
+  book.assignments.assign(job, 2, handedOver, 3, 0);
+  state.service.beginLostAnswers(1);
+  const flushed = flush();
+  await state.run(0.2);
+  state.service.endLateWrites();
+  // Known with the repetition, which does not wait for the first to time out.
+  await state.run(0.2);
+  assert.ok(handedOver.fenced);
+  await flushed;
+  assert.equal(tasksOn('n-1'), undefined);
+  assert.equal(handedOver.token, state.service.store.get(`${MACHINES}n-2`)?.version);
+  assert.ok(handedOver.token > term);
+  book.assignments.stop(job.places.get(2)![0], 0, 0);
+  await flush();
+  assert.deepEqual(tasksOn('n-2'), ['j-1']);
+  // A transaction that only deletes needs no revision.
+  book.removeMachine('n-2', 0);
+  state.service.beginLostAnswers(1);
+  const deleted = flush();
+  await state.run(0.2);
+  state.service.endLateWrites();
+  await deleted;
+  assert.equal(tasksOn('n-2'), undefined);
+});
+
+/** A job of many tasks of which some are done. */
+function aJobWithDone(book: FleetState, done: number[], tasks = 100_000) {
+  const job = book.jobs.get('j-1') ?? book.addJob(aJob({ id: 'j-1', tasks }), 0, 'accepted', 0);
+  for (const index of done) book.jobs.markDone(job, index);
+  return job;
+}
+
+test('whatever the size of values and transactions, machines and progress are recorded in time', async () => {
+  // Guards against a loop without a pause where no value could be sure to fit, and against transactions
+  // that the state service refuses for ever because all parts of a job were to share one.
+  const done = [0, 30_000, 60_000, 99_999];
+  for (const [valueBytes, txnOps] of [
+    [512, 2],
+    [1024, 24],
+    [8192, 2],
+    [48 * 1024, 24],
+    [MAX_VALUE_BYTES, 4],
+  ]) {
+    const { state, book, record, sync, flush, tasksOn } = await aRecorder({ valueBytes, txnOps });
+    record(aJob({ id: 'j-1', tasks: 100_000 }), 'accepted');
+    await sync();
+    const job = aJobWithDone(book, done);
+    const tasks = Math.min(maxTasksPerMachine(valueBytes), 700);
+    const machine = aMachine(book, 'n-1');
+    for (let index = 1; index <= tasks; index++) book.assignments.assign(job, index, machine, 1, 0);
+    await flush();
+    assert.equal(tasksOn('n-1')?.length, tasks);
+    assert.ok(!job.unsaved);
+    const revision = state.service.store.revision;
+    aJobWithDone(book, [60_001]);
+    await flush();
+    // Only the part that differs is written.
+    assert.equal(state.service.store.revision, revision + 1);
+    assert.ok(!job.unsaved);
+    assert.equal(state.service.store.get('jobs/j-1')?.version, 2);
+  }
+});
+
+test('any number of machines to be recorded does not hold up the end of a job', async () => {
+  const { state, book, record, sync, recorder } = await aRecorder();
+  record(aJob({ id: 'j-1' }), 'accepted');
+  await sync();
+  for (let i = 0; i < 100; i++) {
+    const job = book.addJob(aJob({ id: `j-1${i}` }), 0, 'accepted', 0);
+    book.assignments.assign(job, 0, aMachine(book, `n-${i}`), 1, 0).recorded = true;
+  }
+  aJobWithDone(book, [0], 1);
+  void recorder.flush(new AbortController().signal);
+  await state.run(0.1);
+  const value = state.service.store.get('jobs/j-1')?.value as { phase: string };
+  assert.equal(value.phase, 'done');
+});
+
+test('a transaction that is called malformed ends the term and is not repeated', async () => {
+  const { state, book, record, sync, flush } = await aRecorder({}, { txnOps: 4 });
+  record(aJob({ id: 'j-1', tasks: 5 }), 'accepted');
+  await sync();
+  const job = book.jobs.get('j-1')!;
+  for (let i = 0; i < 5; i++) book.assignments.assign(job, i, aMachine(book, `n-${i}`), 1, 0);
+  const revision = state.service.store.revision;
+  await assert.rejects(flush(0.1), TermBroken);
+  assert.equal(state.service.store.revision, revision);
+});
+
 test('a record that somebody else has changed ends the term', async () => {
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
