Core: the fields of an assignment named for what they say

told -> startSent, sentSeq -> startAnswerSeq, misses -> missedStarts, since -> assignedAt; a request to stop is a type of its own and loses a time that nobody read.

--- a/packages/controller/fleet-events.ts
+++ b/packages/controller/fleet-events.ts
@@ -13,15 +13,15 @@
       log.debug({ machine: name, type, zone, spot, bootedS: hundredths(now - bornAt) }, 'up');
     },
     jobClosed: (job, now) => planner().jobEnded(job.job, now),
-    taskRunning({ job, index, machine, since }, now) {
+    taskRunning({ job, index, machine, assignedAt }, now) {
       const fields = {
         job: job.job.id,
         task: index,
         class: job.job.class,
         machine: machine.name,
         image: job.job.image,
-        placedS: hundredths(since - job.acceptedAt),
-        fetchedS: hundredths(now - since),
+        placedS: hundredths(assignedAt - job.acceptedAt),
+        fetchedS: hundredths(now - assignedAt),
       };
       log.debug(fields, 'task running');
     },
--- a/packages/core/answer-orders.ts
+++ b/packages/core/answer-orders.ts
@@ -8,8 +8,8 @@
   for (const assignment of machine.tasks.values()) {
     if (assignment.stop !== null) stops.push(stopOrder(assignment, assignment.stop.graceS));
     else if (isStartable(assignment)) {
-      assignment.told = true;
-      assignment.sentSeq ??= reportSeq;
+      assignment.startSent = true;
+      assignment.startAnswerSeq ??= reportSeq;
       starts.push(startOrder(assignment));
     }
   }
--- a/packages/core/arrival-statistics.ts
+++ b/packages/core/arrival-statistics.ts
@@ -34,7 +34,7 @@
   tasksIn: number;
   tasksOut: number;
   /** When the averages were last decayed. */
-  at: number;
+  decayedAt: number;
   /** When the last job came. */
   lastAt: number;
   meanSquareTasks: number;
@@ -109,7 +109,7 @@
         rate: 0,
         tasksIn: 0,
         tasksOut: 0,
-        at: now,
+        decayedAt: now,
         lastAt: now,
         meanSquareTasks: job.tasks * job.tasks,
         sample: job,
@@ -121,10 +121,10 @@
   }
 
   private decay(arrivals: ClassArrivals, now: number): void {
-    const kept = Math.exp(-(now - arrivals.at) / this.settings.memoryS);
+    const kept = Math.exp(-(now - arrivals.decayedAt) / this.settings.memoryS);
     arrivals.rate *= kept;
     arrivals.tasksIn *= kept;
     arrivals.tasksOut *= kept;
-    arrivals.at = now;
+    arrivals.decayedAt = now;
   }
 }
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -54,7 +54,7 @@
     now: number,
   ): Assignment {
     const assignment = this.add(job, index, machine, attempt, now);
-    assignment.stop = { graceS: 0, at: now, direct: false };
+    assignment.stop = { graceS: 0, sentDirectly: false };
     return assignment;
   }
 
@@ -88,14 +88,14 @@
 
   /** Asks for an end of the task; it keeps its place until it is proven gone. */
   stop(assignment: Assignment, graceS: number, now: number): void {
-    if (!assignment.told && !assignment.inherited && assignment.reported === null) {
+    if (!assignment.startSent && !assignment.inherited && assignment.reported === null) {
       // The start was never sent to the worker and never will be.
       this.end(assignment, 'stopped', false, now);
       return;
     }
     const { stop } = assignment;
-    if (stop === null) assignment.stop = { graceS, at: now, direct: false };
-    else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, direct: false };
+    if (stop === null) assignment.stop = { graceS, sentDirectly: false };
+    else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, sentDirectly: false };
     this.tables.due.add(assignment.machine);
   }
 
@@ -158,13 +158,13 @@
     machine,
     recorded: false,
     inherited: false,
-    told: false,
-    sentSeq: null,
-    misses: 0,
+    startSent: false,
+    startAnswerSeq: null,
+    missedStarts: 0,
     reported: null,
     stop: null,
     share,
-    since: now,
+    assignedAt: now,
     runningSince: null,
   };
 }
--- a/packages/core/consolidation.test.ts
+++ b/packages/core/consolidation.test.ts
@@ -20,7 +20,7 @@
     const job = book.addJob(aJob({ kind: 'service', tasks: 3 }), 0, 'accepted', 0);
     [0, 0, 1].forEach((at, i) => {
       const a = book.assignments.assign(job, i, machines[at], book.assignments.newAttempt(), 0);
-      Object.assign(a, { told: true, recorded: true, reported: 'running', runningSince: 0 });
+      Object.assign(a, { startSent: true, recorded: true, reported: 'running', runningSince: 0 });
     });
     machines[0].images = new Map([[image, 5]]);
     book.addJob(aJob({ id: 'j-2', tasks: waiting }), 0, 'accepted', 0);
--- a/packages/core/direct-orders.ts
+++ b/packages/core/direct-orders.ts
@@ -35,17 +35,17 @@
     const orders: Order[] = [];
     let someLater = false;
     for (const assignment of machine.tasks.values()) {
-      const { stop, told, reported, inherited } = assignment;
+      const { stop, startSent, reported, inherited } = assignment;
       if (stop !== null) {
-        if (stop.direct) continue;
-        stop.direct = true;
+        if (stop.sentDirectly) continue;
+        stop.sentDirectly = true;
         orders.push(stopOrder(assignment, stop.graceS));
-      } else if (!told && reported === null && !inherited) {
+      } else if (!startSent && reported === null && !inherited) {
         if (!isStartable(assignment)) {
           someLater = true;
           continue;
         }
-        assignment.told = true;
+        assignment.startSent = true;
         this.fencing.startSent(machine, taskRef(assignment), now);
         orders.push(startOrder(assignment));
       }
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -2,6 +2,13 @@
 import { ServiceCounter } from './fairshare.js';
 import { TaskSet } from './taskset.js';
 
+export interface StopRequest {
+  /** Seconds for saving; 0 kills. */
+  graceS: number;
+  /** Sent in a direct command. It is in the answers to reports in any case. */
+  sentDirectly: boolean;
+}
+
 /** One attempt of a task on one machine, from the decision until it is proven gone. */
 export interface Assignment {
   job: JobState;
@@ -13,16 +20,17 @@
   /** Read from the record of an earlier term and not yet seen in a report. */
   inherited: boolean;
   /** The start was sent, in an answer or directly. */
-  told: boolean;
+  startSent: boolean;
   /** Number of the first report whose answer carried the start. */
-  sentSeq: number | null;
+  startAnswerSeq: number | null;
   /** Answers that carried the start without it showing in the next report. */
-  misses: number;
+  missedStarts: number;
   reported: TaskState | null;
-  stop: { graceS: number; at: number; direct: boolean } | null;
+  /** The end that is asked for, or null. */
+  stop: StopRequest | null;
   /** Share of the fleet booked for it. */
   share: number;
-  since: number;
+  assignedAt: number;
   runningSince: number | null;
 }
 
--- a/packages/core/preemption.test.ts
+++ b/packages/core/preemption.test.ts
@@ -10,7 +10,7 @@
   const low = book.addJob(aJob({ id: 'j-1', rank: 3, tasks: 3, gpus: 4 }), 0, 'accepted', 0);
   machines.forEach((machine, i) => {
     const a = book.assignments.assign(low, i, machine, book.assignments.newAttempt(), 0);
-    a.recorded = a.told = true;
+    a.recorded = a.startSent = true;
     a.reported = 'running';
     a.runningSince = 0;
   });
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -106,7 +106,7 @@
       (each) => each.stop === null && isSettled(each, job.job, now) && this.mayStop(job, each, now),
     );
     if (options.length === 0) return null;
-    options.sort((a, b) => b.job.job.rank - a.job.job.rank || b.since - a.since);
+    options.sort((a, b) => b.job.job.rank - a.job.job.rank || b.assignedAt - a.assignedAt);
     const victims: Assignment[] = [];
     const used = { ...machine.used };
     for (const option of options) {
--- a/packages/core/report-handler.ts
+++ b/packages/core/report-handler.ts
@@ -71,8 +71,8 @@
   private sessionChanged(machine: Machine, now: number): void {
     if (machine.session > 0) {
       for (const assignment of [...machine.tasks.values()]) {
-        const { told, reported } = assignment;
-        if (told || reported !== null) this.assignments.end(assignment, 'lost', false, now);
+        const { startSent, reported } = assignment;
+        if (startSent || reported !== null) this.assignments.end(assignment, 'lost', false, now);
       }
     }
     this.fencing.sessionChanged(machine);
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -81,14 +81,15 @@
 
   /** A task of the machine that the worker's report does not list. */
   absent(assignment: Assignment, report: Report, now: number): void {
-    const { machine, reported, inherited, told, sentSeq } = assignment;
+    const { machine, reported, inherited, startSent, startAnswerSeq } = assignment;
     if (reported !== null) this.assignments.end(assignment, 'lost', false, now);
     else if (inherited) {
       // An old start may still arrive until the worker has seen this term's token.
       if (report.token >= this.tables.term) this.assignments.end(assignment, 'lost', false, now);
     } else if (this.fencing.mayArrive(machine, taskRef(assignment))) return;
-    else if (told && sentSeq === null) this.onlySentDirectly(assignment, now);
-    else if (sentSeq !== null && report.seq > sentSeq) this.missedStart(assignment, now);
+    else if (startSent && startAnswerSeq === null) this.onlySentDirectly(assignment, now);
+    else if (startAnswerSeq !== null && report.seq > startAnswerSeq)
+      this.missedStart(assignment, now);
   }
 
   /** The direct start was refused or is fenced off. */
@@ -97,7 +98,7 @@
       this.assignments.end(assignment, 'stopped', false, now);
       return;
     }
-    assignment.told = false;
+    assignment.startSent = false;
     this.tables.due.add(assignment.machine);
   }
 
@@ -106,9 +107,9 @@
    * the answer carried did not arrive and no longer can.
    */
   private missedStart(assignment: Assignment, now: number): void {
-    assignment.misses++;
+    assignment.missedStarts++;
     if (assignment.stop === null) {
-      if (assignment.misses < MAX_MISSED_STARTS) return;
+      if (assignment.missedStarts < MAX_MISSED_STARTS) return;
       assignment.machine.avoidUntil = now + this.tables.settings.leaseS;
     }
     this.assignments.end(assignment, 'lost', false, now);
