Core: the fields of a machine named for what they say

dark -> expired, seq/helloSeq -> lastMessageSeq/lastReportSeq, loose -> unacknowledgedStarts, fencing/fenced -> one union fence, calling/callAfter -> directCommandInFlight/noDirectCommandBefore, confirmed -> termConfirmed, steadySince/unheardSince -> answeredSince/oldTokenSince, heldFor -> roomHold, reservedFor -> reservedForGang, bornAt -> rentedAt, noticeAt -> reclaimAt, errors -> taskErrors, changes -> assignmentVersion, listedFailed -> failedInList. The fleet summary and the metric of machines by state say expired where they said dark.

--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -38,7 +38,7 @@
   const stop = new AbortController();
   const cloud = new RecordingCloud();
   const book = aBook();
-  aMachine(book, 'n-1').listedFailed = true;
+  aMachine(book, 'n-1').failedInList = true;
   let plans = 0;
   const owner = {
     book,
--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -18,7 +18,7 @@
 const BOOT_LATE = 4;
 const REFUSED_FOR = 1 / 3;
 /** Leases for which a machine may be silent before it is given back. */
-const DARK_LEASES = 2;
+const EXPIRED_LEASES = 2;
 /** Failed tasks after which a machine counts as broken. */
 const BROKEN_ERRORS = 3;
 /** Report periods from one look at the machine types to the next, and from one list to the next. */
@@ -169,27 +169,28 @@
     if (this.releasedAt.has(listed.name)) return;
     const known = book.machines.get(listed.name);
     if (known) {
-      if (listed.state === 'failed') known.listedFailed = true;
+      if (listed.state === 'failed') known.failedInList = true;
       return;
     }
     const bootS = book.machines.types.get(listed.type)?.bootS ?? 0;
     // One that is listed as running has a boot time's worth of patience to report to us.
-    const bornAt = listed.state === 'booting' ? now - listed.ageS : now - bootS;
-    const machine = book.machines.register(listed, 'booting', bornAt);
-    machine.listedFailed = listed.state === 'failed';
+    const rentedAt = listed.state === 'booting' ? now - listed.ageS : now - bootS;
+    const machine = book.machines.register(listed, 'booting', rentedAt);
+    machine.failedInList = listed.state === 'failed';
   }
 
   /** Machines that cost money for nothing. */
   private uselessMachines(now: number): Machine[] {
     const { machines } = this.owner.book;
     const isUseless = (machine: Machine) => {
-      const { state, draining, bornAt, darkAt } = machine;
+      const { state, draining, rentedAt, expiredAt } = machine;
       const bootS = machines.typeOf(machine)?.bootS ?? 0;
-      const neverUp = state === 'booting' && now - bornAt > BOOT_LATE * bootS;
-      const longDark = state === 'dark' && now - darkAt > DARK_LEASES * this.options.leaseS;
-      const unwanted = draining || machine.errors >= BROKEN_ERRORS;
+      const neverUp = state === 'booting' && now - rentedAt > BOOT_LATE * bootS;
+      const longExpired =
+        state === 'expired' && now - expiredAt > EXPIRED_LEASES * this.options.leaseS;
+      const unwanted = draining || machine.taskErrors >= BROKEN_ERRORS;
       const emptied = unwanted && machine.tasks.size === 0;
-      return machine.listedFailed || neverUp || longDark || emptied;
+      return machine.failedInList || neverUp || longExpired || emptied;
     };
     return [...machines.values()].filter(isUseless).slice(0, RELEASE_AT_ONCE);
   }
--- a/packages/controller/fleet-events.ts
+++ b/packages/controller/fleet-events.ts
@@ -9,8 +9,8 @@
   return {
     machineUp(machine, now) {
       planner().machineUp(machine, now);
-      const { name, type, zone, spot, bornAt } = machine;
-      log.debug({ machine: name, type, zone, spot, bootedS: hundredths(now - bornAt) }, 'up');
+      const { name, type, zone, spot, rentedAt } = machine;
+      log.debug({ machine: name, type, zone, spot, bootedS: hundredths(now - rentedAt) }, 'up');
     },
     jobClosed: (job, now) => planner().jobEnded(job.job, now),
     taskRunning({ job, index, machine, assignedAt }, now) {
--- a/packages/controller/notices.ts
+++ b/packages/controller/notices.ts
@@ -3,7 +3,7 @@
 /** What can be saved is saved before the cloud takes a machine that it gave notice of; services move at once. */
 export function stopOnNotices(book: FleetState, now: number): void {
   for (const machine of book.machines.values()) {
-    if (machine.noticeAt === null) continue;
+    if (machine.reclaimAt === null) continue;
     for (const task of machine.tasks.values()) {
       const { checkpointS, kind } = task.job.job;
       const worthStopping = checkpointS > 0 || kind === 'service';
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -136,7 +136,7 @@
   book.assignments.assign(job, 1, handedOver, 2, 0);
   await flush();
   book.removeMachine('n-1', 0);
-  handedOver.fencing = true;
+  handedOver.fence = 'requested';
   book.assignments.assign(job, 2, handedOver, 3, 0);
   state.service.beginLostAnswers(1);
   const flushed = flush();
@@ -144,7 +144,7 @@
   state.service.endLateWrites();
   // Known with the repetition, which does not wait for the first to time out.
   await state.run(0.2);
-  assert.ok(handedOver.fenced);
+  assert.equal(handedOver.fence, 'recorded');
   await flushed;
   assert.equal(tasksOn('n-1'), undefined);
   assert.equal(handedOver.token, state.service.store.get(`${MACHINES}n-2`)?.version);
--- a/packages/core/answer-delivery.ts
+++ b/packages/core/answer-delivery.ts
@@ -23,10 +23,11 @@
   now: number,
 ): void {
   // After a cut held reports arrive at once, and then a new session: that says nothing of answers.
-  if (now - machine.answeredAt > GAP * reportS) machine.steadySince = now;
-  const showsOldToken = report.token < term && machine.steadySince < now;
-  machine.unheardSince = showsOldToken ? (machine.unheardSince ?? now) : null;
-  const unheard = machine.unheardSince !== null && now - machine.unheardSince >= UNHEARD * reportS;
-  const leaseRanOut = report.session > machine.session && now - machine.steadySince >= leaseS;
+  if (now - machine.answeredAt > GAP * reportS) machine.answeredSince = now;
+  const showsOldToken = report.token < term && machine.answeredSince < now;
+  machine.oldTokenSince = showsOldToken ? (machine.oldTokenSince ?? now) : null;
+  const unheard =
+    machine.oldTokenSince !== null && now - machine.oldTokenSince >= UNHEARD * reportS;
+  const leaseRanOut = report.session > machine.session && now - machine.answeredSince >= leaseS;
   if (leaseRanOut || unheard) machine.avoidUntil = Math.max(machine.avoidUntil, now + leaseS);
 }
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -81,7 +81,7 @@
 
   private count(assignment: Assignment, sign: 1 | -1, now: number): void {
     const { machine, job } = assignment;
-    machine.changes++;
+    machine.assignmentVersion++;
     addAmounts(machine.used, job.job, sign);
     this.tables.usage.count(assignment, sign, now);
   }
--- a/packages/core/availability.ts
+++ b/packages/core/availability.ts
@@ -5,8 +5,8 @@
   return (
     machine.state === 'up' &&
     !machine.draining &&
-    machine.noticeAt === null &&
-    !machine.listedFailed &&
+    machine.reclaimAt === null &&
+    !machine.failedInList &&
     machine.tasks.size < maxTasksPerMachine
   );
 }
--- a/packages/core/capacity-planner.test.ts
+++ b/packages/core/capacity-planner.test.ts
@@ -70,7 +70,9 @@
   const late = (boots: number[]) => {
     const book = aBook();
     const planner = aPlanner(book);
-    boots.forEach((bootS, i) => planner.machineUp(aMachine(book, `n-${i}`, { bornAt: -bootS }), 0));
+    boots.forEach((bootS, i) =>
+      planner.machineUp(aMachine(book, `n-${i}`, { rentedAt: -bootS }), 0),
+    );
     for (const { name } of [...book.machines.values()]) book.removeMachine(name, 0);
     book.machines.register(
       { name: 'n-90', addr: '', type: 'std', zone: 'a', spot: false },
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -143,12 +143,12 @@
 /** Where a job that must stay in one zone is packed: where machines are reserved for it, if so. */
 function zoneToPack(job: Job, standing: StandingSlot[]): string | null {
   if (!job.oneZone) return job.zone;
-  return standing.find((slot) => slot.reservedFor === job.id)?.zone ?? job.zone;
+  return standing.find((slot) => slot.reservedForGang === job.id)?.zone ?? job.zone;
 }
 
 function isIdle(machine: Machine, heldS: number, now: number): boolean {
-  const { tasks, reservedFor, state, idleSince } = machine;
-  if (tasks.size > 0 || reservedFor !== null || state === 'booting') return false;
+  const { tasks, reservedForGang, state, idleSince } = machine;
+  if (tasks.size > 0 || reservedForGang !== null || state === 'booting') return false;
   return now - idleSince >= heldS;
 }
 
--- a/packages/core/choose-gang-machines.ts
+++ b/packages/core/choose-gang-machines.ts
@@ -48,7 +48,7 @@
     const { machine, type } = candidate;
     const cost = candidates.cost(candidate, spec);
     if (cost === Infinity || fleet.holds.isHeldFromJob(machine, job, now)) continue;
-    if (machine.reservedFor !== null && machine.reservedFor !== spec.id) continue;
+    if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     const room = Math.min(
       spec.tasks,
       maxTasksPerMachine - machine.tasks.size,
--- a/packages/core/choose-machine.test.ts
+++ b/packages/core/choose-machine.test.ts
@@ -31,7 +31,7 @@
     const type = book.machines.types.get(machine.type)!;
     if (!isUsable(machine, book.settings.maxTasksPerMachine, now)) continue;
     if (book.holds.isHeldFromJob(machine, state, now)) continue;
-    if (machine.reservedFor !== null && machine.reservedFor !== job.id) continue;
+    if (machine.reservedForGang !== null && machine.reservedForGang !== job.id) continue;
     if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
     if (!hasRoom(job, machine.used, type) || !zoneAllowed(job, machine.zone, tasksByZone(state)))
       continue;
@@ -72,7 +72,7 @@
       if (chance.hit(0.1)) machine.draining = true;
       if (chance.hit(0.1)) machine.avoidUntil = 5;
       if (chance.hit(0.2)) book.holds.hold(machine, jobs[chance.int(0, 23)], 20);
-      if (chance.hit(0.1)) machine.reservedFor = jobs[chance.int(0, 23)].job.id;
+      if (chance.hit(0.1)) machine.reservedForGang = jobs[chance.int(0, 23)].job.id;
     }
     const now = 10;
     const places = new PlacementCandidates(book, now);
--- a/packages/core/choose-machine.ts
+++ b/packages/core/choose-machine.ts
@@ -25,7 +25,7 @@
     // Replicas of a class spread over zones lose less together.
     if (spec.spread) cost += (classZones.get(machine.zone) ?? 0) * CROWDED_ZONE_S;
     if (cost >= lowest) continue;
-    if (machine.reservedFor !== null && machine.reservedFor !== spec.id) continue;
+    if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     if (fleet.holds.isHeldFromJob(machine, job, now)) continue;
     if (!zoneAllowed(spec, machine.zone, ownZones)) continue;
     best = machine;
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -51,7 +51,7 @@
 ): void {
   machine.draining = true;
   for (const { task, to } of moves) {
-    if (to.heldFor === null) {
+    if (to.roomHold === null) {
       fleet.holds.hold(to, task.job, now + HOLD_REPORTS * fleet.settings.reportS);
     }
     fleet.assignments.stopGracefully(task, now);
@@ -59,11 +59,11 @@
 }
 
 function canBeEmptied(fleet: FleetState, slot: StandingSlot, now: number): boolean {
-  const { machine, type, used, reservedFor } = slot;
+  const { machine, type, used, reservedForGang } = slot;
   if (machine.tasks.size === 0 || load(machine, type) > MOST_USED) return false;
   if (!isUsable(machine, fleet.settings.maxTasksPerMachine, now)) return false;
   // Room there that others count on is not given up.
-  if (reservedFor !== null || used.cpus > machine.used.cpus) return false;
+  if (reservedForGang !== null || used.cpus > machine.used.cpus) return false;
   return [...machine.tasks.values()].every((task) => isMovable(task, now));
 }
 
@@ -105,15 +105,15 @@
 /** Whether replicas of the job may move there from the other machine, room apart. */
 function canReceive(
   fleet: FleetState,
-  { machine, type, reservedFor }: StandingSlot,
+  { machine, type, reservedForGang }: StandingSlot,
   from: StandingSlot,
   job: Job,
   now: number,
 ): boolean {
   return (
-    reservedFor === null &&
+    reservedForGang === null &&
     machine.zone === from.machine.zone &&
-    machine.heldFor === null &&
+    machine.roomHold === null &&
     machine.images.has(job.image) &&
     kindAllowed(job, type, machine.zone, machine.spot) &&
     load(machine, type) >= load(from.machine, from.type) &&
--- a/packages/core/direct-orders.ts
+++ b/packages/core/direct-orders.ts
@@ -50,7 +50,7 @@
         orders.push(startOrder(assignment));
       }
     }
-    if (orders.length > 0) machine.calling = true;
+    if (orders.length > 0) machine.directCommandInFlight = true;
     if (!someLater) this.tables.due.delete(machine);
     return orders;
   }
@@ -58,11 +58,10 @@
   private isReachable(machine: Machine, now: number): boolean {
     return (
       machine.state === 'up' &&
-      machine.confirmed &&
-      !machine.calling &&
-      !machine.fencing &&
-      !machine.fenced &&
-      now >= machine.callAfter &&
+      machine.termConfirmed &&
+      !machine.directCommandInFlight &&
+      machine.fence === 'none' &&
+      now >= machine.noDirectCommandBefore &&
       now - machine.answeredAt < RECENT_REPORT * this.tables.settings.reportS
     );
   }
@@ -70,22 +69,23 @@
   /** Takes in what became of the orders that `take` gave. */
   finish(machine: Machine, orders: Order[], outcome: DirectOutcome, now: number): void {
     const { leaseS, reportS } = this.tables.settings;
-    machine.calling = false;
+    machine.directCommandInFlight = false;
     if (outcome.kind === 'unknown') {
-      machine.callAfter = now + leaseS;
+      machine.noDirectCommandBefore = now + leaseS;
       return;
     }
     for (const order of orders) {
       if (order.op === 'start') this.fencing.acknowledged(machine, order);
     }
-    if (outcome.kind === 'refused') machine.callAfter = now + PAUSE_AFTER_REFUSAL * reportS;
+    if (outcome.kind === 'refused')
+      machine.noDirectCommandBefore = now + PAUSE_AFTER_REFUSAL * reportS;
     else this.takeReport(machine, outcome.report, now);
   }
 
   /** It says nothing of starts in an answer that may still be on its way, so absence proves nothing. */
   private takeReport(machine: Machine, report: Report, now: number): void {
-    if (report.session !== machine.session || report.seq <= machine.seq) return;
-    machine.seq = report.seq;
+    if (report.session !== machine.session || report.seq <= machine.lastMessageSeq) return;
+    machine.lastMessageSeq = report.seq;
     for (const task of report.tasks) this.tasks.listed(machine, task, now);
   }
 }
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -50,15 +50,15 @@
   /** The gang has started. */
   release(gangId: string): void {
     for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedFor === gangId) machine.reservedFor = null;
+      if (machine.reservedForGang === gangId) machine.reservedForGang = null;
     }
   }
 
   private releaseObsolete(waitingGangs: Set<string>): void {
     for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedFor === null) continue;
-      const leaves = machine.state === 'dark' || machine.draining || machine.noticeAt !== null;
-      if (leaves || !waitingGangs.has(machine.reservedFor)) machine.reservedFor = null;
+      if (machine.reservedForGang === null) continue;
+      const leaves = machine.state === 'expired' || machine.draining || machine.reclaimAt !== null;
+      if (leaves || !waitingGangs.has(machine.reservedForGang)) machine.reservedForGang = null;
     }
   }
 
@@ -66,7 +66,8 @@
   private releaseIfNotEmptying(emptying: EmptyingMachine[]): void {
     const machines = new Set(emptying.map(({ machine }) => machine));
     for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedFor !== null && !machines.has(machine)) machine.reservedFor = null;
+      if (machine.reservedForGang !== null && !machines.has(machine))
+        machine.reservedForGang = null;
     }
   }
 
@@ -75,8 +76,8 @@
     const found: EmptyingMachine[] = [];
     for (const machine of this.fleet.machines.values()) {
       const type = this.fleet.machines.typeOf(machine);
-      if (!type || machine.state === 'dark' || machine.draining) continue;
-      if (machine.noticeAt !== null || machine.avoidUntil > now) continue;
+      if (!type || machine.state === 'expired' || machine.draining) continue;
+      if (machine.reclaimAt !== null || machine.avoidUntil > now) continue;
       const waitS = emptyInS(machine, type.bootS, now);
       if (waitS !== null) found.push({ machine, type, waitS });
     }
@@ -91,7 +92,7 @@
 function reservedByGang(emptying: EmptyingMachine[]): Map<string, EmptyingMachine[]> {
   const byGang = new Map<string, EmptyingMachine[]>();
   for (const candidate of emptying) {
-    const gang = candidate.machine.reservedFor;
+    const gang = candidate.machine.reservedForGang;
     if (gang === null) continue;
     const own = byGang.get(gang);
     if (own) own.push(candidate);
@@ -119,8 +120,8 @@
     chosen = found.machines;
     break;
   }
-  for (const { machine } of own) machine.reservedFor = null;
-  for (const machine of chosen) machine.reservedFor = spec.id;
+  for (const { machine } of own) machine.reservedForGang = null;
+  for (const machine of chosen) machine.reservedForGang = spec.id;
 }
 
 /**
@@ -134,7 +135,7 @@
   let free = 0;
   let mine = 0;
   for (;;) {
-    while (free < emptying.length && emptying[free].machine.reservedFor !== null) free++;
+    while (free < emptying.length && emptying[free].machine.reservedForGang !== null) free++;
     const nextFree = emptying[free];
     const nextOwn = own[mine];
     if (nextOwn && !(nextFree && nextFree.waitS < nextOwn.waitS * CHANGE_RATIO)) {
@@ -149,7 +150,7 @@
 
 /** Seconds until a machine could be empty, or null if something on it does not end by itself. */
 function emptyInS(machine: Machine, bootS: number, now: number): number | null {
-  if (machine.state === 'booting') return Math.max(1, machine.bornAt + bootS - now);
+  if (machine.state === 'booting') return Math.max(1, machine.rentedAt + bootS - now);
   let waitS = 0;
   for (const { job, stop, runningSince } of machine.tasks.values()) {
     const { kind, estimateS } = job.job;
--- a/packages/core/machine-leases.ts
+++ b/packages/core/machine-leases.ts
@@ -17,12 +17,12 @@
     const expired: Machine[] = [];
     for (const machine of this.tables.machines.values()) {
       if (machine.state === 'booting' && machine.tasks.size === 0) continue;
-      if (machine.state === 'dark' || now <= this.latestEnd(machine)) continue;
+      if (machine.state === 'expired' || now <= this.latestEnd(machine)) continue;
       this.assignments.endAllOn(machine, now);
-      machine.state = 'dark';
-      machine.darkAt = now;
+      machine.state = 'expired';
+      machine.expiredAt = now;
       this.tables.due.delete(machine);
-      machine.reservedFor = null;
+      machine.reservedForGang = null;
       expired.push(machine);
     }
     return expired;
@@ -32,7 +32,7 @@
   private latestEnd(machine: Machine): number {
     const { settings, claimedAt } = this.tables;
     const { leaseS, formerOwnerS, reportS } = settings;
-    const lastAnswer = machine.confirmed
+    const lastAnswer = machine.termConfirmed
       ? machine.answeredAt
       : Math.max(machine.answeredAt, claimedAt + formerOwnerS);
     return lastAnswer + leaseS * (1 + CLOCK_DRIFT) + reportS / 2;
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -44,10 +44,10 @@
   }
 
   /** A machine that the cloud, a record or its own report made known; unchanged if known already. */
-  register(facts: MachineFacts, state: Machine['state'], bornAt: number): Machine {
+  register(facts: MachineFacts, state: Machine['state'], rentedAt: number): Machine {
     const known = this.byName.get(facts.name);
     if (known) return known;
-    const machine = newMachine(facts, state, bornAt, this.token);
+    const machine = newMachine(facts, state, rentedAt, this.token);
     this.byName.set(facts.name, machine);
     return machine;
   }
@@ -69,38 +69,37 @@
 function newMachine(
   facts: MachineFacts,
   state: Machine['state'],
-  bornAt: number,
+  rentedAt: number,
   token: number,
 ): Machine {
   return {
     ...facts,
     state,
-    bornAt,
+    rentedAt,
     session: 0,
-    seq: -1,
-    helloSeq: -1,
+    lastMessageSeq: -1,
+    lastReportSeq: -1,
     token,
-    fencing: false,
-    fenced: false,
-    loose: new Map(),
-    calling: false,
-    callAfter: 0,
-    confirmed: false,
+    fence: 'none',
+    unacknowledgedStarts: new Map(),
+    directCommandInFlight: false,
+    noDirectCommandBefore: 0,
+    termConfirmed: false,
     answeredAt: -Infinity,
-    darkAt: 0,
-    noticeAt: null,
+    expiredAt: 0,
+    reclaimAt: null,
     draining: false,
     avoidUntil: 0,
-    steadySince: Infinity,
-    unheardSince: null,
-    errors: 0,
+    answeredSince: Infinity,
+    oldTokenSince: null,
+    taskErrors: 0,
     images: new Map(),
     tasks: new Map(),
     used: { ...ZERO_AMOUNTS },
-    changes: 0,
-    idleSince: bornAt,
-    reservedFor: null,
-    heldFor: null,
-    listedFailed: false,
+    assignmentVersion: 0,
+    idleSince: rentedAt,
+    reservedForGang: null,
+    roomHold: null,
+    failedInList: false,
   };
 }
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -1,5 +1,5 @@
 import type { Job, TaskState } from '#wire';
-import { ServiceCounter } from './fairshare.js';
+import type { Amounts, ServiceCounter } from './fairshare.js';
 import { TaskSet } from './taskset.js';
 
 export interface StopRequest {
@@ -55,56 +55,81 @@
   waitingSince: number;
 }
 
+/** How far the machine's token has been raised above that of unacknowledged starts. */
+export type Fence =
+  /** Nothing is to be fenced off. */
+  | 'none'
+  /** The next record of the machine is to raise its token. */
+  | 'requested'
+  /** The record is written; earlier starts are harmless once a report shows the new token. */
+  | 'recorded';
+
+/** Room that was made by stopping work, and the job that it waits for. */
+export interface RoomHold {
+  job: JobState;
+  until: number;
+}
+
+/** A rented machine and its worker. Times are seconds of this process's steady clock. */
 export interface Machine {
   name: string;
+  /** `host:port` of the worker; empty until it has reported. */
   addr: string;
+  /** Name of its machine type. */
   type: string;
   zone: string;
   spot: boolean;
-  state: 'booting' | 'up' | 'dark';
-  bornAt: number;
+  /** `expired`: its lease has certainly run out, and nothing is on it (docs/safety.md, point 5). */
+  state: 'booting' | 'up' | 'expired';
+  rentedAt: number;
+  expiredAt: number;
+  /** When the cloud takes it away, if it gave notice. */
+  reclaimAt: number | null;
+  /** The cloud lists it as failed. */
+  failedInList: boolean;
+
+  /** The worker's session: rises whenever its lease has run out. */
   session: number;
-  /** Newest message of any kind, and newest report to which an answer was given. */
-  seq: number;
-  helloSeq: number;
-  /** What our answers carry: the term, or the revision of the machine's last hand-over if later. */
+  /** Newest message of the session of any kind, and newest report that was answered. */
+  lastMessageSeq: number;
+  lastReportSeq: number;
+  /** What answers carry: the term, or the revision of the record that fenced it last if later. */
   token: number;
-  /** The next record of this machine raises its token, so that older commands have no effect. */
-  fencing: boolean;
-  /** The token was raised; what is loose is harmless once a report shows it. */
-  fenced: boolean;
-  /** Attempts whose direct start was not answered: it may still arrive, until a higher token. */
-  loose: Map<string, number>;
-  /** A direct command is under way. */
-  calling: boolean;
-  /** No direct commands until then. */
-  callAfter: number;
   /** A report has shown this term's token, so older commands and answers can have no effect. */
-  confirmed: boolean;
+  termConfirmed: boolean;
   /** When the last report that was answered arrived. */
   answeredAt: number;
-  darkAt: number;
-  noticeAt: number | null;
-  /** Takes no new work. */
+  /** Since when its reports have been answered without a gap. */
+  answeredSince: number;
+  /** Since when its reports have not shown the token of the answers before them. */
+  oldTokenSince: number | null;
+
+  fence: Fence;
+  /** Direct starts that were not answered and may still arrive, by attempt, and when they were sent. */
+  unacknowledgedStarts: Map<string, number>;
+  directCommandInFlight: boolean;
+  noDirectCommandBefore: number;
+
+  /** Takes no new work and is given back once it is empty. */
   draining: boolean;
+  /** Takes no new work before. */
   avoidUntil: number;
-  /** Since when its reports have been answered without a gap. */
-  steadySince: number;
-  /** Since when they have not shown the token of the answers before them. */
-  unheardSince: number | null;
-  errors: number;
-  /** Names of images, most recently used last. */
-  images: Map<string, number>;
+  /** Tasks that failed on it. */
+  taskErrors: number;
+  /** Id of the gang that it is kept free for. */
+  reservedForGang: string | null;
+  roomHold: RoomHold | null;
+
+  /** By task name: what is or may be on it. */
   tasks: Map<string, Assignment>;
-  used: { cpus: number; gpus: number; memory: number };
+  /** What these tasks take of it. */
+  used: Amounts;
   /** Rises whenever a task comes or goes. */
-  changes: number;
+  assignmentVersion: number;
+  /** Since when it has no task; of use only while it has none. */
   idleSince: number;
-  /** Gang that this machine is kept free for. */
-  reservedFor: string | null;
-  /** Room made here by stopping work waits for this job until then. */
-  heldFor: { job: JobState; until: number } | null;
-  listedFailed: boolean;
+  /** Size in GB by name of the images that its worker should have, most recently used last. */
+  images: Map<string, number>;
 }
 
 export interface FleetSettings {
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -12,7 +12,7 @@
   /** Cost of a place there; Infinity: no room any more. */
   cost: number;
   /** The machine's changes when the cost was worked out. */
-  changes: number;
+  assignmentVersion: number;
 }
 
 interface RoomyMachine {
@@ -42,7 +42,11 @@
     const key = `${job.shape} ${job.job.image}`;
     let candidates = this.byRequirementsAndImage.get(key);
     if (!candidates) {
-      candidates = this.withRoom(job).map((roomy) => ({ ...roomy, cost: 0, changes: -1 }));
+      candidates = this.withRoom(job).map((roomy) => ({
+        ...roomy,
+        cost: 0,
+        assignmentVersion: -1,
+      }));
       this.byRequirementsAndImage.set(key, candidates);
     }
     return candidates;
@@ -51,10 +55,10 @@
   /** Cost of a place for the job now; Infinity if the place is gone. */
   cost(candidate: Candidate, job: Job): number {
     const { machine, type } = candidate;
-    if (candidate.changes !== machine.changes) {
+    if (candidate.assignmentVersion !== machine.assignmentVersion) {
       const room = hasRoom(job, machine.used, type) && this.isUsable(machine);
       candidate.cost = room ? placementCost(job, machine, type) : Infinity;
-      candidate.changes = machine.changes;
+      candidate.assignmentVersion = machine.assignmentVersion;
     }
     return candidate.cost;
   }
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -87,9 +87,9 @@
     const zones = tasksByZone(job);
     let best: Victims | null = null;
     for (const machine of this.fleet.machines.values()) {
-      if (machine.state !== 'up' || machine.draining || machine.noticeAt !== null) continue;
+      if (machine.state !== 'up' || machine.draining || machine.reclaimAt !== null) continue;
       if (stopping.has(machine) || this.fleet.holds.isHeldFromJob(machine, job, now)) continue;
-      if (machine.reservedFor !== null || !zoneAllowed(job.job, machine.zone, zones)) continue;
+      if (machine.reservedForGang !== null || !zoneAllowed(job.job, machine.zone, zones)) continue;
       const assignments = this.victimsOn(machine, job, now);
       if (assignments === null) continue;
       const cost = assignments.reduce((sum, each) => sum + lostWork(each, now), 0);
@@ -150,7 +150,7 @@
     const { holds, settings } = this.fleet;
     const { checkpointS, saveS } = job.job;
     const graceS = checkpointS > 0 ? saveS : 0;
-    const before = machine.heldFor?.job;
+    const before = machine.roomHold?.job;
     if (before) heldRoom.set(before, (heldRoom.get(before) ?? 1) - 1);
     holds.hold(machine, job, now + HOLD_REPORTS * settings.reportS + graceS + settings.gangPeerS);
     for (const each of assignments) this.fleet.assignments.stopGracefully(each, now);
--- a/packages/core/report-handler.ts
+++ b/packages/core/report-handler.ts
@@ -34,8 +34,8 @@
     const machine = this.machineOf(report, now);
     if (report.session < machine.session) return LATE_COPY;
     if (report.session === machine.session) {
-      if (report.seq <= machine.helloSeq) return LATE_COPY;
-      if (report.seq <= machine.seq) return this.overtaken(machine, report, now);
+      if (report.seq <= machine.lastReportSeq) return LATE_COPY;
+      if (report.seq <= machine.lastMessageSeq) return this.overtaken(machine, report, now);
     }
     checkAnswerDelivery(machine, report, this.delivery, now);
     if (report.session > machine.session) this.sessionChanged(machine, now);
@@ -58,7 +58,7 @@
    * this answer and it renews the lease.
    */
   private overtaken(machine: Machine, report: Report, now: number): ReportOutcome {
-    machine.helloSeq = report.seq;
+    machine.lastReportSeq = report.seq;
     machine.answeredAt = now;
     return { kind: 'answer', orders: ordersForAnswer(machine, report.seq) };
   }
@@ -88,10 +88,10 @@
   private noteMachine(machine: Machine, report: Report, now: number): void {
     machine.addr = report.addr;
     machine.session = report.session;
-    machine.seq = report.seq;
-    machine.helloSeq = report.seq;
-    machine.noticeAt = report.noticeS === null ? null : now + report.noticeS;
-    if (report.token >= this.tables.term) machine.confirmed = true;
+    machine.lastMessageSeq = report.seq;
+    machine.lastReportSeq = report.seq;
+    machine.reclaimAt = report.noticeS === null ? null : now + report.noticeS;
+    if (report.token >= this.tables.term) machine.termConfirmed = true;
     this.fencing.tokenSeen(machine, report.token);
     this.fencing.fenceOverdueStarts(machine, now);
   }
--- a/packages/core/retry-backoff.ts
+++ b/packages/core/retry-backoff.ts
@@ -17,7 +17,7 @@
 ): void {
   const { job, machine } = assignment;
   if (cause === 'error') {
-    machine.errors++;
+    machine.taskErrors++;
     // The machine is the first suspect; a job that fails again and again waits longer each time.
     machine.avoidUntil = Math.max(machine.avoidUntil, now + AVOID_AFTER_ERROR * reportS);
     job.failures++;
--- a/packages/core/room-holds.ts
+++ b/packages/core/room-holds.ts
@@ -7,19 +7,19 @@
 
   /** Holds the machine's room for the job, until then (seconds of the steady clock) at the longest. */
   hold(machine: Machine, job: JobState, until: number): void {
-    machine.heldFor = { job, until };
+    machine.roomHold = { job, until };
     this.machines.add(machine);
   }
 
   release(machine: Machine): void {
-    if (machine.heldFor === null) return;
-    machine.heldFor = null;
+    if (machine.roomHold === null) return;
+    machine.roomHold = null;
     this.machines.delete(machine);
   }
 
   /** The job got a place there: what it still waits for needs room of its own. */
   taken(machine: Machine, job: JobState): void {
-    if (machine.heldFor?.job === job) this.release(machine);
+    if (machine.roomHold?.job === job) this.release(machine);
   }
 
   /**
@@ -27,7 +27,7 @@
    * run out, or whose job is over, is released.
    */
   isHeldFromJob(machine: Machine, job: JobState, now: number): boolean {
-    const hold = machine.heldFor;
+    const hold = machine.roomHold;
     if (hold === null || hold.job === job) return false;
     if (now > hold.until || hold.job.phase !== 'accepted') {
       this.release(machine);
@@ -39,9 +39,9 @@
   /** On how many machines room is held for each job. */
   machinesByJob(now: number): Map<JobState, number> {
     const counts = new Map<JobState, number>();
-    for (const { heldFor } of this.machines) {
-      if (heldFor && heldFor.until >= now) {
-        counts.set(heldFor.job, (counts.get(heldFor.job) ?? 0) + 1);
+    for (const { roomHold } of this.machines) {
+      if (roomHold && roomHold.until >= now) {
+        counts.set(roomHold.job, (counts.get(roomHold.job) ?? 0) + 1);
       }
     }
     return counts;
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -121,7 +121,7 @@
     for (let i = full; i < slots.length; i++) {
       const slot = slots[i];
       if (!holds(slot, job)) continue;
-      if (slot.reservedFor !== null && slot.reservedFor !== gang) continue;
+      if (slot.reservedForGang !== null && slot.reservedForGang !== gang) continue;
       if (!isZoneFull(job, slot.zone, tasksByZone)) return slot;
     }
     return null;
--- a/packages/core/slots.ts
+++ b/packages/core/slots.ts
@@ -13,7 +13,7 @@
   /** Something is there or is planned to go there. */
   touched: boolean;
   /** The gang that the machine is reserved for. */
-  reservedFor: string | null;
+  reservedForGang: string | null;
 }
 
 export type StandingSlot = Slot & { machine: Machine };
@@ -28,9 +28,9 @@
   const slots: StandingSlot[] = [];
   for (const machine of fleet.machines.values()) {
     const type = fleet.machines.typeOf(machine);
-    if (!type || machine.state === 'dark' || machine.draining || machine.listedFailed) continue;
+    if (!type || machine.state === 'expired' || machine.draining || machine.failedInList) continue;
     if (machine.state === 'up' && !canTakeTasks(machine, maxTasksPerMachine)) continue;
-    if (machine.state === 'booting' && now - machine.bornAt > lateFrom * type.bootS) continue;
+    if (machine.state === 'booting' && now - machine.rentedAt > lateFrom * type.bootS) continue;
     slots.push(standingSlot(machine, type));
   }
   return slots.sort(
@@ -42,10 +42,10 @@
 }
 
 function standingSlot(machine: Machine, type: MachineType): StandingSlot {
-  const { zone, spot, reservedFor } = machine;
+  const { zone, spot, reservedForGang } = machine;
   // What a gang waits for will be empty when it starts.
-  const used = { ...(reservedFor === null ? machine.used : ZERO_AMOUNTS) };
-  return { machine, type, zone, spot, used, touched: machine.tasks.size > 0, reservedFor };
+  const used = { ...(reservedForGang === null ? machine.used : ZERO_AMOUNTS) };
+  return { machine, type, zone, spot, used, touched: machine.tasks.size > 0, reservedForGang };
 }
 
 function fillOf({ used, type }: Slot): number {
@@ -55,7 +55,7 @@
 /** Fields come in the same order as above, so that all slots have one hidden class: plans scan them. */
 export function emptySlot({ type, zone, spot }: MachineKind): Slot {
   const used = { ...ZERO_AMOUNTS };
-  return { machine: null, type, zone, spot, used, touched: false, reservedFor: null };
+  return { machine: null, type, zone, spot, used, touched: false, reservedForGang: null };
 }
 
 /** Whether one more task of the job has room there and may go there, its zones apart. */
--- a/packages/core/start-fencing.ts
+++ b/packages/core/start-fencing.ts
@@ -15,38 +15,40 @@
 
   /** A direct start is being sent. */
   startSent(machine: Machine, start: TaskRef, now: number): void {
-    machine.loose.set(startKey(start), now);
+    machine.unacknowledgedStarts.set(startKey(start), now);
   }
 
   /** The worker has answered it, whether it carried it out or not. */
   acknowledged(machine: Machine, start: TaskRef): void {
-    machine.loose.delete(startKey(start));
+    machine.unacknowledgedStarts.delete(startKey(start));
   }
 
   /** The start may still arrive. */
   mayArrive(machine: Machine, start: TaskRef): boolean {
-    return machine.loose.size > 0 && machine.loose.has(startKey(start));
+    return (
+      machine.unacknowledgedStarts.size > 0 && machine.unacknowledgedStarts.has(startKey(start))
+    );
   }
 
   /** The worker is in a new session, and drops what was sent for the one before. */
   sessionChanged(machine: Machine): void {
-    machine.loose.clear();
+    machine.unacknowledgedStarts.clear();
   }
 
   /** A report showed this token: direct commands with a lower one have no effect any more. */
   tokenSeen(machine: Machine, token: number): void {
-    // Direct commands are not sent while the token is being raised, so all that is loose is older.
-    if (!machine.fenced || token < machine.token) return;
-    machine.loose.clear();
-    machine.fenced = false;
+    // Direct commands are not sent while the token is being raised, so all of these starts are older.
+    if (machine.fence !== 'recorded' || token < machine.token) return;
+    machine.unacknowledgedStarts.clear();
+    machine.fence = 'none';
   }
 
   /** Asks for a new record of the machine if a start has been unacknowledged for too long. */
   fenceOverdueStarts(machine: Machine, now: number): void {
-    if (machine.fencing || machine.fenced || machine.calling) return;
-    for (const sentAt of machine.loose.values()) {
+    if (machine.fence !== 'none' || machine.directCommandInFlight) return;
+    for (const sentAt of machine.unacknowledgedStarts.values()) {
       if (now - sentAt < FENCE_AFTER_REPORTS * this.tables.settings.reportS) continue;
-      machine.fencing = true;
+      machine.fence = 'requested';
       this.tables.unrecorded.machines.add(machine.name);
       return;
     }
@@ -54,9 +56,8 @@
 
   /** The machine's record was written at this revision. */
   recorded(machine: Machine, revision: number): void {
-    if (!machine.fencing) return;
-    machine.fencing = false;
-    machine.fenced = true;
+    if (machine.fence !== 'requested') return;
+    machine.fence = 'recorded';
     machine.token = revision;
   }
 }
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -59,7 +59,7 @@
 
 export function aMachine(book: FleetState, name: string, own: Partial<Machine> = {}): Machine {
   const facts = { name, addr: '', type: 'std', zone: 'a', spot: false, ...own };
-  const machine = book.machines.register(facts, 'up', own.bornAt ?? 0);
+  const machine = book.machines.register(facts, 'up', own.rentedAt ?? 0);
   book.machines.updateTotals();
   return machine;
 }
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -244,7 +244,8 @@
       }
       if (fault === 'believes-old-copies') {
         const machine = target.book.machines.get(report.machine);
-        if (machine && machine.seq >= report.seq) machine.seq = machine.helloSeq = report.seq - 1;
+        if (machine && machine.lastMessageSeq >= report.seq)
+          machine.lastMessageSeq = machine.lastReportSeq = report.seq - 1;
       }
       const outcome = target.book.reports.handle(report, at);
       const answered = outcome.kind === 'answer';
@@ -270,7 +271,11 @@
           if (!life || gaveUp(life, t)) return;
           if (fault === 'believes-old-copies') {
             const machine = life.book.machines.get(report.machine);
-            if (machine) machine.seq = machine.helloSeq = Math.min(machine.seq, report.seq - 1);
+            if (machine)
+              machine.lastMessageSeq = machine.lastReportSeq = Math.min(
+                machine.lastMessageSeq,
+                report.seq - 1,
+              );
           }
           life.book.reports.handle(report, t);
         },
@@ -306,7 +311,7 @@
         run: (t) => {
           if (answered.has(orders)) return;
           from.book.directOrders.finish(machine, orders, { kind: 'unknown' }, t);
-          if (fault === 'forgets-late-starts') machine.loose.clear();
+          if (fault === 'forgets-late-starts') machine.unacknowledgedStarts.clear();
         },
       });
     }
