Core: the fields of a job's state named for what they say

job -> spec, shape -> requirementsKey, places -> assignments, requeued/cursor -> returnedTasks/scanFrom, notBefore -> backoffUntil, unsaved -> hasUnrecordedProgress; doc comments on all fields of the model.

--- a/packages/controller/fleet-events.ts
+++ b/packages/controller/fleet-events.ts
@@ -12,14 +12,14 @@
       const { name, type, zone, spot, rentedAt } = machine;
       log.debug({ machine: name, type, zone, spot, bootedS: hundredths(now - rentedAt) }, 'up');
     },
-    jobClosed: (job, now) => planner().jobEnded(job.job, now),
+    jobClosed: (job, now) => planner().jobEnded(job.spec, now),
     taskRunning({ job, index, machine, assignedAt }, now) {
       const fields = {
-        job: job.job.id,
+        job: job.spec.id,
         task: index,
-        class: job.job.class,
+        class: job.spec.class,
         machine: machine.name,
-        image: job.job.image,
+        image: job.spec.image,
         placedS: hundredths(assignedAt - job.acceptedAt),
         fetchedS: hundredths(now - assignedAt),
       };
@@ -28,7 +28,7 @@
     taskEnded({ assignment, cause }, now) {
       const { job, index, attempt, machine } = assignment;
       const ranS = now - (assignment.runningSince ?? now);
-      const fields = { job: job.job.id, task: index, attempt, machine: machine.name, cause, ranS };
+      const fields = { job: job.spec.id, task: index, attempt, machine: machine.name, cause, ranS };
       log.debug(fields, 'task over');
     },
   };
--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -35,7 +35,7 @@
     if (machine.state === 'up' && machine.tasks.size === 0) summary.idle++;
   }
   for (const job of book.jobs.waiting)
-    add(summary.waiting, job.job.class, book.jobs.waitingCount(job));
+    add(summary.waiting, job.spec.class, book.jobs.waitingCount(job));
   for (const team of teams) {
     summary.use[team] = book.usage.ofTeam(team).gpus;
     summary.index[team] = Number(scheduler.index(team, now).toFixed(3));
@@ -59,7 +59,7 @@
   const counts: TaskCounts[] = [];
   for (const job of book.jobs.values()) {
     if (job.phase !== 'accepted') continue;
-    counts.push({ job: job.job.id, done: job.done.size, running: runningTasks(job) });
+    counts.push({ job: job.spec.id, done: job.done.size, running: runningTasks(job) });
   }
   return counts;
 }
--- a/packages/controller/job-intake.test.ts
+++ b/packages/controller/job-intake.test.ts
@@ -31,14 +31,14 @@
   intake.take(accepted('j-2'));
   assert.deepEqual(arrivals, ['j-1', 'j-2']);
   assert.deepEqual(
-    [...book.jobs.waiting].map((job) => job.job.id),
+    [...book.jobs.waiting].map((job) => job.spec.id),
     ['j-2'],
   );
   assert.deepEqual([...intake.unrecorded.keys()], ['j-1']);
   // What an earlier term has started of it ends.
   const job = book.jobs.get('j-1')!;
   book.assignments.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
-  assert.equal(job.places.get(0)?.[0].stop?.graceS, 0);
+  assert.equal(job.assignments.get(0)?.[0].stop?.graceS, 0);
   intake.take({ ...accepted('j-1'), phase: 'aborted', version: 2 });
   assert.equal(intake.unrecorded.size, 0);
 });
--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -28,18 +28,18 @@
   /** Takes a part of a job's done tasks from the record that an earlier term left. */
   loaded(job: JobState, chunk: number, recorded: RecordedChunk): void {
     job.done.addChunk(chunk, this.chunkTasks, recorded.text);
-    this.chunks.set(progressKey(job.job.id, chunk), recorded);
+    this.chunks.set(progressKey(job.spec.id, chunk), recorded);
   }
 
   /** What is to be recorded of a job now; all of it together makes the job saved. */
   changesOf(job: JobState): RecordChange[] {
     if (job.phase !== 'accepted') return [];
-    return job.done.size === job.job.tasks ? this.doneChange(job) : this.progressChanges(job);
+    return job.done.size === job.spec.tasks ? this.doneChange(job) : this.progressChanges(job);
   }
 
   private doneChange(job: JobState): RecordChange[] {
     const { book, jobs } = this.options;
-    const { id } = job.job;
+    const { id } = job.spec;
     const record = jobs.get(id);
     if (record?.phase !== 'accepted') return [];
     const key = jobKey(id);
@@ -51,11 +51,11 @@
   }
 
   private progressChanges(job: JobState): RecordChange[] {
-    const again = () => void this.options.book.unrecorded.jobs.add(job.job.id);
+    const again = () => void this.options.book.unrecorded.jobs.add(job.spec.id);
     return this.unrecordedChunks(job).map(({ key, text, version }) => {
       const durable = (revision: number) => {
         this.chunks.set(key, { version: revision, text });
-        if (this.unrecordedChunks(job).length === 0) job.unsaved = false;
+        if (this.unrecordedChunks(job).length === 0) job.hasUnrecordedProgress = false;
       };
       return {
         key,
@@ -71,8 +71,8 @@
   /** The parts that differ from their records, the one that was recorded longest ago first. */
   private unrecordedChunks(job: JobState): (RecordedChunk & { key: string })[] {
     const found: (RecordedChunk & { key: string })[] = [];
-    for (let chunk = 0; chunk * this.chunkTasks < job.job.tasks; chunk++) {
-      const key = progressKey(job.job.id, chunk);
+    for (let chunk = 0; chunk * this.chunkTasks < job.spec.tasks; chunk++) {
+      const key = progressKey(job.spec.id, chunk);
       const text = job.done.chunkText(chunk, this.chunkTasks);
       const recorded = this.chunks.get(key);
       const isRecorded = recorded ? recorded.text === text : holdsNoTask(text);
--- a/packages/controller/machine-records.ts
+++ b/packages/controller/machine-records.ts
@@ -56,7 +56,7 @@
     const guards = new Map<string, Condition>();
     const assignments: Assignment[] = [];
     for (const assignment of machine.tasks.values()) {
-      const { id } = assignment.job.job;
+      const { id } = assignment.job.spec;
       const guarded = !assignment.recorded && assignment.stop === null;
       if (guarded && !guards.has(id)) {
         if (guards.size === maxGuards) continue;
@@ -75,6 +75,6 @@
     type: machine.type,
     zone: machine.zone,
     spot: machine.spot,
-    tasks: assignments.map(({ job, index, attempt }) => [job.job.id, index, attempt]),
+    tasks: assignments.map(({ job, index, attempt }) => [job.spec.id, index, attempt]),
   };
 }
--- a/packages/controller/notices.ts
+++ b/packages/controller/notices.ts
@@ -5,7 +5,7 @@
   for (const machine of book.machines.values()) {
     if (machine.reclaimAt === null) continue;
     for (const task of machine.tasks.values()) {
-      const { checkpointS, kind } = task.job.job;
+      const { checkpointS, kind } = task.job.spec;
       const worthStopping = checkpointS > 0 || kind === 'service';
       if (task.stop === null && worthStopping) book.assignments.stopGracefully(task, now);
     }
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -149,7 +149,7 @@
   assert.equal(tasksOn('n-1'), undefined);
   assert.equal(handedOver.token, state.service.store.get(`${MACHINES}n-2`)?.version);
   assert.ok(handedOver.token > term);
-  book.assignments.stop(job.places.get(2)![0], 0, 0);
+  book.assignments.stop(job.assignments.get(2)![0], 0, 0);
   await flush();
   assert.deepEqual(tasksOn('n-2'), ['j-1']);
   // A transaction that only deletes needs no revision.
@@ -189,13 +189,13 @@
     for (let index = 1; index <= tasks; index++) book.assignments.assign(job, index, machine, 1, 0);
     await flush();
     assert.equal(tasksOn('n-1')?.length, tasks);
-    assert.ok(!job.unsaved);
+    assert.ok(!job.hasUnrecordedProgress);
     const revision = state.service.store.revision;
     aJobWithDone(book, [60_001]);
     await flush();
     // Only the part that differs is written.
     assert.equal(state.service.store.revision, revision + 1);
-    assert.ok(!job.unsaved);
+    assert.ok(!job.hasUnrecordedProgress);
     assert.equal(state.service.store.get('jobs/j-1')?.version, 2);
   }
 });
--- a/packages/core/answer-orders.test.ts
+++ b/packages/core/answer-orders.test.ts
@@ -14,7 +14,7 @@
   a2.recorded = true;
   assert.deepEqual(book.reports.handle(report(2), 2), {
     kind: 'answer',
-    orders: [{ op: 'start', job: job.job.id, index: 0, attempt: 7 }],
+    orders: [{ op: 'start', job: job.spec.id, index: 0, attempt: 7 }],
   });
   assert.deepEqual(
     book.reports.handle(report(2), 3),
--- a/packages/core/answer-orders.ts
+++ b/packages/core/answer-orders.ts
@@ -20,7 +20,7 @@
 export function isStartable(assignment: Assignment): boolean {
   const { reported, inherited, recorded, job, attempt } = assignment;
   if (reported !== null || inherited || !recorded) return false;
-  return job.job.kind !== 'gang' || isAttemptRecorded(job, attempt);
+  return job.spec.kind !== 'gang' || isAttemptRecorded(job, attempt);
 }
 
 /** All tasks of the gang's attempt have a recorded place. Older attempts may be on their way out. */
@@ -29,11 +29,11 @@
   for (const assignment of assignmentsOf(job)) {
     if (assignment.attempt === attempt && assignment.recorded) recorded++;
   }
-  return recorded === job.job.tasks;
+  return recorded === job.spec.tasks;
 }
 
 export function taskRef({ job, index, attempt }: Assignment): TaskRef {
-  return { job: job.job.id, index, attempt };
+  return { job: job.spec.id, index, attempt };
 }
 
 export function startOrder(assignment: Assignment): Order {
--- a/packages/core/assignments.test.ts
+++ b/packages/core/assignments.test.ts
@@ -14,14 +14,14 @@
       const machine = aMachine(book, 'n-1');
       book.jobs.waitingTasks(job, 10);
       for (const i of moves) {
-        const places = job.places.get(i);
+        const places = job.assignments.get(i);
         if (places) book.assignments.stop(places[0], 0, 0);
         else book.assignments.assign(job, i, machine, book.assignments.newAttempt(), 0);
       }
       const waiting = book.jobs.waitingTasks(job, 100);
       assert.equal(new Set(waiting).size, waiting.length);
       assert.equal(waiting.length, book.jobs.waitingCount(job));
-      for (const i of waiting) assert.ok(!job.places.has(i));
+      for (const i of waiting) assert.ok(!job.assignments.has(i));
     }),
     SEEDED,
   );
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -27,8 +27,8 @@
 
   /** Gives a waiting task to a machine; throws if it may still be elsewhere. */
   assign(job: JobState, index: number, machine: Machine, attempt: number, now: number): Assignment {
-    if (job.places.has(index) || job.done.has(index) || job.phase !== 'accepted') {
-      throw new Error(`${job.job.id}/${index} does not wait for a place`);
+    if (job.assignments.has(index) || job.done.has(index) || job.phase !== 'accepted') {
+      throw new Error(`${job.spec.id}/${index} does not wait for a place`);
     }
     const assignment = this.add(job, index, machine, attempt, now);
     this.tables.unrecorded.machines.add(machine.name);
@@ -66,13 +66,13 @@
     now: number,
   ): Assignment {
     const { machines, holds, due } = this.tables;
-    const share = dominantShare(job.job, machines.totals);
+    const share = dominantShare(job.spec, machines.totals);
     const assignment = newAssignment(job, index, machine, attempt, share, now);
-    const others = job.places.get(index);
+    const others = job.assignments.get(index);
     if (others) others.push(assignment);
-    else job.places.set(index, [assignment]);
-    machine.tasks.set(taskName(job.job.id, index), assignment);
-    useImage(machine, job.job, machines.typeOf(machine)?.cacheGb ?? Infinity);
+    else job.assignments.set(index, [assignment]);
+    machine.tasks.set(taskName(job.spec.id, index), assignment);
+    useImage(machine, job.spec, machines.typeOf(machine)?.cacheGb ?? Infinity);
     due.add(machine);
     holds.taken(machine, job);
     this.count(assignment, 1, now);
@@ -82,7 +82,7 @@
   private count(assignment: Assignment, sign: 1 | -1, now: number): void {
     const { machine, job } = assignment;
     machine.assignmentVersion++;
-    addAmounts(machine.used, job.job, sign);
+    addAmounts(machine.used, job.spec, sign);
     this.tables.usage.count(assignment, sign, now);
   }
 
@@ -101,9 +101,9 @@
 
   /** Stops a task so that what can be saved is saved; a gang stops as a whole. */
   stopGracefully(assignment: Assignment, now: number): void {
-    const { job } = assignment.job;
-    const graceS = job.checkpointS > 0 ? job.saveS + this.tables.settings.reportS : 0;
-    const stopped = job.kind === 'gang' ? [...assignmentsOf(assignment.job)] : [assignment];
+    const { spec } = assignment.job;
+    const graceS = spec.checkpointS > 0 ? spec.saveS + this.tables.settings.reportS : 0;
+    const stopped = spec.kind === 'gang' ? [...assignmentsOf(assignment.job)] : [assignment];
     for (const each of stopped) this.stop(each, graceS, now);
   }
 
@@ -111,7 +111,7 @@
   end(assignment: Assignment, cause: TaskEnd['cause'], saved: boolean, now: number): void {
     const { job, index, machine } = assignment;
     const { jobs, unrecorded, listener, settings } = this.tables;
-    const name = taskName(job.job.id, index);
+    const name = taskName(job.spec.id, index);
     if (machine.tasks.get(name) !== assignment) return;
     machine.tasks.delete(name);
     if (machine.tasks.size === 0) machine.idleSince = now;
@@ -120,9 +120,9 @@
     unrecorded.machines.add(machine.name);
     jobs.joinQueueIfAnyWaits(job, now);
     if (job.phase === 'accepted' && !job.done.has(index)) {
-      if (index < job.cursor) job.requeued.add(index);
+      if (index < job.scanFrom) job.returnedTasks.add(index);
       noteFailure(assignment, cause, settings.reportS, now);
-      if (job.job.kind === 'gang') this.stopRestOfAttempt(assignment, now);
+      if (job.spec.kind === 'gang') this.stopRestOfAttempt(assignment, now);
     }
     listener.taskEnded({ assignment, cause, saved }, now);
   }
@@ -170,8 +170,8 @@
 }
 
 function removeFromJob(assignment: Assignment): void {
-  const { places } = assignment.job;
-  const rest = (places.get(assignment.index) ?? []).filter((other) => other !== assignment);
-  if (rest.length > 0) places.set(assignment.index, rest);
-  else places.delete(assignment.index);
+  const { assignments } = assignment.job;
+  const rest = (assignments.get(assignment.index) ?? []).filter((other) => other !== assignment);
+  if (rest.length > 0) assignments.set(assignment.index, rest);
+  else assignments.delete(assignment.index);
 }
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -95,7 +95,7 @@
 
   private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
     const { fleet, teams } = this.options;
-    const { job: spec } = job;
+    const { spec } = job;
     const terms = teams.get(spec.team);
     if (!terms) return;
     let used = usage.get(spec.team);
@@ -154,7 +154,9 @@
 
 /** Higher ranks first, then whole-machine work before what fits into gaps, then the oldest. */
 function byRankAndSize(a: JobState, b: JobState): number {
-  return a.job.rank - b.job.rank || sizeOf(b.job) - sizeOf(a.job) || a.acceptedAt - b.acceptedAt;
+  return (
+    a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || a.acceptedAt - b.acceptedAt
+  );
 }
 
 /** Accelerators count before processors. */
--- a/packages/core/choose-gang-machines.ts
+++ b/packages/core/choose-gang-machines.ts
@@ -24,7 +24,7 @@
   candidates: PlacementCandidates,
   now: number,
 ): Machine[] | null {
-  const zones = job.job.oneZone ? candidates.zones() : [null];
+  const zones = job.spec.oneZone ? candidates.zones() : [null];
   const options = gangOptions(fleet, job, candidates, now);
   let best: GangPlacement | null = null;
   for (const zone of zones) {
@@ -41,7 +41,7 @@
   candidates: PlacementCandidates,
   now: number,
 ): GangOption[] {
-  const { job: spec } = job;
+  const { spec } = job;
   const { maxTasksPerMachine } = fleet.settings;
   const options: GangOption[] = [];
   for (const candidate of candidates.forJob(job)) {
@@ -61,7 +61,7 @@
 
 /** Takes the cheapest options, in one zone or any (null), until the gang is complete. */
 function fillGang(
-  { job: spec }: JobState,
+  { spec }: JobState,
   zone: string | null,
   options: GangOption[],
 ): GangPlacement | null {
--- a/packages/core/choose-machine.test.ts
+++ b/packages/core/choose-machine.test.ts
@@ -18,11 +18,11 @@
 
 /** The choice as its rules say it, by a look at every machine. */
 function byEveryMachine(book: FleetState, state: JobState, now: number): Machine | null {
-  const { job } = state;
+  const { spec } = state;
   const classZones = new Map<string, number>();
   for (const m of book.machines.values()) {
     for (const a of m.tasks.values()) {
-      if (a.job.job.class !== job.class) continue;
+      if (a.job.spec.class !== spec.class) continue;
       classZones.set(m.zone, (classZones.get(m.zone) ?? 0) + 1);
     }
   }
@@ -31,12 +31,12 @@
     const type = book.machines.types.get(machine.type)!;
     if (!isUsable(machine, book.settings.maxTasksPerMachine, now)) continue;
     if (book.holds.isHeldFromJob(machine, state, now)) continue;
-    if (machine.reservedForGang !== null && machine.reservedForGang !== job.id) continue;
-    if ((machine.spot && !job.spot) || !typeFits(job, type)) continue;
-    if (!hasRoom(job, machine.used, type) || !zoneAllowed(job, machine.zone, tasksByZone(state)))
+    if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
+    if ((machine.spot && !spec.spot) || !typeFits(spec, type)) continue;
+    if (!hasRoom(spec, machine.used, type) || !zoneAllowed(spec, machine.zone, tasksByZone(state)))
       continue;
-    const crowd = job.spread ? (classZones.get(machine.zone) ?? 0) / 4 : 0;
-    const cost = placementCost(job, machine, type) + crowd;
+    const crowd = spec.spread ? (classZones.get(machine.zone) ?? 0) / 4 : 0;
+    const cost = placementCost(spec, machine, type) + crowd;
     if (best === null || cost < best.cost) best = { machine, cost };
   }
   return best?.machine ?? null;
@@ -72,7 +72,7 @@
       if (chance.hit(0.1)) machine.draining = true;
       if (chance.hit(0.1)) machine.avoidUntil = 5;
       if (chance.hit(0.2)) book.holds.hold(machine, jobs[chance.int(0, 23)], 20);
-      if (chance.hit(0.1)) machine.reservedForGang = jobs[chance.int(0, 23)].job.id;
+      if (chance.hit(0.1)) machine.reservedForGang = jobs[chance.int(0, 23)].spec.id;
     }
     const now = 10;
     const places = new PlacementCandidates(book, now);
--- a/packages/core/choose-machine.ts
+++ b/packages/core/choose-machine.ts
@@ -15,7 +15,7 @@
   candidates: PlacementCandidates,
   now: number,
 ): Machine | null {
-  const { job: spec } = job;
+  const { spec } = job;
   const classZones = fleet.usage.tasksByZone(spec.class);
   let best: Machine | null = null;
   let lowest = Infinity;
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -73,7 +73,7 @@
 
 function isMovable({ job, stop, reported, runningSince }: Assignment, now: number): boolean {
   const isSettled = runningSince !== null && now - runningSince >= SETTLED_S;
-  return job.job.kind === 'service' && stop === null && isSettled && reported === 'running';
+  return job.spec.kind === 'service' && stop === null && isSettled && reported === 'running';
 }
 
 /** A machine for each task of the slot, or null if one finds none. */
@@ -86,16 +86,16 @@
   const taken = new Map<StandingSlot, Amounts>();
   const moves: Move[] = [];
   for (const task of from.machine.tasks.values()) {
-    const { job } = task.job;
+    const { spec } = task.job;
     const target = slots.find(
       (slot) =>
         slot !== from &&
-        canReceive(fleet, slot, from, job, now) &&
-        hasRoom(job, taken.get(slot) ?? slot.used, slot.type),
+        canReceive(fleet, slot, from, spec, now) &&
+        hasRoom(spec, taken.get(slot) ?? slot.used, slot.type),
     );
     if (!target) return null;
     const used = taken.get(target) ?? { ...target.used };
-    addAmounts(used, job, 1);
+    addAmounts(used, spec, 1);
     taken.set(target, used);
     moves.push({ task, to: target.machine });
   }
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -37,13 +37,13 @@
   /** Brings all reservations up to date. */
   update(now: number): void {
     const gangs = [...this.fleet.jobs.waiting].filter(isWaitingGang);
-    this.releaseObsolete(new Set(gangs.map((gang) => gang.job.id)));
+    this.releaseObsolete(new Set(gangs.map((gang) => gang.spec.id)));
     if (gangs.length === 0) return;
     const emptying = this.emptyingMachines(now);
     this.releaseIfNotEmptying(emptying);
     const byGang = reservedByGang(emptying);
     for (const gang of gangs.sort(byRankAndAge)) {
-      reserveFor(gang, emptying, byGang.get(gang.job.id) ?? []);
+      reserveFor(gang, emptying, byGang.get(gang.spec.id) ?? []);
     }
   }
 
@@ -86,7 +86,7 @@
 }
 
 function isWaitingGang(job: JobState): boolean {
-  return job.job.kind === 'gang' && job.places.size === 0;
+  return job.spec.kind === 'gang' && job.assignments.size === 0;
 }
 
 function reservedByGang(emptying: EmptyingMachine[]): Map<string, EmptyingMachine[]> {
@@ -102,11 +102,7 @@
 }
 
 /** Reserves the machines that are empty soonest and hold the whole gang; none if no set does. */
-function reserveFor(
-  { job: spec }: JobState,
-  emptying: EmptyingMachine[],
-  own: EmptyingMachine[],
-): void {
+function reserveFor({ spec }: JobState, emptying: EmptyingMachine[], own: EmptyingMachine[]): void {
   const byZone = new Map<string, Found>();
   let chosen: Machine[] = [];
   for (const { machine, type } of soonestFirst(emptying, own)) {
@@ -153,7 +149,7 @@
   if (machine.state === 'booting') return Math.max(1, machine.rentedAt + bootS - now);
   let waitS = 0;
   for (const { job, stop, runningSince } of machine.tasks.values()) {
-    const { kind, estimateS } = job.job;
+    const { kind, estimateS } = job.spec;
     if (stop !== null) continue;
     if (kind === 'service') return null;
     const ranS = runningSince === null ? 0 : now - runningSince;
--- a/packages/core/job-queues.ts
+++ b/packages/core/job-queues.ts
@@ -18,8 +18,8 @@
 export function jobsByPrecedence(fleet: FleetState, shares: TeamShares, now: number): JobState[][] {
   const tiers: JobState[][] = [];
   for (const job of fleet.jobs.waiting) {
-    if (job.notBefore > now) continue;
-    const tier = (shares.withinGuarantee(job.job) ? 0 : RANKS) + job.job.rank;
+    if (job.backoffUntil > now) continue;
+    const tier = (shares.withinGuarantee(job.spec) ? 0 : RANKS) + job.spec.rank;
     (tiers[tier] ??= []).push(job);
   }
   return tiers.filter((tier) => tier !== undefined);
@@ -28,9 +28,9 @@
 export function queuesByTeam(waiting: JobState[], now: number): TeamQueue[] {
   const byTeam = new Map<string, JobState[]>();
   for (const job of waiting) {
-    const jobs = byTeam.get(job.job.team);
+    const jobs = byTeam.get(job.spec.team);
     if (jobs) jobs.push(job);
-    else byTeam.set(job.job.team, [job]);
+    else byTeam.set(job.spec.team, [job]);
   }
   return [...byTeam].map(([team, jobs]) => ({ team, jobs: leastServedFirst(jobs, now) }));
 }
@@ -42,12 +42,12 @@
 
 /** Jobs of the highest rank first, then the oldest. */
 export function byRankAndAge(a: JobState, b: JobState): number {
-  return a.job.rank - b.job.rank || a.acceptedAt - b.acceptedAt;
+  return a.spec.rank - b.spec.rank || a.acceptedAt - b.acceptedAt;
 }
 
 /** What fails alike: while a job has no task anywhere, its zones are as free as any other's. */
 export function placementKey(job: JobState): string {
-  const { job: spec, places, shape } = job;
-  const own = (spec.spread || spec.oneZone) && places.size > 0 ? spec.id : '';
-  return `${shape} ${own}`;
+  const { spec, assignments, requirementsKey } = job;
+  const own = (spec.spread || spec.oneZone) && assignments.size > 0 ? spec.id : '';
+  return `${requirementsKey} ${own}`;
 }
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -31,17 +31,17 @@
   /** A job that is not known yet. Times are seconds of the steady clock. */
   add(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
     const state: JobState = {
-      job,
-      shape: requirementsKey(job),
+      spec: job,
+      requirementsKey: requirementsKey(job),
       acceptedAt,
       phase,
       done: new TaskSet(job.tasks),
-      unsaved: false,
-      places: new Map(),
-      requeued: new Set(),
-      cursor: 0,
+      hasUnrecordedProgress: false,
+      assignments: new Map(),
+      returnedTasks: new Set(),
+      scanFrom: 0,
       failures: 0,
-      notBefore: 0,
+      backoffUntil: 0,
       service: new ServiceCounter(this.halfLifeS, now),
       waitingSince: now,
     };
@@ -53,34 +53,34 @@
   /** Notes a final phase. The job's tasks are stopped by the caller. */
   setFinalPhase(job: JobState, phase: 'aborted' | 'done'): void {
     job.phase = phase;
-    job.unsaved = false;
+    job.hasUnrecordedProgress = false;
     this.waiting.delete(job);
   }
 
   /** Removes jobs that are over and have no task left anywhere. */
   removeEnded(): void {
     for (const [id, job] of this.byId) {
-      if (job.phase !== 'accepted' && job.places.size === 0) this.byId.delete(id);
+      if (job.phase !== 'accepted' && job.assignments.size === 0) this.byId.delete(id);
     }
   }
 
   /** How many tasks wait for a machine. */
   waitingCount(job: JobState): number {
     if (job.phase !== 'accepted') return 0;
-    return Math.max(0, job.job.tasks - job.done.size - job.places.size);
+    return Math.max(0, job.spec.tasks - job.done.size - job.assignments.size);
   }
 
   /** Up to `limit` tasks that wait for a machine, lowest first; they wait on until assigned. */
   waitingTasks(job: JobState, limit: number): number[] {
-    const waits = (index: number) => !job.done.has(index) && !job.places.has(index);
+    const waits = (index: number) => !job.done.has(index) && !job.assignments.has(index);
     const found: number[] = [];
-    for (const index of job.requeued) {
-      if (!waits(index)) job.requeued.delete(index);
+    for (const index of job.returnedTasks) {
+      if (!waits(index)) job.returnedTasks.delete(index);
       else if (found.length < limit) found.push(index);
     }
-    while (job.cursor < job.job.tasks && !waits(job.cursor)) job.cursor++;
-    for (let index = job.cursor; index < job.job.tasks && found.length < limit; index++) {
-      if (waits(index) && !job.requeued.has(index)) found.push(index);
+    while (job.scanFrom < job.spec.tasks && !waits(job.scanFrom)) job.scanFrom++;
+    for (let index = job.scanFrom; index < job.spec.tasks && found.length < limit; index++) {
+      if (waits(index) && !job.returnedTasks.has(index)) found.push(index);
     }
     return found;
   }
@@ -88,10 +88,10 @@
   /** A task completed. The protocol completes a gang as one: one task done means all are. */
   markDone(job: JobState, index: number): void {
     if (job.phase !== 'accepted') return;
-    if (job.job.kind === 'gang') job.done.addAll();
+    if (job.spec.kind === 'gang') job.done.addAll();
     else if (!job.done.add(index)) return;
-    job.unsaved = true;
-    this.unrecorded.jobs.add(job.job.id);
+    job.hasUnrecordedProgress = true;
+    this.unrecorded.jobs.add(job.spec.id);
     this.leaveQueueIfNoneWaits(job);
   }
 
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -1,6 +1,7 @@
+/** The data of the fleet's state: jobs, machines, and the assignments that join them. */
 import type { Job, TaskState } from '#wire';
 import type { Amounts, ServiceCounter } from './fairshare.js';
-import { TaskSet } from './taskset.js';
+import type { TaskSet } from './taskset.js';
 
 export interface StopRequest {
   /** Seconds for saving; 0 kills. */
@@ -9,13 +10,16 @@
   sentDirectly: boolean;
 }
 
-/** One attempt of a task on one machine, from the decision until it is proven gone. */
+/**
+ * One attempt of a task on one machine, from the decision until it is proven gone. Times are seconds of
+ * the steady clock.
+ */
 export interface Assignment {
   job: JobState;
   index: number;
   attempt: number;
   machine: Machine;
-  /** Durable in the machine's record; only then may the start be sent. */
+  /** Durable in the machine's record; only then may the start be sent (docs/safety.md, point 4). */
   recorded: boolean;
   /** Read from the record of an earlier term and not yet seen in a report. */
   inherited: boolean;
@@ -23,35 +27,44 @@
   startSent: boolean;
   /** Number of the first report whose answer carried the start. */
   startAnswerSeq: number | null;
-  /** Answers that carried the start without it showing in the next report. */
+  /** Reports that did not list the task though the answer before them carried its start. */
   missedStarts: number;
+  /** What the worker says of it, or null before it does. */
   reported: TaskState | null;
   /** The end that is asked for, or null. */
   stop: StopRequest | null;
   /** Share of the fleet booked for it. */
   share: number;
   assignedAt: number;
+  /** When it was first seen to run. */
   runningSince: number | null;
 }
 
+/** A job that was accepted, and what became of its tasks. Times are seconds of the steady clock. */
 export interface JobState {
-  job: Job;
-  /** What decides, zones of its other tasks apart, on which machines a task fits. */
-  shape: string;
-  /** On the steady clock of this process. */
+  /** The job as its user submitted it. */
+  spec: Job;
+  /** Equal for jobs whose tasks fit the same machines, zones of their other tasks apart. */
+  requirementsKey: string;
   acceptedAt: number;
+  /** `aborted` and `done` are final. */
   phase: 'accepted' | 'aborted' | 'done';
   done: TaskSet;
-  /** Done tasks that the state service doesn't hold yet. */
-  unsaved: boolean;
-  /** Every place where a task may still be, by task. */
-  places: Map<number, Assignment[]>;
-  /** Tasks below the cursor that lost their place. */
-  requeued: Set<number>;
-  cursor: number;
+  /** The state service doesn't hold all done tasks yet. */
+  hasUnrecordedProgress: boolean;
+  /** Every place where a task may still be, by task; several if one runs that nobody recorded. */
+  assignments: Map<number, Assignment[]>;
+  /** All waiting tasks below are in `returnedTasks`. */
+  scanFrom: number;
+  /** Tasks that lost their place; some may have one again or be done. */
+  returnedTasks: Set<number>;
+  /** Failures since a task of the job was last seen to run. */
   failures: number;
-  notBefore: number;
+  /** Waits after failures: nothing of it is placed before. */
+  backoffUntil: number;
+  /** Service that the job has received. */
   service: ServiceCounter;
+  /** Since when some task waits. */
   waitingSince: number;
 }
 
@@ -132,17 +145,22 @@
   images: Map<string, number>;
 }
 
+/** Durations in seconds. */
 export interface FleetSettings {
+  /** The workers' lease and report period. */
   leaseS: number;
   reportS: number;
+  /** For how long tasks of a gang that is being stopped wait for each other. */
   gangPeerS: number;
   /** How long an earlier owner may have gone on answering after losing its term. */
   formerOwnerS: number;
+  /** Half-life of service received. */
   halfLifeS: number;
+  /** As many as fit into the record of one machine. */
   maxTasksPerMachine: number;
 }
 
 /** Every place where a task of the job may still be. */
 export function* assignmentsOf(job: JobState): Generator<Assignment> {
-  for (const list of [...job.places.values()]) yield* list;
+  for (const list of [...job.assignments.values()]) yield* list;
 }
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -39,7 +39,7 @@
 
   /** Machines that had room for a task of the job when first asked for. */
   forJob(job: JobState): Candidate[] {
-    const key = `${job.shape} ${job.job.image}`;
+    const key = `${job.requirementsKey} ${job.spec.image}`;
     let candidates = this.byRequirementsAndImage.get(key);
     if (!candidates) {
       candidates = this.withRoom(job).map((roomy) => ({
@@ -69,14 +69,14 @@
     return this.zoneNames;
   }
 
-  private withRoom({ shape, job }: JobState): RoomyMachine[] {
-    let roomy = this.byRequirements.get(shape);
+  private withRoom({ requirementsKey, spec }: JobState): RoomyMachine[] {
+    let roomy = this.byRequirements.get(requirementsKey);
     if (!roomy) {
-      this.byRequirements.set(shape, (roomy = []));
+      this.byRequirements.set(requirementsKey, (roomy = []));
       for (const machine of this.fleet.machines.values()) {
         const type = this.fleet.machines.typeOf(machine);
-        if (!type || !hasRoom(job, machine.used, type)) continue;
-        if (!kindAllowed(job, type, machine.zone, machine.spot)) continue;
+        if (!type || !hasRoom(spec, machine.used, type)) continue;
+        if (!kindAllowed(spec, type, machine.zone, machine.spot)) continue;
         if (this.isUsable(machine)) roomy.push({ machine, type });
       }
     }
--- a/packages/core/placement-cost.ts
+++ b/packages/core/placement-cost.ts
@@ -15,7 +15,7 @@
   if (machine.images.has(job.image)) return 0;
   const others = new Set<string>();
   for (const { reported, job: other } of machine.tasks.values()) {
-    if (reported === 'fetching' || reported === null) others.add(other.job.image);
+    if (reported === 'fetching' || reported === null) others.add(other.spec.image);
   }
   return (job.imageGb / type.fetchGbPerS) * (1 + others.size);
 }
--- a/packages/core/preemption.test.ts
+++ b/packages/core/preemption.test.ts
@@ -50,7 +50,7 @@
     103.5,
   );
   scheduler.round(104);
-  assert.equal(job.places.size, 1);
+  assert.equal(job.assignments.size, 1);
   scheduler.round(104.25);
   assert.equal(stopping().length, 1, 'room for the second task is being made');
 });
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -54,10 +54,10 @@
     let made = 0;
     for (const job of waiting) {
       if (made >= TASKS_PER_ROUND) break;
-      if (job.job.kind === 'gang' || failed.has(placementKey(job))) continue;
+      if (job.spec.kind === 'gang' || failed.has(placementKey(job))) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
       if ((heldRoom.get(job) ?? 0) >= this.fleet.jobs.waitingCount(job)) continue;
-      if (!this.shares.withinLimit(job.job.team, job.job)) continue;
+      if (!this.shares.withinLimit(job.spec.team, job.spec)) continue;
       const victims = this.cheapestVictims(job, stopping, now);
       if (victims) {
         stopping.add(victims.machine);
@@ -70,7 +70,7 @@
   private impatientJobs(now: number): JobState[] {
     const { preemptAfterS } = this.settings;
     return [...this.fleet.jobs.waiting]
-      .filter((job) => job.notBefore <= now && now - job.waitingSince >= preemptAfterS)
+      .filter((job) => job.backoffUntil <= now && now - job.waitingSince >= preemptAfterS)
       .sort(byRankAndAge);
   }
 
@@ -89,7 +89,7 @@
     for (const machine of this.fleet.machines.values()) {
       if (machine.state !== 'up' || machine.draining || machine.reclaimAt !== null) continue;
       if (stopping.has(machine) || this.fleet.holds.isHeldFromJob(machine, job, now)) continue;
-      if (machine.reservedForGang !== null || !zoneAllowed(job.job, machine.zone, zones)) continue;
+      if (machine.reservedForGang !== null || !zoneAllowed(job.spec, machine.zone, zones)) continue;
       const assignments = this.victimsOn(machine, job, now);
       if (assignments === null) continue;
       const cost = assignments.reduce((sum, each) => sum + lostWork(each, now), 0);
@@ -101,33 +101,34 @@
   /** What must be stopped on the machine for one task of the job, or null if that makes no room. */
   private victimsOn(machine: Machine, job: JobState, now: number): Assignment[] | null {
     const type = this.fleet.machines.typeOf(machine);
-    if (!type || !kindAllowed(job.job, type, machine.zone, machine.spot)) return null;
+    if (!type || !kindAllowed(job.spec, type, machine.zone, machine.spot)) return null;
     const options = [...machine.tasks.values()].filter(
-      (each) => each.stop === null && isSettled(each, job.job, now) && this.mayStop(job, each, now),
+      (each) =>
+        each.stop === null && isSettled(each, job.spec, now) && this.mayStop(job, each, now),
     );
     if (options.length === 0) return null;
-    options.sort((a, b) => b.job.job.rank - a.job.job.rank || b.assignedAt - a.assignedAt);
+    options.sort((a, b) => b.job.spec.rank - a.job.spec.rank || b.assignedAt - a.assignedAt);
     const victims: Assignment[] = [];
     const used = { ...machine.used };
     for (const option of options) {
-      if (hasRoom(job.job, used, type)) break;
-      addAmounts(used, option.job.job, -1);
+      if (hasRoom(job.spec, used, type)) break;
+      addAmounts(used, option.job.spec, -1);
       victims.push(option);
     }
-    return victims.length > 0 && hasRoom(job.job, used, type) ? victims : null;
+    return victims.length > 0 && hasRoom(job.spec, used, type) ? victims : null;
   }
 
   private mayStop(forJob: JobState, { job: victim }: Assignment, now: number): boolean {
-    const otherTeam = victim.job.team !== forJob.job.team;
+    const otherTeam = victim.spec.team !== forJob.spec.team;
     if (
       otherTeam &&
-      this.shares.withinGuarantee(forJob.job) &&
-      this.shares.isBorrowing(victim.job.team)
+      this.shares.withinGuarantee(forJob.spec) &&
+      this.shares.isBorrowing(victim.spec.team)
     ) {
       return true;
     }
-    if (victim.job.rank > forJob.job.rank) return true;
-    return otherTeam && victim.job.kind === 'gang' && this.isFarBehind(forJob, victim, now);
+    if (victim.spec.rank > forJob.spec.rank) return true;
+    return otherTeam && victim.spec.kind === 'gang' && this.isFarBehind(forJob, victim, now);
   }
 
   /** The design's own stop: a gang's lease has ended and a team that waits is far behind. */
@@ -137,8 +138,8 @@
       ...[...assignmentsOf(gang)].map(({ runningSince }) => runningSince ?? now),
     );
     if (now - startedAt < gangLeaseS) return false;
-    const gangIndex = this.shares.index(gang.job.team, now);
-    return this.shares.index(forJob.job.team, now) < stopThreshold * gangIndex;
+    const gangIndex = this.shares.index(gang.spec.team, now);
+    return this.shares.index(forJob.spec.team, now) < stopThreshold * gangIndex;
   }
 
   private makeRoom(
@@ -148,7 +149,7 @@
     now: number,
   ): void {
     const { holds, settings } = this.fleet;
-    const { checkpointS, saveS } = job.job;
+    const { checkpointS, saveS } = job.spec;
     const graceS = checkpointS > 0 ? saveS : 0;
     const before = machine.roomHold?.job;
     if (before) heldRoom.set(before, (heldRoom.get(before) ?? 1) - 1);
@@ -166,8 +167,8 @@
 }
 
 /** Accelerator seconds that are lost if the task is stopped; at least one, so that fewer stops win. */
-function lostWork({ job: { job }, runningSince }: Assignment, now: number): number {
+function lostWork({ job: { spec }, runningSince }: Assignment, now: number): number {
   const ranS = runningSince === null ? 0 : now - runningSince;
-  const lostS = job.checkpointS > 0 ? Math.min(ranS, job.saveS) : ranS;
-  return lostS * (job.gpus + job.cpus / CPUS_PER_GPU) + 1;
+  const lostS = spec.checkpointS > 0 ? Math.min(ranS, spec.saveS) : ranS;
+  return lostS * (spec.gpus + spec.cpus / CPUS_PER_GPU) + 1;
 }
--- a/packages/core/retry-backoff.ts
+++ b/packages/core/retry-backoff.ts
@@ -21,10 +21,10 @@
     // The machine is the first suspect; a job that fails again and again waits longer each time.
     machine.avoidUntil = Math.max(machine.avoidUntil, now + AVOID_AFTER_ERROR * reportS);
     job.failures++;
-    job.notBefore = now + reportS * doubling(job.failures, LONGEST_WAIT_AFTER_ERROR);
+    job.backoffUntil = now + reportS * doubling(job.failures, LONGEST_WAIT_AFTER_ERROR);
   } else if (cause === 'unknown') {
     job.failures++;
-    job.notBefore = now + reportS * doubling(job.failures, LONGEST_WAIT_IF_UNKNOWN);
+    job.backoffUntil = now + reportS * doubling(job.failures, LONGEST_WAIT_IF_UNKNOWN);
   } else if (cause === 'no_room' || cause === 'busy') {
     machine.avoidUntil = Math.max(machine.avoidUntil, now + AVOID_AFTER_REFUSAL * reportS);
   }
--- a/packages/core/room-holds.ts
+++ b/packages/core/room-holds.ts
@@ -33,7 +33,7 @@
       this.release(machine);
       return false;
     }
-    return hold.job.job.rank <= job.job.rank && hold.job.places.size < hold.job.job.tasks;
+    return hold.job.spec.rank <= job.spec.rank && hold.job.assignments.size < hold.job.spec.tasks;
   }
 
   /** On how many machines room is held for each job. */
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -93,18 +93,19 @@
 
   /** Gives places to the job's waiting tasks while they fit; returns how many. */
   private placeJob(job: JobState, round: Round): number {
-    if (!this.shares.isKnown(job.job.team)) return 0;
-    return job.job.kind === 'gang' ? this.placeGang(job, round) : this.placeTasks(job, round);
+    if (!this.shares.isKnown(job.spec.team)) return 0;
+    return job.spec.kind === 'gang' ? this.placeGang(job, round) : this.placeTasks(job, round);
   }
 
   private placeGang(job: JobState, { candidates, now }: Round): number {
     const { assignments } = this.fleet;
-    if (job.places.size > 0 || !this.shares.withinLimit(job.job.team, wholeGang(job))) return 0;
+    if (job.assignments.size > 0 || !this.shares.withinLimit(job.spec.team, wholeGang(job)))
+      return 0;
     const machines = chooseGangMachines(this.fleet, job, candidates, now);
     if (!machines) return 0;
     const attempt = assignments.newAttempt();
     machines.forEach((machine, index) => assignments.assign(job, index, machine, attempt, now));
-    this.reservations.release(job.job.id);
+    this.reservations.release(job.spec.id);
     return machines.length;
   }
 
@@ -117,7 +118,7 @@
     const zones = tasksByZone(job);
     let placed = 0;
     for (const index of jobs.waitingTasks(job, limit)) {
-      if (!this.shares.withinLimit(job.job.team, job.job)) break;
+      if (!this.shares.withinLimit(job.spec.team, job.spec)) break;
       const machine = chooseMachine(this.fleet, job, zones, candidates, now);
       if (!machine) {
         unplaceable.add(placementKey(job));
@@ -132,6 +133,6 @@
 }
 
 /** What limits count of a gang: its processors and accelerators. */
-function wholeGang({ job: { cpus, gpus, tasks } }: JobState): Amounts {
+function wholeGang({ spec: { cpus, gpus, tasks } }: JobState): Amounts {
   return { cpus: cpus * tasks, gpus: gpus * tasks, memory: 0 };
 }
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -27,7 +27,7 @@
     }
     if (!assignment) {
       if (task.state === 'exited') return this.unassignedExited(machine, task, job, ref);
-      if (!job || task.index >= job.job.tasks) return killOrder(ref);
+      if (!job || task.index >= job.spec.tasks) return killOrder(ref);
       // Nothing should run unrecorded; if it does, it holds its place until it is gone.
       assignment = this.assignments.adoptToStop(job, task.index, machine, task.attempt, now);
     }
@@ -75,7 +75,7 @@
    * forgotten an attempt would start it again.
    */
   private mayForget(machine: Machine, ref: TaskRef, job: JobState | undefined): boolean {
-    if (job?.unsaved && job.done.has(ref.index)) return false;
+    if (job?.hasUnrecordedProgress && job.done.has(ref.index)) return false;
     return !this.fencing.mayArrive(machine, ref);
   }
 
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -12,12 +12,12 @@
   /** Counts an assignment that came (1) or is proven gone (-1). */
   count(assignment: Assignment, sign: 1 | -1, now: number): void {
     const { job, machine, share } = assignment;
-    const { team } = job.job;
-    const zones = this.tasksByZone(job.job.class);
+    const { team } = job.spec;
+    const zones = this.tasksByZone(job.spec.class);
     zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + sign);
     let used = this.amountsByTeam.get(team);
     if (!used) this.amountsByTeam.set(team, (used = { ...ZERO_AMOUNTS }));
-    addAmounts(used, job.job, sign);
+    addAmounts(used, job.spec, sign);
     this.service(team, now).book(sign * share, now);
     job.service.book(sign * share, now);
   }
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -125,14 +125,14 @@
       const job = book.jobs.get(id)!;
       const stored = store.jobs.get(id)!;
       const done = new Set<number>();
-      for (let i = 0; i < job.job.tasks; i++) if (job.done.has(i)) done.add(i);
+      for (let i = 0; i < job.spec.tasks; i++) if (job.done.has(i)) done.add(i);
       store.done.set(id, done);
-      const enough = this.fault === 'done-early' ? done.size > 0 : done.size === job.job.tasks;
+      const enough = this.fault === 'done-early' ? done.size > 0 : done.size === job.spec.tasks;
       if (enough && stored.phase === 'accepted') {
         stored.phase = 'done';
         book.closeJob(job, 'done', 0);
       }
-      job.unsaved = false;
+      job.hasUnrecordedProgress = false;
     }
     book.unrecorded.jobs.clear();
     if (this.fault !== 'order-before-record') {
@@ -146,7 +146,7 @@
           store.machines.set(name, {
             zone: m.zone,
             spot: m.spot,
-            tasks: tasks.map((a) => [a.job.job.id, a.index, a.attempt]),
+            tasks: tasks.map((a) => [a.job.spec.id, a.index, a.attempt]),
           });
         }
       }
