A repetition whose texts are too long is answered with the job that is known

Cause: the size of the record was checked after all else and answered with 400 without asking whether another controller had accepted the id a moment ago. Small values (1 KiB) make that reachable.

Change: one check judges a submission by itself; every refusal asks for the id first. It is a module of its own.

Measured: the test's repetition gets 200 (before: 400), and a new job of that size still 400.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -14,11 +14,12 @@
 import { PeerCoordinator } from './peer-coordinator.js';
 import { ReportHandler } from './report-handler.js';
 import { type ControllerServices, makeServices } from './services.js';
-import { Settings, teamTerms } from './settings.js';
+import type { Settings } from './settings.js';
 import { socketShares } from './sockets.js';
 import { StandbyRenewal } from './standby-renewal.js';
 import { accessState, type StateAccess } from './state-access.js';
 import { StatusExchange } from './status-exchange.js';
+import { SubmissionCheck } from './submission-check.js';
 import { graceAfterLoss } from './time-bounds.js';
 import { UnownedReports } from './unowned-reports.js';
 import { UserApi } from './user-api.js';
@@ -224,14 +225,13 @@
   }
 
   private makeUserApi(): UserApi {
-    const { teams } = this.settings.deployment;
     const { client, commits, jobs } = this.services;
     return new UserApi({
       clock: this.runtime.clock,
       client,
       commits,
       jobs,
-      teams: teamTerms(teams),
+      submissions: new SubmissionCheck(this.services),
       types: () => this.services.types.all(),
       onRequest: (kind) => {
         this.vitals.questions++;
--- /dev/null
+++ b/packages/controller/submission-check.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pause, UserClient } from '#wire';
+import { aJob, Cluster, formatAddress, serviceAddress, SMALL_CLUSTER, USERS_HOST } from '#testing';
+
+test('a job that another controller has just accepted is known whatever its repetition says', async () => {
+  // Guards against 400 for a repetition whose texts are too long for a record.
+  const { deployment } = SMALL_CLUSTER;
+  const state = { ...deployment.state, value_kb: 1 };
+  const cluster = new Cluster({ ...SMALL_CLUSTER, deployment: { ...deployment, state } }, 1);
+  const runtime = cluster.serviceRuntime('users', 'users', USERS_HOST);
+  await cluster.start();
+  await cluster.world.runUntil(5);
+  const owner = cluster.ownership.current()?.owner;
+  const [here, there] = cluster.controllers
+    .filter(({ name }) => name !== owner)
+    .map(({ index }) => new UserClient(formatAddress(serviceAddress(index)), 5000, runtime));
+  const good = aJob({ id: 'j-1' });
+  const bodies = {
+    long: { class: 'x'.repeat(256), image: '\u6771'.repeat(256) },
+    unknownTeam: { team: 'nobody' },
+  };
+  const statuses: Record<string, number> = {};
+  const submitRest = async () => {
+    // The other controller's watch brings this one and then pauses, so it does not know the next.
+    await here.submit({ ...good, id: 'j-0' });
+    await pause(runtime.clock, 50);
+    statuses.first = (await here.submit(good)).status;
+    for (const [name, own] of Object.entries(bodies)) {
+      statuses[name] = (await there.submit({ ...good, ...own })).status;
+      statuses[`${name} alone`] = (await there.submit({ ...good, id: 'j-2', ...own })).status;
+    }
+  };
+  void submitRest();
+  await cluster.world.runUntil(8);
+  assert.deepEqual(statuses, {
+    first: 201,
+    long: 200,
+    'long alone': 400,
+    unknownTeam: 200,
+    'unknownTeam alone': 422,
+  });
+});
--- a/packages/controller/user-api.ts
+++ b/packages/controller/user-api.ts
@@ -1,15 +1,5 @@
 import type { Express, Request, Response } from 'express';
-import {
-  Clock,
-  isJobId,
-  Job,
-  MachineType,
-  MalformedBody,
-  NoAnswer,
-  parseJob,
-  StateRefused,
-} from '#wire';
-import { TeamTerms, typeFits, withinLimit } from '#core';
+import { Clock, isJobId, Job, MachineType, MalformedBody, NoAnswer, StateRefused } from '#wire';
 import {
   decodeJob,
   encodeJob,
@@ -17,18 +7,18 @@
   jobKey,
   JobRecord,
   NotReady,
-  sizeInJson,
   StateClient,
 } from '#store';
 import { readBody, reply } from './http-bodies.js';
 import { JobTable } from './jobs.js';
+import { SubmissionCheck } from './submission-check.js';
 
 export interface UserApiOptions {
   clock: Clock;
   client: StateClient;
   commits: GroupCommit;
   jobs: JobTable;
-  teams: Map<string, TeamTerms>;
+  submissions: SubmissionCheck;
   types: () => MachineType[];
   /** Busy enough that submissions are turned away. */
   overloaded: () => boolean;
@@ -100,45 +90,27 @@
         return;
       }
     }
-    let refusal: { status: number; error: string } | null = null;
-    let job: Job | null = null;
-    try {
-      job = parseJob(raw);
-      const never = this.neverRuns(job);
-      if (never) refusal = { status: 422, error: never };
-    } catch (err) {
-      if (!(err instanceof MalformedBody)) throw err;
-      refusal = { status: 400, error: err.message };
-    }
-    if (refusal || !job) {
+    const checked = this.options.submissions.check(raw);
+    if ('refusal' in checked) {
       // Another controller may have accepted this id a moment ago.
       const known =
         typeof raw.id === 'string' && isJobId(raw.id) ? await this.lookUp(raw.id) : undefined;
+      const { status, error } = checked.refusal;
       if (known) reply(res, 200, jobs.view(known));
-      else reply(res, refusal?.status ?? 400, { error: refusal?.error ?? 'invalid' });
+      else reply(res, status, { error });
       return;
     }
     if (this.options.types().length === 0) {
       reply(res, 503, { error: 'machine types are not known yet' }, 1);
       return;
     }
-    await this.accept(job, res);
+    await this.accept(checked.job, res);
   }
 
   private async accept(job: Job, res: Response): Promise<void> {
     const { clock, client, commits, jobs } = this.options;
-    const known = new Set(this.options.types().map((t) => t.name));
-    // Types that do not exist here need no place in the record.
-    const kept =
-      job.types && job.types.length > known.size
-        ? { ...job, types: job.types.filter((t) => known.has(t)) }
-        : job;
     const key = jobKey(job.id);
-    const record = { job: kept, acceptedAtMs: clock.wallMs(), phase: 'accepted' as const };
-    const value = encodeJob(record);
-    if (sizeInJson([{ put: key, value }]) > client.limits.valueBytes) {
-      throw new MalformedBody('texts are too long');
-    }
+    const value = encodeJob({ job, acceptedAtMs: clock.wallMs(), phase: 'accepted' });
     try {
       const out = await commits.commit([{ key, version: 0 }], [{ put: key, value }]);
       if (out.ok) {
@@ -159,22 +131,6 @@
     reply(res, 200, jobs.view(decodeJob(entry.value, entry.version)));
   }
 
-  /** Why a job can never run, or null. */
-  private neverRuns(job: Job): string | null {
-    const terms = this.options.teams.get(job.team);
-    if (!terms) return 'unknown team';
-    const n = job.kind === 'array' ? 1 : job.tasks;
-    const need = { cpus: job.cpus * n, gpus: job.gpus * n, memory: 0 };
-    if (!withinLimit(terms, { cpus: 0, gpus: 0, memory: 0 }, need)) {
-      return "more than the team's limit";
-    }
-    const types = this.options.types();
-    if (types.length > 0 && !types.some((t) => typeFits(job, t))) {
-      return 'a task fits no allowed machine type';
-    }
-    return null;
-  }
-
   private async query(req: Request, res: Response): Promise<void> {
     const id = String(req.params.id);
     const record = isJobId(id) ? await this.lookUp(id) : undefined;
