A late copy of a transaction brings back no record that was deleted

Cause: a transaction that created a machine's record, was repeated and was carried out a second time, late, found the record absent again if the machine had been given back meanwhile, and created it anew. The next owner took the machine for one that exists, and waited for its lease before it placed the tasks elsewhere.

Change: each transaction that deletes records changes a removal marker, and each one that creates records is conditional on the marker's version. That costs one more change for each transaction that deletes. The records that a new owner loads are read at the same time, the marker with them.

--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -1,5 +1,14 @@
 import type { FleetState } from '#core';
-import { JobRecord, listAll, MACHINES, MachineRecord, PROGRESS, StateClient } from '#store';
+import {
+  JobRecord,
+  listAll,
+  MACHINES,
+  MachineRecord,
+  PROGRESS,
+  removalsKey,
+  StateClient,
+  Term,
+} from '#store';
 import type { Entry } from '#wire';
 import type { JobTable } from './jobs.js';
 import { Recorder, TermBroken } from './recorder.js';
@@ -9,6 +18,7 @@
   jobs: JobTable;
   book: FleetState;
   recorder: Recorder;
+  term: Term;
   /** Takes a job into the book. */
   takeJob: (record: JobRecord) => void;
   /** Told when all jobs are in the book, before machines and progress are. */
@@ -23,11 +33,15 @@
 
   /** Returns how many machines were recorded; throws TermBroken if the records contradict each other. */
   async load(signal: AbortSignal): Promise<number> {
-    const { client, jobs, book, onJobs, now } = this.options;
+    const { client, jobs, book, recorder, term, onJobs, now } = this.options;
     // All that is durable before our claim, jobs first: records name them.
     await jobs.cache.sync();
-    const machines = await listAll(client, MACHINES, signal);
-    const progress = await listAll(client, PROGRESS, signal);
+    const [machines, progress, removals] = await Promise.all([
+      listAll(client, MACHINES, signal),
+      listAll(client, PROGRESS, signal),
+      client.call(true, signal, (api) => api.get(removalsKey(term.part), signal)),
+    ]);
+    recorder.removals.loaded(removals?.version ?? 0);
     const loadedAt = now();
     this.takeJobs(machines.entries);
     onJobs(loadedAt);
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -144,6 +144,7 @@
       jobs,
       book,
       recorder,
+      term: this.term,
       takeJob: (record) => this.intake.take(record),
       onJobs: (now) => this.planner.assumeSteady(now),
       now: () => this.clock.now(),
--- a/packages/controller/record-batch.ts
+++ b/packages/controller/record-batch.ts
@@ -7,6 +7,7 @@
   TXN_BYTES,
 } from '#store';
 import type { Change, Condition } from '#wire';
+import type { RemovalMarker } from './removal-marker.js';
 
 /** A change of one of the owner's records, and what follows from it. */
 export interface RecordChange {
@@ -30,9 +31,12 @@
   private readonly conditions = new Map<string, number>();
   private bytes = 0;
 
+  private deletes = false;
+
   /** All is conditional on the term. */
   constructor(
     term: Term,
+    private readonly marker: RemovalMarker,
     private readonly limits: StateLimits,
     readonly maxChanges: number,
   ) {
@@ -41,8 +45,8 @@
 
   /** Guards that a single change may have. */
   static maxGuards({ txnOps }: StateLimits): number {
-    // Two are for the term and the changed record itself.
-    return txnOps * CONDITIONS_PER_CHANGE - 2;
+    // Three are for the term, the removal marker and the changed record itself.
+    return txnOps * CONDITIONS_PER_CHANGE - 3;
   }
 
   /**
@@ -51,19 +55,31 @@
    */
   add(change: RecordChange, maxChanges = this.maxChanges): boolean {
     if (this.changedKeys.has(change.key)) return true;
-    const conditions = [{ key: change.key, version: change.version }, ...change.guards];
+    const together = this.withMarker(change);
+    const conditions = [...together.flatMap(conditionsOf), ...this.creationGuards(change)];
     const added = conditions.filter(({ key }) => !this.conditions.has(key));
-    const bytes = sizeInJson(change.change) + sizeInJson(added);
+    const bytes = sizeInJson(together.map((each) => each.change)) + sizeInJson(added);
     const isFirst = this.changes.length === 0;
-    const hasRoom = this.changes.length < maxChanges && this.fits(added.length, bytes);
-    if (!isFirst && !hasRoom) return false;
-    this.changes.push(change);
+    const hasRoom = this.changes.length + together.length <= maxChanges;
+    if (!isFirst && !(hasRoom && this.fits(added.length, bytes))) return false;
+    this.changes.push(...together);
     this.changedKeys.add(change.key);
+    this.deletes ||= 'delete' in change.change;
     for (const { key, version } of added) this.conditions.set(key, version);
     this.bytes += bytes;
     return true;
   }
 
+  /** With the first deletion the removal marker changes, too. */
+  private withMarker(change: RecordChange): RecordChange[] {
+    const isFirstDeletion = 'delete' in change.change && !this.deletes;
+    return isFirstDeletion ? [change, this.marker.change()] : [change];
+  }
+
+  private creationGuards({ change, version }: RecordChange): Condition[] {
+    return 'put' in change && version === 0 ? [this.marker.condition()] : [];
+  }
+
   allConditions(): Condition[] {
     return [...this.conditions].map(([key, version]) => ({ key, version }));
   }
@@ -74,3 +90,7 @@
     return enough && this.bytes + bytes <= TXN_BYTES;
   }
 }
+
+function conditionsOf({ key, version, guards }: RecordChange): Condition[] {
+  return [{ key, version }, ...guards];
+}
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -226,6 +226,30 @@
   assert.equal(state.service.store.revision, revision);
 });
 
+test('a late copy of a transaction does not bring back a record that was deleted meanwhile', async () => {
+  const { state, book, record, sync, flush, tasksOn } = await aRecorder();
+  record(aJob({ id: 'j-1', tasks: 3 }), 'accepted');
+  await sync();
+  const job = book.jobs.get('j-1')!;
+  book.assignments.assign(job, 0, aMachine(book, 'n-1'), 1, 0);
+  const [leastS, mostS] = [5, 6];
+  state.service.beginLateWrites(1, [leastS, mostS]);
+  const flushed = flush();
+  await state.run(0.2);
+  state.service.endLateWrites();
+  await flushed;
+  assert.deepEqual(tasksOn('n-1'), ['j-1']);
+  book.removeMachine('n-1', 0);
+  await flush();
+  assert.equal(tasksOn('n-1'), undefined);
+  await state.run(mostS);
+  assert.equal(tasksOn('n-1'), undefined);
+  // Records that were created after a deletion are fine.
+  book.assignments.assign(job, 1, aMachine(book, 'n-2'), 2, 0);
+  await flush();
+  assert.deepEqual(tasksOn('n-2'), ['j-1']);
+});
+
 test('a record that somebody else has changed ends the term', async () => {
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -6,6 +6,7 @@
 import type { Log } from './log.js';
 import { MachineRecords } from './machine-records.js';
 import { RecordBatch } from './record-batch.js';
+import { RemovalMarker } from './removal-marker.js';
 
 /** Share of a transaction that is kept for jobs, so that no number of machines holds up their ends. */
 const JOB_SHARE = 1 / 3;
@@ -18,9 +19,6 @@
 const RETRY_MS = 100;
 const RETRY_SPREAD_MS = 200;
 
-/** Stands for the revision of a batch that only deletes, which nothing depends on. */
-const NO_REVISION = NaN;
-
 /** Our own records are not as this term left them: the term must not be used further. */
 export class TermBroken extends Error {}
 
@@ -42,6 +40,7 @@
 export class Recorder {
   readonly machineRecords: MachineRecords;
   readonly jobRecords: JobRecords;
+  readonly removals: RemovalMarker;
   private readonly transactions: Hedge;
   private readonly client: StateClient;
   private readonly book: FleetState;
@@ -55,6 +54,7 @@
     const recorded = { book: this.book, jobs: this.jobs, limits: this.client.limits };
     this.machineRecords = new MachineRecords(recorded);
     this.jobRecords = new JobRecords(recorded);
+    this.removals = new RemovalMarker(this.term);
     this.transactions = new Hedge({
       clock: options.runtime.clock,
       leastDelayS: options.reportS * RESEND_AFTER,
@@ -134,18 +134,17 @@
   ): Promise<number | null> {
     // All or nothing: what was applied has changed every record.
     if (!batch.changes.every(({ key }) => failed.includes(key))) return null;
-    const { key, change } = batch.changes.find((each) => 'put' in each.change) ?? batch.changes[0];
-    const entry = await this.client.call(true, signal, (api) => api.get(key, signal));
-    if (!('put' in change)) return entry === null ? NO_REVISION : null;
-    if (entry === null || !same(entry.value, change.value)) return null;
-    if (entry.version <= this.term.term)
-      throw new TermBroken(`record ${key} is older than the term`);
-    return entry.version;
+    // Beside deletions the removal marker is put, so there is one.
+    const put = batch.changes.map(({ change }) => change).find((change) => 'put' in change)!;
+    const entry = await this.client.call(true, signal, (api) => api.get(put.put, signal));
+    if (entry === null || !same(entry.value, put.value)) return null;
+    if (entry.version > this.term.term) return entry.version;
+    throw new TermBroken(`record ${put.put} is older than the term`);
   }
 
   private collect(): RecordBatch {
     const maxChanges = Math.max(LEAST_CHANGES, this.client.txnChanges);
-    const batch = new RecordBatch(this.term, this.client.limits, maxChanges);
+    const batch = new RecordBatch(this.term, this.removals, this.client.limits, maxChanges);
     this.addJobs(batch, Math.ceil(maxChanges * JOB_SHARE));
     this.addMachines(batch);
     this.addJobs(batch, maxChanges);
--- /dev/null
+++ b/packages/controller/removal-marker.ts
@@ -0,0 +1,40 @@
+import { removalsKey, type Term } from '#store';
+import type { Condition } from '#wire';
+import type { RecordChange } from './record-batch.js';
+
+/**
+ * A record that changes with each transaction that deletes other records, and on whose version each
+ * transaction depends that creates one. Else a transaction that was sent twice could be carried out for a
+ * second time after its record was deleted, when the record has the same version 0 as before, and bring it
+ * back.
+ */
+export class RemovalMarker {
+  private version = 0;
+  private removals = 0;
+
+  constructor(private readonly term: Term) {}
+
+  /** The version that earlier terms left, 0 if there is no such record. */
+  loaded(version: number): void {
+    this.version = version;
+  }
+
+  /** What a transaction that creates a record depends on. */
+  condition(): Condition {
+    return { key: removalsKey(this.term.part), version: this.version };
+  }
+
+  /** What a transaction that deletes records changes. */
+  change(): RecordChange {
+    const value = { term: this.term.term, removals: ++this.removals };
+    const { key, version } = this.condition();
+    return {
+      key,
+      version,
+      change: { put: key, value },
+      guards: [],
+      durable: (revision) => (this.version = revision),
+      again: () => {},
+    };
+  }
+}
--- a/packages/store/records.ts
+++ b/packages/store/records.ts
@@ -32,6 +32,11 @@
   return { job: parseJob(raw.job), acceptedAtMs: raw.at, phase: raw.phase, version };
 }
 
+/** Changes with every deletion of a part's records; see RemovalMarker. */
+export function removalsKey(part: number): string {
+  return `removals/${part}`;
+}
+
 export interface PartRecord {
   owner: string;
   grant: number;
