The progress of jobs that are over is removed

Cause: records of which tasks of a job are done stayed for good, and each take-over listed them all.

Change: once the job's own record is final its progress is deleted, a few records at a time, and only while half a second's worth of changes or more is left of the budget. What earlier terms have left of jobs that are over goes the same way.

--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -1,5 +1,6 @@
 import type { FleetState, JobState } from '#core';
 import { encodeJob, jobKey, progressChunkTasks, progressKey, type StateLimits } from '#store';
+import type { Job } from '#wire';
 import type { JobTable } from './jobs.js';
 import type { RecordChange } from './record-batch.js';
 
@@ -20,15 +21,44 @@
   private readonly chunkTasks: number;
   /** By key. */
   private readonly chunks = new Map<string, RecordedChunk>();
+  /** Versions, by key, of parts whose jobs are over. */
+  private readonly obsolete = new Map<string, number>();
 
   constructor(private readonly options: JobRecordsOptions) {
     this.chunkTasks = progressChunkTasks(options.limits.valueBytes);
   }
 
   /** Takes a part of a job's done tasks from the record that an earlier term left. */
-  loaded(job: JobState, chunk: number, recorded: RecordedChunk): void {
-    job.done.addChunk(chunk, this.chunkTasks, recorded.text);
-    this.chunks.set(progressKey(job.job.id, chunk), recorded);
+  loaded(id: string, chunk: number, recorded: RecordedChunk): void {
+    const key = progressKey(id, chunk);
+    const job = this.options.book.jobs.get(id);
+    if (job?.phase === 'accepted') {
+      job.done.addChunk(chunk, this.chunkTasks, recorded.text);
+      this.chunks.set(key, recorded);
+    } else if (this.isOver(id)) this.obsolete.set(key, recorded.version);
+  }
+
+  get anyObsolete(): boolean {
+    return this.obsolete.size > 0;
+  }
+
+  /** The job's record says that it is over, so nobody needs the parts any more. */
+  over({ id, tasks }: Job): void {
+    for (let chunk = 0; chunk * this.chunkTasks < tasks; chunk++) {
+      const key = progressKey(id, chunk);
+      const recorded = this.chunks.get(key);
+      if (!recorded) continue;
+      this.chunks.delete(key);
+      this.obsolete.set(key, recorded.version);
+    }
+  }
+
+  /** Deletes what jobs that are over have left. */
+  removals(): RecordChange[] {
+    return [...this.obsolete].map(([key, version]) => {
+      const durable = () => void this.obsolete.delete(key);
+      return { key, version, change: { delete: key }, guards: [], durable, again: () => {} };
+    });
   }
 
   /** What is to be recorded of a job now; all of it together makes the job saved. */
@@ -37,6 +67,11 @@
     return job.done.size === job.job.tasks ? this.doneChange(job) : this.progressChanges(job);
   }
 
+  private isOver(id: string): boolean {
+    const record = this.options.jobs.get(id);
+    return record !== undefined && record.phase !== 'accepted';
+  }
+
   private doneChange(job: JobState): RecordChange[] {
     const { book, jobs } = this.options;
     const { id } = job.job;
@@ -51,20 +86,17 @@
   }
 
   private progressChanges(job: JobState): RecordChange[] {
-    const again = () => void this.options.book.unrecorded.jobs.add(job.job.id);
+    const { id } = job.job;
+    const again = () => void this.options.book.unrecorded.jobs.add(id);
     return this.unrecordedChunks(job).map(({ key, text, version }) => {
       const durable = (revision: number) => {
-        this.chunks.set(key, { version: revision, text });
+        // A user may have cancelled it while the transaction was on its way.
+        if (this.isOver(id)) this.obsolete.set(key, revision);
+        else this.chunks.set(key, { version: revision, text });
         if (this.unrecordedChunks(job).length === 0) job.unsaved = false;
       };
-      return {
-        key,
-        version,
-        change: { put: key, value: { done: text } },
-        guards: [],
-        durable,
-        again,
-      };
+      const change = { put: key, value: { done: text } };
+      return { key, version, change, guards: [], durable, again };
     });
   }
 
--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -63,11 +63,9 @@
   }
 
   private takeProgress({ key, value, version }: Entry): void {
-    const { book, recorder } = this.options;
     const [id, chunk] = key.slice(PROGRESS.length).split('/');
-    const job = book.jobs.get(id);
     const text = (value as { done: string }).done;
-    if (job) recorder.jobRecords.loaded(job, Number(chunk), { version, text });
+    this.options.recorder.jobRecords.loaded(id, Number(chunk), { version, text });
   }
 
   private takeMachine({ key, value, version }: Entry, now: number): void {
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -111,6 +111,7 @@
     this.log.info({ term: this.term.term, ...found }, 'owner');
     const jobs = this.options.jobs.changed.subscribe((record) => {
       this.intake.take(record);
+      if (record.phase !== 'accepted') this.recorder.jobRecords.over(record.job);
       this.nudge();
     });
     const rounds = this.makePacer(signal);
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -13,6 +13,7 @@
   maxTasksPerMachine,
   partKey,
   PrefixCache,
+  progressKey,
   type StateLimits,
 } from '#store';
 import { aBook, aJob, aMachine, StateWorld } from '#testing';
@@ -38,7 +39,6 @@
   const term = store.apply([{ put: partKey(0), value: {} }]);
   const book = aBook();
   const stop = new AbortController();
-  jobs.changed.subscribe(({ job, phase }) => book.addJob(job, 0, phase, state.now));
   const recorder = new Recorder({
     runtime,
     client,
@@ -48,6 +48,10 @@
     reportS: REPORT_S,
     log: pino({ enabled: false }),
   });
+  jobs.changed.subscribe(({ job, phase }) => {
+    book.addJob(job, 0, phase, state.now);
+    if (phase !== 'accepted') recorder.jobRecords.over(job);
+  });
   const record = (job: Job, phase: 'accepted' | 'aborted') =>
     store.apply([{ put: jobKey(job.id), value: encodeJob({ job, acceptedAtMs: 0, phase }) }]);
   const flushAll = async () => {
@@ -72,7 +76,7 @@
     void cache.sync();
     await state.run(0.1);
   };
-  return { state, store, book, recorder, record, sync, flush, tasksOn, term };
+  return { state, client, store, book, recorder, record, sync, flush, tasksOn, term };
 }
 
 test('a task is not recorded, and so never starts, once its job was cancelled', async () => {
@@ -250,6 +254,50 @@
   assert.deepEqual(tasksOn('n-2'), ['j-1']);
 });
 
+test('what a job has left of its progress is removed once it is over, also if that was in an earlier term', async () => {
+  const { state, store, book, record, recorder, sync, flush } = await aRecorder();
+  const keys = ['j-1', 'j-2', 'j-3'].map((id) => progressKey(id, 0));
+  const jobs = ['j-1', 'j-2'].map((id) => aJob({ id, tasks: 2 }));
+  for (const job of jobs) record(job, 'accepted');
+  record(aJob({ id: 'j-3', tasks: 2 }), 'aborted');
+  const left = store.apply([{ put: keys[2], value: { done: 'AQ==' } }]);
+  await sync();
+  recorder.jobRecords.loaded('j-3', 0, { version: left, text: 'AQ==' });
+  for (const { id } of jobs) book.jobs.markDone(book.jobs.get(id)!, 0);
+  // One is cancelled while its progress is on its way to be recorded.
+  state.service.beginLostAnswers(1);
+  const flushed = flush();
+  await state.run(0.2);
+  assert.ok(store.get(keys[0]) && store.get(keys[1]));
+  record(jobs[0], 'aborted');
+  await sync();
+  state.service.endLateWrites();
+  await flushed;
+  assert.equal(book.jobs.get('j-1')!.phase, 'aborted');
+  book.jobs.markDone(book.jobs.get('j-2')!, 1);
+  await flush();
+  assert.equal((store.get(jobKey('j-2'))?.value as { phase: string }).phase, 'done');
+  assert.deepEqual(
+    keys.map((key) => store.get(key)),
+    [undefined, undefined, undefined],
+  );
+});
+
+test('what is over is removed only while the budget has plenty', async () => {
+  const { state, client, store, record, recorder, sync } = await aRecorder();
+  record(aJob({ id: 'j-1', tasks: 2 }), 'aborted');
+  const left = store.apply([{ put: progressKey('j-1', 0), value: { done: 'AQ==' } }]);
+  await sync();
+  recorder.jobRecords.loaded('j-1', 0, { version: left, text: 'AQ==' });
+  assert.ok(recorder.pending);
+  // Somebody else takes most of it.
+  const others = Array.from({ length: LIMITS.txnOps + 10 }, () => ({ delete: 'x' }));
+  client.txn([], others, false).catch(() => {});
+  assert.ok(!recorder.pending);
+  await state.run(0.6);
+  assert.ok(recorder.pending);
+});
+
 test('a record that somebody else has changed ends the term', async () => {
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -10,6 +10,8 @@
 
 /** Share of a transaction that is kept for jobs, so that no number of machines holds up their ends. */
 const JOB_SHARE = 1 / 3;
+/** Share of a transaction that removes what is left of jobs that are over. */
+const TIDY_SHARE = 1 / 4;
 /** Changes that a transaction may have in any case: fewer than two it never has to. */
 const LEAST_CHANGES = 2;
 /** Share of a report period after which a transaction is sent again if no answer came, and how often at once. */
@@ -63,7 +65,12 @@
   }
 
   get pending(): boolean {
-    return this.book.unrecorded.any;
+    return this.book.unrecorded.any || this.mayTidy;
+  }
+
+  /** What jobs that are over have left is removed while the budget has plenty. */
+  private get mayTidy(): boolean {
+    return this.jobRecords.anyObsolete && this.client.hasSpareChanges;
   }
 
   /** Writes as much as one transaction takes. */
@@ -148,6 +155,7 @@
     this.addJobs(batch, Math.ceil(maxChanges * JOB_SHARE));
     this.addMachines(batch);
     this.addJobs(batch, maxChanges);
+    if (this.mayTidy) this.addRemovals(batch);
     return batch;
   }
 
@@ -160,6 +168,13 @@
     }
   }
 
+  private addRemovals(batch: RecordBatch): void {
+    const most = batch.changes.length + Math.ceil(batch.maxChanges * TIDY_SHARE);
+    for (const removal of this.jobRecords.removals()) {
+      if (!batch.add(removal, Math.min(most, batch.maxChanges))) return;
+    }
+  }
+
   private addJobs(batch: RecordBatch, maxChanges: number): void {
     const { jobs } = this.book.unrecorded;
     for (const id of [...jobs]) {
--- a/packages/store/budget.ts
+++ b/packages/store/budget.ts
@@ -38,6 +38,11 @@
     return this.level;
   }
 
+  /** Half a second's worth or more is left, so that others hardly notice a small taker. */
+  get ample(): boolean {
+    return this.left() >= this.perSecond / 2;
+  }
+
   /** What can be taken with little waiting: what is left, or half a second's worth if that is more. */
   soon(): number {
     return Math.max(this.left(), this.perSecond / 2);
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -66,6 +66,11 @@
     return Math.max(1, Math.min(this.limits.txnOps, Math.floor(this.writes.soon())));
   }
 
+  /** Changes that may as well be made later can be made now. */
+  get hasSpareChanges(): boolean {
+    return this.writes.ample;
+  }
+
   /** Runs one request and notes whether the service served it; urgent ones go ahead of the line. */
   async call<T>(
     urgent: boolean,
