An older attempt that is live beside a newer one holds the place of its task

A machine may be given a new attempt of a task while the start of the older one, held up on its way, can still arrive. The worker was told to forget the older attempt at once, so that the late start could begin it again; the new start was then refused, and the task lost its place while the older attempt ran: it could start elsewhere too.

Now an attempt is forgotten beside a newer one only if no start of it can still arrive, and if what it completed is durable; what it completed counts. Of what a worker lists, ended attempts are taken in first, so that a live one beside them takes the place, and an attempt that was not sent yet gives it up to a live one.

--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -89,17 +89,21 @@
 
   /** Asks for an end of the task; it keeps its place until it is proven gone. */
   stop(assignment: Assignment, graceS: number, now: number): void {
-    if (!assignment.told && !assignment.inherited && assignment.reported === null) {
-      // The start was never sent to the worker and never will be.
-      this.end(assignment, 'stopped', false, now);
-      return;
-    }
+    if (this.endIfUnsent(assignment, now)) return;
     const { stop } = assignment;
     if (stop === null) assignment.stop = { graceS, at: now, direct: false };
     else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, direct: false };
     this.tables.due.add(assignment.machine);
   }
 
+  /** Ends an assignment whose start was never sent to the worker, and so never will be. */
+  endIfUnsent(assignment: Assignment, now: number): boolean {
+    const { told, inherited, reported } = assignment;
+    if (told || inherited || reported !== null) return false;
+    this.end(assignment, 'stopped', false, now);
+    return true;
+  }
+
   /** Stops a task so that what can be saved is saved; a gang stops as a whole. */
   stopGracefully(assignment: Assignment, now: number): void {
     const { job } = assignment.job;
--- a/packages/core/direct-orders.ts
+++ b/packages/core/direct-orders.ts
@@ -86,6 +86,6 @@
   private takeReport(machine: Machine, report: Report, now: number): void {
     if (report.session !== machine.session || report.seq <= machine.seq) return;
     machine.seq = report.seq;
-    for (const task of report.tasks) this.tasks.listed(machine, task, now);
+    this.tasks.allListed(machine, report.tasks, now);
   }
 }
--- a/packages/core/report-handler.ts
+++ b/packages/core/report-handler.ts
@@ -97,13 +97,8 @@
   }
 
   private takeTasks(machine: Machine, report: Report, now: number): Order[] {
-    const listed = new Set<string>();
-    const orders: Order[] = [];
-    for (const task of report.tasks) {
-      listed.add(taskName(task.job, task.index));
-      const order = this.tasks.listed(machine, task, now);
-      if (order) orders.push(order);
-    }
+    const listed = new Set(report.tasks.map((task) => taskName(task.job, task.index)));
+    const orders = this.tasks.allListed(machine, report.tasks, now);
     for (const [name, assignment] of [...machine.tasks]) {
       if (!listed.has(name)) this.tasks.absent(assignment, report, now);
     }
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -16,14 +16,26 @@
     private readonly fencing: StartFencing,
   ) {}
 
-  /** A task that the worker lists; returns what to tell it of the task. */
-  listed(machine: Machine, task: TaskReport, now: number): Order | null {
+  /**
+   * The tasks that the worker lists; returns what to tell it of them. Those that have exited come first:
+   * a live attempt beside them then holds the place of the task.
+   */
+  allListed(machine: Machine, tasks: TaskReport[], now: number): Order[] {
+    const exited = tasks.filter((task) => task.state === 'exited');
+    const live = tasks.filter((task) => task.state !== 'exited');
+    const orders = [...exited, ...live].map((task) => this.listed(machine, task, now));
+    return orders.filter((order) => order !== null);
+  }
+
+  private listed(machine: Machine, task: TaskReport, now: number): Order | null {
     const ref: TaskRef = { job: task.job, index: task.index, attempt: task.attempt };
     const job = this.tables.jobs.get(task.job);
     let assignment = machine.tasks.get(taskName(task.job, task.index));
     if (assignment && assignment.attempt !== task.attempt) {
-      // An older attempt beside a newer one that waits for it to go.
-      return task.state === 'exited' ? forgetOrder(ref) : killOrder(ref);
+      if (task.state === 'exited') return this.otherExited(assignment, task, ref, now);
+      // One that was or may be started holds the place by itself, until the listed one has gone.
+      if (!this.assignments.endIfUnsent(assignment, now)) return killOrder(ref);
+      assignment = undefined;
     }
     if (!assignment) {
       if (task.state === 'exited') return this.unassignedExited(machine, task, job, ref);
@@ -36,6 +48,21 @@
     return this.exited(assignment, task, ref, now);
   }
 
+  /** An attempt has exited beside the one that the machine is given now. */
+  private otherExited(
+    assignment: Assignment,
+    task: TaskReport,
+    ref: TaskRef,
+    now: number,
+  ): Order | null {
+    const { job, machine } = assignment;
+    if (task.cause === 'done' && job.phase === 'accepted') {
+      this.tables.jobs.markDone(job, task.index);
+      this.assignments.stop(assignment, 0, now);
+    }
+    return this.mayForget(machine, ref, job) ? forgetOrder(ref) : null;
+  }
+
   private unassignedExited(
     machine: Machine,
     task: TaskReport,
