Late reports of released machines change nothing, and their tokens end no term

A late copy of a released machine's report made the machine known again, so that work was placed there for a lease. If its token had been raised in this term, the owner took it for a newer owner's and resigned.

Now the owner remembers the names of released machines, which never come again, for sixty leases and answers what comes in their name as late copies. And it resigns only over a token larger than all that it handed out itself: a newer term's is larger than any revision of its records.

--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -47,6 +47,17 @@
   counts[key] = (counts[key] ?? 0) + count;
 }
 
+/** How many machines should report, and how many did so within the time. */
+export function countHeard(
+  book: FleetState,
+  now: number,
+  withinS: number,
+): { machines: number; heard: number } {
+  const machines = [...book.machines.values()].filter(({ state }) => state === 'up');
+  const heard = machines.filter(({ answeredAt }) => now - answeredAt <= withinS);
+  return { machines: machines.length, heard: heard.length };
+}
+
 /** Task counts of a job, for display. */
 export interface TaskCounts {
   job: string;
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -218,33 +218,27 @@
   }
 
   /** Takes a report and says what to answer; null for a late copy. */
-  report(report: Report): Order[] | null {
+  report(report: Report): { token: number; orders: Order[] } | null {
     const before = this.recorder.pending;
     const outcome = this.book.reports.handle(report, this.clock.now());
     if (outcome.kind === 'late-copy') return null;
     const { orders } = outcome;
+    const token = this.book.machines.get(report.machine)?.token ?? this.term.term;
     this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
       this.idle.wake();
       this.nudge();
     }
-    return orders;
+    return { token, orders };
   }
 
   private logOrders(machine: string, orders: Order[]): void {
     for (const order of orders) this.log.debug({ machine, ...order }, 'order');
   }
 
-  /** How many machines should report, and how many did so within the time. */
-  hearing(now: number, withinS: number): { machines: number; heard: number } {
-    const machines = [...this.book.machines.values()].filter(({ state }) => state === 'up');
-    const heard = machines.filter(({ answeredAt }) => now - answeredAt <= withinS);
-    return { machines: machines.length, heard: heard.length };
-  }
-
-  /** What the worker's answers carry. */
-  tokenFor(machine: string): number {
-    return this.book.machines.get(machine)?.token ?? this.term.term;
+  /** No answer of this term carries a larger token. */
+  get newestToken(): number {
+    return this.book.fencing.newestToken;
   }
 
   counts(): TaskCounts[] {
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -2,6 +2,7 @@
 import { type Clock, pause } from '#wire';
 import type { CancellationRelay } from './cancellation-relay.js';
 import { cutFromWorkers } from './entitlement.js';
+import { countHeard } from './fleet-summary.js';
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
 import type { StandbyRenewal } from './standby-renewal.js';
@@ -120,7 +121,7 @@
     if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return;
     // While the state service refuses us, nobody can take the part over that we give up.
     if (client.failing) return;
-    const { machines, heard } = owner.hearing(now, HEARD_PERIODS * this.reportS);
+    const { machines, heard } = countHeard(owner.book, now, HEARD_PERIODS * this.reportS);
     const heardByPeers = this.countHeardByPeers(now);
     if (!cutFromWorkers(machines, heard, heardByPeers)) return;
     const term = owner.term.term;
--- a/packages/controller/report-handler.ts
+++ b/packages/controller/report-handler.ts
@@ -45,7 +45,7 @@
     this.options.vitals.reports++;
     const owner = this.options.entitledOwner();
     if (owner === null) this.answerAsOther(report, res);
-    else if (this.isNewer(report, owner.tokenFor(report.machine))) this.resign(report, res);
+    else if (this.isNewer(report, owner.newestToken)) this.resign(report, res);
     else if (owner.ready) this.answer(owner, report, res);
     else this.renewLease(owner.term.term, report, res);
   }
@@ -90,13 +90,13 @@
 
   private answer(owner: PartOwner, report: Report, res: ServerResponse): void {
     const { machine } = report;
-    const orders = owner.report(report);
-    if (orders === null) {
+    const answer = owner.report(report);
+    if (answer === null) {
       // A late copy: its worker must drop the answer, which is not counted as a renewal.
       reply(res, 200, answerToWire(NO_TOKEN, []));
       return;
     }
     this.connections.heard(machine, res.socket);
-    reply(res, 200, answerToWire(owner.tokenFor(machine), orders));
+    reply(res, 200, answerToWire(answer.token, answer.orders));
   }
 }
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -52,6 +52,7 @@
     if (!machine) return;
     this.assignments.endAllOn(machine, now);
     this.machines.remove(machine);
+    this.released.add(name, now);
     this.due.delete(machine);
     this.unrecorded.machines.add(name);
   }
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -2,6 +2,7 @@
 import { FleetListener, NO_LISTENER } from './listener.js';
 import { MachineRegistry } from './machine-registry.js';
 import type { FleetSettings, Machine } from './model.js';
+import { ReleasedMachines } from './released-machines.js';
 import { UnrecordedChanges } from './unrecorded-changes.js';
 import { UsageLedger } from './usage-ledger.js';
 
@@ -23,6 +24,7 @@
   readonly unrecorded = new UnrecordedChanges();
   readonly jobs: JobRegistry;
   readonly machines: MachineRegistry;
+  readonly released: ReleasedMachines;
   readonly usage: UsageLedger;
   /** Machines for which a direct command may be due. */
   readonly due = new Set<Machine>();
@@ -34,6 +36,7 @@
     this.listener = options.listener ?? NO_LISTENER;
     this.jobs = new JobRegistry(options.settings.halfLifeS, this.unrecorded);
     this.machines = new MachineRegistry(options.term);
+    this.released = new ReleasedMachines(options.settings.leaseS);
     this.usage = new UsageLedger(options.settings.halfLifeS);
   }
 }
--- /dev/null
+++ b/packages/core/released-machines.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { aBook, aMachine, aReport } from '../testing/samples.js';
+import { ReleasedMachines } from './released-machines.js';
+
+test('a late copy of a released machine neither brings it back nor shows a newer owner', () => {
+  // Guards against work that is given to a machine that is gone, and against an owner that resigns
+  // over a token that it had handed out itself.
+  const book = aBook();
+  const machine = aMachine(book, 'n-1');
+  machine.fencing = true;
+  book.fencing.recorded(machine, 150);
+  const report = aReport({ seq: 3, token: 150 });
+  assert.equal(book.reports.handle(report, 1).kind, 'answer');
+  book.removeMachine('n-1', 2);
+  assert.deepEqual(book.reports.handle(report, 30), { kind: 'late-copy' });
+  assert.equal(book.machines.size, 0);
+  assert.ok(report.token <= book.fencing.newestToken);
+});
+
+test('released machines are forgotten in the end', () => {
+  const released = new ReleasedMachines(10);
+  released.add('n-1', 0);
+  released.add('n-2', 500);
+  assert.ok(released.has('n-1'));
+  released.add('n-3', 700);
+  assert.deepEqual(
+    ['n-1', 'n-2', 'n-3'].map((name) => released.has(name)),
+    [false, true, true],
+  );
+});
--- a/packages/core/report-handler.ts
+++ b/packages/core/report-handler.ts
@@ -31,6 +31,7 @@
 
   /** Takes a report in; times are seconds of the steady clock. */
   handle(report: Report, now: number): ReportOutcome {
+    if (this.tables.released.has(report.machine)) return LATE_COPY;
     const machine = this.machineOf(report, now);
     if (report.session < machine.session) return LATE_COPY;
     if (report.session === machine.session) {
--- a/packages/core/start-fencing.ts
+++ b/packages/core/start-fencing.ts
@@ -11,7 +11,12 @@
  * once a report shows that token, or a new session, none of them can act (docs/safety.md, point 6).
  */
 export class StartFencing {
-  constructor(private readonly tables: FleetTables) {}
+  /** The largest token that any answer of this term may carry; one that is larger is another owner's. */
+  newestToken: number;
+
+  constructor(private readonly tables: FleetTables) {
+    this.newestToken = tables.term;
+  }
 
   /** A direct start is being sent. */
   startSent(machine: Machine, start: TaskRef, now: number): void {
@@ -58,6 +63,7 @@
     machine.fencing = false;
     machine.fenced = true;
     machine.token = revision;
+    this.newestToken = Math.max(this.newestToken, revision);
   }
 }
 
