--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -3,6 +3,7 @@
 import { MachineRegistry } from './machine-registry.js';
 import type { FleetSettings, Machine } from './model.js';
 import { ReleasedMachines } from './released-machines.js';
+import { RoomHolds } from './room-holds.js';
 import { UnrecordedChanges } from './unrecorded-changes.js';
 import { UsageLedger } from './usage-ledger.js';
 
@@ -26,6 +27,7 @@
   readonly machines: MachineRegistry;
   readonly released: ReleasedMachines;
   readonly usage: UsageLedger;
+  readonly holds = new RoomHolds();
   /** Machines for which a direct command may be due. */
   readonly due = new Set<Machine>();
 
