--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -1,4 +1,4 @@
-import type { Book } from '#core';
+import type { FleetState } from '#core';
 import { JobRecord, listAll, MACHINES, MachineRecord, PROGRESS, StateClient } from '#store';
 import type { Entry } from '#wire';
 import type { JobTable } from './jobs.js';
@@ -7,7 +7,7 @@
 export interface OwnerRecordsOptions {
   client: StateClient;
   jobs: JobTable;
-  book: Book;
+  book: FleetState;
   recorder: Recorder;
   /** Takes a job into the book. */
   takeJob: (record: JobRecord) => void;
@@ -33,7 +33,7 @@
     onJobs(loadedAt);
     for (const entry of progress.entries) this.takeProgress(entry);
     for (const entry of machines.entries) this.takeMachine(entry, loadedAt);
-    book.recomputeFleet();
+    book.machines.updateTotals();
     return machines.entries.length;
   }
 
@@ -61,11 +61,11 @@
     recorder.loaded(key, version);
     const { addr, type, zone, spot, tasks } = value as MachineRecord;
     const name = key.slice(MACHINES.length);
-    const machine = book.meet({ name, addr, type, zone, spot }, 'up', now);
+    const machine = book.machines.register({ name, addr, type, zone, spot }, 'up', now);
     for (const [id, index, attempt] of tasks) {
       const job = book.jobs.get(id);
       if (!job) throw new TermBroken(`record of ${name} names unknown job ${id}`);
-      book.inherit(job, index, machine, attempt, now);
+      book.assignments.inherit(job, index, machine, attempt, now);
     }
   }
 }
--- a/packages/testing/plan.test.ts
+++ b/packages/testing/plan.test.ts
@@ -4,7 +4,7 @@
 import { CapacityPlanner } from '#core';
 import { CloudDuty, makeLog, type PartOwner } from '#controller';
 import { aBook, aJob, aMachine, STD } from './samples.js';
-import { serve } from './services.js';
+import { FREE_LOOPBACK_PORT, serveCbor } from './standins/index.js';
 
 const TERMS = new Map([['red', { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }]]);
 const AIMS = [{ class: 'c', kind: 'wait', withinS: 4 }];
@@ -69,8 +69,12 @@
     const book = aBook();
     const planner = aPlanner(book);
     boots.forEach((bootS, i) => planner.noteUp(aMachine(book, `n-${i}`, { bornAt: -bootS }), 0));
-    for (const name of [...book.machines.keys()]) book.released(name, 0);
-    book.meet({ name: 'n-90', addr: '', type: 'std', zone: 'a', spot: false }, 'booting', 0);
+    for (const { name } of [...book.machines.values()]) book.removeMachine(name, 0);
+    book.machines.register(
+      { name: 'n-90', addr: '', type: 'std', zone: 'a', spot: false },
+      'booting',
+      0,
+    );
     book.addJob(aJob(), 0, 'accepted', 0);
     return [STD.bootS, 1.5 * STD.bootS, 3 * STD.bootS].map((age) => rented(planner, age));
   };
@@ -86,7 +90,7 @@
     const machines = ['n-1', 'n-2'].map((name) => aMachine(book, name));
     const job = book.addJob(aJob({ kind: 'service', tasks: 3 }), 0, 'accepted', 0);
     [0, 0, 1].forEach((at, i) => {
-      const a = book.assign(job, i, machines[at], book.newAttempt(), 0);
+      const a = book.assignments.assign(job, i, machines[at], book.assignments.newAttempt(), 0);
       Object.assign(a, { told: true, recorded: true, reported: 'running', runningSince: 0 });
     });
     machines[0].images = new Map([[image, 5]]);
@@ -108,8 +112,8 @@
   const asked: number[] = [];
   let release = () => {};
   const all = new Promise<void>((resolve) => (release = resolve));
-  const cloud = await serve(async (method, url, body) => {
-    if (url.pathname === '/catalog') return { status: 200, body: { rigs: [] } };
+  const cloud = await serveCbor(nodeRuntime, FREE_LOOPBACK_PORT, async ({ method, path, body }) => {
+    if (path === '/catalog') return { status: 200, body: { rigs: [] } };
     if (method === 'GET') return { status: 200, body: { hosts: [], more: false } };
     asked.push((body as { number: number }).number);
     // Nobody is answered before everybody has asked.
@@ -118,7 +122,7 @@
     return { status: 503, body: { error: 'no capacity' } };
   });
   const book = aBook();
-  book.types.set(STD.name, STD);
+  book.machines.types.set(STD.name, STD);
   const stop = new AbortController();
   const refused: string[] = [];
   const owner = {
@@ -136,7 +140,7 @@
       },
     },
   } as unknown as PartOwner;
-  const client = new CloudClient(nodeRuntime, cloud.address, 60_000);
+  const client = new CloudClient(nodeRuntime, cloud.target, 60_000);
   const log = makeLog(nodeRuntime.clock, 'c-0', 'error');
   const duty = new CloudDuty({
     runtime: nodeRuntime,
