--- a/packages/testing/simulation/index.ts
+++ b/packages/testing/simulation/index.ts
@@ -19,3 +19,4 @@
 export * from './counts.js';
 export * from './run-scenario.js';
 export * from './request-log.js';
+export * from './random-scenario.js';
