--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -65,7 +65,7 @@
     attempt: number,
     now: number,
   ): Assignment {
-    const { machines, due } = this.tables;
+    const { machines, holds, due } = this.tables;
     const share = dominantShare(job.job, machines.totals);
     const assignment = newAssignment(job, index, machine, attempt, share, now);
     const others = job.places.get(index);
@@ -74,8 +74,7 @@
     machine.tasks.set(taskName(job.job.id, index), assignment);
     useImage(machine, job.job, machines.typeOf(machine)?.cacheGb ?? Infinity);
     due.add(machine);
-    // The room made here is taken: what the job still waits for needs room of its own.
-    if (machine.heldFor?.job === job) machine.heldFor = null;
+    holds.taken(machine, job);
     this.count(assignment, 1, now);
     return assignment;
   }
@@ -89,17 +88,21 @@
 
   /** Asks for an end of the task; it keeps its place until it is proven gone. */
   stop(assignment: Assignment, graceS: number, now: number): void {
-    if (!assignment.told && !assignment.inherited && assignment.reported === null) {
-      // The start was never sent to the worker and never will be.
-      this.end(assignment, 'stopped', false, now);
-      return;
-    }
+    if (this.endIfUnsent(assignment, now)) return;
     const { stop } = assignment;
     if (stop === null) assignment.stop = { graceS, at: now, direct: false };
     else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, direct: false };
     this.tables.due.add(assignment.machine);
   }
 
+  /** Ends an assignment whose start was never sent to the worker, and so never will be. */
+  endIfUnsent(assignment: Assignment, now: number): boolean {
+    const { told, inherited, reported } = assignment;
+    if (told || inherited || reported !== null) return false;
+    this.end(assignment, 'stopped', false, now);
+    return true;
+  }
+
   /** Stops a task so that what can be saved is saved; a gang stops as a whole. */
   stopGracefully(assignment: Assignment, now: number): void {
     const { job } = assignment.job;
