--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -43,7 +43,8 @@
     this.releaseIfNotEmptying(emptying);
     const byGang = reservedByGang(emptying);
     for (const gang of gangs.sort(byRankAndAge)) {
-      reserveFor(gang, emptying, byGang.get(gang.job.id) ?? []);
+      const isHeld = (machine: Machine) => this.fleet.holds.isHeldFromJob(machine, gang, now);
+      reserveFor(gang, emptying, byGang.get(gang.job.id) ?? [], isHeld);
     }
   }
 
@@ -100,16 +101,20 @@
   return byGang;
 }
 
-/** Reserves the machines that are empty soonest and hold the whole gang; none if no set does. */
+/**
+ * Reserves the machines that are empty soonest and hold the whole gang; none if no set does. A machine
+ * whose room is held for other work is left to it: reserved as well, it would serve neither of the two.
+ */
 function reserveFor(
   { job: spec }: JobState,
   emptying: EmptyingMachine[],
   own: EmptyingMachine[],
+  isHeld: (machine: Machine) => boolean,
 ): void {
   const byZone = new Map<string, Found>();
   let chosen: Machine[] = [];
   for (const { machine, type } of soonestFirst(emptying, own)) {
-    if (!kindAllowed(spec, type, machine.zone, machine.spot)) continue;
+    if (!kindAllowed(spec, type, machine.zone, machine.spot) || isHeld(machine)) continue;
     const zone = spec.oneZone ? machine.zone : '';
     let found = byZone.get(zone);
     if (!found) byZone.set(zone, (found = { machines: [], room: 0 }));
