--- a/packages/core/report-handler.ts
+++ b/packages/core/report-handler.ts
@@ -31,6 +31,7 @@
 
   /** Takes a report in; times are seconds of the steady clock. */
   handle(report: Report, now: number): ReportOutcome {
+    if (this.tables.released.has(report.machine)) return LATE_COPY;
     const machine = this.machineOf(report, now);
     if (report.session < machine.session) return LATE_COPY;
     if (report.session === machine.session) {
@@ -97,13 +98,8 @@
   }
 
   private takeTasks(machine: Machine, report: Report, now: number): Order[] {
-    const listed = new Set<string>();
-    const orders: Order[] = [];
-    for (const task of report.tasks) {
-      listed.add(taskName(task.job, task.index));
-      const order = this.tasks.listed(machine, task, now);
-      if (order) orders.push(order);
-    }
+    const listed = new Set(report.tasks.map((task) => taskName(task.job, task.index)));
+    const orders = this.tasks.allListed(machine, report.tasks, now);
     for (const [name, assignment] of [...machine.tasks]) {
       if (!listed.has(name)) this.tasks.absent(assignment, report, now);
     }
