The answer to a direct command brings nothing back on a machine that was given up

An answer that came after its machine had been released, or its lease had run out, placed the tasks that it listed on a machine that the owner no longer had: their places and their share of the team's limit were held for the rest of the term. Such an answer now only settles its commands. Test: fails before, passes after.

--- /dev/null
+++ b/packages/core/direct-orders.test.ts
@@ -0,0 +1,23 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { aBook, aJob, aMachine, aReport } from '../testing/samples.js';
+
+test('an answer that comes after its machine was given up brings nothing back', () => {
+  // Guards against a place, and a share of the team's limit, that is held for the rest of the term on
+  // a machine that is gone.
+  for (const lost of ['released', 'silent'] as const) {
+    const book = aBook();
+    const job = book.addJob(aJob(), 0, 'accepted', 0);
+    const machine = aMachine(book, 'n-1');
+    book.reports.handle(aReport(), 1);
+    book.assignments.assign(job, 0, machine, 1, 1).recorded = true;
+    const orders = book.directOrders.take(machine, 1.5);
+    if (lost === 'released') book.removeMachine('n-1', 2);
+    else assert.deepEqual(book.leases.expire(20), [machine]);
+    const task = { job: job.job.id, index: 0, attempt: 1, cause: null, saved: false };
+    const report = aReport({ seq: 2, tasks: [{ ...task, state: 'fetching' }] });
+    book.directOrders.finish(machine, orders, { kind: 'executed', report }, 21);
+    assert.equal(job.places.size, 0, lost);
+    assert.equal(book.usage.ofTeam('red').gpus, 0, lost);
+  }
+});
--- a/packages/core/direct-orders.ts
+++ b/packages/core/direct-orders.ts
@@ -82,8 +82,12 @@
     else this.takeReport(machine, outcome.report, now);
   }
 
-  /** It says nothing of starts in an answer that may still be on its way, so absence proves nothing. */
+  /**
+   * It says nothing of starts in an answer that may still be on its way, so absence proves nothing. If the
+   * machine was released or its lease has run out since, all that it held is gone, whatever it says.
+   */
   private takeReport(machine: Machine, report: Report, now: number): void {
+    if (machine.state !== 'up' || this.tables.machines.get(machine.name) !== machine) return;
     if (report.session !== machine.session || report.seq <= machine.seq) return;
     machine.seq = report.seq;
     this.tasks.allListed(machine, report.tasks, now);
