The unanswered start of a job that is over is fenced off at once

A direct start whose answer had not come was fenced off only after two report periods, and not while the call was out, also if its job had been cancelled meanwhile: a start that was held up on its way could be carried out seconds after its user was told. Closing a job now asks for new records of such machines at once; the call that may be under way carries the older token. Test: fails before, passes after.

--- a/packages/core/direct-orders.test.ts
+++ b/packages/core/direct-orders.test.ts
@@ -21,3 +21,23 @@
     assert.equal(book.usage.ofTeam('red').gpus, 0, lost);
   }
 });
+
+test('the unanswered start of a job that is over is fenced off at once', () => {
+  // Guards against a start that was held up on its way and is carried out seconds after its user was
+  // told that the job is cancelled.
+  const book = aBook();
+  const job = book.addJob(aJob(), 0, 'accepted', 0);
+  const machine = aMachine(book, 'n-1');
+  book.reports.handle(aReport(), 1);
+  book.assignments.assign(job, 0, machine, 1, 1).recorded = true;
+  assert.equal(book.directOrders.take(machine, 1.5).length, 1);
+  book.unrecorded.machines.clear();
+  book.closeJob(job, 'aborted', 1.6);
+  assert.deepEqual([...book.unrecorded.machines], ['n-1']);
+  book.fencing.recorded(machine, 150);
+  book.reports.handle(aReport({ seq: 2 }), 2);
+  assert.equal(machine.token, 150, 'the answer carries it');
+  assert.equal(job.places.size, 1);
+  book.reports.handle(aReport({ seq: 3, token: 150 }), 3);
+  assert.equal(job.places.size, 0);
+});
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -1,4 +1,5 @@
 import type { Job } from '#wire';
+import { taskRef } from './answer-orders.js';
 import { Assignments } from './assignments.js';
 import { DirectOrders } from './direct-orders.js';
 import { FleetOptions, FleetTables } from './fleet-tables.js';
@@ -42,7 +43,10 @@
   closeJob(job: JobState, phase: 'aborted' | 'done', now: number): void {
     if (job.phase !== 'accepted') return;
     this.jobs.setFinalPhase(job, phase);
-    for (const assignment of assignmentsOf(job)) this.assignments.stop(assignment, 0, now);
+    for (const assignment of assignmentsOf(job)) {
+      this.fencing.revoke(assignment.machine, taskRef(assignment));
+      this.assignments.stop(assignment, 0, now);
+    }
     this.listener.jobClosed(job, now);
   }
 
--- a/packages/core/start-fencing.ts
+++ b/packages/core/start-fencing.ts
@@ -48,15 +48,25 @@
 
   /** Asks for a new record of the machine if a start has been unacknowledged for too long. */
   fenceOverdueStarts(machine: Machine, now: number): void {
-    if (machine.fencing || machine.fenced || machine.calling) return;
+    if (machine.calling) return;
+    const overdueAfterS = FENCE_AFTER_REPORTS * this.tables.settings.reportS;
     for (const sentAt of machine.loose.values()) {
-      if (now - sentAt < FENCE_AFTER_REPORTS * this.tables.settings.reportS) continue;
-      machine.fencing = true;
-      this.tables.unrecorded.machines.add(machine.name);
-      return;
+      if (now - sentAt >= overdueAfterS) this.fence(machine);
     }
   }
 
+  /** Nobody wants the task any more: asks for a new record at once if its start may still arrive. */
+  revoke(machine: Machine, start: TaskRef): void {
+    if (this.mayArrive(machine, start)) this.fence(machine);
+  }
+
+  /** A call that is under way carries the older token. */
+  private fence(machine: Machine): void {
+    if (machine.fencing || machine.fenced) return;
+    machine.fencing = true;
+    this.tables.unrecorded.machines.add(machine.name);
+  }
+
   /** The machine's record was written at this revision. */
   recorded(machine: Machine, revision: number): void {
     if (!machine.fencing) return;
