Work is served with extreme limits; changelog

A cluster of real controllers runs a job with half a call a second to the cloud, with the smallest transactions at six changes a second, and with values as large as a transaction.

--- /dev/null
+++ b/packages/controller/extreme-limits.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { NoAnswer, pause, UserClient } from '#wire';
+import { aJob, Cluster, formatAddress, serviceAddress, SMALL_CLUSTER, USERS_HOST } from '#testing';
+
+/**
+ * Limits that settings may give. Guards against a cloud that was never asked at the first, and a process that
+ * hung at the last.
+ */
+const EXTREME_LIMITS = {
+  'a rate of the cloud below two calls a second': { cloud: { rps: 0.5, list_lag_s: 4 } },
+  'few changes a second, in the smallest transactions': {
+    state: { rps: 60, write_rps: 6, value_kb: 1, txn_ops: 2 },
+  },
+  'values as large as a transaction': {
+    state: { rps: 60, write_rps: 50, value_kb: 64, txn_ops: 24 },
+  },
+};
+
+function phaseIsDone({ job }: Awaited<ReturnType<UserClient['submit']>>): boolean {
+  return job !== null && 'phase' in job && job.phase === 'done';
+}
+
+function ignoreNoAnswer(err: unknown): false {
+  if (err instanceof NoAnswer) return false;
+  throw err;
+}
+
+for (const [name, limits] of Object.entries(EXTREME_LIMITS)) {
+  test(`work is served with ${name}`, async () => {
+    const deployment = { ...SMALL_CLUSTER.deployment, ...limits };
+    const cluster = new Cluster({ ...SMALL_CLUSTER, deployment }, 1);
+    const runtime = cluster.serviceRuntime('users', 'users', USERS_HOST);
+    const user = new UserClient(formatAddress(serviceAddress(0)), 5000, runtime);
+    const job = aJob({ id: 'j-1', tasks: 4 });
+    cluster.storage.upload({ job, runS: [5, 5, 5, 60], failsAfterS: null });
+    let isDone = false;
+    const useUntilDone = async () => {
+      while (!isDone) {
+        isDone = await user.submit(job).then(phaseIsDone, ignoreNoAnswer);
+        await pause(runtime.clock, 1000);
+      }
+    };
+    await cluster.start();
+    void useUntilDone();
+    await cluster.world.runUntil(180);
+    assert.ok(isDone);
+    assert.deepEqual(cluster.world.uncaught, []);
+  });
+}
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -117,7 +117,7 @@
   private async settle(batch: RecordBatch, failed: string[], signal: AbortSignal): Promise<void> {
     // First of all, so that nothing of a cancelled job is begun, whatever else was applied.
     if (failed.some((key) => key.startsWith(JOBS))) {
-      this.log.debug({ failed }, 'aborted before its tasks or its end were recorded');
+      this.log.debug({ failed }, 'a job changed before its tasks or its end were recorded');
       await this.jobs.cache.sync();
     }
     const revision = await this.appliedAt(batch, failed, signal);
