--- /dev/null
+++ b/packages/controller/job-records.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { FleetState } from '#core';
+import { jobKey, MAX_VALUE_BYTES, maxTasksPerMachine, progressKey } from '#store';
+import { aJob, aMachine, aRecorder, RECORDER_LIMITS } from '#testing';
+
+/** A job of many tasks of which some are done. */
+function aJobWithDone(book: FleetState, done: number[], tasks = 100_000) {
+  const job = book.jobs.get('j-1') ?? book.addJob(aJob({ id: 'j-1', tasks }), 0, 'accepted', 0);
+  for (const index of done) book.jobs.markDone(job, index);
+  return job;
+}
+
+test('whatever the size of values and transactions, machines and progress are recorded in time', async () => {
+  // Guards against a loop without a pause where no value could be sure to fit, and against transactions
+  // that the state service refuses for ever because all parts of a job were to share one.
+  const done = [0, 30_000, 60_000, 99_999];
+  for (const [valueBytes, txnOps] of [
+    [512, 2],
+    [1024, 24],
+    [8192, 2],
+    [48 * 1024, 24],
+    [MAX_VALUE_BYTES, 4],
+  ]) {
+    const { state, book, record, sync, flush, tasksOn } = await aRecorder({ valueBytes, txnOps });
+    record(aJob({ id: 'j-1', tasks: 100_000 }), 'accepted');
+    await sync();
+    const job = aJobWithDone(book, done);
+    const tasks = Math.min(maxTasksPerMachine(valueBytes), 700);
+    const machine = aMachine(book, 'n-1');
+    for (let index = 1; index <= tasks; index++) book.assignments.assign(job, index, machine, 1, 0);
+    await flush();
+    assert.equal(tasksOn('n-1')?.length, tasks);
+    assert.ok(!job.unsaved);
+    const revision = state.service.store.revision;
+    aJobWithDone(book, [60_001]);
+    await flush();
+    // Only the part that differs is written.
+    assert.equal(state.service.store.revision, revision + 1);
+    assert.ok(!job.unsaved);
+    assert.equal(state.service.store.get('jobs/j-1')?.version, 2);
+  }
+});
+
+test('any number of machines to be recorded does not hold up the end of a job', async () => {
+  const { state, book, record, sync, recorder } = await aRecorder();
+  record(aJob({ id: 'j-1' }), 'accepted');
+  await sync();
+  for (let i = 0; i < 100; i++) {
+    const job = book.addJob(aJob({ id: `j-1${i}` }), 0, 'accepted', 0);
+    book.assignments.assign(job, 0, aMachine(book, `n-${i}`), 1, 0).recorded = true;
+  }
+  aJobWithDone(book, [0], 1);
+  void recorder.flush(new AbortController().signal);
+  await state.run(0.1);
+  const value = state.service.store.get('jobs/j-1')?.value as { phase: string };
+  assert.equal(value.phase, 'done');
+});
+
+test('what a job has left of its progress is removed once it is over, also if that was in an earlier term', async () => {
+  const { state, store, book, record, recorder, sync, flush } = await aRecorder();
+  const keys = ['j-1', 'j-2', 'j-3'].map((id) => progressKey(id, 0));
+  const jobs = ['j-1', 'j-2'].map((id) => aJob({ id, tasks: 2 }));
+  for (const job of jobs) record(job, 'accepted');
+  record(aJob({ id: 'j-3', tasks: 2 }), 'aborted');
+  const left = store.apply([{ put: keys[2], value: { done: 'AQ==' } }]);
+  await sync();
+  recorder.jobRecords.loaded('j-3', 0, { version: left, text: 'AQ==' });
+  for (const { id } of jobs) book.jobs.markDone(book.jobs.get(id)!, 0);
+  // One is cancelled while its progress is on its way to be recorded.
+  state.service.beginLostAnswers(1);
+  const flushed = flush();
+  await state.run(0.2);
+  assert.ok(store.get(keys[0]) && store.get(keys[1]));
+  record(jobs[0], 'aborted');
+  await sync();
+  state.service.endLateWrites();
+  await flushed;
+  assert.equal(book.jobs.get('j-1')!.phase, 'aborted');
+  book.jobs.markDone(book.jobs.get('j-2')!, 1);
+  await flush();
+  assert.equal((store.get(jobKey('j-2'))?.value as { phase: string }).phase, 'done');
+  assert.deepEqual(
+    keys.map((key) => store.get(key)),
+    [undefined, undefined, undefined],
+  );
+});
+
+test('what is over is removed only while the budget has plenty', async () => {
+  const { state, client, store, record, recorder, sync } = await aRecorder();
+  record(aJob({ id: 'j-1', tasks: 2 }), 'aborted');
+  const left = store.apply([{ put: progressKey('j-1', 0), value: { done: 'AQ==' } }]);
+  await sync();
+  recorder.jobRecords.loaded('j-1', 0, { version: left, text: 'AQ==' });
+  assert.ok(recorder.pending);
+  // Somebody else takes most of it.
+  const others = Array.from({ length: RECORDER_LIMITS.txnOps + 10 }, () => ({ delete: 'x' }));
+  client.txn([], others, false).catch(() => {});
+  assert.ok(!recorder.pending);
+  await state.run(0.6);
+  assert.ok(recorder.pending);
+});
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -1,83 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { pino } from 'pino';
-import type { FleetState } from '#core';
-import type { Job } from '#wire';
-import {
-  encodeJob,
-  jobKey,
-  JOBS,
-  MACHINES,
-  type MachineRecord,
-  MAX_VALUE_BYTES,
-  maxTasksPerMachine,
-  partKey,
-  PrefixCache,
-  progressKey,
-  type StateLimits,
-} from '#store';
-import { aBook, aJob, aMachine, StateWorld } from '#testing';
-import { Cancellations } from './cancellations.js';
-import { JobTable } from './jobs.js';
-import { Recorder, TermBroken } from './recorder.js';
-
-const REPORT_S = 1;
-const LIMITS: StateLimits = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
-
-/** A recorder of a term whose book follows the jobs of the state service; it may take other limits for true. */
-async function aRecorder(
-  limits: Partial<StateLimits> = {},
-  serviceLimits: Partial<StateLimits> = {},
-) {
-  const state = await StateWorld.start({ ...LIMITS, ...limits, ...serviceLimits });
-  const { store } = state.service;
-  const runtime = state.controller();
-  const client = state.client(runtime, { limits: { ...LIMITS, ...limits } });
-  const caching = { client, runtime, prefix: JOBS, watchMs: 10_000, syncSpacingMs: 0 };
-  const cache = new PrefixCache(caching);
-  const jobs = new JobTable(cache, new Cancellations(100, 70));
-  const term = store.apply([{ put: partKey(0), value: {} }]);
-  const book = aBook();
-  const stop = new AbortController();
-  const recorder = new Recorder({
-    runtime,
-    client,
-    book,
-    jobs,
-    term: { part: 0, term, grant: 0, claimedAt: 0 },
-    reportS: REPORT_S,
-    log: pino({ enabled: false }),
-  });
-  jobs.changed.subscribe(({ job, phase }) => {
-    book.addJob(job, 0, phase, state.now);
-    if (phase !== 'accepted') recorder.jobRecords.over(job);
-  });
-  const record = (job: Job, phase: 'accepted' | 'aborted') =>
-    store.apply([{ put: jobKey(job.id), value: encodeJob({ job, acceptedAtMs: 0, phase }) }]);
-  const flushAll = async () => {
-    while (recorder.pending) await recorder.flush(stop.signal);
-  };
-  /** Runs until nothing is left to record. */
-  const flush = async (withinS = 10) => {
-    let isOver = false;
-    const flushed = flushAll().finally(() => (isOver = true));
-    flushed.catch(() => {});
-    assert.ok(await state.runUntil(() => isOver, withinS), 'all is recorded in time');
-    await flushed;
-  };
-  const tasksOn = (name: string) =>
-    (store.get(MACHINES + name)?.value as MachineRecord | undefined)?.tasks.map(([job]) => job);
-  // The watch is held up after the first load; what comes later shows to those who ask for it.
-  const watching = new AbortController();
-  void cache.run(watching.signal);
-  await state.run(0.1);
-  watching.abort();
-  const sync = async () => {
-    void cache.sync();
-    await state.run(0.1);
-  };
-  return { state, client, store, book, recorder, record, sync, flush, tasksOn, term };
-}
+import { MACHINES } from '#store';
+import { aJob, aMachine, aRecorder } from '#testing';
+import { TermBroken } from './recorder.js';
 
 test('a task is not recorded, and so never starts, once its job was cancelled', async () => {
   // Guards against starts after a confirmed cancellation that the watch had not brought yet.
@@ -166,59 +91,6 @@
   assert.equal(tasksOn('n-2'), undefined);
 });
 
-/** A job of many tasks of which some are done. */
-function aJobWithDone(book: FleetState, done: number[], tasks = 100_000) {
-  const job = book.jobs.get('j-1') ?? book.addJob(aJob({ id: 'j-1', tasks }), 0, 'accepted', 0);
-  for (const index of done) book.jobs.markDone(job, index);
-  return job;
-}
-
-test('whatever the size of values and transactions, machines and progress are recorded in time', async () => {
-  // Guards against a loop without a pause where no value could be sure to fit, and against transactions
-  // that the state service refuses for ever because all parts of a job were to share one.
-  const done = [0, 30_000, 60_000, 99_999];
-  for (const [valueBytes, txnOps] of [
-    [512, 2],
-    [1024, 24],
-    [8192, 2],
-    [48 * 1024, 24],
-    [MAX_VALUE_BYTES, 4],
-  ]) {
-    const { state, book, record, sync, flush, tasksOn } = await aRecorder({ valueBytes, txnOps });
-    record(aJob({ id: 'j-1', tasks: 100_000 }), 'accepted');
-    await sync();
-    const job = aJobWithDone(book, done);
-    const tasks = Math.min(maxTasksPerMachine(valueBytes), 700);
-    const machine = aMachine(book, 'n-1');
-    for (let index = 1; index <= tasks; index++) book.assignments.assign(job, index, machine, 1, 0);
-    await flush();
-    assert.equal(tasksOn('n-1')?.length, tasks);
-    assert.ok(!job.unsaved);
-    const revision = state.service.store.revision;
-    aJobWithDone(book, [60_001]);
-    await flush();
-    // Only the part that differs is written.
-    assert.equal(state.service.store.revision, revision + 1);
-    assert.ok(!job.unsaved);
-    assert.equal(state.service.store.get('jobs/j-1')?.version, 2);
-  }
-});
-
-test('any number of machines to be recorded does not hold up the end of a job', async () => {
-  const { state, book, record, sync, recorder } = await aRecorder();
-  record(aJob({ id: 'j-1' }), 'accepted');
-  await sync();
-  for (let i = 0; i < 100; i++) {
-    const job = book.addJob(aJob({ id: `j-1${i}` }), 0, 'accepted', 0);
-    book.assignments.assign(job, 0, aMachine(book, `n-${i}`), 1, 0).recorded = true;
-  }
-  aJobWithDone(book, [0], 1);
-  void recorder.flush(new AbortController().signal);
-  await state.run(0.1);
-  const value = state.service.store.get('jobs/j-1')?.value as { phase: string };
-  assert.equal(value.phase, 'done');
-});
-
 test('a transaction that is called malformed ends the term and is not repeated', async () => {
   const { state, book, record, sync, flush } = await aRecorder({}, { txnOps: 4 });
   record(aJob({ id: 'j-1', tasks: 5 }), 'accepted');
@@ -254,50 +126,6 @@
   assert.deepEqual(tasksOn('n-2'), ['j-1']);
 });
 
-test('what a job has left of its progress is removed once it is over, also if that was in an earlier term', async () => {
-  const { state, store, book, record, recorder, sync, flush } = await aRecorder();
-  const keys = ['j-1', 'j-2', 'j-3'].map((id) => progressKey(id, 0));
-  const jobs = ['j-1', 'j-2'].map((id) => aJob({ id, tasks: 2 }));
-  for (const job of jobs) record(job, 'accepted');
-  record(aJob({ id: 'j-3', tasks: 2 }), 'aborted');
-  const left = store.apply([{ put: keys[2], value: { done: 'AQ==' } }]);
-  await sync();
-  recorder.jobRecords.loaded('j-3', 0, { version: left, text: 'AQ==' });
-  for (const { id } of jobs) book.jobs.markDone(book.jobs.get(id)!, 0);
-  // One is cancelled while its progress is on its way to be recorded.
-  state.service.beginLostAnswers(1);
-  const flushed = flush();
-  await state.run(0.2);
-  assert.ok(store.get(keys[0]) && store.get(keys[1]));
-  record(jobs[0], 'aborted');
-  await sync();
-  state.service.endLateWrites();
-  await flushed;
-  assert.equal(book.jobs.get('j-1')!.phase, 'aborted');
-  book.jobs.markDone(book.jobs.get('j-2')!, 1);
-  await flush();
-  assert.equal((store.get(jobKey('j-2'))?.value as { phase: string }).phase, 'done');
-  assert.deepEqual(
-    keys.map((key) => store.get(key)),
-    [undefined, undefined, undefined],
-  );
-});
-
-test('what is over is removed only while the budget has plenty', async () => {
-  const { state, client, store, record, recorder, sync } = await aRecorder();
-  record(aJob({ id: 'j-1', tasks: 2 }), 'aborted');
-  const left = store.apply([{ put: progressKey('j-1', 0), value: { done: 'AQ==' } }]);
-  await sync();
-  recorder.jobRecords.loaded('j-1', 0, { version: left, text: 'AQ==' });
-  assert.ok(recorder.pending);
-  // Somebody else takes most of it.
-  const others = Array.from({ length: LIMITS.txnOps + 10 }, () => ({ delete: 'x' }));
-  client.txn([], others, false).catch(() => {});
-  assert.ok(!recorder.pending);
-  await state.run(0.6);
-  assert.ok(recorder.pending);
-});
-
 test('a record that somebody else has changed ends the term', async () => {
   const { store, book, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
