--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -20,7 +20,8 @@
 import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
 import { makeControllers, type SimulatedController } from './controllers.js';
 import { Machines } from './machines.js';
-import { SimulatedHost, SimulatedNetwork, type HostRole } from './network.js';
+import { SimulatedHost, type HostRole } from './host.js';
+import { SimulatedNetwork } from './network.js';
 import { OwnershipHistory } from './ownership-history.js';
 import { RequestLog } from './request-log.js';
 import { SimulatedProcess } from './process.js';
--- a/packages/testing/simulation/connection.ts
+++ b/packages/testing/simulation/connection.ts
@@ -3,7 +3,8 @@
  * a packet is decided by the rules in force when it is sent.
  */
 import type { LinkEffect } from './link-rules.js';
-import type { SimulatedHost, SimulatedNetwork } from './network.js';
+import type { SimulatedHost } from './host.js';
+import type { SimulatedNetwork } from './network.js';
 import type { Incarnation } from './process.js';
 import type { SimulatedSocket, Transport } from './socket.js';
 
--- a/packages/testing/simulation/controllers.ts
+++ b/packages/testing/simulation/controllers.ts
@@ -4,7 +4,8 @@
 import { drawSkew } from './clock.js';
 import { ControllerLog } from './controller-log.js';
 import { controllerSettings, zoneOfController, type ClusterSettings } from './cluster-settings.js';
-import { SimulatedHost, SimulatedNetwork } from './network.js';
+import { SimulatedHost } from './host.js';
+import type { SimulatedNetwork } from './network.js';
 import { SimulatedProcess } from './process.js';
 import type { RequestLog } from './request-log.js';
 import type { World } from './world.js';
@@ -37,6 +38,7 @@
   const name = controllerName(index);
   const zone = zoneOfController(cluster, index);
   const host = new SimulatedHost(name, 'controller', serviceAddress(index).host, zone);
+  host.socketLimit = cluster.deployment.limits.sockets;
   network.addHost(host);
   const log = new ControllerLog(world, cluster.logLevel);
   const settings = controllerSettings(cluster, index);
--- a/packages/testing/simulation/faults/link-faults.ts
+++ b/packages/testing/simulation/faults/link-faults.ts
@@ -1,6 +1,7 @@
 /** Faults that are rules of the network. */
 import type { HostFilter, LinkEffect } from '../link-rules.js';
-import type { HostRole, SimulatedHost, SimulatedNetwork } from '../network.js';
+import type { HostRole, SimulatedHost } from '../host.js';
+import type { SimulatedNetwork } from '../network.js';
 import type { CutFrom, CutMode } from '../scenario.js';
 
 /** Ends a fault. */
--- a/packages/testing/simulation/index.ts
+++ b/packages/testing/simulation/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js';
 export * from './connection.js';
+export * from './host.js';
 export * from './link-rules.js';
 export * from './network.js';
 export * from './process.js';
--- a/packages/testing/simulation/link-rules.ts
+++ b/packages/testing/simulation/link-rules.ts
@@ -1,4 +1,4 @@
-import type { SimulatedHost } from './network.js';
+import type { SimulatedHost } from './host.js';
 
 /** What happens to connections while a rule is in force. */
 export type LinkEffect =
--- a/packages/testing/simulation/machines.ts
+++ b/packages/testing/simulation/machines.ts
@@ -14,7 +14,8 @@
 import { workerAddress } from './addresses.js';
 import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
 import { drawSkew } from './clock.js';
-import { SimulatedHost, type SimulatedNetwork } from './network.js';
+import { SimulatedHost } from './host.js';
+import type { SimulatedNetwork } from './network.js';
 import { SimulatedProcess } from './process.js';
 import type { World } from './world.js';
 
--- a/packages/testing/simulation/network.test.ts
+++ b/packages/testing/simulation/network.test.ts
@@ -213,6 +213,22 @@
   assert.deepEqual(results, ['ECONNRESET']);
 });
 
+test('a host without free sockets opens no connection and refuses those of others', async () => {
+  const { world, server, client, results } = aWorld(8);
+  await world.runUntil(0.5);
+  server.host.socketLimit = 1;
+  client.restart(0.1);
+  await world.runUntil(1);
+  client.host.socketLimit = 0;
+  client.restart(0.1);
+  await world.runUntil(1.5);
+  server.host.socketLimit = 0;
+  client.host.socketLimit = 1;
+  client.restart(0.1);
+  await world.runUntil(2);
+  assert.deepEqual(results, ['1:0', '2:0', 'EMFILE', 'ECONNREFUSED']);
+});
+
 test('the same seed gives the same run, another seed another one', async () => {
   const digests = [];
   for (const seed of [7, 7, 8]) {
--- a/packages/testing/simulation/network.ts
+++ b/packages/testing/simulation/network.ts
@@ -4,6 +4,7 @@
 import type { HostPort, Network } from '#wire';
 import type { Chance } from '../random.js';
 import { Connection, ConnectionEnd } from './connection.js';
+import type { Listener, SimulatedHost } from './host.js';
 import { LinkRule, LinkRules } from './link-rules.js';
 import type { CrashVisibility, Incarnation } from './process.js';
 import { SimulatedSocket } from './socket.js';
@@ -29,29 +30,6 @@
   resentAfterMs: 200,
 };
 
-export type HostRole = 'controller' | 'state' | 'cloud' | 'balancer' | 'users' | 'worker';
-
-/** A machine on the network. */
-export class SimulatedHost {
-  powered = true;
-  readonly listeners = new Map<number, Listener>();
-
-  constructor(
-    readonly name: string,
-    readonly role: HostRole,
-    /** Its only IP address. */
-    readonly address: string,
-    /** Null: belongs to no zone. */
-    readonly zone: string | null,
-  ) {}
-}
-
-interface Listener {
-  server: net.Server;
-  incarnation: Incarnation;
-  open: number;
-}
-
 /** A connection that is being opened. */
 interface Attempt {
   incarnation: Incarnation;
@@ -60,6 +38,8 @@
   tries: number;
 }
 
+type ConnectError = 'ECONNREFUSED' | 'ETIMEDOUT' | 'EMFILE';
+
 export class SimulatedNetwork {
   readonly rules = new LinkRules();
   /** Ends whose packets wait for the end of a rule. */
@@ -129,13 +109,18 @@
   connect(incarnation: Incarnation, to: HostPort): SimulatedSocket {
     const socket = new SimulatedSocket(incarnation.runtime.clock, null, false, to.host);
     const attempt: Attempt = { incarnation, socket, to, tries: 0 };
-    this.world.scheduleInternal(this.drawLatencyS(), () => this.tryToOpen(attempt));
+    const { host } = incarnation;
+    if (!host.hasFreeSocket) this.fail(attempt, 'EMFILE');
+    else this.world.scheduleInternal(this.drawLatencyS(), () => this.tryToOpen(attempt));
+    host.count(socket);
     return socket;
   }
 
   /** An incarnation has ended: its listeners and connections go with it. */
   closeAllOf(incarnation: Incarnation, visibility: CrashVisibility): void {
-    const { listeners } = incarnation.host;
+    const { host } = incarnation;
+    const { listeners } = host;
+    host.openSockets = 0;
     for (const [port, listener] of listeners) {
       if (listener.incarnation === incarnation) listeners.delete(port);
     }
@@ -167,7 +152,8 @@
     } else if (effect === 'hold') this.heldAttempts.add(attempt);
     else {
       const listener = target.listeners.get(to.port);
-      if (effect === 'refuse' || listener === undefined) this.fail(attempt, 'ECONNREFUSED');
+      const refused = effect === 'refuse' || listener === undefined || !target.hasFreeSocket;
+      if (refused) this.fail(attempt, 'ECONNREFUSED');
       else this.open(attempt, listener);
     }
   }
@@ -178,7 +164,7 @@
     else this.world.scheduleInternal(delayS, () => this.tryToOpen(attempt));
   }
 
-  private fail(attempt: Attempt, code: 'ECONNREFUSED' | 'ETIMEDOUT'): void {
+  private fail(attempt: Attempt, code: ConnectError): void {
     this.world.schedule(this.drawLatencyS(), () => {
       attempt.incarnation.deliver(() => attempt.socket.failed(code));
     });
@@ -206,6 +192,7 @@
   const { allowHalfOpen } = listener.server as net.Server & { allowHalfOpen?: boolean };
   const socket = new SimulatedSocket(clock, acceptor, allowHalfOpen === true, opener.host.address);
   acceptor.socket = socket;
+  acceptor.host.count(socket);
   socket.once('close', () => listener.open--);
   listener.server.emit('connection', socket);
 }
--- a/packages/testing/simulation/process.ts
+++ b/packages/testing/simulation/process.ts
@@ -5,7 +5,8 @@
 import type { Runtime } from '#wire';
 import type { Chance } from '../random.js';
 import { ClockSkew, SimulatedClock } from './clock.js';
-import { IncarnationNetwork, type SimulatedHost, type SimulatedNetwork } from './network.js';
+import type { SimulatedHost } from './host.js';
+import { IncarnationNetwork, type SimulatedNetwork } from './network.js';
 import type { World } from './world.js';
 
 /** What a process runs; called anew for each incarnation. */
--- a/packages/testing/simulation/socket.ts
+++ b/packages/testing/simulation/socket.ts
@@ -55,7 +55,7 @@
     if (!this.destroyed) this.push(null);
   }
 
-  failed(code: 'ECONNREFUSED' | 'ECONNRESET' | 'ETIMEDOUT'): void {
+  failed(code: 'ECONNREFUSED' | 'ECONNRESET' | 'ETIMEDOUT' | 'EMFILE'): void {
     if (!this.destroyed) this.destroy(Object.assign(new Error(code), { code }));
   }
 
