--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -4,7 +4,7 @@
 import { CloudDuty } from './cloud.js';
 import { makeLog } from './log.js';
 import type { PartOwner } from './owner.js';
-import { aBook, aMachine, STD } from '../testing/samples.js';
+import { aFleet, aMachine, STD } from '../testing/samples.js';
 import { FREE_LOOPBACK_PORT, serveCbor } from '../testing/standins/index.js';
 
 interface Permission {
@@ -37,11 +37,11 @@
 async function callsOf(permission: Permission): Promise<string[]> {
   const stop = new AbortController();
   const cloud = new RecordingCloud();
-  const book = aBook();
-  aMachine(book, 'n-1').failedInList = true;
+  const fleet = aFleet();
+  aMachine(fleet, 'n-1').failedInList = true;
   let plans = 0;
   const owner = {
-    book,
+    fleet,
     term: { term: 1 },
     ready: true,
     first: true,
@@ -105,12 +105,12 @@
     await all;
     return { status: 503, body: { error: 'no capacity' } };
   });
-  const book = aBook();
-  book.machines.types.set(STD.name, STD);
+  const fleet = aFleet();
+  fleet.machines.types.set(STD.name, STD);
   const stop = new AbortController();
   const refused: string[] = [];
   const owner = {
-    book,
+    fleet,
     term: { term: 1 },
     ready: true,
     first: true,
--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -101,11 +101,11 @@
   private async step(signal: AbortSignal): Promise<void> {
     const { reportS, listLagS, mayRent, mayRelease, onTypes } = this.options;
     const now = this.clock.now();
-    const book = this.owner.book;
-    if (now - this.typesAt > CATALOG_PERIODS * reportS || book.machines.types.size === 0) {
+    const fleet = this.owner.fleet;
+    if (now - this.typesAt > CATALOG_PERIODS * reportS || fleet.machines.types.size === 0) {
       await this.budget.take(1, false, signal);
       const types = await this.cloud.catalog(signal);
-      for (const type of types) book.machines.types.set(type.name, type);
+      for (const type of types) fleet.machines.types.set(type.name, type);
       await onTypes(types, signal);
       this.typesAt = now;
     }
@@ -131,7 +131,7 @@
   private async carryOutPlan(now: number, signal: AbortSignal): Promise<void> {
     const { rent, release, consolidation } = this.owner.planner.plan(now);
     if (consolidation !== null && this.options.mayRelease()) {
-      startConsolidation(this.owner.book, consolidation, now);
+      startConsolidation(this.owner.fleet, consolidation, now);
       this.owner.nudge();
       const { machine, moves } = consolidation;
       this.log.info({ machine: machine.name, replicas: moves.length }, 'emptied');
@@ -145,7 +145,7 @@
 
   private async list(signal: AbortSignal): Promise<void> {
     const now = this.clock.now();
-    const book = this.owner.book;
+    const fleet = this.owner.fleet;
     let after: string | null = null;
     for (;;) {
       await this.budget.take(1, false, signal);
@@ -160,28 +160,28 @@
     for (const [name, releasedAt] of this.releasedAt) {
       if (now - releasedAt > memoryS) this.releasedAt.delete(name);
     }
-    book.machines.updateTotals();
+    fleet.machines.updateTotals();
   }
 
   private takeListed(listed: ListedMachine, now: number): void {
-    const book = this.owner.book;
+    const fleet = this.owner.fleet;
     // The list lags behind what was released.
     if (this.releasedAt.has(listed.name)) return;
-    const known = book.machines.get(listed.name);
+    const known = fleet.machines.get(listed.name);
     if (known) {
       if (listed.state === 'failed') known.failedInList = true;
       return;
     }
-    const bootS = book.machines.types.get(listed.type)?.bootS ?? 0;
+    const bootS = fleet.machines.types.get(listed.type)?.bootS ?? 0;
     // One that is listed as running has a boot time's worth of patience to report to us.
     const rentedAt = listed.state === 'booting' ? now - listed.ageS : now - bootS;
-    const machine = book.machines.register(listed, 'booting', rentedAt);
+    const machine = fleet.machines.register(listed, 'booting', rentedAt);
     machine.failedInList = listed.state === 'failed';
   }
 
   /** Machines that cost money for nothing. */
   private uselessMachines(now: number): Machine[] {
-    const { machines } = this.owner.book;
+    const { machines } = this.owner.fleet;
     const isUseless = (machine: Machine) => {
       const { state, draining, rentedAt, expiredAt } = machine;
       const bootS = machines.typeOf(machine)?.bootS ?? 0;
@@ -204,7 +204,7 @@
     await this.cloud.release(names, signal);
     const now = this.clock.now();
     for (const name of names) {
-      this.owner.book.removeMachine(name, now);
+      this.owner.fleet.removeMachine(name, now);
       this.releasedAt.set(name, now);
     }
     this.log.info({ machines: names }, 'released');
@@ -230,15 +230,15 @@
   }
 
   private rented(request: string, rental: Rental, names: string[]): void {
-    const { book, planner } = this.owner;
+    const { fleet, planner } = this.owner;
     const { type, zone, spot, count } = rental;
     const now = this.clock.now();
     if (names.length < count) {
-      const bootS = book.machines.types.get(type)?.bootS ?? 0;
+      const bootS = fleet.machines.types.get(type)?.bootS ?? 0;
       planner.rentalRefused(rental, now + bootS * REFUSED_FOR);
     }
     for (const name of names)
-      book.machines.register({ name, addr: '', type, zone, spot }, 'booting', now);
+      fleet.machines.register({ name, addr: '', type, zone, spot }, 'booting', now);
     this.log.info({ request, ...rental, got: names.length }, 'rent');
   }
 }
--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -29,13 +29,13 @@
   });
 }
 
-export function makePlanner(settings: Settings, book: FleetState): CapacityPlanner {
+export function makePlanner(settings: Settings, fleet: FleetState): CapacityPlanner {
   const { deployment, operator } = settings;
   const objectives = deployment.objectives
     .filter((o) => o.class !== undefined)
     .map((o) => ({ class: o.class!, kind: o.kind, withinS: o.within_s ?? Infinity }));
   return new CapacityPlanner({
-    fleet: book,
+    fleet,
     settings: {
       reserveSigmas: operator.reserveSigmas,
       idleHoldS: operator.idleHoldS,
@@ -46,9 +46,9 @@
   });
 }
 
-export function makeScheduler(settings: Settings, book: FleetState): Scheduler {
+export function makeScheduler(settings: Settings, fleet: FleetState): Scheduler {
   const { deployment, operator } = settings;
-  return new Scheduler(book, teamTerms(deployment.teams), {
+  return new Scheduler(fleet, teamTerms(deployment.teams), {
     floorWeight: operator.floorWeight,
     stopThreshold: operator.stopThreshold,
     gangLeaseS: operator.gangLeaseS,
--- a/packages/controller/direct.ts
+++ b/packages/controller/direct.ts
@@ -3,13 +3,13 @@
 
 export interface DirectCommandsOptions {
   runtime: Runtime;
-  book: FleetState;
+  fleet: FleetState;
   timeoutMs: number;
   /** Connections that may be open at once: one for each machine would not fit a large fleet. */
   maxConnections: number;
   /** Told of commands that go out. */
   onOrders: (machine: Machine, orders: Order[]) => void;
-  /** Told when a call has ended and its outcome is in the book. */
+  /** Told when a call has ended and its outcome is taken in. */
   onDone: () => void;
 }
 
@@ -24,12 +24,12 @@
 
   /** Sends what is due; at most one call to a machine is under way. */
   push(signal: AbortSignal): void {
-    const { runtime, book, maxConnections, onOrders } = this.options;
+    const { runtime, fleet, maxConnections, onOrders } = this.options;
     const now = runtime.clock.now();
-    for (const machine of [...book.due]) {
+    for (const machine of [...fleet.machinesWithCommands]) {
       // The rest goes out with the next push, or in answers to reports.
       if (this.busy.size >= maxConnections) return;
-      const orders = book.directOrders.take(machine, now);
+      const orders = fleet.directOrders.take(machine, now);
       if (orders.length === 0) continue;
       onOrders(machine, orders);
       void this.send(machine, orders, signal);
@@ -69,7 +69,7 @@
   }
 
   private async send(machine: Machine, orders: Order[], signal: AbortSignal): Promise<void> {
-    const { runtime, book, timeoutMs, onDone } = this.options;
+    const { runtime, fleet, timeoutMs, onDone } = this.options;
     const { clock } = runtime;
     const body = commandToWire(machine.token, machine.session, orders);
     const options = { timeoutMs, signal, body };
@@ -77,7 +77,7 @@
     try {
       const res = await this.client(machine).call('POST', '/orders', options);
       if (res.status === 200) {
-        book.directOrders.finish(
+        fleet.directOrders.finish(
           machine,
           orders,
           { kind: 'executed', report: parseReport(res.body) },
@@ -85,7 +85,7 @@
         );
       } else {
         const refused = res.status === 409 || res.status === 400;
-        book.directOrders.finish(
+        fleet.directOrders.finish(
           machine,
           orders,
           { kind: refused ? 'refused' : 'unknown' },
@@ -94,10 +94,10 @@
       }
     } catch {
       // No answer, or one that can't be read: the commands may have been carried out.
-      book.directOrders.finish(machine, orders, { kind: 'unknown' }, clock.now());
+      fleet.directOrders.finish(machine, orders, { kind: 'unknown' }, clock.now());
     }
     this.busy.delete(machine.name);
-    if (!book.machines.has(machine.name)) this.drop(machine.name);
+    if (!fleet.machines.has(machine.name)) this.drop(machine.name);
     onDone();
   }
 }
--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -17,7 +17,7 @@
 }
 
 export function summariseFleet(
-  book: FleetState,
+  fleet: FleetState,
   scheduler: Scheduler,
   teams: readonly string[],
   now: number,
@@ -25,19 +25,19 @@
   const summary: FleetSummary = {
     machines: {},
     idle: 0,
-    gpus: book.machines.totals.gpus,
+    gpus: fleet.machines.totals.gpus,
     use: {},
     index: {},
     waiting: {},
   };
-  for (const machine of book.machines.values()) {
+  for (const machine of fleet.machines.values()) {
     add(summary.machines, `${machine.state}${machine.spot ? ' spot' : ''}`, 1);
     if (machine.state === 'up' && machine.tasks.size === 0) summary.idle++;
   }
-  for (const job of book.jobs.waiting)
-    add(summary.waiting, job.spec.class, book.jobs.waitingCount(job));
+  for (const job of fleet.jobs.waiting)
+    add(summary.waiting, job.spec.class, fleet.jobs.waitingCount(job));
   for (const team of teams) {
-    summary.use[team] = book.usage.ofTeam(team).gpus;
+    summary.use[team] = fleet.usage.ofTeam(team).gpus;
     summary.index[team] = Number(scheduler.index(team, now).toFixed(3));
   }
   return summary;
@@ -49,11 +49,11 @@
 
 /** How many machines should report, and how many did so within the time. */
 export function countHeard(
-  book: FleetState,
+  fleet: FleetState,
   now: number,
   withinS: number,
 ): { machines: number; heard: number } {
-  const machines = [...book.machines.values()].filter(({ state }) => state === 'up');
+  const machines = [...fleet.machines.values()].filter(({ state }) => state === 'up');
   const heard = machines.filter(({ answeredAt }) => now - answeredAt <= withinS);
   return { machines: machines.length, heard: heard.length };
 }
@@ -66,9 +66,9 @@
 }
 
 /** The counts of all jobs that are not over. */
-export function countTasks(book: FleetState): TaskCounts[] {
+export function countTasks(fleet: FleetState): TaskCounts[] {
   const counts: TaskCounts[] = [];
-  for (const job of book.jobs.values()) {
+  for (const job of fleet.jobs.values()) {
     if (job.phase !== 'accepted') continue;
     counts.push({ job: job.spec.id, done: job.done.size, running: runningTasks(job) });
   }
--- a/packages/controller/job-intake.test.ts
+++ b/packages/controller/job-intake.test.ts
@@ -1,22 +1,22 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobRecord } from '#store';
-import { aBook, aJob, aMachine, StateWorld } from '#testing';
+import { aFleet, aJob, aMachine, StateWorld } from '#testing';
 import { JobIntake } from './job-intake.js';
 
 const LIMITS = { rps: 100, writeRps: 100, valueBytes: 8192, txnOps: 24 };
 
 async function anIntake(asked: string[]) {
   const world = await StateWorld.start(LIMITS);
-  const book = aBook();
+  const fleet = aFleet();
   const arrivals: string[] = [];
   const intake = new JobIntake({
     clock: world.controller().clock,
-    book,
+    fleet,
     planner: { jobArrived: (job) => void arrivals.push(job.id) },
     jobs: { isCancelled: (id) => asked.includes(id) },
   });
-  return { book, intake, arrivals };
+  return { fleet, intake, arrivals };
 }
 
 function accepted(id: string): JobRecord {
@@ -26,28 +26,28 @@
 test('a job whose cancellation was asked for before its owner read it is never begun', async () => {
   // Guards against starts in the half report period until a new owner, or the owner of a job that came
   // after the request, looked at what users had asked for.
-  const { book, intake, arrivals } = await anIntake(['j-1']);
+  const { fleet, intake, arrivals } = await anIntake(['j-1']);
   intake.take(accepted('j-1'));
   intake.take(accepted('j-2'));
   assert.deepEqual(arrivals, ['j-1', 'j-2']);
   assert.deepEqual(
-    [...book.jobs.waiting].map((job) => job.spec.id),
+    [...fleet.jobs.waiting].map((job) => job.spec.id),
     ['j-2'],
   );
   assert.deepEqual([...intake.unrecorded.keys()], ['j-1']);
   // What an earlier term has started of it ends.
-  const job = book.jobs.get('j-1')!;
-  book.assignments.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
+  const job = fleet.jobs.get('j-1')!;
+  fleet.assignments.inherit(job, 0, aMachine(fleet, 'n-1'), 1, 0);
   assert.equal(job.assignments.get(0)?.[0].stop?.graceS, 0);
   intake.take({ ...accepted('j-1'), phase: 'aborted', version: 2 });
   assert.equal(intake.unrecorded.size, 0);
 });
 
 test('a request ends a job that was begun, and only once', async () => {
-  const { book, intake } = await anIntake([]);
+  const { fleet, intake } = await anIntake([]);
   intake.take(accepted('j-1'));
   assert.ok(intake.cancel('j-1'));
   assert.ok(!intake.cancel('j-1'));
   assert.ok(!intake.cancel('j-2'));
-  assert.equal(book.jobs.waiting.size, 0);
+  assert.equal(fleet.jobs.waiting.size, 0);
 });
--- a/packages/controller/job-intake.ts
+++ b/packages/controller/job-intake.ts
@@ -5,12 +5,12 @@
 
 export interface JobIntakeOptions {
   clock: Clock;
-  book: FleetState;
+  fleet: FleetState;
   planner: Pick<CapacityPlanner, 'jobArrived'>;
   jobs: Pick<JobTable, 'isCancelled'>;
 }
 
-/** Brings jobs into an owner's book, and ends those whose users have asked for it. */
+/** Brings jobs into an owner's fleet state, and ends those whose users have asked for it. */
 export class JobIntake {
   /**
    * Jobs that were ended here on request while their record was open, and when that was or when an attempt
@@ -23,12 +23,12 @@
 
   /** Takes a record in as the state service holds it; what a user has asked to cancel is never begun. */
   take(record: JobRecord): void {
-    const { clock, book, planner, jobs } = this.options;
+    const { clock, fleet, planner, jobs } = this.options;
     const { job, phase, acceptedAtMs } = record;
     const now = clock.now();
     const ageS = Math.max(0, (clock.wallMs() - acceptedAtMs) / 1000);
-    const isNew = !book.jobs.has(job.id);
-    book.addJob(job, now - ageS, phase, now);
+    const isNew = !fleet.jobs.has(job.id);
+    fleet.addJob(job, now - ageS, phase, now);
     if (phase !== 'accepted') this.unrecorded.delete(job.id);
     else if (isNew) {
       planner.jobArrived(job, now);
@@ -38,11 +38,11 @@
 
   /** A user gives the job up; its record may be still to come. False if there is nothing to end. */
   cancel(id: string): boolean {
-    const { clock, book } = this.options;
-    const job = book.jobs.get(id);
+    const { clock, fleet } = this.options;
+    const job = fleet.jobs.get(id);
     if (job?.phase !== 'accepted') return false;
     const now = clock.now();
-    book.closeJob(job, 'aborted', now);
+    fleet.closeJob(job, 'aborted', now);
     this.unrecorded.set(id, now);
     return true;
   }
--- a/packages/controller/job-records.test.ts
+++ b/packages/controller/job-records.test.ts
@@ -5,9 +5,9 @@
 import { aJob, aMachine, aRecorder, RECORDER_LIMITS } from '#testing';
 
 /** A job of many tasks of which some are done. */
-function aJobWithDone(book: FleetState, done: number[], tasks = 100_000) {
-  const job = book.jobs.get('j-1') ?? book.addJob(aJob({ id: 'j-1', tasks }), 0, 'accepted', 0);
-  for (const index of done) book.jobs.markDone(job, index);
+function aJobWithDone(fleet: FleetState, done: number[], tasks = 100_000) {
+  const job = fleet.jobs.get('j-1') ?? fleet.addJob(aJob({ id: 'j-1', tasks }), 0, 'accepted', 0);
+  for (const index of done) fleet.jobs.markDone(job, index);
   return job;
 }
 
@@ -22,18 +22,19 @@
     [48 * 1024, 24],
     [MAX_VALUE_BYTES, 4],
   ]) {
-    const { state, book, record, sync, flush, tasksOn } = await aRecorder({ valueBytes, txnOps });
+    const { state, fleet, record, sync, flush, tasksOn } = await aRecorder({ valueBytes, txnOps });
     record(aJob({ id: 'j-1', tasks: 100_000 }), 'accepted');
     await sync();
-    const job = aJobWithDone(book, done);
+    const job = aJobWithDone(fleet, done);
     const tasks = Math.min(maxTasksPerMachine(valueBytes), 700);
-    const machine = aMachine(book, 'n-1');
-    for (let index = 1; index <= tasks; index++) book.assignments.assign(job, index, machine, 1, 0);
+    const machine = aMachine(fleet, 'n-1');
+    for (let index = 1; index <= tasks; index++)
+      fleet.assignments.assign(job, index, machine, 1, 0);
     await flush();
     assert.equal(tasksOn('n-1')?.length, tasks);
     assert.ok(!job.hasUnrecordedProgress);
     const revision = state.service.store.revision;
-    aJobWithDone(book, [60_001]);
+    aJobWithDone(fleet, [60_001]);
     await flush();
     // Only the part that differs is written.
     assert.equal(state.service.store.revision, revision + 1);
@@ -43,14 +44,14 @@
 });
 
 test('any number of machines to be recorded does not hold up the end of a job', async () => {
-  const { state, book, record, sync, recorder } = await aRecorder();
+  const { state, fleet, record, sync, recorder } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
   await sync();
   for (let i = 0; i < 100; i++) {
-    const job = book.addJob(aJob({ id: `j-1${i}` }), 0, 'accepted', 0);
-    book.assignments.assign(job, 0, aMachine(book, `n-${i}`), 1, 0).recorded = true;
+    const job = fleet.addJob(aJob({ id: `j-1${i}` }), 0, 'accepted', 0);
+    fleet.assignments.assign(job, 0, aMachine(fleet, `n-${i}`), 1, 0).recorded = true;
   }
-  aJobWithDone(book, [0], 1);
+  aJobWithDone(fleet, [0], 1);
   void recorder.flush(new AbortController().signal);
   await state.run(0.1);
   const value = state.service.store.get('jobs/j-1')?.value as { phase: string };
@@ -58,7 +59,7 @@
 });
 
 test('what a job has left of its progress is removed once it is over, also if that was in an earlier term', async () => {
-  const { state, store, book, record, recorder, sync, flush } = await aRecorder();
+  const { state, store, fleet, record, recorder, sync, flush } = await aRecorder();
   const keys = ['j-1', 'j-2', 'j-3'].map((id) => progressKey(id, 0));
   const jobs = ['j-1', 'j-2'].map((id) => aJob({ id, tasks: 2 }));
   for (const job of jobs) record(job, 'accepted');
@@ -66,7 +67,7 @@
   const left = store.apply([{ put: keys[2], value: { done: 'AQ==' } }]);
   await sync();
   recorder.jobRecords.loaded('j-3', 0, { version: left, text: 'AQ==' });
-  for (const { id } of jobs) book.jobs.markDone(book.jobs.get(id)!, 0);
+  for (const { id } of jobs) fleet.jobs.markDone(fleet.jobs.get(id)!, 0);
   // One is cancelled while its progress is on its way to be recorded.
   state.service.beginLostAnswers(1);
   const flushed = flush();
@@ -76,8 +77,8 @@
   await sync();
   state.service.endLateWrites();
   await flushed;
-  assert.equal(book.jobs.get('j-1')!.phase, 'aborted');
-  book.jobs.markDone(book.jobs.get('j-2')!, 1);
+  assert.equal(fleet.jobs.get('j-1')!.phase, 'aborted');
+  fleet.jobs.markDone(fleet.jobs.get('j-2')!, 1);
   await flush();
   assert.equal((store.get(jobKey('j-2'))?.value as { phase: string }).phase, 'done');
   assert.deepEqual(
--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -11,7 +11,7 @@
 }
 
 export interface JobRecordsOptions {
-  book: FleetState;
+  fleet: FleetState;
   jobs: JobTable;
   limits: StateLimits;
 }
@@ -31,7 +31,7 @@
   /** Takes a part of a job's done tasks from the record that an earlier term left. */
   loaded(id: string, chunk: number, recorded: RecordedChunk): void {
     const key = progressKey(id, chunk);
-    const job = this.options.book.jobs.get(id);
+    const job = this.options.fleet.jobs.get(id);
     if (job?.phase === 'accepted') {
       job.done.addChunk(chunk, this.chunkTasks, recorded.text);
       this.chunks.set(key, recorded);
@@ -73,21 +73,21 @@
   }
 
   private doneChange(job: JobState): RecordChange[] {
-    const { book, jobs } = this.options;
+    const { fleet, jobs } = this.options;
     const { id } = job.spec;
     const record = jobs.get(id);
     if (record?.phase !== 'accepted') return [];
     const key = jobKey(id);
     const value = encodeJob({ ...record, phase: 'done' });
     const durable = (revision: number) => jobs.cache.learn(key, value, revision);
-    const again = () => void book.unrecorded.jobs.add(id);
+    const again = () => void fleet.unrecorded.jobs.add(id);
     const change = { put: key, value };
     return [{ key, version: record.version, change, guards: [], durable, again }];
   }
 
   private progressChanges(job: JobState): RecordChange[] {
     const { id } = job.spec;
-    const again = () => void this.options.book.unrecorded.jobs.add(id);
+    const again = () => void this.options.fleet.unrecorded.jobs.add(id);
     return this.unrecordedChunks(job).map(({ key, text, version }) => {
       const durable = (revision: number) => {
         // A user may have cancelled it while the transaction was on its way.
--- a/packages/controller/machine-records.ts
+++ b/packages/controller/machine-records.ts
@@ -5,7 +5,7 @@
 import { RecordBatch, type RecordChange } from './record-batch.js';
 
 export interface MachineRecordsOptions {
-  book: FleetState;
+  fleet: FleetState;
   jobs: JobTable;
   limits: StateLimits;
 }
@@ -23,11 +23,11 @@
 
   /** What is to be recorded of a machine now; null if nothing is. */
   changeOf(name: string): RecordChange | null {
-    const { book } = this.options;
+    const { fleet } = this.options;
     const key = MACHINES + name;
     const version = this.versions.get(name) ?? 0;
-    const machine = book.machines.get(name);
-    const again = () => void book.unrecorded.machines.add(name);
+    const machine = fleet.machines.get(name);
+    const again = () => void fleet.unrecorded.machines.add(name);
     if (!machine) {
       if (version === 0) return null;
       const durable = () => void this.versions.delete(name);
@@ -38,7 +38,7 @@
     const durable = (revision: number) => {
       this.versions.set(name, revision);
       for (const assignment of assignments) assignment.recorded = true;
-      book.fencing.recorded(machine, revision);
+      fleet.fencing.recorded(machine, revision);
       if (!complete) again();
     };
     const change = { put: key, value: encodeMachine(machine, assignments) };
--- a/packages/controller/metrics-endpoint.ts
+++ b/packages/controller/metrics-endpoint.ts
@@ -68,13 +68,23 @@
     }));
     const budgetHelp = "Left of this controller's part of the state service's rates";
     metrics.gauge('budget', budgetHelp, 'of', () => client.left());
-    metrics.gauge('team_index', 'Index of each team', 'team', () => owner()?.fleet().index ?? {});
+    metrics.gauge(
+      'team_index',
+      'Index of each team',
+      'team',
+      () => owner()?.fleetSummary().index ?? {},
+    );
     metrics.gauge(
       'waiting',
       'Tasks that wait for a place',
       'class',
-      () => owner()?.fleet().waiting ?? {},
+      () => owner()?.fleetSummary().waiting ?? {},
+    );
+    metrics.gauge(
+      'machines',
+      'Machines by state',
+      'state',
+      () => owner()?.fleetSummary().machines ?? {},
     );
-    metrics.gauge('machines', 'Machines by state', 'state', () => owner()?.fleet().machines ?? {});
   }
 }
--- a/packages/controller/notices.ts
+++ b/packages/controller/notices.ts
@@ -1,13 +1,13 @@
 import type { FleetState } from '#core';
 
 /** What can be saved is saved before the cloud takes a machine that it gave notice of; services move at once. */
-export function stopOnNotices(book: FleetState, now: number): void {
-  for (const machine of book.machines.values()) {
+export function stopOnNotices(fleet: FleetState, now: number): void {
+  for (const machine of fleet.machines.values()) {
     if (machine.reclaimAt === null) continue;
     for (const task of machine.tasks.values()) {
       const { checkpointS, kind } = task.job.spec;
       const worthStopping = checkpointS > 0 || kind === 'service';
-      if (task.stop === null && worthStopping) book.assignments.stopGracefully(task, now);
+      if (task.stop === null && worthStopping) fleet.assignments.stopGracefully(task, now);
     }
   }
 }
--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -16,24 +16,24 @@
 export interface OwnerRecordsOptions {
   client: StateClient;
   jobs: JobTable;
-  book: FleetState;
+  fleet: FleetState;
   recorder: Recorder;
   term: Term;
-  /** Takes a job into the book. */
+  /** Takes a job in. */
   takeJob: (record: JobRecord) => void;
-  /** Told when all jobs are in the book, before machines and progress are. */
+  /** Told when all jobs are taken in, before machines and progress are. */
   onJobs: (now: number) => void;
   /** Steady seconds. */
   now: () => number;
 }
 
-/** Reads what earlier owners have recorded into the book of a new term. */
+/** Reads what earlier owners have recorded into the fleet state of a new term. */
 export class OwnerRecords {
   constructor(private readonly options: OwnerRecordsOptions) {}
 
   /** Returns how many machines were recorded; throws TermBroken if the records contradict each other. */
   async load(signal: AbortSignal): Promise<number> {
-    const { client, jobs, book, recorder, term, onJobs, now } = this.options;
+    const { client, jobs, fleet, recorder, term, onJobs, now } = this.options;
     // All that is durable before our claim, jobs first: records name them.
     await jobs.cache.sync();
     const [machines, progress, removals] = await Promise.all([
@@ -47,7 +47,7 @@
     onJobs(loadedAt);
     for (const entry of progress.entries) this.takeProgress(entry);
     for (const entry of machines.entries) this.takeMachine(entry, loadedAt);
-    book.machines.updateTotals();
+    fleet.machines.updateTotals();
     return machines.entries.length;
   }
 
@@ -69,15 +69,15 @@
   }
 
   private takeMachine({ key, value, version }: Entry, now: number): void {
-    const { book, recorder } = this.options;
+    const { fleet, recorder } = this.options;
     const { addr, type, zone, spot, tasks } = value as MachineRecord;
     const name = key.slice(MACHINES.length);
     recorder.machineRecords.loaded(name, version);
-    const machine = book.machines.register({ name, addr, type, zone, spot }, 'up', now);
+    const machine = fleet.machines.register({ name, addr, type, zone, spot }, 'up', now);
     for (const [id, index, attempt] of tasks) {
-      const job = book.jobs.get(id);
+      const job = fleet.jobs.get(id);
       if (!job) throw new TermBroken(`record of ${name} names unknown job ${id}`);
-      book.assignments.inherit(job, index, machine, attempt, now);
+      fleet.assignments.inherit(job, index, machine, attempt, now);
     }
   }
 }
--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -93,7 +93,7 @@
     }
   }
 
-  /** A book that has given orders knows what may still arrive; it can't be made anew in its term. */
+  /** A fleet state that has given orders knows what may still arrive; it can't be made anew in its term. */
   private givesUp(owner: PartOwner, err: unknown): boolean {
     if (!(err instanceof TermBroken) && !owner.ready) return false;
     this.options.log.info({ why: String(err), term: owner.term.term }, 'term given up');
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -45,9 +45,9 @@
   log: Log;
 }
 
-/** One term of owning a part: its book, the recorder behind it and the duties that drive it. */
+/** One term of owning a part: its fleet state, the recorder behind it and the duties that drive it. */
 export class PartOwner {
-  readonly book: FleetState;
+  readonly fleet: FleetState;
   readonly planner: CapacityPlanner;
   readonly scheduler: Scheduler;
   readonly recorder: Recorder;
@@ -77,14 +77,14 @@
     this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, term: this.term, log: this.log } = options);
     const listener = fleetListener(() => this.planner, log);
-    this.book = makeFleetState(settings, term, client.limits.valueBytes, listener);
-    this.planner = makePlanner(settings, this.book);
-    this.scheduler = makeScheduler(settings, this.book);
+    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener);
+    this.planner = makePlanner(settings, this.fleet);
+    this.scheduler = makeScheduler(settings, this.fleet);
     const reportS = settings.deployment.workers.report_s;
     this.tickMs = (reportS * 1000) / ROUND_TICKS;
-    const { clock, book, planner } = this;
-    this.recorder = new Recorder({ ...options, book, reportS });
-    this.intake = new JobIntake({ ...options, clock, book, planner });
+    const { clock, fleet, planner } = this;
+    this.recorder = new Recorder({ ...options, fleet, reportS });
+    this.intake = new JobIntake({ ...options, clock, fleet, planner });
     const { unrecorded } = this.intake;
     this.cancellationRecorder = new CancellationRecorder({
       ...options,
@@ -94,7 +94,7 @@
     });
     this.direct = new DirectCommands({
       runtime,
-      book: this.book,
+      fleet: this.fleet,
       timeoutMs: DIRECT_TIMEOUT * reportS * 1000,
       maxConnections: options.directSockets,
       onOrders: (machine, orders) => this.logOrders(machine.name, orders),
@@ -106,7 +106,7 @@
   async run(signal: AbortSignal): Promise<void> {
     await this.load(signal);
     this.ready = true;
-    const { jobs: allJobs, machines } = this.book;
+    const { jobs: allJobs, machines } = this.fleet;
     const found = { jobs: allJobs.waiting.size, machines: machines.size };
     this.log.info({ term: this.term.term, ...found }, 'owner');
     const jobs = this.options.jobs.changed.subscribe((record) => {
@@ -138,12 +138,12 @@
 
   private async load(signal: AbortSignal): Promise<void> {
     const { client, jobs, types } = this.options;
-    const { book, recorder } = this;
-    for (const type of types()) book.machines.types.set(type.name, type);
+    const { fleet, recorder } = this;
+    for (const type of types()) fleet.machines.types.set(type.name, type);
     const records = new OwnerRecords({
       client,
       jobs,
-      book,
+      fleet,
       recorder,
       term: this.term,
       takeJob: (record) => this.intake.take(record),
@@ -177,11 +177,11 @@
   /** Returns the number of decisions. */
   private round(signal: AbortSignal): number {
     const now = this.clock.now();
-    for (const { name } of this.book.leases.expire(now)) {
+    for (const { name } of this.fleet.leases.expire(now)) {
       this.log.info({ machine: name }, 'machine silent past its lease');
     }
-    this.book.machines.updateTotals();
-    stopOnNotices(this.book, now);
+    this.fleet.machines.updateTotals();
+    stopOnNotices(this.fleet, now);
     this.scheduler.reservations.update(now);
     const decided = this.scheduler.round(now);
     if (this.recorder.pending) this.idle.wake();
@@ -194,14 +194,14 @@
   private summarise(now: number): void {
     if (now - this.summaryAt < 10 * this.settings.deployment.workers.report_s) return;
     this.summaryAt = now;
-    this.book.jobs.removeEnded();
-    this.log.info(this.fleet(), 'fleet');
+    this.fleet.jobs.removeEnded();
+    this.log.info(this.fleetSummary(), 'fleet');
   }
 
   /** The fleet, its use and what waits. */
-  fleet(): FleetSummary {
+  fleetSummary(): FleetSummary {
     const teams = this.settings.deployment.teams.map((team) => team.name);
-    return summariseFleet(this.book, this.scheduler, teams, this.clock.now());
+    return summariseFleet(this.fleet, this.scheduler, teams, this.clock.now());
   }
 
   private async flushLoop(signal: AbortSignal): Promise<void> {
@@ -216,10 +216,10 @@
   /** Takes a report and says what to answer; null for a late copy. */
   report(report: Report): { token: number; orders: Order[] } | null {
     const before = this.recorder.pending;
-    const outcome = this.book.reports.handle(report, this.clock.now());
+    const outcome = this.fleet.reports.handle(report, this.clock.now());
     if (outcome.kind === 'late-copy') return null;
     const { orders } = outcome;
-    const token = this.book.machines.get(report.machine)?.token ?? this.term.term;
+    const token = this.fleet.machines.get(report.machine)?.token ?? this.term.term;
     this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
       this.idle.wake();
@@ -234,10 +234,10 @@
 
   /** No answer of this term carries a larger token. */
   get newestToken(): number {
-    return this.book.fencing.newestToken;
+    return this.fleet.fencing.newestToken;
   }
 
   counts(): TaskCounts[] {
-    return countTasks(this.book);
+    return countTasks(this.fleet);
   }
 }
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -121,7 +121,7 @@
     if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return;
     // While the state service refuses us, nobody can take the part over that we give up.
     if (client.failing) return;
-    const { machines, heard } = countHeard(owner.book, now, HEARD_PERIODS * this.reportS);
+    const { machines, heard } = countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
     const heardByPeers = this.countHeardByPeers(now);
     if (!cutFromWorkers(machines, heard, heardByPeers)) return;
     const term = owner.term.term;
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -6,28 +6,28 @@
 
 test('a task is not recorded, and so never starts, once its job was cancelled', async () => {
   // Guards against starts after a confirmed cancellation that the watch had not brought yet.
-  const { book, record, sync, flush, tasksOn } = await aRecorder();
+  const { fleet, record, sync, flush, tasksOn } = await aRecorder();
   const [kept, cancelled] = ['j-1', 'j-2'].map((id) => aJob({ id }));
   for (const job of [kept, cancelled]) record(job, 'accepted');
   await sync();
-  const [one, two] = ['n-1', 'n-2'].map((name) => aMachine(book, name));
-  book.assignments.assign(book.jobs.get('j-1')!, 0, one, 1, 0);
-  book.assignments.assign(book.jobs.get('j-2')!, 0, two, 2, 0);
+  const [one, two] = ['n-1', 'n-2'].map((name) => aMachine(fleet, name));
+  fleet.assignments.assign(fleet.jobs.get('j-1')!, 0, one, 1, 0);
+  fleet.assignments.assign(fleet.jobs.get('j-2')!, 0, two, 2, 0);
   record(cancelled, 'aborted');
   await flush();
   assert.deepEqual(tasksOn('n-1'), ['j-1']);
   assert.equal(tasksOn('n-2'), undefined);
-  assert.equal(book.jobs.get('j-2')!.phase, 'aborted');
+  assert.equal(fleet.jobs.get('j-2')!.phase, 'aborted');
   assert.equal(two.tasks.size, 0);
 });
 
 test('a cancellation between a transaction whose answer was lost and its repetition holds back the start', async () => {
-  const { state, book, record, sync, flush, tasksOn } = await aRecorder();
+  const { state, fleet, record, sync, flush, tasksOn } = await aRecorder();
   const job = aJob({ id: 'j-1' });
   record(job, 'accepted');
   await sync();
-  const machine = aMachine(book, 'n-1');
-  const assignment = book.assignments.assign(book.jobs.get('j-1')!, 0, machine, 1, 0);
+  const machine = aMachine(fleet, 'n-1');
+  const assignment = fleet.assignments.assign(fleet.jobs.get('j-1')!, 0, machine, 1, 0);
   state.service.beginLostAnswers(1);
   const flushed = flush();
   await state.run(0.2);
@@ -42,12 +42,12 @@
 });
 
 test('more new jobs on a machine than a transaction has conditions are named one after another', async () => {
-  const { book, record, sync, flush, tasksOn } = await aRecorder({ txnOps: 2 });
+  const { fleet, record, sync, flush, tasksOn } = await aRecorder({ txnOps: 2 });
   const ids = Array.from({ length: 9 }, (_, i) => `j-${i + 1}`);
   for (const id of ids) record(aJob({ id, cpus: 1 }), 'accepted');
   await sync();
-  const machine = aMachine(book, 'n-1');
-  for (const id of ids) book.assignments.assign(book.jobs.get(id)!, 0, machine, 1, 0);
+  const machine = aMachine(fleet, 'n-1');
+  for (const id of ids) fleet.assignments.assign(fleet.jobs.get(id)!, 0, machine, 1, 0);
   await flush();
   assert.deepEqual(tasksOn('n-1'), ids);
   assert.ok([...machine.tasks.values()].every((assignment) => assignment.recorded));
@@ -56,17 +56,17 @@
 test('a transaction that was applied without an answer is known by a record that it put', async () => {
   // Guards against version 0 of a deleted record as the revision of all: the token of a machine that was
   // handed over became 0, and the next change of its record ended the term.
-  const { state, book, record, sync, flush, tasksOn, term } = await aRecorder();
+  const { state, fleet, record, sync, flush, tasksOn, term } = await aRecorder();
   record(aJob({ id: 'j-1', tasks: 3 }), 'accepted');
   await sync();
-  const job = book.jobs.get('j-1')!;
-  const [released, handedOver] = ['n-1', 'n-2'].map((name) => aMachine(book, name));
-  book.assignments.assign(job, 0, released, 1, 0);
-  book.assignments.assign(job, 1, handedOver, 2, 0);
+  const job = fleet.jobs.get('j-1')!;
+  const [released, handedOver] = ['n-1', 'n-2'].map((name) => aMachine(fleet, name));
+  fleet.assignments.assign(job, 0, released, 1, 0);
+  fleet.assignments.assign(job, 1, handedOver, 2, 0);
   await flush();
-  book.removeMachine('n-1', 0);
+  fleet.removeMachine('n-1', 0);
   handedOver.fence = 'requested';
-  book.assignments.assign(job, 2, handedOver, 3, 0);
+  fleet.assignments.assign(job, 2, handedOver, 3, 0);
   state.service.beginLostAnswers(1);
   const flushed = flush();
   await state.run(0.2);
@@ -78,11 +78,11 @@
   assert.equal(tasksOn('n-1'), undefined);
   assert.equal(handedOver.token, state.service.store.get(`${MACHINES}n-2`)?.version);
   assert.ok(handedOver.token > term);
-  book.assignments.stop(job.assignments.get(2)![0], 0, 0);
+  fleet.assignments.stop(job.assignments.get(2)![0], 0, 0);
   await flush();
   assert.deepEqual(tasksOn('n-2'), ['j-1']);
   // A transaction that only deletes needs no revision.
-  book.removeMachine('n-2', 0);
+  fleet.removeMachine('n-2', 0);
   state.service.beginLostAnswers(1);
   const deleted = flush();
   await state.run(0.2);
@@ -92,22 +92,22 @@
 });
 
 test('a transaction that is called malformed ends the term and is not repeated', async () => {
-  const { state, book, record, sync, flush } = await aRecorder({}, { txnOps: 4 });
+  const { state, fleet, record, sync, flush } = await aRecorder({}, { txnOps: 4 });
   record(aJob({ id: 'j-1', tasks: 5 }), 'accepted');
   await sync();
-  const job = book.jobs.get('j-1')!;
-  for (let i = 0; i < 5; i++) book.assignments.assign(job, i, aMachine(book, `n-${i}`), 1, 0);
+  const job = fleet.jobs.get('j-1')!;
+  for (let i = 0; i < 5; i++) fleet.assignments.assign(job, i, aMachine(fleet, `n-${i}`), 1, 0);
   const revision = state.service.store.revision;
   await assert.rejects(flush(0.1), TermBroken);
   assert.equal(state.service.store.revision, revision);
 });
 
 test('a late copy of a transaction does not bring back a record that was deleted meanwhile', async () => {
-  const { state, book, record, sync, flush, tasksOn } = await aRecorder();
+  const { state, fleet, record, sync, flush, tasksOn } = await aRecorder();
   record(aJob({ id: 'j-1', tasks: 3 }), 'accepted');
   await sync();
-  const job = book.jobs.get('j-1')!;
-  book.assignments.assign(job, 0, aMachine(book, 'n-1'), 1, 0);
+  const job = fleet.jobs.get('j-1')!;
+  fleet.assignments.assign(job, 0, aMachine(fleet, 'n-1'), 1, 0);
   const [leastS, mostS] = [5, 6];
   state.service.beginLateWrites(1, [leastS, mostS]);
   const flushed = flush();
@@ -115,22 +115,22 @@
   state.service.endLateWrites();
   await flushed;
   assert.deepEqual(tasksOn('n-1'), ['j-1']);
-  book.removeMachine('n-1', 0);
+  fleet.removeMachine('n-1', 0);
   await flush();
   assert.equal(tasksOn('n-1'), undefined);
   await state.run(mostS);
   assert.equal(tasksOn('n-1'), undefined);
   // Records that were created after a deletion are fine.
-  book.assignments.assign(job, 1, aMachine(book, 'n-2'), 2, 0);
+  fleet.assignments.assign(job, 1, aMachine(fleet, 'n-2'), 2, 0);
   await flush();
   assert.deepEqual(tasksOn('n-2'), ['j-1']);
 });
 
 test('a record that somebody else has changed ends the term', async () => {
-  const { store, book, record, sync, flush } = await aRecorder();
+  const { store, fleet, record, sync, flush } = await aRecorder();
   record(aJob({ id: 'j-1' }), 'accepted');
   await sync();
-  book.assignments.assign(book.jobs.get('j-1')!, 0, aMachine(book, 'n-1'), 1, 0);
+  fleet.assignments.assign(fleet.jobs.get('j-1')!, 0, aMachine(fleet, 'n-1'), 1, 0);
   store.apply([{ put: `${MACHINES}n-1`, value: { tasks: [] } }]);
   await assert.rejects(flush(), TermBroken);
 });
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -27,7 +27,7 @@
 export interface RecorderOptions {
   runtime: Runtime;
   client: StateClient;
-  book: FleetState;
+  fleet: FleetState;
   jobs: JobTable;
   term: Term;
   reportS: number;
@@ -35,7 +35,7 @@
 }
 
 /**
- * Makes the book's changes durable, one transaction at a time, each on the condition of the part's
+ * Makes the fleet state's changes durable, one transaction at a time, each on the condition of the part's
  * term and of every record's version. A transaction whose outcome is unknown is sent again as it
  * was until the answer is definite: since it changes its own conditions, it is applied once at the most.
  */
@@ -45,15 +45,15 @@
   readonly removals: RemovalMarker;
   private readonly transactions: Hedge;
   private readonly client: StateClient;
-  private readonly book: FleetState;
+  private readonly fleet: FleetState;
   private readonly jobs: JobTable;
   private readonly term: Term;
   private readonly log: Log;
 
   constructor(private readonly options: RecorderOptions) {
-    ({ client: this.client, book: this.book, jobs: this.jobs } = options);
+    ({ client: this.client, fleet: this.fleet, jobs: this.jobs } = options);
     ({ term: this.term, log: this.log } = options);
-    const recorded = { book: this.book, jobs: this.jobs, limits: this.client.limits };
+    const recorded = { fleet: this.fleet, jobs: this.jobs, limits: this.client.limits };
     this.machineRecords = new MachineRecords(recorded);
     this.jobRecords = new JobRecords(recorded);
     this.removals = new RemovalMarker(this.term);
@@ -65,7 +65,7 @@
   }
 
   get pending(): boolean {
-    return this.book.unrecorded.any || this.mayTidy;
+    return this.fleet.unrecorded.any || this.mayTidy;
   }
 
   /** What jobs that are over have left is removed while the budget has plenty. */
@@ -160,7 +160,7 @@
   }
 
   private addMachines(batch: RecordBatch): void {
-    const { machines } = this.book.unrecorded;
+    const { machines } = this.fleet.unrecorded;
     for (const name of [...machines]) {
       const change = this.machineRecords.changeOf(name);
       if (change && !batch.add(change)) return;
@@ -176,9 +176,9 @@
   }
 
   private addJobs(batch: RecordBatch, maxChanges: number): void {
-    const { jobs } = this.book.unrecorded;
+    const { jobs } = this.fleet.unrecorded;
     for (const id of [...jobs]) {
-      const job = this.book.jobs.get(id);
+      const job = this.fleet.jobs.get(id);
       const changes = job ? this.jobRecords.changesOf(job) : [];
       const hasRoom = changes.every((change) => batch.add(change, maxChanges));
       jobs.delete(id);
--- a/packages/core/answer-orders.test.ts
+++ b/packages/core/answer-orders.test.ts
@@ -1,23 +1,23 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { aBook, aJob, aMachine, aReport } from '../testing/samples.js';
+import { aFleet, aJob, aMachine, aReport } from '../testing/samples.js';
 
 test('gang tasks are told to start only when all are recorded', () => {
-  const book = aBook();
-  const job = book.addJob(aJob({ kind: 'gang', tasks: 2 }), 0, 'accepted', 0);
-  const [m1, m2] = [aMachine(book, 'n-1'), aMachine(book, 'n-2')];
-  const a1 = book.assignments.assign(job, 0, m1, 7, 0);
-  const a2 = book.assignments.assign(job, 1, m2, 7, 0);
+  const fleet = aFleet();
+  const job = fleet.addJob(aJob({ kind: 'gang', tasks: 2 }), 0, 'accepted', 0);
+  const [m1, m2] = [aMachine(fleet, 'n-1'), aMachine(fleet, 'n-2')];
+  const a1 = fleet.assignments.assign(job, 0, m1, 7, 0);
+  const a2 = fleet.assignments.assign(job, 1, m2, 7, 0);
   a1.recorded = true;
   const report = (seq: number) => aReport({ seq });
-  assert.deepEqual(book.reports.handle(report(1), 1), { kind: 'answer', orders: [] });
+  assert.deepEqual(fleet.reports.handle(report(1), 1), { kind: 'answer', orders: [] });
   a2.recorded = true;
-  assert.deepEqual(book.reports.handle(report(2), 2), {
+  assert.deepEqual(fleet.reports.handle(report(2), 2), {
     kind: 'answer',
     orders: [{ op: 'start', job: job.spec.id, index: 0, attempt: 7 }],
   });
   assert.deepEqual(
-    book.reports.handle(report(2), 3),
+    fleet.reports.handle(report(2), 3),
     { kind: 'late-copy' },
     'a copy is answered without orders',
   );
--- a/packages/core/assignments.test.ts
+++ b/packages/core/assignments.test.ts
@@ -2,25 +2,25 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { SEEDED } from '../testing/generators.js';
-import { aBook, aJob, aMachine } from '../testing/samples.js';
+import { aFleet, aJob, aMachine } from '../testing/samples.js';
 
 test('a task that lost its place several times waits only once', () => {
   // Guards against a task that was placed and taken back twice between two looks at the queue and
   // then stood in it twice: it was started on two machines.
   fc.assert(
     fc.property(fc.array(fc.nat(9), { maxLength: 60 }), (moves) => {
-      const book = aBook();
-      const job = book.addJob(aJob({ tasks: 10 }), 0, 'accepted', 0);
-      const machine = aMachine(book, 'n-1');
-      book.jobs.waitingTasks(job, 10);
+      const fleet = aFleet();
+      const job = fleet.addJob(aJob({ tasks: 10 }), 0, 'accepted', 0);
+      const machine = aMachine(fleet, 'n-1');
+      fleet.jobs.waitingTasks(job, 10);
       for (const i of moves) {
         const places = job.assignments.get(i);
-        if (places) book.assignments.stop(places[0], 0, 0);
-        else book.assignments.assign(job, i, machine, book.assignments.newAttempt(), 0);
+        if (places) fleet.assignments.stop(places[0], 0, 0);
+        else fleet.assignments.assign(job, i, machine, fleet.assignments.newAttempt(), 0);
       }
-      const waiting = book.jobs.waitingTasks(job, 100);
+      const waiting = fleet.jobs.waitingTasks(job, 100);
       assert.equal(new Set(waiting).size, waiting.length);
-      assert.equal(waiting.length, book.jobs.waitingCount(job));
+      assert.equal(waiting.length, fleet.jobs.waitingCount(job));
       for (const i of waiting) assert.ok(!job.assignments.has(i));
     }),
     SEEDED,
@@ -28,8 +28,8 @@
 });
 
 test('a task that may be elsewhere is never given a second place', () => {
-  const book = aBook();
-  const job = book.addJob(aJob({ tasks: 1 }), 0, 'accepted', 0);
-  book.assignments.assign(job, 0, aMachine(book, 'n-1'), 1, 0);
-  assert.throws(() => book.assignments.assign(job, 0, aMachine(book, 'n-2'), 2, 0));
+  const fleet = aFleet();
+  const job = fleet.addJob(aJob({ tasks: 1 }), 0, 'accepted', 0);
+  fleet.assignments.assign(job, 0, aMachine(fleet, 'n-1'), 1, 0);
+  assert.throws(() => fleet.assignments.assign(job, 0, aMachine(fleet, 'n-2'), 2, 0));
 });
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -65,7 +65,7 @@
     attempt: number,
     now: number,
   ): Assignment {
-    const { machines, holds, due } = this.tables;
+    const { machines, holds, machinesWithCommands } = this.tables;
     const share = dominantShare(job.spec, machines.totals);
     const assignment = newAssignment(job, index, machine, attempt, share, now);
     const others = job.assignments.get(index);
@@ -73,7 +73,7 @@
     else job.assignments.set(index, [assignment]);
     machine.tasks.set(taskName(job.spec.id, index), assignment);
     useImage(machine, job.spec, machines.typeOf(machine)?.cacheGb ?? Infinity);
-    due.add(machine);
+    machinesWithCommands.add(machine);
     holds.taken(machine, job);
     this.count(assignment, 1, now);
     return assignment;
@@ -92,7 +92,7 @@
     const { stop } = assignment;
     if (stop === null) assignment.stop = { graceS, sentDirectly: false };
     else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, sentDirectly: false };
-    this.tables.due.add(assignment.machine);
+    this.tables.machinesWithCommands.add(assignment.machine);
   }
 
   /** Ends an assignment whose start was never sent to the worker, and so never will be. */
--- a/packages/core/capacity-planner.test.ts
+++ b/packages/core/capacity-planner.test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { aBook, aJob, aMachine, STD } from '../testing/samples.js';
+import { aFleet, aJob, aMachine, STD } from '../testing/samples.js';
 import { CapacityPlanner } from './capacity-planner.js';
 
 const TERMS = new Map([['red', { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }]]);
 const AIMS = [{ class: 'c', kind: 'wait', withinS: 4 }];
 const SETTINGS = { reserveSigmas: 0, idleHoldS: 60, memoryS: 120 };
 
-function aPlanner(book = aBook()): CapacityPlanner {
-  return new CapacityPlanner({ fleet: book, settings: SETTINGS, objectives: AIMS, teams: TERMS });
+function aPlanner(fleet = aFleet()): CapacityPlanner {
+  return new CapacityPlanner({ fleet, settings: SETTINGS, objectives: AIMS, teams: TERMS });
 }
 
 function rented(planner: CapacityPlanner, now: number): number {
@@ -39,7 +39,7 @@
 test('the reserve of a class goes soon after nothing more comes', () => {
   // Guards against a fleet that stays for minutes after the last job, since averages fade slowly.
   const planner = new CapacityPlanner({
-    fleet: aBook(),
+    fleet: aFleet(),
     settings: { ...SETTINGS, reserveSigmas: 2 },
     objectives: AIMS,
     teams: TERMS,
@@ -54,10 +54,10 @@
   // Guards against gangs that wait for a boot since whole machines were given back between them, and
   // against machines that are kept for nobody after the last job.
   const goes = (lastAt: number) => {
-    const book = aBook();
-    const planner = aPlanner(book);
+    const fleet = aFleet();
+    const planner = aPlanner(fleet);
     planner.jobArrived(aJob(), lastAt);
-    aMachine(book, 'n-1');
+    aMachine(fleet, 'n-1');
     return [25, 45, 65].map((t) => planner.plan(t).release.length);
   };
   assert.deepEqual(goes(24), [0, 0, 1]);
@@ -68,18 +68,18 @@
   // Guards against replicas that wait minutes for a machine that comes late or never, and against
   // renting all anew on days when every boot takes longer.
   const late = (boots: number[]) => {
-    const book = aBook();
-    const planner = aPlanner(book);
+    const fleet = aFleet();
+    const planner = aPlanner(fleet);
     boots.forEach((bootS, i) =>
-      planner.machineUp(aMachine(book, `n-${i}`, { rentedAt: -bootS }), 0),
+      planner.machineUp(aMachine(fleet, `n-${i}`, { rentedAt: -bootS }), 0),
     );
-    for (const { name } of [...book.machines.values()]) book.removeMachine(name, 0);
-    book.machines.register(
+    for (const { name } of [...fleet.machines.values()]) fleet.removeMachine(name, 0);
+    fleet.machines.register(
       { name: 'n-90', addr: '', type: 'std', zone: 'a', spot: false },
       'booting',
       0,
     );
-    book.addJob(aJob(), 0, 'accepted', 0);
+    fleet.addJob(aJob(), 0, 'accepted', 0);
     return [STD.bootS, 1.5 * STD.bootS, 3 * STD.bootS].map((age) => rented(planner, age));
   };
   assert.deepEqual(late([30, 31, 29, 120]), [0, 1, 1]);
--- a/packages/core/choose-machine.test.ts
+++ b/packages/core/choose-machine.test.ts
@@ -14,23 +14,23 @@
   tasksByZone,
 } from './index.js';
 import { Chance } from '../testing/random.js';
-import { aBook, aJob, aMachine } from '../testing/samples.js';
+import { aFleet, aJob, aMachine } from '../testing/samples.js';
 
 /** The choice as its rules say it, by a look at every machine. */
-function byEveryMachine(book: FleetState, state: JobState, now: number): Machine | null {
+function byEveryMachine(fleet: FleetState, state: JobState, now: number): Machine | null {
   const { spec } = state;
   const classZones = new Map<string, number>();
-  for (const m of book.machines.values()) {
+  for (const m of fleet.machines.values()) {
     for (const a of m.tasks.values()) {
       if (a.job.spec.class !== spec.class) continue;
       classZones.set(m.zone, (classZones.get(m.zone) ?? 0) + 1);
     }
   }
   let best: { machine: Machine; cost: number } | null = null;
-  for (const machine of book.machines.values()) {
-    const type = book.machines.types.get(machine.type)!;
-    if (!isUsable(machine, book.settings.maxTasksPerMachine, now)) continue;
-    if (book.holds.isHeldFromJob(machine, state, now)) continue;
+  for (const machine of fleet.machines.values()) {
+    const type = fleet.machines.types.get(machine.type)!;
+    if (!isUsable(machine, fleet.settings.maxTasksPerMachine, now)) continue;
+    if (fleet.holds.isHeldFromJob(machine, state, now)) continue;
     if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     if ((machine.spot && !spec.spot) || !typeFits(spec, type)) continue;
     if (!hasRoom(spec, machine.used, type) || !zoneAllowed(spec, machine.zone, tasksByZone(state)))
@@ -47,7 +47,7 @@
   let compared = 0;
   for (let seed = 1; seed <= 40; seed++) {
     const chance = new Chance(seed);
-    const book = aBook();
+    const fleet = aFleet();
     const jobs: JobState[] = [];
     for (let i = 0; i < 24; i++) {
       const spread = chance.hit(0.3);
@@ -65,26 +65,26 @@
         zone: chance.hit(0.15) ? 'a' : null,
         spot: chance.hit(0.5),
       });
-      jobs.push(book.addJob(job, 0, 'accepted', 0));
+      jobs.push(fleet.addJob(job, 0, 'accepted', 0));
     }
     for (let i = 0; i < 12; i++) {
-      const machine = aMachine(book, `n-${i}`, { zone: i % 2 ? 'a' : 'b', spot: chance.hit(0.3) });
+      const machine = aMachine(fleet, `n-${i}`, { zone: i % 2 ? 'a' : 'b', spot: chance.hit(0.3) });
       if (chance.hit(0.1)) machine.draining = true;
       if (chance.hit(0.1)) machine.avoidUntil = 5;
-      if (chance.hit(0.2)) book.holds.hold(machine, jobs[chance.int(0, 23)], 20);
+      if (chance.hit(0.2)) fleet.holds.hold(machine, jobs[chance.int(0, 23)], 20);
       if (chance.hit(0.1)) machine.reservedForGang = jobs[chance.int(0, 23)].spec.id;
     }
     const now = 10;
-    const places = new PlacementCandidates(book, now);
+    const places = new PlacementCandidates(fleet, now);
     for (let i = 0; i < 80; i++) {
       const state = jobs[chance.int(0, 23)];
-      const [index] = book.jobs.waitingTasks(state, 1);
+      const [index] = fleet.jobs.waitingTasks(state, 1);
       if (index === undefined) continue;
-      const expected = byEveryMachine(book, state, now);
-      assert.equal(chooseMachine(book, state, tasksByZone(state), places, now), expected);
+      const expected = byEveryMachine(fleet, state, now);
+      assert.equal(chooseMachine(fleet, state, tasksByZone(state), places, now), expected);
       compared++;
       if (expected)
-        book.assignments.assign(state, index, expected, book.assignments.newAttempt(), now);
+        fleet.assignments.assign(state, index, expected, fleet.assignments.newAttempt(), now);
     }
   }
   assert.ok(compared > 1000);
--- a/packages/core/direct-orders.test.ts
+++ b/packages/core/direct-orders.test.ts
@@ -1,43 +1,43 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { aBook, aJob, aMachine, aReport } from '../testing/samples.js';
+import { aFleet, aJob, aMachine, aReport } from '../testing/samples.js';
 
 test('an answer that comes after its machine was given up brings nothing back', () => {
   // Guards against a place, and a share of the team's limit, that is held for the rest of the term on
   // a machine that is gone.
   for (const lost of ['released', 'silent'] as const) {
-    const book = aBook();
-    const job = book.addJob(aJob(), 0, 'accepted', 0);
-    const machine = aMachine(book, 'n-1');
-    book.reports.handle(aReport(), 1);
-    book.assignments.assign(job, 0, machine, 1, 1).recorded = true;
-    const orders = book.directOrders.take(machine, 1.5);
-    if (lost === 'released') book.removeMachine('n-1', 2);
-    else assert.deepEqual(book.leases.expire(20), [machine]);
+    const fleet = aFleet();
+    const job = fleet.addJob(aJob(), 0, 'accepted', 0);
+    const machine = aMachine(fleet, 'n-1');
+    fleet.reports.handle(aReport(), 1);
+    fleet.assignments.assign(job, 0, machine, 1, 1).recorded = true;
+    const orders = fleet.directOrders.take(machine, 1.5);
+    if (lost === 'released') fleet.removeMachine('n-1', 2);
+    else assert.deepEqual(fleet.leases.expire(20), [machine]);
     const task = { job: job.spec.id, index: 0, attempt: 1, cause: null, saved: false };
     const report = aReport({ seq: 2, tasks: [{ ...task, state: 'fetching' }] });
-    book.directOrders.finish(machine, orders, { kind: 'executed', report }, 21);
+    fleet.directOrders.finish(machine, orders, { kind: 'executed', report }, 21);
     assert.equal(job.assignments.size, 0, lost);
-    assert.equal(book.usage.ofTeam('red').gpus, 0, lost);
+    assert.equal(fleet.usage.ofTeam('red').gpus, 0, lost);
   }
 });
 
 test('the unanswered start of a job that is over is fenced off at once', () => {
   // Guards against a start that was held up on its way and is carried out seconds after its user was
   // told that the job is cancelled.
-  const book = aBook();
-  const job = book.addJob(aJob(), 0, 'accepted', 0);
-  const machine = aMachine(book, 'n-1');
-  book.reports.handle(aReport(), 1);
-  book.assignments.assign(job, 0, machine, 1, 1).recorded = true;
-  assert.equal(book.directOrders.take(machine, 1.5).length, 1);
-  book.unrecorded.machines.clear();
-  book.closeJob(job, 'aborted', 1.6);
-  assert.deepEqual([...book.unrecorded.machines], ['n-1']);
-  book.fencing.recorded(machine, 150);
-  book.reports.handle(aReport({ seq: 2 }), 2);
+  const fleet = aFleet();
+  const job = fleet.addJob(aJob(), 0, 'accepted', 0);
+  const machine = aMachine(fleet, 'n-1');
+  fleet.reports.handle(aReport(), 1);
+  fleet.assignments.assign(job, 0, machine, 1, 1).recorded = true;
+  assert.equal(fleet.directOrders.take(machine, 1.5).length, 1);
+  fleet.unrecorded.machines.clear();
+  fleet.closeJob(job, 'aborted', 1.6);
+  assert.deepEqual([...fleet.unrecorded.machines], ['n-1']);
+  fleet.fencing.recorded(machine, 150);
+  fleet.reports.handle(aReport({ seq: 2 }), 2);
   assert.equal(machine.token, 150, 'the answer carries it');
   assert.equal(job.assignments.size, 1);
-  book.reports.handle(aReport({ seq: 3, token: 150 }), 3);
+  fleet.reports.handle(aReport({ seq: 3, token: 150 }), 3);
   assert.equal(job.assignments.size, 0);
 });
--- a/packages/core/direct-orders.ts
+++ b/packages/core/direct-orders.ts
@@ -51,7 +51,7 @@
       }
     }
     if (orders.length > 0) machine.directCommandInFlight = true;
-    if (!someLater) this.tables.due.delete(machine);
+    if (!someLater) this.tables.machinesWithCommands.delete(machine);
     return orders;
   }
 
--- a/packages/core/fairshare.test.ts
+++ b/packages/core/fairshare.test.ts
@@ -4,15 +4,15 @@
 
 test('service decays by half in a half-life and does not depend on when it is read', () => {
   const counter = new ServiceCounter(100, 0);
-  counter.book(0.5, 0);
+  counter.changeRate(0.5, 0);
   const steadyState = (0.5 * 100) / Math.LN2;
   assert.ok(Math.abs(counter.read(10_000) - steadyState) < 1e-6);
-  counter.book(-0.5, 10_000);
+  counter.changeRate(-0.5, 10_000);
   assert.ok(Math.abs(counter.read(10_100) - steadyState / 2) < 1e-6);
   const readOften = new ServiceCounter(100, 0);
-  readOften.book(0.25, 0);
-  for (let t = 0; t < 50; t++) readOften.book(0, t);
+  readOften.changeRate(0.25, 0);
+  for (let t = 0; t < 50; t++) readOften.changeRate(0, t);
   const readOnce = new ServiceCounter(100, 0);
-  readOnce.book(0.25, 0);
+  readOnce.changeRate(0.25, 0);
   assert.ok(Math.abs(readOften.read(50) - readOnce.read(50)) < 1e-9);
 });
--- a/packages/core/fairshare.ts
+++ b/packages/core/fairshare.ts
@@ -22,7 +22,7 @@
   }
 
   /** Books `share` more (or, negative, less) of the fleet from now on. */
-  book(share: number, now: number): void {
+  changeRate(share: number, now: number): void {
     this.value = this.read(now);
     this.at = Math.max(this.at, now);
     this.rate = Math.max(0, this.rate + share);
@@ -57,7 +57,7 @@
   sum.memory += sign * more.memory;
 }
 
-/** The largest share of the fleet's totals that the amounts book. */
+/** The largest share of the fleet's totals that the amounts take. */
 export function dominantShare(a: Amounts, total: Amounts): number {
   return Math.max(
     total.cpus > 0 ? a.cpus / total.cpus : 0,
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -58,7 +58,7 @@
     this.machines.remove(machine);
     this.released.add(name, now);
     this.holds.release(machine);
-    this.due.delete(machine);
+    this.machinesWithCommands.delete(machine);
     this.unrecorded.machines.add(name);
   }
 }
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -29,7 +29,7 @@
   readonly usage: UsageLedger;
   readonly holds = new RoomHolds();
   /** Machines for which a direct command may be due. */
-  readonly due = new Set<Machine>();
+  readonly machinesWithCommands = new Set<Machine>();
 
   constructor(options: FleetOptions) {
     this.settings = options.settings;
--- a/packages/core/gang-attempts.test.ts
+++ b/packages/core/gang-attempts.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { aBook, aJob, aMachine, aReport } from '../testing/samples.js';
+import { aFleet, aJob, aMachine, aReport } from '../testing/samples.js';
 
 const GANG = aJob({ kind: 'gang', tasks: 2 });
 
@@ -12,25 +12,25 @@
 test("the end of an old attempt's task does not stop the attempt that a gang runs now", () => {
   // Guards against a cut zone whose held reports, once the cut is over, end the gang that was placed
   // anew elsewhere; and against the same by a late copy that a new owner reads first.
-  const book = aBook();
-  const job = book.addJob(GANG, 0, 'accepted', 0);
-  aMachine(book, 'n-1');
+  const fleet = aFleet();
+  const job = fleet.addJob(GANG, 0, 'accepted', 0);
+  aMachine(fleet, 'n-1');
   const current = ['n-2', 'n-3'].map((name, i) =>
-    book.assignments.assign(job, i, aMachine(book, name), 2, 0),
+    fleet.assignments.assign(job, i, aMachine(fleet, name), 2, 0),
   );
   current[0].recorded = true;
   // The old attempt as the held report lists it, and then the next session, which has lost it.
-  book.reports.handle(aReport({ seq: 1, tasks: [listed(0, 1)] }), 1);
+  fleet.reports.handle(aReport({ seq: 1, tasks: [listed(0, 1)] }), 1);
   assert.equal(job.assignments.get(0)?.length, 2);
   current[1].recorded = true;
-  const outcome = book.reports.handle(aReport({ machine: 'n-2' }), 1.5);
+  const outcome = fleet.reports.handle(aReport({ machine: 'n-2' }), 1.5);
   const start = { op: 'start', job: GANG.id, index: 0, attempt: 2 };
   assert.deepEqual(outcome, { kind: 'answer', orders: [start] }, 'the old one holds nothing up');
-  book.reports.handle(aReport({ machine: 'n-2', seq: 2, tasks: [listed(0, 2)] }), 2);
-  book.reports.handle(aReport({ seq: 2, session: 2 }), 3);
+  fleet.reports.handle(aReport({ machine: 'n-2', seq: 2, tasks: [listed(0, 2)] }), 2);
+  fleet.reports.handle(aReport({ seq: 2, session: 2 }), 3);
   assert.deepEqual([...job.assignments.values()].flat(), current);
   assert.ok(current.every(({ stop }) => stop === null));
   // An end of the attempt's own task still ends all of it.
-  book.reports.handle(aReport({ machine: 'n-2', seq: 3, tasks: [] }), 4);
+  fleet.reports.handle(aReport({ machine: 'n-2', seq: 3, tasks: [] }), 4);
   assert.equal(job.assignments.size, 0);
 });
--- a/packages/core/machine-leases.ts
+++ b/packages/core/machine-leases.ts
@@ -21,7 +21,7 @@
       this.assignments.endAllOn(machine, now);
       machine.state = 'expired';
       machine.expiredAt = now;
-      this.tables.due.delete(machine);
+      this.tables.machinesWithCommands.delete(machine);
       machine.reservedForGang = null;
       expired.push(machine);
     }
--- a/packages/core/released-machines.test.ts
+++ b/packages/core/released-machines.test.ts
@@ -1,21 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { aBook, aMachine, aReport } from '../testing/samples.js';
+import { aFleet, aMachine, aReport } from '../testing/samples.js';
 import { ReleasedMachines } from './released-machines.js';
 
 test('a late copy of a released machine neither brings it back nor shows a newer owner', () => {
   // Guards against work that is given to a machine that is gone, and against an owner that resigns
   // over a token that it had handed out itself.
-  const book = aBook();
-  const machine = aMachine(book, 'n-1');
+  const fleet = aFleet();
+  const machine = aMachine(fleet, 'n-1');
   machine.fence = 'requested';
-  book.fencing.recorded(machine, 150);
+  fleet.fencing.recorded(machine, 150);
   const report = aReport({ seq: 3, token: 150 });
-  assert.equal(book.reports.handle(report, 1).kind, 'answer');
-  book.removeMachine('n-1', 2);
-  assert.deepEqual(book.reports.handle(report, 30), { kind: 'late-copy' });
-  assert.equal(book.machines.size, 0);
-  assert.ok(report.token <= book.fencing.newestToken);
+  assert.equal(fleet.reports.handle(report, 1).kind, 'answer');
+  fleet.removeMachine('n-1', 2);
+  assert.deepEqual(fleet.reports.handle(report, 30), { kind: 'late-copy' });
+  assert.equal(fleet.machines.size, 0);
+  assert.ok(report.token <= fleet.fencing.newestToken);
 });
 
 test('released machines are forgotten in the end', () => {
--- a/packages/core/report-handler.test.ts
+++ b/packages/core/report-handler.test.ts
@@ -1,31 +1,31 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { aBook, aJob, aMachine, aReport } from '../testing/samples.js';
+import { aFleet, aJob, aMachine, aReport } from '../testing/samples.js';
 
 test('a late copy of an older session does not make inherited tasks look gone', () => {
   // Guards against: a new owner first sees an old copy, then a report of the current session from
   // before the start that the earlier owner sent; the change of session proved nothing.
-  const book = aBook();
-  const job = book.addJob(aJob({ tasks: 1 }), 0, 'accepted', 0);
-  book.assignments.inherit(job, 0, aMachine(book, 'n-1'), 1, 0);
+  const fleet = aFleet();
+  const job = fleet.addJob(aJob({ tasks: 1 }), 0, 'accepted', 0);
+  fleet.assignments.inherit(job, 0, aMachine(fleet, 'n-1'), 1, 0);
   const report = (session: number, seq: number, token: number) => aReport({ session, seq, token });
-  book.reports.handle(report(3, 5, 90), 1);
-  book.reports.handle(report(4, 9, 90), 2);
-  assert.equal(book.jobs.waitingCount(job), 0);
-  book.reports.handle(report(4, 10, book.term), 3);
-  assert.equal(book.jobs.waitingCount(job), 1);
+  fleet.reports.handle(report(3, 5, 90), 1);
+  fleet.reports.handle(report(4, 9, 90), 2);
+  assert.equal(fleet.jobs.waitingCount(job), 0);
+  fleet.reports.handle(report(4, 10, fleet.term), 3);
+  assert.equal(fleet.jobs.waitingCount(job), 1);
 });
 
 test('a report overtaken by a direct answer still counts as answered', () => {
   // Guards against a machine being given up while its lease runs: the report was taken for a late
   // copy, but its worker waited for the answer and was renewed by it.
-  const book = aBook();
-  const machine = aMachine(book, 'n-1');
+  const fleet = aFleet();
+  const machine = aMachine(fleet, 'n-1');
   const report = (seq: number) => aReport({ seq });
-  book.reports.handle(report(1), 1);
-  book.directOrders.finish(machine, [], { kind: 'executed', report: report(3) }, 2);
-  assert.deepEqual(book.reports.handle(report(2), 9), { kind: 'answer', orders: [] });
-  assert.deepEqual(book.reports.handle(report(2), 9.5), { kind: 'late-copy' });
-  assert.deepEqual(book.leases.expire(11.6), []);
-  assert.deepEqual(book.leases.expire(19.6), [machine]);
+  fleet.reports.handle(report(1), 1);
+  fleet.directOrders.finish(machine, [], { kind: 'executed', report: report(3) }, 2);
+  assert.deepEqual(fleet.reports.handle(report(2), 9), { kind: 'answer', orders: [] });
+  assert.deepEqual(fleet.reports.handle(report(2), 9.5), { kind: 'late-copy' });
+  assert.deepEqual(fleet.leases.expire(11.6), []);
+  assert.deepEqual(fleet.leases.expire(19.6), [machine]);
 });
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -85,7 +85,7 @@
     return decided;
   }
 
-  /** Service books with each placement, so the order is looked at anew each time. */
+  /** Each placement changes the service rates, so the order is looked at anew each time. */
   private sortByIndex(queues: TeamQueue[], now: number): void {
     if (queues.length < 2) return;
     queues.sort((a, b) => this.index(a.team, now) - this.index(b.team, now));
--- a/packages/core/task-reports.test.ts
+++ b/packages/core/task-reports.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { TaskReport } from '#wire';
-import { aBook, aJob, aMachine, aReport } from '../testing/samples.js';
+import { aFleet, aJob, aMachine, aReport } from '../testing/samples.js';
 
 const JOB = aJob();
 const TASK = { job: JOB.id, index: 0 };
@@ -10,34 +10,34 @@
 
 /** A machine that has one attempt of the job's task after the other, and what it is told. */
 function aMachineWithAttempts() {
-  const book = aBook();
-  const job = book.addJob(JOB, 0, 'accepted', 0);
-  const machine = aMachine(book, 'n-1');
+  const fleet = aFleet();
+  const job = fleet.addJob(JOB, 0, 'accepted', 0);
+  const machine = aMachine(fleet, 'n-1');
   const report = (seq: number, ...tasks: TaskReport[]) => {
-    const outcome = book.reports.handle(aReport({ seq, tasks }), seq / 4);
+    const outcome = fleet.reports.handle(aReport({ seq, tasks }), seq / 4);
     return outcome.kind === 'answer' ? outcome.orders.map(({ op }) => op) : null;
   };
   const assign = (attempt: number) => {
-    const assignment = book.assignments.assign(job, 0, machine, attempt, 0);
+    const assignment = fleet.assignments.assign(job, 0, machine, attempt, 0);
     assignment.recorded = true;
     return assignment;
   };
   report(1);
-  return { book, job, machine, report, assign };
+  return { fleet, job, machine, report, assign };
 }
 
 test('an attempt whose start may still arrive is not forgotten beside a newer one', () => {
   // Guards against a held up start that begins the old attempt again while the new one is elsewhere.
-  const { book, machine, report, assign } = aMachineWithAttempts();
+  const { fleet, machine, report, assign } = aMachineWithAttempts();
   const first = assign(1);
-  const orders = book.directOrders.take(machine, 0.3);
+  const orders = fleet.directOrders.take(machine, 0.3);
   assert.equal(orders.length, 1);
   report(2, RUNNING);
-  book.assignments.stop(first, 0, 0.6);
+  fleet.assignments.stop(first, 0, 0.6);
   assert.deepEqual(report(3, STOPPED), []);
   assign(2);
   assert.deepEqual(report(4, STOPPED), ['start']);
-  book.directOrders.finish(machine, orders, { kind: 'refused' }, 1.1);
+  fleet.directOrders.finish(machine, orders, { kind: 'refused' }, 1.1);
   assert.deepEqual(report(5, STOPPED), ['forget', 'start']);
 });
 
@@ -57,16 +57,16 @@
     ['refused', true],
     ['unsent', false],
   ] as const) {
-    const { book, job, report, assign } = aMachineWithAttempts();
+    const { fleet, job, report, assign } = aMachineWithAttempts();
     const second = assign(2);
     if (isSent) report(2);
     const refused: TaskReport = { ...STOPPED, attempt: 2, cause: 'busy' };
     const listed = isSent ? [RUNNING, refused] : [RUNNING];
     assert.deepEqual(report(3, ...listed), isSent ? ['forget', 'stop'] : ['stop'], newer);
-    if (!isSent) book.assignments.stop(second, 0, 1);
-    assert.equal(book.jobs.waitingCount(job), 0, newer);
+    if (!isSent) fleet.assignments.stop(second, 0, 1);
+    assert.equal(fleet.jobs.waitingCount(job), 0, newer);
     assert.equal(job.assignments.get(0)?.[0].attempt, 1, newer);
     report(4);
-    assert.equal(book.jobs.waitingCount(job), 1, newer);
+    assert.equal(fleet.jobs.waitingCount(job), 1, newer);
   }
 });
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -126,7 +126,7 @@
       return;
     }
     assignment.startSent = false;
-    this.tables.due.add(assignment.machine);
+    this.tables.machinesWithCommands.add(assignment.machine);
   }
 
   /**
--- a/packages/core/taskset.ts
+++ b/packages/core/taskset.ts
@@ -3,8 +3,8 @@
   private readonly bits: Uint8Array;
   size = 0;
 
-  constructor(readonly tasks: number) {
-    this.bits = new Uint8Array(Math.ceil(tasks / 8));
+  constructor(readonly capacity: number) {
+    this.bits = new Uint8Array(Math.ceil(capacity / 8));
   }
 
   has(index: number): boolean {
@@ -13,14 +13,14 @@
 
   /** True if the index was not in the set before. */
   add(index: number): boolean {
-    if (index >= this.tasks || this.has(index)) return false;
+    if (index >= this.capacity || this.has(index)) return false;
     this.bits[index >> 3] |= 1 << (index & 7);
     this.size++;
     return true;
   }
 
   addAll(): void {
-    for (let i = 0; i < this.tasks; i++) this.add(i);
+    for (let i = 0; i < this.capacity; i++) this.add(i);
   }
 
   /** Chunks of the set, each of `chunkTasks` (a multiple of 8) tasks, in text form. */
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -18,8 +18,8 @@
     let used = this.amountsByTeam.get(team);
     if (!used) this.amountsByTeam.set(team, (used = { ...ZERO_AMOUNTS }));
     addAmounts(used, job.spec, sign);
-    this.service(team, now).book(sign * share, now);
-    job.service.book(sign * share, now);
+    this.service(team, now).changeRate(sign * share, now);
+    job.service.changeRate(sign * share, now);
   }
 
   /** Amounts of all places where tasks of the team may still be (docs/safety.md, point 9). */
--- a/packages/testing/api.test.ts
+++ b/packages/testing/api.test.ts
@@ -15,7 +15,7 @@
   UserApi,
   WorkerConnections,
 } from '#controller';
-import { aBook, aJob, aMachine, aReport } from './samples.js';
+import { aFleet, aJob, aMachine, aReport } from './samples.js';
 import { FREE_LOOPBACK_PORT, serveCbor } from './standins/index.js';
 
 async function post(port: number, path: string, body: Uint8Array): Promise<number> {
@@ -94,7 +94,7 @@
   // Guards against one kept connection for each of hundreds of machines, beside all reports.
   const machines = 12;
   const most = 3;
-  const book = aBook();
+  const fleet = aFleet();
   let ordered = 0;
   let atOnce = 0;
   let underWay = 0;
@@ -109,17 +109,17 @@
       return { status: 409, body: {} };
     });
     workers.push(worker);
-    const machine = aMachine(book, name);
-    book.reports.handle(aReport({ machine: name, addr: worker.target }), 0);
+    const machine = aMachine(fleet, name);
+    fleet.reports.handle(aReport({ machine: name, addr: worker.target }), 0);
     machine.answeredAt = nodeRuntime.clock.now();
-    const job = book.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
-    book.assignments.assign(job, 0, machine, book.assignments.newAttempt(), 0).recorded = true;
+    const job = fleet.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
+    fleet.assignments.assign(job, 0, machine, fleet.assignments.newAttempt(), 0).recorded = true;
   }
   const stop = new AbortController();
   await new Promise<void>((resolve) => {
     const direct = new DirectCommands({
       runtime: nodeRuntime,
-      book,
+      fleet,
       timeoutMs: 5000,
       maxConnections: most,
       onOrders: () => {},
--- a/packages/testing/recorder-world.ts
+++ b/packages/testing/recorder-world.ts
@@ -1,4 +1,4 @@
-/** A recorder of a term, with a book and a state service, in a simulated world. */
+/** A recorder of a term, with a fleet state and a state service, in a simulated world. */
 import assert from 'node:assert/strict';
 import { pino } from 'pino';
 import {
@@ -15,7 +15,7 @@
 import { Cancellations } from '../controller/cancellations.js';
 import { JobTable } from '../controller/jobs.js';
 import { Recorder } from '../controller/recorder.js';
-import { aBook } from './samples.js';
+import { aFleet } from './samples.js';
 import { StateWorld } from './state-world.js';
 
 const REPORT_S = 1;
@@ -26,7 +26,7 @@
   txnOps: 24,
 };
 
-/** A recorder of a term whose book follows the jobs of the state service; it may take other limits for true. */
+/** A recorder of a term whose fleet state follows the jobs of the state service; it may take other limits for true. */
 export async function aRecorder(
   limits: Partial<StateLimits> = {},
   serviceLimits: Partial<StateLimits> = {},
@@ -39,19 +39,19 @@
   const cache = new PrefixCache(caching);
   const jobs = new JobTable(cache, new Cancellations(100, 70));
   const term = store.apply([{ put: partKey(0), value: {} }]);
-  const book = aBook();
+  const fleet = aFleet();
   const stop = new AbortController();
   const recorder = new Recorder({
     runtime,
     client,
-    book,
+    fleet,
     jobs,
     term: { part: 0, term, grant: 0, claimedAt: 0 },
     reportS: REPORT_S,
     log: pino({ enabled: false }),
   });
   jobs.changed.subscribe(({ job, phase }) => {
-    book.addJob(job, 0, phase, state.now);
+    fleet.addJob(job, 0, phase, state.now);
     if (phase !== 'accepted') recorder.jobRecords.over(job);
   });
   const record = (job: Job, phase: 'accepted' | 'aborted') =>
@@ -78,5 +78,5 @@
     void cache.sync();
     await state.run(0.1);
   };
-  return { state, client, store, book, recorder, record, sync, flush, tasksOn, term };
+  return { state, client, store, fleet, recorder, record, sync, flush, tasksOn, term };
 }
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -40,8 +40,8 @@
   };
 }
 
-export function aBook(): FleetState {
-  const book = new FleetState({
+export function aFleet(): FleetState {
+  const fleet = new FleetState({
     settings: {
       leaseS: 10,
       reportS: 1,
@@ -53,14 +53,14 @@
     term: 100,
     claimedAt: 0,
   });
-  book.machines.types.set(STD.name, STD);
-  return book;
+  fleet.machines.types.set(STD.name, STD);
+  return fleet;
 }
 
-export function aMachine(book: FleetState, name: string, own: Partial<Machine> = {}): Machine {
+export function aMachine(fleet: FleetState, name: string, own: Partial<Machine> = {}): Machine {
   const facts = { name, addr: '', type: 'std', zone: 'a', spot: false, ...own };
-  const machine = book.machines.register(facts, 'up', own.rentedAt ?? 0);
-  book.machines.updateTotals();
+  const machine = fleet.machines.register(facts, 'up', own.rentedAt ?? 0);
+  fleet.machines.updateTotals();
   return machine;
 }
 
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -41,9 +41,9 @@
   machines: Map<string, StoredMachine>;
 }
 
-/** One life of an owner: a book, a scheduler, and a recorder that takes a step to be durable. */
+/** One life of an owner: its fleet state, a scheduler, and a recorder that takes a step to be durable. */
 class Life {
-  readonly book: FleetState;
+  readonly fleet: FleetState;
   private readonly scheduler: Scheduler;
   /** Cut off from the state service: it can record nothing more and goes on answering for a while. */
   deposedAt: number | null = null;
@@ -58,7 +58,7 @@
     private readonly fault: Fault,
     now: number,
   ) {
-    this.book = new FleetState({
+    this.fleet = new FleetState({
       settings: {
         leaseS: fault === 'short-lease' ? LEASE / 4 : LEASE,
         reportS: REPORT,
@@ -70,26 +70,26 @@
       term,
       claimedAt: now,
     });
-    this.book.machines.types.set(type.name, type);
+    this.fleet.machines.types.set(type.name, type);
     for (const { job, phase } of store.jobs.values()) {
-      const state = this.book.addJob(job, now, phase, now);
+      const state = this.fleet.addJob(job, now, phase, now);
       for (const i of store.done.get(job.id) ?? []) state.done.add(i);
     }
     for (const [name, m] of store.machines) {
       const { zone, spot } = m;
-      const machine = this.book.machines.register(
+      const machine = this.fleet.machines.register(
         { name, addr: '', type: 'std', zone, spot },
         'up',
         now,
       );
       for (const [id, index, attempt] of m.tasks) {
-        this.book.assignments.inherit(this.book.jobs.get(id)!, index, machine, attempt, now);
+        this.fleet.assignments.inherit(this.fleet.jobs.get(id)!, index, machine, attempt, now);
       }
     }
-    this.book.machines.updateTotals();
+    this.fleet.machines.updateTotals();
     const effective =
       fault === 'no-limit' ? new Map([...teams].map(([k, t]) => [k, { ...t, gpusMax: 0 }])) : teams;
-    this.scheduler = new Scheduler(this.book, effective, {
+    this.scheduler = new Scheduler(this.fleet, effective, {
       floorWeight: 0.05,
       stopThreshold: 0.5,
       gangLeaseS: 20,
@@ -104,25 +104,25 @@
     for (const { job, phase } of this.store.jobs.values()) {
       if (phase === 'aborted' && this.fault === 'deaf-to-aborts') continue;
       const seen = this.fault === 'any-zone' ? { ...job, zone: null, spread: false } : job;
-      this.book.addJob(seen, now, phase, now);
+      this.fleet.addJob(seen, now, phase, now);
     }
-    this.book.leases.expire(now);
-    this.book.machines.updateTotals();
+    this.fleet.leases.expire(now);
+    this.fleet.machines.updateTotals();
     this.scheduler.reservations.update(now);
     this.scheduler.round(now);
     if (this.fault === 'order-before-record') {
-      for (const m of this.book.machines.values())
+      for (const m of this.fleet.machines.values())
         for (const a of m.tasks.values()) a.recorded = true;
     }
   }
 
   /** Makes the state of the step before durable, under the condition of the term. */
   private record(): void {
-    const { store, book } = this;
+    const { store, fleet } = this;
     if (store.term !== this.term) return;
     store.revision++;
-    for (const id of book.unrecorded.jobs) {
-      const job = book.jobs.get(id)!;
+    for (const id of fleet.unrecorded.jobs) {
+      const job = fleet.jobs.get(id)!;
       const stored = store.jobs.get(id)!;
       const done = new Set<number>();
       for (let i = 0; i < job.spec.tasks; i++) if (job.done.has(i)) done.add(i);
@@ -130,19 +130,19 @@
       const enough = this.fault === 'done-early' ? done.size > 0 : done.size === job.spec.tasks;
       if (enough && stored.phase === 'accepted') {
         stored.phase = 'done';
-        book.closeJob(job, 'done', 0);
+        fleet.closeJob(job, 'done', 0);
       }
       job.hasUnrecordedProgress = false;
     }
-    book.unrecorded.jobs.clear();
+    fleet.unrecorded.jobs.clear();
     if (this.fault !== 'order-before-record') {
-      for (const name of book.unrecorded.machines) {
-        const m = book.machines.get(name);
+      for (const name of fleet.unrecorded.machines) {
+        const m = fleet.machines.get(name);
         if (!m) store.machines.delete(name);
         else {
           const tasks = [...m.tasks.values()];
           for (const a of tasks) a.recorded = true;
-          book.fencing.recorded(m, store.revision);
+          fleet.fencing.recorded(m, store.revision);
           store.machines.set(name, {
             zone: m.zone,
             spot: m.spot,
@@ -151,7 +151,7 @@
         }
       }
     }
-    book.unrecorded.machines.clear();
+    fleet.unrecorded.machines.clear();
   }
 }
 
@@ -243,14 +243,14 @@
         return;
       }
       if (fault === 'believes-old-copies') {
-        const machine = target.book.machines.get(report.machine);
+        const machine = target.fleet.machines.get(report.machine);
         if (machine && machine.lastMessageSeq >= report.seq)
           machine.lastMessageSeq = machine.lastReportSeq = report.seq - 1;
       }
-      const outcome = target.book.reports.handle(report, at);
+      const outcome = target.fleet.reports.handle(report, at);
       const answered = outcome.kind === 'answer';
       const orders = answered ? outcome.orders : [];
-      const token = answered ? target.book.machines.get(report.machine)!.token : 0;
+      const token = answered ? target.fleet.machines.get(report.machine)!.token : 0;
       const back = at + chance.next() * 0.3;
       if (chance.hit(0.08)) return;
       mail.push({
@@ -270,14 +270,14 @@
         run: (t) => {
           if (!life || gaveUp(life, t)) return;
           if (fault === 'believes-old-copies') {
-            const machine = life.book.machines.get(report.machine);
+            const machine = life.fleet.machines.get(report.machine);
             if (machine)
               machine.lastMessageSeq = machine.lastReportSeq = Math.min(
                 machine.lastMessageSeq,
                 report.seq - 1,
               );
           }
-          life.book.reports.handle(report, t);
+          life.fleet.reports.handle(report, t);
         },
       });
     }
@@ -286,8 +286,8 @@
   /** Direct commands may take long, arrive late, or be answered late or never. */
   const sendDirect = (from: Life) => {
     for (const [i, w] of workers.entries()) {
-      const machine = from.book.machines.get(w.name);
-      const orders = machine ? from.book.directOrders.take(machine, now) : [];
+      const machine = from.fleet.machines.get(w.name);
+      const orders = machine ? from.fleet.directOrders.take(machine, now) : [];
       if (!machine || orders.length === 0) continue;
       const { token, session } = machine;
       const late = chance.hit(0.15);
@@ -298,7 +298,7 @@
           const report = workers[i].command(token, session, orders, t, runS);
           if (t >= givenUp || chance.hit(0.1)) return;
           answered.add(orders);
-          from.book.directOrders.finish(
+          from.fleet.directOrders.finish(
             machine,
             orders,
             report ? { kind: 'executed', report } : { kind: 'refused' },
@@ -310,7 +310,7 @@
         at: givenUp,
         run: (t) => {
           if (answered.has(orders)) return;
-          from.book.directOrders.finish(machine, orders, { kind: 'unknown' }, t);
+          from.fleet.directOrders.finish(machine, orders, { kind: 'unknown' }, t);
           if (fault === 'forgets-late-starts') machine.unacknowledgedStarts.clear();
         },
       });
