--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,7 +1,7 @@
 import { CapacityPlanner, FleetListener, FleetState, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
-import { Settings, teamTerms } from './settings.js';
+import { Settings, teamQuotas } from './settings.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 export const ROUND_DECISIONS = 200;
@@ -42,13 +42,13 @@
       memoryS: operator.arrivalMemoryS,
     },
     objectives,
-    teams: teamTerms(deployment.teams),
+    teams: teamQuotas(deployment.teams),
   });
 }
 
 export function makeScheduler(settings: Settings, fleet: FleetState): Scheduler {
   const { deployment, operator } = settings;
-  return new Scheduler(fleet, teamTerms(deployment.teams), {
+  return new Scheduler(fleet, teamQuotas(deployment.teams), {
     floorWeight: operator.floorWeight,
     stopThreshold: operator.stopThreshold,
     gangLeaseS: operator.gangLeaseS,
--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -2,7 +2,7 @@
 import type { ValidateFunction } from 'ajv';
 import { parse as parseToml } from 'smol-toml';
 import { compileSchema } from '#wire';
-import type { TeamTerms } from '#core';
+import type { TeamQuota } from '#core';
 import { operatorSchema, OperatorSettings, withDefaults } from './operator.js';
 import { platformSchema, PlatformSettings, TeamSettings } from './platform-settings.js';
 import { checkTimes } from './time-bounds.js';
@@ -11,11 +11,16 @@
 export class BadSettings extends Error {}
 
 /** Guarantees and limits by team, in the core's words. */
-export function teamTerms(teams: TeamSettings[]): Map<string, TeamTerms> {
+export function teamQuotas(teams: TeamSettings[]): Map<string, TeamQuota> {
   return new Map(
     teams.map((t) => [
       t.name,
-      { cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
+      {
+        guaranteedCpus: t.cpus,
+        guaranteedGpus: t.gpus,
+        cpuLimit: t.cpus_max,
+        gpuLimit: t.gpus_max,
+      },
     ]),
   );
 }
--- a/packages/controller/submission-check.ts
+++ b/packages/controller/submission-check.ts
@@ -1,8 +1,8 @@
-import { type TeamTerms, typeFits, withinLimit } from '#core';
+import { type TeamQuota, typeFits, withinLimit } from '#core';
 import { encodeJob, jobKey, sizeInJson } from '#store';
 import { type Job, MalformedBody, parseJob } from '#wire';
 import type { ControllerServices } from './services.js';
-import { teamTerms } from './settings.js';
+import { teamQuotas } from './settings.js';
 
 /** Why a submission is turned away for good. */
 export interface Refusal {
@@ -12,12 +12,12 @@
 
 /** Judges submissions by themselves, whatever is known of their ids. */
 export class SubmissionCheck {
-  private readonly teams: Map<string, TeamTerms>;
+  private readonly teams: Map<string, TeamQuota>;
 
   constructor(
     private readonly services: Pick<ControllerServices, 'settings' | 'types' | 'client'>,
   ) {
-    this.teams = teamTerms(services.settings.deployment.teams);
+    this.teams = teamQuotas(services.settings.deployment.teams);
   }
 
   /** The job as it is to be recorded, or why it is refused. */
@@ -43,11 +43,11 @@
 
   /** Why a job can never run, or null. */
   private whyNever(job: Job): string | null {
-    const terms = this.teams.get(job.team);
-    if (!terms) return 'unknown team';
+    const quota = this.teams.get(job.team);
+    if (!quota) return 'unknown team';
     const tasksAtOnce = job.kind === 'array' ? 1 : job.tasks;
     const need = { cpus: job.cpus * tasksAtOnce, gpus: job.gpus * tasksAtOnce, memory: 0 };
-    if (!withinLimit(terms, { cpus: 0, gpus: 0, memory: 0 }, need)) {
+    if (!withinLimit(quota, { cpus: 0, gpus: 0, memory: 0 }, need)) {
       return "more than the team's limit";
     }
     const types = this.services.types.all();
--- /dev/null
+++ b/packages/core/amounts.ts
@@ -0,0 +1,28 @@
+/** What tasks take and machines have; memory in GB. */
+export interface Amounts {
+  cpus: number;
+  gpus: number;
+  memory: number;
+}
+
+export const ZERO_AMOUNTS: Readonly<Amounts> = { cpus: 0, gpus: 0, memory: 0 };
+
+/** Adds (or, with -1, takes away) amounts in place. */
+export function addAmounts(sum: Amounts, more: Amounts, sign: 1 | -1): void {
+  sum.cpus += sign * more.cpus;
+  sum.gpus += sign * more.gpus;
+  sum.memory += sign * more.memory;
+}
+
+/** The largest share of the fleet's totals that the amounts take. */
+export function dominantShare(amounts: Amounts, totals: Amounts): number {
+  return Math.max(
+    shareOf(amounts.cpus, totals.cpus),
+    shareOf(amounts.gpus, totals.gpus),
+    shareOf(amounts.memory, totals.memory),
+  );
+}
+
+function shareOf(amount: number, total: number): number {
+  return total > 0 ? amount / total : 0;
+}
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -1,5 +1,5 @@
 import { taskName } from '#wire';
-import { addAmounts, dominantShare } from './fairshare.js';
+import { addAmounts, dominantShare } from './amounts.js';
 import type { FleetTables } from './fleet-tables.js';
 import { useImage } from './image-cache.js';
 import type { TaskEnd } from './listener.js';
--- a/packages/core/capacity-planner.test.ts
+++ b/packages/core/capacity-planner.test.ts
@@ -2,13 +2,14 @@
 import { test } from 'node:test';
 import { aFleet, aJob, aMachine, STD } from '../testing/samples.js';
 import { CapacityPlanner } from './capacity-planner.js';
+import { NO_QUOTA } from './team-quota.js';
 
-const TERMS = new Map([['red', { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }]]);
-const AIMS = [{ class: 'c', kind: 'wait', withinS: 4 }];
+const TEAMS = new Map([['red', NO_QUOTA]]);
+const OBJECTIVES = [{ class: 'c', kind: 'wait', withinS: 4 }];
 const SETTINGS = { reserveSigmas: 0, idleHoldS: 60, memoryS: 120 };
 
 function aPlanner(fleet = aFleet()): CapacityPlanner {
-  return new CapacityPlanner({ fleet, settings: SETTINGS, objectives: AIMS, teams: TERMS });
+  return new CapacityPlanner({ fleet, settings: SETTINGS, objectives: OBJECTIVES, teams: TEAMS });
 }
 
 function rented(planner: CapacityPlanner, now: number): number {
@@ -41,8 +42,8 @@
   const planner = new CapacityPlanner({
     fleet: aFleet(),
     settings: { ...SETTINGS, reserveSigmas: 2 },
-    objectives: AIMS,
-    teams: TERMS,
+    objectives: OBJECTIVES,
+    teams: TEAMS,
   });
   for (let t = 0; t < 240; t++) planner.jobArrived(aJob(), t);
   const during = rented(planner, 240);
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -2,7 +2,8 @@
 import { ArrivalSettings, ArrivalStatistics, ClassObjective } from './arrival-statistics.js';
 import { BootTimes } from './boot-times.js';
 import { Consolidation, findConsolidation } from './consolidation.js';
-import { Amounts, TeamTerms, withinLimit } from './fairshare.js';
+import { Amounts } from './amounts.js';
+import { TeamQuota, withinLimit } from './team-quota.js';
 import { typeFits } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
@@ -34,7 +35,7 @@
   fleet: FleetState;
   settings: CapacitySettings;
   objectives: ClassObjective[];
-  teams: Map<string, TeamTerms>;
+  teams: Map<string, TeamQuota>;
 }
 
 /** Sizes the fleet: packs what waits, and room for what may come sooner than a machine boots. */
@@ -96,15 +97,15 @@
   private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
     const { fleet, teams } = this.options;
     const { spec } = job;
-    const terms = teams.get(spec.team);
-    if (!terms) return;
+    const quota = teams.get(spec.team);
+    if (!quota) return;
     let used = usage.get(spec.team);
     if (!used) usage.set(spec.team, (used = { ...fleet.usage.ofTeam(spec.team) }));
     const zones = new Map<string, number>();
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
     const count = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
-    for (let i = 0; i < count && withinLimit(terms, used, spec); i++) {
+    for (let i = 0; i < count && withinLimit(quota, used, spec); i++) {
       const slot = packing.place(request);
       if (!slot) return;
       if (spec.oneZone && request.job.zone === null) {
--- a/packages/core/choose-machine.test.ts
+++ b/packages/core/choose-machine.test.ts
@@ -20,10 +20,10 @@
 function byEveryMachine(fleet: FleetState, state: JobState, now: number): Machine | null {
   const { spec } = state;
   const classZones = new Map<string, number>();
-  for (const m of fleet.machines.values()) {
-    for (const a of m.tasks.values()) {
-      if (a.job.spec.class !== spec.class) continue;
-      classZones.set(m.zone, (classZones.get(m.zone) ?? 0) + 1);
+  for (const { zone, tasks } of fleet.machines.values()) {
+    for (const { job: other } of tasks.values()) {
+      if (other.spec.class !== spec.class) continue;
+      classZones.set(zone, (classZones.get(zone) ?? 0) + 1);
     }
   }
   let best: { machine: Machine; cost: number } | null = null;
--- a/packages/core/consolidation.test.ts
+++ b/packages/core/consolidation.test.ts
@@ -2,13 +2,14 @@
 import { test } from 'node:test';
 import { aFleet, aJob, aMachine } from '../testing/samples.js';
 import { CapacityPlanner } from './capacity-planner.js';
+import { NO_QUOTA } from './team-quota.js';
 
-const TERMS = new Map([['red', { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }]]);
-const AIMS = [{ class: 'c', kind: 'wait', withinS: 4 }];
+const TEAMS = new Map([['red', NO_QUOTA]]);
+const OBJECTIVES = [{ class: 'c', kind: 'wait', withinS: 4 }];
 const SETTINGS = { reserveSigmas: 0, idleHoldS: 60, memoryS: 120 };
 
 function aPlanner(fleet = aFleet()): CapacityPlanner {
-  return new CapacityPlanner({ fleet, settings: SETTINGS, objectives: AIMS, teams: TERMS });
+  return new CapacityPlanner({ fleet, settings: SETTINGS, objectives: OBJECTIVES, teams: TEAMS });
 }
 
 test('a machine is emptied only if its replicas find room beside their image', () => {
@@ -19,14 +20,25 @@
     const machines = ['n-1', 'n-2'].map((name) => aMachine(fleet, name));
     const job = fleet.addJob(aJob({ kind: 'service', tasks: 3 }), 0, 'accepted', 0);
     [0, 0, 1].forEach((at, i) => {
-      const a = fleet.assignments.assign(job, i, machines[at], fleet.assignments.newAttempt(), 0);
-      Object.assign(a, { startSent: true, recorded: true, reported: 'running', runningSince: 0 });
+      const assignment = fleet.assignments.assign(
+        job,
+        i,
+        machines[at],
+        fleet.assignments.newAttempt(),
+        0,
+      );
+      Object.assign(assignment, {
+        startSent: true,
+        recorded: true,
+        reported: 'running',
+        runningSince: 0,
+      });
     });
     machines[0].images = new Map([[image, 5]]);
     fleet.addJob(aJob({ id: 'j-2', tasks: waiting }), 0, 'accepted', 0);
     const { consolidation } = aPlanner(fleet).plan(ranS);
     if (consolidation === null) return null;
-    return [consolidation.machine.name, ...consolidation.moves.map((m) => m.to.name)];
+    return [consolidation.machine.name, ...consolidation.moves.map(({ to }) => to.name)];
   };
   assert.deepEqual(emptied('i', 1, 60), ['n-2', 'n-1']);
   assert.equal(emptied('other', 1, 60), null);
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -1,6 +1,6 @@
 import type { Job, MachineType } from '#wire';
 import { isUsable } from './availability.js';
-import { addAmounts, Amounts } from './fairshare.js';
+import { addAmounts, Amounts } from './amounts.js';
 import { hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { Assignment, Machine } from './model.js';
--- a/packages/core/fit.ts
+++ b/packages/core/fit.ts
@@ -1,5 +1,5 @@
 import type { Job, MachineType } from '#wire';
-import type { Amounts } from './fairshare.js';
+import type { Amounts } from './amounts.js';
 import { assignmentsOf, JobState } from './model.js';
 
 /** Amounts are sums of decimal numbers; differences below this are rounding. */
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -1,5 +1,5 @@
 import type { MachineType } from '#wire';
-import { ZERO_AMOUNTS } from './fairshare.js';
+import { ZERO_AMOUNTS } from './amounts.js';
 import { kindAllowed, tasksThatFit } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { byRankAndAge } from './job-queues.js';
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -1,8 +1,8 @@
 import type { Job } from '#wire';
-import { ServiceCounter } from './fairshare.js';
+import { ServiceCounter } from './service-counter.js';
 import { requirementsKey } from './fit.js';
 import type { JobState } from './model.js';
-import { TaskSet } from './taskset.js';
+import { TaskSet } from './task-set.js';
 import type { UnrecordedChanges } from './unrecorded-changes.js';
 
 /** The accepted jobs, their phases, and which of their tasks wait for a machine. */
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -1,5 +1,5 @@
 import type { MachineType } from '#wire';
-import { addAmounts, Amounts, ZERO_AMOUNTS } from './fairshare.js';
+import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
 import type { Machine } from './model.js';
 
 /** What identifies a machine and decides which tasks it may hold. */
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -1,7 +1,8 @@
 /** The data of the fleet's state: jobs, machines, and the assignments that join them. */
 import type { Job, TaskState } from '#wire';
-import type { Amounts, ServiceCounter } from './fairshare.js';
-import type { TaskSet } from './taskset.js';
+import type { Amounts } from './amounts.js';
+import type { ServiceCounter } from './service-counter.js';
+import type { TaskSet } from './task-set.js';
 
 export interface StopRequest {
   /** Seconds for saving; 0 kills. */
--- a/packages/core/preemption.test.ts
+++ b/packages/core/preemption.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { aFleet, aJob, aMachine, aReport } from '../testing/samples.js';
+import { NO_QUOTA } from './team-quota.js';
 import { Scheduler } from './scheduler.js';
 
 /** Three machines full of running work of the lowest rank, and who may stop it. */
@@ -9,20 +10,20 @@
   const machines = ['n-1', 'n-2', 'n-3'].map((name) => aMachine(fleet, name));
   const low = fleet.addJob(aJob({ id: 'j-1', rank: 3, tasks: 3, gpus: 4 }), 0, 'accepted', 0);
   machines.forEach((machine, i) => {
-    const a = fleet.assignments.assign(low, i, machine, fleet.assignments.newAttempt(), 0);
-    a.recorded = a.startSent = true;
-    a.reported = 'running';
-    a.runningSince = 0;
+    const assignment = fleet.assignments.assign(low, i, machine, i + 1, 0);
+    assignment.recorded = assignment.startSent = true;
+    assignment.reported = 'running';
+    assignment.runningSince = 0;
   });
-  const terms = { cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
-  const scheduler = new Scheduler(fleet, new Map([['red', terms]]), {
+  const scheduler = new Scheduler(fleet, new Map([['red', NO_QUOTA]]), {
     floorWeight: 0.05,
     stopThreshold: 0.5,
     gangLeaseS: 120,
     preemptAfterS: 2,
     decisionsPerRound: 100,
   });
-  const stopping = () => machines.flatMap((m) => [...m.tasks.values()].filter((a) => a.stop));
+  const stopping = () =>
+    machines.flatMap(({ tasks }) => [...tasks.values()].filter(({ stop }) => stop));
   return { fleet, scheduler, stopping };
 }
 
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -1,5 +1,5 @@
 import type { Job } from '#wire';
-import { addAmounts } from './fairshare.js';
+import { addAmounts } from './amounts.js';
 import { hasRoom, kindAllowed, tasksByZone, zoneAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { byRankAndAge, placementKey } from './job-queues.js';
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -1,6 +1,7 @@
 import { chooseGangMachines } from './choose-gang-machines.js';
 import { chooseMachine } from './choose-machine.js';
-import type { Amounts, TeamTerms } from './fairshare.js';
+import type { Amounts } from './amounts.js';
+import type { TeamQuota } from './team-quota.js';
 import { tasksByZone } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { GangReservations } from './gang-reservations.js';
@@ -38,7 +39,7 @@
 
   constructor(
     private readonly fleet: FleetState,
-    teams: Map<string, TeamTerms>,
+    teams: Map<string, TeamQuota>,
     private readonly settings: ScheduleSettings,
   ) {
     this.shares = new TeamShares(fleet, teams, settings.floorWeight);
--- a/packages/core/fairshare.test.ts
+++ b/packages/core/service-counter.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ServiceCounter } from './fairshare.js';
+import { ServiceCounter } from './service-counter.js';
 
 test('service decays by half in a half-life and does not depend on when it is read', () => {
   const counter = new ServiceCounter(100, 0);
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -1,5 +1,5 @@
 import type { Job, MachineType } from '#wire';
-import { ZERO_AMOUNTS } from './fairshare.js';
+import { ZERO_AMOUNTS } from './amounts.js';
 import { MachineKind, requirementsKey, tasksThatFit, typeFits, zoneCap } from './fit.js';
 import { kindKey, Refusals, Rental } from './refusals.js';
 import { emptySlot, holds, Slot, StandingSlot, takeRoom } from './slots.js';
--- a/packages/core/slots.ts
+++ b/packages/core/slots.ts
@@ -1,6 +1,6 @@
 import type { Job, MachineType } from '#wire';
 import { canTakeTasks } from './availability.js';
-import { addAmounts, Amounts, ZERO_AMOUNTS } from './fairshare.js';
+import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
 import { hasRoom, kindAllowed, MachineKind } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { Machine } from './model.js';
--- a/packages/core/taskset.test.ts
+++ b/packages/core/task-set.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { SEEDED } from '../testing/generators.js';
-import { TaskSet } from './taskset.js';
+import { TaskSet } from './task-set.js';
 
 test('done bits survive being stored in chunks', () => {
   fc.assert(
--- /dev/null
+++ b/packages/core/team-quota.ts
@@ -0,0 +1,36 @@
+import type { Amounts } from './amounts.js';
+
+/** Amounts are sums of decimal numbers; differences below this are rounding. */
+const ROUNDING = 1e-9;
+
+/** A team's guarantee and limit. For a limit, 0 means that there is none. */
+export interface TeamQuota {
+  guaranteedCpus: number;
+  guaranteedGpus: number;
+  cpuLimit: number;
+  gpuLimit: number;
+}
+
+export const NO_QUOTA: TeamQuota = {
+  guaranteedCpus: 0,
+  guaranteedGpus: 0,
+  cpuLimit: 0,
+  gpuLimit: 0,
+};
+
+/** Guaranteed share of the fleet's totals, never less than the floor weight. */
+export function teamWeight(quota: TeamQuota, totals: Amounts, floorWeight: number): number {
+  return Math.max(
+    floorWeight,
+    totals.cpus > 0 ? quota.guaranteedCpus / totals.cpus : 0,
+    totals.gpus > 0 ? quota.guaranteedGpus / totals.gpus : 0,
+  );
+}
+
+/** Whether the team may use `more` beside what it uses. */
+export function withinLimit(quota: TeamQuota, used: Amounts, more: Amounts): boolean {
+  return (
+    (quota.cpuLimit === 0 || used.cpus + more.cpus <= quota.cpuLimit + ROUNDING) &&
+    (quota.gpuLimit === 0 || used.gpus + more.gpus <= quota.gpuLimit + ROUNDING)
+  );
+}
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -1,4 +1,5 @@
-import { addAmounts, Amounts, ServiceCounter, ZERO_AMOUNTS } from './fairshare.js';
+import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
+import { ServiceCounter } from './service-counter.js';
 import type { Assignment } from './model.js';
 
 /** What teams and classes hold at present, and the service that teams have received. */
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -1,5 +1,5 @@
 import { Job, MachineType, Order, taskName } from '#wire';
-import { FleetState, Scheduler, TeamTerms } from '#core';
+import { FleetState, Scheduler, TeamQuota } from '#core';
 import { STD } from './samples.js';
 import { Chance } from './random.js';
 import { StandInWorker } from './worker.js';
@@ -54,7 +54,7 @@
     private readonly store: Durable,
     readonly term: number,
     type: MachineType,
-    teams: Map<string, TeamTerms>,
+    teams: Map<string, TeamQuota>,
     private readonly fault: Fault,
     now: number,
   ) {
@@ -88,7 +88,9 @@
     }
     this.fleet.machines.updateTotals();
     const effective =
-      fault === 'no-limit' ? new Map([...teams].map(([k, t]) => [k, { ...t, gpusMax: 0 }])) : teams;
+      fault === 'no-limit'
+        ? new Map([...teams].map(([k, t]) => [k, { ...t, gpuLimit: 0 }]))
+        : teams;
     this.scheduler = new Scheduler(this.fleet, effective, {
       floorWeight: 0.05,
       stopThreshold: 0.5,
@@ -155,9 +157,9 @@
   }
 }
 
-const TEAMS = new Map<string, TeamTerms>([
-  ['red', { cpus: 0, gpus: 6, cpusMax: 0, gpusMax: 10 }],
-  ['blue', { cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 8 }],
+const TEAMS = new Map<string, TeamQuota>([
+  ['red', { guaranteedCpus: 0, guaranteedGpus: 6, cpuLimit: 0, gpuLimit: 10 }],
+  ['blue', { guaranteedCpus: 0, guaranteedGpus: 4, cpuLimit: 0, gpuLimit: 8 }],
 ]);
 
 interface Message {
@@ -210,7 +212,7 @@
           if (p !== t && p.index === t.index) broken.add('ran_twice');
         }
       }
-      if (gpus > TEAMS.get(job.team)!.gpusMax) broken.add('quota');
+      if (gpus > TEAMS.get(job.team)!.gpuLimit) broken.add('quota');
       if (job.spread && zones.get(w.zone)! > Math.ceil(job.tasks / 2)) broken.add('wrong_place');
       if (job.oneZone && zones.size > 1) broken.add('wrong_place');
       if (job.zone !== null && job.zone !== w.zone) broken.add('wrong_place');
