--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -64,7 +64,7 @@
   /** What is to be recorded of a job now; all of it together makes the job saved. */
   changesOf(job: JobState): RecordChange[] {
     if (job.phase !== 'accepted') return [];
-    return job.done.size === job.job.tasks ? this.doneChange(job) : this.progressChanges(job);
+    return job.done.size === job.spec.tasks ? this.doneChange(job) : this.progressChanges(job);
   }
 
   private isOver(id: string): boolean {
@@ -74,7 +74,7 @@
 
   private doneChange(job: JobState): RecordChange[] {
     const { book, jobs } = this.options;
-    const { id } = job.job;
+    const { id } = job.spec;
     const record = jobs.get(id);
     if (record?.phase !== 'accepted') return [];
     const key = jobKey(id);
@@ -86,14 +86,14 @@
   }
 
   private progressChanges(job: JobState): RecordChange[] {
-    const { id } = job.job;
+    const { id } = job.spec;
     const again = () => void this.options.book.unrecorded.jobs.add(id);
     return this.unrecordedChunks(job).map(({ key, text, version }) => {
       const durable = (revision: number) => {
         // A user may have cancelled it while the transaction was on its way.
         if (this.isOver(id)) this.obsolete.set(key, revision);
         else this.chunks.set(key, { version: revision, text });
-        if (this.unrecordedChunks(job).length === 0) job.unsaved = false;
+        if (this.unrecordedChunks(job).length === 0) job.hasUnrecordedProgress = false;
       };
       const change = { put: key, value: { done: text } };
       return { key, version, change, guards: [], durable, again };
@@ -103,8 +103,8 @@
   /** The parts that differ from their records, the one that was recorded longest ago first. */
   private unrecordedChunks(job: JobState): (RecordedChunk & { key: string })[] {
     const found: (RecordedChunk & { key: string })[] = [];
-    for (let chunk = 0; chunk * this.chunkTasks < job.job.tasks; chunk++) {
-      const key = progressKey(job.job.id, chunk);
+    for (let chunk = 0; chunk * this.chunkTasks < job.spec.tasks; chunk++) {
+      const key = progressKey(job.spec.id, chunk);
       const text = job.done.chunkText(chunk, this.chunkTasks);
       const recorded = this.chunks.get(key);
       const isRecorded = recorded ? recorded.text === text : holdsNoTask(text);
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -95,7 +95,7 @@
 
   private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
     const { fleet, teams } = this.options;
-    const { job: spec } = job;
+    const { spec } = job;
     const terms = teams.get(spec.team);
     if (!terms) return;
     let used = usage.get(spec.team);
@@ -143,18 +143,20 @@
 /** Where a job that must stay in one zone is packed: where machines are reserved for it, if so. */
 function zoneToPack(job: Job, standing: StandingSlot[]): string | null {
   if (!job.oneZone) return job.zone;
-  return standing.find((slot) => slot.reservedFor === job.id)?.zone ?? job.zone;
+  return standing.find((slot) => slot.reservedForGang === job.id)?.zone ?? job.zone;
 }
 
 function isIdle(machine: Machine, heldS: number, now: number): boolean {
-  const { tasks, reservedFor, state, idleSince } = machine;
-  if (tasks.size > 0 || reservedFor !== null || state === 'booting') return false;
+  const { tasks, reservedForGang, state, idleSince } = machine;
+  if (tasks.size > 0 || reservedForGang !== null || state === 'booting') return false;
   return now - idleSince >= heldS;
 }
 
 /** Higher ranks first, then whole-machine work before what fits into gaps, then the oldest. */
 function byRankAndSize(a: JobState, b: JobState): number {
-  return a.job.rank - b.job.rank || sizeOf(b.job) - sizeOf(a.job) || a.acceptedAt - b.acceptedAt;
+  return (
+    a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || a.acceptedAt - b.acceptedAt
+  );
 }
 
 /** Accelerators count before processors. */
--- a/packages/core/choose-gang-machines.ts
+++ b/packages/core/choose-gang-machines.ts
@@ -24,7 +24,7 @@
   candidates: PlacementCandidates,
   now: number,
 ): Machine[] | null {
-  const zones = job.job.oneZone ? candidates.zones() : [null];
+  const zones = job.spec.oneZone ? candidates.zones() : [null];
   const options = gangOptions(fleet, job, candidates, now);
   let best: GangPlacement | null = null;
   for (const zone of zones) {
@@ -41,14 +41,14 @@
   candidates: PlacementCandidates,
   now: number,
 ): GangOption[] {
-  const { job: spec } = job;
+  const { spec } = job;
   const { maxTasksPerMachine } = fleet.settings;
   const options: GangOption[] = [];
   for (const candidate of candidates.forJob(job)) {
     const { machine, type } = candidate;
     const cost = candidates.cost(candidate, spec);
     if (cost === Infinity || fleet.holds.isHeldFromJob(machine, job, now)) continue;
-    if (machine.reservedFor !== null && machine.reservedFor !== spec.id) continue;
+    if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     const room = Math.min(
       spec.tasks,
       maxTasksPerMachine - machine.tasks.size,
@@ -61,7 +61,7 @@
 
 /** Takes the cheapest options, in one zone or any (null), until the gang is complete. */
 function fillGang(
-  { job: spec }: JobState,
+  { spec }: JobState,
   zone: string | null,
   options: GangOption[],
 ): GangPlacement | null {
--- a/packages/core/direct-orders.test.ts
+++ b/packages/core/direct-orders.test.ts
@@ -14,10 +14,10 @@
     const orders = book.directOrders.take(machine, 1.5);
     if (lost === 'released') book.removeMachine('n-1', 2);
     else assert.deepEqual(book.leases.expire(20), [machine]);
-    const task = { job: job.job.id, index: 0, attempt: 1, cause: null, saved: false };
+    const task = { job: job.spec.id, index: 0, attempt: 1, cause: null, saved: false };
     const report = aReport({ seq: 2, tasks: [{ ...task, state: 'fetching' }] });
     book.directOrders.finish(machine, orders, { kind: 'executed', report }, 21);
-    assert.equal(job.places.size, 0, lost);
+    assert.equal(job.assignments.size, 0, lost);
     assert.equal(book.usage.ofTeam('red').gpus, 0, lost);
   }
 });
@@ -37,7 +37,7 @@
   book.fencing.recorded(machine, 150);
   book.reports.handle(aReport({ seq: 2 }), 2);
   assert.equal(machine.token, 150, 'the answer carries it');
-  assert.equal(job.places.size, 1);
+  assert.equal(job.assignments.size, 1);
   book.reports.handle(aReport({ seq: 3, token: 150 }), 3);
-  assert.equal(job.places.size, 0);
+  assert.equal(job.assignments.size, 0);
 });
--- a/packages/core/gang-reservations.test.ts
+++ b/packages/core/gang-reservations.test.ts
@@ -13,11 +13,14 @@
   const reservations = new GangReservations(book);
   book.holds.hold(held, replica, 12);
   reservations.update(1);
-  assert.deepEqual([held.reservedFor, free.reservedFor], [null, gang.job.id]);
+  assert.deepEqual([held.reservedForGang, free.reservedForGang], [null, gang.spec.id]);
   // A reservation that is older than the hold ends, and comes back once the hold has run out.
   book.holds.hold(free, replica, 12);
   reservations.update(2);
-  assert.deepEqual([held.reservedFor, free.reservedFor], [null, null]);
+  assert.deepEqual([held.reservedForGang, free.reservedForGang], [null, null]);
   reservations.update(13);
-  assert.equal([held, free].filter((machine) => machine.reservedFor === gang.job.id).length, 1);
+  assert.equal(
+    [held, free].filter((machine) => machine.reservedForGang === gang.spec.id).length,
+    1,
+  );
 });
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -37,29 +37,29 @@
   /** Brings all reservations up to date. */
   update(now: number): void {
     const gangs = [...this.fleet.jobs.waiting].filter(isWaitingGang);
-    this.releaseObsolete(new Set(gangs.map((gang) => gang.job.id)));
+    this.releaseObsolete(new Set(gangs.map((gang) => gang.spec.id)));
     if (gangs.length === 0) return;
     const emptying = this.emptyingMachines(now);
     this.releaseIfNotEmptying(emptying);
     const byGang = reservedByGang(emptying);
     for (const gang of gangs.sort(byRankAndAge)) {
       const isHeld = (machine: Machine) => this.fleet.holds.isHeldFromJob(machine, gang, now);
-      reserveFor(gang, emptying, byGang.get(gang.job.id) ?? [], isHeld);
+      reserveFor(gang, emptying, byGang.get(gang.spec.id) ?? [], isHeld);
     }
   }
 
   /** The gang has started. */
   release(gangId: string): void {
     for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedFor === gangId) machine.reservedFor = null;
+      if (machine.reservedForGang === gangId) machine.reservedForGang = null;
     }
   }
 
   private releaseObsolete(waitingGangs: Set<string>): void {
     for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedFor === null) continue;
-      const leaves = machine.state === 'dark' || machine.draining || machine.noticeAt !== null;
-      if (leaves || !waitingGangs.has(machine.reservedFor)) machine.reservedFor = null;
+      if (machine.reservedForGang === null) continue;
+      const leaves = machine.state === 'expired' || machine.draining || machine.reclaimAt !== null;
+      if (leaves || !waitingGangs.has(machine.reservedForGang)) machine.reservedForGang = null;
     }
   }
 
@@ -67,7 +67,8 @@
   private releaseIfNotEmptying(emptying: EmptyingMachine[]): void {
     const machines = new Set(emptying.map(({ machine }) => machine));
     for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedFor !== null && !machines.has(machine)) machine.reservedFor = null;
+      if (machine.reservedForGang !== null && !machines.has(machine))
+        machine.reservedForGang = null;
     }
   }
 
@@ -76,8 +77,8 @@
     const found: EmptyingMachine[] = [];
     for (const machine of this.fleet.machines.values()) {
       const type = this.fleet.machines.typeOf(machine);
-      if (!type || machine.state === 'dark' || machine.draining) continue;
-      if (machine.noticeAt !== null || machine.avoidUntil > now) continue;
+      if (!type || machine.state === 'expired' || machine.draining) continue;
+      if (machine.reclaimAt !== null || machine.avoidUntil > now) continue;
       const waitS = emptyInS(machine, type.bootS, now);
       if (waitS !== null) found.push({ machine, type, waitS });
     }
@@ -86,13 +87,13 @@
 }
 
 function isWaitingGang(job: JobState): boolean {
-  return job.job.kind === 'gang' && job.places.size === 0;
+  return job.spec.kind === 'gang' && job.assignments.size === 0;
 }
 
 function reservedByGang(emptying: EmptyingMachine[]): Map<string, EmptyingMachine[]> {
   const byGang = new Map<string, EmptyingMachine[]>();
   for (const candidate of emptying) {
-    const gang = candidate.machine.reservedFor;
+    const gang = candidate.machine.reservedForGang;
     if (gang === null) continue;
     const own = byGang.get(gang);
     if (own) own.push(candidate);
@@ -106,7 +107,7 @@
  * whose room is held for other work is left to it: reserved as well, it would serve neither of the two.
  */
 function reserveFor(
-  { job: spec }: JobState,
+  { spec }: JobState,
   emptying: EmptyingMachine[],
   own: EmptyingMachine[],
   isHeld: (machine: Machine) => boolean,
@@ -124,8 +125,8 @@
     chosen = found.machines;
     break;
   }
-  for (const { machine } of own) machine.reservedFor = null;
-  for (const machine of chosen) machine.reservedFor = spec.id;
+  for (const { machine } of own) machine.reservedForGang = null;
+  for (const machine of chosen) machine.reservedForGang = spec.id;
 }
 
 /**
@@ -139,7 +140,7 @@
   let free = 0;
   let mine = 0;
   for (;;) {
-    while (free < emptying.length && emptying[free].machine.reservedFor !== null) free++;
+    while (free < emptying.length && emptying[free].machine.reservedForGang !== null) free++;
     const nextFree = emptying[free];
     const nextOwn = own[mine];
     if (nextOwn && !(nextFree && nextFree.waitS < nextOwn.waitS * CHANGE_RATIO)) {
@@ -154,10 +155,10 @@
 
 /** Seconds until a machine could be empty, or null if something on it does not end by itself. */
 function emptyInS(machine: Machine, bootS: number, now: number): number | null {
-  if (machine.state === 'booting') return Math.max(1, machine.bornAt + bootS - now);
+  if (machine.state === 'booting') return Math.max(1, machine.rentedAt + bootS - now);
   let waitS = 0;
   for (const { job, stop, runningSince } of machine.tasks.values()) {
-    const { kind, estimateS } = job.job;
+    const { kind, estimateS } = job.spec;
     if (stop !== null) continue;
     if (kind === 'service') return null;
     const ranS = runningSince === null ? 0 : now - runningSince;
--- a/packages/core/released-machines.test.ts
+++ b/packages/core/released-machines.test.ts
@@ -8,7 +8,7 @@
   // over a token that it had handed out itself.
   const book = aBook();
   const machine = aMachine(book, 'n-1');
-  machine.fencing = true;
+  machine.fence = 'requested';
   book.fencing.recorded(machine, 150);
   const report = aReport({ seq: 3, token: 150 });
   assert.equal(book.reports.handle(report, 1).kind, 'answer');
--- a/packages/core/task-reports.test.ts
+++ b/packages/core/task-reports.test.ts
@@ -47,7 +47,7 @@
   const done: TaskReport = { ...STOPPED, cause: 'done' };
   assert.deepEqual(report(2, done), [], 'kept until the end is durable');
   assert.ok(job.done.has(0));
-  assert.equal(job.places.size, 0);
+  assert.equal(job.assignments.size, 0);
 });
 
 test('an attempt that is live beside a newer one holds the place', () => {
@@ -65,7 +65,7 @@
     assert.deepEqual(report(3, ...listed), isSent ? ['forget', 'stop'] : ['stop'], newer);
     if (!isSent) book.assignments.stop(second, 0, 1);
     assert.equal(book.jobs.waitingCount(job), 0, newer);
-    assert.equal(job.places.get(0)?.[0].attempt, 1, newer);
+    assert.equal(job.assignments.get(0)?.[0].attempt, 1, newer);
     report(4);
     assert.equal(book.jobs.waitingCount(job), 1, newer);
   }
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -125,14 +125,14 @@
       const job = book.jobs.get(id)!;
       const stored = store.jobs.get(id)!;
       const done = new Set<number>();
-      for (let i = 0; i < job.job.tasks; i++) if (job.done.has(i)) done.add(i);
+      for (let i = 0; i < job.spec.tasks; i++) if (job.done.has(i)) done.add(i);
       store.done.set(id, done);
-      const enough = this.fault === 'done-early' ? done.size > 0 : done.size === job.job.tasks;
+      const enough = this.fault === 'done-early' ? done.size > 0 : done.size === job.spec.tasks;
       if (enough && stored.phase === 'accepted') {
         stored.phase = 'done';
         book.closeJob(job, 'done', 0);
       }
-      job.unsaved = false;
+      job.hasUnrecordedProgress = false;
     }
     book.unrecorded.jobs.clear();
     if (this.fault !== 'order-before-record') {
@@ -146,7 +146,7 @@
           store.machines.set(name, {
             zone: m.zone,
             spot: m.spot,
-            tasks: tasks.map((a) => [a.job.job.id, a.index, a.attempt]),
+            tasks: tasks.map((a) => [a.job.spec.id, a.index, a.attempt]),
           });
         }
       }
@@ -244,7 +244,8 @@
       }
       if (fault === 'believes-old-copies') {
         const machine = target.book.machines.get(report.machine);
-        if (machine && machine.seq >= report.seq) machine.seq = machine.helloSeq = report.seq - 1;
+        if (machine && machine.lastMessageSeq >= report.seq)
+          machine.lastMessageSeq = machine.lastReportSeq = report.seq - 1;
       }
       const outcome = target.book.reports.handle(report, at);
       const answered = outcome.kind === 'answer';
@@ -270,7 +271,11 @@
           if (!life || gaveUp(life, t)) return;
           if (fault === 'believes-old-copies') {
             const machine = life.book.machines.get(report.machine);
-            if (machine) machine.seq = machine.helloSeq = Math.min(machine.seq, report.seq - 1);
+            if (machine)
+              machine.lastMessageSeq = machine.lastReportSeq = Math.min(
+                machine.lastMessageSeq,
+                report.seq - 1,
+              );
           }
           life.book.reports.handle(report, t);
         },
@@ -306,7 +311,7 @@
         run: (t) => {
           if (answered.has(orders)) return;
           from.book.directOrders.finish(machine, orders, { kind: 'unknown' }, t);
-          if (fault === 'forgets-late-starts') machine.loose.clear();
+          if (fault === 'forgets-late-starts') machine.unacknowledgedStarts.clear();
         },
       });
     }
