--- a/packages/core/amounts.ts
+++ b/packages/core/amounts.ts
@@ -5,6 +5,7 @@
   memory: number;
 }
 
+/** Nothing. Shared, so copy it before adding to it. */
 export const ZERO_AMOUNTS: Readonly<Amounts> = { cpus: 0, gpus: 0, memory: 0 };
 
 /** Adds (or, with -1, takes away) amounts in place. */
--- a/packages/core/answer-delivery.ts
+++ b/packages/core/answer-delivery.ts
@@ -6,6 +6,7 @@
 /** In report periods: how long reports may show an old token before the machine counts as unreachable. */
 const UNHEARD = 2;
 
+/** Durations in seconds; `term` is the lowest token that answers carry. */
 export interface DeliverySettings {
   leaseS: number;
   reportS: number;
--- a/packages/core/answer-orders.ts
+++ b/packages/core/answer-orders.ts
@@ -32,14 +32,17 @@
   return recorded === job.spec.tasks;
 }
 
+/** How messages name the assignment's attempt. */
 export function taskRef({ job, index, attempt }: Assignment): TaskRef {
   return { job: job.spec.id, index, attempt };
 }
 
+/** The order to start it; has no effect at a worker that has the attempt already. */
 export function startOrder(assignment: Assignment): Order {
   return { op: 'start', ...taskRef(assignment) };
 }
 
+/** The order to stop it; `graceS` are seconds for saving, 0 kills. */
 export function stopOrder(assignment: Assignment, graceS: number): Order {
   return { op: 'stop', graceS, ...taskRef(assignment) };
 }
--- a/packages/core/arrival-statistics.ts
+++ b/packages/core/arrival-statistics.ts
@@ -19,6 +19,7 @@
   withinS: number;
 }
 
+/** What operators may set of the reserve. */
 export interface ArrivalSettings {
   /** Standard deviations of arrivals kept free for classes that must start sooner than a boot. */
   reserveSigmas: number;
@@ -51,10 +52,12 @@
     private readonly objectives: ClassObjective[],
   ) {}
 
+  /** All classes of which a job has come. */
   classes(): IterableIterator<ClassArrivals> {
     return this.byClass.values();
   }
 
+  /** A job was accepted. */
   jobArrived(job: Job, now: number): void {
     const { memoryS } = this.settings;
     const arrivals = this.of(job, now);
@@ -65,6 +68,7 @@
     arrivals.sample = job;
   }
 
+  /** A job is over for its user. */
   jobEnded(job: Job, now: number): void {
     this.of(job, now).tasksOut += job.tasks / this.settings.memoryS;
   }
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -18,11 +18,13 @@
 const QUIET_SHARE = 1 / 2;
 const QUIET_HOLD = 1 / 3;
 
+/** What operators may set of the fleet's size. */
 export interface CapacitySettings extends ArrivalSettings {
   /** Seconds for which an empty machine that nothing needs is kept. */
   idleHoldS: number;
 }
 
+/** What to do now; carrying it out is the caller's part. */
 export interface CapacityPlan {
   rent: Rental[];
   /** Machines to be given back. */
@@ -31,6 +33,7 @@
   consolidation: Consolidation | null;
 }
 
+/** What a planner is made of; `teams` are the quotas by team. */
 export interface CapacityPlannerOptions {
   fleet: FleetState;
   settings: CapacitySettings;
@@ -48,10 +51,12 @@
     this.arrivals = new ArrivalStatistics(options.settings, options.objectives);
   }
 
+  /** A job was accepted. */
   jobArrived(job: Job, now: number): void {
     this.arrivals.jobArrived(job, now);
   }
 
+  /** A job is over for its user. */
   jobEnded(job: Job, now: number): void {
     this.arrivals.jobEnded(job, now);
   }
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -12,6 +12,7 @@
 /** Report periods for which the room found for a replica is held. */
 const HOLD_REPORTS = 4;
 
+/** A replica and the machine that has room for it. */
 export interface Move {
   task: Assignment;
   to: Machine;
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -15,10 +15,15 @@
  * given up only when the task is proven gone (docs/safety.md, point 5).
  */
 export class FleetState extends FleetTables {
+  /** Starts, stops and ends of tasks. */
   readonly assignments: Assignments;
+  /** The workers' leases. */
   readonly leases: MachineLeases;
+  /** Fencing of starts that were not acknowledged. */
   readonly fencing: StartFencing;
+  /** Takes in what workers report. */
   readonly reports: ReportHandler;
+  /** Commands that don't wait for a report. */
   readonly directOrders: DirectOrders;
 
   constructor(options: FleetOptions) {
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -7,6 +7,7 @@
 import { UnrecordedChanges } from './unrecorded-changes.js';
 import { UsageLedger } from './usage-ledger.js';
 
+/** What the state of a part is made of. */
 export interface FleetOptions {
   settings: FleetSettings;
   /** The owner's term, which is also its token (docs/safety.md, points 1 and 3). */
--- a/packages/core/job-queues.ts
+++ b/packages/core/job-queues.ts
@@ -25,6 +25,7 @@
   return tiers.filter((tier) => tier !== undefined);
 }
 
+/** A queue for each team that has waiting jobs. */
 export function queuesByTeam(waiting: JobState[], now: number): TeamQueue[] {
   const byTeam = new Map<string, JobState[]>();
   for (const job of waiting) {
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -16,6 +16,7 @@
     private readonly unrecorded: UnrecordedChanges,
   ) {}
 
+  /** The job, or undefined if it is not known or was removed. */
   get(id: string): JobState | undefined {
     return this.byId.get(id);
   }
@@ -24,6 +25,7 @@
     return this.byId.has(id);
   }
 
+  /** All known jobs, those that are over but may have tasks somewhere included. */
   values(): IterableIterator<JobState> {
     return this.byId.values();
   }
--- a/packages/core/listener.ts
+++ b/packages/core/listener.ts
@@ -24,6 +24,7 @@
   jobClosed(job: JobState, now: number): void;
 }
 
+/** For tests and simulations that need none. */
 export const NO_LISTENER: FleetListener = {
   taskEnded() {},
   taskRunning() {},
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -14,6 +14,7 @@
 
 /** The known machines and machine types. */
 export class MachineRegistry {
+  /** Machine types by name, as the cloud last listed them. */
   readonly types = new Map<string, MachineType>();
   /** Totals of all machines, as of the last `updateTotals`. */
   totals: Amounts = { ...ZERO_AMOUNTS };
@@ -52,10 +53,12 @@
     return machine;
   }
 
+  /** The machine is gone from the cloud. */
   remove(machine: Machine): void {
     this.byName.delete(machine.name);
   }
 
+  /** Sums up what all machines have; before a round, and after the list of machines. */
   updateTotals(): void {
     const totals = { ...ZERO_AMOUNTS };
     for (const machine of this.byName.values()) {
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -4,6 +4,7 @@
 import type { ServiceCounter } from './service-counter.js';
 import type { TaskSet } from './task-set.js';
 
+/** An end of a task that is asked for. */
 export interface StopRequest {
   /** Seconds for saving; 0 kills. */
   graceS: number;
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -14,6 +14,7 @@
 /** Processors that count as much as one accelerator when lost work is compared. */
 const CPUS_PER_GPU = 8;
 
+/** When work may stop other work. */
 export interface PreemptionSettings {
   /** Waiting time, in seconds, after which work may stop other work. */
   preemptAfterS: number;
--- a/packages/core/refusals.ts
+++ b/packages/core/refusals.ts
@@ -13,6 +13,7 @@
 export class Refusals {
   private readonly until = new Map<string, number>();
 
+  /** The cloud gave fewer machines than were asked for. */
   note({ type, zone, spot }: Rental, until: number): void {
     this.until.set(kindKey(type, zone, spot), until);
   }
@@ -23,6 +24,7 @@
   }
 }
 
+/** Equal for machines of the same type, zone and kind. */
 export function kindKey(type: string, zone: string, spot: boolean): string {
   return `${type} ${zone} ${spot}`;
 }
--- a/packages/core/room-holds.ts
+++ b/packages/core/room-holds.ts
@@ -11,6 +11,7 @@
     this.machines.add(machine);
   }
 
+  /** Ends the machine's hold, if there is one. */
   release(machine: Machine): void {
     if (machine.roomHold === null) return;
     machine.roomHold = null;
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -14,6 +14,7 @@
 /** Tasks that a job is given at once before it queues again behind the others. */
 const TASKS_PER_TURN = 8;
 
+/** What operators may set of scheduling, and the size of a round. */
 export interface ScheduleSettings extends PreemptionSettings {
   /** Share of the fleet that a team counts as having guaranteed at least. */
   floorWeight: number;
@@ -33,6 +34,7 @@
 
 /** Decides which waiting tasks get which machines, and what is stopped for them. */
 export class Scheduler {
+  /** Machines kept free for gangs; to be updated before a round. */
   readonly reservations: GangReservations;
   private readonly shares: TeamShares;
   private readonly preemption: Preemption;
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -36,6 +36,7 @@
   requirements: Requirements;
 }
 
+/** What a plan starts from: machines that stand or boot, types by name, and what is not to be had. */
 export interface PackingOptions {
   standing: StandingSlot[];
   types: Map<string, MachineType>;
@@ -56,6 +57,7 @@
     for (const { zone } of this.standing) this.countMachine(zone);
   }
 
+  /** Groups what `place` needs to know of a job's tasks; to be made once for many of them. */
   request(job: Job, gang: string | null, tasksByZone: Map<string, number> | null): PackingRequest {
     return { job, gang, tasksByZone, requirements: this.requirementsOf(job) };
   }
--- a/packages/core/slots.ts
+++ b/packages/core/slots.ts
@@ -16,6 +16,7 @@
   reservedForGang: string | null;
 }
 
+/** Room on a machine that stands or boots. */
 export type StandingSlot = Slot & { machine: Machine };
 
 /**
@@ -64,6 +65,7 @@
   return hasRoom(job, used, type) && kindAllowed(job, type, zone, spot);
 }
 
+/** Packs one task into the slot. */
 export function takeRoom(slot: Slot, job: Job): void {
   addAmounts(slot.used, job, 1);
   slot.touched = true;
--- a/packages/core/task-set.ts
+++ b/packages/core/task-set.ts
@@ -7,6 +7,7 @@
     this.bits = new Uint8Array(Math.ceil(capacity / 8));
   }
 
+  /** Whether the index is in the set. */
   has(index: number): boolean {
     return (this.bits[index >> 3] & (1 << (index & 7))) !== 0;
   }
@@ -19,6 +20,7 @@
     return true;
   }
 
+  /** Adds all indexes. */
   addAll(): void {
     for (let i = 0; i < this.capacity; i++) this.add(i);
   }
@@ -30,6 +32,7 @@
     return Buffer.from(this.bits.subarray(from, to)).toString('base64');
   }
 
+  /** Adds what `chunkText` gave for the same chunk. */
   addChunk(chunk: number, chunkTasks: number, text: string): void {
     const bytes = Buffer.from(text, 'base64');
     const first = chunk * chunkTasks;
--- a/packages/core/team-quota.ts
+++ b/packages/core/team-quota.ts
@@ -11,6 +11,7 @@
   gpuLimit: number;
 }
 
+/** Of a team with neither guarantee nor limit. */
 export const NO_QUOTA: TeamQuota = {
   guaranteedCpus: 0,
   guaranteedGpus: 0,
--- a/packages/core/team-shares.ts
+++ b/packages/core/team-shares.ts
@@ -11,6 +11,7 @@
     private readonly floorWeight: number,
   ) {}
 
+  /** Whether the settings name the team. */
   isKnown(team: string): boolean {
     return this.teams.has(team);
   }
--- a/packages/core/unrecorded-changes.ts
+++ b/packages/core/unrecorded-changes.ts
@@ -8,6 +8,7 @@
   /** Ids of jobs with new done tasks. */
   readonly jobs = new Set<string>();
 
+  /** Whether there is something to record. */
   get any(): boolean {
     return this.machines.size > 0 || this.jobs.size > 0;
   }
