--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,7 +1,7 @@
 import { CapacityPlanner, FleetListener, FleetState, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
-import { Settings, teamTerms } from './settings.js';
+import { Settings, teamQuotas } from './settings.js';
 
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 export const ROUND_DECISIONS = 200;
@@ -29,26 +29,26 @@
   });
 }
 
-export function makePlanner(settings: Settings, book: FleetState): CapacityPlanner {
+export function makePlanner(settings: Settings, fleet: FleetState): CapacityPlanner {
   const { deployment, operator } = settings;
   const objectives = deployment.objectives
     .filter((o) => o.class !== undefined)
     .map((o) => ({ class: o.class!, kind: o.kind, withinS: o.within_s ?? Infinity }));
   return new CapacityPlanner({
-    fleet: book,
+    fleet,
     settings: {
       reserveSigmas: operator.reserveSigmas,
       idleHoldS: operator.idleHoldS,
       memoryS: operator.arrivalMemoryS,
     },
     objectives,
-    teams: teamTerms(deployment.teams),
+    teams: teamQuotas(deployment.teams),
   });
 }
 
-export function makeScheduler(settings: Settings, book: FleetState): Scheduler {
+export function makeScheduler(settings: Settings, fleet: FleetState): Scheduler {
   const { deployment, operator } = settings;
-  return new Scheduler(book, teamTerms(deployment.teams), {
+  return new Scheduler(fleet, teamQuotas(deployment.teams), {
     floorWeight: operator.floorWeight,
     stopThreshold: operator.stopThreshold,
     gangLeaseS: operator.gangLeaseS,
