--- a/eslint.config.js
+++ b/eslint.config.js
@@ -69,6 +69,49 @@
   ],
 };
 
+/** The packages that each may import. Production imports neither `testing` nor stand-ins' messages. */
+const MAY_IMPORT = {
+  wire: [],
+  core: ['wire'],
+  store: ['wire', 'core'],
+  peer: ['wire', 'core'],
+  controller: ['wire', 'core', 'store', 'peer'],
+  cli: ['wire', 'core', 'store', 'peer', 'controller'],
+};
+const PACKAGES = [...Object.keys(MAY_IMPORT), 'testing'];
+
+/** Forbids, by either way to name a package, to import one that is not lower. */
+function directionRules(name, allowed) {
+  const others = PACKAGES.filter((other) => !allowed.includes(other));
+  return {
+    '@typescript-eslint/no-restricted-imports': [
+      'error',
+      {
+        patterns: [
+          {
+            regex: `^(#|(\\.\\./)+)(${others.join('|')})(/|$)|^#wire/serving`,
+            message: `Packages import downwards only; ${name} may import ${allowed.join(', ') || 'none'}.`,
+          },
+          {
+            regex: `^(\\.\\./)+(${allowed.join('|') || '-'})/`,
+            message: 'Other packages are imported by #name.',
+          },
+        ],
+      },
+    ],
+  };
+}
+
+/** Tests may also import `testing`, and stand-ins' messages. */
+function testDirectionRules(name, allowed) {
+  const others = PACKAGES.filter((other) => other !== 'testing' && !allowed.includes(other));
+  const message = `Tests of ${name} may import ${[...allowed, 'testing'].join(', ')}.`;
+  const regex = `^(#|(\\.\\./)+)(${others.join('|')})(/|$)`;
+  return {
+    '@typescript-eslint/no-restricted-imports': ['error', { patterns: [{ regex, message }] }],
+  };
+}
+
 export default tseslint.config(
   { ignores: ['target/**', 'node_modules/**', 'journal/**'] },
   ...tseslint.configs.recommended,
@@ -94,6 +137,14 @@
       ],
     },
   },
+  ...Object.entries(MAY_IMPORT).flatMap(([name, allowed]) => [
+    {
+      files: [`packages/${name}/**/*.ts`],
+      ignores: TESTS,
+      rules: directionRules(name, allowed),
+    },
+    { files: [`packages/${name}/**/*.test.ts`], rules: testDirectionRules(name, allowed) },
+  ]),
   {
     // The test runner itself waits for what test() returns.
     files: TESTS,
--- a/packages/controller/index.ts
+++ b/packages/controller/index.ts
@@ -9,7 +9,6 @@
 export * from './log.js';
 export * from './operator.js';
 export * from './peer-status.js';
-export type { PartOwner } from './owner.js';
 export * from './pacer.js';
 export * from './platform-settings.js';
 export * from './settings.js';
--- a/packages/core/placement-cost.ts
+++ b/packages/core/placement-cost.ts
@@ -11,7 +11,7 @@
 export const CROWDED_ZONE_S = 1 / 4;
 
 /** Seconds that a task would wait for its image on this machine. */
-export function fetchTime(job: Job, machine: Machine, type: MachineType): number {
+function fetchTime(job: Job, machine: Machine, type: MachineType): number {
   if (machine.images.has(job.image)) return 0;
   const others = new Set<string>();
   for (const { reported, job: other } of machine.tasks.values()) {
--- a/packages/peer/frames.ts
+++ b/packages/peer/frames.ts
@@ -72,7 +72,7 @@
 }
 
 const KINDS = { hello: 1, status: 2, abort: 3, counts: 4 } as const;
-export const MAX_FRAME = 1 << 20;
+const MAX_FRAME = 1 << 20;
 
 export function encodeFrame(frame: Frame): Buffer {
   const payload = new PayloadWriter().u8(KINDS[frame.kind]);
--- a/packages/testing/simulation/faults/link-faults.ts
+++ b/packages/testing/simulation/faults/link-faults.ts
@@ -16,7 +16,7 @@
 };
 
 /** Cuts the hosts of one kind off from those of another, whoever opens the connection. */
-export function cutBetween(
+function cutBetween(
   network: SimulatedNetwork,
   one: HostFilter,
   other: HostFilter,
--- a/packages/testing/simulation/network.ts
+++ b/packages/testing/simulation/network.ts
@@ -23,7 +23,7 @@
   resentAfterMs: number;
 }
 
-export const DEFAULT_LATENCY: LatencyModel = {
+const DEFAULT_LATENCY: LatencyModel = {
   leastMs: 0.3,
   meanExtraMs: 0.4,
   resentShare: 0.0005,
--- a/packages/testing/simulation/random-scenario.ts
+++ b/packages/testing/simulation/random-scenario.ts
@@ -21,7 +21,11 @@
 
 type MakeFault = (chance: Chance, atS: number) => Fault;
 
-/** Draws the faults of a scenario of that length. */
+/**
+ * Draws the faults of a scenario of that length.
+ *
+ * @public For hunts (docs/simulation.md).
+ */
 export function randomScenario(
   chance: Chance,
   cluster: ClusterSettings,
--- a/packages/testing/standins/checker/sample-script.ts
+++ b/packages/testing/standins/checker/sample-script.ts
@@ -5,7 +5,7 @@
 import { RuleChecker } from './rule-checker.js';
 
 export const CANCEL_S = 35;
-export const JOB = 'j-000001';
+const JOB = 'j-000001';
 
 /** What a test plays to the checker. */
 export type Play = (script: Script) => Promise<void>;
--- a/packages/testing/standins/state/index.ts
+++ b/packages/testing/standins/state/index.ts
@@ -1,3 +1,2 @@
 export * from './key-store.js';
 export * from './state-service.js';
-export type { StateServiceLimits } from './txn-limits.js';
--- a/packages/testing/standins/worker/index.ts
+++ b/packages/testing/standins/worker/index.ts
@@ -1,6 +1,5 @@
 export { GangNetwork } from './gang-network.js';
 export * from './late-reports.js';
 export type { ControllerAddress } from './node-choice.js';
-export type { WorkerTimes } from './task-host.js';
 export * from './worker.js';
 export * from './worker-setup.js';
--- a/packages/testing/standins/worker/reporter.ts
+++ b/packages/testing/standins/worker/reporter.ts
@@ -4,7 +4,7 @@
 import { ReportSchedule } from './report-schedule.js';
 
 /** How long a worker waits for the answer to a report, in seconds. */
-export const ANSWER_TIMEOUT_S = 4;
+const ANSWER_TIMEOUT_S = 4;
 const MAX_ANSWER_BYTES = 64 * 1024;
 
 /** The worker as its reporter sees it. */
--- a/packages/testing/standins/worker/sample-workers.ts
+++ b/packages/testing/standins/worker/sample-workers.ts
@@ -25,7 +25,7 @@
 const PORT = 8080;
 
 /** A controller that answers reports as it is told. */
-export class ScriptedController {
+class ScriptedController {
   token = 5;
   /** Orders for the next answer. */
   orders: Order[] = [];
--- a/packages/wire/cloud.ts
+++ b/packages/wire/cloud.ts
@@ -49,7 +49,7 @@
 }
 
 /** A refusal or an outage of the cloud's interface; nothing was carried out. */
-export class CloudRefused extends Error {}
+class CloudRefused extends Error {}
 
 const PAGE = 500;
 const MAX_SOCKETS = 4;
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -30,7 +30,7 @@
 
 export type Phase = 'pending' | 'running' | 'done' | 'aborted';
 
-export const MAX_TASKS = 100_000;
+const MAX_TASKS = 100_000;
 /** Bounds on texts, so that any legal job fits one value of the state service. */
 const MAX_NAME = 256;
 const MAX_TYPES = 4096;
