Testing: faults that wait for a change of leader; the state service tells of each transaction

Tests of meetings need faults a moment after somebody has claimed the part, whenever that is, and must see which transactions were carried out, when, for whom and with what outcome. A fault with afterTakeoverS waits for the next change of leader; the checker's calm begins once the last fault is over.

--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -89,7 +89,7 @@
     const { rps, write_rps, value_kb, txn_ops } = this.settings.deployment.state;
     const runtime = this.serviceRuntime('state', 'state', STATE_ADDRESS.host);
     const limits = { rps, writeRps: write_rps, valueKb: value_kb, txnOps: txn_ops };
-    return new StateService(runtime, limits);
+    return new StateService(runtime, limits, this.observer);
   }
 
   private makeMachines(): Machines {
--- a/packages/testing/simulation/fault-injector.ts
+++ b/packages/testing/simulation/fault-injector.ts
@@ -2,6 +2,7 @@
 import { FaultJournal } from './fault-journal.js';
 import { CloudFaults } from './faults/cloud-faults.js';
 import { beginControllerFault } from './faults/controller-faults.js';
+import { faultLengthS } from './faults/duration.js';
 import type { FaultEffect } from './faults/effect.js';
 import { MachineFaults } from './faults/machine-faults.js';
 import { beginMessageFault } from './faults/message-faults.js';
@@ -37,9 +38,27 @@
     );
   }
 
-  schedule(faults: Fault[]): void {
-    const { world } = this.cluster;
-    for (const fault of faults) world.schedule(fault.atS - world.now, () => this.begin(fault));
+  /** `onAllOver` is called once all faults and what follows directly from them are over. */
+  schedule(faults: Fault[], onAllOver: () => void): void {
+    const { world, controllers } = this.cluster;
+    let open = faults.length;
+    if (open === 0) onAllOver();
+    for (const fault of faults) {
+      const begin = () => {
+        this.begin(fault);
+        world.schedule(faultLengthS(fault, controllers.length), () => {
+          open--;
+          if (open === 0) onAllOver();
+        });
+      };
+      world.schedule(fault.atS - world.now, () => this.awaitTakeover(fault, begin));
+    }
+  }
+
+  private awaitTakeover({ afterTakeoverS }: Fault, begin: () => void): void {
+    const { world, ownership } = this.cluster;
+    if (afterTakeoverS === undefined) begin();
+    else ownership.onNextChange(() => world.schedule(afterTakeoverS, begin));
   }
 
   private begin(fault: Fault): void {
--- a/packages/testing/simulation/ownership-history.ts
+++ b/packages/testing/simulation/ownership-history.ts
@@ -19,6 +19,7 @@
 export class OwnershipHistory {
   readonly changes: OwnershipChange[] = [];
   private holder: OwnershipChange | null = null;
+  private readonly waiting: (() => void)[] = [];
 
   constructor(
     private readonly world: World,
@@ -33,6 +34,12 @@
     return this.holder;
   }
 
+  /** Calls back once somebody has claimed the part anew. */
+  onNextChange(callback: () => void): void {
+    this.look();
+    this.waiting.push(callback);
+  }
+
   private sample(): void {
     this.look();
     this.world.scheduleInternal(SAMPLE_S, () => this.sample());
@@ -48,5 +55,6 @@
     const { owner } = entry.value as PartRecord;
     this.holder = { atS: this.world.now, owner, term: entry.version };
     this.changes.push(this.holder);
+    for (const callback of this.waiting.splice(0)) callback();
   }
 }
--- a/packages/testing/simulation/run-scenario.ts
+++ b/packages/testing/simulation/run-scenario.ts
@@ -5,7 +5,6 @@
 import { countRun, type RunCounts } from './counts.js';
 import { FaultInjector } from './fault-injector.js';
 import type { FaultJournal } from './fault-journal.js';
-import { faultEndS } from './faults/duration.js';
 import type { OwnershipChange } from './ownership-history.js';
 import type { RequestLog } from './request-log.js';
 import type { Scenario } from './scenario.js';
@@ -42,8 +41,7 @@
   const stopWatching = collectRejections(world);
   try {
     await cluster.start();
-    injector.schedule(scenario.faults);
-    scheduleCalm(cluster, scenario);
+    injector.schedule(scenario.faults, () => checker.troublesOver());
     cluster.users.start(planJobs(cluster, scenario));
     await world.runUntil(scenario.lengthS);
   } finally {
@@ -84,12 +82,6 @@
   });
 }
 
-/** Tells the checker when all troubles are over. */
-function scheduleCalm({ world, checker, controllers }: Cluster, { faults }: Scenario): void {
-  const ends = faults.map((fault) => faultEndS(fault, controllers.length));
-  world.schedule(Math.max(0, ...ends), () => checker.troublesOver());
-}
-
 /** Takes rejections that nobody handles as errors of the run. */
 function collectRejections(world: World): () => void {
   const note = (error: unknown) => {
--- a/packages/testing/simulation/scenario.ts
+++ b/packages/testing/simulation/scenario.ts
@@ -31,6 +31,11 @@
 interface Timed {
   /** Simulated seconds after the start. */
   atS: number;
+  /**
+   * If given, the fault waits from `atS` on for the next change of leader and begins so many seconds after
+   * it.
+   */
+  afterTakeoverS?: number;
 }
 
 interface Lasting extends Timed {
--- a/packages/testing/standins/events.ts
+++ b/packages/testing/standins/events.ts
@@ -1,8 +1,9 @@
 /**
  * What happens in the world of the stand-ins, as nobody inside it can see it: the true state of all
- * machines, and all that users ask and are told. The rule checker reads these events.
+ * machines, all that users ask and are told, and the transactions of the state service. The rule checker
+ * reads these events.
  */
-import type { Cause, Job, MachineType, Phase, TaskRef } from '#wire';
+import type { Cause, Change, Job, MachineType, Phase, TaskRef } from '#wire';
 
 export interface MachineFacts {
   name: string;
@@ -52,7 +53,20 @@
   /** No response came in time, or the connection failed. */
   | { kind: 'unanswered'; request: UserRequest };
 
-export type WorldEvent = MachineEvent | UserEvent;
+/** The state service has carried a transaction out, or refused it because a condition failed. */
+export interface TransactionEvent {
+  kind: 'transaction';
+  /** Address of the host that sent it. */
+  clientHost: string;
+  changes: Change[];
+  applied: boolean;
+  /** Whether its client gets an answer. */
+  answered: boolean;
+  /** Seconds since it arrived. */
+  heldS: number;
+}
+
+export type WorldEvent = MachineEvent | UserEvent | TransactionEvent;
 
 /** Takes each event at the moment at which it happens. */
 export type Observer = (event: WorldEvent) => void;
--- a/packages/testing/standins/state/state-service.test.ts
+++ b/packages/testing/standins/state/state-service.test.ts
@@ -14,12 +14,14 @@
 
 async function aService(limits: Partial<StateServiceLimits> = {}) {
   const world = new SampleWorld();
-  const service = new StateService(world.runtime(SERVICE.host, 'state'), { ...LIMITS, ...limits });
+  const runtime = world.runtime(SERVICE.host, 'state');
+  const service = new StateService(runtime, { ...LIMITS, ...limits }, world.observer);
   await world.finish(service.listen(SERVICE));
   const api = new StateApi(world.runtime(CLIENT), TARGET, 2000);
   const call = world.client('10.0.0.2', TARGET);
   const commit = (changes: Change[]) => world.finish(api.txn([], changes));
-  return { world, service, api, call, commit };
+  const transactions = () => world.events.filter((event) => event.kind === 'transaction');
+  return { world, service, api, call, commit, transactions };
 }
 
 function put(key: string, value: unknown = 1, lease?: number) {
@@ -158,7 +160,7 @@
 });
 
 test('a transaction without an answer is carried out late, after newer ones, or at once', async () => {
-  const { world, service, api, commit } = await aService();
+  const { world, service, api, commit, transactions } = await aService();
   service.beginLateWrites(1);
   const late = api.txn([], [put('t', 'late')]);
   await world.run(0.1);
@@ -173,6 +175,15 @@
   await world.run(0.1);
   assert.equal(service.store.get('t')?.value, 'at once');
   await assert.rejects(world.finish(lost), NoAnswer);
+  const seen = transactions().map(({ changes, answered, heldS }) => {
+    const [change] = changes as { value: unknown }[];
+    return { value: change.value, answered, late: heldS > 1 };
+  });
+  assert.deepEqual(seen, [
+    { value: 'newer', answered: true, late: false },
+    { value: 'late', answered: false, late: true },
+    { value: 'at once', answered: false, late: false },
+  ]);
 });
 
 test('slow answers come within their profile', async () => {
--- a/packages/testing/standins/state/state-service.ts
+++ b/packages/testing/standins/state/state-service.ts
@@ -1,6 +1,7 @@
 /** The state service as the protocol describes it, with its limits and its troubles. */
 import type { Change, Condition, HostPort, Runtime, TxnOutcome } from '#wire';
 import * as serving from '#wire/serving';
+import type { Observer } from '../events.js';
 import { NO_REPLY, serveCbor, type CborServer, type ServedRequest } from '../http-server.js';
 import { Latency, PROMPT, type LatencyProfile } from '../latency.js';
 import { ReplyLoss, type LostReplies } from '../lost-replies.js';
@@ -15,6 +16,14 @@
 /** When a transaction without an answer is carried out, in seconds, unless told otherwise. */
 const LATE_WRITE_S: [number, number] = [2, 12];
 
+/** When a transaction came, from whom, and whether it gets an answer. */
+interface TxnArrival {
+  /** Seconds of the service's clock. */
+  atS: number;
+  clientHost: string;
+  answered: boolean;
+}
+
 export class StateService {
   readonly store = new KeyStore((keys) => this.watchers.notify(keys));
   private readonly leases: Leases;
@@ -29,6 +38,8 @@
   constructor(
     private readonly runtime: Runtime,
     private readonly limits: StateServiceLimits,
+    /** Told of each transaction. */
+    private readonly observer: Observer = () => {},
   ) {
     this.leases = new Leases(runtime, (id) => this.removeKeysOf(id));
     this.watchers = new Watchers(runtime.clock);
@@ -130,20 +141,30 @@
     checkTxn(txn, request.body, this.limits);
     if (!this.changeRate.take(txn.changes.length)) return serving.TOO_MANY_REQUESTS;
     const loss = this.lostReplies.draw();
+    const arrival = { atS: this.runtime.clock.now(), clientHost: request.clientHost };
     if (loss) {
       await this.lostReplies.due(loss);
       await this.availability.whenUp();
-      this.runTxn(txn.conditions, txn.changes);
+      this.runTxn(txn, { ...arrival, answered: false });
       return NO_REPLY;
     }
     return this.latency.around(() =>
       this.availability.serves(request.clientHost)
-        ? serving.txnReply(this.runTxn(txn.conditions, txn.changes))
+        ? serving.txnReply(this.runTxn(txn, { ...arrival, answered: true }))
         : serving.UNAVAILABLE,
     );
   }
 
-  private runTxn(conditions: Condition[], changes: Change[]): TxnOutcome {
+  private runTxn({ conditions, changes }: Transaction, arrival: TxnArrival): TxnOutcome {
+    const outcome = this.applyTxn(conditions, changes);
+    const { atS, clientHost, answered } = arrival;
+    const heldS = this.runtime.clock.now() - atS;
+    const { ok: applied } = outcome;
+    this.observer({ kind: 'transaction', clientHost, changes, applied, answered, heldS });
+    return outcome;
+  }
+
+  private applyTxn(conditions: Condition[], changes: Change[]): TxnOutcome {
     const leaseGone = changes.some(
       (change) => 'put' in change && change.lease !== undefined && !this.leases.has(change.lease),
     );
