Peers: a connection that the peer does not read is dialled anew

Cause: a cut may swallow the sign that a peer has ended or given our connection up. As long as the peer spoke on its own connection, ours was kept for ever, so the peer read nothing, echoed nothing new, and its statements counted for nothing: in the next outage the leader let all work die although the peers knew everything. Change: what a peer echoes shows what it has read. A peer that is heard and has read nothing for eight report periods, on a connection at least as old, is dialled anew.

--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -4,6 +4,7 @@
 import { cutFromWorkers } from './entitlement.js';
 import { countHeard } from './fleet-summary.js';
 import type { PartOwner } from './owner.js';
+import type { PeerStatus } from './peer-status.js';
 import type { ControllerServices } from './services.js';
 import type { StandbyRenewal } from './standby-renewal.js';
 import type { StatusExchange } from './status-exchange.js';
@@ -17,6 +18,8 @@
 const COUNTS_A_FRAME = 500;
 /** Report periods within which a peer's statement counts as current. */
 const CURRENT_PERIODS = 2;
+/** Report periods after which a peer that is heard should have read something of ours. */
+const UNREAD_PERIODS = 8;
 
 type Services = Pick<
   ControllerServices,
@@ -65,6 +68,7 @@
     let round = 0;
     while (!signal.aborted) {
       this.sendStatus();
+      this.renewDeadConnections();
       this.yieldIfCut();
       cancellationRelay.endTasks();
       const owner = currentOwner();
@@ -93,6 +97,23 @@
     statuses.send(own, now);
   }
 
+  /** What a peer states tells which of our frames it has read. */
+  private renewDeadConnections(): void {
+    const { settings, statuses, peers } = this.options;
+    const unreadS = UNREAD_PERIODS * this.reportS;
+    const now = this.clock.now();
+    for (const { host_name: peer } of settings.peers) {
+      const status = statuses.statusOf(peer);
+      if (status && this.isCurrent(status, now) && now - status.asOf > unreadS) {
+        peers.dialAnew(peer, unreadS);
+      }
+    }
+  }
+
+  private isCurrent({ heardAt }: PeerStatus, now: number): boolean {
+    return now - heardAt <= CURRENT_PERIODS * this.reportS;
+  }
+
   private sendCounts(owner: PartOwner): void {
     const { jobs, peers } = this.options;
     const counts = owner.counts();
@@ -134,8 +155,7 @@
     const { statuses } = this.options;
     let workers = 0;
     for (const peer of statuses.statuses()) {
-      if (peer && now - peer.heardAt <= CURRENT_PERIODS * this.reportS)
-        workers += peer.frame.unownedReports;
+      if (peer && this.isCurrent(peer, now)) workers += peer.frame.unownedReports;
     }
     return workers;
   }
--- a/packages/peer/link.test.ts
+++ b/packages/peer/link.test.ts
@@ -57,3 +57,24 @@
   for (const socket of silent) socket.destroy();
   await Promise.all([runA, runB]);
 });
+
+test('a connection that the peer does not read is dialled anew, unless it is young', async () => {
+  const [port, peerPort] = [await freePort(), await freePort()];
+  const dialled: net.Socket[] = [];
+  const peer = net.createServer((socket) => dialled.push(socket)).listen(peerPort, HOST);
+  const stop = new AbortController();
+  const link = linkOf('a', port, 'b', peerPort);
+  const run = link.run(stop.signal);
+  await pause(nodeRuntime.clock, 4 * RETRY_MS);
+  assert.equal(dialled.length, 1);
+  link.dialAnew('b', 60);
+  await pause(nodeRuntime.clock, 4 * RETRY_MS);
+  assert.equal(dialled.length, 1);
+  link.dialAnew('b', 0);
+  await pause(nodeRuntime.clock, 4 * RETRY_MS);
+  assert.equal(dialled.length, 2);
+  stop.abort();
+  await run;
+  for (const socket of dialled) socket.destroy();
+  peer.close();
+});
--- a/packages/peer/link.ts
+++ b/packages/peer/link.ts
@@ -37,7 +37,8 @@
  */
 export class PeerLink {
   readonly heard = new Subject<{ from: string; frame: Frame }>();
-  private readonly out = new Map<string, Duplex>();
+  /** The open connections that we dialled, and since when each is open; steady seconds. */
+  private readonly out = new Map<string, { connection: Duplex; openedAt: number }>();
   /** The newest connection that each peer has dialled, by the order in which they were accepted. */
   private readonly incoming = new Map<string, { connection: Duplex; order: number }>();
   private accepted = 0;
@@ -62,14 +63,24 @@
   /** Tells all peers that are reachable. */
   send(frame: Frame): void {
     const bytes = encodeFrame(frame);
-    for (const connection of this.out.values()) write(connection, bytes);
+    for (const { connection } of this.out.values()) write(connection, bytes);
   }
 
   sendTo(peer: string, frame: Frame): void {
-    const connection = this.out.get(peer);
+    const connection = this.out.get(peer)?.connection;
     if (connection) write(connection, encodeFrame(frame));
   }
 
+  /**
+   * Dials a peer anew that speaks to us but has read nothing of ours for so long. A cut may have swallowed the
+   * sign that it gave our connection up or began a new life; a younger connection may only be slow.
+   */
+  dialAnew(peer: string, unreadS: number): void {
+    const open = this.out.get(peer);
+    if (open && this.options.runtime.clock.now() - open.openedAt > unreadS)
+      open.connection.destroy();
+  }
+
   private async keepDialling(peer: PeerAddress, signal: AbortSignal): Promise<void> {
     const { runtime, retryMs } = this.options;
     while (!signal.aborted) {
@@ -94,7 +105,7 @@
       connection.on('connect', () => {
         giveUp.cancel();
         this.greet(connection);
-        this.out.set(peer.name, connection);
+        this.out.set(peer.name, { connection, openedAt: clock.now() });
       });
       // Nothing is answered on this connection; bytes that come are dropped.
       connection.on('data', () => {});
@@ -103,7 +114,7 @@
         giveUp.cancel();
         silence.cancel();
         signal.removeEventListener('abort', end);
-        if (this.out.get(peer.name) === connection) this.out.delete(peer.name);
+        if (this.out.get(peer.name)?.connection === connection) this.out.delete(peer.name);
         resolve();
       });
     });
