Owner: machines whose leases it renewed before its records were read count as answered until then

Cause: an owner that an outage keeps from reading its records renews leases in its term for as long as all peers attest the outage. The state that it made from the records afterwards knew nothing of that: it counted machines as silent since the claim, gave their tasks up at once and started them elsewhere while they ran. Change: a machine that the records name counts as answered when they have been read.

--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -74,6 +74,9 @@
     const name = key.slice(MACHINES.length);
     recorder.machineRecords.loaded(name, version);
     const machine = book.machines.register({ name, addr, type, zone, spot }, 'up', now);
+    // Until now this term has renewed leases without the book (ReportHandler.renewLease).
+    machine.answeredAt = now;
+    machine.steadySince = now;
     for (const [id, index, attempt] of tasks) {
       const job = book.jobs.get(id);
       if (!job) throw new TermBroken(`record of ${name} names unknown job ${id}`);
