--- /dev/null
+++ b/packages/testing/meetings/cut-or-frozen-leader.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { CutMode, Fault, ScenarioResult } from '../simulation/index.js';
+import {
+  assertLeads,
+  confirmations,
+  killedTasks,
+  lastTaskLeftAt,
+  playMeeting,
+  reportsAnswered,
+  tasksRunningAt,
+} from './run-queries.js';
+import { BUSY_FROM_S, CANCEL_S, LEASE_S, REPORT_S, steadyScenario } from './steady-work.js';
+
+const BEGIN_S = BUSY_FROM_S;
+
+/** Who led when the first fault began, and the first who claimed the part after that. */
+function leaderAndSuccessor({ faults, leaders }: ScenarioResult) {
+  const { leader } = faults.records[0];
+  const successor = leaders.find(({ term }) => term > leader!.term);
+  assert.ok(leader && successor, 'nobody took over');
+  assert.notEqual(successor.owner, leader.owner);
+  return { leader, successor };
+}
+
+test('jobs cancelled through the new leader end in time on machines that obey the old one, which is cut off', async () => {
+  const cutS = 45;
+  const modes: CutMode[] = ['drop', 'hold', 'refuse'];
+  for (const [index, mode] of modes.entries()) {
+    const faults: Fault[] = [
+      {
+        kind: 'controller-cut',
+        atS: BEGIN_S,
+        forS: cutS,
+        controllers: 'leader',
+        from: ['state', 'controllers'],
+        mode,
+      },
+      { kind: 'cancel-now', atS: BEGIN_S + 8, count: 8 },
+    ];
+    const scenario = steadyScenario(`leader cut off (${mode})`, BEGIN_S + cutS + 20, faults);
+    await playMeeting(scenario, [1 + 2 * index, 2 + 2 * index], (result) => {
+      const [cut] = result.faults.of('controller-cut');
+      const { leader, successor } = leaderAndSuccessor(result);
+      const confirmed = confirmations(result, successor.atS, cut.untilS);
+      assert.ok(confirmed.length >= 4, `${confirmed.length} confirmations`);
+      assert.ok(confirmed.every(({ controller }) => controller !== leader.owner));
+      const lastConfirmedS = Math.max(...confirmed.map(({ atS }) => atS));
+      const reports = reportsAnswered(result, leader.owner, lastConfirmedS, cut.untilS);
+      assert.ok(reports > LEASE_S, `${reports} reports answered by the old leader`);
+      const ranOn = confirmed.filter(
+        ({ job, atS }) => lastTaskLeftAt(result, job) > atS + REPORT_S,
+      );
+      assert.ok(ranOn.length >= 3, `${ranOn.length} jobs ran on`);
+      // The old leader lets its workers go in time for the new one to keep their work.
+      assert.deepEqual(killedTasks(result, cut.fromS, cut.untilS), []);
+      assert.ok(tasksRunningAt(result, cut.untilS) >= 10);
+    });
+  }
+});
+
+for (const frozenS of [2, 5, 9]) {
+  test(`a leader that stands still for ${frozenS} s into an outage ends what others confirmed meanwhile`, async () => {
+    const outageAtS = BEGIN_S + 1;
+    const faults: Fault[] = [
+      { kind: 'controller-freeze', atS: BEGIN_S, controllers: 'leader', forS: frozenS },
+      { kind: 'cancel-now', atS: BEGIN_S + 0.2, count: 8 },
+      { kind: 'state-outage', atS: outageAtS, forS: CANCEL_S + 10 },
+    ];
+    const scenario = steadyScenario('frozen into an outage', outageAtS + CANCEL_S + 30, faults);
+    await playMeeting(scenario, [1, 2], (result) => {
+      const [freeze] = result.faults.of('controller-freeze');
+      const [outage] = result.faults.of('state-outage');
+      const leader = freeze.leader!.owner;
+      assert.deepEqual(outage.leader, freeze.leader);
+      assert.ok(freeze.untilS > outage.fromS);
+      const confirmed = confirmations(result, freeze.fromS, outage.fromS);
+      assert.ok(confirmed.length >= 3, `${confirmed.length} confirmations`);
+      for (const { job, controller } of confirmed) {
+        assert.notEqual(controller, leader);
+        assert.ok(lastTaskLeftAt(result, job) > outage.fromS, `${job} ended before the outage`);
+      }
+      assertLeads(result, leader, freeze.untilS + LEASE_S, outage.untilS);
+      if (frozenS < LEASE_S / 2) {
+        assert.deepEqual(killedTasks(result, outage.fromS, outage.untilS + LEASE_S), []);
+      }
+    });
+  });
+}
+
+test('a leader that wakes after its successor began, cut from it and from the state service, lets its workers go in time', async () => {
+  const frozenS = 3.8;
+  const cutS = 50;
+  const faults: Fault[] = [
+    { kind: 'controller-freeze', atS: BEGIN_S, controllers: 'leader', forS: frozenS },
+    {
+      kind: 'controller-cut',
+      atS: BEGIN_S + 0.6,
+      forS: cutS,
+      controllers: 'leader',
+      from: ['state', 'controllers'],
+      mode: 'hold',
+    },
+    { kind: 'cancel-now', atS: BEGIN_S + 1, count: 8 },
+  ];
+  const scenario = steadyScenario('wakes late', BEGIN_S + cutS + 20, faults);
+  await playMeeting(scenario, [1, 2, 3], (result) => {
+    const [freeze] = result.faults.of('controller-freeze');
+    const [cut] = result.faults.of('controller-cut');
+    const { leader, successor } = leaderAndSuccessor(result);
+    assert.deepEqual(cut.controllers, [leader.owner]);
+    assert.ok(successor.atS < freeze.untilS, `the successor began at ${successor.atS} s`);
+    const confirmed = confirmations(result, freeze.fromS, freeze.untilS);
+    assert.ok(confirmed.length >= 3, `${confirmed.length} confirmations`);
+    // It had workers once it was awake, and let them go.
+    assert.ok(reportsAnswered(result, leader.owner, freeze.untilS + 2, cut.untilS) > LEASE_S);
+    assert.equal(reportsAnswered(result, leader.owner, freeze.fromS + CANCEL_S, cut.untilS), 0);
+    const ranOn = confirmed.filter(({ job }) => lastTaskLeftAt(result, job) > freeze.untilS + 2);
+    assert.ok(ranOn.length >= 1, 'no cancelled job ran on');
+    const { log } = result.controllers.find(({ name }) => name === leader.owner)!;
+    const dealings = [...log.entries('rent'), ...log.entries('released')];
+    assert.deepEqual(
+      dealings.filter(({ atS }) => atS > freeze.untilS && atS < cut.untilS),
+      [],
+    );
+  });
+});
--- /dev/null
+++ b/packages/testing/meetings/hand-over-cancellations.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Fault, ScenarioResult } from '../simulation/index.js';
+import {
+  confirmations,
+  killedTasks,
+  lastTaskLeftAt,
+  playMeeting,
+  reportsAnswered,
+  tasksRunningAt,
+} from './run-queries.js';
+import { BUSY_FROM_S, CANCEL_S, LEASE_S, REPORT_S, steadyScenario } from './steady-work.js';
+
+const BEGIN_S = BUSY_FROM_S;
+/** Reading the records takes several requests one after the other: about two seconds. */
+const SLOW_STATE_MS: [number, number] = [250, 450];
+
+/** When a controller has read its records and begun to schedule, by its log. */
+function readyTimes({ controllers }: ScenarioResult, name: string): number[] {
+  const { log } = controllers.find((controller) => controller.name === name)!;
+  return log.entries('owner').map(({ atS }) => atS);
+}
+
+test('jobs cancelled in the seconds in which the work changes hands end at once and are not begun anew', async () => {
+  const cancelsAtS = [0.5, 1.5, 2.5].map((s) => BEGIN_S + s);
+  const faults: Fault[] = [
+    { kind: 'state-slow', atS: BEGIN_S - 2, forS: 12, latencyMs: SLOW_STATE_MS },
+    { kind: 'controller-crash', atS: BEGIN_S, controllers: 'leader', downS: 6 },
+    ...cancelsAtS.map((atS): Fault => ({ kind: 'cancel-now', atS, count: 3 })),
+    { kind: 'cancel-now', atS: BEGIN_S, afterTakeoverS: 0, count: 3 },
+  ];
+  const scenario = steadyScenario('cancelled as the work changes hands', BEGIN_S + 60, faults);
+  await playMeeting(scenario, [1, 2, 3, 4], (result) => {
+    const [crash] = result.faults.of('controller-crash');
+    const successor = result.leaders.find(({ term }) => term > crash.leader!.term)!;
+    const readyAt = readyTimes(result, successor.owner).find((atS) => atS > successor.atS)!;
+    const between = confirmations(result, crash.fromS, readyAt);
+    assert.ok(between.length >= 4, `${between.length} confirmations while nobody scheduled`);
+    assert.ok(between.some(({ atS }) => atS < successor.atS));
+    assert.ok(between.some(({ atS }) => atS > successor.atS));
+    for (const { job, atS } of between) {
+      const started = result.timeline
+        .of('task-started', atS)
+        .filter(({ task }) => task.job === job);
+      assert.deepEqual(started, []);
+      assert.ok(lastTaskLeftAt(result, job) < Math.max(atS, readyAt) + 3 * REPORT_S);
+    }
+    assert.deepEqual(killedTasks(result, BEGIN_S, BEGIN_S + 60), []);
+  });
+});
+
+test('jobs cancelled between the crashes of two leaders, the second over its records, end in time in an outage', async () => {
+  const faults: Fault[] = [
+    { kind: 'state-slow', atS: BEGIN_S - 2, forS: 120, latencyMs: SLOW_STATE_MS },
+    { kind: 'controller-crash', atS: BEGIN_S, controllers: 'leader', downS: 5 },
+    { kind: 'cancel-now', atS: BEGIN_S + 0.4, count: 8 },
+    {
+      kind: 'controller-crash',
+      atS: BEGIN_S,
+      afterTakeoverS: 0.2,
+      controllers: 'leader',
+      downS: 5,
+    },
+    { kind: 'state-outage', atS: BEGIN_S, afterTakeoverS: 0.3, forS: CANCEL_S + 10 },
+  ];
+  const scenario = steadyScenario('two leaders crash, then an outage', BEGIN_S + 75, faults);
+  await playMeeting(scenario, [1, 2, 3, 4], (result) => {
+    const [first, second] = result.faults.of('controller-crash');
+    const [outage] = result.faults.of('state-outage');
+    assert.notEqual(second.leader!.owner, first.leader!.owner);
+    assert.deepEqual(second.controllers, [second.leader!.owner]);
+    const ready = readyTimes(result, second.leader!.owner);
+    assert.ok(!ready.some((atS) => atS > second.leader!.atS && atS < outage.untilS));
+    const confirmed = confirmations(result, first.fromS, second.fromS);
+    assert.ok(confirmed.length >= 3, `${confirmed.length} confirmations`);
+    const ranOn = confirmed.filter(({ job, atS }) => lastTaskLeftAt(result, job) > atS + 2);
+    assert.ok(ranOn.length >= 3, `${ranOn.length} jobs ran on`);
+  });
+});
+
+test('a leader that an outage keeps from reading its records ends what was cancelled before its term', async () => {
+  const faults: Fault[] = [
+    { kind: 'state-slow', atS: BEGIN_S - 2, forS: 120, latencyMs: SLOW_STATE_MS },
+    { kind: 'controller-crash', atS: BEGIN_S, controllers: 'leader', downS: 0.2 },
+    { kind: 'cancel-now', atS: BEGIN_S + 0.4, count: 8 },
+    { kind: 'state-outage', atS: BEGIN_S, afterTakeoverS: 0.3, forS: CANCEL_S + 10 },
+  ];
+  const scenario = steadyScenario('records not read', BEGIN_S + 75, faults);
+  await playMeeting(scenario, [1, 2, 3, 4], (result) => {
+    const [crash] = result.faults.of('controller-crash');
+    const [outage] = result.faults.of('state-outage');
+    const leader = outage.leader!;
+    assert.ok(leader.term > crash.leader!.term);
+    const ready = readyTimes(result, leader.owner);
+    assert.ok(!ready.some((atS) => atS > leader.atS && atS < outage.untilS));
+    const confirmed = confirmations(result, crash.fromS, outage.fromS);
+    assert.ok(confirmed.length >= 3, `${confirmed.length} confirmations`);
+    for (const { job } of confirmed) {
+      assert.ok(lastTaskLeftAt(result, job) < outage.fromS + LEASE_S, `${job} ran on`);
+    }
+    // It has read nothing, and keeps all other work by what it and its peers know.
+    assert.ok(reportsAnswered(result, leader.owner, outage.fromS, outage.untilS) > 10 * LEASE_S);
+    assert.deepEqual(killedTasks(result, BEGIN_S, outage.untilS + LEASE_S), []);
+    assert.ok(tasksRunningAt(result, outage.untilS) >= 10);
+  });
+});
--- /dev/null
+++ b/packages/testing/meetings/refused-then-outage.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { CutMode, Fault, FaultRecord, ScenarioResult } from '../simulation/index.js';
+import {
+  assertLeads,
+  confirmations,
+  killedTasks,
+  lastTaskLeftAt,
+  playMeeting,
+  reportsAnswered,
+  tasksRunningAt,
+  type Confirmation,
+} from './run-queries.js';
+import { BUSY_FROM_S, CANCEL_S, LEASE_S, REPORT_S, steadyScenario } from './steady-work.js';
+
+const REFUSED_AT_S = BUSY_FROM_S;
+const CANCELLED_AT_S = REFUSED_AT_S + 1;
+const OUTAGE_AT_S = REFUSED_AT_S + 2;
+const OUTAGE_S = CANCEL_S + 10;
+const LENGTH_S = OUTAGE_AT_S + OUTAGE_S + 25;
+
+/** The leader is refused alone, jobs are cancelled, then nobody is served. */
+const REFUSED_THEN_OUTAGE: Fault[] = [
+  { kind: 'state-refuses', atS: REFUSED_AT_S, controllers: 'leader', forS: 14 },
+  { kind: 'cancel-now', atS: CANCELLED_AT_S, count: 12 },
+  { kind: 'state-outage', atS: OUTAGE_AT_S, forS: OUTAGE_S },
+];
+
+function scenario(name: string, more: Fault[] = []) {
+  return steadyScenario(name, LENGTH_S, [...REFUSED_THEN_OUTAGE, ...more]);
+}
+
+interface Meeting {
+  /** Name of the controller that led throughout. */
+  leader: string;
+  outage: FaultRecord;
+  confirmed: Confirmation[];
+}
+
+/** Asserts that others confirmed cancellations while the leader was refused alone, and that it led on. */
+function assertMeeting(result: ScenarioResult): Meeting {
+  const [refusal] = result.faults.of('state-refuses');
+  const [outage] = result.faults.of('state-outage');
+  const leader = refusal.leader!.owner;
+  assert.deepEqual(outage.leader, refusal.leader);
+  assert.ok(outage.untilS - outage.fromS > CANCEL_S);
+  const confirmed = confirmations(result, refusal.fromS, outage.fromS);
+  assert.ok(confirmed.length >= 3, `${confirmed.length} confirmations`);
+  assert.ok(confirmed.every(({ controller }) => controller !== leader));
+  return { leader, outage, confirmed };
+}
+
+/** Asserts that the workers stayed with the leader for the whole outage and that no task was killed. */
+function assertWorkLived(result: ScenarioResult, { leader, outage }: Meeting): void {
+  const { fromS, untilS } = outage;
+  assertLeads(result, leader, fromS, untilS);
+  assert.deepEqual(killedTasks(result, fromS, untilS + LEASE_S), []);
+  assert.ok(tasksRunningAt(result, untilS) >= 10);
+}
+
+test('cancellations confirmed while the leader is refused alone are kept in a long outage, and other work lives', async () => {
+  await playMeeting(scenario('refused, then an outage'), [1, 2, 3], (result) => {
+    assertWorkLived(result, assertMeeting(result));
+  });
+});
+
+test('confirmed cancellations are kept though the confirming controllers crash before the leader hears of them', async () => {
+  const crashAtS = CANCELLED_AT_S + 0.4;
+  const more: Fault[] = [
+    { kind: 'peers-cut', atS: CANCELLED_AT_S - 0.2, forS: 0.8, mode: 'drop' },
+    { kind: 'controller-crash', atS: crashAtS, controllers: 'followers', downS: 0.1 },
+  ];
+  await playMeeting(scenario('confirmed, then crashed', more), [1, 2, 3], (result) => {
+    const meeting = assertMeeting(result);
+    const before = meeting.confirmed.filter(({ atS }) => atS < crashAtS);
+    assert.ok(before.length >= 2, `${before.length} confirmations before the crash`);
+    const [cut] = result.faults.of('peers-cut');
+    for (const { job } of before) assert.ok(lastTaskLeftAt(result, job) > cut.untilS);
+    assertWorkLived(result, meeting);
+  });
+});
+
+test('confirmed cancellations are kept though the links between the controllers are cut meanwhile', async () => {
+  const modes: CutMode[] = ['hold', 'drop', 'refuse'];
+  for (const mode of modes) {
+    const more: Fault[] = [{ kind: 'peers-cut', atS: CANCELLED_AT_S - 0.2, forS: 3, mode }];
+    await playMeeting(scenario(`links cut (${mode})`, more), [1, 2], (result) => {
+      const meeting = assertMeeting(result);
+      const [cut] = result.faults.of('peers-cut');
+      for (const { job } of meeting.confirmed) {
+        assert.ok(lastTaskLeftAt(result, job) > cut.untilS, `${job} was known too early`);
+      }
+      assertWorkLived(result, meeting);
+    });
+  }
+});
+
+test('confirmed cancellations are kept though the confirming controllers restart in the outage and can tell nothing', async () => {
+  const cutS = 10;
+  const more: Fault[] = [
+    { kind: 'peers-cut', atS: CANCELLED_AT_S - 0.2, forS: cutS, mode: 'refuse' },
+    { kind: 'controller-crash', atS: OUTAGE_AT_S + 2, controllers: 'followers', downS: 2 },
+  ];
+  await playMeeting(scenario('peers restart', more), [1, 2, 3], (result) => {
+    const { leader, confirmed, outage } = assertMeeting(result);
+    const [cut] = result.faults.of('peers-cut');
+    const [crash] = result.faults.of('controller-crash');
+    assert.ok(crash.fromS > outage.fromS && crash.fromS + 2 < cut.untilS);
+    // The peers' new lives are heard again, and can't tell what their former ones confirmed.
+    assert.ok(reportsAnswered(result, leader, cut.untilS + REPORT_S, outage.untilS) > LEASE_S);
+    for (const { job, atS } of confirmed) {
+      const leftS = lastTaskLeftAt(result, job) - atS;
+      assert.ok(leftS > cutS && leftS < CANCEL_S, `${job} ran for ${leftS} s more`);
+    }
+    assert.equal(reportsAnswered(result, leader, outage.fromS + CANCEL_S, outage.untilS), 0);
+  });
+});
+
+test('jobs cancelled at the moment at which the leader is refused end in time though an outage follows a second later', async () => {
+  const faults: Fault[] = [
+    { kind: 'state-refuses', atS: REFUSED_AT_S, controllers: 'leader', forS: 14 },
+    { kind: 'cancel-now', atS: REFUSED_AT_S, count: 10 },
+    { kind: 'state-outage', atS: REFUSED_AT_S + 1, forS: OUTAGE_S },
+  ];
+  const name = 'cancelled as the leader is refused';
+  await playMeeting(steadyScenario(name, LENGTH_S, faults), [1, 2, 3], (result) => {
+    const [refusal] = result.faults.of('state-refuses');
+    const [outage] = result.faults.of('state-outage');
+    const [cancellation] = result.faults.of('cancel-now');
+    assert.equal(cancellation.fromS, refusal.fromS);
+    assert.ok(outage.fromS - refusal.fromS <= 1);
+    assertWorkLived(result, assertMeeting(result));
+  });
+});
--- /dev/null
+++ b/packages/testing/meetings/run-queries.ts
@@ -0,0 +1,134 @@
+/** What tests of meetings ask a run: who confirmed what when, whom workers obeyed, which work died. */
+import assert from 'node:assert/strict';
+import { parseHostPort } from '#wire';
+import {
+  ABORT_PATH,
+  describeProblems,
+  REPORT_PATH,
+  runScenario,
+  type Scenario,
+  type ScenarioResult,
+} from '../simulation/index.js';
+import { LEASE_S } from './steady-work.js';
+
+/** A cancellation as its user was first told of it. */
+export interface Confirmation {
+  job: string;
+  atS: number;
+  /** Name of the controller that said so. */
+  controller: string;
+}
+
+/**
+ * Plays a scenario with several seeds; no rule may break, and the check says whether the meeting occurred.
+ * `MEETING_SEEDS=4-20` in the environment plays these seeds instead, to look further.
+ */
+export async function playMeeting(
+  scenario: Scenario,
+  seeds: number[],
+  check: (result: ScenarioResult) => void,
+): Promise<void> {
+  for (const seed of seedsFromEnvironment() ?? seeds) {
+    const result = await runScenario(scenario, seed);
+    try {
+      assert.deepEqual(describeProblems(result), []);
+      check(result);
+    } catch (error) {
+      throw new Error(`${scenario.name}, seed ${seed}: ${String(error)}`, { cause: error });
+    }
+  }
+}
+
+function seedsFromEnvironment(): number[] | null {
+  const range = process.env.MEETING_SEEDS?.split('-').map(Number);
+  if (!range) return null;
+  const [first, last = first] = range;
+  return Array.from({ length: last - first + 1 }, (_, index) => first + index);
+}
+
+/** The cancellations that were first confirmed in a span of time. */
+export function confirmations(
+  { timeline, requests }: ScenarioResult,
+  fromS: number,
+  untilS: number,
+): Confirmation[] {
+  const first = new Map<string, Confirmation>();
+  const answers = requests.find({ path: ABORT_PATH, status: 200 });
+  for (const { atS, request, phase } of timeline.of('answered')) {
+    const { job } = request;
+    if (phase !== 'aborted' || first.has(job)) continue;
+    const path = `/submissions/${job}/abort`;
+    const answer = answers.filter((sent) => sent.path === path && sent.atS <= atS).at(-1);
+    first.set(job, { job, atS, controller: answer?.controller ?? 'unknown' });
+  }
+  return [...first.values()].filter(({ atS }) => atS >= fromS && atS <= untilS);
+}
+
+/** Reports that a controller answered with 200 in a span of time. */
+export function reportsAnswered(
+  { requests }: ScenarioResult,
+  controller: string,
+  fromS: number,
+  untilS: number,
+): number {
+  return requests.find({ controller, path: REPORT_PATH, status: 200, fromS, untilS }).length;
+}
+
+/** Machines that were up at the beginning and at the end of a span of time. */
+export function machinesUp({ timeline }: ScenarioResult, fromS: number, untilS: number) {
+  const gone = new Set(timeline.of('machine-gone', 0, untilS).map(({ machine }) => machine));
+  const up = timeline.of('machine-up', 0, fromS).map(({ machine }) => machine);
+  return up.filter(({ name }) => !gone.has(name));
+}
+
+/** Asserts that a controller answered a report of each machine in every lease of a span of time. */
+export function assertLeads(
+  result: ScenarioResult,
+  controller: string,
+  fromS: number,
+  untilS: number,
+): void {
+  const machines = machinesUp(result, fromS, untilS);
+  assert.ok(machines.length >= 3, `${machines.length} machines`);
+  for (let atS = fromS; atS + LEASE_S <= untilS; atS += LEASE_S) {
+    const span = { fromS: atS, untilS: atS + LEASE_S };
+    const answers = result.requests.find({ controller, path: REPORT_PATH, status: 200, ...span });
+    const answered = new Set(answers.map(({ clientHost }) => clientHost));
+    const unanswered = machines.filter(({ address }) => !answered.has(hostOf(address)));
+    assert.deepEqual(unanswered, [], `${controller} from ${atS} s on`);
+  }
+}
+
+function hostOf(address: string): string {
+  return parseHostPort(address).host;
+}
+
+/** When the last task of a job left its machine; -Infinity if none ever was on one. */
+export function lastTaskLeftAt({ timeline }: ScenarioResult, job: string): number {
+  const ends = timeline.of('task-left').filter(({ task }) => task.job === job);
+  return Math.max(...ends.map(({ atS }) => atS));
+}
+
+/** Tasks that were killed in a span of time, since their lease ended or their machine went. */
+export function killedTasks({ timeline }: ScenarioResult, fromS: number, untilS: number): string[] {
+  return timeline
+    .of('task-left', fromS, untilS)
+    .filter(({ cause }) => cause === 'killed')
+    .map(({ atS, machine, task }) => `${atS.toFixed(1)} s ${task.job}/${task.index} on ${machine}`);
+}
+
+/** Tasks that were on their machines at that time. */
+export function tasksRunningAt({ timeline }: ScenarioResult, atS: number): number {
+  const started = timeline.of('task-started', 0, atS).length;
+  const startedTasks = new Set(
+    timeline.of('task-started', 0, atS).map(({ machine, task }) => nameOf(machine, task)),
+  );
+  const left = timeline
+    .of('task-left', 0, atS)
+    .filter(({ machine, task }) => startedTasks.has(nameOf(machine, task)));
+  return started - left.length;
+}
+
+function nameOf(machine: string, task: { job: string; index: number; attempt: number }): string {
+  return `${machine} ${task.job}/${task.index} ${task.attempt}`;
+}
