--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -11,7 +11,7 @@
 }
 
 export interface JobRecordsOptions {
-  book: FleetState;
+  fleet: FleetState;
   jobs: JobTable;
   limits: StateLimits;
 }
@@ -31,7 +31,7 @@
   /** Takes a part of a job's done tasks from the record that an earlier term left. */
   loaded(id: string, chunk: number, recorded: RecordedChunk): void {
     const key = progressKey(id, chunk);
-    const job = this.options.book.jobs.get(id);
+    const job = this.options.fleet.jobs.get(id);
     if (job?.phase === 'accepted') {
       job.done.addChunk(chunk, this.chunkTasks, recorded.text);
       this.chunks.set(key, recorded);
@@ -64,7 +64,7 @@
   /** What is to be recorded of a job now; all of it together makes the job saved. */
   changesOf(job: JobState): RecordChange[] {
     if (job.phase !== 'accepted') return [];
-    return job.done.size === job.job.tasks ? this.doneChange(job) : this.progressChanges(job);
+    return job.done.size === job.spec.tasks ? this.doneChange(job) : this.progressChanges(job);
   }
 
   private isOver(id: string): boolean {
@@ -73,27 +73,27 @@
   }
 
   private doneChange(job: JobState): RecordChange[] {
-    const { book, jobs } = this.options;
-    const { id } = job.job;
+    const { fleet, jobs } = this.options;
+    const { id } = job.spec;
     const record = jobs.get(id);
     if (record?.phase !== 'accepted') return [];
     const key = jobKey(id);
     const value = encodeJob({ ...record, phase: 'done' });
     const durable = (revision: number) => jobs.cache.learn(key, value, revision);
-    const again = () => void book.unrecorded.jobs.add(id);
+    const again = () => void fleet.unrecorded.jobs.add(id);
     const change = { put: key, value };
     return [{ key, version: record.version, change, guards: [], durable, again }];
   }
 
   private progressChanges(job: JobState): RecordChange[] {
-    const { id } = job.job;
-    const again = () => void this.options.book.unrecorded.jobs.add(id);
+    const { id } = job.spec;
+    const again = () => void this.options.fleet.unrecorded.jobs.add(id);
     return this.unrecordedChunks(job).map(({ key, text, version }) => {
       const durable = (revision: number) => {
         // A user may have cancelled it while the transaction was on its way.
         if (this.isOver(id)) this.obsolete.set(key, revision);
         else this.chunks.set(key, { version: revision, text });
-        if (this.unrecordedChunks(job).length === 0) job.unsaved = false;
+        if (this.unrecordedChunks(job).length === 0) job.hasUnrecordedProgress = false;
       };
       const change = { put: key, value: { done: text } };
       return { key, version, change, guards: [], durable, again };
@@ -103,8 +103,8 @@
   /** The parts that differ from their records, the one that was recorded longest ago first. */
   private unrecordedChunks(job: JobState): (RecordedChunk & { key: string })[] {
     const found: (RecordedChunk & { key: string })[] = [];
-    for (let chunk = 0; chunk * this.chunkTasks < job.job.tasks; chunk++) {
-      const key = progressKey(job.job.id, chunk);
+    for (let chunk = 0; chunk * this.chunkTasks < job.spec.tasks; chunk++) {
+      const key = progressKey(job.spec.id, chunk);
       const text = job.done.chunkText(chunk, this.chunkTasks);
       const recorded = this.chunks.get(key);
       const isRecorded = recorded ? recorded.text === text : holdsNoTask(text);
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -2,7 +2,8 @@
 import { ArrivalSettings, ArrivalStatistics, ClassObjective } from './arrival-statistics.js';
 import { BootTimes } from './boot-times.js';
 import { Consolidation, findConsolidation } from './consolidation.js';
-import { Amounts, TeamTerms, withinLimit } from './fairshare.js';
+import { Amounts } from './amounts.js';
+import { TeamQuota, withinLimit } from './team-quota.js';
 import { typeFits } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
@@ -34,7 +35,7 @@
   fleet: FleetState;
   settings: CapacitySettings;
   objectives: ClassObjective[];
-  teams: Map<string, TeamTerms>;
+  teams: Map<string, TeamQuota>;
 }
 
 /** Sizes the fleet: packs what waits, and room for what may come sooner than a machine boots. */
@@ -95,16 +96,16 @@
 
   private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
     const { fleet, teams } = this.options;
-    const { job: spec } = job;
-    const terms = teams.get(spec.team);
-    if (!terms) return;
+    const { spec } = job;
+    const quota = teams.get(spec.team);
+    if (!quota) return;
     let used = usage.get(spec.team);
     if (!used) usage.set(spec.team, (used = { ...fleet.usage.ofTeam(spec.team) }));
     const zones = new Map<string, number>();
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
     const count = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
-    for (let i = 0; i < count && withinLimit(terms, used, spec); i++) {
+    for (let i = 0; i < count && withinLimit(quota, used, spec); i++) {
       const slot = packing.place(request);
       if (!slot) return;
       if (spec.oneZone && request.job.zone === null) {
@@ -143,18 +144,20 @@
 /** Where a job that must stay in one zone is packed: where machines are reserved for it, if so. */
 function zoneToPack(job: Job, standing: StandingSlot[]): string | null {
   if (!job.oneZone) return job.zone;
-  return standing.find((slot) => slot.reservedFor === job.id)?.zone ?? job.zone;
+  return standing.find((slot) => slot.reservedForGang === job.id)?.zone ?? job.zone;
 }
 
 function isIdle(machine: Machine, heldS: number, now: number): boolean {
-  const { tasks, reservedFor, state, idleSince } = machine;
-  if (tasks.size > 0 || reservedFor !== null || state === 'booting') return false;
+  const { tasks, reservedForGang, state, idleSince } = machine;
+  if (tasks.size > 0 || reservedForGang !== null || state === 'booting') return false;
   return now - idleSince >= heldS;
 }
 
 /** Higher ranks first, then whole-machine work before what fits into gaps, then the oldest. */
 function byRankAndSize(a: JobState, b: JobState): number {
-  return a.job.rank - b.job.rank || sizeOf(b.job) - sizeOf(a.job) || a.acceptedAt - b.acceptedAt;
+  return (
+    a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || a.acceptedAt - b.acceptedAt
+  );
 }
 
 /** Accelerators count before processors. */
--- /dev/null
+++ b/packages/core/choose-machine.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  FleetState,
+  chooseMachine,
+  hasRoom,
+  isUsable,
+  JobState,
+  Machine,
+  placementCost,
+  PlacementCandidates,
+  typeFits,
+  zoneAllowed,
+  tasksByZone,
+} from './index.js';
+import { Chance } from '../testing/random.js';
+import { aFleet, aJob, aMachine } from '../testing/samples.js';
+
+/** The choice as its rules say it, by a look at every machine. */
+function byEveryMachine(fleet: FleetState, state: JobState, now: number): Machine | null {
+  const { spec } = state;
+  const classZones = new Map<string, number>();
+  for (const { zone, tasks } of fleet.machines.values()) {
+    for (const { job: other } of tasks.values()) {
+      if (other.spec.class !== spec.class) continue;
+      classZones.set(zone, (classZones.get(zone) ?? 0) + 1);
+    }
+  }
+  let best: { machine: Machine; cost: number } | null = null;
+  for (const machine of fleet.machines.values()) {
+    const type = fleet.machines.types.get(machine.type)!;
+    if (!isUsable(machine, fleet.settings.maxTasksPerMachine, now)) continue;
+    if (fleet.holds.isHeldFromJob(machine, state, now)) continue;
+    if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
+    if ((machine.spot && !spec.spot) || !typeFits(spec, type)) continue;
+    if (!hasRoom(spec, machine.used, type) || !zoneAllowed(spec, machine.zone, tasksByZone(state)))
+      continue;
+    const crowd = spec.spread ? (classZones.get(machine.zone) ?? 0) / 4 : 0;
+    const cost = placementCost(spec, machine, type) + crowd;
+    if (best === null || cost < best.cost) best = { machine, cost };
+  }
+  return best?.machine ?? null;
+}
+
+// Guards the lists that spare each job a look at each machine: they must not change what is decided.
+test('a place chosen from the lists of a round is the one that a look at every machine finds', () => {
+  let compared = 0;
+  for (let seed = 1; seed <= 40; seed++) {
+    const chance = new Chance(seed);
+    const fleet = aFleet();
+    const jobs: JobState[] = [];
+    for (let i = 0; i < 24; i++) {
+      const spread = chance.hit(0.3);
+      const job = aJob({
+        id: `j-${i}`,
+        class: `c${chance.int(0, 2)}`,
+        kind: 'service',
+        rank: chance.int(0, 3),
+        tasks: chance.int(1, 4),
+        cpus: chance.int(1, 3) * 2,
+        gpus: chance.int(0, 2),
+        image: `i${chance.int(0, 3)}`,
+        spread,
+        oneZone: !spread && chance.hit(0.2),
+        zone: chance.hit(0.15) ? 'a' : null,
+        spot: chance.hit(0.5),
+      });
+      jobs.push(fleet.addJob(job, 0, 'accepted', 0));
+    }
+    for (let i = 0; i < 12; i++) {
+      const machine = aMachine(fleet, `n-${i}`, { zone: i % 2 ? 'a' : 'b', spot: chance.hit(0.3) });
+      if (chance.hit(0.1)) machine.draining = true;
+      if (chance.hit(0.1)) machine.avoidUntil = 5;
+      if (chance.hit(0.2)) fleet.holds.hold(machine, jobs[chance.int(0, 23)], 20);
+      if (chance.hit(0.1)) machine.reservedForGang = jobs[chance.int(0, 23)].spec.id;
+    }
+    const now = 10;
+    const places = new PlacementCandidates(fleet, now);
+    for (let i = 0; i < 80; i++) {
+      const state = jobs[chance.int(0, 23)];
+      const [index] = fleet.jobs.waitingTasks(state, 1);
+      if (index === undefined) continue;
+      const expected = byEveryMachine(fleet, state, now);
+      assert.equal(chooseMachine(fleet, state, tasksByZone(state), places, now), expected);
+      compared++;
+      if (expected)
+        fleet.assignments.assign(state, index, expected, fleet.assignments.newAttempt(), now);
+    }
+  }
+  assert.ok(compared > 1000);
+});
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -1,6 +1,6 @@
 import type { Job, MachineType } from '#wire';
 import { isUsable } from './availability.js';
-import { addAmounts, Amounts } from './fairshare.js';
+import { addAmounts, Amounts } from './amounts.js';
 import { hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { Assignment, Machine } from './model.js';
@@ -51,7 +51,7 @@
 ): void {
   machine.draining = true;
   for (const { task, to } of moves) {
-    if (to.heldFor === null) {
+    if (to.roomHold === null) {
       fleet.holds.hold(to, task.job, now + HOLD_REPORTS * fleet.settings.reportS);
     }
     fleet.assignments.stopGracefully(task, now);
@@ -59,11 +59,11 @@
 }
 
 function canBeEmptied(fleet: FleetState, slot: StandingSlot, now: number): boolean {
-  const { machine, type, used, reservedFor } = slot;
+  const { machine, type, used, reservedForGang } = slot;
   if (machine.tasks.size === 0 || load(machine, type) > MOST_USED) return false;
   if (!isUsable(machine, fleet.settings.maxTasksPerMachine, now)) return false;
   // Room there that others count on is not given up.
-  if (reservedFor !== null || used.cpus > machine.used.cpus) return false;
+  if (reservedForGang !== null || used.cpus > machine.used.cpus) return false;
   return [...machine.tasks.values()].every((task) => isMovable(task, now));
 }
 
@@ -73,7 +73,7 @@
 
 function isMovable({ job, stop, reported, runningSince }: Assignment, now: number): boolean {
   const isSettled = runningSince !== null && now - runningSince >= SETTLED_S;
-  return job.job.kind === 'service' && stop === null && isSettled && reported === 'running';
+  return job.spec.kind === 'service' && stop === null && isSettled && reported === 'running';
 }
 
 /** A machine for each task of the slot, or null if one finds none. */
@@ -86,16 +86,16 @@
   const taken = new Map<StandingSlot, Amounts>();
   const moves: Move[] = [];
   for (const task of from.machine.tasks.values()) {
-    const { job } = task.job;
+    const { spec } = task.job;
     const target = slots.find(
       (slot) =>
         slot !== from &&
-        canReceive(fleet, slot, from, job, now) &&
-        hasRoom(job, taken.get(slot) ?? slot.used, slot.type),
+        canReceive(fleet, slot, from, spec, now) &&
+        hasRoom(spec, taken.get(slot) ?? slot.used, slot.type),
     );
     if (!target) return null;
     const used = taken.get(target) ?? { ...target.used };
-    addAmounts(used, job, 1);
+    addAmounts(used, spec, 1);
     taken.set(target, used);
     moves.push({ task, to: target.machine });
   }
@@ -105,15 +105,15 @@
 /** Whether replicas of the job may move there from the other machine, room apart. */
 function canReceive(
   fleet: FleetState,
-  { machine, type, reservedFor }: StandingSlot,
+  { machine, type, reservedForGang }: StandingSlot,
   from: StandingSlot,
   job: Job,
   now: number,
 ): boolean {
   return (
-    reservedFor === null &&
+    reservedForGang === null &&
     machine.zone === from.machine.zone &&
-    machine.heldFor === null &&
+    machine.roomHold === null &&
     machine.images.has(job.image) &&
     kindAllowed(job, type, machine.zone, machine.spot) &&
     load(machine, type) >= load(from.machine, from.type) &&
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -1,115 +1,167 @@
+/** The data of the fleet's state: jobs, machines, and the assignments that join them. */
 import type { Job, TaskState } from '#wire';
-import { ServiceCounter } from './fairshare.js';
-import { TaskSet } from './taskset.js';
+import type { Amounts } from './amounts.js';
+import type { ServiceCounter } from './service-counter.js';
+import type { TaskSet } from './task-set.js';
 
-/** One attempt of a task on one machine, from the decision until it is proven gone. */
+export interface StopRequest {
+  /** Seconds for saving; 0 kills. */
+  graceS: number;
+  /** Sent in a direct command. It is in the answers to reports in any case. */
+  sentDirectly: boolean;
+}
+
+/**
+ * One attempt of a task on one machine, from the decision until it is proven gone. Times are seconds of
+ * the steady clock.
+ */
 export interface Assignment {
   job: JobState;
   index: number;
   attempt: number;
   machine: Machine;
-  /** Durable in the machine's record; only then may the start be sent. */
+  /** Durable in the machine's record; only then may the start be sent (docs/safety.md, point 4). */
   recorded: boolean;
   /** Read from the record of an earlier term and not yet seen in a report. */
   inherited: boolean;
   /** The start was sent, in an answer or directly. */
-  told: boolean;
+  startSent: boolean;
   /** Number of the first report whose answer carried the start. */
-  sentSeq: number | null;
-  /** Answers that carried the start without it showing in the next report. */
-  misses: number;
+  startAnswerSeq: number | null;
+  /** Reports that did not list the task though the answer before them carried its start. */
+  missedStarts: number;
+  /** What the worker says of it, or null before it does. */
   reported: TaskState | null;
-  stop: { graceS: number; at: number; direct: boolean } | null;
+  /** The end that is asked for, or null. */
+  stop: StopRequest | null;
   /** Share of the fleet booked for it. */
   share: number;
-  since: number;
+  assignedAt: number;
+  /** When it was first seen to run. */
   runningSince: number | null;
 }
 
+/** A job that was accepted, and what became of its tasks. Times are seconds of the steady clock. */
 export interface JobState {
-  job: Job;
-  /** What decides, zones of its other tasks apart, on which machines a task fits. */
-  shape: string;
-  /** On the steady clock of this process. */
+  /** The job as its user submitted it. */
+  spec: Job;
+  /** Equal for jobs whose tasks fit the same machines, zones of their other tasks apart. */
+  requirementsKey: string;
   acceptedAt: number;
+  /** `aborted` and `done` are final. */
   phase: 'accepted' | 'aborted' | 'done';
   done: TaskSet;
-  /** Done tasks that the state service doesn't hold yet. */
-  unsaved: boolean;
-  /** Every place where a task may still be, by task. */
-  places: Map<number, Assignment[]>;
-  /** Tasks below the cursor that lost their place. */
-  requeued: Set<number>;
-  cursor: number;
+  /** The state service doesn't hold all done tasks yet. */
+  hasUnrecordedProgress: boolean;
+  /** Every place where a task may still be, by task; several if one runs that nobody recorded. */
+  assignments: Map<number, Assignment[]>;
+  /** All waiting tasks below are in `returnedTasks`. */
+  scanFrom: number;
+  /** Tasks that lost their place; some may have one again or be done. */
+  returnedTasks: Set<number>;
+  /** Failures since a task of the job was last seen to run. */
   failures: number;
-  notBefore: number;
+  /** Waits after failures: nothing of it is placed before. */
+  backoffUntil: number;
+  /** Service that the job has received. */
   service: ServiceCounter;
+  /** Since when some task waits. */
   waitingSince: number;
 }
 
+/** How far the machine's token has been raised above that of unacknowledged starts. */
+export type Fence =
+  /** Nothing is to be fenced off. */
+  | 'none'
+  /** The next record of the machine is to raise its token. */
+  | 'requested'
+  /** The record is written; earlier starts are harmless once a report shows the new token. */
+  | 'recorded';
+
+/** Room that was made by stopping work, and the job that it waits for. */
+export interface RoomHold {
+  job: JobState;
+  until: number;
+}
+
+/** A rented machine and its worker. Times are seconds of this process's steady clock. */
 export interface Machine {
   name: string;
+  /** `host:port` of the worker; empty until it has reported. */
   addr: string;
+  /** Name of its machine type. */
   type: string;
   zone: string;
   spot: boolean;
-  state: 'booting' | 'up' | 'dark';
-  bornAt: number;
+  /** `expired`: its lease has certainly run out, and nothing is on it (docs/safety.md, point 5). */
+  state: 'booting' | 'up' | 'expired';
+  rentedAt: number;
+  expiredAt: number;
+  /** When the cloud takes it away, if it gave notice. */
+  reclaimAt: number | null;
+  /** The cloud lists it as failed. */
+  failedInList: boolean;
+
+  /** The worker's session: rises whenever its lease has run out. */
   session: number;
-  /** Newest message of any kind, and newest report to which an answer was given. */
-  seq: number;
-  helloSeq: number;
-  /** What our answers carry: the term, or the revision of the machine's last hand-over if later. */
+  /** Newest message of the session of any kind, and newest report that was answered. */
+  lastMessageSeq: number;
+  lastReportSeq: number;
+  /** What answers carry: the term, or the revision of the record that fenced it last if later. */
   token: number;
-  /** The next record of this machine raises its token, so that older commands have no effect. */
-  fencing: boolean;
-  /** The token was raised; what is loose is harmless once a report shows it. */
-  fenced: boolean;
-  /** Attempts whose direct start was not answered: it may still arrive, until a higher token. */
-  loose: Map<string, number>;
-  /** A direct command is under way. */
-  calling: boolean;
-  /** No direct commands until then. */
-  callAfter: number;
   /** A report has shown this term's token, so older commands and answers can have no effect. */
-  confirmed: boolean;
+  termConfirmed: boolean;
   /** When the last report that was answered arrived. */
   answeredAt: number;
-  darkAt: number;
-  noticeAt: number | null;
-  /** Takes no new work. */
+  /** Since when its reports have been answered without a gap. */
+  answeredSince: number;
+  /** Since when its reports have not shown the token of the answers before them. */
+  oldTokenSince: number | null;
+
+  fence: Fence;
+  /** Direct starts that were not answered and may still arrive, by attempt, and when they were sent. */
+  unacknowledgedStarts: Map<string, number>;
+  directCommandInFlight: boolean;
+  noDirectCommandBefore: number;
+
+  /** Takes no new work and is given back once it is empty. */
   draining: boolean;
+  /** Takes no new work before. */
   avoidUntil: number;
-  /** Since when its reports have been answered without a gap. */
-  steadySince: number;
-  /** Since when they have not shown the token of the answers before them. */
-  unheardSince: number | null;
-  errors: number;
-  /** Names of images, most recently used last. */
-  images: Map<string, number>;
+  /** Tasks that failed on it. */
+  taskErrors: number;
+  /** Id of the gang that it is kept free for. */
+  reservedForGang: string | null;
+  roomHold: RoomHold | null;
+
+  /** By task name: what is or may be on it. */
   tasks: Map<string, Assignment>;
-  used: { cpus: number; gpus: number; memory: number };
+  /** What these tasks take of it. */
+  used: Amounts;
   /** Rises whenever a task comes or goes. */
-  changes: number;
+  assignmentVersion: number;
+  /** Since when it has no task; of use only while it has none. */
   idleSince: number;
-  /** Gang that this machine is kept free for. */
-  reservedFor: string | null;
-  /** Room made here by stopping work waits for this job until then. */
-  heldFor: { job: JobState; until: number } | null;
-  listedFailed: boolean;
+  /** Size in GB by name of the images that its worker should have, most recently used last. */
+  images: Map<string, number>;
 }
 
+/** Durations in seconds. */
 export interface FleetSettings {
+  /** The workers' lease and report period. */
   leaseS: number;
   reportS: number;
+  /** For how long tasks of a gang that is being stopped wait for each other. */
   gangPeerS: number;
   /** How long an earlier owner may have gone on answering after losing its term. */
   formerOwnerS: number;
+  /** Half-life of service received. */
   halfLifeS: number;
+  /** As many as fit into the record of one machine. */
   maxTasksPerMachine: number;
 }
 
 /** Every place where a task of the job may still be. */
 export function* assignmentsOf(job: JobState): Generator<Assignment> {
-  for (const list of [...job.places.values()]) yield* list;
+  for (const list of [...job.assignments.values()]) yield* list;
 }
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -12,7 +12,7 @@
   /** Cost of a place there; Infinity: no room any more. */
   cost: number;
   /** The machine's changes when the cost was worked out. */
-  changes: number;
+  assignmentVersion: number;
 }
 
 interface RoomyMachine {
@@ -39,10 +39,14 @@
 
   /** Machines that had room for a task of the job when first asked for. */
   forJob(job: JobState): Candidate[] {
-    const key = `${job.shape} ${job.job.image}`;
+    const key = `${job.requirementsKey} ${job.spec.image}`;
     let candidates = this.byRequirementsAndImage.get(key);
     if (!candidates) {
-      candidates = this.withRoom(job).map((roomy) => ({ ...roomy, cost: 0, changes: -1 }));
+      candidates = this.withRoom(job).map((roomy) => ({
+        ...roomy,
+        cost: 0,
+        assignmentVersion: -1,
+      }));
       this.byRequirementsAndImage.set(key, candidates);
     }
     return candidates;
@@ -51,10 +55,10 @@
   /** Cost of a place for the job now; Infinity if the place is gone. */
   cost(candidate: Candidate, job: Job): number {
     const { machine, type } = candidate;
-    if (candidate.changes !== machine.changes) {
+    if (candidate.assignmentVersion !== machine.assignmentVersion) {
       const room = hasRoom(job, machine.used, type) && this.isUsable(machine);
       candidate.cost = room ? placementCost(job, machine, type) : Infinity;
-      candidate.changes = machine.changes;
+      candidate.assignmentVersion = machine.assignmentVersion;
     }
     return candidate.cost;
   }
@@ -65,14 +69,14 @@
     return this.zoneNames;
   }
 
-  private withRoom({ shape, job }: JobState): RoomyMachine[] {
-    let roomy = this.byRequirements.get(shape);
+  private withRoom({ requirementsKey, spec }: JobState): RoomyMachine[] {
+    let roomy = this.byRequirements.get(requirementsKey);
     if (!roomy) {
-      this.byRequirements.set(shape, (roomy = []));
+      this.byRequirements.set(requirementsKey, (roomy = []));
       for (const machine of this.fleet.machines.values()) {
         const type = this.fleet.machines.typeOf(machine);
-        if (!type || !hasRoom(job, machine.used, type)) continue;
-        if (!kindAllowed(job, type, machine.zone, machine.spot)) continue;
+        if (!type || !hasRoom(spec, machine.used, type)) continue;
+        if (!kindAllowed(spec, type, machine.zone, machine.spot)) continue;
         if (this.isUsable(machine)) roomy.push({ machine, type });
       }
     }
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -1,5 +1,5 @@
 import type { Job, MachineType } from '#wire';
-import { ZERO_AMOUNTS } from './fairshare.js';
+import { ZERO_AMOUNTS } from './amounts.js';
 import { MachineKind, requirementsKey, tasksThatFit, typeFits, zoneCap } from './fit.js';
 import { kindKey, Refusals, Rental } from './refusals.js';
 import { emptySlot, holds, Slot, StandingSlot, takeRoom } from './slots.js';
@@ -121,7 +121,7 @@
     for (let i = full; i < slots.length; i++) {
       const slot = slots[i];
       if (!holds(slot, job)) continue;
-      if (slot.reservedFor !== null && slot.reservedFor !== gang) continue;
+      if (slot.reservedForGang !== null && slot.reservedForGang !== gang) continue;
       if (!isZoneFull(job, slot.zone, tasksByZone)) return slot;
     }
     return null;
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -39,7 +39,7 @@
     }
     if (!assignment) {
       if (task.state === 'exited') return this.unassignedExited(machine, task, job, ref);
-      if (!job || task.index >= job.job.tasks) return killOrder(ref);
+      if (!job || task.index >= job.spec.tasks) return killOrder(ref);
       // Nothing should run unrecorded; if it does, it holds its place until it is gone.
       assignment = this.assignments.adoptToStop(job, task.index, machine, task.attempt, now);
     }
@@ -102,20 +102,21 @@
    * forgotten an attempt would start it again.
    */
   private mayForget(machine: Machine, ref: TaskRef, job: JobState | undefined): boolean {
-    if (job?.unsaved && job.done.has(ref.index)) return false;
+    if (job?.hasUnrecordedProgress && job.done.has(ref.index)) return false;
     return !this.fencing.mayArrive(machine, ref);
   }
 
   /** A task of the machine that the worker's report does not list. */
   absent(assignment: Assignment, report: Report, now: number): void {
-    const { machine, reported, inherited, told, sentSeq } = assignment;
+    const { machine, reported, inherited, startSent, startAnswerSeq } = assignment;
     if (reported !== null) this.assignments.end(assignment, 'lost', false, now);
     else if (inherited) {
       // An old start may still arrive until the worker has seen this term's token.
       if (report.token >= this.tables.term) this.assignments.end(assignment, 'lost', false, now);
     } else if (this.fencing.mayArrive(machine, taskRef(assignment))) return;
-    else if (told && sentSeq === null) this.onlySentDirectly(assignment, now);
-    else if (sentSeq !== null && report.seq > sentSeq) this.missedStart(assignment, now);
+    else if (startSent && startAnswerSeq === null) this.onlySentDirectly(assignment, now);
+    else if (startAnswerSeq !== null && report.seq > startAnswerSeq)
+      this.missedStart(assignment, now);
   }
 
   /** The direct start was refused or is fenced off. */
@@ -124,8 +125,8 @@
       this.assignments.end(assignment, 'stopped', false, now);
       return;
     }
-    assignment.told = false;
-    this.tables.due.add(assignment.machine);
+    assignment.startSent = false;
+    this.tables.machinesWithCommands.add(assignment.machine);
   }
 
   /**
@@ -133,9 +134,9 @@
    * the answer carried did not arrive and no longer can.
    */
   private missedStart(assignment: Assignment, now: number): void {
-    assignment.misses++;
+    assignment.missedStarts++;
     if (assignment.stop === null) {
-      if (assignment.misses < MAX_MISSED_STARTS) return;
+      if (assignment.missedStarts < MAX_MISSED_STARTS) return;
       assignment.machine.avoidUntil = now + this.tables.settings.leaseS;
     }
     this.assignments.end(assignment, 'lost', false, now);
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -1,4 +1,5 @@
-import { addAmounts, Amounts, ServiceCounter, ZERO_AMOUNTS } from './fairshare.js';
+import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
+import { ServiceCounter } from './service-counter.js';
 import type { Assignment } from './model.js';
 
 /** What teams and classes hold at present, and the service that teams have received. */
@@ -12,14 +13,14 @@
   /** Counts an assignment that came (1) or is proven gone (-1). */
   count(assignment: Assignment, sign: 1 | -1, now: number): void {
     const { job, machine, share } = assignment;
-    const { team } = job.job;
-    const zones = this.tasksByZone(job.job.class);
+    const { team } = job.spec;
+    const zones = this.tasksByZone(job.spec.class);
     zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + sign);
     let used = this.amountsByTeam.get(team);
     if (!used) this.amountsByTeam.set(team, (used = { ...ZERO_AMOUNTS }));
-    addAmounts(used, job.job, sign);
-    this.service(team, now).book(sign * share, now);
-    job.service.book(sign * share, now);
+    addAmounts(used, job.spec, sign);
+    this.service(team, now).changeRate(sign * share, now);
+    job.service.changeRate(sign * share, now);
   }
 
   /** Amounts of all places where tasks of the team may still be (docs/safety.md, point 9). */
