--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -76,7 +76,7 @@
     const machine = fleet.machines.register({ name, addr, type, zone, spot }, 'up', now);
     // Until now this term has renewed leases without the fleet's state (ReportHandler.renewLease).
     machine.answeredAt = now;
-    machine.steadySince = now;
+    machine.answeredSince = now;
     for (const [id, index, attempt] of tasks) {
       const job = fleet.jobs.get(id);
       if (!job) throw new TermBroken(`record of ${name} names unknown job ${id}`);
