--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { CloudClient, nodeRuntime } from '#wire';
+import type { CapacityPlanner, FleetState } from '#core';
 import { CloudDuty } from './cloud.js';
 import { makeLog } from './log.js';
 import type { PartOwner } from './owner.js';
@@ -34,31 +35,33 @@
   }
 }
 
+/** An owner that has read its records long ago, with a planner of its own. */
+function anOwner(
+  fleet: FleetState,
+  planner: Pick<CapacityPlanner, 'plan' | 'rentalRefused'>,
+): PartOwner {
+  const term = { term: 1 };
+  const state = { ready: true, first: true, startedAt: -1000 };
+  return { fleet, planner, term, ...state, nudge: () => {} } as unknown as PartOwner;
+}
+
 async function callsOf(permission: Permission): Promise<string[]> {
   const stop = new AbortController();
   const cloud = new RecordingCloud();
   const fleet = aFleet();
   aMachine(fleet, 'n-1').failedInList = true;
   let plans = 0;
-  const owner = {
-    fleet,
-    term: { term: 1 },
-    ready: true,
-    first: true,
-    startedAt: -1000,
-    nudge: () => {},
-    planner: {
-      plan: () => {
-        plans++;
-        return {
-          rent: plans === 1 ? [{ type: 'std', zone: 'a', spot: false, count: 1 }] : [],
-          release: [],
-          consolidation: null,
-        };
-      },
-      rentalRefused: () => {},
+  const owner = anOwner(fleet, {
+    plan: () => {
+      plans++;
+      return {
+        rent: plans === 1 ? [{ type: 'std', zone: 'a', spot: false, count: 1 }] : [],
+        release: [],
+        consolidation: null,
+      };
     },
-  } as unknown as PartOwner;
+    rentalRefused: () => {},
+  });
   const duty = new CloudDuty({
     runtime: nodeRuntime,
     cloud: cloud as unknown as CloudClient,
@@ -109,21 +112,13 @@
   fleet.machines.types.set(STD.name, STD);
   const stop = new AbortController();
   const refused: string[] = [];
-  const owner = {
-    fleet,
-    term: { term: 1 },
-    ready: true,
-    first: true,
-    startedAt: -1000,
-    nudge: () => {},
-    planner: {
-      plan: () => ({ rent: refused.length === 0 ? kinds : [], release: [], consolidation: null }),
-      rentalRefused: (r: { zone: string }) => {
-        refused.push(r.zone);
-        if (refused.length === calls) stop.abort();
-      },
+  const owner = anOwner(fleet, {
+    plan: () => ({ rent: refused.length === 0 ? kinds : [], release: [], consolidation: null }),
+    rentalRefused: ({ zone }) => {
+      refused.push(zone);
+      if (refused.length === calls) stop.abort();
     },
-  } as unknown as PartOwner;
+  });
   const client = new CloudClient(nodeRuntime, cloud.target, 60_000);
   const log = makeLog(nodeRuntime.clock, 'c-0', 'error');
   const duty = new CloudDuty({
