Controller: HTTP interface, peer link and limits of entitlement are modules of their own

The class that joins the parts also built all routes, the peer connections and the limits that owners are judged by. What is built, and in which order, is unchanged.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,37 +1,29 @@
 import { setMaxListeners } from 'node:events';
-import { PeerLink } from '#peer';
-import { CloudClient, parseHostPort, type Runtime } from '#wire';
+import type { PeerLink } from '#peer';
+import { CloudClient, type Runtime } from '#wire';
 import { CancellationRelay } from './cancellation-relay.js';
-import type { Entitlement, EntitlementLimits } from './entitlement.js';
-import { HealthEndpoint } from './health-endpoint.js';
-import { HttpServer } from './http-server.js';
+import type { Entitlement } from './entitlement.js';
+import { makeHttpServer } from './http-interface.js';
+import type { HttpServer } from './http-server.js';
 import { LagMonitor } from './lag.js';
 import type { Log } from './log.js';
 import { MetricsEndpoint } from './metrics-endpoint.js';
-import { OwnerEntitlement } from './owner-entitlement.js';
+import { entitlementLimits, OwnerEntitlement } from './owner-entitlement.js';
 import { OwnerTerms } from './owner-terms.js';
 import type { PartOwner } from './owner.js';
 import { PeerCoordinator } from './peer-coordinator.js';
-import { ReportHandler } from './report-handler.js';
+import { makePeerLink } from './peer-link.js';
 import { type ControllerServices, makeServices } from './services.js';
 import type { Settings } from './settings.js';
 import { socketShares } from './sockets.js';
 import { StandbyRenewal } from './standby-renewal.js';
 import { accessState, type StateAccess } from './state-access.js';
 import { StatusExchange } from './status-exchange.js';
-import { SubmissionCheck } from './submission-check.js';
-import { graceAfterLoss } from './time-bounds.js';
 import { UnownedReports } from './unowned-reports.js';
-import { UserApi } from './user-api.js';
 import { Vitals } from './vitals.js';
 
 /** Report periods that a call to the cloud may take. */
 const CLOUD_TIMEOUT = 4;
-/** Attempts to reach a peer in a report period. */
-const DIALS = 2;
-
-/** Report periods after which a peer that was not heard counts as out of reach. */
-const SILENCE_PERIODS = 2;
 
 /** One controller: joins its parts, starts and ends them. */
 export class Controller {
@@ -59,9 +51,9 @@
     private readonly log: Log,
   ) {
     const { clock } = runtime;
-    const { workers, limits } = settings.deployment;
-    this.reportS = workers.report_s;
-    this.sockets = socketShares(limits.sockets, settings.peers.length);
+    const { deployment } = settings;
+    this.reportS = deployment.workers.report_s;
+    this.sockets = socketShares(deployment.limits.sockets, settings.peers.length);
     this.state = accessState(runtime, settings, () => this.owner() !== null);
     this.services = makeServices(runtime, settings, log, this.state);
     const cloudTimeoutMs = CLOUD_TIMEOUT * this.reportS * 1000;
@@ -71,9 +63,10 @@
       owner: () => this.owner(),
       send: (frame) => this.peers.send(frame),
     });
-    this.peers = this.makePeerLink();
+    this.peers = makePeerLink(runtime, settings, () => this.cancellationRelay.greeting());
     this.statuses = this.makeStatusExchange();
-    const judging = { ...this.services, statuses: this.statuses, limits: this.entitlementLimits() };
+    const limits = entitlementLimits(settings);
+    const judging = { ...this.services, statuses: this.statuses, limits };
     this.entitlement = new OwnerEntitlement(judging);
     this.standby = new StandbyRenewal(judging);
     this.vitals = this.makeVitals();
@@ -81,15 +74,7 @@
     this.terms = this.makeOwnerTerms();
     this.lag = new LagMonitor(clock);
     this.unownedReports = new UnownedReports(clock, this.reportS);
-    this.coordinator = new PeerCoordinator({
-      ...this.services,
-      peers: this.peers,
-      statuses: this.statuses,
-      unownedReports: this.unownedReports,
-      cancellationRelay: this.cancellationRelay,
-      standby: this.standby,
-      owner: () => this.owner(),
-    });
+    this.coordinator = this.makePeerCoordinator();
     this.httpServer = this.makeHttpServer();
   }
 
@@ -143,18 +128,6 @@
     return this.entitlement.of(this.owner());
   }
 
-  private makePeerLink(): PeerLink {
-    const { host_name, cluster_listen, peers } = this.settings;
-    return new PeerLink({
-      runtime: this.runtime,
-      self: host_name,
-      listen: parseHostPort(cluster_listen),
-      peers: peers.map((peer) => ({ name: peer.host_name, addr: peer.peer_addr })),
-      retryMs: (this.reportS * 1000) / DIALS,
-      greeting: () => this.cancellationRelay.greeting(),
-    });
-  }
-
   private makeStatusExchange(): StatusExchange {
     return new StatusExchange({
       life: Math.floor(this.runtime.random() * Number.MAX_SAFE_INTEGER),
@@ -164,6 +137,20 @@
     });
   }
 
+  private makePeerCoordinator(): PeerCoordinator {
+    const { peers, statuses, unownedReports, cancellationRelay, standby } = this;
+    const owner = () => this.owner();
+    return new PeerCoordinator({
+      ...this.services,
+      peers,
+      statuses,
+      unownedReports,
+      cancellationRelay,
+      standby,
+      owner,
+    });
+  }
+
   private makeVitals(): Vitals {
     const { client } = this.state;
     return new Vitals({
@@ -204,61 +191,19 @@
   }
 
   private makeHttpServer(): HttpServer {
-    const health = new HealthEndpoint({ ...this.services, statuses: this.statuses });
-    const users = this.makeUserApi();
-    const reports = this.makeReportHandler();
-    return new HttpServer({
-      network: this.runtime.network,
-      address: parseHostPort(this.settings.listen),
-      maxConnections: this.sockets.server,
-      mount: (app) => {
-        health.mount(app);
-        this.metrics.mount(app);
-        users.mount(app);
-      },
-      onReport: (body, res) => {
-        const answered = this.metrics.timeReport();
-        reports.handle(body, res);
-        answered();
-      },
-    });
-  }
-
-  private makeUserApi(): UserApi {
-    const { client, commits, jobs } = this.services;
-    return new UserApi({
-      clock: this.runtime.clock,
-      client,
-      commits,
-      jobs,
-      submissions: new SubmissionCheck(this.services),
-      types: () => this.services.types.all(),
-      onRequest: (kind) => {
-        this.vitals.questions++;
-        return this.metrics.timeQuestion(kind);
-      },
-      overloaded: () => this.lag.overloaded,
-      onAbort: (job) => this.cancellationRelay.request(job),
-      crowded: () => this.httpServer.crowded,
-    });
-  }
-
-  private makeReportHandler(): ReportHandler {
-    return new ReportHandler({
-      ...this.services,
+    const { services, statuses, cancellationRelay, standby, unownedReports } = this;
+    const { vitals, metrics, lag, sockets } = this;
+    return makeHttpServer({
+      services,
+      maxConnections: sockets.server,
+      statuses,
+      cancellationRelay,
+      standby,
+      unownedReports,
+      vitals,
+      metrics,
+      lag,
       entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
-      standby: this.standby,
-      unownedReports: this.unownedReports,
-      vitals: this.vitals,
     });
   }
-
-  private entitlementLimits(): EntitlementLimits {
-    const { nodes, workers } = this.settings.deployment;
-    return {
-      peerCount: nodes - 1,
-      silenceS: SILENCE_PERIODS * workers.report_s,
-      graceS: graceAfterLoss(workers.cancel_s, workers.lease_s, workers.report_s),
-    };
-  }
 }
--- /dev/null
+++ b/packages/controller/http-interface.ts
@@ -0,0 +1,76 @@
+import { parseHostPort } from '#wire';
+import type { CancellationRelay } from './cancellation-relay.js';
+import { HealthEndpoint } from './health-endpoint.js';
+import { HttpServer } from './http-server.js';
+import type { LagMonitor } from './lag.js';
+import type { MetricsEndpoint } from './metrics-endpoint.js';
+import type { PartOwner } from './owner.js';
+import { ReportHandler } from './report-handler.js';
+import type { ControllerServices } from './services.js';
+import type { StandbyRenewal } from './standby-renewal.js';
+import type { StatusExchange } from './status-exchange.js';
+import { SubmissionCheck } from './submission-check.js';
+import type { UnownedReports } from './unowned-reports.js';
+import { UserApi } from './user-api.js';
+import type { Vitals } from './vitals.js';
+
+/** What answers to workers, users and operators depend on. */
+export interface HttpInterfaceOptions {
+  services: ControllerServices;
+  /** Connections of workers and users that may be open. */
+  maxConnections: number;
+  statuses: StatusExchange;
+  cancellationRelay: CancellationRelay;
+  standby: StandbyRenewal;
+  unownedReports: UnownedReports;
+  vitals: Vitals;
+  metrics: MetricsEndpoint;
+  lag: LagMonitor;
+  /** Null while no owner here may answer workers. */
+  entitledOwner: () => PartOwner | null;
+}
+
+/** The server for workers, users and health checks, with all its routes. */
+export function makeHttpServer(options: HttpInterfaceOptions): HttpServer {
+  const { services, statuses, metrics, maxConnections } = options;
+  const { runtime, settings } = services;
+  const health = new HealthEndpoint({ ...services, statuses });
+  const users = makeUserApi(options, () => server.crowded);
+  const reports = new ReportHandler({ ...services, ...options });
+  const server: HttpServer = new HttpServer({
+    network: runtime.network,
+    address: parseHostPort(settings.listen),
+    maxConnections,
+    mount: (app) => {
+      health.mount(app);
+      metrics.mount(app);
+      users.mount(app);
+    },
+    onReport: (body, res) => {
+      const answered = metrics.timeReport();
+      reports.handle(body, res);
+      answered();
+    },
+  });
+  return server;
+}
+
+function makeUserApi(options: HttpInterfaceOptions, crowded: () => boolean): UserApi {
+  const { services, vitals, metrics, lag, cancellationRelay } = options;
+  const { runtime, client, commits, jobs, types } = services;
+  return new UserApi({
+    clock: runtime.clock,
+    client,
+    commits,
+    jobs,
+    submissions: new SubmissionCheck(services),
+    types: () => types.all(),
+    onRequest: (kind) => {
+      vitals.questions++;
+      return metrics.timeQuestion(kind);
+    },
+    overloaded: () => lag.overloaded,
+    onAbort: (job) => cancellationRelay.request(job),
+    crowded,
+  });
+}
--- a/packages/controller/owner-entitlement.ts
+++ b/packages/controller/owner-entitlement.ts
@@ -1,7 +1,12 @@
 import { Entitlement, EntitlementJudge, EntitlementLimits } from './entitlement.js';
 import type { PartOwner } from './owner.js';
+import type { PlatformSettings } from './platform-settings.js';
 import type { ControllerServices } from './services.js';
 import type { StatusExchange } from './status-exchange.js';
+import { graceAfterLoss } from './time-bounds.js';
+
+/** Report periods after which a peer that was not heard counts as out of reach. */
+const SILENCE_PERIODS = 2;
 
 type Services = Pick<ControllerServices, 'runtime' | 'settings' | 'client' | 'jobs' | 'ownership'>;
 
@@ -40,3 +45,13 @@
     });
   }
 }
+
+/** How many peers must be heard, and how old what they state may be. */
+export function entitlementLimits({ deployment }: PlatformSettings): EntitlementLimits {
+  const { nodes, workers } = deployment;
+  return {
+    peerCount: nodes - 1,
+    silenceS: SILENCE_PERIODS * workers.report_s,
+    graceS: graceAfterLoss(workers.cancel_s, workers.lease_s, workers.report_s),
+  };
+}
