Testing: the model of owners and workers is a folder of small modules

One function of 250 lines held workers, mail, owners, mistakes and checks. Owner, recorder, worker, traffic, checks and world are modules now, tuples are records, and the test lies beside core, which it tests.

--- a/packages/testing/safety.test.ts
+++ b/packages/core/safety.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Fault, simulate } from './simulation.js';
+import { type OwnerMistake, type OwnerViolation, playOwners } from '#testing';
 
 const SEEDS = 60;
 
-function brokenBy(fault: Fault, seeds: number): Set<string> {
-  const all = new Set<string>();
+function brokenBy(mistake: OwnerMistake, seeds: number): Set<OwnerViolation> {
+  const all = new Set<OwnerViolation>();
   for (let seed = 1; seed <= seeds; seed++) {
-    for (const rule of simulate(seed, fault)) all.add(rule);
+    for (const rule of playOwners(seed, mistake)) all.add(rule);
   }
   return all;
 }
@@ -17,7 +17,7 @@
 });
 
 // Each check is shown to be able to fail by one deliberate mistake.
-const trips: [Fault, string][] = [
+const trips: [OwnerMistake, OwnerViolation][] = [
   ['short-lease', 'ran_twice'],
   ['trusts-former-owner', 'ran_twice'],
   ['believes-old-copies', 'ran_twice'],
@@ -29,8 +29,8 @@
   ['deaf-to-aborts', 'ran_cancelled'],
   ['done-early', 'not_done'],
 ];
-for (const [fault, rule] of trips) {
-  test(`the check of ${rule} notices ${fault}`, () => {
-    assert.ok(brokenBy(fault, SEEDS).has(rule));
+for (const [mistake, rule] of trips) {
+  test(`the check of ${rule} notices ${mistake}`, () => {
+    assert.ok(brokenBy(mistake, SEEDS).has(rule));
   });
 }
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -1,4 +1,6 @@
 export * from './generators.js';
+export * from './owner-model/mistakes.js';
+export * from './owner-model/world.js';
 export * from './ownership/world.js';
 export * from './random.js';
 export * from './recorder-world.js';
--- /dev/null
+++ b/packages/testing/owner-model/checks.ts
@@ -0,0 +1,101 @@
+import { taskName } from '#wire';
+import type { DurableRecords } from './durable-records.js';
+import type { OwnerViolation } from './mistakes.js';
+import { TEAMS } from './teams.js';
+import { CANCEL_S, STEP_S } from './timing.js';
+import type { HeldTask, WorkerModel } from './worker.js';
+
+/** Watches the workers and the records for broken rules. */
+export class OwnerChecks {
+  readonly violations = new Set<OwnerViolation>();
+  /** Indices of the tasks that have really been done, by job. */
+  private readonly done = new Map<string, Set<number>>();
+
+  constructor(
+    private readonly records: DurableRecords,
+    private readonly workers: readonly WorkerModel[],
+  ) {}
+
+  /** A worker has just started a task. */
+  checkStart(worker: WorkerModel, task: HeldTask): void {
+    this.checkPlace(worker, task);
+    const { records, violations } = this;
+    const { team } = records.jobOf(task.job);
+    let gpus = 0;
+    for (const other of this.presentTasks()) {
+      const job = records.jobOf(other.job);
+      if (job.team === team) gpus += job.gpus;
+      const isSame = other.job === task.job && other.index === task.index;
+      if (isSame && other !== task) violations.add('ran_twice');
+    }
+    if (gpus > TEAMS.get(team)!.gpuLimit) violations.add('quota');
+  }
+
+  /** Notes which of a worker's tasks are done. */
+  noteDone(worker: WorkerModel): void {
+    for (const { job, index, state, cause } of worker.tasks.values()) {
+      if (state !== 'exited' || cause !== 'done') continue;
+      const done = this.done.get(job) ?? new Set();
+      this.done.set(job, done.add(index));
+      const { kind, tasks } = this.records.jobOf(job);
+      if (kind === 'gang') for (let other = 0; other < tasks; other++) done.add(other);
+    }
+  }
+
+  /** Checks all that must hold after each step. */
+  checkStep(now: number): void {
+    const seen = new Set<string>();
+    for (const worker of this.workers) {
+      for (const task of worker.present()) {
+        const name = taskName(task.job, task.index);
+        if (seen.has(name)) this.violations.add('ran_twice');
+        seen.add(name);
+        this.checkRecords(worker, task, now);
+      }
+    }
+    for (const { job, phase } of this.records.jobs.values()) {
+      const isDone = (this.done.get(job.id)?.size ?? 0) >= job.tasks;
+      if (phase === 'done' && !isDone) this.violations.add('not_done');
+    }
+  }
+
+  /** Checks that the model did run something. */
+  checkEnd(): void {
+    const phases = [...this.records.jobs.values()].map(({ phase }) => phase);
+    if (!phases.includes('done')) this.violations.add('nothing_ran');
+  }
+
+  private checkPlace(worker: WorkerModel, task: HeldTask): void {
+    const job = this.records.jobOf(task.job);
+    const zones = this.zonesOf(task.job);
+    const mostInZone = Math.ceil(job.tasks / 2);
+    const isWrong =
+      (job.spread && zones.get(worker.zone)! > mostInZone) ||
+      (job.oneZone && zones.size > 1) ||
+      (job.zone !== null && job.zone !== worker.zone) ||
+      (worker.spot && !job.spot);
+    if (isWrong) this.violations.add('wrong_place');
+  }
+
+  private checkRecords(worker: WorkerModel, task: HeldTask, now: number): void {
+    const { abortedAt } = this.records.jobs.get(task.job)!;
+    if (now > abortedAt + CANCEL_S) this.violations.add('ran_cancelled');
+    // A start that no durable record names could be forgotten by the next owner.
+    const isNew = now - task.startedAt < STEP_S;
+    if (isNew && !this.records.names(worker.name, task)) this.violations.add('unrecorded');
+  }
+
+  private presentTasks(): HeldTask[] {
+    return this.workers.flatMap((worker) => worker.present());
+  }
+
+  /** How many of the job's tasks are present in each zone. */
+  private zonesOf(job: string): Map<string, number> {
+    const zones = new Map<string, number>();
+    for (const worker of this.workers) {
+      const count = worker.present().filter((task) => task.job === job).length;
+      if (count > 0) zones.set(worker.zone, (zones.get(worker.zone) ?? 0) + count);
+    }
+    return zones;
+  }
+}
--- /dev/null
+++ b/packages/testing/owner-model/durable-records.ts
@@ -0,0 +1,60 @@
+import type { Job, TaskRef } from '#wire';
+
+interface JobRecord {
+  job: Job;
+  phase: 'accepted' | 'aborted' | 'done';
+  /** Steady seconds; Infinity unless aborted. */
+  abortedAt: number;
+}
+
+interface MachineRecord {
+  zone: string;
+  spot: boolean;
+  tasks: TaskRef[];
+}
+
+/** What is durable: the only thing that outlives an owner. */
+export class DurableRecords {
+  /** The term of the newest owner. */
+  term = 0;
+  /** Counts all changes. */
+  revision = 10;
+  readonly jobs = new Map<string, JobRecord>();
+  /** Indices of the tasks that are recorded as done, by job. */
+  readonly done = new Map<string, Set<number>>();
+  readonly machines = new Map<string, MachineRecord>();
+
+  jobOf(id: string): Job {
+    return this.jobs.get(id)!.job;
+  }
+
+  accept(job: Job): void {
+    this.revision++;
+    this.jobs.set(job.id, { job, phase: 'accepted', abortedAt: Infinity });
+  }
+
+  abort(record: JobRecord, now: number): void {
+    this.revision++;
+    record.phase = 'aborted';
+    record.abortedAt = now;
+  }
+
+  /** Jobs that are neither done nor aborted. */
+  openJobs(): JobRecord[] {
+    return [...this.jobs.values()].filter((record) => record.phase === 'accepted');
+  }
+
+  /** Begins a term and returns it. */
+  claim(): number {
+    this.term = ++this.revision;
+    return this.term;
+  }
+
+  /** Whether a record names this attempt on the machine. */
+  names(machine: string, { job, index, attempt }: TaskRef): boolean {
+    const tasks = this.machines.get(machine)?.tasks ?? [];
+    return tasks.some(
+      (task) => task.job === job && task.index === index && task.attempt === attempt,
+    );
+  }
+}
--- /dev/null
+++ b/packages/testing/owner-model/mail.ts
@@ -0,0 +1,20 @@
+interface Message {
+  at: number;
+  deliver: (now: number) => void;
+}
+
+/** Messages under way, delivered by the time of their arrival. */
+export class Mail {
+  private messages: Message[] = [];
+
+  post(at: number, deliver: (now: number) => void): void {
+    this.messages.push({ at, deliver });
+  }
+
+  /** Delivers what has arrived by now. */
+  deliver(now: number): void {
+    const { messages } = this;
+    messages.sort((first, second) => first.at - second.at);
+    while (messages.length > 0 && messages[0].at <= now) messages.shift()!.deliver(now);
+  }
+}
--- /dev/null
+++ b/packages/testing/owner-model/owner.ts
@@ -0,0 +1,97 @@
+import { FleetState, Scheduler } from '#core';
+import { STD } from '../samples.js';
+import type { DurableRecords } from './durable-records.js';
+import type { OwnerMistake } from './mistakes.js';
+import { markRecorded, RecorderModel } from './recorder.js';
+import { TEAMS, unlimitedTeams } from './teams.js';
+import { FORMER_OWNER_S, LEASE_S, REPORT_S } from './timing.js';
+
+const FLEET_SETTINGS = {
+  leaseS: LEASE_S,
+  reportS: REPORT_S,
+  gangPeerS: 6,
+  formerOwnerS: FORMER_OWNER_S,
+  halfLifeS: 3600,
+  maxTasksPerMachine: 50,
+};
+const SCHEDULE_SETTINGS = {
+  floorWeight: 0.05,
+  stopThreshold: 0.5,
+  gangLeaseS: 20,
+  preemptAfterS: 2,
+  decisionsPerRound: 50,
+};
+
+/** One term of an owner: its fleet state, a scheduler, and a recorder that takes a step to be durable. */
+export class OwnerModel {
+  readonly fleet: FleetState;
+  private readonly scheduler: Scheduler;
+  private readonly recorder: RecorderModel;
+  /** When it lost the state service: it can record nothing more and goes on answering for a while. */
+  deposedAt: number | null = null;
+  /** Stands still until then, while its clock runs on. */
+  thawsAt = -Infinity;
+
+  constructor(
+    private readonly records: DurableRecords,
+    private readonly mistake: OwnerMistake,
+    now: number,
+  ) {
+    const term = records.claim();
+    const settings = { ...FLEET_SETTINGS };
+    if (mistake === 'short-lease') settings.leaseS = LEASE_S / 4;
+    if (mistake === 'trusts-former-owner') settings.formerOwnerS = -LEASE_S;
+    this.fleet = new FleetState({ settings, term, claimedAt: now });
+    this.load(now);
+    const teams = mistake === 'no-limit' ? unlimitedTeams() : TEAMS;
+    this.scheduler = new Scheduler(this.fleet, teams, SCHEDULE_SETTINGS);
+    this.recorder = new RecorderModel(records, term, this.fleet, mistake);
+  }
+
+  /** Records what the step before changed, takes changes of jobs in, and schedules. */
+  step(now: number): void {
+    if (this.deposedAt !== null) return;
+    this.recorder.record();
+    this.takeJobs(now);
+    this.fleet.leases.expire(now);
+    this.fleet.machines.updateTotals();
+    this.scheduler.reservations.update(now);
+    this.scheduler.round(now);
+    if (this.mistake === 'order-before-record') {
+      for (const machine of this.fleet.machines.values()) markRecorded(machine);
+    }
+  }
+
+  /** One that lost the state service may answer no longer: the bound counts from when it lost it. */
+  hasGivenUp(now: number): boolean {
+    const { deposedAt, thawsAt } = this;
+    if (deposedAt === null) return false;
+    if (this.mistake === 'wakes-entitled' && thawsAt > deposedAt) return false;
+    return now > deposedAt + FORMER_OWNER_S;
+  }
+
+  private load(now: number): void {
+    const { records, fleet } = this;
+    fleet.machines.types.set(STD.name, STD);
+    for (const { job, phase } of records.jobs.values()) {
+      const state = fleet.addJob(job, now, phase, now);
+      for (const index of records.done.get(job.id) ?? []) state.done.add(index);
+    }
+    for (const [name, { zone, spot, tasks }] of records.machines) {
+      const facts = { name, addr: '', type: STD.name, zone, spot };
+      const machine = fleet.machines.register(facts, 'up', now);
+      for (const { job, index, attempt } of tasks) {
+        fleet.assignments.inherit(fleet.jobs.get(job)!, index, machine, attempt, now);
+      }
+    }
+    fleet.machines.updateTotals();
+  }
+
+  private takeJobs(now: number): void {
+    for (const { job, phase } of this.records.jobs.values()) {
+      if (phase === 'aborted' && this.mistake === 'deaf-to-aborts') continue;
+      const seen = this.mistake === 'any-zone' ? { ...job, zone: null, spread: false } : job;
+      this.fleet.addJob(seen, now, phase, now);
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/owner-model/random-job.ts
@@ -0,0 +1,40 @@
+import type { Job } from '#wire';
+import type { Chance } from '../random.js';
+
+const KINDS = ['array', 'array', 'service', 'gang'] as const;
+const MOST_ZEROS = 4;
+
+/** A job with the given number in its id. The length of the id tells how long its tasks run. */
+export function randomJob(chance: Chance, number: number): Job {
+  const kind = KINDS[chance.int(0, KINDS.length - 1)];
+  const zone = chance.hit(0.15) ? 'a' : null;
+  const job: Job = {
+    id: `j-${'0'.repeat(chance.int(0, MOST_ZEROS))}${number}`,
+    class: kind,
+    team: chance.hit(0.5) ? 'red' : 'blue',
+    kind,
+    rank: chance.int(0, 3),
+    tasks: chance.int(1, kind === 'array' ? 4 : 3),
+    cpus: 2,
+    gpus: chance.int(1, 2),
+    memory: 4,
+    image: `i${chance.int(0, 2)}`,
+    imageGb: 5,
+    types: null,
+    zone,
+    oneZone: chance.hit(0.2),
+    spread: zone === null && chance.hit(0.3),
+    spot: chance.hit(0.5),
+    estimateS: 10,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+  };
+  if (job.oneZone) job.spread = false;
+  return job;
+}
+
+/** How long each task of the job runs; seconds. */
+export function runTimeS({ id, kind }: Job): number {
+  return kind === 'service' ? Infinity : 3 + (id.length % 7) * 2;
+}
--- /dev/null
+++ b/packages/testing/owner-model/recorder.ts
@@ -0,0 +1,63 @@
+import type { FleetState, JobState, Machine } from '#core';
+import type { DurableRecords } from './durable-records.js';
+import type { OwnerMistake } from './mistakes.js';
+
+/** Makes an owner's state durable under the condition of its term, all at once. */
+export class RecorderModel {
+  constructor(
+    private readonly records: DurableRecords,
+    private readonly term: number,
+    private readonly fleet: FleetState,
+    private readonly mistake: OwnerMistake,
+  ) {}
+
+  /** Records all that has changed since the last call. */
+  record(): void {
+    const { records, fleet } = this;
+    if (records.term !== this.term) return;
+    records.revision++;
+    for (const id of fleet.unrecorded.jobs) this.recordProgress(fleet.jobs.get(id)!);
+    fleet.unrecorded.jobs.clear();
+    if (this.mistake !== 'order-before-record') {
+      for (const name of fleet.unrecorded.machines) this.recordMachine(name);
+    }
+    fleet.unrecorded.machines.clear();
+  }
+
+  private recordProgress(job: JobState): void {
+    const { records, fleet } = this;
+    const { id, tasks } = job.spec;
+    const record = records.jobs.get(id)!;
+    const done = new Set<number>();
+    for (let index = 0; index < tasks; index++) if (job.done.has(index)) done.add(index);
+    records.done.set(id, done);
+    const isComplete = this.mistake === 'done-early' ? done.size > 0 : done.size === tasks;
+    if (isComplete && record.phase === 'accepted') {
+      record.phase = 'done';
+      fleet.closeJob(job, 'done', 0);
+    }
+    job.hasUnrecordedProgress = false;
+  }
+
+  private recordMachine(name: string): void {
+    const { records, fleet } = this;
+    const machine = fleet.machines.get(name);
+    if (!machine) records.machines.delete(name);
+    else {
+      markRecorded(machine);
+      fleet.fencing.recorded(machine, records.revision);
+      const { zone, spot } = machine;
+      const tasks = [...machine.tasks.values()].map(({ job, index, attempt }) => ({
+        job: job.spec.id,
+        index,
+        attempt,
+      }));
+      records.machines.set(name, { zone, spot, tasks });
+    }
+  }
+}
+
+/** The machine's tasks may be started now. */
+export function markRecorded(machine: Machine): void {
+  for (const assignment of machine.tasks.values()) assignment.recorded = true;
+}
--- /dev/null
+++ b/packages/testing/owner-model/worker.ts
@@ -0,0 +1,138 @@
+import { type Order, type Report, taskName, type TaskRef, type TaskReport } from '#wire';
+import { STD } from '../samples.js';
+
+/** A task that a worker holds. */
+export interface HeldTask extends TaskReport {
+  startedAt: number;
+  runS: number;
+}
+
+export interface WorkerModelOptions {
+  name: string;
+  zone: string;
+  spot: boolean;
+  leaseS: number;
+  /** How long the tasks of a job run; seconds. */
+  runS: (job: string) => number;
+  /** Told of each task that it starts. */
+  onStart: (worker: WorkerModel, task: HeldTask) => void;
+}
+
+/** A worker as the protocol describes it: tokens, sessions, leases, orders. */
+export class WorkerModel {
+  readonly name: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly tasks = new Map<string, HeldTask>();
+  private session = 1;
+  private seq = 0;
+  private token = 0;
+  /** When the last answered report was sent. */
+  private renewedAt = 0;
+
+  constructor(private readonly options: WorkerModelOptions) {
+    ({ name: this.name, zone: this.zone, spot: this.spot } = options);
+  }
+
+  /** Tasks that are on the machine now, in the protocol's sense. */
+  present(): HeldTask[] {
+    return [...this.tasks.values()].filter((task) => task.state !== 'exited');
+  }
+
+  /** Ends all tasks if the lease has run out, and lets them go on otherwise. */
+  advance(now: number): void {
+    if (now - this.renewedAt > this.options.leaseS) {
+      this.tasks.clear();
+      this.session++;
+      this.renewedAt = now;
+    }
+    for (const task of this.tasks.values()) advanceTask(task, now);
+  }
+
+  report(): Report {
+    this.seq++;
+    const { name, zone, spot, session, seq, token } = this;
+    const tasks = [...this.tasks.values()].map(({ job, index, attempt, state, cause, saved }) => ({
+      job,
+      index,
+      attempt,
+      state,
+      cause,
+      saved,
+    }));
+    return {
+      machine: name,
+      addr: '127.0.0.1:1',
+      type: STD.name,
+      zone,
+      spot,
+      session,
+      seq,
+      token,
+      noticeS: null,
+      tasks,
+    };
+  }
+
+  /** The answer to a report of that session, which was sent at `sentAt`. */
+  answer(
+    to: { session: number; sentAt: number },
+    token: number,
+    orders: Order[],
+    now: number,
+  ): void {
+    if (token < this.token || to.session !== this.session) return;
+    this.token = token;
+    this.renewedAt = Math.max(this.renewedAt, to.sentAt);
+    this.execute(orders, now);
+  }
+
+  /** A direct command: runs whenever it arrives, if token and session still match; null if not. */
+  command(token: number, session: number, orders: Order[], now: number): Report | null {
+    if (token < this.token || session !== this.session) return null;
+    this.token = token;
+    this.execute(orders, now);
+    return this.report();
+  }
+
+  private execute(orders: Order[], now: number): void {
+    for (const order of orders) {
+      const name = taskName(order.job, order.index);
+      const held = this.tasks.get(name);
+      if (order.op === 'start') {
+        if (!held) this.start(name, order, now);
+        continue;
+      }
+      if (held?.attempt !== order.attempt) continue;
+      if (order.op === 'forget' && held.state === 'exited') this.tasks.delete(name);
+      if (order.op === 'stop' && held.state !== 'exited') {
+        held.state = 'exited';
+        held.cause = 'stopped';
+      }
+    }
+  }
+
+  private start(name: string, { job, index, attempt }: TaskRef, now: number): void {
+    const { runS, onStart } = this.options;
+    const task: HeldTask = {
+      job,
+      index,
+      attempt,
+      state: 'fetching',
+      cause: null,
+      saved: false,
+      startedAt: now,
+      runS: runS(job),
+    };
+    this.tasks.set(name, task);
+    onStart(this, task);
+  }
+}
+
+function advanceTask(task: HeldTask, now: number): void {
+  if (task.state === 'fetching') task.state = 'running';
+  else if (task.state === 'running' && now - task.startedAt >= task.runS) {
+    task.state = 'exited';
+    task.cause = 'done';
+  }
+}
