--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -1,6 +1,7 @@
 export * from './generators.js';
 export * from './owner-model/mistakes.js';
 export * from './owner-model/world.js';
+export * from './ownership/model.js';
 export * from './ownership/world.js';
 export * from './random.js';
 export * from './recorder-world.js';
--- /dev/null
+++ b/packages/testing/ownership/cluster.ts
@@ -0,0 +1,94 @@
+import type { Chance } from '../random.js';
+import { LinkModel } from './link.js';
+import { NodeModel } from './node.js';
+import { ServiceModel } from './service.js';
+import { LEASE_S } from './timing.js';
+
+/** A cancellation that a user was told of. */
+export interface ConfirmedCancellation {
+  job: string;
+  at: number;
+}
+
+/** The nodes with their links and the state service, and who of them can reach what. */
+export class OwnershipCluster {
+  /** Seconds since the beginning. */
+  now = 0;
+  readonly service = new ServiceModel();
+  readonly names = ['c-0', 'c-1', 'c-2'];
+  readonly confirmed: ConfirmedCancellation[] = [];
+  /** The state service is down from the first to the second; seconds. */
+  outage = { from: -Infinity, until: -Infinity };
+  /** The present life of each node, null while it is down. */
+  private readonly nodes = new Map<string, NodeModel | null>();
+  private readonly restartAt = new Map<string, number>();
+  private readonly refusedUntil = new Map<string, number>();
+  private readonly links = new Map<string, LinkModel>();
+  private lives = 0;
+
+  constructor(private readonly chance: Chance) {
+    for (const name of this.names) {
+      this.start(name);
+      for (const peer of this.peersOf(name)) this.links.set(`${name} ${peer}`, new LinkModel());
+    }
+  }
+
+  peersOf(name: string): string[] {
+    return this.names.filter((other) => other !== name);
+  }
+
+  node(name: string): NodeModel | null {
+    return this.nodes.get(name) ?? null;
+  }
+
+  link(from: string, to: string): LinkModel {
+    return this.links.get(`${from} ${to}`)!;
+  }
+
+  /** Nodes that are neither down nor stand still. */
+  running(): NodeModel[] {
+    return this.names
+      .map((name) => this.node(name))
+      .filter((node): node is NodeModel => node !== null && this.now >= node.frozenUntil);
+  }
+
+  isDown(): boolean {
+    return this.outage.from <= this.now && this.now < this.outage.until;
+  }
+
+  refuse(name: string, until: number): void {
+    this.refusedUntil.set(name, until);
+  }
+
+  /** The state service refuses this node alone. */
+  isRefused(name: string): boolean {
+    return this.now < (this.refusedUntil.get(name) ?? 0);
+  }
+
+  crash(name: string): void {
+    this.nodes.set(name, null);
+    this.restartAt.set(name, this.now + this.chance.next() * 0.6 * LEASE_S);
+  }
+
+  /** The node's present life; it is started if its time has come, null if it is down. */
+  nodeOrRestarted(name: string): NodeModel | null {
+    if (this.node(name) === null && this.now >= (this.restartAt.get(name) ?? 0)) this.start(name);
+    return this.node(name);
+  }
+
+  /** A user cancels a job at this node, which records it and tells its peers. */
+  cancel(node: NodeModel): void {
+    const { now, confirmed } = this;
+    const job = `j-${confirmed.length + 1}`;
+    node.cancellations.noteRequested(job, now);
+    for (const peer of this.peersOf(node.name)) {
+      this.link(node.name, peer).send({ kind: 'abort', job, ageMs: 0 }, now);
+    }
+    this.service.cancel(job);
+    confirmed.push({ job, at: now });
+  }
+
+  private start(name: string): void {
+    this.nodes.set(name, new NodeModel(name, ++this.lives, this.peersOf(name)));
+  }
+}
--- /dev/null
+++ b/packages/testing/ownership/model.ts
@@ -0,0 +1,15 @@
+/** One deliberate mistake, to show that the checks can fail. */
+export type OwnershipFault =
+  'none' | 'trusts-arrival' | 'trusts-restarted' | 'ignores-cancelled' | 'renews-for-the-living';
+
+/** What the model found wrong. */
+export type OwnershipViolation =
+  'acts-beside-successor' | 'acts-on-unknown-cancellation' | 'renews-beside-owner';
+
+export interface OwnershipRun {
+  violations: Set<OwnershipViolation>;
+  /** Steps in which an owner went on by the statements of its peers alone. */
+  attestedSteps: number;
+  /** Steps in which a node renewed leases for an owner that had ended. */
+  standbySteps: number;
+}
