--- /dev/null
+++ b/packages/wire/order.ts
@@ -0,0 +1,34 @@
+/** What a controller tells a worker: answers to its reports, direct commands and redirects. */
+import { taskName, type TaskRef } from './task.js';
+
+export type Order =
+  | ({ op: 'start' } & TaskRef)
+  | ({ op: 'stop'; graceS: number } & TaskRef)
+  | ({ op: 'forget' } & TaskRef);
+
+/** The body of a 200 to a report. */
+export function answerToWire(token: number, orders: Order[]): Record<string, unknown> {
+  return { baton: token, orders: orders.map(orderToWire) };
+}
+
+/** The body of a direct command. */
+export function commandToWire(
+  token: number,
+  session: number,
+  orders: Order[],
+): Record<string, unknown> {
+  return { baton: token, tenure: session, orders: orders.map(orderToWire) };
+}
+
+/** Where a worker should report instead; without a name it tries the next controller. */
+export function redirectToWire(owner: string | null): Record<string, unknown> {
+  return owner === null ? {} : { overseer: owner };
+}
+
+function orderToWire(order: Order): Record<string, unknown> {
+  const piece = taskName(order.job, order.index);
+  if (order.op === 'stop') {
+    return { verb: 'halt', piece, tryNo: order.attempt, windDownS: order.graceS };
+  }
+  return { verb: order.op, piece, tryNo: order.attempt };
+}
--- a/packages/wire/worker.ts
+++ b/packages/wire/report.ts
@@ -1,19 +1,20 @@
+/** A worker's report: the types, and how it is read and written. */
 import { MalformedBody } from './cbor.js';
 import { compileSchema } from './schema.js';
+import { taskName, type TaskRef } from './task.js';
 
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
 export type Cause =
   'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'no_room' | 'busy' | 'unknown';
 
-export interface TaskReport {
-  job: string;
-  index: number;
-  attempt: number;
+/** One task as its worker holds it. */
+export interface TaskReport extends TaskRef {
   state: TaskState;
   cause: Cause | null;
   saved: boolean;
 }
 
+/** A worker's heartbeat, with all its tasks. */
 export interface Report {
   machine: string;
   addr: string;
@@ -27,17 +28,6 @@
   tasks: TaskReport[];
 }
 
-export interface TaskRef {
-  job: string;
-  index: number;
-  attempt: number;
-}
-
-export type Order =
-  | ({ op: 'start' } & TaskRef)
-  | ({ op: 'stop'; graceS: number } & TaskRef)
-  | ({ op: 'forget' } & TaskRef);
-
 const STATES: Record<string, TaskState> = {
   pulling: 'fetching',
   gathering: 'waiting',
@@ -98,21 +88,19 @@
   tally: number;
   baton: number;
   warningS?: number | null;
-  pieces: {
-    piece: string;
-    tryNo: number;
-    phase: string;
-    cause?: string | null;
-    kept?: boolean | null;
-  }[];
+  pieces: RawTask[];
 }
 
-const valid = compileSchema<RawReport>(schema);
-
-export function taskName(job: string, index: number): string {
-  return `${job}/${index}`;
+interface RawTask {
+  piece: string;
+  tryNo: number;
+  phase: string;
+  cause?: string | null;
+  kept?: boolean | null;
 }
 
+const valid = compileSchema<RawReport>(schema);
+
 /** Reads a worker's report, or throws MalformedBody naming the field. */
 export function parseReport(raw: unknown): Report {
   if (!valid(raw)) {
@@ -129,17 +117,19 @@
     seq: raw.tally,
     token: raw.baton,
     noticeS: raw.warningS ?? null,
-    tasks: raw.pieces.map((p) => {
-      const slash = p.piece.lastIndexOf('/');
-      return {
-        job: p.piece.slice(0, slash),
-        index: Number(p.piece.slice(slash + 1)),
-        attempt: p.tryNo,
-        state: STATES[p.phase],
-        cause: p.cause ? (CAUSES[p.cause] ?? 'error') : null,
-        saved: p.kept === true,
-      };
-    }),
+    tasks: raw.pieces.map(parseTask),
+  };
+}
+
+function parseTask({ piece, tryNo, phase, cause, kept }: RawTask): TaskReport {
+  const slash = piece.lastIndexOf('/');
+  return {
+    job: piece.slice(0, slash),
+    index: Number(piece.slice(slash + 1)),
+    attempt: tryNo,
+    state: STATES[phase],
+    cause: cause ? (CAUSES[cause] ?? 'error') : null,
+    saved: kept === true,
   };
 }
 
@@ -147,48 +137,34 @@
 const CAUSE_NAMES = invert(CAUSES);
 
 function invert<T extends string>(map: Record<string, T>): Record<T, string> {
-  return Object.fromEntries(Object.entries(map).map(([k, v]) => [v, k])) as Record<T, string>;
+  return Object.fromEntries(Object.entries(map).map(([name, value]) => [value, name])) as Record<
+    T,
+    string
+  >;
 }
 
 /** The protocol's form of a report; what a worker sends. */
-export function reportToWire(r: Report): Record<string, unknown> {
+export function reportToWire(report: Report): Record<string, unknown> {
   return {
-    host: r.machine,
-    address: r.addr,
-    rig: r.type,
-    yard: r.zone,
-    loaner: r.spot,
-    tenure: r.session,
-    tally: r.seq,
-    baton: r.token,
-    warningS: r.noticeS,
-    pieces: r.tasks.map((t) => ({
-      piece: taskName(t.job, t.index),
-      tryNo: t.attempt,
-      phase: STATE_NAMES[t.state],
-      ...(t.cause ? { cause: CAUSE_NAMES[t.cause] } : {}),
-      ...(t.saved ? { kept: true } : {}),
-    })),
+    host: report.machine,
+    address: report.addr,
+    rig: report.type,
+    yard: report.zone,
+    loaner: report.spot,
+    tenure: report.session,
+    tally: report.seq,
+    baton: report.token,
+    warningS: report.noticeS,
+    pieces: report.tasks.map(taskToWire),
   };
 }
 
-function orderToWire(o: Order): Record<string, unknown> {
-  const piece = taskName(o.job, o.index);
-  if (o.op === 'stop') {
-    return { verb: 'halt', piece, tryNo: o.attempt, windDownS: o.graceS };
-  }
-  return { verb: o.op, piece, tryNo: o.attempt };
-}
-
-export function answerToWire(token: number, orders: Order[]): Record<string, unknown> {
-  return { baton: token, orders: orders.map(orderToWire) };
-}
-/** The body of a direct command. */
-export function commandToWire(token: number, session: number, orders: Order[]) {
-  return { baton: token, tenure: session, orders: orders.map(orderToWire) };
-}
-
-/** Where a worker should report instead; without a name it tries the next controller. */
-export function redirectToWire(owner: string | null): Record<string, unknown> {
-  return owner === null ? {} : { overseer: owner };
+function taskToWire({ job, index, attempt, state, cause, saved }: TaskReport) {
+  return {
+    piece: taskName(job, index),
+    tryNo: attempt,
+    phase: STATE_NAMES[state],
+    ...(cause ? { cause: CAUSE_NAMES[cause] } : {}),
+    ...(saved ? { kept: true } : {}),
+  };
 }
--- a/packages/wire/serving/worker.ts
+++ b/packages/wire/serving/worker.ts
@@ -1,6 +1,7 @@
 /** The worker's side of its interface: answers to reports and direct commands, as it reads them. */
 import { MalformedBody } from '../cbor.js';
-import type { Order, TaskRef } from '../worker.js';
+import type { Order } from '../order.js';
+import type { TaskRef } from '../task.js';
 import { asFields, integerField, listField, textField, type Fields } from './fields.js';
 
 /** What a controller answers to a report. */
