--- a/packages/wire/state.ts
+++ b/packages/wire/state.ts
@@ -1,4 +1,4 @@
-import { CborClient } from './http.js';
+import { type Answer, CborClient } from './http.js';
 import type { Runtime } from './runtime.js';
 
 export interface Entry {
@@ -48,8 +48,23 @@
   stamp: number;
 }
 
+interface RawEvent {
+  set?: string;
+  remove?: string;
+  value?: unknown;
+  stamp: number;
+}
+
 const LIST_PAGE = 1000;
 
+interface Call {
+  body?: unknown;
+  timeoutMs?: number;
+  signal: AbortSignal | undefined;
+  /** Statuses besides 200 that are an answer and no refusal. */
+  expected?: number[];
+}
+
 /** The state service's interface, call by call; budgets and retries are the store package's. */
 export class StateApi {
   private readonly http: CborClient;
@@ -63,10 +78,9 @@
   }
 
   async get(key: string, signal?: AbortSignal): Promise<Entry | null> {
-    const res = await this.call('GET', `/store/${key}`, undefined, this.timeoutMs, signal, [404]);
+    const res = await this.call('GET', `/store/${key}`, { signal, expected: [404] });
     if (res.status === 404) return null;
-    const raw = res.body as RawEntry;
-    return { key: raw.k, value: raw.value, version: raw.stamp };
+    return readEntry(res.body as RawEntry);
   }
 
   async list(
@@ -76,10 +90,10 @@
   ): Promise<{ entries: Entry[]; more: boolean; revision: number }> {
     const from = after === null ? '' : `&after=${after}`;
     const path = `/store?prefix=${prefix}${from}&most=${LIST_PAGE}`;
-    const res = await this.call('GET', path, undefined, this.timeoutMs, signal);
+    const res = await this.call('GET', path, { signal });
     const raw = res.body as { entries: RawEntry[]; more: boolean; epoch: number };
     return {
-      entries: raw.entries.map((e) => ({ key: e.k, value: e.value, version: e.stamp })),
+      entries: raw.entries.map(readEntry),
       more: raw.more,
       revision: raw.epoch,
     };
@@ -87,12 +101,10 @@
 
   async txn(conditions: Condition[], changes: Change[], signal?: AbortSignal): Promise<TxnOutcome> {
     const body = {
-      if: conditions.map((c) => ({ k: c.key, stamp: c.version })),
-      apply: changes.map((c) =>
-        'put' in c ? { set: c.put, value: c.value, permit: c.lease } : { remove: c.delete },
-      ),
+      if: conditions.map(({ key, version }) => ({ k: key, stamp: version })),
+      apply: changes.map(changeToWire),
     };
-    const res = await this.call('POST', '/multi', body, this.timeoutMs, signal, [400, 409]);
+    const res = await this.call('POST', '/multi', { body, signal, expected: [400, 409] });
     const raw = res.body as { epoch: number; failed?: string[]; error?: string };
     if (res.status === 200) return { ok: true, revision: raw.epoch };
     if (res.status === 409) return { ok: false, failed: raw.failed ?? [], revision: raw.epoch };
@@ -101,19 +113,19 @@
   }
 
   async grant(ttlMs: number, signal?: AbortSignal): Promise<number> {
-    const res = await this.call('POST', '/grants', { ttlMs }, this.timeoutMs, signal);
+    const res = await this.call('POST', '/grants', { body: { ttlMs }, signal });
     return (res.body as { permit: number }).permit;
   }
 
   /** False: the grant has ended. */
   async touch(grant: number, signal?: AbortSignal): Promise<boolean> {
     const path = `/grants/${grant}/touch`;
-    const res = await this.call('POST', path, undefined, this.timeoutMs, signal, [404]);
+    const res = await this.call('POST', path, { signal, expected: [404] });
     return res.status === 200;
   }
 
   async drop(grant: number, signal?: AbortSignal): Promise<void> {
-    await this.call('DELETE', `/grants/${grant}`, undefined, this.timeoutMs, signal, [404]);
+    await this.call('DELETE', `/grants/${grant}`, { signal, expected: [404] });
   }
 
   async changes(
@@ -123,36 +135,44 @@
     signal?: AbortSignal,
   ): Promise<WatchOutcome> {
     const path = `/changes?prefix=${prefix}&after=${after}&blockMs=${waitMs}`;
-    const res = await this.call('GET', path, undefined, waitMs + this.timeoutMs, signal, [410]);
+    const res = await this.call('GET', path, {
+      timeoutMs: waitMs + this.timeoutMs,
+      signal,
+      expected: [410],
+    });
     if (res.status === 410) return 'too-old';
     const raw = res.body as {
       epoch: number;
-      events: { set?: string; remove?: string; value?: unknown; stamp: number }[];
-    };
-    return {
-      revision: raw.epoch,
-      events: raw.events.map((e) =>
-        e.set !== undefined
-          ? { key: e.set, value: e.value, version: e.stamp }
-          : { key: e.remove ?? '', version: e.stamp },
-      ),
+      events: RawEvent[];
     };
+    return { revision: raw.epoch, events: raw.events.map(readEvent) };
   }
 
   close(): void {
     this.http.close();
   }
 
-  private async call(
-    method: string,
-    path: string,
-    body: unknown,
-    timeoutMs: number,
-    signal: AbortSignal | undefined,
-    expected: number[] = [],
-  ) {
-    const res = await this.http.call(method, path, { timeoutMs, signal, body });
-    if (res.status !== 200 && !expected.includes(res.status)) throw new StateRefused(res.status);
-    return res;
+  /** Resolves with a 200 or an expected status; rejects with NoAnswer or StateRefused. */
+  private async call(method: string, path: string, call: Call): Promise<Answer> {
+    const { body, timeoutMs = this.timeoutMs, signal, expected = [] } = call;
+    const answer = await this.http.call(method, path, { timeoutMs, signal, body });
+    if (answer.status !== 200 && !expected.includes(answer.status)) {
+      throw new StateRefused(answer.status);
+    }
+    return answer;
   }
 }
+
+function readEntry({ k, value, stamp }: RawEntry): Entry {
+  return { key: k, value, version: stamp };
+}
+
+function readEvent({ set, remove, value, stamp }: RawEvent): WatchEvent {
+  if (set !== undefined) return { key: set, value, version: stamp };
+  return { key: remove ?? '', version: stamp };
+}
+
+function changeToWire(change: Change): Record<string, unknown> {
+  if ('delete' in change) return { remove: change.delete };
+  return { set: change.put, value: change.value, permit: change.lease };
+}
