--- /dev/null
+++ b/packages/controller/controller.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { test } from 'node:test';
+import { ListenError, nodeRuntime, sleep, UserClient } from '#wire';
+import { aJob, CountingRuntime, STD, until } from '#testing';
+import {
+  CloudService,
+  FREE_LOOPBACK_PORT,
+  StateService,
+  USUAL_BOOTS,
+} from '../testing/standins/index.js';
+import { Controller } from './controller.js';
+import { makeLog } from './log.js';
+import type { Settings } from './settings.js';
+
+/** A state service on the machine's own loopback. */
+async function aStateService() {
+  const limits = { rps: 500, writeRps: 200, valueKb: 8, txnOps: 24 };
+  const state = new StateService(nodeRuntime, limits);
+  const { target } = await state.listen(FREE_LOOPBACK_PORT);
+  return { state, stateAt: target };
+}
+
+/** A cloud whose machines never come up. */
+async function aCloud() {
+  let rented = 0;
+  const hosting = {
+    addressOf: (number: number) => ({ host: '127.0.0.1', port: (rented = number) }),
+    powerOn: () => {},
+    powerOff: () => {},
+    giveNotice: () => {},
+  };
+  const options = { types: [STD], capacity: [{ machines: 3 }], rps: 20, listLagS: 1 };
+  const cloud = new CloudService(nodeRuntime, options, hosting);
+  cloud.setBootProfile({ ...USUAL_BOOTS, neverShare: 1 });
+  const { target } = await cloud.listen(FREE_LOOPBACK_PORT);
+  return { cloud, cloudAt: target, rented: () => rented };
+}
+
+function settingsFor(stateAt: string, cloudAt: string, number: number): Settings {
+  const peer = 1 - number;
+  return {
+    host_name: `c-${number}`,
+    zone: 'a',
+    listen: `127.0.0.1:${100 + number}`,
+    cluster_listen: `127.0.0.1:${200 + number}`,
+    peers: [{ host_name: `c-${peer}`, zone: 'a', peer_addr: `127.0.0.1:${200 + peer}` }],
+    external: { cloud: cloudAt, state: stateAt },
+    deployment: {
+      nodes: 2,
+      zones: ['a'],
+      clock_off_ms: 0,
+      teams: [{ name: 'red', cpus: 8, cpus_max: 80, gpus: 2, gpus_max: 20 }],
+      objectives: [],
+      workers: { report_s: 0.5, lease_s: 4, gang_wait_s: 5, gang_peer_s: 2, cancel_s: 10 },
+      state: { rps: 500, write_rps: 200, value_kb: 8, txn_ops: 24 },
+      cloud: { rps: 20, list_lag_s: 1 },
+      limits: { cpu_share: 1, memory_mb: 100, sockets: 200 },
+    },
+    operator: {
+      shareHalfLifeS: 1000,
+      floorWeight: 0.05,
+      stopThreshold: 0.5,
+      gangLeaseS: 48,
+      preemptAfterS: 1,
+      ownerTtlS: 1,
+      reserveSigmas: 2,
+      idleHoldS: 24,
+      arrivalMemoryS: 48,
+    },
+  };
+}
+
+test('two controllers in one process serve over plain streams and end all that they started', async () => {
+  const { state, stateAt } = await aStateService();
+  const { cloud, cloudAt, rented } = await aCloud();
+  const log = makeLog(nodeRuntime.clock, 'c', 'error');
+  const runtime = new CountingRuntime();
+  const stop = new AbortController();
+  const runs = [0, 1].map((number) =>
+    new Controller(runtime, settingsFor(stateAt, cloudAt, number), log).run(stop.signal),
+  );
+  const client = new UserClient('127.0.0.1:101', 5000, runtime);
+  const job = aJob({ cpus: 1, gpus: 1, memory: 1 });
+  await until(async () => (await client.submit(job).catch(() => null))?.status === 201);
+  await until(() => rented() > 0);
+  // One call is under way when the controllers end.
+  const last = client.abort(job.id).catch(() => null);
+  stop.abort();
+  await Promise.all(runs);
+  await last;
+  client.close();
+  await sleep(nodeRuntime.clock, 50);
+  assert.deepEqual(
+    { timers: runtime.timers, connections: runtime.connections, listening: runtime.listening },
+    { timers: 0, connections: 0, listening: 0 },
+  );
+  state.close();
+  cloud.close();
+});
+
+test('an address that is taken ends the controller with an error and all that it started', async () => {
+  const { state, stateAt } = await aStateService();
+  const runtime = new CountingRuntime();
+  const settings = settingsFor(stateAt, stateAt, 0);
+  const log = makeLog(nodeRuntime.clock, 'c', 'error');
+  for (const port of [100, 200]) {
+    const taken = net.createServer();
+    await runtime.network.listen(taken, { host: '127.0.0.1', port });
+    await assert.rejects(
+      new Controller(runtime, settings, log).run(new AbortController().signal),
+      ListenError,
+    );
+    taken.close();
+    await sleep(nodeRuntime.clock, 50);
+    assert.deepEqual([runtime.timers, runtime.connections, runtime.listening], [0, 0, 0]);
+  }
+  state.close();
+});
--- /dev/null
+++ b/packages/controller/pacer.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { HandClock } from '#testing';
+import { Pacer } from './pacer.js';
+
+test('paced work runs at once, rests for a multiple of its length, and outlives its errors', () => {
+  const clock = new HandClock();
+  const runs: number[] = [];
+  const errors: unknown[] = [];
+  let lengthMs = 0;
+  let more = 0;
+  let fails = false;
+  const pacer = new Pacer({
+    clock,
+    periodMs: 100,
+    minRestMs: 20,
+    restRatio: 3,
+    run: () => {
+      runs.push(Math.round(clock.wallMs()));
+      clock.compute(lengthMs);
+      if (fails) throw new Error('fault');
+      return more-- > 0;
+    },
+    onError: (err) => errors.push(err),
+  });
+  pacer.request();
+  assert.deepEqual(runs.splice(0), []);
+  pacer.start();
+  pacer.request();
+  pacer.request();
+  pacer.request();
+  assert.deepEqual(runs.splice(0), [0]);
+  // Requests within the rest share one run at its end; without any the period brings the next.
+  clock.advance(99);
+  assert.deepEqual(runs.splice(0), [20]);
+  clock.advance(1);
+  assert.deepEqual(runs.splice(0), [100]);
+  // A long run rests for three times its length, periods or not; one with more to do does not rest.
+  lengthMs = 50;
+  more = 1;
+  clock.advance(100);
+  assert.deepEqual(runs.splice(0), [200, 250]);
+  clock.advance(249);
+  assert.deepEqual(runs.splice(0), [450]);
+  lengthMs = 0;
+  fails = true;
+  clock.advance(201);
+  assert.equal(errors.length, runs.length);
+  assert.ok(runs.splice(0).length >= 2);
+  pacer.stop();
+  pacer.request();
+  clock.advance(1000);
+  assert.deepEqual(runs, []);
+  assert.equal(clock.timers, 0);
+});
--- /dev/null
+++ b/packages/testing/counting-runtime.ts
@@ -0,0 +1,71 @@
+import type net from 'node:net';
+import { type Duplex, duplexPair } from 'node:stream';
+import { type Clock, nodeRuntime, type Runtime, type Timer } from '#wire';
+
+/** The machine itself, counting the timers and connections that have been started and not ended. */
+export class CountingRuntime implements Runtime {
+  timers = 0;
+  connections = 0;
+  /** Servers that connections are handed to as plain streams, by port. */
+  private readonly servers = new Map<number, net.Server>();
+
+  readonly clock: Clock = {
+    now: nodeRuntime.clock.now,
+    wallMs: nodeRuntime.clock.wallMs,
+    setTimer: (callback, delayMs) => this.countTimer(callback, delayMs),
+  };
+
+  readonly network: Runtime['network'] = {
+    connect: (address) => {
+      const server = this.servers.get(address.port);
+      const connection = server ? connectStream(server) : nodeRuntime.network.connect(address);
+      this.connections++;
+      connection.once('close', () => this.connections--);
+      return connection;
+    },
+    listen: async (server, { port }) => {
+      if (this.servers.has(port)) throw new Error('address in use');
+      this.servers.set(port, server);
+      server.once('close', () => this.servers.delete(port));
+    },
+  };
+
+  random(): number {
+    return nodeRuntime.random();
+  }
+
+  get listening(): number {
+    return this.servers.size;
+  }
+
+  private countTimer(callback: () => void, delayMs: number): Timer {
+    let pending = true;
+    const settle = () => {
+      if (pending) this.timers--;
+      pending = false;
+    };
+    this.timers++;
+    const timer = nodeRuntime.clock.setTimer(() => {
+      settle();
+      callback();
+    }, delayMs);
+    return {
+      cancel: () => {
+        settle();
+        timer.cancel();
+      },
+    };
+  }
+}
+
+/** A connection as a simulated network hands it over: streams without a socket's own methods. */
+function connectStream(server: net.Server): Duplex {
+  const [here, there] = duplexPair();
+  here.once('close', () => there.destroy());
+  there.once('close', () => here.destroy());
+  setImmediate(() => {
+    server.emit('connection', there);
+    here.emit('connect');
+  });
+  return here;
+}
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -1,4 +1,6 @@
+export * from './counting-runtime.js';
 export * from './generators.js';
+export * from './hand-clock.js';
 export * from './owner-model/mistakes.js';
 export * from './owner-model/world.js';
 export * from './ownership/model.js';
@@ -8,3 +10,4 @@
 export * from './samples.js';
 export * from './simulation/index.js';
 export * from './state-world.js';
+export * from './until.js';
