--- /dev/null
+++ b/packages/wire/cbor.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { anyJob, SEEDED } from '#testing';
+import { decode, encode, MalformedBody } from './cbor.js';
+import { jobToWire, parseJob } from './job.js';
+
+test('any bytes decode or are called malformed, never anything else', () => {
+  const check = (bytes: Uint8Array) => {
+    try {
+      const value = decode(bytes);
+      try {
+        parseJob(value);
+      } catch (err) {
+        assert.ok(err instanceof MalformedBody);
+      }
+    } catch (err) {
+      assert.ok(err instanceof MalformedBody, String(err));
+    }
+  };
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), check), SEEDED);
+  // Truncated bodies, nesting as deep as a body allows, and a number beyond any integer type.
+  fc.assert(
+    fc.property(anyJob, fc.nat(400), (job, cut) => check(encode(jobToWire(job)).subarray(0, cut))),
+    SEEDED,
+  );
+  check(new Uint8Array(65_536).fill(0x81));
+  check(Uint8Array.from([0x1b, 255, 255, 255, 255, 255, 255, 255, 255]));
+});
--- /dev/null
+++ b/packages/wire/job.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { anyJob, SEEDED } from '#testing';
+import { decode, encode, MalformedBody } from './cbor.js';
+import { jobToWire, parseJob } from './job.js';
+
+test('jobs survive their way through the wire format', () => {
+  fc.assert(
+    fc.property(anyJob, (job) => assert.deepEqual(parseJob(decode(encode(jobToWire(job)))), job)),
+    SEEDED,
+  );
+});
+
+test('a submission with any field missing or of a wrong kind is malformed', () => {
+  const good = jobToWire({
+    id: 'j-000001',
+    class: 'c',
+    team: 't',
+    kind: 'gang',
+    rank: 1,
+    tasks: 2,
+    cpus: 1,
+    gpus: 0,
+    memory: 1,
+    image: 'i',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    estimateS: 0,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+  });
+  const optional = ['rigs', 'yard', 'dueS'];
+  for (const field of Object.keys(good)) {
+    const without = { ...good };
+    delete without[field];
+    if (optional.includes(field)) parseJob(without);
+    else assert.throws(() => parseJob(without), MalformedBody, field);
+    assert.throws(() => parseJob({ ...good, [field]: { x: 1 } }), MalformedBody, field);
+  }
+  for (const pieces of [0, 100_001, 1.5, -1, 2 ** 60]) {
+    assert.throws(() => parseJob({ ...good, pieces }), MalformedBody);
+  }
+  parseJob({ ...good, unknownField: [1, 2] });
+});
--- /dev/null
+++ b/packages/wire/order.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { anyAmount, anyCount, anyTaskRef, record, SEEDED } from '#testing';
+import { decode, encode } from './cbor.js';
+import { answerToWire } from './order.js';
+import { parseReportAnswer } from './serving/index.js';
+
+test('orders survive their way to the worker', () => {
+  const order = fc.oneof(
+    record({ op: fc.constant('start' as const), ...anyTaskRef }),
+    record({ op: fc.constant('forget' as const), ...anyTaskRef }),
+    record({ op: fc.constant('stop' as const), graceS: anyAmount, ...anyTaskRef }),
+  );
+  fc.assert(
+    fc.property(anyCount, fc.array(order), (token, orders) => {
+      assert.deepEqual(parseReportAnswer(decode(encode(answerToWire(token, orders)))), {
+        token,
+        orders,
+      });
+    }),
+    SEEDED,
+  );
+});
