--- /dev/null
+++ b/packages/controller/direct.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { nodeRuntime } from '#wire';
+import { aFleet, aJob, aMachine, aReport } from '#testing';
+import { FREE_LOOPBACK_PORT, serveCbor } from '../testing/standins/index.js';
+import { DirectCommands } from './direct.js';
+
+test('direct commands to many machines keep to their share of the sockets', async () => {
+  // Guards against one kept connection for each of hundreds of machines, beside all reports.
+  const machines = 12;
+  const most = 3;
+  const fleet = aFleet();
+  let ordered = 0;
+  let atOnce = 0;
+  let underWay = 0;
+  const workers = [];
+  for (let i = 0; i < machines; i++) {
+    const name = `n-${i}`;
+    const worker = await serveCbor(nodeRuntime, FREE_LOOPBACK_PORT, async ({ body }) => {
+      atOnce = Math.max(atOnce, ++underWay);
+      await new Promise((resolve) => setImmediate(resolve));
+      ordered += (body as { orders: unknown[] }).orders.length;
+      underWay--;
+      return { status: 409, body: {} };
+    });
+    workers.push(worker);
+    const machine = aMachine(fleet, name);
+    fleet.reports.handle(aReport({ machine: name, addr: worker.target }), 0);
+    machine.answeredAt = nodeRuntime.clock.now();
+    const job = fleet.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
+    fleet.assignments.assign(job, 0, machine, fleet.assignments.newAttempt(), 0).recorded = true;
+  }
+  const stop = new AbortController();
+  await new Promise<void>((resolve) => {
+    const direct = new DirectCommands({
+      runtime: nodeRuntime,
+      fleet,
+      timeoutMs: 5000,
+      maxConnections: most,
+      onOrders: () => {},
+      onDone: () => {
+        assert.ok(direct.connections <= most);
+        if (ordered === machines) {
+          direct.close();
+          resolve();
+        } else direct.push(stop.signal);
+      },
+    });
+    direct.push(stop.signal);
+  });
+  assert.equal(ordered, machines);
+  assert.ok(atOnce <= most);
+  for (const worker of workers) worker.close();
+});
--- /dev/null
+++ b/packages/controller/user-api-abort.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { NoAnswer } from '#wire';
+import { aJob, postBytes, serveOnLoopback } from '#testing';
+import { makeApp } from './http-server.js';
+import { UserApi, type UserApiOptions } from './user-api.js';
+
+test('whoever owns hears of an abort before it is recorded, whatever becomes of the record', async () => {
+  // Guards against tasks that run on past their time: the controller that recorded an abort ended
+  // before it told the owner, and an outage of the state service began.
+  const seen: string[] = [];
+  const record = { job: aJob(), acceptedAtMs: 0, phase: 'accepted', version: 3 };
+  const options = {
+    client: { call: () => Promise.reject(new NoAnswer('cut')) },
+    commits: {
+      commit: () => {
+        seen.push('commit');
+        return Promise.reject(new NoAnswer('cut'));
+      },
+    },
+    jobs: { get: () => record, cache: { sync: () => Promise.resolve() } },
+    onRequest: () => () => {},
+    crowded: () => false,
+    onAbort: (id: string) => seen.push(id),
+  };
+  const app = makeApp();
+  new UserApi(options as unknown as UserApiOptions).mount(app);
+  const { port, close } = await serveOnLoopback(app);
+  const status = await postBytes(port, `/submissions/${record.job.id}/abort`, new Uint8Array());
+  close();
+  assert.equal(status, 503);
+  assert.deepEqual(seen.slice(0, 2), [record.job.id, 'commit']);
+});
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -1,6 +1,7 @@
 export * from './counting-runtime.js';
 export * from './generators.js';
 export * from './hand-clock.js';
+export * from './loopback-server.js';
 export * from './owner-model/mistakes.js';
 export * from './owner-model/world.js';
 export * from './ownership/model.js';
