--- a/packages/controller/entitlement.test.ts
+++ b/packages/controller/entitlement.test.ts
@@ -1,40 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { StatusFrame } from '#peer';
-import { SEEDED } from '#testing';
+import { aPeerStatus, SEEDED, STATED_TERM as TERM } from '#testing';
 import { cutFromWorkers, EntitlementJudge, OwnerView } from './entitlement.js';
-import { PeerStatus } from './peer-status.js';
+import type { PeerStatus } from './peer-status.js';
 import { checkTimes, graceAfterLoss } from './time-bounds.js';
 
 const LIMITS = { peerCount: 2, silenceS: 2, graceS: 12 };
-const TERM = 50;
-
-/** A peer that was refused since second 10 and says so at second `at`. */
-function refusedPeer(at: number, frame: Partial<StatusFrame> = {}): PeerStatus {
-  return {
-    heardAt: at,
-    asOf: at - 0.5,
-    servedAt: 10,
-    frame: {
-      kind: 'status',
-      life: 1,
-      sequence: 1,
-      echo: null,
-      servedAgoMs: 0,
-      refused: true,
-      loaded: true,
-      owner: false,
-      mayOwn: false,
-      holder: { term: TERM, name: 'c-0' },
-      unownedReports: 0,
-      jobsRevision: 100,
-      cancelledSince: 100,
-      cancelled: [],
-      ...frame,
-    },
-  };
-}
 
 /** An owner that the state service has refused since second 10. */
 function viewAt(now: number, peers: (PeerStatus | null)[], over: Partial<OwnerView> = {}) {
@@ -59,10 +31,10 @@
   const judge = new EntitlementJudge(LIMITS);
   for (let now = 10; now < 200; now++) {
     const expected = now < 13 ? 'granted' : 'attested';
-    assert.equal(judge.judge(viewAt(now, [refusedPeer(now), refusedPeer(now)])), expected);
+    assert.equal(judge.judge(viewAt(now, [aPeerStatus(now), aPeerStatus(now)])), expected);
   }
   // Once one falls silent, the time since the last proof is bounded.
-  const silent = (now: number) => viewAt(now, [refusedPeer(now), refusedPeer(199)]);
+  const silent = (now: number) => viewAt(now, [aPeerStatus(now), aPeerStatus(199)]);
   assert.equal(judge.judge(silent(205)), 'grace');
   assert.equal(judge.judge(silent(209)), 'grace');
   assert.equal(judge.judge(silent(211)), 'none');
@@ -71,37 +43,37 @@
 test('what one peer does not state falls back to the bound after the loss', () => {
   const incomplete: [string, PeerStatus | null][] = [
     ['never heard', null],
-    ['nothing read of ours', { ...refusedPeer(20), asOf: -Infinity }],
-    ['restarted without the records', refusedPeer(20, { loaded: false })],
-    ['may own', refusedPeer(20, { mayOwn: true })],
-    ['too many cancellations to tell', refusedPeer(20, { cancelledSince: Infinity })],
-    ['its last request was served', refusedPeer(20, { refused: false })],
+    ['nothing read of ours', { ...aPeerStatus(20), asOf: -Infinity }],
+    ['restarted without the records', aPeerStatus(20, { loaded: false })],
+    ['may own', aPeerStatus(20, { mayOwn: true })],
+    ['too many cancellations to tell', aPeerStatus(20, { cancelledSince: Infinity })],
+    ['its last request was served', aPeerStatus(20, { refused: false })],
   ];
   for (const [why, peer] of incomplete) {
-    assert.equal(judgeOnce(viewAt(20, [refusedPeer(20), peer])), 'grace', why);
-    assert.equal(judgeOnce(viewAt(22, [refusedPeer(22), peer])), 'none', why);
+    assert.equal(judgeOnce(viewAt(20, [aPeerStatus(20), peer])), 'grace', why);
+    assert.equal(judgeOnce(viewAt(22, [aPeerStatus(22), peer])), 'none', why);
   }
 });
 
 test('what a peer stated before it fell silent counts as of then, and no longer', () => {
-  const silent = refusedPeer(17);
-  assert.equal(judgeOnce(viewAt(20, [refusedPeer(20), silent])), 'grace');
-  assert.equal(judgeOnce(viewAt(28, [refusedPeer(28), silent])), 'grace');
-  assert.equal(judgeOnce(viewAt(29, [refusedPeer(29), silent])), 'none');
+  const silent = aPeerStatus(17);
+  assert.equal(judgeOnce(viewAt(20, [aPeerStatus(20), silent])), 'grace');
+  assert.equal(judgeOnce(viewAt(28, [aPeerStatus(28), silent])), 'grace');
+  assert.equal(judgeOnce(viewAt(29, [aPeerStatus(29), silent])), 'none');
 });
 
 test('an owner yields at once to a peer that is served, or that knows a newer term', () => {
-  const served = { ...refusedPeer(20, { refused: false }), servedAt: 19 };
-  assert.equal(judgeOnce(viewAt(20, [refusedPeer(20), served])), 'none');
+  const served = { ...aPeerStatus(20, { refused: false }), servedAt: 19 };
+  assert.equal(judgeOnce(viewAt(20, [aPeerStatus(20), served])), 'none');
   // Guards against an owner whose requests were swallowed by a cut: with every failure noticed only a
   // second later, a peer always seemed to be served after its newest failure, and it went on for good.
   assert.equal(judgeOnce(viewAt(20, [null, { ...served, servedAt: 19.9 }])), 'none');
-  const newer = refusedPeer(12, { holder: { term: TERM + 1, name: 'c-1' } });
-  assert.equal(judgeOnce(viewAt(20, [refusedPeer(20), newer])), 'none');
+  const newer = aPeerStatus(12, { holder: { term: TERM + 1, name: 'c-1' } });
+  assert.equal(judgeOnce(viewAt(20, [aPeerStatus(20), newer])), 'none');
   // Guards against a fleet that dies: two seconds of refusal alone counted for the whole outage that
   // followed, though by then nobody was served.
-  const servedBefore = { ...refusedPeer(20), servedAt: 12 };
-  assert.equal(judgeOnce(viewAt(20, [refusedPeer(20), servedBefore])), 'attested');
+  const servedBefore = { ...aPeerStatus(20), servedAt: 12 };
+  assert.equal(judgeOnce(viewAt(20, [aPeerStatus(20), servedBefore])), 'attested');
 });
 
 test('a grant alone does not entitle once cancellations may be unknown for too long', () => {
--- a/packages/controller/standby.test.ts
+++ b/packages/controller/standby.test.ts
@@ -1,41 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { StatusFrame } from '#peer';
+import { aPeerStatus, STATED_TERM as TERM } from '#testing';
 import type { PeerStatus } from './peer-status.js';
 import { StandbyJudge, StandbyView } from './standby.js';
 
 const LIMITS = { peerCount: 2, silenceS: 2, graceS: 12 };
-const TERM = 50;
 const OWNER_LIFE = 5;
 
-function statusAt(at: number, frame: Partial<StatusFrame>): PeerStatus {
-  return {
-    heardAt: at,
-    asOf: at - 0.5,
-    servedAt: 10,
-    frame: {
-      kind: 'status',
-      life: 1,
-      sequence: 1,
-      echo: null,
-      servedAgoMs: 0,
-      refused: true,
-      loaded: true,
-      owner: false,
-      mayOwn: false,
-      holder: { term: TERM, name: 'c-0' },
-      unownedReports: 0,
-      jobsRevision: 100,
-      cancelledSince: 100,
-      cancelled: [],
-      ...frame,
-    },
-  };
-}
-
-const owning = (at: number) => statusAt(at, { life: OWNER_LIFE, owner: true, mayOwn: true });
+const owning = (at: number) => aPeerStatus(at, { life: OWNER_LIFE, owner: true, mayOwn: true });
 /** The owner's next life, which could not read the records. */
-const restarted = (at: number) => statusAt(at, { life: OWNER_LIFE + 1, loaded: false });
+const restarted = (at: number) => aPeerStatus(at, { life: OWNER_LIFE + 1, loaded: false });
 
 function viewAt(now: number, owner: PeerStatus | null, over: Partial<StandbyView> = {}) {
   return {
@@ -45,7 +19,7 @@
     jobsCurrentAt: 10,
     jobsRevision: 100,
     failingSince: 10,
-    peers: [owner, statusAt(now, {})],
+    peers: [owner, aPeerStatus(now, {})],
     ...over,
   };
 }
@@ -61,7 +35,7 @@
 
 test('leases are renewed for an owner whose process has a new life, or that has resigned', () => {
   assert.ok(renewsAt20(restarted(20)));
-  assert.ok(renewsAt20(statusAt(20, { life: OWNER_LIFE })));
+  assert.ok(renewsAt20(aPeerStatus(20, { life: OWNER_LIFE })));
 });
 
 test('leases are not renewed for an owner that may live', () => {
@@ -75,9 +49,9 @@
 });
 
 test('leases are not renewed where somebody else may own', () => {
-  const served = { ...statusAt(20, { refused: false }), servedAt: 19 };
+  const served = { ...aPeerStatus(20, { refused: false }), servedAt: 19 };
   assert.ok(!renewsAt20(restarted(20), { peers: [restarted(20), served] }));
-  const newer = statusAt(20, { holder: { term: TERM + 1, name: 'c-2' } });
+  const newer = aPeerStatus(20, { holder: { term: TERM + 1, name: 'c-2' } });
   assert.ok(!renewsAt20(restarted(20), { peers: [restarted(20), newer] }));
   assert.ok(!renewsAt20(restarted(20), { peers: [restarted(20), null] }));
   assert.ok(!renewsAt20(restarted(20), { mayOwn: true }));
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -6,6 +6,7 @@
 export * from './owner-model/world.js';
 export * from './ownership/model.js';
 export * from './ownership/world.js';
+export * from './peer-statements.js';
 export * from './random.js';
 export * from './recorder-world.js';
 export * from './samples.js';
--- /dev/null
+++ b/packages/testing/peer-statements.ts
@@ -0,0 +1,39 @@
+import type { PeerStatus } from '#controller';
+import type { StatusFrame } from '#peer';
+
+/** When the state service served the peer last. */
+const SERVED_AT = 10;
+/** From the sending of what a peer has read last to its answer. */
+const ECHO_S = 0.5;
+
+/**
+ * What a peer states at second `at` that the state service has refused since second 10, that knows all
+ * cancellations, and that has seen the owner `c-0` of term 50.
+ */
+export function aPeerStatus(at: number, frame: Partial<StatusFrame> = {}): PeerStatus {
+  return {
+    heardAt: at,
+    asOf: at - ECHO_S,
+    servedAt: SERVED_AT,
+    frame: {
+      kind: 'status',
+      life: 1,
+      sequence: 1,
+      echo: null,
+      servedAgoMs: 0,
+      refused: true,
+      loaded: true,
+      owner: false,
+      mayOwn: false,
+      holder: { term: STATED_TERM, name: 'c-0' },
+      unownedReports: 0,
+      jobsRevision: 100,
+      cancelledSince: 100,
+      cancelled: [],
+      ...frame,
+    },
+  };
+}
+
+/** The term of the newest owner that such a peer has seen. */
+export const STATED_TERM = 50;
