--- /dev/null
+++ b/packages/cli/examples.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { loadSettings, operatorSchema } from '#controller';
+import { parseJob } from '#wire';
+
+const SETTINGS = example('settings.toml');
+const OPERATOR = example('operator.json');
+
+function example(name: string): string {
+  return fileURLToPath(new URL(`../../examples/${name}`, import.meta.url));
+}
+
+function readJson(file: string): unknown {
+  return JSON.parse(readFileSync(file, 'utf8'));
+}
+
+test('the sample settings can be used, and the operators set what they can set', () => {
+  const { operator, deployment } = loadSettings(SETTINGS, OPERATOR);
+  assert.equal(deployment.nodes, 3);
+  const own = readJson(OPERATOR) as Record<string, number>;
+  assert.ok(Object.keys(own).length > 0);
+  for (const [name, value] of Object.entries(own)) {
+    assert.ok(name in operatorSchema.properties, `${name} is a setting`);
+    assert.equal(operator[name as keyof typeof operator], value);
+  }
+});
+
+test('the sample job is one that the sample deployment serves', () => {
+  const job = parseJob(readJson(example('job.json')));
+  const { teams, objectives } = loadSettings(SETTINGS, null).deployment;
+  const team = teams.find(({ name }) => name === job.team);
+  assert.ok(team && team.gpus_max >= job.gpus);
+  assert.ok(objectives.some((objective) => objective.class === job.class));
+});
