Command line: failures are one line on standard error that says what and where

`submit` with a missing file, a file that is no JSON, a job's id with a space or an address without a port ended with a stack trace, and an unknown option with the code of a refusal. Now each failure is one line with subject and address or file, and its exit code: 1 refused, 2 settings, arguments or files that cannot be used, 3 no answer, 4 cannot listen, 5 unexpected. Refusals go to standard error; only answers are printed on standard output. Each command's help ends with an example.

--- /dev/null
+++ b/packages/cli/help.ts
@@ -0,0 +1,5 @@
+/** Text for the end of a command's help: how it may be called. */
+export function examples(...calls: string[]): string {
+  const heading = calls.length === 1 ? 'Example:' : 'Examples:';
+  return ['', heading, ...calls.map((call) => `  $ sorreldale ${call}`)].join('\n');
+}
--- /dev/null
+++ b/packages/cli/job-file.ts
@@ -0,0 +1,27 @@
+import { readFileSync } from 'node:fs';
+import { CommandError, ExitCode } from './command-error.js';
+
+/** The map that a JSON file holds, or a CommandError that names the file. What is in it the service checks. */
+export function readJobFile(file: string): object {
+  const job = parse(file, read(file));
+  if (typeof job === 'object' && job !== null && !Array.isArray(job)) return job;
+  throw new CommandError(ExitCode.badInput, `${file}: is no JSON object`);
+}
+
+function read(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (err) {
+    const { code, message } = err as NodeJS.ErrnoException;
+    throw new CommandError(ExitCode.badInput, `${file}: cannot be read: ${code ?? message}`);
+  }
+}
+
+function parse(file: string, text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (err) {
+    const [reason] = (err as Error).message.split('\n');
+    throw new CommandError(ExitCode.badInput, `${file}: is no JSON: ${reason}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/user-commands.ts
@@ -0,0 +1,83 @@
+import type { Command } from 'commander';
+import { NoAnswer, type UserAnswer, UserClient } from '#wire';
+import { controllerAddress, jobId } from './arguments.js';
+import { CommandError, ExitCode } from './command-error.js';
+import { examples } from './help.js';
+import { readJobFile } from './job-file.js';
+import type { Output } from './output.js';
+
+const OK = 200;
+const CREATED = 201;
+
+/** One question to a controller: what it is about, where it goes, and how it is sent. */
+interface Question {
+  subject: string;
+  address: string;
+  send: (client: UserClient) => Promise<UserAnswer>;
+}
+
+/** Adds submit, status and abort, for people at a terminal. */
+export function addUserCommands(program: Command, output: Output): void {
+  const at = ['--at <address>', 'address of a controller', '127.0.0.1:8080'] as const;
+  program
+    .command('submit')
+    .description('submit a job')
+    .argument('<file>', "JSON file with the job in the protocol's words")
+    .option(...at)
+    .addHelpText('after', examples('submit examples/job.json --at 10.0.0.1:8080'))
+    .action(async (file: string, options: { at: string }) => {
+      const job = readJobFile(file);
+      const send = (client: UserClient) => client.submitRaw(job);
+      await ask({ subject: `submit ${file}`, address: options.at, send }, output);
+    });
+  program
+    .command('status')
+    .description('ask how a job is')
+    .argument('<id>')
+    .option(...at)
+    .addHelpText('after', examples('status j-000412 --at 10.0.0.1:8080'))
+    .action(async (id: string, options: { at: string }) => {
+      const send = (client: UserClient) => client.status(jobId(id));
+      await ask({ subject: `status ${id}`, address: options.at, send }, output);
+    });
+  program
+    .command('abort')
+    .description('abort a job')
+    .argument('<id>')
+    .option(...at)
+    .addHelpText('after', examples('abort j-000412 --at 10.0.0.1:8080'))
+    .action(async (id: string, options: { at: string }) => {
+      const send = (client: UserClient) => client.abort(jobId(id));
+      await ask({ subject: `abort ${id}`, address: options.at, send }, output);
+    });
+}
+
+/** Prints the answer; throws CommandError if there is none, or if it is a refusal. */
+async function ask({ subject, address, send }: Question, output: Output): Promise<void> {
+  const client = new UserClient(controllerAddress(address));
+  try {
+    const answer = await send(client);
+    if (answer.status !== OK && answer.status !== CREATED) {
+      const why = describeRefusal(answer);
+      throw new CommandError(ExitCode.refused, `${subject}: refused by ${address}: ${why}`);
+    }
+    output.out(`${JSON.stringify({ status: answer.status, ...answer.job })}\n`);
+  } catch (err) {
+    if (!(err instanceof NoAnswer)) throw err;
+    const why = `no answer from ${address}: ${err.message}`;
+    throw new CommandError(ExitCode.noAnswer, `${subject}: ${why}`);
+  } finally {
+    client.close();
+  }
+}
+
+/** Status and reason in one line, and when a repetition may help. */
+function describeRefusal({ status, job, retryAfterS }: UserAnswer): string {
+  const reason = job !== null && 'error' in job && job.error ? ` ${oneLine(job.error)}` : '';
+  const retry = retryAfterS === null ? '' : `, try again after ${retryAfterS} s`;
+  return `${status}${reason}${retry}`;
+}
+
+function oneLine(text: string): string {
+  return text.replace(/\s+/g, ' ');
+}
