--- a/packages/testing/recorder-world.ts
+++ b/packages/testing/recorder-world.ts
@@ -33,14 +33,31 @@
 ) {
   const state = await StateWorld.start({ ...RECORDER_LIMITS, ...limits, ...serviceLimits });
   const { store } = state.service;
+  const parts = makeRecorder(state, { ...RECORDER_LIMITS, ...limits });
+  const { cache, recorder } = parts;
+  const record = (job: Job, phase: 'accepted' | 'aborted') =>
+    store.apply([{ put: jobKey(job.id), value: encodeJob({ job, acceptedAtMs: 0, phase }) }]);
+  /** Runs until nothing is left to record. */
+  const flush = (withinS = 10) => flushAll(state, recorder, withinS);
+  const tasksOn = (name: string) =>
+    (store.get(MACHINES + name)?.value as MachineRecord | undefined)?.tasks.map(([job]) => job);
+  await loadOnce(state, cache);
+  const sync = async () => {
+    void cache.sync();
+    await state.run(0.1);
+  };
+  return { state, store, ...parts, record, sync, flush, tasksOn };
+}
+
+/** The recorder with all that it works on; the fleet state takes each job in that the cache shows. */
+function makeRecorder(state: StateWorld, limits: StateLimits) {
   const runtime = state.controller();
-  const client = state.client(runtime, { limits: { ...RECORDER_LIMITS, ...limits } });
+  const client = state.client(runtime, { limits });
   const caching = { client, runtime, prefix: JOBS, watchMs: 10_000, syncSpacingMs: 0 };
   const cache = new PrefixCache(caching);
   const jobs = new JobTable(cache, new Cancellations(100, 70));
-  const term = store.apply([{ put: partKey(0), value: {} }]);
+  const term = state.service.store.apply([{ put: partKey(0), value: {} }]);
   const fleet = aFleet();
-  const stop = new AbortController();
   const recorder = new Recorder({
     runtime,
     client,
@@ -54,29 +71,25 @@
     fleet.addJob(job, 0, phase, state.now);
     if (phase !== 'accepted') recorder.jobRecords.over(job);
   });
-  const record = (job: Job, phase: 'accepted' | 'aborted') =>
-    store.apply([{ put: jobKey(job.id), value: encodeJob({ job, acceptedAtMs: 0, phase }) }]);
-  const flushAll = async () => {
-    while (recorder.pending) await recorder.flush(stop.signal);
-  };
-  /** Runs until nothing is left to record. */
-  const flush = async (withinS = 10) => {
-    let isOver = false;
-    const flushed = flushAll().finally(() => (isOver = true));
-    flushed.catch(() => {});
-    assert.ok(await state.runUntil(() => isOver, withinS), 'all is recorded in time');
-    await flushed;
-  };
-  const tasksOn = (name: string) =>
-    (store.get(MACHINES + name)?.value as MachineRecord | undefined)?.tasks.map(([job]) => job);
-  // The watch is held up after the first load; what comes later shows to those who ask for it.
+  return { client, cache, fleet, recorder, term };
+}
+
+/** Reads all jobs. The watch is held up afterwards; what comes later shows to those who ask for it. */
+async function loadOnce(state: StateWorld, cache: PrefixCache): Promise<void> {
   const watching = new AbortController();
   void cache.run(watching.signal);
   await state.run(0.1);
   watching.abort();
-  const sync = async () => {
-    void cache.sync();
-    await state.run(0.1);
+}
+
+async function flushAll(state: StateWorld, recorder: Recorder, withinS: number): Promise<void> {
+  const { signal } = new AbortController();
+  const flushPending = async () => {
+    while (recorder.pending) await recorder.flush(signal);
   };
-  return { state, client, store, fleet, recorder, record, sync, flush, tasksOn, term };
+  let isOver = false;
+  const flushed = flushPending().finally(() => (isOver = true));
+  flushed.catch(() => {});
+  assert.ok(await state.runUntil(() => isOver, withinS), 'all is recorded in time');
+  await flushed;
 }
