--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -91,23 +91,32 @@
   assert.deepEqual(await callsOf({ rent: true, release: true }), ['release n-1', 'rent']);
 });
 
+/** A cloud without room that answers no rent before that many have come. */
+async function aFullCloud(calls: number) {
+  const asked: number[] = [];
+  let release = () => {};
+  const all = new Promise<void>((resolve) => (release = resolve));
+  const server = await serveCbor(
+    nodeRuntime,
+    FREE_LOOPBACK_PORT,
+    async ({ method, path, body }) => {
+      if (path === '/catalog') return { status: 200, body: { rigs: [] } };
+      if (method === 'GET') return { status: 200, body: { hosts: [], more: false } };
+      asked.push((body as { number: number }).number);
+      if (asked.length === calls) release();
+      await all;
+      return { status: 503, body: { error: 'no capacity' } };
+    },
+  );
+  return { server, asked };
+}
+
 test('the rents of one plan do not wait for the answers to each other', async () => {
   // Guards against a fleet that is rented kind by kind: the last came seconds after the first.
   const counts = [40, 40, 60];
   const kinds = counts.map((count, i) => ({ type: 'std', zone: 'abc'[i], spot: false, count }));
   const calls = 4;
-  const asked: number[] = [];
-  let release = () => {};
-  const all = new Promise<void>((resolve) => (release = resolve));
-  const cloud = await serveCbor(nodeRuntime, FREE_LOOPBACK_PORT, async ({ method, path, body }) => {
-    if (path === '/catalog') return { status: 200, body: { rigs: [] } };
-    if (method === 'GET') return { status: 200, body: { hosts: [], more: false } };
-    asked.push((body as { number: number }).number);
-    // Nobody is answered before everybody has asked.
-    if (asked.length === calls) release();
-    await all;
-    return { status: 503, body: { error: 'no capacity' } };
-  });
+  const { server, asked } = await aFullCloud(calls);
   const fleet = aFleet();
   fleet.machines.types.set(STD.name, STD);
   const stop = new AbortController();
@@ -119,7 +128,7 @@
       if (refused.length === calls) stop.abort();
     },
   });
-  const client = new CloudClient(nodeRuntime, cloud.target, 60_000);
+  const client = new CloudClient(nodeRuntime, server.target, 60_000);
   const log = makeLog(nodeRuntime.clock, 'c-0', 'error');
   const duty = new CloudDuty({
     runtime: nodeRuntime,
@@ -137,7 +146,7 @@
   });
   await duty.run(stop.signal);
   client.close();
-  cloud.close();
+  server.close();
   // What one call may ask for is bounded, and a full portion is no refusal of the rest.
   assert.deepEqual(
     asked.sort((x, y) => x - y),
--- a/packages/controller/direct.test.ts
+++ b/packages/controller/direct.test.ts
@@ -1,10 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { FleetState } from '#core';
 import { nodeRuntime } from '#wire';
 import { aFleet, aJob, aMachine, aReport } from '#testing';
 import { FREE_LOOPBACK_PORT, serveCbor } from '../testing/standins/index.js';
 import { DirectCommands } from './direct.js';
 
+/** A machine with one task that is to be started, and its worker at that address. */
+function addStart(fleet: FleetState, number: number, addr: string): void {
+  const name = `n-${number}`;
+  const machine = aMachine(fleet, name);
+  fleet.reports.handle(aReport({ machine: name, addr }), 0);
+  machine.answeredAt = nodeRuntime.clock.now();
+  const job = fleet.addJob(aJob({ id: `j-${number}` }), 0, 'accepted', 0);
+  fleet.assignments.assign(job, 0, machine, fleet.assignments.newAttempt(), 0).recorded = true;
+}
+
 test('direct commands to many machines keep to their share of the sockets', async () => {
   // Guards against one kept connection for each of hundreds of machines, beside all reports.
   const machines = 12;
@@ -14,8 +25,7 @@
   let atOnce = 0;
   let underWay = 0;
   const workers = [];
-  for (let i = 0; i < machines; i++) {
-    const name = `n-${i}`;
+  for (let number = 0; number < machines; number++) {
     const worker = await serveCbor(nodeRuntime, FREE_LOOPBACK_PORT, async ({ body }) => {
       atOnce = Math.max(atOnce, ++underWay);
       await new Promise((resolve) => setImmediate(resolve));
@@ -24,11 +34,7 @@
       return { status: 409, body: {} };
     });
     workers.push(worker);
-    const machine = aMachine(fleet, name);
-    fleet.reports.handle(aReport({ machine: name, addr: worker.target }), 0);
-    machine.answeredAt = nodeRuntime.clock.now();
-    const job = fleet.addJob(aJob({ id: `j-${i}` }), 0, 'accepted', 0);
-    fleet.assignments.assign(job, 0, machine, fleet.assignments.newAttempt(), 0).recorded = true;
+    addStart(fleet, number, worker.target);
   }
   const stop = new AbortController();
   await new Promise<void>((resolve) => {
--- a/packages/controller/pacer.test.ts
+++ b/packages/controller/pacer.test.ts
@@ -3,13 +3,12 @@
 import { HandClock } from '#testing';
 import { Pacer } from './pacer.js';
 
-test('paced work runs at once, rests for a multiple of its length, and outlives its errors', () => {
+/** Work whose next runs take that long, have more to do that often, or fail. */
+function pacedWork() {
   const clock = new HandClock();
+  const work = { lengthMs: 0, more: 0, fails: false };
   const runs: number[] = [];
   const errors: unknown[] = [];
-  let lengthMs = 0;
-  let more = 0;
-  let fails = false;
   const pacer = new Pacer({
     clock,
     periodMs: 100,
@@ -17,12 +16,17 @@
     restRatio: 3,
     run: () => {
       runs.push(Math.round(clock.wallMs()));
-      clock.compute(lengthMs);
-      if (fails) throw new Error('fault');
-      return more-- > 0;
+      clock.compute(work.lengthMs);
+      if (work.fails) throw new Error('fault');
+      return work.more-- > 0;
     },
     onError: (err) => errors.push(err),
   });
+  return { clock, work, runs, errors, pacer };
+}
+
+test('paced work runs at once, rests for a multiple of its length, and outlives its errors', () => {
+  const { clock, work, runs, errors, pacer } = pacedWork();
   pacer.request();
   assert.deepEqual(runs.splice(0), []);
   pacer.start();
@@ -36,14 +40,14 @@
   clock.advance(1);
   assert.deepEqual(runs.splice(0), [100]);
   // A long run rests for three times its length, periods or not; one with more to do does not rest.
-  lengthMs = 50;
-  more = 1;
+  work.lengthMs = 50;
+  work.more = 1;
   clock.advance(100);
   assert.deepEqual(runs.splice(0), [200, 250]);
   clock.advance(249);
   assert.deepEqual(runs.splice(0), [450]);
-  lengthMs = 0;
-  fails = true;
+  work.lengthMs = 0;
+  work.fails = true;
   clock.advance(201);
   assert.equal(errors.length, runs.length);
   assert.ok(runs.splice(0).length >= 2);
--- a/packages/peer/frames.test.ts
+++ b/packages/peer/frames.test.ts
@@ -4,35 +4,36 @@
 import { anyJobId, anyName, record, SEEDED } from '#testing';
 import { encodeFrame, type Frame, FrameReader } from './frames.js';
 
+const u32 = fc.integer({ min: 0, max: 0xffffffff });
+const u53 = fc.nat(Number.MAX_SAFE_INTEGER);
+const anyFrame: fc.Arbitrary<Frame> = fc.oneof(
+  record({ kind: fc.constant('hello' as const), name: anyName }),
+  record({ kind: fc.constant('abort' as const), job: anyJobId, ageMs: u32 }),
+  record({
+    kind: fc.constant('status' as const),
+    life: u53,
+    sequence: u32,
+    echo: fc.option(record({ life: u53, sequence: u32 })),
+    servedAgoMs: u32,
+    refused: fc.boolean(),
+    loaded: fc.boolean(),
+    owner: fc.boolean(),
+    mayOwn: fc.boolean(),
+    holder: record({ term: u53, name: anyName }),
+    unownedReports: u32,
+    jobsRevision: u53,
+    cancelledSince: fc.oneof(u53, fc.constant(Infinity)),
+    cancelled: fc.array(record({ job: anyJobId, ageMs: u32 }), { maxLength: 5 }),
+  }),
+  record({
+    kind: fc.constant('counts' as const),
+    jobs: fc.array(record({ job: anyJobId, done: u32, running: u32 }), { maxLength: 5 }),
+  }),
+);
+
 test('peer frames survive any cutting of the stream, and garbage is refused', () => {
-  const u32 = fc.integer({ min: 0, max: 0xffffffff });
-  const u53 = fc.nat(Number.MAX_SAFE_INTEGER);
-  const frame: fc.Arbitrary<Frame> = fc.oneof(
-    record({ kind: fc.constant('hello' as const), name: anyName }),
-    record({ kind: fc.constant('abort' as const), job: anyJobId, ageMs: u32 }),
-    record({
-      kind: fc.constant('status' as const),
-      life: u53,
-      sequence: u32,
-      echo: fc.option(record({ life: u53, sequence: u32 })),
-      servedAgoMs: u32,
-      refused: fc.boolean(),
-      loaded: fc.boolean(),
-      owner: fc.boolean(),
-      mayOwn: fc.boolean(),
-      holder: record({ term: u53, name: anyName }),
-      unownedReports: u32,
-      jobsRevision: u53,
-      cancelledSince: fc.oneof(u53, fc.constant(Infinity)),
-      cancelled: fc.array(record({ job: anyJobId, ageMs: u32 }), { maxLength: 5 }),
-    }),
-    record({
-      kind: fc.constant('counts' as const),
-      jobs: fc.array(record({ job: anyJobId, done: u32, running: u32 }), { maxLength: 5 }),
-    }),
-  );
   fc.assert(
-    fc.property(fc.array(frame), fc.integer({ min: 1, max: 30 }), (frames, step) => {
+    fc.property(fc.array(anyFrame), fc.integer({ min: 1, max: 30 }), (frames, step) => {
       const bytes = Buffer.concat(frames.map(encodeFrame));
       const reader = new FrameReader();
       const out: Frame[] = [];
