--- a/packages/peer/index.ts
+++ b/packages/peer/index.ts
@@ -1,3 +1,3 @@
-export * from './buffers.js';
+export * from './dialled-connections.js';
 export * from './frames.js';
 export * from './link.js';
