--- a/packages/wire/cloud.ts
+++ b/packages/wire/cloud.ts
@@ -1,29 +1,46 @@
 import { CborClient } from './http.js';
 import type { Runtime } from './runtime.js';
 
+/** A kind of machine that can be rented, with its nominal sizes. */
 export interface MachineType {
   name: string;
   cpus: number;
   gpus: number;
+  /** GB. */
   memory: number;
+  /** Room for images; GB. */
   cacheGb: number;
   fetchGbPerS: number;
+  /** Money per hour. */
   price: number;
   spotPrice: number;
+  /** Nominal time from a rental until the worker reports; seconds. */
   bootS: number;
   zones: string[];
 }
 
+/** A machine as the cloud's list shows it, which lags behind. */
 export interface ListedMachine {
   name: string;
+  /** HOST:PORT of its worker. */
   addr: string;
   type: string;
   zone: string;
   spot: boolean;
   state: 'booting' | 'running' | 'failed';
+  /** Since the rental, at the time that the list describes; seconds. */
   ageS: number;
 }
 
+/** Machines of one type, zone and kind that are asked for together. */
+export interface RentalRequest {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+/** What became of a rental; `trouble` did nothing and may be asked for again under the same name. */
 export type RentOutcome = { machines: string[] } | 'no-capacity' | 'trouble';
 
 interface RawType {
@@ -38,6 +55,7 @@
   startupS: number;
   yards: string[];
 }
+
 interface RawMachine {
   id: string;
   address: string;
@@ -51,11 +69,15 @@
 /** A refusal or an outage of the cloud's interface; nothing was carried out. */
 class CloudRefused extends Error {}
 
+/** Machines on one page of the list. */
 const PAGE = 500;
 const MAX_SOCKETS = 4;
+/** Machines that one call may release. */
 export const RELEASE_AT_ONCE = 100;
+/** Machines that one call may rent. */
 export const RENT_AT_ONCE = 50;
 
+/** The cloud's interface, call by call. Calls reject with NoAnswer or CloudRefused. */
 export class CloudClient {
   private readonly http: CborClient;
 
@@ -67,20 +89,10 @@
     this.http = new CborClient(runtime, address, MAX_SOCKETS);
   }
 
+  /** All machine types that can be rented. */
   async catalog(signal?: AbortSignal): Promise<MachineType[]> {
     const res = await this.call('GET', '/catalog', undefined, signal);
-    return (res as { rigs: RawType[] }).rigs.map((t) => ({
-      name: t.name,
-      cpus: t.cores,
-      gpus: t.accelerators,
-      memory: t.ramGb,
-      cacheGb: t.cacheGb,
-      fetchGbPerS: t.pullGbPerS,
-      price: t.price,
-      spotPrice: t.marketPrice,
-      bootS: t.startupS,
-      zones: t.yards,
-    }));
+    return (res as { rigs: RawType[] }).rigs.map(readType);
   }
 
   /** One page of the machine list, and whether more follow. */
@@ -93,31 +105,21 @@
       hosts: RawMachine[];
       more: boolean;
     };
-    return {
-      more: res.more,
-      machines: res.hosts.map((m) => ({
-        name: m.id,
-        addr: m.address,
-        type: m.rig,
-        zone: m.yard,
-        spot: m.loaner,
-        state: m.phase === 'starting' ? 'booting' : m.phase === 'failed' ? 'failed' : 'running',
-        ageS: m.ageS,
-      })),
-    };
+    return { more: res.more, machines: res.hosts.map(readMachine) };
   }
 
+  /** Rents machines under a name that was never used before, or repeats that same request. */
   async rent(
     request: string,
-    what: { type: string; zone: string; spot: boolean; count: number },
+    { type, zone, spot, count }: RentalRequest,
     signal?: AbortSignal,
   ): Promise<RentOutcome> {
     const body = {
       hire: request,
-      rig: what.type,
-      yard: what.zone,
-      loaner: what.spot,
-      number: Math.min(what.count, RENT_AT_ONCE),
+      rig: type,
+      yard: zone,
+      loaner: spot,
+      number: Math.min(count, RENT_AT_ONCE),
     };
     const res = await this.http.call('POST', '/hosts', { timeoutMs: this.timeoutMs, signal, body });
     if (res.status === 200) return { machines: (res.body as { hosts: string[] }).hosts };
@@ -147,3 +149,35 @@
     return res.body;
   }
 }
+
+function readType(raw: RawType): MachineType {
+  return {
+    name: raw.name,
+    cpus: raw.cores,
+    gpus: raw.accelerators,
+    memory: raw.ramGb,
+    cacheGb: raw.cacheGb,
+    fetchGbPerS: raw.pullGbPerS,
+    price: raw.price,
+    spotPrice: raw.marketPrice,
+    bootS: raw.startupS,
+    zones: raw.yards,
+  };
+}
+
+function readMachine(raw: RawMachine): ListedMachine {
+  return {
+    name: raw.id,
+    addr: raw.address,
+    type: raw.rig,
+    zone: raw.yard,
+    spot: raw.loaner,
+    state: readState(raw.phase),
+    ageS: raw.ageS,
+  };
+}
+
+function readState(phase: string): ListedMachine['state'] {
+  if (phase === 'starting') return 'booting';
+  return phase === 'failed' ? 'failed' : 'running';
+}
