--- /dev/null
+++ b/packages/cli/serve.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import net, { type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { after, test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+const directory = mkdtempSync(path.join(tmpdir(), 'sorreldale-serve-'));
+after(() => rmSync(directory, { recursive: true }));
+
+/** A server on a free port of the loopback. */
+async function serveNothing(): Promise<{ server: net.Server; address: string }> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { address, port } = server.address() as AddressInfo;
+  return { server, address: `${address}:${port}` };
+}
+
+async function freeAddress(): Promise<string> {
+  const { server, address } = await serveNothing();
+  server.close();
+  await once(server, 'close');
+  return address;
+}
+
+/** Starts the program that the build made with the sample settings, but for its two addresses. */
+async function startController(listen: string, clusterListen: string): Promise<ChildProcess> {
+  const sample = new URL('../../examples/settings.toml', import.meta.url);
+  const file = path.join(directory, 'settings.toml');
+  const text = readFileSync(sample, 'utf8')
+    .replace(/^listen = .*$/m, `listen = "${listen}"`)
+    .replace(/^cluster_listen = .*$/m, `cluster_listen = "${clusterListen}"`)
+    .replaceAll('"10.', '"127.');
+  writeFileSync(file, text);
+  const launch = fileURLToPath(new URL('./launch.js', import.meta.url));
+  const env = { ...process.env, LOG_LEVEL: 'info' };
+  return spawn(process.execPath, [launch, '--config', file], {
+    env,
+    stdio: ['ignore', 'ignore', 'pipe'],
+  });
+}
+
+test('a controller whose address is taken ends with a line that names it and code 4', async () => {
+  const { server, address } = await serveNothing();
+  const child = await startController(await freeAddress(), address);
+  let log = '';
+  child.stderr!.on('data', (chunk: Buffer) => (log += chunk.toString()));
+  const [exitCode] = (await once(child, 'close')) as [number | null];
+  server.close();
+  assert.equal(exitCode, 4);
+  const last = JSON.parse(log.trim().split('\n').at(-1)!) as { msg: string; err: string };
+  assert.equal(last.msg, 'cannot listen');
+  assert.ok(last.err.includes(address), last.err);
+});
+
+test('a controller that is told to end does so with code 0', async () => {
+  const child = await startController(await freeAddress(), await freeAddress());
+  // Its first line comes once it listens to signals.
+  await once(child.stderr!, 'data');
+  child.kill('SIGTERM');
+  child.stderr!.resume();
+  const [exitCode, signal] = (await once(child, 'close')) as [number | null, string | null];
+  assert.deepEqual([exitCode, signal], [0, null]);
+});
