--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -1,6 +1,7 @@
 import type { Job, MachineType, Report } from '#wire';
 import { FleetState, Machine } from '#core';
 
+/** The usual machine type of tests: 4 GPUs, in zones a and b. */
 export const STD: MachineType = {
   name: 'std',
   cpus: 16,
@@ -14,6 +15,7 @@
   zones: ['a', 'b'],
 };
 
+/** An array with one task of team red. */
 export function aJob(own: Partial<Job> = {}): Job {
   return {
     id: 'j-000001',
@@ -40,6 +42,7 @@
   };
 }
 
+/** An empty fleet in term 100, with STD as its only machine type. */
 export function aFleet(): FleetState {
   const fleet = new FleetState({
     settings: {
@@ -57,6 +60,7 @@
   return fleet;
 }
 
+/** Adds a machine of type STD in zone a that is up. */
 export function aMachine(fleet: FleetState, name: string, own: Partial<Machine> = {}): Machine {
   const facts = { name, addr: '', type: 'std', zone: 'a', spot: false, ...own };
   const machine = fleet.machines.register(facts, 'up', own.rentedAt ?? 0);
@@ -64,6 +68,7 @@
   return machine;
 }
 
+/** The first report of n-1, which has no tasks. */
 export function aReport(own: Partial<Report> = {}): Report {
   return {
     machine: 'n-1',
--- a/packages/testing/state-world.ts
+++ b/packages/testing/state-world.ts
@@ -16,6 +16,7 @@
 /** Between two looks at a condition that is waited for; seconds. */
 const LOOK_S = 0.01;
 
+/** The service, and hosts whose processes reach it over a simulated network. */
 export class StateWorld {
   readonly network: SimulatedNetwork;
   readonly service: StateService;
--- a/packages/wire/cbor.ts
+++ b/packages/wire/cbor.ts
@@ -3,6 +3,7 @@
 /** A body that is not the CBOR that the protocol allows. */
 export class MalformedBody extends Error {}
 
+/** Writes one CBOR value; fields that are undefined are left out. */
 export function encode(value: unknown): Uint8Array {
   // Peers of other makes need not read half-width floats, so only full ones are written.
   return cborEncode(value, { float64: true, ignoreUndefinedProperties: true });
--- a/packages/wire/http.ts
+++ b/packages/wire/http.ts
@@ -6,15 +6,22 @@
 /** No usable answer came: the other side may have carried out the request or may still do so. */
 export class NoAnswer extends Error {}
 
+/** An answer of any status, with what its body holds. */
 export interface Answer {
   status: number;
+  /** Null if there is none, or if it is no CBOR and the status is not 200. */
   body: unknown;
+  /** The other side's wish, in seconds; null if it has none. */
   retryAfterS: number | null;
 }
 
+/** How one call is made. */
 export interface CallOptions {
+  /** From the call to the end of its answer. */
   timeoutMs: number;
+  /** Ends the call early. */
   signal?: AbortSignal;
+  /** Sent as CBOR; nothing is sent if it is undefined. */
   body?: unknown;
   /** Largest answer that is read. */
   maxBytes?: number;
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -1,12 +1,16 @@
 import { MalformedBody } from './cbor.js';
 import { compileSchema } from './schema.js';
 
+/** `array`: independent tasks; `gang`: all at once or none; `service`: replicas that run until the abort. */
 export type Kind = 'array' | 'gang' | 'service';
 
-/** A job in the words used inside the service. Amounts per task. */
+/** A job in the words used inside the service. Amounts are per task; times are seconds. */
 export interface Job {
+  /** Chosen by the user, like `j-000412`. */
   id: string;
+  /** Jobs with the same objective. */
   class: string;
+  /** Whose guarantee and limit count. */
   team: string;
   kind: Kind;
   /** 0 is the most urgent. */
@@ -14,20 +18,32 @@
   tasks: number;
   cpus: number;
   gpus: number;
+  /** GB. */
   memory: number;
+  /** What a machine must have fetched before a task can start. */
   image: string;
   imageGb: number;
+  /** Allowed machine types; null for any. */
   types: string[] | null;
+  /** The only allowed zone; null for any. */
   zone: string | null;
+  /** All tasks must be in the same zone. */
   oneZone: boolean;
+  /** At most half of the tasks, rounded up, may be in one zone. */
   spread: boolean;
+  /** The job may use spot machines. */
   spot: boolean;
+  /** The user's guess of a task's run time without the fetch; 0 for services. */
   estimateS: number;
+  /** Progress between two checkpoints; 0 if the tasks save nothing. */
   checkpointS: number;
+  /** What a task needs to save when it is stopped. */
   saveS: number;
+  /** When the job should be done, from its submission on; null if there is no deadline. */
   deadlineS: number | null;
 }
 
+/** How a job stands for its user; `pending` means that no task runs. */
 export type Phase = 'pending' | 'running' | 'done' | 'aborted';
 
 const MAX_TASKS = 100_000;
@@ -41,6 +57,7 @@
 const KINDS: Record<string, Kind> = { array: 'array', group: 'gang', standing: 'service' };
 const KIND_NAMES: Record<Kind, string> = { array: 'array', gang: 'group', service: 'standing' };
 
+/** Whether a text has the form of a job's id. */
 export function isJobId(text: string): boolean {
   return idRegExp.test(text);
 }
--- a/packages/wire/order.ts
+++ b/packages/wire/order.ts
@@ -1,6 +1,7 @@
 /** What a controller tells a worker: answers to its reports, direct commands and redirects. */
 import { taskName, type TaskRef } from './task.js';
 
+/** What a worker is to do with one attempt; `graceS` is the time to save before a stop, in seconds. */
 export type Order =
   | ({ op: 'start' } & TaskRef)
   | ({ op: 'stop'; graceS: number } & TaskRef)
--- a/packages/wire/report.ts
+++ b/packages/wire/report.ts
@@ -3,27 +3,36 @@
 import { compileSchema } from './schema.js';
 import { taskName, type TaskRef } from './task.js';
 
+/** Where a task is on its machine; `exited` until the worker is told to forget it. */
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+/** Why a task exited (docs/glossary.md). */
 export type Cause =
   'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'no_room' | 'busy' | 'unknown';
 
 /** One task as its worker holds it. */
 export interface TaskReport extends TaskRef {
   state: TaskState;
+  /** Null unless it has exited. */
   cause: Cause | null;
+  /** Its progress was saved when it was stopped. */
   saved: boolean;
 }
 
 /** A worker's heartbeat, with all its tasks. */
 export interface Report {
   machine: string;
+  /** HOST:PORT for direct commands. */
   addr: string;
   type: string;
   zone: string;
   spot: boolean;
+  /** Rises when the worker's lease has run out. */
   session: number;
+  /** Number of the message in its session. */
   seq: number;
+  /** The largest fencing token that the worker has obeyed. */
   token: number;
+  /** Seconds until the cloud takes the machine back; null if it has not said so. */
   noticeS: number | null;
   tasks: TaskReport[];
 }
--- a/packages/wire/runtime.ts
+++ b/packages/wire/runtime.ts
@@ -39,6 +39,7 @@
   listen(server: net.Server, address: HostPort): Promise<void>;
 }
 
+/** Where a server listens: an IPv4 address and a port. */
 export interface HostPort {
   host: string;
   port: number;
--- a/packages/wire/schema.ts
+++ b/packages/wire/schema.ts
@@ -10,6 +10,7 @@
   validateSchema: false,
 });
 
+/** Compiles a JSON schema; its check fills in defaults and leaves the first error in `errors`. */
 export function compileSchema<T>(schema: object): ValidateFunction<T> {
   return ajv.compile<T>(schema);
 }
--- a/packages/wire/serving/cloud.ts
+++ b/packages/wire/serving/cloud.ts
@@ -11,12 +11,14 @@
 } from './fields.js';
 import type { WireReply, WireRequest } from './message.js';
 
+/** What the cloud can be asked. */
 export type CloudRequest =
   | { op: 'catalog' }
   | RentRequest
   | { op: 'release'; machines: string[] }
   | { op: 'list'; after: string | null; limit: number };
 
+/** A request to rent machines of one type, zone and kind. */
 export interface RentRequest {
   op: 'rent';
   /** Name that makes the request idempotent. */
@@ -67,6 +69,7 @@
   return { op: 'release', machines };
 }
 
+/** All machine types. */
 export function catalogReply(types: MachineType[]): WireReply {
   const rigs = types.map((type) => ({
     name: type.name,
@@ -89,10 +92,12 @@
   return { status: 200, body: { hosts: machines } };
 }
 
+/** The machines are gone. */
 export function releaseReply(): WireReply {
   return { status: 200, body: {} };
 }
 
+/** One page of the machine list. */
 export function machineListReply(machines: ListedMachine[], more: boolean): WireReply {
   const hosts = machines.map((machine) => ({
     id: machine.name,
--- a/packages/wire/serving/fields.ts
+++ b/packages/wire/serving/fields.ts
@@ -1,8 +1,10 @@
 /** Readers for single fields of a decoded body; each throws MalformedBody with the field's name. */
 import { MalformedBody } from '../cbor.js';
 
+/** A map as it was decoded. */
 export type Fields = Record<string, unknown>;
 
+/** A map; the name is for the error. */
 export function asFields(value: unknown, name = 'body'): Fields {
   if (value === null || typeof value !== 'object' || Array.isArray(value)) {
     throw new MalformedBody(`${name} is not a map`);
@@ -17,18 +19,21 @@
   return value;
 }
 
+/** A text that must be there. */
 export function textField(fields: Fields, name: string): string {
   const value = fields[name];
   if (typeof value !== 'string') throw new MalformedBody(`${name} is not a text`);
   return value;
 }
 
+/** A boolean that must be there. */
 export function booleanField(fields: Fields, name: string): boolean {
   const value = fields[name];
   if (typeof value !== 'boolean') throw new MalformedBody(`${name} is not a boolean`);
   return value;
 }
 
+/** An integer within the bounds that must be there. */
 export function integerField(fields: Fields, name: string, min: number, max: number): number {
   return checkedInteger(fields[name], name, min, max);
 }
--- a/packages/wire/serving/message.ts
+++ b/packages/wire/serving/message.ts
@@ -19,8 +19,11 @@
   body?: unknown;
 }
 
+/** The request cannot be read; a repetition would fare the same. */
 export const MALFORMED: WireReply = { status: 400, body: { error: 'malformed' } };
+/** Above the allowed rate; nothing was done. */
 export const TOO_MANY_REQUESTS: WireReply = { status: 429, body: { error: 'too many requests' } };
+/** An outage; nothing was done. */
 export const UNAVAILABLE: WireReply = { status: 503, body: { error: 'trouble' } };
 
 /** Bytes of a body as the protocol counts them: in its JSON form. */
--- a/packages/wire/serving/state.ts
+++ b/packages/wire/serving/state.ts
@@ -4,6 +4,7 @@
 import { asFields, integerField, integerQuery, listField, textField } from './fields.js';
 import type { WireReply, WireRequest } from './message.js';
 
+/** What the state service can be asked. */
 export type StateRequest =
   | { op: 'get'; key: string }
   | { op: 'list'; prefix: string; after: string | null; limit: number }
@@ -97,28 +98,34 @@
   return key;
 }
 
+/** One key with its value. */
 export function entryReply(entry: Entry & { lease: number | null }): WireReply {
   return { status: 200, body: { ...entryToWire(entry), permit: entry.lease } };
 }
 
+/** The key does not exist at that revision. */
 export function noEntryReply(revision: number): WireReply {
   return { status: 404, body: { epoch: revision } };
 }
 
+/** One page of keys. */
 export function listReply(entries: Entry[], more: boolean, revision: number): WireReply {
   return { status: 200, body: { entries: entries.map(entryToWire), more, epoch: revision } };
 }
 
+/** An entry as lists hold it. */
 export function entryToWire(entry: Entry): Record<string, unknown> {
   return { k: entry.key, value: entry.value, stamp: entry.version };
 }
 
+/** What became of a transaction. */
 export function txnReply(outcome: TxnOutcome): WireReply {
   if (outcome.ok) return { status: 200, body: { epoch: outcome.revision } };
   if ('leaseGone' in outcome) return { status: 400, body: { error: 'no such lease' } };
   return { status: 409, body: { failed: outcome.failed, epoch: outcome.revision } };
 }
 
+/** A new lease. */
 export function grantReply(lease: number): WireReply {
   return { status: 200, body: { permit: lease } };
 }
@@ -128,6 +135,7 @@
   return found ? { status: 200, body: {} } : { status: 404, body: { error: 'no such lease' } };
 }
 
+/** Changes up to a revision, or that they are no longer known. */
 export function watchReply(outcome: WatchOutcome): WireReply {
   if (outcome === 'too-old') return { status: 410, body: { error: 'too old' } };
   const events = outcome.events.map((event) =>
--- a/packages/wire/state.ts
+++ b/packages/wire/state.ts
@@ -1,24 +1,31 @@
 import { type Answer, CborClient } from './http.js';
 import type { Runtime } from './runtime.js';
 
+/** A key of the store with its value. */
 export interface Entry {
   key: string;
   value: unknown;
+  /** Revision of the key's last change. */
   version: number;
 }
 
+/** What a transaction depends on. */
 export interface Condition {
   key: string;
+  /** 0: the key does not exist. */
   version: number;
 }
 
+/** A key that is written, detached from any lease but the one given, or removed. */
 export type Change = { put: string; value: unknown; lease?: number } | { delete: string };
 
+/** Done; or nothing was done, since conditions failed or the lease of a change has ended. */
 export type TxnOutcome =
   | { ok: true; revision: number }
   | { ok: false; failed: string[]; revision: number }
   | { ok: false; leaseGone: true };
 
+/** One change that a watch shows. */
 export interface WatchEvent {
   key: string;
   /** undefined: the key was removed. */
@@ -26,6 +33,7 @@
   version: number;
 }
 
+/** All changes up to a revision; `too-old`: the keys must be read anew. */
 export type WatchOutcome = { revision: number; events: WatchEvent[] } | 'too-old';
 
 /** The state service did not execute the request (429 or 503). */
@@ -65,7 +73,10 @@
   expected?: number[];
 }
 
-/** The state service's interface, call by call; budgets and retries are the store package's. */
+/**
+ * The state service's interface, call by call; budgets and retries are the store package's. Calls reject
+ * with NoAnswer or StateRefused.
+ */
 export class StateApi {
   private readonly http: CborClient;
 
@@ -77,12 +88,14 @@
     this.http = new CborClient(runtime, address);
   }
 
+  /** Reads one key; null if it does not exist. */
   async get(key: string, signal?: AbortSignal): Promise<Entry | null> {
     const res = await this.call('GET', `/store/${key}`, { signal, expected: [404] });
     if (res.status === 404) return null;
     return readEntry(res.body as RawEntry);
   }
 
+  /** Reads a page of the keys with a prefix, after a key if one is given. */
   async list(
     prefix: string,
     after: string | null,
@@ -99,6 +112,7 @@
     };
   }
 
+  /** Applies all changes if all conditions hold; throws TxnMalformed if no repetition can help. */
   async txn(conditions: Condition[], changes: Change[], signal?: AbortSignal): Promise<TxnOutcome> {
     const body = {
       if: conditions.map(({ key, version }) => ({ k: key, stamp: version })),
@@ -112,6 +126,7 @@
     throw new TxnMalformed(raw?.error ?? '');
   }
 
+  /** Creates a lease; resolves with its number. */
   async grant(ttlMs: number, signal?: AbortSignal): Promise<number> {
     const res = await this.call('POST', '/grants', { body: { ttlMs }, signal });
     return (res.body as { permit: number }).permit;
@@ -124,10 +139,12 @@
     return res.status === 200;
   }
 
+  /** Ends a lease at once, with the keys that hang on it. */
   async drop(grant: number, signal?: AbortSignal): Promise<void> {
     await this.call('DELETE', `/grants/${grant}`, { signal, expected: [404] });
   }
 
+  /** Waits until a key with the prefix has changed after a revision, or until the time runs out. */
   async changes(
     prefix: string,
     after: number,
