--- a/eslint.config.js
+++ b/eslint.config.js
@@ -69,6 +69,12 @@
   ],
 };
 
+/** Sizes that can be read at one go; tests tell one story each and may be longer. */
+const sizeRules = {
+  'max-lines': ['error', { max: 250 }],
+  'max-lines-per-function': ['error', { max: 40, skipComments: true, skipBlankLines: true }],
+};
+
 /** The packages that each may import. Production imports neither `testing` nor stand-ins' messages. */
 const MAY_IMPORT = {
   wire: [],
@@ -124,6 +130,7 @@
       eqeqeq: 'error',
     },
   },
+  { files: ['packages/**/*.ts'], ignores: TESTS, rules: sizeRules },
   { files: PRODUCTION, ignores: ['packages/wire/runtime.ts', ...TESTS], rules: runtimeRules },
   {
     // Several controllers may run in one process; only the command line may end it.
