--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -13,13 +13,13 @@
 /** Guarantees and limits by team, in the core's words. */
 export function teamQuotas(teams: TeamSettings[]): Map<string, TeamQuota> {
   return new Map(
-    teams.map((t) => [
-      t.name,
+    teams.map((team) => [
+      team.name,
       {
-        guaranteedCpus: t.cpus,
-        guaranteedGpus: t.gpus,
-        cpuLimit: t.cpus_max,
-        gpuLimit: t.gpus_max,
+        guaranteedCpus: team.cpus,
+        guaranteedGpus: team.gpus,
+        cpuLimit: team.cpus_max,
+        gpuLimit: team.gpus_max,
       },
     ]),
   );
--- a/packages/controller/vitals.ts
+++ b/packages/controller/vitals.ts
@@ -73,6 +73,6 @@
   return round(bytes / 2 ** 20);
 }
 
-function round(n: number): number {
-  return Math.round(n * 1000) / 1000;
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
 }
--- a/packages/peer/link.test.ts
+++ b/packages/peer/link.test.ts
@@ -39,17 +39,17 @@
   // that it takes, and that heard nobody from then on.
   const [portA, portB] = [await freePort(), await freePort()];
   const stop = new AbortController();
-  const a = linkOf('a', portA, 'b', portB);
-  const b = linkOf('b', portB, 'a', portA);
+  const linkA = linkOf('a', portA, 'b', portB);
+  const linkB = linkOf('b', portB, 'a', portA);
   let heard = 0;
-  b.heard.subscribe(() => heard++);
-  const runB = b.run(stop.signal);
+  linkB.heard.subscribe(() => heard++);
+  const runB = linkB.run(stop.signal);
   await pause(nodeRuntime.clock, RETRY_MS);
   const silent = Array.from({ length: 40 }, () => silentConnection(portB, 'a'));
   await pause(nodeRuntime.clock, 4 * RETRY_MS);
-  const runA = a.run(stop.signal);
+  const runA = linkA.run(stop.signal);
   for (let i = 0; i < 40 && heard === 0; i++) {
-    a.send({ kind: 'abort', job: 'j-1', ageMs: 0 });
+    linkA.send({ kind: 'abort', job: 'j-1', ageMs: 0 });
     await pause(nodeRuntime.clock, RETRY_MS);
   }
   assert.ok(heard > 0);
