--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -42,7 +42,7 @@
 ): PartOwner {
   const term = { term: 1 };
   const state = { ready: true, first: true, startedAt: -1000 };
-  return { fleet, planner, term, ...state, nudge: () => {} } as unknown as PartOwner;
+  return { fleet, planner, term, ...state, requestRound: () => {} } as unknown as PartOwner;
 }
 
 async function callsOf(permission: Permission): Promise<string[]> {
--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -118,7 +118,7 @@
 
   private consolidate(consolidation: Consolidation, now: number): void {
     startConsolidation(this.fleet, consolidation, now);
-    this.owner.nudge();
+    this.owner.requestRound();
     const { machine, moves } = consolidation;
     this.log.info({ machine: machine.name, replicas: moves.length }, 'emptied');
   }
@@ -139,6 +139,6 @@
     for (const name of names) this.fleet.removeMachine(name, now);
     this.list.noteReleased(names, now);
     this.log.info({ machines: names }, 'released');
-    this.owner.nudge();
+    this.owner.requestRound();
   }
 }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -98,7 +98,7 @@
       timeoutMs: DIRECT_TIMEOUT * reportS * 1000,
       maxConnections: options.directSockets,
       onOrders: (machine, orders) => this.logOrders(machine.name, orders),
-      onDone: () => this.nudge(),
+      onDone: () => this.requestRound(),
     });
   }
 
@@ -112,7 +112,7 @@
     const jobs = this.options.jobs.changed.subscribe((record) => {
       this.intake.take(record);
       if (record.phase !== 'accepted') this.recorder.jobRecords.over(record.job);
-      this.nudge();
+      this.requestRound();
     });
     const rounds = this.makePacer(signal);
     this.rounds = rounds;
@@ -127,13 +127,13 @@
   }
 
   /** Asks for a scheduling round soon. */
-  nudge(): void {
+  requestRound(): void {
     this.rounds?.request();
   }
 
   /** A user gives the job up; its record may be still to come. */
   abort(id: string): void {
-    if (this.intake.cancel(id)) this.nudge();
+    if (this.intake.cancel(id)) this.requestRound();
   }
 
   private async load(signal: AbortSignal): Promise<void> {
@@ -223,7 +223,7 @@
     this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
       this.idle.wake();
-      this.nudge();
+      this.requestRound();
     }
     return { token, orders };
   }
