Core: failing jobs are told from failing machines, and limited

Cause: a job's wait after failures was at most 32 report periods and was reset when any of its tasks was seen to run, so a faulty job was tried with all its tasks about once a second. Each error counted against the machine, and three of any job had it given back. Its waiting tasks were rented for, and quick failures earned its team no service.

Replaces retry-backoff.

Ruled out: an avoidance that doubles with the failures of all jobs together. Now it grows only with jobs that succeeded elsewhere.

--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -19,8 +19,6 @@
 const REFUSED_FOR = 1 / 3;
 /** Leases for which a machine may be silent before it is given back. */
 const EXPIRED_LEASES = 2;
-/** Failed tasks after which a machine counts as broken. */
-const BROKEN_ERRORS = 3;
 /** Report periods from one look at the machine types to the next, and from one list to the next. */
 const CATALOG_PERIODS = 30;
 const LIST_PERIODS = 2;
@@ -188,8 +186,7 @@
       const neverUp = state === 'booting' && now - rentedAt > BOOT_LATE * bootS;
       const longExpired =
         state === 'expired' && now - expiredAt > EXPIRED_LEASES * this.options.leaseS;
-      const unwanted = draining || machine.taskErrors >= BROKEN_ERRORS;
-      const emptied = unwanted && machine.tasks.size === 0;
+      const emptied = draining && machine.tasks.size === 0;
       return machine.failedInList || neverUp || longExpired || emptied;
     };
     return [...machines.values()].filter(isUseless).slice(0, RELEASE_AT_ONCE);
--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,4 +1,4 @@
-import { CapacityPlanner, FleetListener, FleetState, Scheduler } from '#core';
+import { CapacityPlanner, FleetListener, FleetState, Random, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
 import { Settings, teamQuotas } from './settings.js';
@@ -12,6 +12,7 @@
   term: Term,
   valueBytes: number,
   listener: FleetListener,
+  random: Random,
 ): FleetState {
   const { cancel_s, lease_s, report_s, gang_peer_s } = settings.deployment.workers;
   return new FleetState({
@@ -26,6 +27,7 @@
     term: term.term,
     claimedAt: term.claimedAt,
     listener,
+    random,
   });
 }
 
--- a/packages/controller/fleet-events.ts
+++ b/packages/controller/fleet-events.ts
@@ -12,6 +12,17 @@
       const { name, type, zone, spot, rentedAt } = machine;
       log.debug({ machine: name, type, zone, spot, bootedS: hundredths(now - rentedAt) }, 'up');
     },
+    jobSuspected({ spec, failures }) {
+      const { id: job, class: jobClass, team, tasks } = spec;
+      const { attempts, longestRunS } = failures;
+      const machines = [...failures.machines];
+      const ranS = hundredths(longestRunS);
+      log.info({ job, class: jobClass, team, tasks, attempts, ranS, machines }, 'job suspect');
+    },
+    jobCleared: ({ spec }) => log.info({ job: spec.id }, 'job cleared'),
+    machineBroken({ name, failures }) {
+      log.info({ machine: name, jobs: [...failures.jobs.keys()] }, 'machine broken');
+    },
     jobClosed: (job, now) => planner().jobEnded(job.spec, now),
     taskRunning({ job, index, machine, assignedAt }, now) {
       const fields = {
--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -14,6 +14,8 @@
   index: Record<string, number>;
   /** Tasks that wait for a place, by class. */
   waiting: Record<string, number>;
+  /** Jobs whose tasks fail on every machine tried. */
+  suspects: number;
 }
 
 export function summariseFleet(
@@ -29,6 +31,7 @@
     use: {},
     index: {},
     waiting: {},
+    suspects: fleet.failures.suspects.size,
   };
   for (const machine of fleet.machines.values()) {
     add(summary.machines, `${machine.state}${machine.spot ? ' spot' : ''}`, 1);
--- a/packages/controller/metrics-endpoint.ts
+++ b/packages/controller/metrics-endpoint.ts
@@ -80,6 +80,10 @@
       'class',
       () => owner()?.fleetSummary().waiting ?? {},
     );
+    const suspectHelp = 'Jobs whose tasks fail on every machine tried';
+    metrics.gauge('suspect_jobs', suspectHelp, null, () => ({
+      '': owner()?.fleet.failures.suspects.size ?? 0,
+    }));
     metrics.gauge(
       'machines',
       'Machines by state',
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -77,7 +77,9 @@
     this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, term: this.term, log: this.log } = options);
     const listener = fleetListener(() => this.planner, log);
-    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener);
+    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener, () =>
+      runtime.random(),
+    );
     this.planner = makePlanner(settings, this.fleet);
     this.scheduler = makeScheduler(settings, this.fleet);
     const reportS = settings.deployment.workers.report_s;
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -4,7 +4,6 @@
 import { useImage } from './image-cache.js';
 import type { TaskEnd } from './listener.js';
 import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
-import { noteFailure } from './retry-backoff.js';
 
 /** Attempt numbers that one term may use. */
 const ATTEMPTS_PER_TERM = 65_536;
@@ -114,7 +113,7 @@
   /** The task is proven gone from its machine (docs/safety.md, point 5). */
   end(assignment: Assignment, cause: TaskEnd['cause'], saved: boolean, now: number): void {
     const { job, index, machine } = assignment;
-    const { jobs, unrecorded, listener, settings } = this.tables;
+    const { jobs, unrecorded, listener, failures } = this.tables;
     const name = taskName(job.spec.id, index);
     if (machine.tasks.get(name) !== assignment) return;
     machine.tasks.delete(name);
@@ -125,7 +124,7 @@
     jobs.joinQueueIfAnyWaits(job, now);
     if (job.phase === 'accepted' && !job.done.has(index)) {
       if (index < job.scanFrom) job.returnedTasks.add(index);
-      noteFailure(assignment, cause, settings.reportS, now);
+      failures.taskEnded(assignment, cause, now);
       if (job.spec.kind === 'gang') this.stopRestOfAttempt(assignment, now);
     }
     listener.taskEnded({ assignment, cause, saved }, now);
--- a/packages/core/availability.ts
+++ b/packages/core/availability.ts
@@ -11,7 +11,12 @@
   );
 }
 
+/** Whether the machine takes nothing new for a while, though it is up. */
+export function isAvoided({ avoidUntil, failures }: Machine, now: number): boolean {
+  return avoidUntil > now || failures.avoidUntil > now;
+}
+
 /** Whether new tasks may be placed on the machine now. */
 export function isUsable(machine: Machine, maxTasksPerMachine: number, now: number): boolean {
-  return machine.avoidUntil <= now && canTakeTasks(machine, maxTasksPerMachine);
+  return !isAvoided(machine, now) && canTakeTasks(machine, maxTasksPerMachine);
 }
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -82,7 +82,7 @@
     const standing = standingSlots(fleet, this.boots.lateFrom(), now);
     const { types } = fleet.machines;
     const packing = new SlotPacking({ standing, types, refusals: this.refusals, now });
-    this.packWaiting(packing);
+    this.packWaiting(packing, now);
     this.packReserve(packing, now);
     // Replicas are moved only while nothing lacks room.
     const lacksRoom = packing.rented.length > 0;
@@ -93,10 +93,11 @@
     };
   }
 
-  private packWaiting(packing: SlotPacking): void {
+  private packWaiting(packing: SlotPacking, now: number): void {
     const usage = new Map<string, Amounts>();
-    const waiting = [...this.options.fleet.jobs.waiting].sort(byRankAndSize);
-    for (const job of waiting) this.packJob(job, packing, usage);
+    const { jobs, failures } = this.options.fleet;
+    const waiting = [...jobs.waiting].filter((job) => failures.mayClaimRoom(job, now));
+    for (const job of waiting.sort(byRankAndSize)) this.packJob(job, packing, usage);
   }
 
   private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
@@ -109,7 +110,8 @@
     const zones = new Map<string, number>();
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
-    const count = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
+    const startable = Math.min(fleet.jobs.waitingCount(job), fleet.failures.startableTasks(job));
+    const count = Math.min(startable, MOST_TASKS_PLANNED);
     for (let i = 0; i < count && withinLimit(quota, used, spec); i++) {
       const slot = packing.place(request);
       if (!slot) return;
--- a/packages/core/choose-gang-machines.ts
+++ b/packages/core/choose-gang-machines.ts
@@ -49,6 +49,7 @@
     const cost = candidates.cost(candidate, spec);
     if (cost === Infinity || fleet.holds.isHeldFromJob(machine, job, now)) continue;
     if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
+    if (fleet.failures.avoids(job, machine, now)) continue;
     const room = Math.min(
       spec.tasks,
       maxTasksPerMachine - machine.tasks.size,
--- a/packages/core/choose-machine.ts
+++ b/packages/core/choose-machine.ts
@@ -27,6 +27,7 @@
     if (cost >= lowest) continue;
     if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     if (fleet.holds.isHeldFromJob(machine, job, now)) continue;
+    if (fleet.failures.avoids(job, machine, now)) continue;
     if (!zoneAllowed(spec, machine.zone, ownZones)) continue;
     best = machine;
     lowest = cost;
--- /dev/null
+++ b/packages/core/failure-tracker.test.ts
@@ -0,0 +1,233 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Job } from '#wire';
+import { SEEDED } from '../testing/generators.js';
+import { aFleet, aJob, aMachine } from '../testing/samples.js';
+import { CapacityPlanner } from './capacity-planner.js';
+import { isUsable } from './availability.js';
+import type { FleetState } from './fleet-state.js';
+import { assignmentsOf, JobState, Machine } from './model.js';
+import { Scheduler } from './scheduler.js';
+import { NO_QUOTA } from './team-quota.js';
+
+const TEAMS = new Map([
+  ['red', NO_QUOTA],
+  ['blue', NO_QUOTA],
+]);
+
+/** A fleet in which tasks of some jobs always fail, a second after they were placed. */
+class FailingWorld {
+  readonly fleet: FleetState = aFleet();
+  readonly machines: Machine[];
+  readonly scheduler: Scheduler;
+  /** Starts by job id. */
+  readonly starts = new Map<string, number>();
+  now = 0;
+
+  constructor(machineCount: number) {
+    this.machines = Array.from({ length: machineCount }, (_, i) => aMachine(this.fleet, `n-${i}`));
+    this.scheduler = new Scheduler(this.fleet, TEAMS, {
+      floorWeight: 0.05,
+      stopThreshold: 0.5,
+      gangLeaseS: 120,
+      preemptAfterS: 2,
+      decisionsPerRound: 200,
+    });
+  }
+
+  submit(own: Partial<Job>): JobState {
+    return this.fleet.addJob(aJob(own), this.now, 'accepted', this.now);
+  }
+
+  /** Plays seconds; what `fails` says of a task running on a machine ends it with an error. */
+  play(seconds: number, fails: (job: JobState, machine: Machine) => boolean): void {
+    for (const until = this.now + seconds; this.now < until; this.now++) {
+      for (const job of [...this.fleet.jobs.values()]) {
+        for (const task of assignmentsOf(job)) this.report(task.machine, job, fails);
+      }
+      this.scheduler.reservations.update(this.now);
+      this.scheduler.round(this.now);
+    }
+  }
+
+  fail(job: JobState, machine: Machine): void {
+    const attempt = this.fleet.assignments.newAttempt();
+    const [index] = this.fleet.jobs.waitingTasks(job, 1);
+    const task = this.fleet.assignments.assign(job, index, machine, attempt, this.now);
+    this.fleet.assignments.end(task, 'error', false, ++this.now);
+  }
+
+  private report(
+    machine: Machine,
+    job: JobState,
+    fails: (job: JobState, machine: Machine) => boolean,
+  ): void {
+    const { assignments, failures } = this.fleet;
+    for (const task of [...machine.tasks.values()]) {
+      if (task.job !== job || task.assignedAt >= this.now) continue;
+      if (task.stop !== null) {
+        assignments.end(task, 'stopped', false, this.now);
+        continue;
+      }
+      if (task.runningSince === null) {
+        task.runningSince = this.now;
+        task.reported = 'running';
+        this.starts.set(job.spec.id, (this.starts.get(job.spec.id) ?? 0) + 1);
+      }
+      if (fails(job, machine)) assignments.end(task, 'error', false, this.now);
+      else failures.taskRuns(task, this.now);
+    }
+  }
+}
+
+test('a job that fails everywhere is tried less and less, a few of its tasks at a time', () => {
+  // Guards against an array of thousands of tasks that takes every machine over and over: being seen
+  // to run for an instant reset its waits.
+  const world = new FailingWorld(6);
+  const job = world.submit({ tasks: 5000 });
+  world.play(6, () => true);
+  assert.ok(world.fleet.failures.suspects.has(job));
+  const before = world.starts.get(job.spec.id)!;
+  let most = 0;
+  for (let i = 0; i < 300; i++) {
+    world.play(1, () => true);
+    most = Math.max(most, job.assignments.size);
+  }
+  const after = world.starts.get(job.spec.id)! - before;
+  assert.ok(after > 4 && after <= 24, `${after} starts`);
+  assert.ok(most <= 2, `${most} at once`);
+});
+
+test('a gang that fails everywhere keeps no machine free, and its attempts are bounded', () => {
+  const world = new FailingWorld(5);
+  const job = world.submit({ kind: 'gang', tasks: 3, gpus: 4 });
+  world.play(8, () => true);
+  const kept: number[] = [];
+  for (let i = 0; i < 200; i++) {
+    world.play(1, () => true);
+    kept.push(world.machines.filter(({ reservedForGang }) => reservedForGang !== null).length);
+  }
+  assert.equal(Math.max(...kept), 0);
+  const starts = world.starts.get(job.spec.id)!;
+  assert.ok(starts >= 6 && starts <= 30, `${starts} starts`);
+});
+
+test('a job that failed once is tried on another machine at once', () => {
+  // Guards against sound work that waits because a machine is bad.
+  const world = new FailingWorld(2);
+  const job = world.submit({ tasks: 1 });
+  let bad: Machine | null = null;
+  world.play(2, (_, machine) => (bad ??= machine) === machine);
+  world.play(1, () => false);
+  const [task] = [...assignmentsOf(job)];
+  assert.notEqual(task.machine, bad);
+  assert.ok(task.assignedAt <= 2);
+  assert.equal(world.fleet.failures.suspects.size, 0);
+});
+
+test('being seen to run clears no job, running longer than its failures and completion do', () => {
+  const clears = (end: (world: FailingWorld, job: JobState) => void) => {
+    const world = new FailingWorld(3);
+    const job = world.submit({ tasks: 4 });
+    world.fail(job, world.machines[0]);
+    world.fail(job, world.machines[1]);
+    assert.ok(world.fleet.failures.suspects.has(job));
+    end(world, job);
+    return !world.fleet.failures.suspects.has(job);
+  };
+  const runFor = (seconds: number) => (world: FailingWorld) => world.play(seconds, () => false);
+  assert.ok(!clears(runFor(6)));
+  assert.ok(clears(runFor(30)));
+  const complete = (world: FailingWorld, job: JobState) => {
+    const task = world.fleet.assignments.assign(job, 0, world.machines[2], 9, world.now);
+    world.fleet.failures.taskCompleted(task, world.now);
+  };
+  assert.ok(clears(complete));
+});
+
+test('a failed attempt costs its team at least the smallest service', () => {
+  // Guards against a team that is served first again and again since its tasks fail too quickly to count.
+  const world = new FailingWorld(2);
+  const job = world.submit({ team: 'blue' });
+  const share = 1 / 8;
+  world.fail(job, world.machines[0]);
+  assert.ok(Math.abs(world.scheduler.index('blue', world.now) * 0.05 - 30 * share) < 0.1);
+  assert.ok(job.service.read(world.now) > 29 * share);
+  world.fail(job, world.machines[1]);
+  assert.ok(Math.abs(world.scheduler.index('blue', world.now) * 0.05 - 60 * share) < 0.2);
+});
+
+test('the waiting tasks of a suspect job rent nothing, stop nothing and hold no room', () => {
+  const world = new FailingWorld(2);
+  const { fleet, machines } = world;
+  const running = world.submit({ id: 'j-000009', rank: 3, tasks: 2, gpus: 4 });
+  machines.forEach((machine, index) => {
+    const task = fleet.assignments.assign(running, index, machine, index + 1, 0);
+    task.startSent = true;
+    task.reported = 'running';
+    task.runningSince = -100;
+  });
+  const job = world.submit({ id: 'j-000002', rank: 0, tasks: 40, gpus: 0, cpus: 1 });
+  const planner = new CapacityPlanner({
+    fleet,
+    settings: { reserveSigmas: 0, idleHoldS: 60, memoryS: 120 },
+    objectives: [],
+    teams: TEAMS,
+  });
+  const rents = () => planner.plan(world.now).rent.reduce((sum, { count }) => sum + count, 0);
+  assert.ok(rents() > 0);
+  fleet.holds.hold(machines[0], job, 1000);
+  machines.forEach((machine) => world.fail(job, machine));
+  assert.equal(machines[0].roomHold, null);
+  assert.equal(rents(), 0);
+  world.now += 100;
+  job.backoffUntil = world.now - 1;
+  job.spec = { ...job.spec, cpus: 16 };
+  world.scheduler.round(world.now);
+  assert.deepEqual(
+    [...assignmentsOf(running)].filter(({ stop }) => stop !== null),
+    [],
+  );
+  // In the end it may ask after all: whatever was accepted must run some day.
+  world.now += 300;
+  world.scheduler.round(world.now);
+  assert.ok([...assignmentsOf(running)].some(({ stop }) => stop !== null));
+});
+
+test('one faulty job condemns one machine at the most, and leaves the others usable', () => {
+  // Guards against a fleet that is given back machine by machine because of one job's mistake.
+  fc.assert(
+    fc.property(fc.array(fc.nat(5), { minLength: 1, maxLength: 60 }), (order) => {
+      const world = new FailingWorld(6);
+      const job = world.submit({ tasks: 100 });
+      for (const i of order) {
+        world.fail(job, world.machines[i]);
+        world.now += 50;
+      }
+      const draining = world.machines.filter((machine) => machine.draining).length;
+      assert.ok(draining <= 1);
+      const hit = new Set(order);
+      if (hit.size < 2) return;
+      const usable = world.machines.filter((machine) => isUsable(machine, 50, world.now - 50));
+      assert.equal(usable.length, 6 - draining);
+    }),
+    SEEDED,
+  );
+});
+
+test('a machine on which jobs fail that succeed elsewhere is avoided, then given back', () => {
+  const world = new FailingWorld(2);
+  const [bad, good] = world.machines;
+  const isAvoided = () => !isUsable(bad, 50, world.now);
+  for (const id of ['j-000001', 'j-000002', 'j-000003']) {
+    assert.ok(!bad.draining);
+    const job = world.submit({ id });
+    world.fail(job, bad);
+    assert.ok(isAvoided());
+    const task = world.fleet.assignments.assign(job, 0, good, 1, world.now);
+    world.fleet.failures.taskCompleted(task, world.now + 10);
+    world.now += 100;
+  }
+  assert.deepEqual([bad.draining, good.draining], [true, false]);
+});
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -48,6 +48,7 @@
   closeJob(job: JobState, phase: 'aborted' | 'done', now: number): void {
     if (job.phase !== 'accepted') return;
     this.jobs.setFinalPhase(job, phase);
+    this.failures.jobClosed(job);
     for (const assignment of assignmentsOf(job)) {
       this.fencing.revoke(assignment.machine, taskRef(assignment));
       this.assignments.stop(assignment, 0, now);
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -1,3 +1,5 @@
+import { FailureTracker } from './failure-tracker.js';
+import type { Random } from './job-failures.js';
 import { JobRegistry } from './job-registry.js';
 import { FleetListener, NO_LISTENER } from './listener.js';
 import { MachineRegistry } from './machine-registry.js';
@@ -15,6 +17,8 @@
   /** When the part was claimed, in seconds of the steady clock. */
   claimedAt: number;
   listener?: FleetListener;
+  /** Source of jitter for retries; without it waits have their full length. */
+  random?: Random;
 }
 
 /** The data of a part that all operations on it share. */
@@ -29,6 +33,7 @@
   readonly released: ReleasedMachines;
   readonly usage: UsageLedger;
   readonly holds = new RoomHolds();
+  readonly failures: FailureTracker;
   /** Machines for which a direct command may be due. */
   readonly machinesWithCommands = new Set<Machine>();
 
@@ -41,5 +46,8 @@
     this.machines = new MachineRegistry(options.term);
     this.released = new ReleasedMachines(options.settings.leaseS);
     this.usage = new UsageLedger(options.settings.halfLifeS);
+    const { settings, machines, usage, holds, listener } = this;
+    const random = options.random ?? (() => 0);
+    this.failures = new FailureTracker({ settings, machines, usage, holds, listener, random });
   }
 }
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -1,5 +1,6 @@
 import type { MachineType } from '#wire';
 import { ZERO_AMOUNTS } from './amounts.js';
+import { isAvoided } from './availability.js';
 import { kindAllowed, tasksThatFit } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { byRankAndAge } from './job-queues.js';
@@ -36,14 +37,18 @@
 
   /** Brings all reservations up to date. */
   update(now: number): void {
-    const gangs = [...this.fleet.jobs.waiting].filter(isWaitingGang);
+    const gangs = [...this.fleet.jobs.waiting].filter(
+      (job) => isWaitingGang(job) && this.fleet.failures.mayClaimRoom(job, now),
+    );
     this.releaseObsolete(new Set(gangs.map((gang) => gang.spec.id)));
     if (gangs.length === 0) return;
     const emptying = this.emptyingMachines(now);
     this.releaseIfNotEmptying(emptying);
     const byGang = reservedByGang(emptying);
     for (const gang of gangs.sort(byRankAndAge)) {
-      const isHeld = (machine: Machine) => this.fleet.holds.isHeldFromJob(machine, gang, now);
+      const { holds, failures } = this.fleet;
+      const isHeld = (machine: Machine) =>
+        holds.isHeldFromJob(machine, gang, now) || failures.avoids(gang, machine, now);
       reserveFor(gang, emptying, byGang.get(gang.spec.id) ?? [], isHeld);
     }
   }
@@ -78,7 +83,7 @@
     for (const machine of this.fleet.machines.values()) {
       const type = this.fleet.machines.typeOf(machine);
       if (!type || machine.state === 'expired' || machine.draining) continue;
-      if (machine.reclaimAt !== null || machine.avoidUntil > now) continue;
+      if (machine.reclaimAt !== null || isAvoided(machine, now)) continue;
       const waitS = emptyInS(machine, type.bootS, now);
       if (waitS !== null) found.push({ machine, type, waitS });
     }
--- a/packages/core/index.ts
+++ b/packages/core/index.ts
@@ -7,6 +7,7 @@
 export * from './direct-orders.js';
 export * from './fit.js';
 export * from './fleet-state.js';
+export type { Random } from './job-failures.js';
 export * from './listener.js';
 export * from './model.js';
 export * from './placement-candidates.js';
--- /dev/null
+++ b/packages/core/job-failures.ts
@@ -0,0 +1,94 @@
+/** What the failures of a job's tasks say of the job (docs/design.md, "Failing jobs"). */
+
+/** Machines of one job's failures that are remembered. */
+const MOST_MACHINES = 8;
+/** Machines on which a job has to fail before it is suspect. */
+const SUSPECT_MACHINES = 2;
+/** In report periods: the first wait of a job after more than one failure, and the longest. */
+const FIRST_WAIT = 2;
+const LONGEST_WAIT = 64;
+/** In report periods: the longest wait of a job that the workers do not know. */
+const LONGEST_WAIT_IF_UNKNOWN = 8;
+/** Waits are shortened by up to this share at random, so that jobs do not retry together. */
+const JITTER = 0.5;
+/** A task has proven its job once it has run for this many times as long as those that failed. */
+const PROVEN_RATIO = 2;
+
+/** A number in [0, 1). */
+export type Random = () => number;
+
+/** A job's failures since one of its tasks succeeded. Times are seconds of the steady clock. */
+export interface JobFailures {
+  /** Attempts that failed one after the other; those that overlap count as one. */
+  attempts: number;
+  /** When the last of these was counted. */
+  countedAt: number;
+  /** Names of the machines on which its tasks failed, up to a few. */
+  machines: Set<string>;
+  /** Longest time, in seconds, that a task of the job ever ran before it failed. */
+  longestRunS: number;
+  /** Starts that workers refused since they did not know the job. */
+  unknownStarts: number;
+}
+
+/** A task of the job that has failed. */
+export interface FailedTask {
+  machine: string;
+  assignedAt: number;
+  ranS: number;
+}
+
+/** Of a job that has not failed. */
+export function noJobFailures(): JobFailures {
+  return { attempts: 0, countedAt: 0, machines: new Set(), longestRunS: 0, unknownStarts: 0 };
+}
+
+/** Counts a failure; returns what of it is news. */
+export function countJobFailure(
+  failures: JobFailures,
+  { machine, assignedAt, ranS }: FailedTask,
+  now: number,
+): { isNewAttempt: boolean; isNewMachine: boolean } {
+  const { machines } = failures;
+  const isNewAttempt = failures.attempts === 0 || assignedAt >= failures.countedAt;
+  const isNewMachine = !machines.has(machine) && machines.size < MOST_MACHINES;
+  if (isNewMachine) machines.add(machine);
+  if (isNewAttempt) {
+    failures.attempts++;
+    failures.countedAt = now;
+  }
+  failures.longestRunS = Math.max(failures.longestRunS, ranS);
+  return { isNewAttempt, isNewMachine };
+}
+
+/** A task of the job succeeded. How long failures take stays known. */
+export function forgetJobFailures(failures: JobFailures): void {
+  failures.attempts = 0;
+  failures.machines.clear();
+}
+
+/** Whether the failures speak against the job: its tasks failed on several machines, and none succeeded. */
+export function isSuspect({ machines }: JobFailures): boolean {
+  return machines.size >= SUSPECT_MACHINES;
+}
+
+/** Whether a task that runs for so long shows that the job does not always fail. */
+export function provesJob({ longestRunS }: JobFailures, ranS: number, leaseS: number): boolean {
+  return ranS > PROVEN_RATIO * longestRunS + leaseS;
+}
+
+/**
+ * Seconds that a job waits after its last failure. The first one may be its machine's fault, so it is
+ * tried elsewhere at once; then waits double.
+ */
+export function retryWaitS(failures: JobFailures, reportS: number, random: Random): number {
+  const { attempts } = failures;
+  if (attempts <= 1 && !isSuspect(failures)) return 0;
+  const wait = Math.min(LONGEST_WAIT, FIRST_WAIT * 2 ** (attempts - 1));
+  return reportS * wait * (1 - JITTER * random());
+}
+
+/** Seconds that a job waits after a worker did not know it. */
+export function unknownWaitS({ unknownStarts }: JobFailures, reportS: number): number {
+  return reportS * Math.min(LONGEST_WAIT_IF_UNKNOWN, 2 ** (unknownStarts - 1));
+}
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -1,6 +1,7 @@
 import type { Job } from '#wire';
 import { ServiceCounter } from './service-counter.js';
 import { requirementsKey } from './fit.js';
+import { noJobFailures } from './job-failures.js';
 import type { JobState } from './model.js';
 import { TaskSet } from './task-set.js';
 import type { UnrecordedChanges } from './unrecorded-changes.js';
@@ -42,7 +43,7 @@
       assignments: new Map(),
       returnedTasks: new Set(),
       scanFrom: 0,
-      failures: 0,
+      failures: noJobFailures(),
       backoffUntil: 0,
       service: new ServiceCounter(this.halfLifeS, now),
       waitingSince: now,
--- a/packages/core/listener.ts
+++ b/packages/core/listener.ts
@@ -20,6 +20,12 @@
   taskRunning(assignment: Assignment, now: number): void;
   /** A rented machine reported for the first time. */
   machineUp(machine: Machine, now: number): void;
+  /** Tasks of the job failed on several machines and none succeeded; it is limited until one does. */
+  jobSuspected(job: JobState, now: number): void;
+  /** A task of a suspect job succeeded. */
+  jobCleared(job: JobState, now: number): void;
+  /** A machine is given back since tasks fail on it. */
+  machineBroken(machine: Machine, now: number): void;
   /** A job is over for its user: done or aborted. */
   jobClosed(job: JobState, now: number): void;
 }
@@ -29,5 +35,8 @@
   taskEnded() {},
   taskRunning() {},
   machineUp() {},
+  jobSuspected() {},
+  jobCleared() {},
+  machineBroken() {},
   jobClosed() {},
 };
--- /dev/null
+++ b/packages/core/machine-failures.ts
@@ -0,0 +1,74 @@
+/** What failed tasks say of their machine (docs/design.md, "Failing jobs"). */
+
+/** In report periods: how long a machine takes nothing new after a task failed, at first and at most. */
+const FIRST_AVOIDANCE = 5;
+const LONGEST_AVOIDANCE = 32;
+/** Different jobs that failed on the machine and succeeded elsewhere, from which on it is broken. */
+const BROKEN_JOBS = 3;
+/** Attempts of one job, one after the other and on this machine alone, from which on it is broken. */
+const BROKEN_ATTEMPTS = 3;
+
+/** How one job failed on a machine. */
+interface FailuresOfJob {
+  /** Attempts that failed one after the other. */
+  attempts: number;
+  /** The job has succeeded elsewhere since. */
+  isConfirmed: boolean;
+}
+
+/** Failures that may be the machine's fault. Times are seconds of the steady clock. */
+export interface MachineFailures {
+  /** By job id. */
+  jobs: Map<string, FailuresOfJob>;
+  /** Takes no new work before. */
+  avoidUntil: number;
+}
+
+/** Of a machine on which nothing has failed. */
+export function noMachineFailures(): MachineFailures {
+  return { jobs: new Map(), avoidUntil: 0 };
+}
+
+/** An attempt of the job failed on the machine, and nowhere else since a task of the job succeeded. */
+export function blameMachine(
+  failures: MachineFailures,
+  job: string,
+  reportS: number,
+  now: number,
+): void {
+  const { jobs } = failures;
+  const ofJob = jobs.get(job) ?? { attempts: 0, isConfirmed: false };
+  // Of a job that also succeeds, some tasks may always fail: it counts once.
+  if (!ofJob.isConfirmed) ofJob.attempts++;
+  jobs.set(job, ofJob);
+  const periods = Math.min(LONGEST_AVOIDANCE, FIRST_AVOIDANCE * 2 ** confirmedJobs(failures));
+  failures.avoidUntil = Math.max(failures.avoidUntil, now + periods * reportS);
+}
+
+/** The job has succeeded on another machine. */
+export function confirmBlame({ jobs }: MachineFailures, job: string): void {
+  const ofJob = jobs.get(job);
+  if (ofJob) ofJob.isConfirmed = true;
+}
+
+/** The job's failures there are no longer held against the machine, unless they are confirmed. */
+export function clearMachine(failures: MachineFailures, job: string): void {
+  const { jobs } = failures;
+  if (jobs.get(job)?.isConfirmed !== false) return;
+  jobs.delete(job);
+  if (jobs.size === 0) failures.avoidUntil = 0;
+}
+
+/** Whether the failures speak against the machine. */
+export function isBroken(failures: MachineFailures): boolean {
+  for (const { attempts, isConfirmed } of failures.jobs.values()) {
+    if (!isConfirmed && attempts >= BROKEN_ATTEMPTS) return true;
+  }
+  return confirmedJobs(failures) >= BROKEN_JOBS;
+}
+
+function confirmedJobs({ jobs }: MachineFailures): number {
+  let confirmed = 0;
+  for (const { isConfirmed } of jobs.values()) if (isConfirmed) confirmed++;
+  return confirmed;
+}
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -1,5 +1,6 @@
 import type { MachineType } from '#wire';
 import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
+import { noMachineFailures } from './machine-failures.js';
 import type { Machine } from './model.js';
 
 /** What identifies a machine and decides which tasks it may hold. */
@@ -95,7 +96,7 @@
     avoidUntil: 0,
     answeredSince: Infinity,
     oldTokenSince: null,
-    taskErrors: 0,
+    failures: noMachineFailures(),
     images: new Map(),
     tasks: new Map(),
     used: { ...ZERO_AMOUNTS },
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -1,6 +1,8 @@
 /** The data of the fleet's state: jobs, machines, and the assignments that join them. */
 import type { Job, TaskState } from '#wire';
 import type { Amounts } from './amounts.js';
+import type { JobFailures } from './job-failures.js';
+import type { MachineFailures } from './machine-failures.js';
 import type { ServiceCounter } from './service-counter.js';
 import type { TaskSet } from './task-set.js';
 
@@ -60,8 +62,7 @@
   scanFrom: number;
   /** Tasks that lost their place; some may have one again or be done. */
   returnedTasks: Set<number>;
-  /** Failures since a task of the job was last seen to run. */
-  failures: number;
+  failures: JobFailures;
   /** Waits after failures: nothing of it is placed before. */
   backoffUntil: number;
   /** Service that the job has received. */
@@ -129,8 +130,8 @@
   draining: boolean;
   /** Takes no new work before. */
   avoidUntil: number;
-  /** Tasks that failed on it. */
-  taskErrors: number;
+  /** Failures that may be its fault. */
+  failures: MachineFailures;
   /** Id of the gang that it is kept free for. */
   reservedForGang: string | null;
   roomHold: RoomHold | null;
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -72,6 +72,7 @@
     const { preemptAfterS } = this.settings;
     return [...this.fleet.jobs.waiting]
       .filter((job) => job.backoffUntil <= now && now - job.waitingSince >= preemptAfterS)
+      .filter((job) => this.fleet.failures.mayClaimRoom(job, now))
       .sort(byRankAndAge);
   }
 
--- a/packages/core/room-holds.ts
+++ b/packages/core/room-holds.ts
@@ -18,6 +18,11 @@
     this.machines.delete(machine);
   }
 
+  /** Ends all holds for the job. */
+  releaseFor(job: JobState): void {
+    for (const machine of [...this.machines]) this.taken(machine, job);
+  }
+
   /** The job got a place there: what it still waits for needs room of its own. */
   taken(machine: Machine, job: JobState): void {
     if (machine.roomHold?.job === job) this.release(machine);
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -101,7 +101,8 @@
   }
 
   private placeGang(job: JobState, { candidates, now }: Round): number {
-    const { assignments } = this.fleet;
+    const { assignments, failures } = this.fleet;
+    if (failures.startableTasks(job) === 0) return 0;
     if (job.assignments.size > 0 || !this.shares.withinLimit(job.spec.team, wholeGang(job)))
       return 0;
     const machines = chooseGangMachines(this.fleet, job, candidates, now);
@@ -114,10 +115,11 @@
 
   private placeTasks(job: JobState, round: Round): number {
     const { candidates, roomHeldFor, unplaceable, now } = round;
-    const { assignments, jobs } = this.fleet;
+    const { assignments, failures, jobs } = this.fleet;
     // Tasks of the same key fail alike within a round, unless room was made for just this job.
     if (unplaceable.has(placementKey(job)) && !roomHeldFor.has(job)) return 0;
-    const limit = Math.min(TASKS_PER_TURN, this.settings.decisionsPerRound);
+    const startable = Math.min(TASKS_PER_TURN, failures.startableTasks(job));
+    const limit = Math.min(startable, this.settings.decisionsPerRound);
     const zones = tasksByZone(job);
     let placed = 0;
     for (const index of jobs.waitingTasks(job, limit)) {
--- a/packages/core/service-counter.ts
+++ b/packages/core/service-counter.ts
@@ -21,6 +21,12 @@
     return this.value * kept + this.rate * (this.halfLifeS / Math.LN2) * (1 - kept);
   }
 
+  /** Adds service that was not received over time. */
+  charge(amount: number, now: number): void {
+    this.value = this.read(now) + amount;
+    this.valueAt = Math.max(this.valueAt, now);
+  }
+
   /** From now on so much more (or, negative, less) of the fleet is received. */
   changeRate(share: number, now: number): void {
     this.value = this.read(now);
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -78,10 +78,12 @@
   private noteState(assignment: Assignment, task: TaskReport, now: number): void {
     assignment.inherited = false;
     assignment.reported = task.state;
-    if (task.state !== 'running' || assignment.runningSince !== null) return;
-    assignment.runningSince = now;
-    assignment.job.failures = 0;
-    this.tables.listener.taskRunning(assignment, now);
+    if (task.state !== 'running') return;
+    if (assignment.runningSince === null) {
+      assignment.runningSince = now;
+      this.tables.listener.taskRunning(assignment, now);
+    }
+    this.tables.failures.taskRuns(assignment, now);
   }
 
   private exited(
@@ -92,7 +94,10 @@
   ): Order | null {
     const { job, machine } = assignment;
     const cause = task.cause ?? 'error';
-    if (cause === 'done') this.tables.jobs.markDone(job, task.index);
+    if (cause === 'done') {
+      this.tables.jobs.markDone(job, task.index);
+      this.tables.failures.taskCompleted(assignment, now);
+    }
     this.assignments.end(assignment, cause, task.saved, now);
     return this.mayForget(machine, ref, job) ? forgetOrder(ref) : null;
   }
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -1,6 +1,6 @@
 import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
 import { ServiceCounter } from './service-counter.js';
-import type { Assignment } from './model.js';
+import type { Assignment, JobState } from './model.js';
 
 /** What teams and classes hold at present, and the service that teams have received. */
 export class UsageLedger {
@@ -23,6 +23,12 @@
     job.service.changeRate(sign * share, now);
   }
 
+  /** Charges a job and its team for service that they caused but did not receive, in fleet-share seconds. */
+  charge(job: JobState, amount: number, now: number): void {
+    this.service(job.spec.team, now).charge(amount, now);
+    job.service.charge(amount, now);
+  }
+
   /** Amounts of all places where tasks of the team may still be (docs/safety.md, point 9). */
   ofTeam(team: string): Readonly<Amounts> {
     return this.amountsByTeam.get(team) ?? ZERO_AMOUNTS;
