--- /dev/null
+++ b/packages/testing/meetings/faulty-jobs.test.ts
@@ -0,0 +1,155 @@
+/** Jobs that were submitted with a mistake: their tasks fail on every machine until their users cancel them. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  describeProblems,
+  runScenario,
+  SMALL_CLUSTER,
+  type Fault,
+  type Scenario,
+  type ScenarioResult,
+} from '../simulation/index.js';
+import { USUAL_CLASSES, type JobClass } from '../standins/index.js';
+import { playMeeting } from './run-queries.js';
+import { CANCEL_S } from './steady-work.js';
+
+const LENGTH_S = 300;
+const CRASH_S = 100;
+const LAST_JOBS_S = 160;
+/** Rents that were decided before a job became suspect may go out so much later. */
+const RENT_DELAY_S = 3;
+/** Attempts of a suspect job in any of these runs, one after the other, and its tasks in each. */
+const MOST_PROBES = 9;
+const PROBE_TASKS = 2;
+
+/** With room for all that is known to be sound. */
+const CLUSTER = { ...SMALL_CLUSTER, capacity: [{ machines: 30 }] };
+
+const [, BATCHES, , GANGS] = USUAL_CLASSES;
+const SOUND_CLASSES = USUAL_CLASSES.map((jobClass) => ({ ...jobClass, mistakenShare: 0 }));
+const FAULTY = /^faulty/;
+
+function faulty(jobClass: JobClass, perMinute: number): JobClass {
+  const { template } = jobClass;
+  return {
+    ...jobClass,
+    template: { ...template, class: `faulty-${template.kind}`, gpus: Math.max(1, template.gpus) },
+    arrivals: { perMinute, together: [1, 2] },
+    mistakenShare: 1,
+  };
+}
+
+const FAULTY_CLASSES = [faulty(BATCHES, 3), faulty(GANGS, 3)];
+const LEADER_CRASH: Fault = {
+  kind: 'controller-crash',
+  atS: CRASH_S,
+  controllers: 'leader',
+  downS: 6,
+};
+
+function scenario(classes: JobClass[], faults: Fault[]): Scenario {
+  const workload = { classes, untilS: LAST_JOBS_S };
+  return { name: 'faulty jobs', cluster: CLUSTER, workload, faults, lengthS: LENGTH_S };
+}
+
+function faultyJobs({ timeline }: ScenarioResult) {
+  return timeline.of('job-submitted').filter(({ job }) => FAULTY.test(job.class));
+}
+
+/** Faulty jobs were begun, failed several times and were cancelled, on several machines. */
+function assertTrouble(result: ScenarioResult): void {
+  const ids = new Set(faultyJobs(result).map(({ id }) => id));
+  assert.ok(ids.size >= 6, `${ids.size} faulty jobs`);
+  const failed = result.timeline
+    .of('task-left')
+    .filter(({ task, cause }) => cause === 'error' && ids.has(task.job));
+  assert.ok(failed.length > 40, `${failed.length} failed attempts`);
+  const machines = new Set(failed.map(({ machine }) => machine));
+  assert.ok(machines.size >= 4, `on ${machines.size} machines`);
+  const cancelled = result.timeline.of('answered').filter(({ phase }) => phase === 'aborted');
+  assert.ok(cancelled.filter(({ request }) => ids.has(request.job)).length >= 6);
+}
+
+/**
+ * What nobody could know may be begun once in each term, and a gang by its second attempt; from then on a
+ * few tasks at a time.
+ */
+function assertAttemptsBounded(result: ScenarioResult, terms: number): void {
+  for (const { id, job } of faultyJobs(result)) {
+    const starts = result.timeline.of('task-assigned').filter(({ task }) => task.job === id).length;
+    const probe = job.kind === 'gang' ? job.tasks : PROBE_TASKS;
+    const most = terms * 2 * job.tasks + MOST_PROBES * probe;
+    assert.ok(starts <= most, `${id}: ${starts} starts of ${job.tasks} tasks`);
+  }
+}
+
+/** Rents at a moment at which every faulty job was known to be suspect or was over. */
+function needlessRents(result: ScenarioResult, type: string): number[] {
+  const known = result.controllers.flatMap(({ log }) => log.entries('job suspect'));
+  const waits = faultyJobs(result).map(({ id, atS }) => ({
+    id,
+    atS,
+    untilS: cancelledAt(result, id),
+  }));
+  const rents = result.controllers.flatMap(({ log }) => log.entries('rent'));
+  return rents
+    .filter((rent) => rent.type === type)
+    .map(({ atS }) => atS)
+    .filter((rentedAt) => {
+      const termAt = Math.max(...result.leaders.map(({ atS }) => atS).filter((t) => t <= rentedAt));
+      const isKnown = (id: string) =>
+        known.some(({ job, atS }) => job === id && atS >= termAt && atS < rentedAt - RENT_DELAY_S);
+      return !waits.some(
+        ({ id, atS, untilS }) => atS <= rentedAt && rentedAt <= untilS && !isKnown(id),
+      );
+    });
+}
+
+function cancelledAt({ timeline }: ScenarioResult, id: string): number {
+  const told = timeline
+    .of('answered')
+    .find(({ request, phase }) => request.job === id && phase === 'aborted');
+  return (told?.atS ?? Infinity) + RENT_DELAY_S;
+}
+
+/** Mean time from the submission of sound jobs to the start of their first task. */
+function meanWaitS({ timeline }: ScenarioResult): number {
+  const started = new Map<string, number>();
+  for (const { task, atS } of timeline.of('task-started')) {
+    if (!started.has(task.job)) started.set(task.job, atS);
+  }
+  const sound = timeline.of('job-submitted').filter(({ job }) => !FAULTY.test(job.class));
+  const waits = sound.map(({ id, atS }) => (started.get(id) ?? LENGTH_S) - atS);
+  return waits.reduce((sum, wait) => sum + wait, 0) / waits.length;
+}
+
+for (const [when, faults] of [
+  ['', []],
+  [', also across a crash of the leader', [LEADER_CRASH]],
+] as [string, Fault[]][]) {
+  test(`faulty arrays and gangs are tried seldom and don't delay sound work${when}`, async () => {
+    const mixed = scenario([...SOUND_CLASSES, ...FAULTY_CLASSES], faults);
+    await playMeeting(mixed, [1, 2], async (result) => {
+      assertTrouble(result);
+      assertAttemptsBounded(result, faults.length + 1);
+      const alone = await runScenario(scenario(SOUND_CLASSES, faults), result.seed);
+      assert.deepEqual(describeProblems(alone), []);
+      const [withFaulty, without] = [meanWaitS(result), meanWaitS(alone)];
+      assert.ok(withFaulty < without + 2, `${withFaulty} s, ${without} s without`);
+    });
+  });
+
+  test(`jobs that are known to be faulty cause no rents${when}`, async () => {
+    const onProcessors = SOUND_CLASSES.filter(({ template }) => template.gpus === 0);
+    const lone = scenario([...onProcessors, ...FAULTY_CLASSES], faults);
+    await playMeeting(lone, [1, 2], (result) => {
+      assertTrouble(result);
+      assertAttemptsBounded(result, faults.length + 1);
+      assert.deepEqual(needlessRents(result, 'g8'), []);
+      if (faults.length === 0) return;
+      // The next leader has learnt of those that were left.
+      const known = result.controllers.flatMap(({ log }) => log.entries('job suspect'));
+      assert.ok(known.some(({ atS }) => atS > CRASH_S && atS < CRASH_S + 3 * CANCEL_S));
+    });
+  });
+}
--- a/packages/testing/meetings/run-queries.ts
+++ b/packages/testing/meetings/run-queries.ts
@@ -26,13 +26,13 @@
 export async function playMeeting(
   scenario: Scenario,
   seeds: number[],
-  check: (result: ScenarioResult) => void,
+  check: (result: ScenarioResult) => void | Promise<void>,
 ): Promise<void> {
   for (const seed of seedsFromEnvironment() ?? seeds) {
     const result = await runScenario(scenario, seed);
     try {
       assert.deepEqual(describeProblems(result), []);
-      check(result);
+      await check(result);
     } catch (error) {
       throw new Error(`${scenario.name}, seed ${seed}: ${String(error)}`, { cause: error });
     }
