--- a/packages/controller/useless-machines.ts
+++ b/packages/controller/useless-machines.ts
@@ -4,8 +4,6 @@
 const BOOT_LATE = 4;
 /** Leases for which a machine may be silent before it is given back. */
 const EXPIRED_LEASES = 2;
-/** Failed tasks after which a machine counts as broken. */
-const BROKEN_ERRORS = 3;
 
 /** Machines that cost money for nothing: failed, never up, long silent, or empty and not wanted. */
 export function uselessMachines(fleet: FleetState, now: number, leaseS: number): Machine[] {
@@ -27,6 +25,5 @@
 }
 
 function isEmptyAndUnwanted(machine: Machine): boolean {
-  const unwanted = machine.draining || machine.taskErrors >= BROKEN_ERRORS;
-  return unwanted && machine.tasks.size === 0;
+  return machine.draining && machine.tasks.size === 0;
 }
