Waiting jobs are kept in the order of their turns; rounds and plans skip like ones

Cause: each round filtered and sorted all waiting jobs, tried each of them for a place and then for room to be made, and each plan sorted and packed them task by task. A job's key for what fails alike held its exact needs, so a thousand small jobs with slightly different needs were a thousand searches.

Change: waiting jobs lie in buckets of one team, rank, number of accelerators and conditions; those without a task anywhere keep their order, as all service decays alike. What needs no less than a task that found no place is passed over, a bucket is left when no machine has room for its smallest need, and preemption looks at a bucket only if something runs that it may stop. Plans pack the tasks of a job machine by machine and look at 500 jobs of a bucket. removeEnded looks at ended jobs alone. Teams of exactly equal index now go by name.

Ruled out: placement keys by exact needs for each bucket (as many keys as jobs when needs vary).

The test compares a round with a look at every waiting job on 500 random fleets.

--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -76,6 +76,7 @@
     machinesWithCommands.add(machine);
     holds.taken(machine, job);
     this.count(assignment, 1, now);
+    this.tables.jobs.waiting.placesChanged(job);
     return assignment;
   }
 
--- /dev/null
+++ b/packages/core/blocked-shapes.ts
@@ -0,0 +1,42 @@
+import type { Job } from '#wire';
+import type { Amounts } from './amounts.js';
+import { conditionsKey } from './fit.js';
+
+/** A need that found no place, and the rank of the job that had it. */
+interface BlockedShape {
+  need: Readonly<Amounts>;
+  rank: number;
+}
+
+/**
+ * What found no place in a round. A task that needs as much or more on the same conditions, of the same
+ * rank or a lower one, finds none either: only room that was made for its own job could help it.
+ */
+export class BlockedShapes {
+  private readonly byConditions = new Map<string, BlockedShape[]>();
+
+  /** A task that any job of its conditions could have had in its stead found no place. */
+  add(job: Job): void {
+    const key = conditionsKey(job);
+    const { cpus, gpus, memory, rank } = job;
+    const shape = { need: { cpus, gpus, memory }, rank };
+    const kept = (this.byConditions.get(key) ?? []).filter((other) => !covers(shape, other));
+    this.byConditions.set(key, [...kept, shape]);
+  }
+
+  /** Whether such a task certainly finds no place. `need` is the job's own unless given. */
+  has(job: Job, need: Readonly<Amounts> = job): boolean {
+    if (this.byConditions.size === 0) return false;
+    const shapes = this.byConditions.get(conditionsKey(job));
+    return shapes !== undefined && shapes.some((shape) => covers(shape, { need, rank: job.rank }));
+  }
+}
+
+function covers(blocked: BlockedShape, { need, rank }: BlockedShape): boolean {
+  return (
+    blocked.rank <= rank &&
+    blocked.need.cpus <= need.cpus &&
+    blocked.need.gpus <= need.gpus &&
+    blocked.need.memory <= need.memory
+  );
+}
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -3,16 +3,19 @@
 import { BootTimes } from './boot-times.js';
 import { Consolidation, findConsolidation } from './consolidation.js';
 import { Amounts } from './amounts.js';
-import { TeamQuota, withinLimit } from './team-quota.js';
+import { TeamQuota, timesWithinLimit } from './team-quota.js';
 import { typeFits } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
 import { Refusals, Rental } from './refusals.js';
 import { SlotPacking } from './slot-packing.js';
 import { StandingSlot, standingSlots } from './slots.js';
+import { byAge } from './waiting-bucket.js';
+import { oldestFirst } from './waiting-order.js';
 
-/** Tasks of one job that a plan looks at. */
+/** Tasks of one job, and jobs of one bucket, that a plan looks at: the next plan sees what is left. */
 const MOST_TASKS_PLANNED = 2000;
+const MOST_JOBS_PLANNED = 500;
 
 /** Once nothing has come for this share of the hold, empty machines are held for the other only. */
 const QUIET_SHARE = 1 / 2;
@@ -95,8 +98,11 @@
 
   private packWaiting(packing: SlotPacking): void {
     const usage = new Map<string, Amounts>();
-    const waiting = [...this.options.fleet.jobs.waiting].sort(byRankAndSize);
-    for (const job of waiting) this.packJob(job, packing, usage);
+    const waiting: JobState[] = [];
+    for (const bucket of this.options.fleet.jobs.waiting.buckets()) {
+      waiting.push(...firstOf(oldestFirst([bucket]), MOST_JOBS_PLANNED));
+    }
+    for (const job of waiting.sort(byRankAndSize)) this.packJob(job, packing, usage);
   }
 
   private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
@@ -109,16 +115,19 @@
     const zones = new Map<string, number>();
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
-    const count = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
-    for (let i = 0; i < count && withinLimit(quota, used, spec); i++) {
-      const slot = packing.place(request);
-      if (!slot) return;
+    const waiting = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
+    let left = Math.min(waiting, timesWithinLimit(quota, used, spec));
+    while (left > 0) {
+      const packed = packing.place(request, left);
+      if (!packed) return;
+      const { slot, tasks } = packed;
       if (spec.oneZone && request.job.zone === null) {
         request = packing.request({ ...spec, zone: slot.zone }, spec.id, zones);
       }
-      zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + 1);
-      used.cpus += spec.cpus;
-      used.gpus += spec.gpus;
+      zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + tasks);
+      used.cpus += spec.cpus * tasks;
+      used.gpus += spec.gpus * tasks;
+      left -= tasks;
     }
   }
 
@@ -129,9 +138,9 @@
       const fitting = types.filter((type) => typeFits(sample, type));
       if (fitting.length === 0) continue;
       const bootS = Math.min(...fitting.map((type) => type.bootS));
-      const count = this.arrivals.reserveTasks(arrivals, bootS, now);
       const request = packing.request(sample, null, null);
-      for (let i = 0; i < count; i++) if (!packing.place(request)) break;
+      let left = this.arrivals.reserveTasks(arrivals, bootS, now);
+      while (left > 0) left -= packing.place(request, left)?.tasks ?? left;
     }
   }
 
@@ -158,11 +167,18 @@
   return now - idleSince >= heldS;
 }
 
+function firstOf<T>(items: Iterable<T>, most: number): T[] {
+  const first: T[] = [];
+  for (const item of items) {
+    if (first.length === most) break;
+    first.push(item);
+  }
+  return first;
+}
+
 /** Higher ranks first, then whole-machine work before what fits into gaps, then the oldest. */
 function byRankAndSize(a: JobState, b: JobState): number {
-  return (
-    a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || a.acceptedAt - b.acceptedAt
-  );
+  return a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || byAge(a, b);
 }
 
 /** Accelerators count before processors. */
--- a/packages/core/fit.ts
+++ b/packages/core/fit.ts
@@ -61,6 +61,11 @@
   return job.spread ? Math.ceil(job.tasks / 2) : job.tasks;
 }
 
+/** Whether the zones of a job's other tasks bound where one more may go. */
+export function isBoundByZones(job: Job): boolean {
+  return job.spread || job.oneZone;
+}
+
 /** Where a job's tasks are, old attempts included until they are proven gone. */
 export function tasksByZone(job: JobState): Map<string, number> {
   const counts = new Map<string, number>();
@@ -79,8 +84,13 @@
   return (counts.get(zone) ?? 0) < zoneCap(job);
 }
 
+/** What decides, amounts and zones of its other tasks apart, on which machines a task of the job fits. */
+export function conditionsKey(job: Job): string {
+  const types = job.types === null ? '*' : job.types.join(',');
+  return `${types} ${job.zone ?? '*'} ${job.spot}`;
+}
+
 /** What decides, zones of its other tasks apart, on which machines a task of the job fits. */
 export function requirementsKey(job: Job): string {
-  const types = job.types === null ? '*' : job.types.join(',');
-  return `${job.cpus} ${job.gpus} ${job.memory} ${types} ${job.zone ?? '*'} ${job.spot}`;
+  return `${job.cpus} ${job.gpus} ${job.memory} ${conditionsKey(job)}`;
 }
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -36,7 +36,7 @@
 
   /** Brings all reservations up to date. */
   update(now: number): void {
-    const gangs = [...this.fleet.jobs.waiting].filter(isWaitingGang);
+    const gangs = [...this.fleet.jobs.waiting.gangs].filter(isWaitingGang);
     this.releaseObsolete(new Set(gangs.map((gang) => gang.spec.id)));
     if (gangs.length === 0) return;
     const emptying = this.emptyingMachines(now);
@@ -87,7 +87,7 @@
 }
 
 function isWaitingGang(job: JobState): boolean {
-  return job.spec.kind === 'gang' && job.assignments.size === 0;
+  return job.assignments.size === 0;
 }
 
 function reservedByGang(emptying: EmptyingMachine[]): Map<string, EmptyingMachine[]> {
--- a/packages/core/job-queues.ts
+++ b/packages/core/job-queues.ts
@@ -1,54 +1,148 @@
+import { isBoundByZones } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState } from './model.js';
 import type { TeamShares } from './team-shares.js';
+import { byAge, WaitingBucket } from './waiting-bucket.js';
 
 /** More than the lowest rank: work within a guarantee goes before all that is not. */
 const RANKS = 4;
 
-/** The waiting jobs of one team, least-served first. */
-export interface TeamQueue {
-  team: string;
-  jobs: JobState[];
+/** A job whose turn may come, and the service that it has received. */
+interface RankedJob {
+  job: JobState;
+  service: number;
 }
 
-/**
- * Waiting jobs by precedence: work within a guarantee before borrowers, then by rank. Jobs that back
- * off are left out.
- */
-export function jobsByPrecedence(fleet: FleetState, shares: TeamShares, now: number): JobState[][] {
-  const tiers: JobState[][] = [];
-  for (const job of fleet.jobs.waiting) {
-    if (job.backoffUntil > now) continue;
-    const tier = (shares.withinGuarantee(job.spec) ? 0 : RANKS) + job.spec.rank;
-    (tiers[tier] ??= []).push(job);
+/** Jobs of a bucket that a round leaves out, such as those that back off. */
+export type JobFilter = (job: JobState) => boolean;
+
+/** Goes through the jobs of a bucket, least served first, while tasks of them are given places. */
+class BucketCursor {
+  private readonly active: RankedJob[];
+  private nextActive = 0;
+  private nextIdle = 0;
+
+  constructor(
+    readonly bucket: WaitingBucket,
+    private readonly isLeftOut: JobFilter,
+    private readonly now: number,
+  ) {
+    this.active = [...bucket.active].map((job) => this.ranked(job)).sort(compareRanked);
+  }
+
+  /** The next job, or null if there is none. */
+  peek(): RankedJob | null {
+    const { idle } = this.bucket;
+    while (this.nextActive < this.active.length && this.isLeftOut(this.active[this.nextActive].job))
+      this.nextActive++;
+    while (this.nextIdle < idle.length && this.isLeftOut(idle[this.nextIdle].job)) this.nextIdle++;
+    const active = this.active.at(this.nextActive) ?? null;
+    const next = idle.at(this.nextIdle);
+    const resting = next ? this.ranked(next.job) : null;
+    if (active === null || resting === null) return active ?? resting;
+    return compareRanked(active, resting) <= 0 ? active : resting;
+  }
+
+  /** The job has had its turn. One that got its first place has left the list of idle ones by itself. */
+  advance(job: JobState): void {
+    if (this.active.at(this.nextActive)?.job === job) this.nextActive++;
+    else if (this.bucket.idle.at(this.nextIdle)?.job === job) this.nextIdle++;
+  }
+
+  /** What is read for the present time is not changed by what gets a place now. */
+  private ranked(job: JobState): RankedJob {
+    return { job, service: job.service.read(this.now) };
   }
-  return tiers.filter((tier) => tier !== undefined);
 }
 
-/** A queue for each team that has waiting jobs. */
-export function queuesByTeam(waiting: JobState[], now: number): TeamQueue[] {
-  const byTeam = new Map<string, JobState[]>();
-  for (const job of waiting) {
-    const jobs = byTeam.get(job.spec.team);
-    if (jobs) jobs.push(job);
-    else byTeam.set(job.spec.team, [job]);
+/** The waiting jobs of one team that have equal precedence, least served first. */
+export class TeamQueue {
+  private readonly cursors: BucketCursor[] = [];
+  private current: { job: JobState; cursor: BucketCursor } | null = null;
+
+  constructor(
+    readonly team: string,
+    private readonly now: number,
+  ) {}
+
+  add(bucket: WaitingBucket, isLeftOut: JobFilter): void {
+    this.cursors.push(new BucketCursor(bucket, isLeftOut, this.now));
   }
-  return [...byTeam].map(([team, jobs]) => ({ team, jobs: leastServedFirst(jobs, now) }));
+
+  /** The job whose turn it is, and its bucket; null if none is left. It stays until `advance`. */
+  peek(): { job: JobState; bucket: WaitingBucket } | null {
+    this.current ??= this.next();
+    return this.current && { job: this.current.job, bucket: this.current.cursor.bucket };
+  }
+
+  /** The present job has had its turn. */
+  advance(): void {
+    this.current?.cursor.advance(this.current.job);
+    this.current = null;
+  }
+
+  /** None of the bucket's jobs can get a place any more. */
+  drop(bucket: WaitingBucket): void {
+    const index = this.cursors.findIndex((cursor) => cursor.bucket === bucket);
+    if (index >= 0) this.cursors.splice(index, 1);
+    this.current = null;
+  }
+
+  private next(): { job: JobState; cursor: BucketCursor } | null {
+    let first: RankedJob | null = null;
+    let from: BucketCursor | null = null;
+    for (const cursor of this.cursors) {
+      const head = cursor.peek();
+      if (head === null || (first !== null && compareRanked(first, head) <= 0)) continue;
+      first = head;
+      from = cursor;
+    }
+    return first && from && { job: first.job, cursor: from };
+  }
+}
+
+/**
+ * The waiting jobs by precedence, each tier as queues by team: work within a guarantee before borrowers,
+ * then by rank. Jobs that `isLeftOut` holds for, whenever their turn comes, are passed over.
+ */
+export function queuesByPrecedence(
+  fleet: FleetState,
+  shares: TeamShares,
+  isLeftOut: JobFilter,
+  now: number,
+): Map<string, TeamQueue>[] {
+  const tiers: Map<string, TeamQueue>[] = [];
+  for (const bucket of fleet.jobs.waiting.buckets()) {
+    const { team, rank } = bucket.sample;
+    if (!shares.isKnown(team)) continue;
+    const within = shares.guaranteeNow(team);
+    const enqueue = (tier: number, filter: JobFilter) => {
+      const queues = (tiers[tier] ??= new Map<string, TeamQueue>());
+      let queue = queues.get(team);
+      if (!queue) queues.set(team, (queue = new TeamQueue(team, now)));
+      queue.add(bucket, filter);
+    };
+    const { gpus } = bucket.sample;
+    const least = within(bucket.least);
+    const most = within({ cpus: bucket.mostCpus, gpus });
+    if (least) enqueue(rank, most ? isLeftOut : (job) => !within(job.spec) || isLeftOut(job));
+    if (!most) {
+      enqueue(RANKS + rank, least ? (job) => within(job.spec) || isLeftOut(job) : isLeftOut);
+    }
+  }
+  return tiers.filter((tier) => tier !== undefined);
 }
 
-function leastServedFirst(jobs: JobState[], now: number): JobState[] {
-  const service = new Map(jobs.map((job) => [job, job.service.read(now)]));
-  return jobs.sort((a, b) => service.get(a)! - service.get(b)! || a.acceptedAt - b.acceptedAt);
+function compareRanked(a: RankedJob, b: RankedJob): number {
+  return a.service - b.service || byAge(a.job, b.job);
 }
 
 /** Jobs of the highest rank first, then the oldest. */
 export function byRankAndAge(a: JobState, b: JobState): number {
-  return a.spec.rank - b.spec.rank || a.acceptedAt - b.acceptedAt;
+  return a.spec.rank - b.spec.rank || byAge(a, b);
 }
 
-/** What fails alike: while a job has no task anywhere, its zones are as free as any other's. */
-export function placementKey(job: JobState): string {
-  const { spec, assignments, requirementsKey } = job;
-  const own = (spec.spread || spec.oneZone) && assignments.size > 0 ? spec.id : '';
-  return `${requirementsKey} ${own}`;
+/** Whether a task of the job may find no place where one of a job that has none anywhere would. */
+export function isBoundByOwnZones({ spec, assignments }: JobState): boolean {
+  return isBoundByZones(spec) && assignments.size > 0;
 }
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -4,11 +4,13 @@
 import type { JobState } from './model.js';
 import { TaskSet } from './task-set.js';
 import type { UnrecordedChanges } from './unrecorded-changes.js';
+import { WaitingJobs } from './waiting-jobs.js';
 
 /** The accepted jobs, their phases, and which of their tasks wait for a machine. */
 export class JobRegistry {
-  /** Jobs with tasks that wait for a machine, longest in this state first. */
-  readonly waiting = new Set<JobState>();
+  readonly waiting = new WaitingJobs();
+  /** Jobs that are over and may still have a task somewhere. */
+  private readonly ended = new Set<JobState>();
   private readonly byId = new Map<string, JobState>();
 
   constructor(
@@ -46,9 +48,11 @@
       backoffUntil: 0,
       service: new ServiceCounter(this.halfLifeS, now),
       waitingSince: now,
+      waitingOrder: 0,
     };
     this.byId.set(job.id, state);
     if (phase === 'accepted') this.waiting.add(state);
+    else this.ended.add(state);
     return state;
   }
 
@@ -57,12 +61,15 @@
     job.phase = phase;
     job.hasUnrecordedProgress = false;
     this.waiting.delete(job);
+    this.ended.add(job);
   }
 
   /** Removes jobs that are over and have no task left anywhere. */
   removeEnded(): void {
-    for (const [id, job] of this.byId) {
-      if (job.phase !== 'accepted' && job.assignments.size === 0) this.byId.delete(id);
+    for (const job of this.ended) {
+      if (job.assignments.size > 0) continue;
+      this.byId.delete(job.spec.id);
+      this.ended.delete(job);
     }
   }
 
@@ -77,8 +84,9 @@
     const waits = (index: number) => !job.done.has(index) && !job.assignments.has(index);
     const found: number[] = [];
     for (const index of job.returnedTasks) {
-      if (!waits(index)) job.returnedTasks.delete(index);
-      else if (found.length < limit) found.push(index);
+      if (found.length === limit) return found;
+      if (waits(index)) found.push(index);
+      else job.returnedTasks.delete(index);
     }
     while (job.scanFrom < job.spec.tasks && !waits(job.scanFrom)) job.scanFrom++;
     for (let index = job.scanFrom; index < job.spec.tasks && found.length < limit; index++) {
@@ -104,6 +112,7 @@
 
   /** After a task lost its machine. */
   joinQueueIfAnyWaits(job: JobState, now: number): void {
+    this.waiting.placesChanged(job);
     if (this.waitingCount(job) === 0 || this.waiting.has(job)) return;
     job.waitingSince = now;
     this.waiting.add(job);
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -68,6 +68,8 @@
   service: ServiceCounter;
   /** Since when some task waits. */
   waitingSince: number;
+  /** Rises with each job that begins to wait. */
+  waitingOrder: number;
 }
 
 /** How far the machine's token has been raised above that of unacknowledged starts. */
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -1,4 +1,5 @@
 import type { Job, MachineType } from '#wire';
+import type { Amounts } from './amounts.js';
 import { isUsable } from './availability.js';
 import { hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
@@ -63,6 +64,18 @@
     return candidate.cost;
   }
 
+  /** Whether any machine has room for a task that needs so much on the job's conditions, reserved or not. */
+  anyRoomFor(job: Job, need: Readonly<Amounts>): boolean {
+    const task = { ...job, ...need };
+    for (const machine of this.fleet.machines.values()) {
+      const type = this.fleet.machines.typeOf(machine);
+      if (!type || !hasRoom(task, machine.used, type)) continue;
+      if (kindAllowed(task, type, machine.zone, machine.spot) && this.isUsable(machine))
+        return true;
+    }
+    return false;
+  }
+
   /** Zones of all machines. */
   zones(): Set<string> {
     this.zoneNames ??= new Set([...this.fleet.machines.values()].map(({ zone }) => zone));
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -2,10 +2,13 @@
 import { addAmounts } from './amounts.js';
 import { hasRoom, kindAllowed, tasksByZone, zoneAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
-import { byRankAndAge, placementKey } from './job-queues.js';
+import { BlockedShapes } from './blocked-shapes.js';
+import { isBoundByOwnZones } from './job-queues.js';
 import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
 import { SETTLED_S } from './settled.js';
 import type { TeamShares } from './team-shares.js';
+import type { WaitingBucket } from './waiting-bucket.js';
+import { oldestFirst } from './waiting-order.js';
 
 /** Tasks that room is made for in one round at the most. */
 const TASKS_PER_ROUND = 4;
@@ -47,15 +50,20 @@
 
   /** Makes room for some tasks that have waited long enough. */
   run(now: number): void {
-    const waiting = this.impatientJobs(now);
-    if (waiting.length === 0) return;
+    const buckets = [...this.fleet.jobs.waiting.buckets()].filter((each) => this.mayStopAny(each));
+    if (buckets.length === 0) return;
     const stopping = this.machinesWithStops();
     const heldRoom = this.fleet.holds.machinesByJob(now);
-    const failed = new Set<string>();
+    const failed = new Map(buckets.map((bucket) => [bucket, new BlockedShapes()]));
+    const isOver = (bucket: WaitingBucket) =>
+      failed.get(bucket)!.has(bucket.sample, bucket.least) ||
+      !this.shares.withinLimit(bucket.sample.team, bucket.least);
     let made = 0;
-    for (const job of waiting) {
+    for (const job of oldestFirst(buckets, isOver)) {
       if (made >= TASKS_PER_ROUND) break;
-      if (job.spec.kind === 'gang' || failed.has(placementKey(job))) continue;
+      if (!this.isImpatient(job, now)) continue;
+      const failedAlike = failed.get(this.fleet.jobs.waiting.bucket(job)!)!;
+      if (failedAlike.has(job.spec)) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
       if ((heldRoom.get(job) ?? 0) >= this.fleet.jobs.waitingCount(job)) continue;
       if (!this.shares.withinLimit(job.spec.team, job.spec)) continue;
@@ -64,15 +72,24 @@
         stopping.add(victims.machine);
         this.makeRoom(job, victims, heldRoom, now);
         made++;
-      } else failed.add(placementKey(job));
+      } else if (!isBoundByOwnZones(job)) failedAlike.add(job.spec);
     }
   }
 
-  private impatientJobs(now: number): JobState[] {
-    const { preemptAfterS } = this.settings;
-    return [...this.fleet.jobs.waiting]
-      .filter((job) => job.backoffUntil <= now && now - job.waitingSince >= preemptAfterS)
-      .sort(byRankAndAge);
+  private isImpatient({ backoffUntil, waitingSince }: JobState, now: number): boolean {
+    return backoffUntil <= now && now - waitingSince >= this.settings.preemptAfterS;
+  }
+
+  /** Whether anything runs that jobs of the bucket may stop, wherever it is. */
+  private mayStopAny({ sample, least }: WaitingBucket): boolean {
+    const { kind, team, rank } = sample;
+    if (kind === 'gang') return false;
+    const withinGuarantee = this.shares.guaranteeNow(team)(least);
+    return this.fleet.usage.groups().some((group) => {
+      if (group.rank > rank) return true;
+      if (group.team === team) return false;
+      return group.isGang || (withinGuarantee && this.shares.isBorrowing(group.team));
+    });
   }
 
   private machinesWithStops(): Set<Machine> {
--- /dev/null
+++ b/packages/core/scheduler.test.ts
@@ -0,0 +1,149 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  chooseMachine,
+  FleetState,
+  JobState,
+  PlacementCandidates,
+  Scheduler,
+  tasksByZone,
+  TeamQuota,
+} from './index.js';
+import { TeamShares } from './team-shares.js';
+import { aFleet, aJob, aMachine } from '../testing/samples.js';
+
+const NOW = 100;
+const SETTINGS = {
+  floorWeight: 0.05,
+  preemptAfterS: Infinity,
+  gangLeaseS: 120,
+  stopThreshold: 0.5,
+  decisionsPerRound: 30,
+};
+const TASKS_PER_TURN = 8;
+const TEAMS = new Map<string, TeamQuota>([
+  ['blue', { guaranteedCpus: 0, guaranteedGpus: 6, cpuLimit: 0, gpuLimit: 14 }],
+  ['green', { guaranteedCpus: 12, guaranteedGpus: 0, cpuLimit: 0, gpuLimit: 0 }],
+  ['red', { guaranteedCpus: 0, guaranteedGpus: 0, cpuLimit: 0, gpuLimit: 0 }],
+]);
+
+const jobs = fc.array(
+  fc.record({
+    team: fc.constantFrom(...TEAMS.keys()),
+    rank: fc.integer({ min: 0, max: 3 }),
+    tasks: fc.integer({ min: 1, max: 12 }),
+    cpus: fc.constantFrom(0.5, 1, 1.5, 2, 3, 6),
+    gpus: fc.constantFrom(0, 0, 1, 2),
+    memory: fc.constantFrom(1, 2, 4, 20),
+    image: fc.constantFrom('i1', 'i2'),
+    zone: fc.option(fc.constantFrom('a', 'b'), { freq: 4 }),
+    spread: fc.boolean(),
+    spot: fc.boolean(),
+    acceptedAt: fc.integer({ min: 0, max: 20 }),
+    /** When tasks of it began on which machine. */
+    ran: fc.array(fc.tuple(fc.integer({ min: 20, max: 90 }), fc.nat(5)), { maxLength: 3 }),
+    /** Whether these have ended since. */
+    rests: fc.boolean(),
+    backsOff: fc.boolean(),
+  }),
+  { minLength: 5, maxLength: 60 },
+);
+const machines = fc.array(fc.record({ zone: fc.constantFrom('a', 'b'), spot: fc.boolean() }), {
+  minLength: 1,
+  maxLength: 6,
+});
+type Jobs = typeof jobs extends fc.Arbitrary<infer T> ? T : never;
+type Machines = typeof machines extends fc.Arbitrary<infer T> ? T : never;
+
+/** The same fleet for the same arguments. */
+function fleetOf(ofJobs: Jobs, ofMachines: Machines): FleetState {
+  const fleet = aFleet();
+  const stand = ofMachines.map((own, i) => aMachine(fleet, `n-${i}`, own));
+  ofJobs.forEach(({ acceptedAt, ran, rests, backsOff, ...own }, i) => {
+    const state = fleet.addJob(aJob({ id: `j-${i}`, ...own }), acceptedAt, 'accepted', acceptedAt);
+    if (backsOff) state.backoffUntil = NOW + 5;
+    ran.slice(0, own.tasks).forEach(([from, on], index) => {
+      const machine = stand[on % stand.length];
+      const place = fleet.assignments.assign(
+        state,
+        index,
+        machine,
+        fleet.assignments.newAttempt(),
+        from,
+      );
+      if (rests) fleet.assignments.end(place, 'stopped', false, 95);
+    });
+  });
+  return fleet;
+}
+
+/** A round as its rules say it, by a look at every job. */
+function byEveryJob(fleet: FleetState): void {
+  const shares = new TeamShares(fleet, TEAMS, SETTINGS.floorWeight);
+  const candidates = new PlacementCandidates(fleet, NOW);
+  const tierOf = (job: JobState) => (shares.withinGuarantee(job.spec) ? 0 : 4) + job.spec.rank;
+  const ranked = [...fleet.jobs.waiting]
+    .filter((job) => job.backoffUntil <= NOW)
+    .map((job) => {
+      const { team } = job.spec;
+      return {
+        job,
+        tier: tierOf(job),
+        team,
+        index: shares.index(team, NOW),
+        service: job.service.read(NOW),
+      };
+    })
+    .sort(
+      (a, b) =>
+        a.tier - b.tier ||
+        a.index - b.index ||
+        (a.team < b.team ? -1 : a.team > b.team ? 1 : 0) ||
+        a.service - b.service ||
+        a.job.acceptedAt - b.job.acceptedAt ||
+        a.job.waitingOrder - b.job.waitingOrder,
+    );
+  let left = SETTINGS.decisionsPerRound;
+  for (const { job } of ranked) {
+    for (let placed = -1; placed !== 0 && left > 0; left -= placed) placed = oneTurn(job);
+  }
+
+  function oneTurn(job: JobState): number {
+    let placed = 0;
+    for (const index of fleet.jobs.waitingTasks(job, TASKS_PER_TURN)) {
+      if (!shares.withinLimit(job.spec.team, job.spec)) break;
+      const machine = chooseMachine(fleet, job, tasksByZone(job), candidates, NOW);
+      if (!machine) break;
+      fleet.assignments.assign(job, index, machine, fleet.assignments.newAttempt(), NOW);
+      placed++;
+    }
+    return placed;
+  }
+}
+
+function placesOf(fleet: FleetState): string[] {
+  const places = [...fleet.machines.values()].flatMap(({ name, tasks }) =>
+    [...tasks.keys()].map((task) => `${task} ${name}`),
+  );
+  return places.sort();
+}
+
+// Guards the order and the short cuts by which a round leaves most waiting jobs alone: nothing may be
+// decided otherwise than by a look at every job.
+test('a round decides what a look at every waiting job decides', () => {
+  let placed = 0;
+  fc.assert(
+    fc.property(jobs, machines, (ofJobs, ofMachines) => {
+      const fleet = fleetOf(ofJobs, ofMachines);
+      const plain = fleetOf(ofJobs, ofMachines);
+      const before = placesOf(fleet).length;
+      new Scheduler(fleet, TEAMS, SETTINGS).place(NOW);
+      byEveryJob(plain);
+      assert.deepEqual(placesOf(fleet), placesOf(plain));
+      placed += placesOf(fleet).length - before;
+    }),
+    { numRuns: 500, seed: 1, includeErrorInReport: true },
+  );
+  assert.ok(placed > 500);
+});
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -2,14 +2,16 @@
 import { chooseMachine } from './choose-machine.js';
 import type { Amounts } from './amounts.js';
 import type { TeamQuota } from './team-quota.js';
-import { tasksByZone } from './fit.js';
+import { isBoundByZones, tasksByZone } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { GangReservations } from './gang-reservations.js';
-import { jobsByPrecedence, placementKey, queuesByTeam, TeamQueue } from './job-queues.js';
+import { BlockedShapes } from './blocked-shapes.js';
+import { isBoundByOwnZones, queuesByPrecedence, TeamQueue } from './job-queues.js';
 import type { JobState } from './model.js';
 import { PlacementCandidates } from './placement-candidates.js';
 import { Preemption, PreemptionSettings } from './preemption.js';
 import { TeamShares } from './team-shares.js';
+import type { WaitingBucket } from './waiting-bucket.js';
 
 /** Tasks that a job is given at once before it queues again behind the others. */
 const TASKS_PER_TURN = 8;
@@ -28,8 +30,8 @@
   candidates: PlacementCandidates;
   /** Jobs for which room is being made, when the round began. */
   roomHeldFor: Map<JobState, number>;
-  /** Placement keys of tasks that found no place. */
-  unplaceable: Set<string>;
+  /** Tasks that found no place. */
+  blocked: BlockedShapes;
 }
 
 /** Decides which waiting tasks get which machines, and what is stopped for them. */
@@ -56,47 +58,59 @@
 
   /** One round of decisions. Returns how many tasks were given a place. */
   round(now: number): number {
+    const decided = this.place(now);
+    this.preemption.run(now);
+    return decided;
+  }
+
+  /** Gives places to waiting tasks, as far as there is room; returns to how many. */
+  place(now: number): number {
     const round: Round = {
       now,
       candidates: new PlacementCandidates(this.fleet, now),
       roomHeldFor: this.fleet.holds.machinesByJob(now),
-      unplaceable: new Set(),
+      blocked: new BlockedShapes(),
     };
+    const isLeftOut = (job: JobState) => job.backoffUntil > now || isBlocked(job, round);
     let decided = 0;
     // Work that others would have to be stopped for goes first, so that nothing is started only to
     // be stopped again; among equals the design's order decides.
-    for (const tier of jobsByPrecedence(this.fleet, this.shares, now)) {
+    for (const tier of queuesByPrecedence(this.fleet, this.shares, isLeftOut, now)) {
       decided += this.placeTier(tier, this.settings.decisionsPerRound - decided, round);
     }
-    this.preemption.run(now);
     return decided;
   }
 
   /** Gives places to jobs of equal precedence, `limit` or a turn more at the most; returns how many. */
-  private placeTier(jobs: JobState[], limit: number, round: Round): number {
-    const queues = queuesByTeam(jobs, round.now);
+  private placeTier(tier: Map<string, TeamQueue>, limit: number, round: Round): number {
     let decided = 0;
-    while (decided < limit && queues.length > 0) {
-      this.sortByIndex(queues, round.now);
-      const queue = queues[0];
-      const job = queue.jobs[0];
-      const placed = this.placeJob(job, round);
-      decided += placed;
-      if (placed === 0 || this.fleet.jobs.waitingCount(job) === 0) queue.jobs.shift();
-      if (queue.jobs.length === 0) queues.shift();
+    for (const queue of this.lowestIndexFirst([...tier.values()], round.now)) {
+      for (let next = queue.peek(); next && decided < limit; next = queue.peek()) {
+        const placed = this.placeJob(next.job, round);
+        decided += placed;
+        if (placed === 0 && this.isFullFor(next.bucket, round)) queue.drop(next.bucket);
+        else if (placed === 0 || this.fleet.jobs.waitingCount(next.job) === 0) queue.advance();
+      }
     }
     return decided;
   }
 
-  /** Each placement changes the service rates, so the order is looked at anew each time. */
-  private sortByIndex(queues: TeamQueue[], now: number): void {
-    if (queues.length < 2) return;
-    queues.sort((a, b) => this.index(a.team, now) - this.index(b.team, now));
+  /** What gets a place at a moment changes the indexes only after it. */
+  private lowestIndexFirst(queues: TeamQueue[], now: number): TeamQueue[] {
+    const index = new Map(queues.map(({ team }) => [team, this.index(team, now)]));
+    return queues.sort(
+      (a, b) => index.get(a.team)! - index.get(b.team)! || (a.team < b.team ? -1 : 1),
+    );
+  }
+
+  /** Whether not even the smallest task of the bucket could get a place: no machine has room, or the team's limit is reached. */
+  private isFullFor({ sample, least }: WaitingBucket, { candidates }: Round): boolean {
+    if (sample.kind === 'gang') return false;
+    return !this.shares.withinLimit(sample.team, least) || !candidates.anyRoomFor(sample, least);
   }
 
   /** Gives places to the job's waiting tasks while they fit; returns how many. */
   private placeJob(job: JobState, round: Round): number {
-    if (!this.shares.isKnown(job.spec.team)) return 0;
     return job.spec.kind === 'gang' ? this.placeGang(job, round) : this.placeTasks(job, round);
   }
 
@@ -113,18 +127,17 @@
   }
 
   private placeTasks(job: JobState, round: Round): number {
-    const { candidates, roomHeldFor, unplaceable, now } = round;
+    const { candidates, blocked, now } = round;
     const { assignments, jobs } = this.fleet;
-    // Tasks of the same key fail alike within a round, unless room was made for just this job.
-    if (unplaceable.has(placementKey(job)) && !roomHeldFor.has(job)) return 0;
+    if (isBlocked(job, round)) return 0;
     const limit = Math.min(TASKS_PER_TURN, this.settings.decisionsPerRound);
-    const zones = tasksByZone(job);
+    const zones = isBoundByZones(job.spec) ? tasksByZone(job) : new Map<string, number>();
     let placed = 0;
     for (const index of jobs.waitingTasks(job, limit)) {
       if (!this.shares.withinLimit(job.spec.team, job.spec)) break;
       const machine = chooseMachine(this.fleet, job, zones, candidates, now);
       if (!machine) {
-        unplaceable.add(placementKey(job));
+        if (!isBoundByOwnZones(job)) blocked.add(job.spec);
         break;
       }
       assignments.assign(job, index, machine, assignments.newAttempt(), now);
@@ -135,6 +148,11 @@
   }
 }
 
+/** Tasks that need no less than one that found no place fail alike, unless room was made for just this job. */
+function isBlocked(job: JobState, { blocked, roomHeldFor }: Round): boolean {
+  return job.spec.kind !== 'gang' && blocked.has(job.spec) && !roomHeldFor.has(job);
+}
+
 /** What limits count of a gang: its processors and accelerators. */
 function wholeGang({ spec: { cpus, gpus, tasks } }: JobState): Amounts {
   return { cpus: cpus * tasks, gpus: gpus * tasks, memory: 0 };
--- a/packages/core/service-counter.ts
+++ b/packages/core/service-counter.ts
@@ -1,3 +1,6 @@
+/** Rates are sums of decimal numbers; what is below this is rounding. */
+const ROUNDING = 1e-12;
+
 /**
  * Service received, decayed by half-life: an integral of a rate that changes only at known moments,
  * so its value is exact at any time without periodic sampling. Times are seconds of the steady clock.
@@ -21,10 +24,19 @@
     return this.value * kept + this.rate * (this.halfLifeS / Math.LN2) * (1 - kept);
   }
 
+  /**
+   * Orders counters that receive nothing at present as `read` does, at whatever time: all of them decay
+   * alike. -Infinity if nothing was ever received.
+   */
+  restingOrder(): number {
+    return this.value === 0 ? -Infinity : Math.log2(this.value) + this.valueAt / this.halfLifeS;
+  }
+
   /** From now on so much more (or, negative, less) of the fleet is received. */
   changeRate(share: number, now: number): void {
     this.value = this.read(now);
     this.valueAt = Math.max(this.valueAt, now);
-    this.rate = Math.max(0, this.rate + share);
+    const rate = this.rate + share;
+    this.rate = rate < ROUNDING ? 0 : rate;
   }
 }
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -26,7 +26,7 @@
   kinds: PricedKind[];
 }
 
-/** Tasks of one job that are to be packed one by one. */
+/** Tasks of one job that are to be packed. */
 export interface PackingRequest {
   job: Job;
   /** Id of the gang whose reserved machines may be used. */
@@ -36,6 +36,12 @@
   requirements: Requirements;
 }
 
+/** Tasks that were packed on one machine. */
+export interface Packed {
+  slot: Slot;
+  tasks: number;
+}
+
 /** What a plan starts from: machines that stand or boot, types by name, and what is not to be had. */
 export interface PackingOptions {
   standing: StandingSlot[];
@@ -62,14 +68,19 @@
     return { job, gang, tasksByZone, requirements: this.requirementsOf(job) };
   }
 
-  /** Takes room for one task; null if there is none and the cloud refuses all kinds that would do. */
-  place(request: PackingRequest): Slot | null {
-    const found =
+  /**
+   * Takes room for up to `count` tasks on one machine, as many as it has room for. Null if there is none
+   * and the cloud refuses all kinds that would do.
+   */
+  place(request: PackingRequest, count: number): Packed | null {
+    const slot =
       this.firstWithRoom('standing', request) ??
       this.firstWithRoom('rented', request) ??
       this.rent(request);
-    if (found) takeRoom(found, request.job);
-    return found;
+    if (slot === null) return null;
+    const tasks = Math.min(count, roomFor(request, slot));
+    takeRoom(slot, request.job, tasks);
+    return { slot, tasks };
   }
 
   /** The machines to rent, by kind. */
@@ -163,6 +174,13 @@
     });
 }
 
+/** Tasks that the slot has room for, and that its zone may still take; one at least, since one was found to fit. */
+function roomFor({ job, tasksByZone }: PackingRequest, { used, type, zone }: Slot): number {
+  const inZone = tasksByZone?.get(zone) ?? 0;
+  const zoneRoom = tasksByZone === null ? Infinity : zoneCap(job) - inZone;
+  return Math.max(1, Math.min(tasksThatFit(job, used, type), zoneRoom));
+}
+
 function isZoneFull(job: Job, zone: string, tasksByZone: Map<string, number> | null): boolean {
   return tasksByZone !== null && (tasksByZone.get(zone) ?? 0) >= zoneCap(job);
 }
--- a/packages/core/slots.ts
+++ b/packages/core/slots.ts
@@ -65,8 +65,9 @@
   return hasRoom(job, used, type) && kindAllowed(job, type, zone, spot);
 }
 
-/** Packs one task into the slot. */
-export function takeRoom(slot: Slot, job: Job): void {
-  addAmounts(slot.used, job, 1);
+/** Packs tasks of the job into the slot. */
+export function takeRoom(slot: Slot, { cpus, gpus, memory }: Job, tasks: number): void {
+  const taken = { cpus: cpus * tasks, gpus: gpus * tasks, memory: memory * tasks };
+  addAmounts(slot.used, taken, 1);
   slot.touched = true;
 }
--- a/packages/core/team-quota.ts
+++ b/packages/core/team-quota.ts
@@ -28,6 +28,20 @@
   );
 }
 
+/** How many times the team may use `more` beside what it uses; Infinity if nothing bounds it. */
+export function timesWithinLimit(quota: TeamQuota, used: Amounts, more: Amounts): number {
+  return Math.min(
+    timesWithin(quota.cpuLimit, used.cpus, more.cpus),
+    timesWithin(quota.gpuLimit, used.gpus, more.gpus),
+  );
+}
+
+function timesWithin(limit: number, used: number, more: number): number {
+  if (limit === 0 || (more === 0 && used <= limit + ROUNDING)) return Infinity;
+  if (used + more > limit + ROUNDING) return 0;
+  return Math.floor((limit + ROUNDING - used) / more);
+}
+
 /** Whether the team may use `more` beside what it uses. */
 export function withinLimit(quota: TeamQuota, used: Amounts, more: Amounts): boolean {
   return (
--- a/packages/core/team-shares.ts
+++ b/packages/core/team-shares.ts
@@ -42,13 +42,18 @@
 
   /** Whether one more task of the job stays within its team's guarantee. */
   withinGuarantee(job: Job): boolean {
-    const quota = this.guaranteeOf(job.team);
-    if (quota === null) return false;
-    const used = this.fleet.usage.ofTeam(job.team);
-    return (
-      (quota.guaranteedGpus === 0 || used.gpus + job.gpus <= quota.guaranteedGpus) &&
-      (quota.guaranteedCpus === 0 || used.cpus + job.cpus <= quota.guaranteedCpus)
-    );
+    return this.guaranteeNow(job.team)(job);
+  }
+
+  /** Tells of tasks whether one more stays within the guarantee, beside what the team uses now. */
+  guaranteeNow(team: string): (need: Pick<Amounts, 'cpus' | 'gpus'>) => boolean {
+    const quota = this.guaranteeOf(team);
+    if (quota === null) return () => false;
+    const { guaranteedCpus, guaranteedGpus } = quota;
+    const used = { ...this.fleet.usage.ofTeam(team) };
+    return ({ cpus, gpus }) =>
+      (guaranteedGpus === 0 || used.gpus + gpus <= guaranteedGpus) &&
+      (guaranteedCpus === 0 || used.cpus + cpus <= guaranteedCpus);
   }
 
   private guaranteeOf(team: string): TeamQuota | null {
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -1,11 +1,21 @@
+import type { Job } from '#wire';
 import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
 import { ServiceCounter } from './service-counter.js';
 import type { Assignment } from './model.js';
 
+/** Tasks of one team and rank, gangs apart, that have a place somewhere. */
+export interface TaskGroup {
+  team: string;
+  rank: number;
+  isGang: boolean;
+  tasks: number;
+}
+
 /** What teams and classes hold at present, and the service that teams have received. */
 export class UsageLedger {
   private readonly amountsByTeam = new Map<string, Amounts>();
   private readonly serviceByTeam = new Map<string, ServiceCounter>();
+  private readonly groupsByKey = new Map<string, TaskGroup>();
   private readonly tasksByClassAndZone = new Map<string, Map<string, number>>();
 
   constructor(private readonly halfLifeS: number) {}
@@ -19,6 +29,7 @@
     let used = this.amountsByTeam.get(team);
     if (!used) this.amountsByTeam.set(team, (used = { ...ZERO_AMOUNTS }));
     addAmounts(used, job.spec, sign);
+    this.groupOf(job.spec).tasks += sign;
     this.service(team, now).changeRate(sign * share, now);
     job.service.changeRate(sign * share, now);
   }
@@ -38,6 +49,19 @@
     return counter;
   }
 
+  /** The groups that have a task somewhere. */
+  groups(): TaskGroup[] {
+    return [...this.groupsByKey.values()].filter(({ tasks }) => tasks > 0);
+  }
+
+  private groupOf({ team, rank, kind }: Job): TaskGroup {
+    const isGang = kind === 'gang';
+    const key = `${team} ${rank} ${isGang}`;
+    let group = this.groupsByKey.get(key);
+    if (!group) this.groupsByKey.set(key, (group = { team, rank, isGang, tasks: 0 }));
+    return group;
+  }
+
   /** Number of tasks of a class in each zone, kept current. */
   tasksByZone(jobClass: string): Map<string, number> {
     let zones = this.tasksByClassAndZone.get(jobClass);
--- /dev/null
+++ b/packages/core/waiting-bucket.ts
@@ -0,0 +1,120 @@
+import type { Job } from '#wire';
+import type { Amounts } from './amounts.js';
+import type { JobState } from './model.js';
+
+/** A job that has no task anywhere. Its place among such jobs stays the same however much time passes. */
+interface IdleEntry {
+  job: JobState;
+  /** See `ServiceCounter.restingOrder`. */
+  service: number;
+}
+
+/**
+ * Waiting jobs of one team and rank whose tasks differ at most in their need of processors and memory.
+ * Those without a task anywhere are kept in order, least served first and then the oldest, so that a
+ * round takes the next one without a look at the others. The rest, whose service grows all the time,
+ * are no more than there are tasks on machines.
+ */
+export class WaitingBucket {
+  readonly idle: IdleEntry[] = [];
+  /** Jobs that have tasks somewhere. */
+  readonly active = new Set<JobState>();
+  /** No task in the bucket needs less than this. */
+  readonly least: Amounts;
+  /** No task in the bucket needs more processors. */
+  mostCpus: number;
+  private readonly entries = new Map<JobState, IdleEntry>();
+
+  /** `sample` stands for all jobs of the bucket in what they have in common. */
+  constructor(readonly sample: Job) {
+    const { cpus, gpus, memory } = sample;
+    this.least = { cpus, gpus, memory };
+    this.mostCpus = cpus;
+  }
+
+  get size(): number {
+    return this.idle.length + this.active.size;
+  }
+
+  /** Takes a job in that has begun to wait. */
+  add(job: JobState): void {
+    const { cpus, memory } = job.spec;
+    this.least.cpus = Math.min(this.least.cpus, cpus);
+    this.least.memory = Math.min(this.least.memory, memory);
+    this.mostCpus = Math.max(this.mostCpus, cpus);
+    if (job.assignments.size > 0) this.active.add(job);
+    else this.addIdle(job);
+  }
+
+  /** The job does not wait any more. */
+  remove(job: JobState): void {
+    if (!this.active.delete(job)) this.removeIdle(job);
+  }
+
+  /** A task of the job has got a place or lost it. */
+  placesChanged(job: JobState): void {
+    if (job.assignments.size > 0 === this.active.has(job)) return;
+    this.remove(job);
+    this.add(job);
+  }
+
+  /** All jobs, in no order. */
+  *jobs(): Generator<JobState> {
+    for (const { job } of this.idle) yield job;
+    yield* this.active;
+  }
+
+  /** Jobs that have never received service, the oldest first. */
+  *neverServed(): Generator<JobState> {
+    for (const { job, service } of this.idle) {
+      if (service !== -Infinity) return;
+      yield job;
+    }
+  }
+
+  /** The jobs that `neverServed` leaves out, in no order. */
+  served(): JobState[] {
+    const firstServed = this.firstFrom((entry) => entry.service !== -Infinity);
+    return [...this.idle.slice(firstServed).map(({ job }) => job), ...this.active];
+  }
+
+  private addIdle(job: JobState): void {
+    const entry = { job, service: job.service.restingOrder() };
+    this.entries.set(job, entry);
+    this.idle.splice(this.placeOf(entry), 0, entry);
+  }
+
+  private removeIdle(job: JobState): void {
+    const entry = this.entries.get(job);
+    if (!entry) return;
+    this.entries.delete(job);
+    this.idle.splice(this.placeOf(entry), 1);
+  }
+
+  /** Where the entry is or belongs. */
+  private placeOf(entry: IdleEntry): number {
+    return this.firstFrom((other) => compareIdle(other, entry) >= 0);
+  }
+
+  /** Index of the first entry that `isFrom` holds for, and all after it. */
+  private firstFrom(isFrom: (entry: IdleEntry) => boolean): number {
+    let low = 0;
+    let high = this.idle.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (isFrom(this.idle[middle])) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  }
+}
+
+function compareIdle(a: IdleEntry, b: IdleEntry): number {
+  if (a.service !== b.service) return a.service < b.service ? -1 : 1;
+  return byAge(a.job, b.job);
+}
+
+/** The job that was accepted first, then the one that has waited longest. */
+export function byAge(a: JobState, b: JobState): number {
+  return a.acceptedAt - b.acceptedAt || a.waitingOrder - b.waitingOrder;
+}
--- /dev/null
+++ b/packages/core/waiting-jobs.ts
@@ -0,0 +1,66 @@
+import type { Job } from '#wire';
+import { conditionsKey } from './fit.js';
+import type { JobState } from './model.js';
+import { WaitingBucket } from './waiting-bucket.js';
+
+/** The jobs that have tasks which wait for a machine, in buckets of like jobs. */
+export class WaitingJobs {
+  /** Gangs are few and looked at one by one. */
+  readonly gangs = new Set<JobState>();
+  private readonly bucketOf = new Map<JobState, WaitingBucket>();
+  private readonly byKey = new Map<string, WaitingBucket>();
+  private joined = 0;
+
+  get size(): number {
+    return this.bucketOf.size;
+  }
+
+  has(job: JobState): boolean {
+    return this.bucketOf.has(job);
+  }
+
+  /** All jobs, longest in this state first. */
+  [Symbol.iterator](): IterableIterator<JobState> {
+    return this.bucketOf.keys();
+  }
+
+  /** Buckets that are not empty. */
+  buckets(): IterableIterator<WaitingBucket> {
+    return this.byKey.values();
+  }
+
+  /** The job's bucket, or undefined if it does not wait. */
+  bucket(job: JobState): WaitingBucket | undefined {
+    return this.bucketOf.get(job);
+  }
+
+  add(job: JobState): void {
+    if (this.bucketOf.has(job)) return;
+    job.waitingOrder = ++this.joined;
+    const key = bucketKey(job.spec);
+    let bucket = this.byKey.get(key);
+    if (!bucket) this.byKey.set(key, (bucket = new WaitingBucket(job.spec)));
+    bucket.add(job);
+    this.bucketOf.set(job, bucket);
+    if (job.spec.kind === 'gang') this.gangs.add(job);
+  }
+
+  delete(job: JobState): void {
+    const bucket = this.bucketOf.get(job);
+    if (!bucket) return;
+    bucket.remove(job);
+    if (bucket.size === 0) this.byKey.delete(bucketKey(job.spec));
+    this.bucketOf.delete(job);
+    this.gangs.delete(job);
+  }
+
+  /** A task of the job has got a place or lost it. */
+  placesChanged(job: JobState): void {
+    this.bucketOf.get(job)?.placesChanged(job);
+  }
+}
+
+function bucketKey(job: Job): string {
+  const { team, rank, kind, gpus } = job;
+  return `${team} ${rank} ${kind === 'gang'} ${gpus} ${conditionsKey(job)}`;
+}
