--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -9,7 +9,7 @@
   RENT_AT_ONCE,
   Runtime,
 } from '#wire';
-import { Machine, Rental, startConsolidation } from '#core';
+import { giveBack, Machine, Rental, startConsolidation } from '#core';
 import { Budget } from '#store';
 import type { Log } from './log.js';
 import type { PartOwner } from './owner.js';
@@ -137,7 +137,7 @@
       this.log.info({ machine: machine.name, replicas: moves.length }, 'emptied');
     }
     if (release.length > 0) {
-      for (const machine of release) machine.draining = true;
+      for (const machine of release) giveBack(this.owner.fleet, machine, now);
       this.log.info({ machines: release.map((machine) => machine.name) }, 'surplus');
     }
     await Promise.all(rent.flatMap(portions).map((portion) => this.rent(portion, signal)));
--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,4 +1,4 @@
-import { CapacityPlanner, FleetListener, FleetState, Scheduler } from '#core';
+import { CapacityPlanner, FleetListener, FleetState, isBestEffort, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
 import { Settings, teamQuotas } from './settings.js';
@@ -13,6 +13,7 @@
   valueBytes: number,
   listener: FleetListener,
 ): FleetState {
+  const teams = teamQuotas(settings.deployment.teams);
   const { cancel_s, lease_s, report_s, gang_peer_s } = settings.deployment.workers;
   return new FleetState({
     settings: {
@@ -26,6 +27,7 @@
     term: term.term,
     claimedAt: term.claimedAt,
     listener,
+    isBestEffort: (job) => isBestEffort(job, teams.get(job.team)),
   });
 }
 
--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -66,13 +66,18 @@
 }
 
 /** The counts of all jobs that are not over. */
-export function countTasks(fleet: FleetState): TaskCounts[] {
-  const counts: TaskCounts[] = [];
-  for (const job of fleet.jobs.values()) {
-    if (job.phase !== 'accepted') continue;
-    counts.push({ job: job.spec.id, done: job.done.size, running: runningTasks(job) });
-  }
-  return counts;
+export function countAllTasks(fleet: FleetState): TaskCounts[] {
+  const open = [...fleet.jobs.values()].filter(({ phase }) => phase === 'accepted');
+  return open.map(countTasks);
+}
+
+/** The counts of the jobs for which they may have changed since the last call. */
+export function countChangedTasks(fleet: FleetState): TaskCounts[] {
+  return fleet.jobs.takeCountsChanged().map(countTasks);
+}
+
+function countTasks(job: JobState): TaskCounts {
+  return { job: job.spec.id, done: job.done.size, running: runningTasks(job) };
 }
 
 function runningTasks(job: JobState): number {
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -9,7 +9,13 @@
   ROUND_DECISIONS,
 } from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
-import { countTasks, FleetSummary, summariseFleet, TaskCounts } from './fleet-summary.js';
+import {
+  countAllTasks,
+  countChangedTasks,
+  FleetSummary,
+  summariseFleet,
+  TaskCounts,
+} from './fleet-summary.js';
 import { fleetListener } from './fleet-events.js';
 import { JobIntake } from './job-intake.js';
 import { JobTable } from './jobs.js';
@@ -237,7 +243,8 @@
     return this.fleet.fencing.newestToken;
   }
 
-  counts(): TaskCounts[] {
-    return countTasks(this.fleet);
+  /** Task counts of all open jobs, or of those alone for which they may have changed. */
+  counts(which: 'all' | 'changed'): TaskCounts[] {
+    return which === 'all' ? countAllTasks(this.fleet) : countChangedTasks(this.fleet);
   }
 }
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -14,6 +14,8 @@
 const STATUS_ROUNDS = 2;
 /** Rounds of status from one look at counts and cancellations to the next. */
 const COUNT_ROUNDS = 2;
+/** Rounds of counts from one that holds all open jobs to the next; the others hold what has changed. */
+const ALL_COUNTS_ROUNDS = 10;
 /** Jobs whose counts share a frame. */
 const COUNTS_A_FRAME = 500;
 /** Report periods within which a peer's statement counts as current. */
@@ -72,11 +74,13 @@
       this.yieldIfCut();
       cancellationRelay.endTasks();
       const owner = currentOwner();
-      if (owner && round++ % COUNT_ROUNDS === 0) {
+      if (owner && round % COUNT_ROUNDS === 0) {
         // Cancellations that others took must be known, however quiet the users are here.
         jobs.cache.sync().catch(() => {});
-        if (owner.ready) this.sendCounts(owner);
+        const isFull = (round / COUNT_ROUNDS) % ALL_COUNTS_ROUNDS === 0;
+        if (owner.ready) this.sendCounts(owner, isFull ? 'all' : 'changed');
       }
+      if (owner) round++;
       await pause(this.clock, (this.reportS * 1000) / STATUS_ROUNDS, signal);
     }
   }
@@ -114,9 +118,9 @@
     return now - heardAt <= CURRENT_PERIODS * this.reportS;
   }
 
-  private sendCounts(owner: PartOwner): void {
+  private sendCounts(owner: PartOwner, which: 'all' | 'changed'): void {
     const { jobs, peers } = this.options;
-    const counts = owner.counts();
+    const counts = owner.counts(which);
     for (const { job, done, running } of counts) jobs.noteCounts(job, done, running);
     for (let i = 0; i < counts.length; i += COUNTS_A_FRAME) {
       peers.send({ kind: 'counts', jobs: counts.slice(i, i + COUNTS_A_FRAME) });
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -84,7 +84,10 @@
     const { machine, job } = assignment;
     machine.assignmentVersion++;
     addAmounts(machine.used, job.spec, sign);
+    if (job.isBestEffort) addAmounts(machine.usedBestEffort, job.spec, sign);
+    else machine.firmTasks += sign;
     this.tables.usage.count(assignment, sign, now);
+    this.tables.jobs.countsChanged(job);
   }
 
   /** Asks for an end of the task; it keeps its place until it is proven gone. */
@@ -119,9 +122,9 @@
     const name = taskName(job.spec.id, index);
     if (machine.tasks.get(name) !== assignment) return;
     machine.tasks.delete(name);
-    if (machine.tasks.size === 0) machine.idleSince = now;
     removeFromJob(assignment);
     this.count(assignment, -1, now);
+    if (!job.isBestEffort && machine.firmTasks === 0) machine.idleSince = now;
     unrecorded.machines.add(machine.name);
     jobs.joinQueueIfAnyWaits(job, now);
     if (job.phase === 'accepted' && !job.done.has(index)) {
--- /dev/null
+++ b/packages/core/best-effort.test.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  CapacityPlanner,
+  FleetState,
+  isBestEffort,
+  JobState,
+  Machine,
+  NO_QUOTA,
+  Scheduler,
+  startConsolidation,
+} from './index.js';
+import { aFleet, aJob, aMachine, STD } from '../testing/samples.js';
+
+const HOST = { ...NO_QUOTA, guaranteedGpus: 100 };
+const TEAMS = new Map([
+  ['host', HOST],
+  ['guest', NO_QUOTA],
+]);
+const ROUND = {
+  floorWeight: 0.05,
+  preemptAfterS: 2,
+  gangLeaseS: 20,
+  stopThreshold: 0.5,
+  decisionsPerRound: 200,
+};
+const GUEST = { team: 'guest', rank: 3, class: 'g', spot: true };
+
+function aSharedFleet(): FleetState {
+  return aFleet({ isBestEffort: (job) => isBestEffort(job, TEAMS.get(job.team)) });
+}
+
+function aPlanner(fleet: FleetState): CapacityPlanner {
+  const settings = { reserveSigmas: 2, idleHoldS: 60, memoryS: 120 };
+  const objectives = [{ class: 'g', kind: 'finished', withinS: 400 }];
+  return new CapacityPlanner({ fleet, settings, objectives, teams: TEAMS });
+}
+
+function aScheduler(fleet: FleetState): Scheduler {
+  return new Scheduler(fleet, TEAMS, ROUND);
+}
+
+/** Gives the first `tasks` tasks of the job to the machine, where they run from then on. */
+function run(fleet: FleetState, job: JobState, on: Machine, tasks: number, from: number): void {
+  for (let index = 0; index < tasks; index++) {
+    const attempt = fleet.assignments.newAttempt();
+    const place = fleet.assignments.assign(job, index, on, attempt, from);
+    Object.assign(place, { recorded: true, startSent: true, reported: 'running' });
+    place.runningSince = from;
+  }
+}
+
+function rents(fleet: FleetState, now: number): number {
+  return aPlanner(fleet)
+    .plan(now)
+    .rent.reduce((sum, { count }) => sum + count, 0);
+}
+
+test('best-effort tasks leave the processors that free accelerators need', () => {
+  // Guards against replicas that wait since small tasks fill the processors beside free accelerators.
+  const fleet = aSharedFleet();
+  const machine = aMachine(fleet, 'n-1');
+  const service = aJob({ id: 'j-1', team: 'host', kind: 'service', cpus: 4, gpus: 2 });
+  run(fleet, fleet.addJob(service, 0, 'accepted', 0), machine, 1, 0);
+  const guest = aJob({ ...GUEST, id: 'j-2', tasks: 40, cpus: 1, gpus: 0, memory: 0.5 });
+  const state = fleet.addJob(guest, 0, 'accepted', 0);
+  aScheduler(fleet).round(1);
+  // Of 16 processors 4 are used, and 8 belong to the two free accelerators.
+  assert.equal(state.assignments.size, 4);
+});
+
+test('best-effort work gives way at once, and to firm work only', () => {
+  const fleet = aSharedFleet();
+  const machine = aMachine(fleet, 'n-1');
+  const guest = fleet.addJob(aJob({ ...GUEST, id: 'j-1', tasks: 4 }), 0, 'accepted', 0);
+  run(fleet, guest, machine, 4, 0);
+  const stops = () => [...machine.tasks.values()].filter(({ stop }) => stop !== null).length;
+  fleet.addJob(aJob({ ...GUEST, id: 'j-2' }), 1, 'accepted', 1);
+  aScheduler(fleet).round(1);
+  assert.equal(stops(), 0);
+  fleet.addJob(aJob({ id: 'j-3', team: 'host', rank: 2 }), 1, 'accepted', 1);
+  aScheduler(fleet).round(1);
+  assert.equal(stops(), 1);
+});
+
+test('a gang is not stopped at its lease end for work of lower rank', () => {
+  // Guards against a guest whose index is near zero and who so would win any gang's machines.
+  const fleet = aSharedFleet();
+  const machine = aMachine(fleet, 'n-1');
+  const gang = aJob({ id: 'j-1', team: 'host', kind: 'gang', rank: 1, gpus: 4, checkpointS: 5 });
+  run(fleet, fleet.addJob(gang, 0, 'accepted', 0), machine, 1, 0);
+  fleet.addJob(aJob({ ...GUEST, id: 'j-2' }), 0, 'accepted', 0);
+  aScheduler(fleet).round(100);
+  assert.equal([...machine.tasks.values()][0].stop, null);
+});
+
+test('nothing is rented for best-effort work until a job has waited two boots without a place', () => {
+  // Guards against a fleet that grows for a guest: its reserve alone was thousands of tasks.
+  const fleet = aSharedFleet();
+  const planner = aPlanner(fleet);
+  const huge = aJob({ ...GUEST, tasks: 25_000, gpus: 0, cpus: 0.25, memory: 1 });
+  planner.jobArrived(huge, 0);
+  const state = fleet.addJob(huge, 0, 'accepted', 0);
+  assert.deepEqual(planner.plan(2 * STD.bootS - 1).rent, []);
+  const [rental, ...more] = planner.plan(2 * STD.bootS).rent;
+  assert.deepEqual({ ...rental, zone: '' }, { type: 'std', zone: '', spot: true, count: 1 });
+  assert.deepEqual(more, []);
+  run(fleet, state, aMachine(fleet, 'n-1'), 1, 60);
+  assert.equal(rents(fleet, 300), 0);
+});
+
+test('firm work is planned as if best-effort work were not there', () => {
+  const fleet = aSharedFleet();
+  const guest = fleet.addJob(aJob({ ...GUEST, id: 'j-1', tasks: 4 }), 0, 'accepted', 0);
+  run(fleet, guest, aMachine(fleet, 'n-1'), 4, 0);
+  fleet.addJob(aJob({ id: 'j-2', team: 'host', tasks: 4 }), 1, 'accepted', 1);
+  assert.equal(rents(fleet, 1), 0);
+});
+
+test('best-effort work keeps no machine but a spot machine that it uses well', () => {
+  const kept = (spot: boolean, tasks: number) => {
+    const fleet = aSharedFleet();
+    const guest = fleet.addJob(aJob({ ...GUEST, tasks: 4 }), 0, 'accepted', 0);
+    run(fleet, guest, aMachine(fleet, 'n-1', { spot }), tasks, 0);
+    return aPlanner(fleet).plan(61).release.length === 0;
+  };
+  assert.deepEqual([kept(false, 4), kept(true, 1), kept(true, 2)], [false, false, true]);
+});
+
+test('a little used machine is emptied although best-effort tasks run there', () => {
+  const fleet = aSharedFleet();
+  const machines = [aMachine(fleet, 'n-1'), aMachine(fleet, 'n-2')];
+  machines.forEach((machine, i) => {
+    const service = aJob({ id: `j-${i}`, team: 'host', kind: 'service', tasks: 2 });
+    run(fleet, fleet.addJob(service, 0, 'accepted', 0), machine, 1 + i, 0);
+    machine.images.set('i', 5);
+  });
+  const guest = aJob({ ...GUEST, id: 'j-9', tasks: 40, gpus: 0, cpus: 0.5, estimateS: 150 });
+  const state = fleet.addJob(guest, 0, 'accepted', 0);
+  run(fleet, state, machines[0], 6, 0);
+  const { consolidation } = aPlanner(fleet).plan(40);
+  assert.equal(consolidation?.machine, machines[0]);
+  startConsolidation(fleet, consolidation, 40);
+  assert.ok([...machines[0].tasks.values()].every(({ stop }) => stop !== null));
+});
--- /dev/null
+++ b/packages/core/best-effort.ts
@@ -0,0 +1,83 @@
+import type { Job, MachineType } from '#wire';
+import { addAmounts, Amounts } from './amounts.js';
+import type { FleetTables } from './fleet-tables.js';
+import type { JobState, Machine } from './model.js';
+import { LOWEST_RANK } from './ranks.js';
+import { hasGuarantee, TeamQuota } from './team-quota.js';
+
+/** Amounts are sums of decimal numbers; differences below this are rounding. */
+const ROUNDING = 1e-9;
+/** Share of a machine's record that best-effort tasks may fill, so that other work never lacks a line. */
+const RECORD_SHARE = 3 / 4;
+/** Boot times that a best-effort job may wait before it may use any free room, and before room is rented. */
+const ANY_ROOM_AFTER_BOOTS = 1;
+const RENT_AFTER_BOOTS = 2;
+/** Report periods that a best-effort task may have left when its machine is given back, and is let end. */
+const NEARLY_DONE_REPORTS = 10;
+
+/**
+ * Whether the job's work runs on room that is there anyway: work of the lowest rank whose team has no
+ * guarantee. It gives way at once to all other work, which this project calls firm (docs/design.md).
+ */
+export function isBestEffort(job: Job, quota: TeamQuota | undefined): boolean {
+  return job.rank === LOWEST_RANK && !hasGuarantee(quota);
+}
+
+/** What all but best-effort tasks take of the machine. */
+export function firmUse({ used, usedBestEffort }: Machine): Amounts {
+  const firm = { ...used };
+  addAmounts(firm, usedBestEffort, -1);
+  return firm;
+}
+
+/** Whether a best-effort task may have the room on the machine, as far as firm work is concerned. */
+export function mayUseSpareRoom(
+  fleet: FleetTables,
+  job: JobState,
+  machine: Machine,
+  type: MachineType,
+  now: number,
+): boolean {
+  if (machine.tasks.size >= fleet.settings.maxTasksPerMachine * RECORD_SHARE) return false;
+  return leavesRoomForGpus(job.spec, machine, type) || mayUseAnyRoom(fleet, job, now);
+}
+
+/** Whether each free accelerator keeps its part of the processors and of the memory. */
+function leavesRoomForGpus(job: Job, { used }: Machine, type: MachineType): boolean {
+  if (job.gpus > 0 || type.gpus === 0) return true;
+  const freeShare = (type.gpus - used.gpus) / type.gpus;
+  return (
+    type.cpus - used.cpus - job.cpus >= type.cpus * freeShare - ROUNDING &&
+    type.memory - used.memory - job.memory >= type.memory * freeShare - ROUNDING
+  );
+}
+
+/** The job has waited so long without a place that it need not leave room for accelerators. */
+export function mayUseAnyRoom(fleet: FleetTables, job: JobState, now: number): boolean {
+  return hasStarvedFor(fleet, job, ANY_ROOM_AFTER_BOOTS, now);
+}
+
+/** Whether the job has waited so long without a place that room may be rented for it. */
+export function mayRentFor(fleet: FleetTables, job: JobState, now: number): boolean {
+  return hasStarvedFor(fleet, job, RENT_AFTER_BOOTS, now);
+}
+
+function hasStarvedFor(
+  { machines }: FleetTables,
+  job: JobState,
+  boots: number,
+  now: number,
+): boolean {
+  return job.assignments.size === 0 && now - job.waitingSince >= boots * machines.shortestBootS();
+}
+
+/** Whether a task, by its owner's estimate, ends soon enough to be waited for. */
+export function isNearlyDone(
+  job: Job,
+  runningSince: number | null,
+  reportS: number,
+  now: number,
+): boolean {
+  const ranS = runningSince === null ? 0 : now - runningSince;
+  return job.kind !== 'service' && job.estimateS - ranS <= NEARLY_DONE_REPORTS * reportS;
+}
--- a/packages/core/blocked-shapes.ts
+++ b/packages/core/blocked-shapes.ts
@@ -2,6 +2,9 @@
 import type { Amounts } from './amounts.js';
 import { conditionsKey } from './fit.js';
 
+/** Jobs that fail alike in one round: best-effort jobs may use less room until they have waited long. */
+export type BlockedKind = 'firm' | 'best-effort' | 'starved';
+
 /** A need that found no place, and the rank of the job that had it. */
 interface BlockedShape {
   need: Readonly<Amounts>;
@@ -16,8 +19,8 @@
   private readonly byConditions = new Map<string, BlockedShape[]>();
 
   /** A task that any job of its conditions could have had in its stead found no place. */
-  add(job: Job): void {
-    const key = conditionsKey(job);
+  add(job: Job, kind: BlockedKind = 'firm'): void {
+    const key = `${kind} ${conditionsKey(job)}`;
     const { cpus, gpus, memory, rank } = job;
     const shape = { need: { cpus, gpus, memory }, rank };
     const kept = (this.byConditions.get(key) ?? []).filter((other) => !covers(shape, other));
@@ -25,9 +28,9 @@
   }
 
   /** Whether such a task certainly finds no place. `need` is the job's own unless given. */
-  has(job: Job, need: Readonly<Amounts> = job): boolean {
+  has(job: Job, kind: BlockedKind = 'firm', need: Readonly<Amounts> = job): boolean {
     if (this.byConditions.size === 0) return false;
-    const shapes = this.byConditions.get(conditionsKey(job));
+    const shapes = this.byConditions.get(`${kind} ${conditionsKey(job)}`);
     return shapes !== undefined && shapes.some((shape) => covers(shape, { need, rank: job.rank }));
   }
 }
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -1,8 +1,9 @@
-import type { Job } from '#wire';
+import type { Job, MachineType } from '#wire';
 import { ArrivalSettings, ArrivalStatistics, ClassObjective } from './arrival-statistics.js';
 import { BootTimes } from './boot-times.js';
 import { Consolidation, findConsolidation } from './consolidation.js';
-import { Amounts } from './amounts.js';
+import { Amounts, dominantShare } from './amounts.js';
+import { isBestEffort, mayRentFor } from './best-effort.js';
 import { TeamQuota, timesWithinLimit } from './team-quota.js';
 import { typeFits } from './fit.js';
 import type { FleetState } from './fleet-state.js';
@@ -17,6 +18,9 @@
 const MOST_TASKS_PLANNED = 2000;
 const MOST_JOBS_PLANNED = 500;
 
+/** Share of a spot machine that best-effort work must use to keep it. */
+const WORTH_KEEPING = 1 / 2;
+
 /** Once nothing has come for this share of the hold, empty machines are held for the other only. */
 const QUIET_SHARE = 1 / 2;
 const QUIET_HOLD = 1 / 3;
@@ -54,14 +58,14 @@
     this.arrivals = new ArrivalStatistics(options.settings, options.objectives);
   }
 
-  /** A job was accepted. */
+  /** A job was accepted. No room is kept for best-effort work. */
   jobArrived(job: Job, now: number): void {
-    this.arrivals.jobArrived(job, now);
+    if (!this.isBestEffort(job)) this.arrivals.jobArrived(job, now);
   }
 
   /** A job is over for its user. */
   jobEnded(job: Job, now: number): void {
-    this.arrivals.jobEnded(job, now);
+    if (!this.isBestEffort(job)) this.arrivals.jobEnded(job, now);
   }
 
   /** Takes as much work to have ended before as came. */
@@ -69,6 +73,10 @@
     this.arrivals.assumeSteady(now);
   }
 
+  private isBestEffort(job: Job): boolean {
+    return isBestEffort(job, this.options.teams.get(job.team));
+  }
+
   /** A rented machine reported for the first time. */
   machineUp(machine: Machine, now: number): void {
     this.boots.machineUp(machine, this.options.fleet.machines.typeOf(machine), now);
@@ -85,10 +93,15 @@
     const standing = standingSlots(fleet, this.boots.lateFrom(), now);
     const { types } = fleet.machines;
     const packing = new SlotPacking({ standing, types, refusals: this.refusals, now });
-    this.packWaiting(packing);
+    const usage = new Map<string, Amounts>();
+    const { firm, bestEffort } = this.waitingJobs();
+    for (const job of firm.sort(byRankAndSize)) this.packJob(job, packing, usage);
     this.packReserve(packing, now);
     // Replicas are moved only while nothing lacks room.
     const lacksRoom = packing.rented.length > 0;
+    const starved = bestEffort.filter((job) => mayRentFor(fleet, job, now));
+    if (starved.length > 0) packing.countBestEffort();
+    for (const job of starved.sort(byRankAndSize)) this.packJob(job, packing, usage, 1);
     return {
       rent: packing.rentals(),
       release: this.surplus(standing, now),
@@ -96,16 +109,24 @@
     };
   }
 
-  private packWaiting(packing: SlotPacking): void {
-    const usage = new Map<string, Amounts>();
-    const waiting: JobState[] = [];
+  /** The jobs that a plan looks at. */
+  private waitingJobs(): { firm: JobState[]; bestEffort: JobState[] } {
+    const firm: JobState[] = [];
+    const bestEffort: JobState[] = [];
     for (const bucket of this.options.fleet.jobs.waiting.buckets()) {
-      waiting.push(...firstOf(oldestFirst([bucket]), MOST_JOBS_PLANNED));
+      const jobs = firstOf(oldestFirst([bucket]), MOST_JOBS_PLANNED);
+      (bucket.isBestEffort ? bestEffort : firm).push(...jobs);
     }
-    for (const job of waiting.sort(byRankAndSize)) this.packJob(job, packing, usage);
+    return { firm, bestEffort };
   }
 
-  private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
+  /** Packs the job's waiting tasks on at most so many machines. */
+  private packJob(
+    job: JobState,
+    packing: SlotPacking,
+    usage: Map<string, Amounts>,
+    mostMachines = Infinity,
+  ): void {
     const { fleet, teams } = this.options;
     const { spec } = job;
     const quota = teams.get(spec.team);
@@ -117,7 +138,7 @@
     let request = packing.request({ ...spec, zone }, spec.id, zones);
     const waiting = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
     let left = Math.min(waiting, timesWithinLimit(quota, used, spec));
-    while (left > 0) {
+    for (let machines = 0; left > 0 && machines < mostMachines; machines++) {
       const packed = packing.place(request, left);
       if (!packed) return;
       const { slot, tasks } = packed;
@@ -150,7 +171,7 @@
     const isQuiet = now - this.arrivals.lastArrivalAt() > idleHoldS * QUIET_SHARE;
     const heldS = isQuiet ? idleHoldS * QUIET_HOLD : idleHoldS;
     return standing
-      .filter(({ machine, touched }) => !touched && isIdle(machine, heldS, now))
+      .filter((slot) => !slot.touched && isIdle(slot, heldS, now))
       .map(({ machine }) => machine);
   }
 }
@@ -161,10 +182,15 @@
   return standing.find((slot) => slot.reservedForGang === job.id)?.zone ?? job.zone;
 }
 
-function isIdle(machine: Machine, heldS: number, now: number): boolean {
-  const { tasks, reservedForGang, state, idleSince } = machine;
-  if (tasks.size > 0 || reservedForGang !== null || state === 'booting') return false;
-  return now - idleSince >= heldS;
+function isIdle({ machine, type }: StandingSlot, heldS: number, now: number): boolean {
+  const { firmTasks, reservedForGang, state, idleSince } = machine;
+  if (firmTasks > 0 || reservedForGang !== null || state === 'booting') return false;
+  return now - idleSince >= heldS && !isWorthKeeping(machine, type);
+}
+
+/** Best-effort work keeps a machine that is cheap and well used by it, and no other. */
+function isWorthKeeping({ spot, usedBestEffort }: Machine, type: MachineType): boolean {
+  return spot && dominantShare(usedBestEffort, type) >= WORTH_KEEPING;
 }
 
 function firstOf<T>(items: Iterable<T>, most: number): T[] {
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -1,12 +1,17 @@
 import type { Job, MachineType } from '#wire';
 import { isUsable } from './availability.js';
 import { addAmounts, Amounts } from './amounts.js';
-import { hasRoom, kindAllowed } from './fit.js';
+import { firmUse, isNearlyDone } from './best-effort.js';
+import { chooseMachine } from './choose-machine.js';
+import { hasRoom, kindAllowed, tasksByZone } from './fit.js';
 import type { FleetState } from './fleet-state.js';
-import type { Assignment, Machine } from './model.js';
+import type { Assignment, JobState, Machine } from './model.js';
+import { PlacementCandidates } from './placement-candidates.js';
 import { SETTLED_S } from './settled.js';
 import type { StandingSlot } from './slots.js';
 
+/** Amounts are sums of decimal numbers; differences below this are rounding. */
+const ROUNDING = 1e-9;
 /** No machine that is used more than this is emptied. */
 const MOST_USED = 0.5;
 /** Report periods for which the room found for a replica is held. */
@@ -50,7 +55,7 @@
   { machine, moves }: Consolidation,
   now: number,
 ): void {
-  machine.draining = true;
+  giveBack(fleet, machine, now);
   for (const { task, to } of moves) {
     if (to.roomHold === null) {
       fleet.holds.hold(to, task.job, now + HOLD_REPORTS * fleet.settings.reportS);
@@ -59,17 +64,38 @@
   }
 }
 
+/**
+ * Takes nothing more on the machine, so that it is given back once it is empty. Best-effort tasks that
+ * are not nearly done begin anew elsewhere, if there is room.
+ */
+export function giveBack(fleet: FleetState, machine: Machine, now: number): void {
+  machine.draining = true;
+  for (const task of [...machine.tasks.values()]) {
+    const { job, runningSince, stop } = task;
+    if (!job.isBestEffort || stop !== null) continue;
+    if (isNearlyDone(job.spec, runningSince, fleet.settings.reportS, now)) continue;
+    if (!hasSpareRoom(fleet, job, now)) continue;
+    fleet.assignments.stopGracefully(task, now);
+  }
+}
+
+/** Whether any machine has room for one more task of the best-effort job. */
+function hasSpareRoom(fleet: FleetState, job: JobState, now: number): boolean {
+  const candidates = new PlacementCandidates(fleet, now);
+  return chooseMachine(fleet, job, tasksByZone(job), candidates, now) !== null;
+}
+
 function canBeEmptied(fleet: FleetState, slot: StandingSlot, now: number): boolean {
   const { machine, type, used, reservedForGang } = slot;
-  if (machine.tasks.size === 0 || load(machine, type) > MOST_USED) return false;
+  if (machine.firmTasks === 0 || load(machine, type) > MOST_USED) return false;
   if (!isUsable(machine, fleet.settings.maxTasksPerMachine, now)) return false;
   // Room there that others count on is not given up.
-  if (reservedForGang !== null || used.cpus > machine.used.cpus) return false;
-  return [...machine.tasks.values()].every((task) => isMovable(task, now));
+  if (reservedForGang !== null || used.cpus > firmUse(machine).cpus + ROUNDING) return false;
+  return firmTasksOf(machine).every((task) => isMovable(task, now));
 }
 
 function pricePerTask({ machine, type }: StandingSlot): number {
-  return type.price / machine.tasks.size;
+  return type.price / machine.firmTasks;
 }
 
 function isMovable({ job, stop, reported, runningSince }: Assignment, now: number): boolean {
@@ -86,7 +112,7 @@
 ): Move[] | null {
   const taken = new Map<StandingSlot, Amounts>();
   const moves: Move[] = [];
-  for (const task of from.machine.tasks.values()) {
+  for (const task of firmTasksOf(from.machine)) {
     const { spec } = task.job;
     const target = slots.find(
       (slot) =>
@@ -122,8 +148,13 @@
   );
 }
 
-/** Share of the machine that is used. */
-function load({ used }: Machine, type: MachineType): number {
+function firmTasksOf(machine: Machine): Assignment[] {
+  return [...machine.tasks.values()].filter(({ job }) => !job.isBestEffort);
+}
+
+/** Share of the machine that firm work uses. */
+function load(machine: Machine, type: MachineType): number {
+  const used = firmUse(machine);
   return Math.max(
     type.cpus > 0 ? used.cpus / type.cpus : 0,
     type.gpus > 0 ? used.gpus / type.gpus : 0,
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -1,3 +1,4 @@
+import type { Job } from '#wire';
 import { JobRegistry } from './job-registry.js';
 import { FleetListener, NO_LISTENER } from './listener.js';
 import { MachineRegistry } from './machine-registry.js';
@@ -15,6 +16,8 @@
   /** When the part was claimed, in seconds of the steady clock. */
   claimedAt: number;
   listener?: FleetListener;
+  /** Tells which jobs run on room that is there anyway; none unless given. */
+  isBestEffort?: (job: Job) => boolean;
 }
 
 /** The data of a part that all operations on it share. */
@@ -37,7 +40,8 @@
     this.term = options.term;
     this.claimedAt = options.claimedAt;
     this.listener = options.listener ?? NO_LISTENER;
-    this.jobs = new JobRegistry(options.settings.halfLifeS, this.unrecorded);
+    const isBestEffort = options.isBestEffort ?? (() => false);
+    this.jobs = new JobRegistry(options.settings.halfLifeS, this.unrecorded, isBestEffort);
     this.machines = new MachineRegistry(options.term);
     this.released = new ReleasedMachines(options.settings.leaseS);
     this.usage = new UsageLedger(options.settings.halfLifeS);
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -46,6 +46,17 @@
       const isHeld = (machine: Machine) => this.fleet.holds.isHeldFromJob(machine, gang, now);
       reserveFor(gang, emptying, byGang.get(gang.spec.id) ?? [], isHeld);
     }
+    this.clearReserved(emptying, now);
+  }
+
+  /** Once only best-effort work is left on a reserved machine, it gives way. */
+  private clearReserved(emptying: EmptyingMachine[], now: number): void {
+    for (const { machine } of emptying) {
+      if (machine.reservedForGang === null || machine.firmTasks > 0) continue;
+      for (const task of [...machine.tasks.values()]) {
+        if (task.stop === null) this.fleet.assignments.stopGracefully(task, now);
+      }
+    }
   }
 
   /** The gang has started. */
@@ -86,8 +97,9 @@
   }
 }
 
+/** Machines are not kept free for best-effort work. */
 function isWaitingGang(job: JobState): boolean {
-  return job.assignments.size === 0;
+  return job.assignments.size === 0 && !job.isBestEffort;
 }
 
 function reservedByGang(emptying: EmptyingMachine[]): Map<string, EmptyingMachine[]> {
@@ -159,7 +171,7 @@
   let waitS = 0;
   for (const { job, stop, runningSince } of machine.tasks.values()) {
     const { kind, estimateS } = job.spec;
-    if (stop !== null) continue;
+    if (stop !== null || job.isBestEffort) continue;
     if (kind === 'service') return null;
     const ranS = runningSince === null ? 0 : now - runningSince;
     waitS = Math.max(waitS, estimateS * ESTIMATE_MARGIN - ranS, estimateS * ESTIMATE_REST);
--- a/packages/core/index.ts
+++ b/packages/core/index.ts
@@ -1,12 +1,14 @@
 export * from './amounts.js';
 export * from './arrival-statistics.js';
 export * from './availability.js';
+export * from './best-effort.js';
 export * from './capacity-planner.js';
 export * from './choose-machine.js';
 export * from './consolidation.js';
 export * from './direct-orders.js';
 export * from './fit.js';
 export * from './fleet-state.js';
+export type { FleetOptions } from './fleet-tables.js';
 export * from './listener.js';
 export * from './model.js';
 export * from './placement-candidates.js';
--- a/packages/core/job-queues.ts
+++ b/packages/core/job-queues.ts
@@ -1,11 +1,13 @@
 import { isBoundByZones } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState } from './model.js';
+import { RANKS } from './ranks.js';
 import type { TeamShares } from './team-shares.js';
 import { byAge, WaitingBucket } from './waiting-bucket.js';
 
-/** More than the lowest rank: work within a guarantee goes before all that is not. */
-const RANKS = 4;
+/** Work within a guarantee goes before all that is not, and best-effort work after all other. */
+const BORROWERS = RANKS;
+const BEST_EFFORT = 2 * RANKS;
 
 /** A job whose turn may come, and the service that it has received. */
 interface RankedJob {
@@ -101,34 +103,44 @@
   }
 }
 
+/** Waiting jobs of equal precedence. */
+export interface Tier {
+  isBestEffort: boolean;
+  queues: TeamQueue[];
+}
+
 /**
- * The waiting jobs by precedence, each tier as queues by team: work within a guarantee before borrowers,
- * then by rank. Jobs that `isLeftOut` holds for, whenever their turn comes, are passed over.
+ * The waiting jobs by precedence: work within a guarantee before borrowers, then by rank, and best-effort
+ * work last. Jobs that `isLeftOut` holds for, whenever their turn comes, are passed over.
  */
 export function queuesByPrecedence(
   fleet: FleetState,
   shares: TeamShares,
   isLeftOut: JobFilter,
   now: number,
-): Map<string, TeamQueue>[] {
-  const tiers: Map<string, TeamQueue>[] = [];
+): Tier[] {
+  const tiers: Tier[] = [];
+  const enqueue = (tier: number, bucket: WaitingBucket, filter: JobFilter) => {
+    const { queues } = (tiers[tier] ??= { isBestEffort: bucket.isBestEffort, queues: [] });
+    const { team } = bucket.sample;
+    let queue = queues.find((each) => each.team === team);
+    if (!queue) queues.push((queue = new TeamQueue(team, now)));
+    queue.add(bucket, filter);
+  };
   for (const bucket of fleet.jobs.waiting.buckets()) {
-    const { team, rank } = bucket.sample;
+    const { team, rank, gpus } = bucket.sample;
     if (!shares.isKnown(team)) continue;
+    if (bucket.isBestEffort) {
+      enqueue(BEST_EFFORT, bucket, isLeftOut);
+      continue;
+    }
     const within = shares.guaranteeNow(team);
-    const enqueue = (tier: number, filter: JobFilter) => {
-      const queues = (tiers[tier] ??= new Map<string, TeamQueue>());
-      let queue = queues.get(team);
-      if (!queue) queues.set(team, (queue = new TeamQueue(team, now)));
-      queue.add(bucket, filter);
-    };
-    const { gpus } = bucket.sample;
     const least = within(bucket.least);
     const most = within({ cpus: bucket.mostCpus, gpus });
-    if (least) enqueue(rank, most ? isLeftOut : (job) => !within(job.spec) || isLeftOut(job));
-    if (!most) {
-      enqueue(RANKS + rank, least ? (job) => within(job.spec) || isLeftOut(job) : isLeftOut);
-    }
+    const isOutside = (job: JobState) => !within(job.spec) || isLeftOut(job);
+    const isInside = (job: JobState) => within(job.spec) || isLeftOut(job);
+    if (least) enqueue(rank, bucket, most ? isLeftOut : isOutside);
+    if (!most) enqueue(BORROWERS + rank, bucket, least ? isInside : isLeftOut);
   }
   return tiers.filter((tier) => tier !== undefined);
 }
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -12,10 +12,12 @@
   /** Jobs that are over and may still have a task somewhere. */
   private readonly ended = new Set<JobState>();
   private readonly byId = new Map<string, JobState>();
+  private readonly withNewCounts = new Set<JobState>();
 
   constructor(
     private readonly halfLifeS: number,
     private readonly unrecorded: UnrecordedChanges,
+    private readonly isBestEffort: (job: Job) => boolean,
   ) {}
 
   /** The job, or undefined if it is not known or was removed. */
@@ -36,6 +38,7 @@
   add(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
     const state: JobState = {
       spec: job,
+      isBestEffort: this.isBestEffort(job),
       requirementsKey: requirementsKey(job),
       acceptedAt,
       phase,
@@ -73,6 +76,18 @@
     }
   }
 
+  /** How many of the job's tasks are done or run may have changed. */
+  countsChanged(job: JobState): void {
+    this.withNewCounts.add(job);
+  }
+
+  /** The open jobs whose counts may have changed since the last call. */
+  takeCountsChanged(): JobState[] {
+    const jobs = [...this.withNewCounts].filter(({ phase }) => phase === 'accepted');
+    this.withNewCounts.clear();
+    return jobs;
+  }
+
   /** How many tasks wait for a machine. */
   waitingCount(job: JobState): number {
     if (job.phase !== 'accepted') return 0;
@@ -101,6 +116,7 @@
     if (job.spec.kind === 'gang') job.done.addAll();
     else if (!job.done.add(index)) return;
     job.hasUnrecordedProgress = true;
+    this.countsChanged(job);
     this.unrecorded.jobs.add(job.spec.id);
     this.leaveQueueIfNoneWaits(job);
   }
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -44,6 +44,12 @@
     return this.types.get(machine.type);
   }
 
+  /** Seconds that the type which is up soonest takes to boot; 0 while no type is known. */
+  shortestBootS(): number {
+    const times = [...this.types.values()].map(({ bootS }) => bootS);
+    return times.length > 0 ? Math.min(...times) : 0;
+  }
+
   /** A machine that the cloud, a record or its own report made known; unchanged if known already. */
   register(facts: MachineFacts, state: Machine['state'], rentedAt: number): Machine {
     const known = this.byName.get(facts.name);
@@ -99,6 +105,8 @@
     images: new Map(),
     tasks: new Map(),
     used: { ...ZERO_AMOUNTS },
+    usedBestEffort: { ...ZERO_AMOUNTS },
+    firmTasks: 0,
     assignmentVersion: 0,
     idleSince: rentedAt,
     reservedForGang: null,
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -46,6 +46,8 @@
 export interface JobState {
   /** The job as its user submitted it. */
   spec: Job;
+  /** Runs on room that is there anyway; see `isBestEffort`. */
+  isBestEffort: boolean;
   /** Equal for jobs whose tasks fit the same machines, zones of their other tasks apart. */
   requirementsKey: string;
   acceptedAt: number;
@@ -141,9 +143,13 @@
   tasks: Map<string, Assignment>;
   /** What these tasks take of it. */
   used: Amounts;
+  /** The part of it that best-effort tasks take. */
+  usedBestEffort: Amounts;
+  /** Tasks on it that are not best-effort. */
+  firmTasks: number;
   /** Rises whenever a task comes or goes. */
   assignmentVersion: number;
-  /** Since when it has no task; of use only while it has none. */
+  /** Since when it has no firm task; of use only while it has none. */
   idleSince: number;
   /** Size in GB by name of the images that its worker should have, most recently used last. */
   images: Map<string, number>;
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -1,8 +1,9 @@
 import type { Job } from '#wire';
 import { addAmounts } from './amounts.js';
+import { firmUse } from './best-effort.js';
 import { hasRoom, kindAllowed, tasksByZone, zoneAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
-import { BlockedShapes } from './blocked-shapes.js';
+import { BlockedKind, BlockedShapes } from './blocked-shapes.js';
 import { isBoundByOwnZones } from './job-queues.js';
 import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
 import { SETTLED_S } from './settled.js';
@@ -52,18 +53,21 @@
   run(now: number): void {
     const buckets = [...this.fleet.jobs.waiting.buckets()].filter((each) => this.mayStopAny(each));
     if (buckets.length === 0) return;
+    const anyBestEffort = this.fleet.usage.groups().some(({ isBestEffort }) => isBestEffort);
     const stopping = this.machinesWithStops();
     const heldRoom = this.fleet.holds.machinesByJob(now);
     const failed = new Map(buckets.map((bucket) => [bucket, new BlockedShapes()]));
     const isOver = (bucket: WaitingBucket) =>
-      failed.get(bucket)!.has(bucket.sample, bucket.least) ||
+      failed.get(bucket)!.has(bucket.sample, 'firm', bucket.least) ||
       !this.shares.withinLimit(bucket.sample.team, bucket.least);
     let made = 0;
     for (const job of oldestFirst(buckets, isOver)) {
       if (made >= TASKS_PER_ROUND) break;
-      if (!this.isImpatient(job, now)) continue;
+      const isImpatient = this.isImpatient(job, now);
+      if (job.backoffUntil > now || !(anyBestEffort || isImpatient)) continue;
       const failedAlike = failed.get(this.fleet.jobs.waiting.bucket(job)!)!;
-      if (failedAlike.has(job.spec)) continue;
+      const mayStop: BlockedKind = isImpatient ? 'firm' : 'best-effort';
+      if (failedAlike.has(job.spec, 'firm') || failedAlike.has(job.spec, mayStop)) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
       if ((heldRoom.get(job) ?? 0) >= this.fleet.jobs.waitingCount(job)) continue;
       if (!this.shares.withinLimit(job.spec.team, job.spec)) continue;
@@ -72,23 +76,25 @@
         stopping.add(victims.machine);
         this.makeRoom(job, victims, heldRoom, now);
         made++;
-      } else if (!isBoundByOwnZones(job)) failedAlike.add(job.spec);
+      } else if (!isBoundByOwnZones(job)) failedAlike.add(job.spec, mayStop);
     }
   }
 
-  private isImpatient({ backoffUntil, waitingSince }: JobState, now: number): boolean {
-    return backoffUntil <= now && now - waitingSince >= this.settings.preemptAfterS;
+  /** Best-effort work is stopped at once, other work for what has waited. */
+  private isImpatient({ waitingSince }: JobState, now: number): boolean {
+    return now - waitingSince >= this.settings.preemptAfterS;
   }
 
   /** Whether anything runs that jobs of the bucket may stop, wherever it is. */
-  private mayStopAny({ sample, least }: WaitingBucket): boolean {
+  private mayStopAny({ sample, least, isBestEffort }: WaitingBucket): boolean {
     const { kind, team, rank } = sample;
-    if (kind === 'gang') return false;
+    if (kind === 'gang' || isBestEffort) return false;
     const withinGuarantee = this.shares.guaranteeNow(team)(least);
     return this.fleet.usage.groups().some((group) => {
-      if (group.rank > rank) return true;
+      if (group.isBestEffort || group.rank > rank) return true;
       if (group.team === team) return false;
-      return group.isGang || (withinGuarantee && this.shares.isBorrowing(group.team));
+      const isGangOfSameRank = group.isGang && group.rank === rank;
+      return isGangOfSameRank || (withinGuarantee && this.shares.isBorrowing(group.team));
     });
   }
 
@@ -120,9 +126,9 @@
   private victimsOn(machine: Machine, job: JobState, now: number): Assignment[] | null {
     const type = this.fleet.machines.typeOf(machine);
     if (!type || !kindAllowed(job.spec, type, machine.zone, machine.spot)) return null;
+    if (!this.isImpatient(job, now) && !hasRoom(job.spec, firmUse(machine), type)) return null;
     const options = [...machine.tasks.values()].filter(
-      (each) =>
-        each.stop === null && isSettled(each, job.spec, now) && this.mayStop(job, each, now),
+      (each) => each.stop === null && this.isOption(each, job, now),
     );
     if (options.length === 0) return null;
     options.sort((a, b) => b.job.spec.rank - a.job.spec.rank || b.assignedAt - a.assignedAt);
@@ -136,6 +142,12 @@
     return victims.length > 0 && hasRoom(job.spec, used, type) ? victims : null;
   }
 
+  private isOption(each: Assignment, job: JobState, now: number): boolean {
+    if (each.job.isBestEffort) return true;
+    if (!this.isImpatient(job, now) || !isSettled(each, job.spec, now)) return false;
+    return this.mayStop(job, each, now);
+  }
+
   private mayStop(forJob: JobState, { job: victim }: Assignment, now: number): boolean {
     const otherTeam = victim.spec.team !== forJob.spec.team;
     if (
@@ -145,7 +157,7 @@
     ) {
       return true;
     }
-    if (victim.spec.rank > forJob.spec.rank) return true;
+    if (victim.spec.rank !== forJob.spec.rank) return victim.spec.rank > forJob.spec.rank;
     return otherTeam && victim.spec.kind === 'gang' && this.isFarBehind(forJob, victim, now);
   }
 
--- a/packages/core/scheduler.test.ts
+++ b/packages/core/scheduler.test.ts
@@ -4,6 +4,7 @@
 import {
   chooseMachine,
   FleetState,
+  isBestEffort,
   JobState,
   PlacementCandidates,
   Scheduler,
@@ -58,7 +59,7 @@
 
 /** The same fleet for the same arguments. */
 function fleetOf(ofJobs: Jobs, ofMachines: Machines): FleetState {
-  const fleet = aFleet();
+  const fleet = aFleet({ isBestEffort: (job) => isBestEffort(job, TEAMS.get(job.team)) });
   const stand = ofMachines.map((own, i) => aMachine(fleet, `n-${i}`, own));
   ofJobs.forEach(({ acceptedAt, ran, rests, backsOff, ...own }, i) => {
     const state = fleet.addJob(aJob({ id: `j-${i}`, ...own }), acceptedAt, 'accepted', acceptedAt);
@@ -82,7 +83,8 @@
 function byEveryJob(fleet: FleetState): void {
   const shares = new TeamShares(fleet, TEAMS, SETTINGS.floorWeight);
   const candidates = new PlacementCandidates(fleet, NOW);
-  const tierOf = (job: JobState) => (shares.withinGuarantee(job.spec) ? 0 : 4) + job.spec.rank;
+  const tierOf = (job: JobState) =>
+    job.isBestEffort ? 8 : (shares.withinGuarantee(job.spec) ? 0 : 4) + job.spec.rank;
   const ranked = [...fleet.jobs.waiting]
     .filter((job) => job.backoffUntil <= NOW)
     .map((job) => {
@@ -105,7 +107,10 @@
         a.job.waitingOrder - b.job.waitingOrder,
     );
   let left = SETTINGS.decisionsPerRound;
+  let isFirm = true;
   for (const { job } of ranked) {
+    if (isFirm && job.isBestEffort) left = Math.min(left, SETTINGS.decisionsPerRound / 5);
+    isFirm = !job.isBestEffort;
     for (let placed = -1; placed !== 0 && left > 0; left -= placed) placed = oneTurn(job);
   }
 
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -5,8 +5,9 @@
 import { isBoundByZones, tasksByZone } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { GangReservations } from './gang-reservations.js';
-import { BlockedShapes } from './blocked-shapes.js';
-import { isBoundByOwnZones, queuesByPrecedence, TeamQueue } from './job-queues.js';
+import { mayUseAnyRoom } from './best-effort.js';
+import { BlockedKind, BlockedShapes } from './blocked-shapes.js';
+import { isBoundByOwnZones, queuesByPrecedence, TeamQueue, Tier } from './job-queues.js';
 import type { JobState } from './model.js';
 import { PlacementCandidates } from './placement-candidates.js';
 import { Preemption, PreemptionSettings } from './preemption.js';
@@ -16,6 +17,9 @@
 /** Tasks that a job is given at once before it queues again behind the others. */
 const TASKS_PER_TURN = 8;
 
+/** Share of a round's decisions that may go to best-effort tasks. */
+const BEST_EFFORT_SHARE = 1 / 5;
+
 /** What operators may set of scheduling, and the size of a round. */
 export interface ScheduleSettings extends PreemptionSettings {
   /** Share of the fleet that a team counts as having guaranteed at least. */
@@ -71,20 +75,27 @@
       roomHeldFor: this.fleet.holds.machinesByJob(now),
       blocked: new BlockedShapes(),
     };
-    const isLeftOut = (job: JobState) => job.backoffUntil > now || isBlocked(job, round);
+    const isLeftOut = (job: JobState) => job.backoffUntil > now || this.isBlocked(job, round);
     let decided = 0;
     // Work that others would have to be stopped for goes first, so that nothing is started only to
     // be stopped again; among equals the design's order decides.
     for (const tier of queuesByPrecedence(this.fleet, this.shares, isLeftOut, now)) {
-      decided += this.placeTier(tier, this.settings.decisionsPerRound - decided, round);
+      decided += this.placeTier(tier.queues, this.limitOf(tier, decided), round);
     }
     return decided;
   }
 
+  /** Decisions left for the tier. Short best-effort tasks must not take up the owner's processor. */
+  private limitOf({ isBestEffort }: Tier, decided: number): number {
+    const { decisionsPerRound } = this.settings;
+    const left = decisionsPerRound - decided;
+    return isBestEffort ? Math.min(left, Math.ceil(decisionsPerRound * BEST_EFFORT_SHARE)) : left;
+  }
+
   /** Gives places to jobs of equal precedence, `limit` or a turn more at the most; returns how many. */
-  private placeTier(tier: Map<string, TeamQueue>, limit: number, round: Round): number {
+  private placeTier(queues: TeamQueue[], limit: number, round: Round): number {
     let decided = 0;
-    for (const queue of this.lowestIndexFirst([...tier.values()], round.now)) {
+    for (const queue of this.lowestIndexFirst(queues, round.now)) {
       for (let next = queue.peek(); next && decided < limit; next = queue.peek()) {
         const placed = this.placeJob(next.job, round);
         decided += placed;
@@ -129,7 +140,7 @@
   private placeTasks(job: JobState, round: Round): number {
     const { candidates, blocked, now } = round;
     const { assignments, jobs } = this.fleet;
-    if (isBlocked(job, round)) return 0;
+    if (this.isBlocked(job, round)) return 0;
     const limit = Math.min(TASKS_PER_TURN, this.settings.decisionsPerRound);
     const zones = isBoundByZones(job.spec) ? tasksByZone(job) : new Map<string, number>();
     let placed = 0;
@@ -137,7 +148,7 @@
       if (!this.shares.withinLimit(job.spec.team, job.spec)) break;
       const machine = chooseMachine(this.fleet, job, zones, candidates, now);
       if (!machine) {
-        if (!isBoundByOwnZones(job)) blocked.add(job.spec);
+        if (!isBoundByOwnZones(job)) blocked.add(job.spec, this.blockedKind(job, now));
         break;
       }
       assignments.assign(job, index, machine, assignments.newAttempt(), now);
@@ -146,11 +157,18 @@
     }
     return placed;
   }
-}
 
-/** Tasks that need no less than one that found no place fail alike, unless room was made for just this job. */
-function isBlocked(job: JobState, { blocked, roomHeldFor }: Round): boolean {
-  return job.spec.kind !== 'gang' && blocked.has(job.spec) && !roomHeldFor.has(job);
+  /** Tasks that need no less than one that found no place fail alike, unless room was made for just this job. */
+  private isBlocked(job: JobState, { blocked, roomHeldFor, now }: Round): boolean {
+    if (job.spec.kind === 'gang' || roomHeldFor.has(job)) return false;
+    return blocked.has(job.spec, this.blockedKind(job, now));
+  }
+
+  /** Where a best-effort job finds no room, firm work may, and so may such a job that has waited long. */
+  private blockedKind(job: JobState, now: number): BlockedKind {
+    if (!job.isBestEffort) return 'firm';
+    return mayUseAnyRoom(this.fleet, job, now) ? 'starved' : 'best-effort';
+  }
 }
 
 /** What limits count of a gang: its processors and accelerators. */
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -1,5 +1,5 @@
 import type { Job, MachineType } from '#wire';
-import { ZERO_AMOUNTS } from './amounts.js';
+import { addAmounts, ZERO_AMOUNTS } from './amounts.js';
 import { MachineKind, requirementsKey, tasksThatFit, typeFits, zoneCap } from './fit.js';
 import { kindKey, Refusals, Rental } from './refusals.js';
 import { emptySlot, holds, Slot, StandingSlot, takeRoom } from './slots.js';
@@ -83,6 +83,11 @@
     return { slot, tasks };
   }
 
+  /** From now on what best-effort work takes of the standing machines counts, too. */
+  countBestEffort(): void {
+    for (const { machine, used } of this.standing) addAmounts(used, machine.usedBestEffort, 1);
+  }
+
   /** The machines to rent, by kind. */
   rentals(): Rental[] {
     const byKind = new Map<string, Rental>();
--- a/packages/core/slots.ts
+++ b/packages/core/slots.ts
@@ -1,6 +1,7 @@
 import type { Job, MachineType } from '#wire';
 import { canTakeTasks } from './availability.js';
 import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
+import { firmUse } from './best-effort.js';
 import { hasRoom, kindAllowed, MachineKind } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { Machine } from './model.js';
@@ -44,9 +45,9 @@
 
 function standingSlot(machine: Machine, type: MachineType): StandingSlot {
   const { zone, spot, reservedForGang } = machine;
-  // What a gang waits for will be empty when it starts.
-  const used = { ...(reservedForGang === null ? machine.used : ZERO_AMOUNTS) };
-  return { machine, type, zone, spot, used, touched: machine.tasks.size > 0, reservedForGang };
+  // What a gang waits for will be empty when it starts, and best-effort work gives way.
+  const used = reservedForGang === null ? firmUse(machine) : { ...ZERO_AMOUNTS };
+  return { machine, type, zone, spot, used, touched: machine.firmTasks > 0, reservedForGang };
 }
 
 function fillOf({ used, type }: Slot): number {
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -77,6 +77,7 @@
 
   private noteState(assignment: Assignment, task: TaskReport, now: number): void {
     assignment.inherited = false;
+    if (assignment.reported !== task.state) this.tables.jobs.countsChanged(assignment.job);
     assignment.reported = task.state;
     if (task.state !== 'running' || assignment.runningSince !== null) return;
     assignment.runningSince = now;
--- a/packages/core/team-quota.ts
+++ b/packages/core/team-quota.ts
@@ -19,6 +19,11 @@
   gpuLimit: 0,
 };
 
+/** Whether anything is guaranteed to the team. */
+export function hasGuarantee(quota: TeamQuota | undefined): quota is TeamQuota {
+  return quota !== undefined && (quota.guaranteedGpus > 0 || quota.guaranteedCpus > 0);
+}
+
 /** Guaranteed share of the fleet's totals, never less than the floor weight. */
 export function teamWeight(quota: TeamQuota, totals: Amounts, floorWeight: number): number {
   return Math.max(
--- a/packages/core/team-shares.ts
+++ b/packages/core/team-shares.ts
@@ -1,6 +1,6 @@
 import type { Job } from '#wire';
 import { Amounts } from './amounts.js';
-import { NO_QUOTA, teamWeight, TeamQuota, withinLimit } from './team-quota.js';
+import { hasGuarantee, NO_QUOTA, teamWeight, TeamQuota, withinLimit } from './team-quota.js';
 import type { FleetState } from './fleet-state.js';
 
 /** Where teams stand towards their guarantees and limits, and whose turn it is (docs/design.md). */
@@ -58,6 +58,6 @@
 
   private guaranteeOf(team: string): TeamQuota | null {
     const quota = this.teams.get(team);
-    return quota && (quota.guaranteedGpus > 0 || quota.guaranteedCpus > 0) ? quota : null;
+    return hasGuarantee(quota) ? quota : null;
   }
 }
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -1,13 +1,13 @@
-import type { Job } from '#wire';
 import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
 import { ServiceCounter } from './service-counter.js';
-import type { Assignment } from './model.js';
+import type { Assignment, JobState } from './model.js';
 
-/** Tasks of one team and rank, gangs apart, that have a place somewhere. */
-export interface TaskGroup {
+/** Tasks of one team and rank that have a place somewhere, those of gangs apart from others. */
+interface TaskGroup {
   team: string;
   rank: number;
   isGang: boolean;
+  isBestEffort: boolean;
   tasks: number;
 }
 
@@ -29,7 +29,7 @@
     let used = this.amountsByTeam.get(team);
     if (!used) this.amountsByTeam.set(team, (used = { ...ZERO_AMOUNTS }));
     addAmounts(used, job.spec, sign);
-    this.groupOf(job.spec).tasks += sign;
+    this.groupOf(job).tasks += sign;
     this.service(team, now).changeRate(sign * share, now);
     job.service.changeRate(sign * share, now);
   }
@@ -54,11 +54,11 @@
     return [...this.groupsByKey.values()].filter(({ tasks }) => tasks > 0);
   }
 
-  private groupOf({ team, rank, kind }: Job): TaskGroup {
+  private groupOf({ spec: { team, rank, kind }, isBestEffort }: JobState): TaskGroup {
     const isGang = kind === 'gang';
     const key = `${team} ${rank} ${isGang}`;
     let group = this.groupsByKey.get(key);
-    if (!group) this.groupsByKey.set(key, (group = { team, rank, isGang, tasks: 0 }));
+    if (!group) this.groupsByKey.set(key, (group = { team, rank, isGang, isBestEffort, tasks: 0 }));
     return group;
   }
 
--- a/packages/core/waiting-bucket.ts
+++ b/packages/core/waiting-bucket.ts
@@ -25,9 +25,14 @@
   mostCpus: number;
   private readonly entries = new Map<JobState, IdleEntry>();
 
-  /** `sample` stands for all jobs of the bucket in what they have in common. */
-  constructor(readonly sample: Job) {
-    const { cpus, gpus, memory } = sample;
+  /** Stands for all jobs of the bucket in what they have in common. */
+  readonly sample: Job;
+  readonly isBestEffort: boolean;
+
+  constructor(sample: JobState) {
+    this.sample = sample.spec;
+    this.isBestEffort = sample.isBestEffort;
+    const { cpus, gpus, memory } = sample.spec;
     this.least = { cpus, gpus, memory };
     this.mostCpus = cpus;
   }
--- a/packages/core/waiting-jobs.ts
+++ b/packages/core/waiting-jobs.ts
@@ -39,7 +39,7 @@
     job.waitingOrder = ++this.joined;
     const key = bucketKey(job.spec);
     let bucket = this.byKey.get(key);
-    if (!bucket) this.byKey.set(key, (bucket = new WaitingBucket(job.spec)));
+    if (!bucket) this.byKey.set(key, (bucket = new WaitingBucket(job)));
     bucket.add(job);
     this.bucketOf.set(job, bucket);
     if (job.spec.kind === 'gang') this.gangs.add(job);
--- a/packages/testing/measure-scale.ts
+++ b/packages/testing/measure-scale.ts
@@ -10,6 +10,8 @@
 
 const MACHINES = 48;
 const RUNS = 30;
+/** Jobs whose memory is taken. */
+const JOBS_WEIGHED = 1_000;
 const TEAMS = new Map([['red', NO_QUOTA]]);
 
 interface Load {
@@ -60,16 +62,25 @@
   return times.sort((a, b) => a - b)[times.length >> 1];
 }
 
-function heapUsed(): number {
+function memoryUsed(): number {
   global.gc?.();
-  return process.memoryUsage().heapUsed;
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** Bytes that a fleet takes for each waiting job of the load. */
+function bytesPerJob(load: Load): number {
+  const fleet = aBusyFleet(load);
+  const before = memoryUsed();
+  fleetWith({ ...load, jobs: JOBS_WEIGHED }, fleet);
+  const bytes = (memoryUsed() - before) / JOBS_WEIGHED;
+  // Kept alive until here.
+  return fleet.jobs.waiting.size > 0 ? bytes : 0;
 }
 
 function measure(load: Load): void {
-  const busy = aBusyFleet(load);
-  const heapBefore = heapUsed();
-  const held = fleetWith(load, busy);
-  const bytes = (heapUsed() - heapBefore) / (load.jobs * load.tasks);
+  const held = fleetWith(load);
+  const bytes = bytesPerJob(load);
   const settings = {
     floorWeight: 0.05,
     preemptAfterS: 2,
@@ -104,7 +115,7 @@
   const texts = Object.entries(figures).map(([name, ms]) => `${name} ${ms.toFixed(3)}`);
   const room = load.full ? 'no room' : 'room';
   process.stdout.write(
-    `${load.name}, ${room}: ${texts.join(', ')}; ${bytes.toFixed(1)} bytes each\n`,
+    `${load.name}, ${room}: ${texts.join(', ')}; ${bytes.toFixed(0)} bytes a job\n`,
   );
 }
 
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -1,5 +1,5 @@
 import type { Job, MachineType, Report } from '#wire';
-import { FleetState, Machine } from '#core';
+import { FleetOptions, FleetState, Machine } from '#core';
 
 export const STD: MachineType = {
   name: 'std',
@@ -40,7 +40,7 @@
   };
 }
 
-export function aFleet(): FleetState {
+export function aFleet(own: Partial<FleetOptions> = {}): FleetState {
   const fleet = new FleetState({
     settings: {
       leaseS: 10,
@@ -52,6 +52,7 @@
     },
     term: 100,
     claimedAt: 0,
+    ...own,
   });
   fleet.machines.types.set(STD.name, STD);
   return fleet;
