Small best-effort tasks gather on few steady machines and start with reports

Change: best-effort tasks without accelerators prefer ordinary machines whose accelerators are in use, those that have such tasks already, then those with most processors to spare; they take a tenth of a round's decisions instead of a fifth; their starts go out in answers to reports alone. On a machine that is given back a task that has run half of its time and ends within a boot is let end; of machines equal in price that without best-effort tasks is emptied first.

--- a/packages/core/best-effort.test.ts
+++ b/packages/core/best-effort.test.ts
@@ -69,6 +69,24 @@
   assert.equal(state.assignments.size, 4);
 });
 
+test('small best-effort tasks go to few machines, of those that are likely to stay', () => {
+  // Guards against a record to write for every machine when thousands of short tasks come and go.
+  const fleet = aSharedFleet();
+  const used = { steady: 4, steadyToo: 4, half: 2 };
+  Object.entries(used).forEach(([name, gpus], i) => {
+    const service = aJob({ id: `j-${i}`, team: 'host', kind: 'service', gpus, cpus: 2 * gpus });
+    run(fleet, fleet.addJob(service, 0, 'accepted', 0), aMachine(fleet, name), 1, 0);
+  });
+  const spot = aMachine(fleet, 'spot', { spot: true });
+  const other = aJob({ id: 'j-8', team: 'host', gpus: 4 });
+  run(fleet, fleet.addJob(other, 0, 'accepted', 0), spot, 1, 0);
+  const guest = aJob({ ...GUEST, id: 'j-9', tasks: 8, cpus: 0.25, gpus: 0, memory: 0.5 });
+  fleet.addJob(guest, 0, 'accepted', 0);
+  aScheduler(fleet).round(1);
+  const tasks = (name: string) => fleet.machines.get(name)!.tasks.size - 1;
+  assert.deepEqual(['steady', 'steadyToo', 'half', 'spot'].map(tasks), [8, 0, 0, 0]);
+});
+
 test('best-effort work gives way at once, and to firm work only', () => {
   const fleet = aSharedFleet();
   const machine = aMachine(fleet, 'n-1');
@@ -83,6 +101,23 @@
   assert.equal(stops(), 1);
 });
 
+test('starts of best-effort tasks wait for a report, stops do not', () => {
+  // Guards against a call for each few of thousands of short tasks, which took most of a round.
+  const fleet = aSharedFleet();
+  const machine = aMachine(fleet, 'n-1');
+  Object.assign(machine, { termConfirmed: true, answeredAt: 1 });
+  const guest = fleet.addJob(aJob({ ...GUEST, id: 'j-1', tasks: 2 }), 0, 'accepted', 0);
+  run(fleet, guest, machine, 1, 0);
+  fleet.assignments.assign(guest, 1, machine, fleet.assignments.newAttempt(), 1).recorded = true;
+  assert.deepEqual(fleet.directOrders.take(machine, 1), []);
+  for (const task of machine.tasks.values()) fleet.assignments.stop(task, 0, 1);
+  const orders = fleet.directOrders.take(machine, 1);
+  assert.deepEqual(
+    orders.map(({ op, index }) => [op, index]),
+    [['stop', 0]],
+  );
+});
+
 test('a gang is not stopped at its lease end for work of lower rank', () => {
   // Guards against a guest whose index is near zero and who so would win any gang's machines.
   const fleet = aSharedFleet();
--- a/packages/core/best-effort.ts
+++ b/packages/core/best-effort.ts
@@ -1,7 +1,7 @@
 import type { Job, MachineType } from '#wire';
 import { addAmounts, Amounts } from './amounts.js';
 import type { FleetTables } from './fleet-tables.js';
-import type { JobState, Machine } from './model.js';
+import type { Assignment, JobState, Machine } from './model.js';
 import { LOWEST_RANK } from './ranks.js';
 import { hasGuarantee, TeamQuota } from './team-quota.js';
 
@@ -12,8 +12,6 @@
 /** Boot times that a best-effort job may wait before it may use any free room, and before room is rented. */
 const ANY_ROOM_AFTER_BOOTS = 1;
 const RENT_AFTER_BOOTS = 2;
-/** Report periods that a best-effort task may have left when its machine is given back, and is let end. */
-const NEARLY_DONE_REPORTS = 10;
 
 /**
  * Whether the job's work runs on room that is there anyway: work of the lowest rank whose team has no
@@ -71,13 +69,16 @@
   return job.assignments.size === 0 && now - job.waitingSince >= boots * machines.shortestBootS();
 }
 
-/** Whether a task, by its owner's estimate, ends soon enough to be waited for. */
-export function isNearlyDone(
-  job: Job,
-  runningSince: number | null,
-  reportS: number,
+/**
+ * Whether a best-effort task on a machine that is to be given back is let end: by its owner's estimate it
+ * has run half of its time and ends within a boot time, so that the machine waits for a bounded time.
+ */
+export function isLetEnd(
+  { machines }: FleetTables,
+  { job: { spec }, runningSince }: Assignment,
   now: number,
 ): boolean {
-  const ranS = runningSince === null ? 0 : now - runningSince;
-  return job.kind !== 'service' && job.estimateS - ranS <= NEARLY_DONE_REPORTS * reportS;
+  if (spec.kind === 'service' || runningSince === null) return false;
+  const restS = spec.estimateS - (now - runningSince);
+  return restS <= Math.min(spec.estimateS / 2, machines.shortestBootS());
 }
--- a/packages/core/choose-gang-machines.ts
+++ b/packages/core/choose-gang-machines.ts
@@ -46,7 +46,7 @@
   const options: GangOption[] = [];
   for (const candidate of candidates.forJob(job)) {
     const { machine, type } = candidate;
-    const cost = candidates.cost(candidate, spec);
+    const cost = candidates.cost(candidate, job);
     if (cost === Infinity || fleet.holds.isHeldFromJob(machine, job, now)) continue;
     if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     const room = Math.min(
--- a/packages/core/choose-machine.ts
+++ b/packages/core/choose-machine.ts
@@ -22,7 +22,7 @@
   let lowest = Infinity;
   for (const candidate of candidates.forJob(job)) {
     const { machine } = candidate;
-    let cost = candidates.cost(candidate, spec);
+    let cost = candidates.cost(candidate, job);
     // Replicas of a class spread over zones lose less together.
     if (spec.spread) cost += (classZones.get(machine.zone) ?? 0) * CROWDED_ZONE_S;
     if (cost >= lowest) continue;
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -1,7 +1,7 @@
 import type { Job, MachineType } from '#wire';
 import { isUsable } from './availability.js';
 import { addAmounts, Amounts } from './amounts.js';
-import { firmUse, isNearlyDone } from './best-effort.js';
+import { firmUse, isLetEnd } from './best-effort.js';
 import { chooseMachine } from './choose-machine.js';
 import { hasRoom, kindAllowed, tasksByZone } from './fit.js';
 import type { FleetState } from './fleet-state.js';
@@ -41,7 +41,7 @@
 ): Consolidation | null {
   const candidates = slots
     .filter((slot) => canBeEmptied(fleet, slot, now))
-    .sort((a, b) => pricePerTask(b) - pricePerTask(a));
+    .sort((a, b) => pricePerTask(b) - pricePerTask(a) || bestEffortOn(a) - bestEffortOn(b));
   for (const slot of candidates) {
     const moves = findMoves(fleet, slot, slots, now);
     if (moves) return { machine: slot.machine, moves };
@@ -66,14 +66,13 @@
 
 /**
  * Takes nothing more on the machine, so that it is given back once it is empty. Best-effort tasks that
- * are not nearly done begin anew elsewhere, if there is room.
+ * are not let end begin anew elsewhere, if there is room.
  */
 export function giveBack(fleet: FleetState, machine: Machine, now: number): void {
   machine.draining = true;
   for (const task of [...machine.tasks.values()]) {
-    const { job, runningSince, stop } = task;
-    if (!job.isBestEffort || stop !== null) continue;
-    if (isNearlyDone(job.spec, runningSince, fleet.settings.reportS, now)) continue;
+    const { job, stop } = task;
+    if (!job.isBestEffort || stop !== null || isLetEnd(fleet, task, now)) continue;
     if (!hasSpareRoom(fleet, job, now)) continue;
     fleet.assignments.stopGracefully(task, now);
   }
@@ -98,6 +97,11 @@
   return type.price / machine.firmTasks;
 }
 
+/** Best-effort tasks there, each of which may have to begin anew. */
+function bestEffortOn({ machine }: StandingSlot): number {
+  return machine.tasks.size - machine.firmTasks;
+}
+
 function isMovable({ job, stop, reported, runningSince }: Assignment, now: number): boolean {
   const isSettled = runningSince !== null && now - runningSince >= SETTLED_S;
   return job.spec.kind === 'service' && stop === null && isSettled && reported === 'running';
--- a/packages/core/direct-orders.ts
+++ b/packages/core/direct-orders.ts
@@ -20,7 +20,7 @@
 /**
  * Commands that need not wait for the machine's next report: starts that are recorded, and stops. At
  * most one is under way to a machine, and none while its token is being raised (docs/safety.md,
- * point 6).
+ * point 6). Starts of best-effort tasks do wait: calls for thousands of short tasks took most of a round.
  */
 export class DirectOrders {
   constructor(
@@ -35,12 +35,12 @@
     const orders: Order[] = [];
     let someLater = false;
     for (const assignment of machine.tasks.values()) {
-      const { stop, startSent, reported, inherited } = assignment;
+      const { job, stop, startSent, reported, inherited } = assignment;
       if (stop !== null) {
         if (stop.sentDirectly) continue;
         stop.sentDirectly = true;
         orders.push(stopOrder(assignment, stop.graceS));
-      } else if (!startSent && reported === null && !inherited) {
+      } else if (!startSent && reported === null && !inherited && !job.isBestEffort) {
         if (!isStartable(assignment)) {
           someLater = true;
           continue;
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -4,7 +4,7 @@
 import { hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
-import { placementCost } from './placement-cost.js';
+import { placementCost, spareRoomCost } from './placement-cost.js';
 
 /** A machine that had room for one more task of a job when the list was made. */
 export interface Candidate {
@@ -40,7 +40,7 @@
 
   /** Machines that had room for a task of the job when first asked for. */
   forJob(job: JobState): Candidate[] {
-    const key = `${job.requirementsKey} ${job.spec.image}`;
+    const key = `${job.requirementsKey} ${job.spec.image} ${job.isBestEffort}`;
     let candidates = this.byRequirementsAndImage.get(key);
     if (!candidates) {
       candidates = this.withRoom(job).map((roomy) => ({
@@ -54,11 +54,12 @@
   }
 
   /** Cost of a place for the job now; Infinity if the place is gone. */
-  cost(candidate: Candidate, job: Job): number {
+  cost(candidate: Candidate, { spec: job, isBestEffort }: JobState): number {
     const { machine, type } = candidate;
     if (candidate.assignmentVersion !== machine.assignmentVersion) {
       const room = hasRoom(job, machine.used, type) && this.isUsable(machine);
-      candidate.cost = room ? placementCost(job, machine, type) : Infinity;
+      const costOf = isBestEffort && job.gpus === 0 ? spareRoomCost : placementCost;
+      candidate.cost = room ? costOf(job, machine, type) : Infinity;
       candidate.assignmentVersion = machine.assignmentVersion;
     }
     return candidate.cost;
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -18,7 +18,7 @@
 const TASKS_PER_TURN = 8;
 
 /** Share of a round's decisions that may go to best-effort tasks. */
-const BEST_EFFORT_SHARE = 1 / 5;
+const BEST_EFFORT_SHARE = 1 / 10;
 
 /** What operators may set of scheduling, and the size of a round. */
 export interface ScheduleSettings extends PreemptionSettings {
