--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -1,5 +1,5 @@
 import { Clock, CloudClient, MachineType, pause, RELEASE_AT_ONCE, Runtime } from '#wire';
-import { Consolidation, FleetState, Machine, startConsolidation } from '#core';
+import { Consolidation, FleetState, giveBack, Machine, startConsolidation } from '#core';
 import { Budget } from '#store';
 import type { CloudAccess } from './cloud-access.js';
 import type { Log } from './log.js';
@@ -110,7 +110,7 @@
     const { rent, release, consolidation } = this.owner.planner.plan(now);
     if (consolidation !== null && this.options.mayRelease()) this.consolidate(consolidation, now);
     if (release.length > 0) {
-      for (const machine of release) machine.draining = true;
+      for (const machine of release) giveBack(this.fleet, machine, now);
       this.log.info({ machines: release.map((machine) => machine.name) }, 'surplus');
     }
     await this.rentals.rentAll(rent, signal);
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -75,6 +75,7 @@
     machinesWithCommands.add(machine);
     holds.taken(machine, job);
     this.count(assignment, 1, now);
+    this.tables.jobs.waiting.placesChanged(job);
     return assignment;
   }
 
@@ -82,7 +83,10 @@
     const { machine, job } = assignment;
     machine.assignmentVersion++;
     addAmounts(machine.used, job.spec, sign);
+    if (job.isBestEffort) addAmounts(machine.usedBestEffort, job.spec, sign);
+    else machine.firmTasks += sign;
     this.tables.usage.count(assignment, sign, now);
+    this.tables.jobs.countsChanged(job);
   }
 
   /** Asks for an end of the task; it keeps its place until it is proven gone. */
@@ -117,16 +121,17 @@
     const name = taskName(job.spec.id, index);
     if (machine.tasks.get(name) !== assignment) return;
     machine.tasks.delete(name);
-    if (machine.tasks.size === 0) machine.idleSince = now;
     removeFromJob(assignment);
     this.count(assignment, -1, now);
+    if (!job.isBestEffort && machine.firmTasks === 0) machine.idleSince = now;
     unrecorded.machines.add(machine.name);
-    jobs.joinQueueIfAnyWaits(job, now);
     if (job.phase === 'accepted' && !job.done.has(index)) {
       if (index < job.scanFrom) job.returnedTasks.add(index);
       failures.taskEnded(assignment, cause, now);
       if (job.spec.kind === 'gang') this.stopRestOfAttempt(assignment, now);
     }
+    // After all that the end is charged for: the queues are kept in the order of service.
+    jobs.joinQueueIfAnyWaits(job, now);
     listener.taskEnded({ assignment, cause, saved }, now);
   }
 
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -1,18 +1,25 @@
-import type { Job } from '#wire';
+import type { Job, MachineType } from '#wire';
 import { ArrivalSettings, ArrivalStatistics, ClassObjective } from './arrival-statistics.js';
 import { BootTimes } from './boot-times.js';
 import { Consolidation, findConsolidation } from './consolidation.js';
-import { Amounts } from './amounts.js';
-import { TeamQuota, withinLimit } from './team-quota.js';
+import { Amounts, dominantShare } from './amounts.js';
+import { isBestEffort, mayRentFor } from './best-effort.js';
+import { TeamQuota, timesWithinLimit } from './team-quota.js';
 import { typeFits } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
 import { Refusals, Rental } from './refusals.js';
 import { SlotPacking } from './slot-packing.js';
 import { StandingSlot, standingSlots } from './slots.js';
+import { byAge } from './waiting-bucket.js';
+import { oldestFirst } from './waiting-order.js';
 
-/** Tasks of one job that a plan looks at. */
+/** Tasks of one job, and jobs of one bucket, that a plan looks at: the next plan sees what is left. */
 const MOST_TASKS_PLANNED = 2000;
+const MOST_JOBS_PLANNED = 500;
+
+/** Share of a spot machine that best-effort work must use to keep it. */
+const WORTH_KEEPING = 1 / 2;
 
 /** Once nothing has come for this share of the hold, empty machines are held for the other only. */
 const QUIET_SHARE = 1 / 2;
@@ -51,14 +58,14 @@
     this.arrivals = new ArrivalStatistics(options.settings, options.objectives);
   }
 
-  /** A job was accepted. */
+  /** A job was accepted. No room is kept for best-effort work. */
   jobArrived(job: Job, now: number): void {
-    this.arrivals.jobArrived(job, now);
+    if (!this.isBestEffort(job)) this.arrivals.jobArrived(job, now);
   }
 
   /** A job is over for its user. */
   jobEnded(job: Job, now: number): void {
-    this.arrivals.jobEnded(job, now);
+    if (!this.isBestEffort(job)) this.arrivals.jobEnded(job, now);
   }
 
   /** Takes as much work to have ended before as came. */
@@ -66,6 +73,10 @@
     this.arrivals.assumeSteady(now);
   }
 
+  private isBestEffort(job: Job): boolean {
+    return isBestEffort(job, this.options.teams.get(job.team));
+  }
+
   /** A rented machine reported for the first time. */
   machineUp(machine: Machine, now: number): void {
     this.boots.machineUp(machine, this.options.fleet.machines.typeOf(machine), now);
@@ -82,10 +93,15 @@
     const standing = standingSlots(fleet, this.boots.lateFrom(), now);
     const { types } = fleet.machines;
     const packing = new SlotPacking({ standing, types, refusals: this.refusals, now });
-    this.packWaiting(packing, now);
+    const usage = new Map<string, Amounts>();
+    const { firm, bestEffort } = this.waitingJobs(now);
+    for (const job of firm.sort(byRankAndSize)) this.packJob(job, packing, usage);
     this.packReserve(packing, now);
     // Replicas are moved only while nothing lacks room.
     const lacksRoom = packing.rented.length > 0;
+    const starved = bestEffort.filter((job) => mayRentFor(fleet, job, now));
+    if (starved.length > 0) packing.countBestEffort();
+    for (const job of starved.sort(byRankAndSize)) this.packJob(job, packing, usage, 1);
     return {
       rent: packing.rentals(),
       release: this.surplus(standing, now),
@@ -93,14 +109,29 @@
     };
   }
 
-  private packWaiting(packing: SlotPacking, now: number): void {
-    const usage = new Map<string, Amounts>();
-    const { jobs, failures } = this.options.fleet;
-    const waiting = [...jobs.waiting].filter((job) => failures.mayClaimRoom(job, now));
-    for (const job of waiting.sort(byRankAndSize)) this.packJob(job, packing, usage);
+  /** The jobs that a plan looks at. */
+  private waitingJobs(now: number): { firm: JobState[]; bestEffort: JobState[] } {
+    const firm: JobState[] = [];
+    const bestEffort: JobState[] = [];
+    for (const bucket of this.options.fleet.jobs.waiting.buckets()) {
+      const jobs = firstOf(this.claiming(oldestFirst([bucket]), now), MOST_JOBS_PLANNED);
+      (bucket.isBestEffort ? bestEffort : firm).push(...jobs);
+    }
+    return { firm, bestEffort };
   }
 
-  private packJob(job: JobState, packing: SlotPacking, usage: Map<string, Amounts>): void {
+  /** Those jobs whose failures don't speak against renting for them. */
+  private *claiming(jobs: Iterable<JobState>, now: number): Generator<JobState> {
+    for (const job of jobs) if (this.options.fleet.failures.mayClaimRoom(job, now)) yield job;
+  }
+
+  /** Packs the job's waiting tasks on at most so many machines. */
+  private packJob(
+    job: JobState,
+    packing: SlotPacking,
+    usage: Map<string, Amounts>,
+    mostMachines = Infinity,
+  ): void {
     const { fleet, teams } = this.options;
     const { spec } = job;
     const quota = teams.get(spec.team);
@@ -111,16 +142,19 @@
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
     const startable = Math.min(fleet.jobs.waitingCount(job), fleet.failures.startableTasks(job));
-    const count = Math.min(startable, MOST_TASKS_PLANNED);
-    for (let i = 0; i < count && withinLimit(quota, used, spec); i++) {
-      const slot = packing.place(request);
-      if (!slot) return;
+    const waiting = Math.min(startable, MOST_TASKS_PLANNED);
+    let left = Math.min(waiting, timesWithinLimit(quota, used, spec));
+    for (let machines = 0; left > 0 && machines < mostMachines; machines++) {
+      const packed = packing.place(request, left);
+      if (!packed) return;
+      const { slot, tasks } = packed;
       if (spec.oneZone && request.job.zone === null) {
         request = packing.request({ ...spec, zone: slot.zone }, spec.id, zones);
       }
-      zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + 1);
-      used.cpus += spec.cpus;
-      used.gpus += spec.gpus;
+      zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + tasks);
+      used.cpus += spec.cpus * tasks;
+      used.gpus += spec.gpus * tasks;
+      left -= tasks;
     }
   }
 
@@ -131,9 +165,9 @@
       const fitting = types.filter((type) => typeFits(sample, type));
       if (fitting.length === 0) continue;
       const bootS = Math.min(...fitting.map((type) => type.bootS));
-      const count = this.arrivals.reserveTasks(arrivals, bootS, now);
       const request = packing.request(sample, null, null);
-      for (let i = 0; i < count; i++) if (!packing.place(request)) break;
+      let left = this.arrivals.reserveTasks(arrivals, bootS, now);
+      while (left > 0) left -= packing.place(request, left)?.tasks ?? left;
     }
   }
 
@@ -143,7 +177,7 @@
     const isQuiet = now - this.arrivals.lastArrivalAt() > idleHoldS * QUIET_SHARE;
     const heldS = isQuiet ? idleHoldS * QUIET_HOLD : idleHoldS;
     return standing
-      .filter(({ machine, touched }) => !touched && isIdle(machine, heldS, now))
+      .filter((slot) => !slot.touched && isIdle(slot, heldS, now))
       .map(({ machine }) => machine);
   }
 }
@@ -154,17 +188,29 @@
   return standing.find((slot) => slot.reservedForGang === job.id)?.zone ?? job.zone;
 }
 
-function isIdle(machine: Machine, heldS: number, now: number): boolean {
-  const { tasks, reservedForGang, state, idleSince } = machine;
-  if (tasks.size > 0 || reservedForGang !== null || state === 'booting') return false;
-  return now - idleSince >= heldS;
+function isIdle({ machine, type }: StandingSlot, heldS: number, now: number): boolean {
+  const { firmTasks, reservedForGang, state, idleSince } = machine;
+  if (firmTasks > 0 || reservedForGang !== null || state === 'booting') return false;
+  return now - idleSince >= heldS && !isWorthKeeping(machine, type);
+}
+
+/** Best-effort work keeps a machine that is cheap and well used by it, and no other. */
+function isWorthKeeping({ spot, usedBestEffort }: Machine, type: MachineType): boolean {
+  return spot && dominantShare(usedBestEffort, type) >= WORTH_KEEPING;
+}
+
+function firstOf<T>(items: Iterable<T>, most: number): T[] {
+  const first: T[] = [];
+  for (const item of items) {
+    if (first.length === most) break;
+    first.push(item);
+  }
+  return first;
 }
 
 /** Higher ranks first, then whole-machine work before what fits into gaps, then the oldest. */
 function byRankAndSize(a: JobState, b: JobState): number {
-  return (
-    a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || a.acceptedAt - b.acceptedAt
-  );
+  return a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || byAge(a, b);
 }
 
 /** Accelerators count before processors. */
--- a/packages/core/choose-machine.ts
+++ b/packages/core/choose-machine.ts
@@ -1,3 +1,4 @@
+import { mayUseSpareRoom } from './best-effort.js';
 import { zoneAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
@@ -21,11 +22,12 @@
   let lowest = Infinity;
   for (const candidate of candidates.forJob(job)) {
     const { machine } = candidate;
-    let cost = candidates.cost(candidate, spec);
+    let cost = candidates.cost(candidate, job);
     // Replicas of a class spread over zones lose less together.
     if (spec.spread) cost += (classZones.get(machine.zone) ?? 0) * CROWDED_ZONE_S;
     if (cost >= lowest) continue;
     if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
+    if (job.isBestEffort && !mayUseSpareRoom(fleet, job, machine, candidate.type, now)) continue;
     if (fleet.holds.isHeldFromJob(machine, job, now)) continue;
     if (fleet.failures.avoids(job, machine, now)) continue;
     if (!zoneAllowed(spec, machine.zone, ownZones)) continue;
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -37,7 +37,7 @@
 
   /** Brings all reservations up to date. */
   update(now: number): void {
-    const gangs = [...this.fleet.jobs.waiting].filter(
+    const gangs = [...this.fleet.jobs.waiting.gangs].filter(
       (job) => isWaitingGang(job) && this.fleet.failures.mayClaimRoom(job, now),
     );
     this.releaseObsolete(new Set(gangs.map((gang) => gang.spec.id)));
@@ -51,6 +51,17 @@
         holds.isHeldFromJob(machine, gang, now) || failures.avoids(gang, machine, now);
       reserveFor(gang, emptying, byGang.get(gang.spec.id) ?? [], isHeld);
     }
+    this.clearReserved(emptying, now);
+  }
+
+  /** Once only best-effort work is left on a reserved machine, it gives way. */
+  private clearReserved(emptying: EmptyingMachine[], now: number): void {
+    for (const { machine } of emptying) {
+      if (machine.reservedForGang === null || machine.firmTasks > 0) continue;
+      for (const task of [...machine.tasks.values()]) {
+        if (task.stop === null) this.fleet.assignments.stopGracefully(task, now);
+      }
+    }
   }
 
   /** The gang has started. */
@@ -91,8 +102,9 @@
   }
 }
 
+/** Machines are not kept free for best-effort work. */
 function isWaitingGang(job: JobState): boolean {
-  return job.spec.kind === 'gang' && job.assignments.size === 0;
+  return job.assignments.size === 0 && !job.isBestEffort;
 }
 
 function reservedByGang(emptying: EmptyingMachine[]): Map<string, EmptyingMachine[]> {
@@ -164,7 +176,7 @@
   let waitS = 0;
   for (const { job, stop, runningSince } of machine.tasks.values()) {
     const { kind, estimateS } = job.spec;
-    if (stop !== null) continue;
+    if (stop !== null || job.isBestEffort) continue;
     if (kind === 'service') return null;
     const ranS = runningSince === null ? 0 : now - runningSince;
     waitS = Math.max(waitS, estimateS * ESTIMATE_MARGIN - ranS, estimateS * ESTIMATE_REST);
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -5,16 +5,20 @@
 import type { JobState } from './model.js';
 import { TaskSet } from './task-set.js';
 import type { UnrecordedChanges } from './unrecorded-changes.js';
+import { WaitingJobs } from './waiting-jobs.js';
 
 /** The accepted jobs, their phases, and which of their tasks wait for a machine. */
 export class JobRegistry {
-  /** Jobs with tasks that wait for a machine, longest in this state first. */
-  readonly waiting = new Set<JobState>();
+  readonly waiting = new WaitingJobs();
+  /** Jobs that are over and may still have a task somewhere. */
+  private readonly ended = new Set<JobState>();
   private readonly byId = new Map<string, JobState>();
+  private readonly withNewCounts = new Set<JobState>();
 
   constructor(
     private readonly halfLifeS: number,
     private readonly unrecorded: UnrecordedChanges,
+    private readonly isBestEffort: (job: Job) => boolean,
   ) {}
 
   /** The job, or undefined if it is not known or was removed. */
@@ -35,6 +39,7 @@
   add(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
     const state: JobState = {
       spec: job,
+      isBestEffort: this.isBestEffort(job),
       requirementsKey: requirementsKey(job),
       acceptedAt,
       phase,
@@ -47,9 +52,11 @@
       backoffUntil: 0,
       service: new ServiceCounter(this.halfLifeS, now),
       waitingSince: now,
+      waitingOrder: 0,
     };
     this.byId.set(job.id, state);
     if (phase === 'accepted') this.waiting.add(state);
+    else this.ended.add(state);
     return state;
   }
 
@@ -58,15 +65,30 @@
     job.phase = phase;
     job.hasUnrecordedProgress = false;
     this.waiting.delete(job);
+    this.ended.add(job);
   }
 
   /** Removes jobs that are over and have no task left anywhere. */
   removeEnded(): void {
-    for (const [id, job] of this.byId) {
-      if (job.phase !== 'accepted' && job.assignments.size === 0) this.byId.delete(id);
+    for (const job of this.ended) {
+      if (job.assignments.size > 0) continue;
+      this.byId.delete(job.spec.id);
+      this.ended.delete(job);
     }
   }
 
+  /** How many of the job's tasks are done or run may have changed. */
+  countsChanged(job: JobState): void {
+    this.withNewCounts.add(job);
+  }
+
+  /** The open jobs whose counts may have changed since the last call. */
+  takeCountsChanged(): JobState[] {
+    const jobs = [...this.withNewCounts].filter(({ phase }) => phase === 'accepted');
+    this.withNewCounts.clear();
+    return jobs;
+  }
+
   /** How many tasks wait for a machine. */
   waitingCount(job: JobState): number {
     if (job.phase !== 'accepted') return 0;
@@ -78,8 +100,9 @@
     const waits = (index: number) => !job.done.has(index) && !job.assignments.has(index);
     const found: number[] = [];
     for (const index of job.returnedTasks) {
-      if (!waits(index)) job.returnedTasks.delete(index);
-      else if (found.length < limit) found.push(index);
+      if (found.length === limit) return found;
+      if (waits(index)) found.push(index);
+      else job.returnedTasks.delete(index);
     }
     while (job.scanFrom < job.spec.tasks && !waits(job.scanFrom)) job.scanFrom++;
     for (let index = job.scanFrom; index < job.spec.tasks && found.length < limit; index++) {
@@ -94,6 +117,7 @@
     if (job.spec.kind === 'gang') job.done.addAll();
     else if (!job.done.add(index)) return;
     job.hasUnrecordedProgress = true;
+    this.countsChanged(job);
     this.unrecorded.jobs.add(job.spec.id);
     this.leaveQueueIfNoneWaits(job);
   }
@@ -105,6 +129,7 @@
 
   /** After a task lost its machine. */
   joinQueueIfAnyWaits(job: JobState, now: number): void {
+    this.waiting.placesChanged(job);
     if (this.waitingCount(job) === 0 || this.waiting.has(job)) return;
     job.waitingSince = now;
     this.waiting.add(job);
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -48,6 +48,8 @@
 export interface JobState {
   /** The job as its user submitted it. */
   spec: Job;
+  /** Runs on room that is there anyway; see `isBestEffort`. */
+  isBestEffort: boolean;
   /** Equal for jobs whose tasks fit the same machines, zones of their other tasks apart. */
   requirementsKey: string;
   acceptedAt: number;
@@ -69,6 +71,8 @@
   service: ServiceCounter;
   /** Since when some task waits. */
   waitingSince: number;
+  /** Rises with each job that begins to wait. */
+  waitingOrder: number;
 }
 
 /** How far the machine's token has been raised above that of unacknowledged starts. */
@@ -140,9 +144,13 @@
   tasks: Map<string, Assignment>;
   /** What these tasks take of it. */
   used: Amounts;
+  /** The part of it that best-effort tasks take. */
+  usedBestEffort: Amounts;
+  /** Tasks on it that are not best-effort. */
+  firmTasks: number;
   /** Rises whenever a task comes or goes. */
   assignmentVersion: number;
-  /** Since when it has no task; of use only while it has none. */
+  /** Since when it has no firm task; of use only while it has none. */
   idleSince: number;
   /** Size in GB by name of the images that its worker should have, most recently used last. */
   images: Map<string, number>;
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -1,9 +1,10 @@
 import type { Job, MachineType } from '#wire';
+import type { Amounts } from './amounts.js';
 import { isUsable } from './availability.js';
 import { hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
-import { placementCost } from './placement-cost.js';
+import { placementCost, spareRoomCost } from './placement-cost.js';
 
 /** A machine that had room for one more task of a job when the list was made. */
 export interface Candidate {
@@ -39,7 +40,7 @@
 
   /** Machines that had room for a task of the job when first asked for. */
   forJob(job: JobState): Candidate[] {
-    const key = `${job.requirementsKey} ${job.spec.image}`;
+    const key = `${job.requirementsKey} ${job.spec.image} ${job.isBestEffort}`;
     let candidates = this.byRequirementsAndImage.get(key);
     if (!candidates) {
       candidates = this.withRoom(job).map((roomy) => ({
@@ -53,16 +54,29 @@
   }
 
   /** Cost of a place for the job now; Infinity if the place is gone. */
-  cost(candidate: Candidate, job: Job): number {
+  cost(candidate: Candidate, { spec: job, isBestEffort }: JobState): number {
     const { machine, type } = candidate;
     if (candidate.assignmentVersion !== machine.assignmentVersion) {
       const room = hasRoom(job, machine.used, type) && this.isUsable(machine);
-      candidate.cost = room ? placementCost(job, machine, type) : Infinity;
+      const costOf = isBestEffort && job.gpus === 0 ? spareRoomCost : placementCost;
+      candidate.cost = room ? costOf(job, machine, type) : Infinity;
       candidate.assignmentVersion = machine.assignmentVersion;
     }
     return candidate.cost;
   }
 
+  /** Whether any machine has room for a task that needs so much on the job's conditions, reserved or not. */
+  anyRoomFor(job: Job, need: Readonly<Amounts>): boolean {
+    const task = { ...job, ...need };
+    for (const machine of this.fleet.machines.values()) {
+      const type = this.fleet.machines.typeOf(machine);
+      if (!type || !hasRoom(task, machine.used, type)) continue;
+      if (kindAllowed(task, type, machine.zone, machine.spot) && this.isUsable(machine))
+        return true;
+    }
+    return false;
+  }
+
   /** Zones of all machines. */
   zones(): Set<string> {
     this.zoneNames ??= new Set([...this.fleet.machines.values()].map(({ zone }) => zone));
--- a/packages/core/team-shares.ts
+++ b/packages/core/team-shares.ts
@@ -1,6 +1,6 @@
 import type { Job } from '#wire';
 import { Amounts } from './amounts.js';
-import { NO_QUOTA, teamWeight, TeamQuota, withinLimit } from './team-quota.js';
+import { hasGuarantee, NO_QUOTA, teamWeight, TeamQuota, withinLimit } from './team-quota.js';
 import type { FleetState } from './fleet-state.js';
 
 /** Where teams stand towards their guarantees and limits, and whose turn it is (docs/design.md). */
@@ -42,17 +42,22 @@
 
   /** Whether one more task of the job stays within its team's guarantee. */
   withinGuarantee(job: Job): boolean {
-    const quota = this.guaranteeOf(job.team);
-    if (quota === null) return false;
-    const used = this.fleet.usage.ofTeam(job.team);
-    return (
-      (quota.guaranteedGpus === 0 || used.gpus + job.gpus <= quota.guaranteedGpus) &&
-      (quota.guaranteedCpus === 0 || used.cpus + job.cpus <= quota.guaranteedCpus)
-    );
+    return this.guaranteeNow(job.team)(job);
+  }
+
+  /** Tells of tasks whether one more stays within the guarantee, beside what the team uses now. */
+  guaranteeNow(team: string): (need: Pick<Amounts, 'cpus' | 'gpus'>) => boolean {
+    const quota = this.guaranteeOf(team);
+    if (quota === null) return () => false;
+    const { guaranteedCpus, guaranteedGpus } = quota;
+    const used = { ...this.fleet.usage.ofTeam(team) };
+    return ({ cpus, gpus }) =>
+      (guaranteedGpus === 0 || used.gpus + gpus <= guaranteedGpus) &&
+      (guaranteedCpus === 0 || used.cpus + cpus <= guaranteedCpus);
   }
 
   private guaranteeOf(team: string): TeamQuota | null {
     const quota = this.teams.get(team);
-    return quota && (quota.guaranteedGpus > 0 || quota.guaranteedCpus > 0) ? quota : null;
+    return hasGuarantee(quota) ? quota : null;
   }
 }
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -1,5 +1,5 @@
 import type { Job, MachineType, Report } from '#wire';
-import { FleetState, Machine } from '#core';
+import { FleetOptions, FleetState, Machine } from '#core';
 
 /** The usual machine type of tests: 4 GPUs, in zones a and b. */
 export const STD: MachineType = {
@@ -43,7 +43,7 @@
 }
 
 /** An empty fleet in term 100, with STD as its only machine type. */
-export function aFleet(): FleetState {
+export function aFleet(own: Partial<FleetOptions> = {}): FleetState {
   const fleet = new FleetState({
     settings: {
       leaseS: 10,
@@ -55,6 +55,7 @@
     },
     term: 100,
     claimedAt: 0,
+    ...own,
   });
   fleet.machines.types.set(STD.name, STD);
   return fleet;
