Submissions are admitted by team, and of ended jobs only their last state is kept

Cause: users' changes stood in one line, first come first served, beside the owner's records, up to two seconds' worth of the whole rate, and past that got a constant Retry-After, so that one team's flood held up the submissions of all teams and those who were refused came back together. With seven controllers the shares of the state service's rate added up to 2.6 times the rate, and a change that was refused for it failed all submissions of its transaction. Each controller kept every ended job decoded, and read all records at once when it started.

Change: submissions wait in a queue by team (start-time fair queueing, weights by guarantee and floor weight); one that would wait more than two report periods is refused with 429 and a Retry-After of its own turn. Duties go before what users ask for, three to one while both wait. A controller's part of the rate of changes halves with a refusal and grows back (least shares sum up to 0.9), and a refused change is sent again. What takes part in a transaction is decided when its turn comes. Ended jobs are kept in short but for the last 500, a successor reads others that a machine's record still names; records are read page by page.

An ended job takes under 400 bytes of heap, an open one under 1300, at 20,000 jobs. Ruled out: forming transactions before their turn let hosts wait up to 6.8 s at a new owner (test: flood).

--- /dev/null
+++ b/packages/controller/admission.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { GroupCommit } from '#store';
+import { StateWorld } from '#testing';
+import { Admission } from './admission.js';
+
+const LIMITS = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
+const SHARE = 0.3;
+const PER_SECOND = SHARE * LIMITS.writeRps;
+const REPORT_S = 1;
+
+async function anAdmission(weightOf?: (team: string) => number) {
+  const state = await StateWorld.start(LIMITS);
+  const runtime = state.controller();
+  const client = state.client(runtime, { share: SHARE });
+  const commits = new GroupCommit({ client, runtime, maxQueue: 100, weightOf });
+  const log = pino({ enabled: false });
+  const admission = new Admission({ runtime, client, commits, reportS: REPORT_S, log });
+  let submitted = 0;
+  const recorded: { team: string; afterS: number }[] = [];
+  /** After how many seconds the user is to come again; null if the submission waits for its record. */
+  const submit = (team: string): number | null => {
+    const retryAfterS = admission.refuse(team);
+    if (retryAfterS !== null) return retryAfterS;
+    const key = `jobs/${submitted++}`;
+    const sentAt = state.now;
+    void commits
+      .commit(team, [{ key, version: 0 }], [{ put: key, value: team }])
+      .then(({ ok }) => ok && recorded.push({ team, afterS: state.now - sentAt }));
+    return null;
+  };
+  return { state, admission, submit, recorded };
+}
+
+test('a team that overruns is refused at once, and what is accepted of it is recorded in time', async () => {
+  const { state, admission, submit, recorded } = await anAdmission();
+  const outcomes = Array.from({ length: 200 }, () => submit('guests'));
+  const refused = outcomes.filter((retryAfterS) => retryAfterS !== null);
+  assert.ok(refused.length > 100);
+  assert.deepEqual(admission.totals(), { guests: refused.length });
+  await state.run(4);
+  assert.equal(recorded.length, outcomes.length - refused.length);
+  assert.ok(Math.max(...recorded.map(({ afterS }) => afterS)) < 2.5 * REPORT_S);
+});
+
+test('those who are refused return as fast as their submissions can be recorded, and not together', async () => {
+  const { submit } = await anAdmission();
+  const outcomes = Array.from({ length: 2000 }, () => submit('guests'));
+  const returns = outcomes.filter((retryAfterS) => retryAfterS !== null);
+  assert.ok(returns.every((retryAfterS) => retryAfterS > 0 && retryAfterS <= 30));
+  for (let second = 0; second < 15; second++) {
+    const together = returns.filter((at) => at >= second && at < second + 1).length;
+    assert.ok(together <= PER_SECOND + 1, `${together} return in second ${second}`);
+  }
+  // Those for whom there is no such time left are spread over the second half of it.
+  const late = returns.slice(-1000);
+  for (let second = 15; second < 30; second++) {
+    assert.ok(late.filter((at) => at >= second && at < second + 1).length < 150);
+  }
+});
+
+test("a flood of one team does not hold up another team's submissions, nor does its size matter", async () => {
+  for (const flood of [100, 1000]) {
+    const { state, submit, recorded } = await anAdmission();
+    const refusedHosts = [];
+    for (let second = 0; second < 10; second++) {
+      for (let i = 0; i < flood; i++) submit('guests');
+      for (let i = 0; i < 3; i++) refusedHosts.push(submit('hosts'));
+      await state.run(1);
+    }
+    await state.run(3);
+    assert.ok(refusedHosts.every((retryAfterS) => retryAfterS === null));
+    const waits = recorded.filter(({ team }) => team === 'hosts').map(({ afterS }) => afterS);
+    assert.equal(waits.length, 30);
+    assert.ok(Math.max(...waits) < REPORT_S, `${Math.max(...waits)} s`);
+    assert.ok(recorded.filter(({ team }) => team === 'guests').length > 5 * PER_SECOND);
+  }
+});
+
+test('teams that all overrun are served by their weights', async () => {
+  const { state, submit, recorded } = await anAdmission((team) => (team === 'large' ? 3 : 1));
+  for (let tenth = 0; tenth < 200; tenth++) {
+    for (let i = 0; i < 10; i++) for (const team of ['large', 'small']) submit(team);
+    await state.run(0.1);
+  }
+  const count = (team: string) => recorded.filter((each) => each.team === team).length;
+  const ratio = count('large') / count('small');
+  assert.ok(ratio > 2.5 && ratio < 3.5, `${count('large')} and ${count('small')}`);
+});
--- /dev/null
+++ b/packages/controller/admission.ts
@@ -0,0 +1,87 @@
+import { type GroupCommit, type StateClient } from '#store';
+import type { Runtime } from '#wire';
+import type { Log } from './log.js';
+
+/** Report periods that a submission may have to wait for its record; past that it is refused. */
+const MAX_WAIT_PERIODS = 2;
+/** Users wait so long at the most, whatever Retry-After says (docs of the protocol); seconds. */
+const MAX_RETRY_AFTER_S = 30;
+/** Report periods between two lines of the log about one team. */
+const LOG_PERIODS = 10;
+
+export interface AdmissionOptions {
+  runtime: Runtime;
+  client: Pick<StateClient, 'usersChangesPerS' | 'usersWaitS'>;
+  commits: Pick<GroupCommit, 'ahead' | 'shareOf' | 'full'>;
+  reportS: number;
+  log: Log;
+}
+
+/** What is known of a team's submissions that were refused. */
+interface Refusals {
+  total: number;
+  /** When the last of those that were told to come back is due; steady seconds. */
+  lastReturnAt: number;
+  loggedAt: number;
+}
+
+/**
+ * Decides at once whether a submission may wait for its record. A team's submissions wait only for those of its
+ * own and for the turns of the teams beside it, so one that overruns is refused while others are accepted.
+ * Controllers decide alone: each knows its own part of the state service's rate.
+ */
+export class Admission {
+  private readonly refusals = new Map<string, Refusals>();
+
+  constructor(private readonly options: AdmissionOptions) {}
+
+  /** Null if the submission may wait; else after how many seconds its user is to come again. */
+  refuse(team: string): number | null {
+    const { client, commits, reportS } = this.options;
+    const waitS = client.usersWaitS(commits.ahead(team) + 1);
+    if (!commits.full && waitS <= MAX_WAIT_PERIODS * reportS) return null;
+    return this.retryAfterS(team);
+  }
+
+  /** Submissions refused since the start, by team. */
+  totals(): Record<string, number> {
+    return Object.fromEntries([...this.refusals].map(([team, { total }]) => [team, total]));
+  }
+
+  /**
+   * After how many seconds the user of a submission that is refused is to come again. Those who were refused
+   * return one by one, as fast as their team's submissions are recorded and after all that wait now. Past
+   * the longest time that a user waits they are spread by chance.
+   */
+  retryAfterS(team: string): number {
+    const { runtime, client, commits } = this.options;
+    const waitS = client.usersWaitS(commits.ahead(team) + 1);
+    const now = runtime.clock.now();
+    const refusals = this.refusalsOf(team);
+    const perSecond = client.usersChangesPerS * commits.shareOf(team);
+    const returnAt = Math.max(refusals.lastReturnAt, now + waitS) + 1 / perSecond;
+    const isWithin = returnAt <= now + MAX_RETRY_AFTER_S;
+    if (isWithin) refusals.lastReturnAt = returnAt;
+    const retryAfterS = isWithin ? returnAt - now : MAX_RETRY_AFTER_S * (1 - runtime.random() / 2);
+    this.note(team, refusals, retryAfterS);
+    return retryAfterS;
+  }
+
+  private refusalsOf(team: string): Refusals {
+    let refusals = this.refusals.get(team);
+    if (!refusals) {
+      refusals = { total: 0, lastReturnAt: -Infinity, loggedAt: -Infinity };
+      this.refusals.set(team, refusals);
+    }
+    return refusals;
+  }
+
+  private note(team: string, refusals: Refusals, retryAfterS: number): void {
+    const { runtime, reportS, log } = this.options;
+    refusals.total++;
+    const now = runtime.clock.now();
+    if (now < refusals.loggedAt + LOG_PERIODS * reportS) return;
+    refusals.loggedAt = now;
+    log.info({ team, refused: refusals.total, retryAfterS }, 'submissions refused');
+  }
+}
--- a/packages/controller/cancellation-recorder.ts
+++ b/packages/controller/cancellation-recorder.ts
@@ -45,7 +45,7 @@
     const key = jobKey(id);
     const value = encodeJob({ ...record, phase: 'aborted' });
     const condition = { key, version: record.version };
-    const outcome = await commits.commit([condition], [{ put: key, value }]);
+    const outcome = await commits.commit(record.job.team, [condition], [{ put: key, value }]);
     if (!outcome.ok) {
       await jobs.cache.sync();
       return;
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import { PeerLink } from '#peer';
 import { CloudClient, parseHostPort, type Runtime } from '#wire';
+import { Admission } from './admission.js';
 import { CancellationRelay } from './cancellation-relay.js';
 import type { Entitlement, EntitlementLimits } from './entitlement.js';
 import { HealthEndpoint } from './health-endpoint.js';
@@ -47,6 +48,7 @@
   private readonly standby: StandbyRenewal;
   private readonly terms: OwnerTerms;
   private readonly lag: LagMonitor;
+  private readonly admission: Admission;
   private readonly vitals: Vitals;
   private readonly metrics: MetricsEndpoint;
   private readonly unownedReports: UnownedReports;
@@ -76,10 +78,11 @@
     const judging = { ...this.services, statuses: this.statuses, limits: this.entitlementLimits() };
     this.entitlement = new OwnerEntitlement(judging);
     this.standby = new StandbyRenewal(judging);
+    this.admission = new Admission({ ...this.services, reportS: this.reportS });
     this.vitals = this.makeVitals();
     this.metrics = this.makeMetrics();
     this.terms = this.makeOwnerTerms();
-    this.lag = new LagMonitor(clock);
+    this.lag = new LagMonitor(runtime);
     this.unownedReports = new UnownedReports(clock, this.reportS);
     this.coordinator = new PeerCoordinator({
       ...this.services,
@@ -185,6 +188,7 @@
       reportS: this.reportS,
       vitals: this.vitals,
       client: this.state.client,
+      admission: this.admission,
       owner: () => this.owner(),
     });
   }
@@ -237,7 +241,8 @@
         this.vitals.questions++;
         return this.metrics.timeQuestion(kind);
       },
-      overloaded: () => this.lag.overloaded,
+      admission: this.admission,
+      overloadedForS: () => this.lag.overloadedForS,
       onAbort: (job) => this.cancellationRelay.request(job),
       crowded: () => this.httpServer.crowded,
     });
--- /dev/null
+++ b/packages/controller/jobs.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { encodeJob, jobKey, JOBS, PrefixCache } from '#store';
+import { aJob, StateWorld } from '#testing';
+import { Cancellations } from './cancellations.js';
+import { JobTable } from './jobs.js';
+
+const LIMITS = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
+/** Most of the heap of the smallest controller that the jobs of a long swarm may take. */
+const ENDED_JOB_BYTES = 400;
+const OPEN_JOB_BYTES = 1300;
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+async function aTable() {
+  const state = await StateWorld.start(LIMITS);
+  const runtime = state.controller();
+  const client = state.client(runtime);
+  const caching = { client, runtime, prefix: JOBS, watchMs: 10_000, syncSpacingMs: 0 };
+  const cache = new PrefixCache(caching);
+  return { state, cache, jobs: new JobTable(cache, new Cancellations(100, 70)) };
+}
+
+/** As it comes from the state service: each job with texts of its own. */
+function aRecord(number: number, phase: 'accepted' | 'done'): [string, unknown] {
+  const id = `j-${String(number).padStart(6, '0')}`;
+  const job = aJob({ id, cpus: 0.25 + number / 1e6, memory: 0.9 + number / 1e6 });
+  const value = encodeJob({ job, acceptedAtMs: 1_800_000_000_000 + number, phase });
+  return [jobKey(id), JSON.parse(JSON.stringify(value)) as unknown];
+}
+
+function heapBytes(): number {
+  collectGarbage();
+  return process.memoryUsage().heapUsed;
+}
+
+for (const [phase, limit] of [
+  ['done', ENDED_JOB_BYTES],
+  ['accepted', OPEN_JOB_BYTES],
+] as const) {
+  test(`a job that is ${phase} takes no more than ${limit} bytes, however many there are`, async () => {
+    const { cache, jobs } = await aTable();
+    const before = heapBytes();
+    const count = 20_000;
+    for (let number = 0; number < count; number++) {
+      const [key, value] = aRecord(number, phase);
+      cache.learn(key, value, number + 1);
+    }
+    const perJob = (heapBytes() - before) / count;
+    assert.equal([...jobs.ids()].length, count);
+    assert.ok(perJob < limit, `${perJob} bytes`);
+  });
+}
+
+test('a job that is over is still called by its last state, and recent ones are known in full', async () => {
+  const { cache, jobs } = await aTable();
+  for (let number = 0; number < 2000; number++) cache.learn(...aRecord(number, 'done'), number + 1);
+  const view = { phase: 'done', done: 1, running: 0 };
+  for (const id of ['j-000000', 'j-001999']) {
+    assert.deepEqual(jobs.view(id, jobs.get(id)!), { id, ...view });
+  }
+  assert.equal(jobs.fullRecord('j-000000'), undefined);
+  assert.equal(jobs.fullRecord('j-001999')?.job.id, 'j-001999');
+});
--- a/packages/controller/metrics-endpoint.ts
+++ b/packages/controller/metrics-endpoint.ts
@@ -1,6 +1,7 @@
 import type { Express } from 'express';
 import type { StateClient } from '#store';
 import type { Clock } from '#wire';
+import type { Admission } from './admission.js';
 import { Metrics } from './metrics.js';
 import type { PartOwner } from './owner.js';
 import type { Vitals } from './vitals.js';
@@ -10,6 +11,7 @@
   reportS: number;
   vitals: Vitals;
   client: StateClient;
+  admission: Admission;
   /** Null while nothing is owned here. */
   owner: () => PartOwner | null;
 }
@@ -60,7 +62,7 @@
   }
 
   private register(metrics: Metrics): void {
-    const { vitals, client, owner } = this.options;
+    const { vitals, client, admission, owner } = this.options;
     metrics.gauge('total', 'Counts since the start', 'of', () => vitals.totals());
     metrics.gauge('held', 'What the process holds now', 'of', () => vitals.held());
     metrics.gauge('term', 'Term of the part that is owned here, 0 if none', null, () => ({
@@ -68,6 +70,8 @@
     }));
     const budgetHelp = "Left of this controller's part of the state service's rates";
     metrics.gauge('budget', budgetHelp, 'of', () => client.left());
+    const refusedHelp = 'Submissions refused since the start for want of changes';
+    metrics.gauge('refused_submissions', refusedHelp, 'team', () => admission.totals());
     metrics.gauge(
       'team_index',
       'Index of each team',
--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -1,5 +1,7 @@
 import type { FleetState } from '#core';
 import {
+  decodeJob,
+  jobKey,
   JobRecord,
   listAll,
   MACHINES,
@@ -41,27 +43,41 @@
       listAll(client, PROGRESS, signal),
       client.call(true, signal, (api) => api.get(removalsKey(term.part), signal)),
     ]);
+    const held = new Set(machines.flatMap(jobsOn));
+    const ended = await this.readEnded(held, signal);
     recorder.removals.loaded(removals?.version ?? 0);
+    // Nothing is waited for from here on, so that no change of a job is missed.
     const loadedAt = now();
-    this.takeJobs(machines.entries);
+    this.takeJobs(held, ended);
     onJobs(loadedAt);
-    for (const entry of progress.entries) this.takeProgress(entry);
-    for (const entry of machines.entries) this.takeMachine(entry, loadedAt);
+    for (const entry of progress) this.takeProgress(entry);
+    for (const entry of machines) this.takeMachine(entry, loadedAt);
     fleet.machines.updateTotals();
-    return machines.entries.length;
+    return machines.length;
   }
 
   /** Jobs that are over matter only as long as a machine may hold their tasks. */
-  private takeJobs(machines: Entry[]): void {
+  private takeJobs(held: Set<string>, ended: Map<string, JobRecord>): void {
     const { jobs, takeJob } = this.options;
-    const held = new Set(
-      machines.flatMap((entry) => (entry.value as MachineRecord).tasks.map(([job]) => job)),
-    );
-    for (const record of jobs.all()) {
-      if (record.phase === 'accepted' || held.has(record.job.id)) takeJob(record);
+    for (const id of jobs.ids()) {
+      if (jobs.get(id)?.phase !== 'accepted' && !held.has(id)) continue;
+      const record = jobs.fullRecord(id) ?? ended.get(id);
+      if (record) takeJob(record);
     }
   }
 
+  /** Records of jobs that are over and of which the table keeps no more than that. */
+  private async readEnded(held: Set<string>, signal: AbortSignal): Promise<Map<string, JobRecord>> {
+    const { client, jobs } = this.options;
+    const missing = [...held].filter((id) => jobs.get(id) && !jobs.fullRecord(id));
+    const read = (id: string) => client.call(true, signal, (api) => api.get(jobKey(id), signal));
+    const entries = await Promise.all(missing.map(read));
+    const records = entries
+      .filter((entry) => entry !== null)
+      .map(({ value, version }) => decodeJob(value, version));
+    return new Map(records.map((record) => [record.job.id, record]));
+  }
+
   private takeProgress({ key, value, version }: Entry): void {
     const [id, chunk] = key.slice(PROGRESS.length).split('/');
     const text = (value as { done: string }).done;
@@ -84,3 +100,7 @@
     }
   }
 }
+
+function jobsOn({ value }: Entry): string[] {
+  return (value as MachineRecord).tasks.map(([job]) => job);
+}
--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -10,10 +10,12 @@
 
 /**
  * Shares of the state service's rate of changes that one controller may use while it owns or does not. The
- * owner's records are nearly all changes that there are.
+ * owner's records are nearly all changes that there are. Each has its least share to itself; up to the most it
+ * may use what the others leave.
  */
-const OWNER_WRITES = 0.8;
-const OTHERS_WRITE = 0.3;
+const OWNER_WRITES = { least: 0.6, most: 0.8 };
+const OTHERS_MOST = 0.3;
+const ALL_OTHERS_LEAST = 0.3;
 /** Share of a report period from a failed load of the records to the next. */
 const RELOAD_PAUSE = 1 / 5;
 
@@ -40,7 +42,7 @@
 
   /** Follows the ownership until the signal aborts; resolves once the last term has ended. */
   async run(signal: AbortSignal): Promise<void> {
-    this.shareWrites(OTHERS_WRITE);
+    this.shareWrites(false);
     const terms = this.options.ownership.term
       .pipe(filter((term) => term?.term !== this.term?.id))
       .subscribe((term) => this.change(term, signal));
@@ -54,7 +56,7 @@
     this.term?.end.abort();
     this.term = null;
     this.current = null;
-    this.shareWrites(term ? OWNER_WRITES : OTHERS_WRITE);
+    this.shareWrites(term !== null);
     if (!term) return;
     log.info({ term: term.term }, 'term begins');
     const end = new AbortController();
@@ -64,9 +66,12 @@
     void done.finally(() => this.running.delete(done));
   }
 
-  private shareWrites(share: number): void {
+  private shareWrites(owns: boolean): void {
     const { settings, client } = this.options;
-    if (settings.deployment.nodes > 1) client.shareWrites(share);
+    const others = settings.deployment.nodes - 1;
+    if (others === 0) return;
+    const least = Math.min(OTHERS_MOST, ALL_OTHERS_LEAST / others);
+    client.shareWrites(owns ? OWNER_WRITES : { least, most: OTHERS_MOST });
   }
 
   private async own(term: Term, signal: AbortSignal): Promise<void> {
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -1,10 +1,11 @@
+import { NO_QUOTA, teamWeight } from '#core';
 import { GroupCommit, Ownership, StateClient } from '#store';
 import type { Runtime } from '#wire';
 import { Cancellations } from './cancellations.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
 import { MachineTypes } from './machine-types.js';
-import type { Settings } from './settings.js';
+import { type Settings, teamQuotas } from './settings.js';
 import type { StateAccess } from './state-access.js';
 
 /** Cancellations whose records are remembered, to be told to peers that have not read them. */
@@ -29,6 +30,17 @@
   cancellations: Cancellations;
 }
 
+/** Weights of teams whose submissions wait side by side: their parts of all guarantees, as a share. */
+function submissionWeights({ deployment, operator }: Settings): (team: string) => number {
+  const quotas = teamQuotas(deployment.teams);
+  const guaranteed = { cpus: 0, gpus: 0, memory: 0 };
+  for (const { guaranteedCpus, guaranteedGpus } of quotas.values()) {
+    guaranteed.cpus += guaranteedCpus;
+    guaranteed.gpus += guaranteedGpus;
+  }
+  return (team) => teamWeight(quotas.get(team) ?? NO_QUOTA, guaranteed, operator.floorWeight);
+}
+
 export function makeServices(
   runtime: Runtime,
   settings: Settings,
@@ -51,7 +63,12 @@
     settings,
     log,
     client,
-    commits: new GroupCommit(client, Math.ceil(state.write_rps * COMMIT_QUEUE_S)),
+    commits: new GroupCommit({
+      client,
+      runtime,
+      maxQueue: Math.ceil(state.write_rps * COMMIT_QUEUE_S),
+      weightOf: submissionWeights(settings),
+    }),
     ownership,
     jobs: new JobTable(jobs, cancellations),
     types: new MachineTypes(client, world),
--- a/packages/controller/user-api.ts
+++ b/packages/controller/user-api.ts
@@ -1,16 +1,9 @@
 import type { Express, Request, Response } from 'express';
 import { Clock, isJobId, Job, MachineType, MalformedBody, NoAnswer, StateRefused } from '#wire';
-import {
-  decodeJob,
-  encodeJob,
-  GroupCommit,
-  jobKey,
-  JobRecord,
-  NotReady,
-  StateClient,
-} from '#store';
+import { encodeJob, GroupCommit, jobKey, NotReady, StateClient } from '#store';
 import { readBody, reply } from './http-bodies.js';
-import { JobTable } from './jobs.js';
+import type { Admission } from './admission.js';
+import type { EndedJob, JobTable, OpenJob } from './jobs.js';
 import { SubmissionCheck } from './submission-check.js';
 
 export interface UserApiOptions {
@@ -20,8 +13,9 @@
   jobs: JobTable;
   submissions: SubmissionCheck;
   types: () => MachineType[];
-  /** Busy enough that submissions are turned away. */
-  overloaded: () => boolean;
+  admission: Admission;
+  /** Seconds after which submissions are taken again if this process is too far behind now; else null. */
+  overloadedForS: () => number | null;
   /** Told of every request; what it returns is told when that was answered. */
   onRequest: (kind: string) => () => void;
   /** Told when a user has asked for an abort and before it is recorded. */
@@ -66,7 +60,7 @@
   }
 
   /** The job as durable now, or undefined; a final state never changes and needs no asking. */
-  private async lookUp(id: string): Promise<JobRecord | undefined> {
+  private async lookUp(id: string): Promise<OpenJob | EndedJob | undefined> {
     const { jobs } = this.options;
     const known = jobs.get(id);
     if (known && known.phase !== 'accepted') return known;
@@ -75,9 +69,10 @@
   }
 
   private async submit(req: Request, res: Response): Promise<void> {
-    const { jobs, commits } = this.options;
-    if (this.options.overloaded() || commits.full) {
-      reply(res, 503, { error: 'overloaded' }, 2);
+    const { jobs } = this.options;
+    const overloadedForS = this.options.overloadedForS();
+    if (overloadedForS !== null) {
+      reply(res, 503, { error: 'overloaded' }, overloadedForS);
       return;
     }
     const raw = readBody(req.body) as { id?: unknown };
@@ -86,17 +81,17 @@
       const known = jobs.get(raw.id);
       if (known) {
         const now = await this.lookUp(raw.id);
-        reply(res, 200, jobs.view(now ?? known));
+        reply(res, 200, jobs.view(raw.id, now ?? known));
         return;
       }
     }
     const checked = this.options.submissions.check(raw);
     if ('refusal' in checked) {
       // Another controller may have accepted this id a moment ago.
-      const known =
-        typeof raw.id === 'string' && isJobId(raw.id) ? await this.lookUp(raw.id) : undefined;
+      const id = typeof raw.id === 'string' && isJobId(raw.id) ? raw.id : '';
+      const known = id ? await this.lookUp(id) : undefined;
       const { status, error } = checked.refusal;
-      if (known) reply(res, 200, jobs.view(known));
+      if (known) reply(res, 200, jobs.view(id, known));
       else reply(res, status, { error });
       return;
     }
@@ -104,7 +99,13 @@
       reply(res, 503, { error: 'machine types are not known yet' }, 1);
       return;
     }
-    await this.accept(checked.job, res);
+    const retryAfterS = this.options.admission.refuse(checked.job.team);
+    if (retryAfterS === null) await this.accept(checked.job, res);
+    else this.refuseForRate(res, retryAfterS);
+  }
+
+  private refuseForRate(res: Response, retryAfterS: number): void {
+    reply(res, 429, { error: 'more submissions than can be recorded' }, retryAfterS);
   }
 
   private async accept(job: Job, res: Response): Promise<void> {
@@ -112,29 +113,31 @@
     const key = jobKey(job.id);
     const value = encodeJob({ job, acceptedAtMs: clock.wallMs(), phase: 'accepted' });
     try {
-      const out = await commits.commit([{ key, version: 0 }], [{ put: key, value }]);
+      const out = await commits.commit(job.team, [{ key, version: 0 }], [{ put: key, value }]);
       if (out.ok) {
         jobs.cache.learn(key, value, out.revision);
         reply(res, 201, { id: job.id, phase: 'pending' });
         return;
       }
     } catch (err) {
+      if (err instanceof StateRefused && err.status === 429) {
+        this.refuseForRate(res, this.options.admission.retryAfterS(job.team));
+        return;
+      }
       if (!(err instanceof NoAnswer)) throw err;
       // It may have been applied, or may be later; the record tells, and a repeat finds it.
     }
     const entry = await client.call(false, undefined, (api) => api.get(key));
-    if (!entry) {
-      reply(res, 503, { error: 'not known whether it was recorded' }, 1);
-      return;
-    }
-    jobs.cache.learn(key, entry.value, entry.version);
-    reply(res, 200, jobs.view(decodeJob(entry.value, entry.version)));
+    if (entry) jobs.cache.learn(key, entry.value, entry.version);
+    const known = jobs.get(job.id);
+    if (known) reply(res, 200, jobs.view(job.id, known));
+    else reply(res, 503, { error: 'not known whether it was recorded' }, 1);
   }
 
   private async query(req: Request, res: Response): Promise<void> {
     const id = String(req.params.id);
     const record = isJobId(id) ? await this.lookUp(id) : undefined;
-    if (record) reply(res, 200, this.options.jobs.view(record));
+    if (record) reply(res, 200, this.options.jobs.view(id, record));
     else reply(res, 404, { error: 'unknown job' });
   }
 
@@ -149,7 +152,9 @@
     for (let attempt = 0; record && record.phase === 'accepted' && attempt < 3; attempt++) {
       const value = encodeJob({ ...record, phase: 'aborted' });
       try {
-        const out = await commits.commit([{ key, version: record.version }], [{ put: key, value }]);
+        const condition = { key, version: record.version };
+        const { team } = record.job;
+        const out = await commits.commit(team, [condition], [{ put: key, value }]);
         if (out.ok) {
           jobs.cache.learn(key, value, out.revision);
           record = jobs.get(id);
--- a/packages/store/budget.test.ts
+++ b/packages/store/budget.test.ts
@@ -69,3 +69,25 @@
   assert.equal(taken, 1);
   await assert.rejects(budget.take(1, false, stop.signal));
 });
+
+test('what users ask for waits for the duties, and gets its part all the same', async () => {
+  const { world, budget } = await aBudget(20);
+  const taken = { duty: 0, users: 0 };
+  const takeFor = async (taker: 'duty' | 'users', units: number) => {
+    for (;;) {
+      await budget.takeFor(taker, units);
+      taken[taker] += units;
+    }
+  };
+  void takeFor('users', 1);
+  await world.run(10);
+  // Alone they have all of it.
+  assert.ok(taken.users >= 200, `${taken.users}`);
+  assert.equal(budget.usersPerSecond(), 20);
+  taken.users = 0;
+  for (let n = 0; n < 5; n++) void takeFor('duty', 10);
+  await world.run(20);
+  assert.ok(taken.users >= 90 && taken.users <= 120, `${taken.users}`);
+  assert.ok(taken.duty >= 280, `${taken.duty}`);
+  assert.ok(budget.usersPerSecond() < 7);
+});
--- a/packages/store/budget.ts
+++ b/packages/store/budget.ts
@@ -1,4 +1,16 @@
 import { Clock, Timer } from '#wire';
+import { FairQueue } from './fair-queue.js';
+
+/**
+ * Who takes of a budget: `urgent` are few small requests that hold up everybody else; `duty` is what the
+ * controller does by itself; `users` is what users ask for.
+ */
+export type Taker = 'urgent' | 'duty' | 'users';
+
+/** Of what duties and users take while both wait, the duties get so many times as much as the users. */
+const DUTY_WEIGHT = 3;
+/** Seconds over which the rate at which duties take is averaged. */
+const AVERAGED_S = 2;
 
 interface Waiter {
   units: number;
@@ -6,15 +18,18 @@
 }
 
 /**
- * A rate with one second's worth of burst. Takers are served in the order in which they came, urgent
- * ones before all others, so nobody waits longer than those before need. What is taken at once may be
- * more than a second's worth; it is granted when the budget is full and paid for afterwards.
+ * A rate with one second's worth of burst. Takers of a kind are served in the order in which they came;
+ * urgent ones go before all others, and while duties and users wait they share by weight. What is taken
+ * at once may be more than a second's worth; it is granted when the budget is full and paid for afterwards.
  */
 export class Budget {
   private level: number;
   private refilledAt: number;
   private readonly urgentLine: Waiter[] = [];
-  private readonly line: Waiter[] = [];
+  private readonly line = new FairQueue<Waiter>((taker) => (taker === 'users' ? 1 : DUTY_WEIGHT));
+  /** Units that others than users have taken, forgotten over AVERAGED_S. */
+  private dutyUnits = 0;
+  private dutyUnitsAt: number;
   /** Runs until the first in line can be served. */
   private timer: Timer | null = null;
 
@@ -24,6 +39,7 @@
   ) {
     this.level = perSecond;
     this.refilledAt = clock.now();
+    this.dutyUnitsAt = this.refilledAt;
   }
 
   /** Another rate from now on. */
@@ -48,33 +64,62 @@
     return Math.max(this.left(), this.perSecond / 2);
   }
 
-  /**
-   * Resolves once the units are taken; rejects with the signal's reason. Urgent are few small requests
-   * only: they hold up everybody else.
-   */
+  /** Units a second that users can count on beside what the duties have taken of late. */
+  usersPerSecond(): number {
+    this.forgetDutyUnits();
+    const left = this.perSecond - this.dutyUnits / AVERAGED_S;
+    return Math.max(left, this.perSecond / (DUTY_WEIGHT + 1));
+  }
+
+  /** What was taken and is not needed after all, or a negative number if more was needed. */
+  giveBack(units: number): void {
+    this.refill();
+    this.level = Math.min(this.perSecond, this.level + units);
+    this.serve();
+  }
+
+  /** For the controller's own duties, or urgently. */
   take(units: number, urgent: boolean, signal?: AbortSignal): Promise<void> {
+    return this.takeFor(urgent ? 'urgent' : 'duty', units, signal);
+  }
+
+  /** Resolves once the units are taken; rejects with the signal's reason. */
+  takeFor(taker: Taker, units: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve, reject) => {
       if (signal?.aborted) {
         reject(signal.reason as Error);
         return;
       }
-      const line = urgent ? this.urgentLine : this.line;
       const onAbort = () => {
-        line.splice(line.indexOf(waiter), 1);
+        if (taker === 'urgent') this.urgentLine.splice(this.urgentLine.indexOf(waiter), 1);
+        else this.line.remove(taker, waiter);
         reject(signal?.reason as Error);
         this.serve();
       };
       const grant = () => {
+        if (taker !== 'users') this.countDuty(units);
         signal?.removeEventListener('abort', onAbort);
         resolve();
       };
       const waiter: Waiter = { units, grant };
       signal?.addEventListener('abort', onAbort, { once: true });
-      line.push(waiter);
+      if (taker === 'urgent') this.urgentLine.push(waiter);
+      else this.line.push(taker, waiter);
       this.serve();
     });
   }
 
+  private countDuty(units: number): void {
+    this.forgetDutyUnits();
+    this.dutyUnits += units;
+  }
+
+  private forgetDutyUnits(): void {
+    const now = this.clock.now();
+    this.dutyUnits *= Math.exp((this.dutyUnitsAt - now) / AVERAGED_S);
+    this.dutyUnitsAt = now;
+  }
+
   private refill(): void {
     const now = this.clock.now();
     const gained = (now - this.refilledAt) * this.perSecond;
@@ -86,15 +131,16 @@
     this.timer?.cancel();
     this.timer = null;
     for (;;) {
-      const line = this.urgentLine.length > 0 ? this.urgentLine : this.line;
-      if (line.length === 0) return;
-      const { units, grant } = line[0];
+      const next = this.urgentLine.length > 0 ? this.urgentLine[0] : this.line.peek();
+      if (!next) return;
+      const { units, grant } = next;
       const waitMs = this.waitMs(units);
       if (waitMs > 0) {
         this.timer = this.clock.setTimer(() => this.serve(), waitMs);
         return;
       }
-      line.shift();
+      if (next === this.urgentLine[0]) this.urgentLine.shift();
+      else this.line.shift(units);
       this.level -= units;
       grant();
     }
--- a/packages/store/cache.ts
+++ b/packages/store/cache.ts
@@ -123,17 +123,26 @@
   private async load(signal: AbortSignal): Promise<void> {
     const { client, runtime, prefix } = this.options;
     const sentAt = runtime.clock.now();
-    const { entries, revision: base } = await listAll(client, prefix, signal);
     const seen = new Set<string>();
-    for (const entry of entries) {
-      seen.add(entry.key);
-      this.take(entry);
+    let base: number | null = null;
+    // Page by page: all entries at once would be several times what is kept of them.
+    for await (const page of pages(client, prefix, signal)) {
+      base ??= page.revision;
+      for (const entry of page.entries) {
+        seen.add(entry.key);
+        this.take(entry);
+      }
     }
+    this.forgetMissing(seen, base ?? 0);
+    this.revision = base;
+    this.syncedAt = sentAt;
+  }
+
+  /** What is not among all keys of a revision was removed before it. */
+  private forgetMissing(seen: Set<string>, base: number): void {
     for (const [key, version] of this.versions) {
       if (!seen.has(key) && version <= base) this.take({ key, version: base });
     }
-    this.revision = base;
-    this.syncedAt = sentAt;
   }
 
   private apply(events: WatchEvent[], revision: number): void {
@@ -150,23 +159,35 @@
   }
 }
 
-/** All entries under a prefix, page by page, with the revision of the first page. */
-export async function listAll(
+interface Page {
+  entries: Entry[];
+  more: boolean;
+  revision: number;
+}
+
+/** All entries under a prefix, page by page; there is at least one page. */
+async function* pages(
   client: StateClient,
   prefix: string,
   signal?: AbortSignal,
-): Promise<{ entries: Entry[]; revision: number }> {
-  const entries: Entry[] = [];
-  let revision: number | null = null;
+): AsyncGenerator<Page> {
+  let after: string | null = null;
   for (;;) {
-    const after: string | null = entries.at(-1)?.key ?? null;
-    const page: { entries: Entry[]; more: boolean; revision: number } = await client.call(
-      true,
-      signal,
-      (api) => api.list(prefix, after, signal),
-    );
-    revision ??= page.revision;
-    entries.push(...page.entries);
-    if (!page.more || page.entries.length === 0) return { entries, revision };
+    const from: string | null = after;
+    const page: Page = await client.call(true, signal, (api) => api.list(prefix, from, signal));
+    yield page;
+    after = page.entries.at(-1)?.key ?? null;
+    if (!page.more || after === null) return;
   }
 }
+
+/** All entries under a prefix. */
+export async function listAll(
+  client: StateClient,
+  prefix: string,
+  signal?: AbortSignal,
+): Promise<Entry[]> {
+  const entries: Entry[] = [];
+  for await (const page of pages(client, prefix, signal)) entries.push(...page.entries);
+  return entries;
+}
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -1,6 +1,10 @@
 import { setMaxListeners } from 'node:events';
 import { Change, Clock, Condition, StateApi, StateRefused, TxnMalformed, TxnOutcome } from '#wire';
-import { Budget } from './budget.js';
+import { Budget, type Taker } from './budget.js';
+import { type RateBounds, SharedRate } from './shared-rate.js';
+
+/** Seconds' worth of what users can count on that one transaction of theirs waits for at the most. */
+const USERS_TURN_S = 1 / 2;
 
 export interface StateLimits {
   rps: number;
@@ -16,6 +20,7 @@
 export class StateClient {
   private readonly reads: Budget;
   private readonly writes: Budget;
+  private readonly writeRate: SharedRate;
   private readonly closing = new AbortController();
   /** When the last request that succeeded was sent. */
   lastOkAt = -Infinity;
@@ -36,6 +41,7 @@
   ) {
     this.reads = new Budget(clock, limits.rps * share);
     this.writes = new Budget(clock, limits.writeRps * share);
+    this.writeRate = new SharedRate(clock, this.writes, limits.writeRps * share);
     // Everyone who waits for a part of a budget may listen to it.
     setMaxListeners(0, this.closing.signal);
   }
@@ -51,9 +57,20 @@
     this.api.close();
   }
 
-  /** The part of all changes that this controller may make. */
-  shareWrites(share: number): void {
-    this.writes.change(this.limits.writeRps * share);
+  /** The least and the largest part of all changes that this controller may make. */
+  shareWrites({ least, most }: RateBounds): void {
+    const { writeRps } = this.limits;
+    this.writeRate.bound({ least: least * writeRps, most: most * writeRps });
+  }
+
+  /** Seconds until so many changes that users ask for are sent, if all that wait for it take no more. */
+  usersWaitS(changes: number): number {
+    return Math.max(0, changes - this.writes.left()) / this.usersChangesPerS;
+  }
+
+  /** Changes a second that users can count on. */
+  get usersChangesPerS(): number {
+    return this.writes.usersPerSecond();
   }
 
   /** What may be used at once of this controller's parts of the rates. */
@@ -77,7 +94,15 @@
     signal: AbortSignal | undefined,
     run: (api: StateApi) => Promise<T>,
   ): Promise<T> {
-    await this.reads.take(1, urgent, signal ?? this.closed);
+    return this.callFor(urgent ? 'urgent' : 'duty', signal, run);
+  }
+
+  private async callFor<T>(
+    taker: Taker,
+    signal: AbortSignal | undefined,
+    run: (api: StateApi) => Promise<T>,
+  ): Promise<T> {
+    await this.reads.takeFor(taker, 1, signal ?? this.closed);
     const sentAt = this.clock.now();
     this.requests++;
     try {
@@ -102,9 +127,72 @@
     urgent: boolean,
     signal?: AbortSignal,
   ): Promise<TxnOutcome> {
-    await this.writes.take(changes.length, urgent, signal ?? this.closed);
+    return this.txnFor(urgent ? 'urgent' : 'duty', conditions, changes, signal);
+  }
+
+  /**
+   * Waits for the turn of what users ask for, and resolves with how many changes may be sent now, up to so
+   * many as are wanted: what comes while it waits can still be among them.
+   */
+  async reserveForUsers(wanted: number): Promise<number> {
+    const soon = Math.floor(Math.max(this.writes.left(), this.usersChangesPerS * USERS_TURN_S));
+    const units = Math.max(1, Math.min(wanted, this.limits.txnOps, soon));
+    await this.writes.takeFor('users', units, this.closed);
+    return units;
+  }
+
+  /** A transaction with what users ask for, of which so many changes are reserved. */
+  userTxn(conditions: Condition[], changes: Change[], reserved: number): Promise<TxnOutcome> {
+    this.giveBack(reserved - changes.length);
+    return this.send('users', conditions, changes);
+  }
+
+  /** The same for the controller's own changes. */
+  async reserve(wanted: number, signal: AbortSignal): Promise<number> {
+    const units = Math.max(1, Math.min(wanted, this.txnChanges));
+    await this.writes.takeFor('duty', units, signal);
+    return units;
+  }
+
+  /** Changes that were reserved and are not needed; fewer than none if more are. */
+  giveBack(changes: number): void {
+    this.writes.giveBack(changes);
+  }
+
+  /** A transaction whose changes are reserved. */
+  reservedTxn(
+    conditions: Condition[],
+    changes: Change[],
+    signal: AbortSignal,
+  ): Promise<TxnOutcome> {
+    return this.send('duty', conditions, changes, signal);
+  }
+
+  private async txnFor(
+    taker: Taker,
+    conditions: Condition[],
+    changes: Change[],
+    signal?: AbortSignal,
+  ): Promise<TxnOutcome> {
+    await this.writes.takeFor(taker, changes.length, signal ?? this.closed);
+    return this.send(taker, conditions, changes, signal);
+  }
+
+  private async send(
+    taker: Taker,
+    conditions: Condition[],
+    changes: Change[],
+    signal?: AbortSignal,
+  ): Promise<TxnOutcome> {
     this.changes += changes.length;
-    return this.call(urgent, signal, (api) => api.txn(conditions, changes, signal));
+    try {
+      const out = await this.callFor(taker, signal, (api) => api.txn(conditions, changes, signal));
+      this.writeRate.served();
+      return out;
+    } catch (err) {
+      if (err instanceof StateRefused && err.status === 429) this.writeRate.refused();
+      throw err;
+    }
   }
 
   /** The last thing known is that the service did not serve us. */
--- a/packages/store/commit.test.ts
+++ b/packages/store/commit.test.ts
@@ -10,14 +10,15 @@
 
 test('a burst of changes at a controller that does not own is recorded as fast as its share allows', async () => {
   const state = await StateWorld.start(LIMITS);
-  const client = state.client(state.controller(), { share: SHARE });
+  const runtime = state.controller();
+  const client = state.client(runtime, { share: SHARE });
   state.service.setLatency({ usualMs: [400, 400], slowShare: 0, slowMs: [0, 0] });
-  const commits = new GroupCommit(client, 100);
+  const commits = new GroupCommit({ client, runtime, maxQueue: 100 });
   const recorded: number[] = [];
   for (let i = 0; i < 40; i++) {
     const key = `jobs/${i}`;
     void commits
-      .commit([{ key, version: 0 }], [{ put: key, value: i }])
+      .commit('red', [{ key, version: 0 }], [{ put: key, value: i }])
       .then((outcome) => outcome.ok && recorded.push(state.now));
   }
   // The first goes alone; those that come meanwhile share transactions.
@@ -30,12 +31,13 @@
 
 test('a change that the state service calls malformed does not fail those that share its transaction', async () => {
   const state = await StateWorld.start({ ...LIMITS, valueBytes: 1024 });
-  const client = state.client(state.controller(), { limits: LIMITS });
-  const commits = new GroupCommit(client, 100);
+  const runtime = state.controller();
+  const client = state.client(runtime, { limits: LIMITS });
+  const commits = new GroupCommit({ client, runtime, maxQueue: 100 });
   const outcomes = new Map<string, unknown>();
   for (const [key, length] of Object.entries({ first: 1, large: 2000, last: 1 })) {
     const change = { put: key, value: 'x'.repeat(length) };
-    commits.commit([{ key, version: 0 }], [change]).then(
+    commits.commit('red', [{ key, version: 0 }], [change]).then(
       ({ ok }) => outcomes.set(key, ok),
       (err: unknown) => outcomes.set(key, err),
     );
--- a/packages/store/index.ts
+++ b/packages/store/index.ts
@@ -2,6 +2,7 @@
 export * from './cache.js';
 export * from './client.js';
 export * from './commit.js';
+export * from './fair-queue.js';
 export * from './hedge.js';
 export * from './ownership.js';
 export * from './records.js';
--- /dev/null
+++ b/packages/store/shared-rate.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { StateWorld } from '#testing';
+import { GroupCommit } from './commit.js';
+import { StateRefused } from '#wire';
+
+const LIMITS = { rps: 500, writeRps: 50, valueBytes: 8192, txnOps: 24 };
+const OWNER = { least: 0.6, most: 0.8 };
+const OTHERS = { least: 0.05, most: 0.3 };
+const FOLLOWERS = 6;
+const SECONDS = 30;
+
+test('an owner has its least share beside any number of others who all want more than theirs', async () => {
+  const state = await StateWorld.start(LIMITS);
+  const owner = state.client(state.controller('10.0.0.1'));
+  owner.shareWrites(OWNER);
+  let recorded = 0;
+  const record = async () => {
+    for (let i = 0; ; i++) {
+      const txn = owner.txn([], [{ put: `machines/${i % 9}`, value: i }], false);
+      await txn.then(
+        () => recorded++,
+        (err: unknown) => assert.ok(err instanceof StateRefused),
+      );
+    }
+  };
+  for (let n = 0; n < 4; n++) void record();
+  let accepted = 0;
+  for (let n = 0; n < FOLLOWERS; n++) {
+    const runtime = state.controller(`10.0.1.${n}`);
+    const client = state.client(runtime);
+    client.shareWrites(OTHERS);
+    const commits = new GroupCommit({ client, runtime, maxQueue: 50 });
+    const submit = async () => {
+      for (let i = 0; ; i++) {
+        const key = `jobs/${n}-${accepted}-${i}`;
+        const commit = commits.commit('blue', [{ key, version: 0 }], [{ put: key, value: i }]);
+        await commit.then(
+          () => accepted++,
+          (err: unknown) => assert.ok(err instanceof StateRefused),
+        );
+      }
+    };
+    for (let submitter = 0; submitter < 10; submitter++) void submit();
+  }
+  await state.run(SECONDS);
+  assert.ok(recorded >= 0.9 * OWNER.least * LIMITS.writeRps * SECONDS, `${recorded} recorded`);
+  assert.ok(accepted >= 0.5 * (1 - OWNER.most) * LIMITS.writeRps * SECONDS, `${accepted} accepted`);
+});
+
+test('one controller alone uses what the others leave of the rate, and again after a refusal', async () => {
+  const state = await StateWorld.start(LIMITS);
+  const client = state.client(state.controller());
+  client.shareWrites(OTHERS);
+  const most = OTHERS.most * LIMITS.writeRps;
+  assert.equal(client.left().changes, most);
+  // Somebody else has taken all that there is.
+  const other = state.client(state.controller('10.0.0.2'));
+  const puts = (prefix: string, count: number) =>
+    Array.from({ length: count }, (_, i) => ({ put: `${prefix}/${i}`, value: 0 }));
+  for (const prefix of ['x', 'y']) void other.txn([], puts(prefix, LIMITS.txnOps), false);
+  await state.run(0.05);
+  let refusals = 0;
+  client.txn([], puts('z', 9), false).catch(() => refusals++);
+  await state.run(5);
+  assert.equal(refusals, 1);
+  assert.ok(client.left().changes <= most / 2 + 1e-9);
+  for (let s = 0; s < 25; s++) {
+    void client.txn([], [{ put: 'z', value: s }], false);
+    await state.run(1);
+  }
+  assert.ok(client.left().changes > most - 2);
+});
--- /dev/null
+++ b/packages/testing/meetings/flood.test.ts
@@ -0,0 +1,102 @@
+/** A team floods the controllers with single-task jobs beside a team whose work must go on. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { jobKey } from '#store';
+import { UserClient } from '#wire';
+import { aJob } from '../samples.js';
+import { Cluster, formatAddress, serviceAddress, SMALL_CLUSTER } from '../simulation/index.js';
+import { describeViolation, type PlannedJob } from '../standins/index.js';
+
+const HOSTS = 'red';
+const GUESTS = 'blue';
+const PROBER_HOST = '10.9.0.9';
+const SUBMISSION_PATH = /^\/submissions$/;
+const FLOOD = { fromS: 40, untilS: 54, perSecond: 80 };
+const CRASH_S = 47;
+/** Beginning and length of the time around the crash in which submissions may find no controller. */
+const CRASH_FOR_S = 6;
+const LENGTH_S = 170;
+
+function planned(number: number, submitAtS: number, own: Parameters<typeof aJob>[0]): PlannedJob {
+  const job = aJob({ id: `j-${String(number).padStart(6, '0')}`, gpus: 0, imageGb: 0.5, ...own });
+  const program = { job, runS: [8], failsAfterS: null };
+  return { program, submitAtS, cancelAfterS: null, repeatAfterS: null };
+}
+
+function guestJobs(): PlannedJob[] {
+  const count = (FLOOD.untilS - FLOOD.fromS) * FLOOD.perSecond;
+  const small = { team: GUESTS, rank: 3, cpus: 0.25, memory: 0.5, spot: true };
+  return Array.from({ length: count }, (_, i) =>
+    planned(100_000 + i, FLOOD.fromS + i / FLOOD.perSecond, small),
+  );
+}
+
+function hostJobs(): PlannedJob[] {
+  return Array.from({ length: 60 }, (_, i) =>
+    planned(i, 10 + i, { team: HOSTS, rank: 1, cpus: 1, memory: 2 }),
+  );
+}
+
+/** From the first request of each job to the answer that accepted it; seconds. */
+function acceptances({ timeline }: Cluster): Map<string, { askedAtS: number; waitS: number }> {
+  const asked = new Map<string, number>();
+  const accepted = new Map<string, { askedAtS: number; waitS: number }>();
+  for (const { atS, request } of timeline.of('asked')) {
+    if (request.kind === 'submit' && !asked.has(request.job)) asked.set(request.job, atS);
+  }
+  for (const { atS, request, status } of timeline.of('answered')) {
+    if (request.kind !== 'submit' || status >= 300 || accepted.has(request.job)) continue;
+    const askedAtS = asked.get(request.job)!;
+    accepted.set(request.job, { askedAtS, waitS: atS - askedAtS });
+  }
+  return accepted;
+}
+
+test("a flood of one team's small jobs, across a crash of the leader, leaves the other team's alone", async () => {
+  const cluster = new Cluster(SMALL_CLUSTER, 3);
+  const { world, requests, state, checker } = cluster;
+  const runtime = cluster.serviceRuntime('prober', 'users', PROBER_HOST);
+  const hosts = hostJobs();
+  const guests = guestJobs();
+  await cluster.start();
+  cluster.users.start([...hosts, ...guests]);
+  world.schedule(CRASH_S, () => {
+    const owner = cluster.ownership.current()!.owner;
+    cluster.controllers.find(({ name }) => name === owner)!.process.restart(4);
+  });
+  const retryAfters: number[] = [];
+  const probe = (index: number, number: number) => {
+    const user = new UserClient(formatAddress(serviceAddress(index)), 5000, runtime);
+    const { job } = planned(800_000 + number, 0, { team: GUESTS, cpus: 0.25 }).program;
+    cluster.storage.upload({ job, runS: [1], failsAfterS: null });
+    user.submit(job).then(
+      ({ status, retryAfterS }) => {
+        if (status === 429) retryAfters.push(retryAfterS ?? 0);
+      },
+      () => {},
+    );
+  };
+  for (let i = 0; i < 30; i++) {
+    world.schedule(FLOOD.untilS - 4 + i / 10, () => probe(i % SMALL_CLUSTER.controllers, i));
+  }
+  await world.runUntil(LENGTH_S);
+
+  assert.deepEqual(world.uncaught, []);
+  assert.deepEqual(checker.finish().map(describeViolation), []);
+  const flood = { path: SUBMISSION_PATH, fromS: FLOOD.fromS, untilS: FLOOD.untilS };
+  assert.ok(requests.find({ ...flood, status: 429 }).length > 100, 'nobody was refused');
+  assert.ok(new Set(retryAfters).size > 1, `${retryAfters}`);
+  assert.ok(retryAfters.every((seconds) => seconds >= 1 && seconds <= 30));
+
+  const accepted = acceptances(cluster);
+  const calm = hosts.filter(({ submitAtS }) => Math.abs(submitAtS - CRASH_S) > CRASH_FOR_S);
+  const waits = calm.map(({ program }) => accepted.get(program.job.id)?.waitS ?? Infinity);
+  const inTime = waits.filter((waitS) => waitS <= 1).length;
+  assert.ok(inTime >= 0.95 * calm.length, `${inTime} of ${calm.length} in time`);
+  for (const { program } of hosts) assert.ok(accepted.has(program.job.id));
+  const { store } = state;
+  const isDone = (id: string) =>
+    (store.get(jobKey(id))?.value as { phase: string } | undefined)?.phase === 'done';
+  for (const id of accepted.keys()) assert.ok(isDone(id), `${id} was accepted and is not done`);
+  assert.ok(accepted.size - hosts.length > 0.6 * guests.length, `${accepted.size} accepted`);
+});
