Recorder: urgent starts first, gone tasks with the next start, a done task is forgotten once it is durable

Cause: a worker was told to forget a done task only while nothing of its job was unrecorded, so with ends that come all the time its reports grew with every task that had ended. Machines were recorded in the order in which they changed, whatever waited for it, and a task that had gone cost a change of its own beside the next start on the same machine. A transaction was filled before it waited for the rate, so what changed meanwhile needed another.

Change: done tasks that are not durable are kept by task; machines for whose record a start or a fence waits are kept with its rank, the most urgent go first; other machines and what jobs have left follow while half a second's worth of changes is left. The recorder takes its turn first and fills the transaction then.

--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -4,12 +4,20 @@
 import type { JobTable } from './jobs.js';
 import type { RecordChange } from './record-batch.js';
 
-/** Part of a job's done tasks as it is recorded. */
+/** Part of a job's done tasks as an earlier term recorded it. */
 interface RecordedChunk {
   version: number;
   text: string;
 }
 
+/** Part of a job whose record lacks some done tasks. */
+interface UnrecordedChunk {
+  chunk: number;
+  tasks: number[];
+  /** Of its record, 0 if there is none. */
+  version: number;
+}
+
 export interface JobRecordsOptions {
   fleet: FleetState;
   jobs: JobTable;
@@ -19,8 +27,8 @@
 /** The records of which tasks are done: in parts while a job is open, then that all of it is. */
 export class JobRecords {
   private readonly chunkTasks: number;
-  /** By key. */
-  private readonly chunks = new Map<string, RecordedChunk>();
+  /** Versions, by key, of parts of open jobs. */
+  private readonly chunks = new Map<string, number>();
   /** Versions, by key, of parts whose jobs are over. */
   private readonly obsolete = new Map<string, number>();
 
@@ -34,22 +42,23 @@
     const job = this.options.fleet.jobs.get(id);
     if (job?.phase === 'accepted') {
       job.done.addChunk(chunk, this.chunkTasks, recorded.text);
-      this.chunks.set(key, recorded);
+      this.chunks.set(key, recorded.version);
     } else if (this.isOver(id)) this.obsolete.set(key, recorded.version);
   }
 
-  get anyObsolete(): boolean {
-    return this.obsolete.size > 0;
+  /** Parts that jobs that are over have left. */
+  get obsoleteCount(): number {
+    return this.obsolete.size;
   }
 
   /** The job's record says that it is over, so nobody needs the parts any more. */
   over({ id, tasks }: Job): void {
     for (let chunk = 0; chunk * this.chunkTasks < tasks; chunk++) {
       const key = progressKey(id, chunk);
-      const recorded = this.chunks.get(key);
-      if (!recorded) continue;
+      const version = this.chunks.get(key);
+      if (version === undefined) continue;
       this.chunks.delete(key);
-      this.obsolete.set(key, recorded.version);
+      this.obsolete.set(key, version);
     }
   }
 
@@ -86,35 +95,35 @@
   }
 
   private progressChanges(job: JobState): RecordChange[] {
+    const { fleet } = this.options;
     const { id } = job.spec;
-    const again = () => void this.options.fleet.unrecorded.jobs.add(id);
-    return this.unrecordedChunks(job).map(({ key, text, version }) => {
+    return this.unrecordedChunks(job).map(({ chunk, tasks, version }) => {
+      const key = progressKey(id, chunk);
+      const again = () => void fleet.unrecorded.jobs.add(id);
       const durable = (revision: number) => {
         // A user may have cancelled it while the transaction was on its way.
         if (this.isOver(id)) this.obsolete.set(key, revision);
-        else this.chunks.set(key, { version: revision, text });
-        if (this.unrecordedChunks(job).length === 0) job.hasUnrecordedProgress = false;
+        else this.chunks.set(key, revision);
+        fleet.unrecorded.tasksRecorded(id, tasks);
       };
-      const change = { put: key, value: { done: text } };
+      const change = { put: key, value: { done: job.done.chunkText(chunk, this.chunkTasks) } };
       return { key, version, change, guards: [], durable, again };
     });
   }
 
-  /** The parts that differ from their records, the one that was recorded longest ago first. */
-  private unrecordedChunks(job: JobState): (RecordedChunk & { key: string })[] {
-    const found: (RecordedChunk & { key: string })[] = [];
-    for (let chunk = 0; chunk * this.chunkTasks < job.spec.tasks; chunk++) {
-      const key = progressKey(job.spec.id, chunk);
-      const text = job.done.chunkText(chunk, this.chunkTasks);
-      const recorded = this.chunks.get(key);
-      const isRecorded = recorded ? recorded.text === text : holdsNoTask(text);
-      if (!isRecorded) found.push({ key, text, version: recorded?.version ?? 0 });
+  /** The parts with tasks that are not recorded, the one that was recorded longest ago first. */
+  private unrecordedChunks(job: JobState): UnrecordedChunk[] {
+    const tasksByChunk = new Map<number, number[]>();
+    for (const task of this.options.fleet.unrecorded.doneTasksOf(job.spec.id)) {
+      const chunk = Math.floor(task / this.chunkTasks);
+      const tasks = tasksByChunk.get(chunk);
+      if (tasks) tasks.push(task);
+      else tasksByChunk.set(chunk, [task]);
     }
+    const found = [...tasksByChunk].map(([chunk, tasks]) => {
+      const version = this.chunks.get(progressKey(job.spec.id, chunk)) ?? 0;
+      return { chunk, tasks, version };
+    });
     return found.sort((one, other) => one.version - other.version);
   }
 }
-
-/** Base64 of zero bits alone. */
-function holdsNoTask(text: string): boolean {
-  return /^A*=*$/.test(text);
-}
--- a/packages/controller/machine-records.ts
+++ b/packages/controller/machine-records.ts
@@ -27,7 +27,11 @@
     const key = MACHINES + name;
     const version = this.versions.get(name) ?? 0;
     const machine = fleet.machines.get(name);
-    const again = () => void fleet.unrecorded.machines.add(name);
+    const rank = fleet.unrecorded.awaitedMachines.get(name);
+    const again = () => {
+      if (rank === undefined) fleet.unrecorded.machines.add(name);
+      else fleet.unrecorded.awaitMachine(name, rank);
+    };
     if (!machine) {
       if (version === 0) return null;
       const durable = () => void this.versions.delete(name);
--- a/packages/controller/recorder.test.ts
+++ b/packages/controller/recorder.test.ts
@@ -134,3 +134,48 @@
   store.apply([{ put: `${MACHINES}n-1`, value: { tasks: [] } }]);
   await assert.rejects(flush(), TermBroken);
 });
+
+/** A fleet state with as many open jobs, each to be given a machine of its own. */
+async function aRecorderWithJobs(count: number) {
+  const world = await aRecorder();
+  const ids = Array.from({ length: count }, (_, i) => `j-${i + 1}`);
+  for (const [i, id] of ids.entries()) world.record(aJob({ id, rank: i % 4 }), 'accepted');
+  await world.sync();
+  const jobs = ids.map((id) => world.fleet.jobs.get(id)!);
+  const machines = ids.map((_, i) => aMachine(world.fleet, `n-${i + 1}`));
+  return { ...world, jobs, machines };
+}
+
+test('while changes are scarce, urgent starts are recorded first, and ended tasks with the next start', async () => {
+  const { state, client, fleet, recorder, flush, tasksOn, jobs, machines } =
+    await aRecorderWithJobs(60);
+  const ending = jobs.slice(0, 20).map((job, i) => {
+    return fleet.assignments.assign(job, 0, machines[i], 1, 0);
+  });
+  await flush();
+  // Others take what there is.
+  const others = Array.from({ length: 40 }, (_, i) => ({ put: `x/${i}`, value: 0 }));
+  for (let i = 0; i < 2; i++) void client.txn([], others.slice(20 * i, 20 * i + 20), false);
+  await state.run(0.01);
+  assert.ok(!client.hasSpareChanges);
+  for (const assignment of ending) fleet.assignments.end(assignment, 'lost', false, state.now);
+  assert.ok(!recorder.pending);
+  jobs.slice(20).forEach((job, i) => fleet.assignments.assign(job, 0, machines[20 + i], 1, 0));
+  assert.ok(recorder.pending);
+  void recorder.flush(new AbortController().signal);
+  await state.run(0.9);
+  const named = (rank: number) =>
+    jobs.slice(20).filter((job, i) => {
+      return job.spec.rank === rank && tasksOn(`n-${21 + i}`) !== undefined;
+    }).length;
+  assert.equal(named(0), 10);
+  assert.equal(named(3), 0);
+  assert.deepEqual(tasksOn('n-1'), ['j-1']);
+  // A start on a machine brings what has ended there, the rest follows once there is enough.
+  fleet.assignments.assign(jobs[5], 0, machines[0], 2, state.now);
+  await flush();
+  assert.deepEqual(tasksOn('n-1'), ['j-6']);
+  await state.run(1);
+  await flush();
+  assert.deepEqual(tasksOn('n-2'), []);
+});
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -65,25 +65,28 @@
   }
 
   get pending(): boolean {
-    return this.fleet.unrecorded.any || this.mayTidy;
-  }
-
-  /** What jobs that are over have left is removed while the budget has plenty. */
-  private get mayTidy(): boolean {
-    return this.jobRecords.anyObsolete && this.client.hasSpareChanges;
+    const { unrecorded } = this.fleet;
+    const anyDeferred = unrecorded.machines.size > 0 || this.jobRecords.obsoleteCount > 0;
+    return unrecorded.anyAwaited || (anyDeferred && this.client.hasSpareChanges);
   }
 
   /** Writes as much as one transaction takes. */
   async flush(signal: AbortSignal): Promise<void> {
-    const batch = this.collect();
+    // The turn first, then what is written: what changes meanwhile needs no further transaction.
+    const withDeferred = this.client.hasSpareChanges;
+    const reserved = await this.client.reserve(this.wantedChanges(withDeferred), signal);
+    const batch = this.collect(Math.max(LEAST_CHANGES, reserved), withDeferred);
+    this.client.giveBack(reserved - batch.changes.length);
     if (batch.changes.length === 0) return;
+    let isReserved = true;
     for (;;) {
       try {
-        await this.send(batch, signal);
+        await this.send(batch, isReserved, signal);
         return;
       } catch (err) {
         if (err instanceof TermBroken || signal.aborted) throw err;
         if (err instanceof TxnMalformed) throw this.malformed(batch, err);
+        isReserved = false;
         const { runtime } = this.options;
         await sleep(runtime.clock, RETRY_MS + runtime.random() * RETRY_SPREAD_MS, signal);
       }
@@ -97,13 +100,25 @@
     return new TermBroken(err.message);
   }
 
-  private async send(batch: RecordBatch, signal: AbortSignal): Promise<void> {
+  /** How many changes the next transaction is to have, if it may have as many. */
+  private wantedChanges(withDeferred: boolean): number {
+    const { awaitedMachines, machines, jobs } = this.fleet.unrecorded;
+    if (!withDeferred) return awaitedMachines.size + jobs.size;
+    return machines.size + jobs.size + this.jobRecords.obsoleteCount + 1;
+  }
+
+  private async send(batch: RecordBatch, isReserved: boolean, signal: AbortSignal): Promise<void> {
     const changes = batch.changes.map(({ change }) => change);
     const conditions = batch.allConditions();
-    const out = await this.transactions.run(
-      (attempt) => this.client.txn(conditions, changes, false, attempt),
-      signal,
-    );
+    let useReserved = isReserved;
+    const request = (attempt: AbortSignal) => {
+      const txn = useReserved
+        ? this.client.reservedTxn(conditions, changes, attempt)
+        : this.client.txn(conditions, changes, false, attempt);
+      useReserved = false;
+      return txn;
+    };
+    const out = await this.transactions.run(request, signal);
     if (out.ok) {
       for (const change of batch.changes) change.durable(out.revision);
       return;
@@ -149,22 +164,34 @@
     throw new TermBroken(`record ${put.put} is older than the term`);
   }
 
-  private collect(): RecordBatch {
-    const maxChanges = Math.max(LEAST_CHANGES, this.client.txnChanges);
+  /**
+   * First what tasks and users wait for: starts by rank, and ends of jobs. That a task has gone from a machine
+   * is recorded with the next start there, or while changes are to spare: until then a successor finds the
+   * task absent as soon as the machine reports to it.
+   */
+  private collect(maxChanges: number, withDeferred: boolean): RecordBatch {
     const batch = new RecordBatch(this.term, this.removals, this.client.limits, maxChanges);
     this.addJobs(batch, Math.ceil(maxChanges * JOB_SHARE));
-    this.addMachines(batch);
+    this.addMachines(batch, this.awaitedMachines());
     this.addJobs(batch, maxChanges);
-    if (this.mayTidy) this.addRemovals(batch);
+    if (withDeferred) {
+      this.addMachines(batch, [...this.fleet.unrecorded.machines]);
+      this.addRemovals(batch);
+    }
     return batch;
   }
 
-  private addMachines(batch: RecordBatch): void {
-    const { machines } = this.fleet.unrecorded;
-    for (const name of [...machines]) {
+  /** Those whose records starts wait for, the most urgent first. */
+  private awaitedMachines(): string[] {
+    const byRank = [...this.fleet.unrecorded.awaitedMachines];
+    return byRank.sort(([, one], [, other]) => one - other).map(([name]) => name);
+  }
+
+  private addMachines(batch: RecordBatch, names: string[]): void {
+    for (const name of names) {
       const change = this.machineRecords.changeOf(name);
       if (change && !batch.add(change)) return;
-      machines.delete(name);
+      this.fleet.unrecorded.machineTaken(name);
     }
   }
 
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -31,7 +31,7 @@
       throw new Error(`${job.spec.id}/${index} does not wait for a place`);
     }
     const assignment = this.add(job, index, machine, attempt, now);
-    this.tables.unrecorded.machines.add(machine.name);
+    this.tables.unrecorded.awaitMachine(machine.name, job.spec.rank);
     this.tables.jobs.leaveQueueIfNoneWaits(job);
     return assignment;
   }
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -38,7 +38,6 @@
       acceptedAt,
       phase,
       done: new TaskSet(job.tasks),
-      hasUnrecordedProgress: false,
       assignments: new Map(),
       returnedTasks: new Set(),
       scanFrom: 0,
@@ -55,7 +54,7 @@
   /** Notes a final phase. The job's tasks are stopped by the caller. */
   setFinalPhase(job: JobState, phase: 'aborted' | 'done'): void {
     job.phase = phase;
-    job.hasUnrecordedProgress = false;
+    this.unrecorded.jobOver(job.spec.id);
     this.waiting.delete(job);
   }
 
@@ -92,7 +91,7 @@
     if (job.phase !== 'accepted') return;
     if (job.spec.kind === 'gang') job.done.addAll();
     else if (!job.done.add(index)) return;
-    job.hasUnrecordedProgress = true;
+    if (job.done.size < job.spec.tasks) this.unrecorded.taskDone(job.spec.id, index);
     this.unrecorded.jobs.add(job.spec.id);
     this.leaveQueueIfNoneWaits(job);
   }
--- a/packages/core/start-fencing.ts
+++ b/packages/core/start-fencing.ts
@@ -5,6 +5,9 @@
 /** Report periods after which a start that was not acknowledged is fenced off. */
 const FENCE_AFTER_REPORTS = 2;
 
+/** Rank of what goes before all starts. */
+const MOST_URGENT = 0;
+
 /**
  * Direct starts whose answer did not come may arrive at any later time in the same session under the
  * same token. They are fenced off by raising the machine's token to the revision of a new record of it;
@@ -66,7 +69,7 @@
   private fence(machine: Machine): void {
     if (machine.fence !== 'none') return;
     machine.fence = 'requested';
-    this.tables.unrecorded.machines.add(machine.name);
+    this.tables.unrecorded.awaitMachine(machine.name, MOST_URGENT);
   }
 
   /** The machine's record was written at this revision. */
--- a/packages/core/task-reports.test.ts
+++ b/packages/core/task-reports.test.ts
@@ -70,3 +70,26 @@
     assert.equal(fleet.jobs.waitingCount(job), 1, newer);
   }
 });
+
+test('a worker forgets a done task once that is durable, whatever else of its job is not', () => {
+  const { fleet, machine, report } = aMachineWithAttempts();
+  const job = fleet.addJob(aJob({ id: 'j-000002', tasks: 3 }), 0, 'accepted', 0);
+  const done = (index: number): TaskReport => {
+    return { ...RUNNING, job: 'j-000002', index, state: 'exited', cause: 'done' };
+  };
+  for (const index of [0, 1]) {
+    fleet.assignments.assign(job, index, machine, 1, 0).recorded = true;
+  }
+  assert.ok(!report(2, done(0), done(1))?.includes('forget'));
+  fleet.unrecorded.tasksRecorded(job.spec.id, [0]);
+  assert.deepEqual(
+    report(3, done(0), done(1))?.filter((op) => op === 'forget'),
+    ['forget'],
+  );
+  // The end of the whole job is recorded in another place.
+  fleet.assignments.assign(job, 2, machine, 1, 0).recorded = true;
+  fleet.unrecorded.tasksRecorded(job.spec.id, [1]);
+  assert.ok(!report(4, done(2))?.includes('forget'));
+  fleet.closeJob(job, 'done', 2);
+  assert.deepEqual(report(5, done(2)), ['forget']);
+});
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -102,10 +102,17 @@
    * forgotten an attempt would start it again.
    */
   private mayForget(machine: Machine, ref: TaskRef, job: JobState | undefined): boolean {
-    if (job?.hasUnrecordedProgress && job.done.has(ref.index)) return false;
+    if (job && this.isUnrecordedEnd(job, ref.index)) return false;
     return !this.fencing.mayArrive(machine, ref);
   }
 
+  /** The task is done, and a later owner would not know: neither it nor the end of its job is recorded. */
+  private isUnrecordedEnd({ phase, done, spec }: JobState, index: number): boolean {
+    if (phase !== 'accepted' || !done.has(index)) return false;
+    const isAllDone = done.size === spec.tasks;
+    return isAllDone || this.tables.unrecorded.doneTasksOf(spec.id).has(index);
+  }
+
   /** A task of the machine that the worker's report does not list. */
   absent(assignment: Assignment, report: Report, now: number): void {
     const { machine, reported, inherited, startSent, startAnswerSeq } = assignment;
--- a/packages/testing/simulation.ts
+++ b/packages/testing/simulation.ts
@@ -134,7 +134,7 @@
         stored.phase = 'done';
         fleet.closeJob(job, 'done', 0);
       }
-      job.hasUnrecordedProgress = false;
+      fleet.unrecorded.jobOver(id);
     }
     fleet.unrecorded.jobs.clear();
     if (this.fault !== 'order-before-record') {
