Bad input: refusals name field and reason, and an answer to a report stays within its limit

Cause: 400 texts held a path of the schema or a JSON pointer, 422 texts no field at all; and a report that lists as many tasks as fit was answered with an order for each, beyond 64 KiB.

Change: every refusal reads `field: reason` in the protocol's words, with the amount that fits no type; an answer holds up to 400 orders about listed tasks, stops first, and the next report brings the rest.

--- a/packages/controller/http-bodies.ts
+++ b/packages/controller/http-bodies.ts
@@ -40,10 +40,10 @@
 
 /** The map that a body holds; throws MalformedBody. */
 export function readBody(body: unknown): unknown {
-  if (!Buffer.isBuffer(body)) throw new MalformedBody('no body');
+  if (!Buffer.isBuffer(body)) throw new MalformedBody('body: is missing or too long');
   const value = decode(body);
   if (value === null || typeof value !== 'object' || Array.isArray(value)) {
-    throw new MalformedBody('not a map');
+    throw new MalformedBody('body: not a map');
   }
   return value;
 }
--- a/packages/controller/submission-check.ts
+++ b/packages/controller/submission-check.ts
@@ -1,9 +1,12 @@
 import { type TeamQuota, typeFits, withinLimit } from '#core';
 import { encodeJob, jobKey, sizeInJson } from '#store';
-import { type Job, MalformedBody, parseJob } from '#wire';
+import { type Job, JOB_FIELDS, type MachineType, MalformedBody, parseJob } from '#wire';
 import type { ControllerServices } from './services.js';
 import { teamQuotas } from './settings.js';
 
+const NOTHING = { cpus: 0, gpus: 0, memory: 0 };
+const TOO_LONG = 'lane, crew, bundle, rigs, yard: together longer than a record may be';
+
 /** Why a submission is turned away for good. */
 export interface Refusal {
   status: 400 | 422;
@@ -26,7 +29,7 @@
       const job = this.withoutUnknownTypes(parseJob(raw));
       const error = this.whyNever(job);
       if (error !== null) return { refusal: { status: 422, error } };
-      if (!this.fitsRecord(job)) return { refusal: { status: 400, error: 'texts are too long' } };
+      if (!this.fitsRecord(job)) return { refusal: { status: 400, error: TOO_LONG } };
       return { job };
     } catch (err) {
       if (!(err instanceof MalformedBody)) throw err;
@@ -44,17 +47,9 @@
   /** Why a job can never run, or null. */
   private whyNever(job: Job): string | null {
     const quota = this.teams.get(job.team);
-    if (!quota) return 'unknown team';
-    const tasksAtOnce = job.kind === 'array' ? 1 : job.tasks;
-    const need = { cpus: job.cpus * tasksAtOnce, gpus: job.gpus * tasksAtOnce, memory: 0 };
-    if (!withinLimit(quota, { cpus: 0, gpus: 0, memory: 0 }, need)) {
-      return "more than the team's limit";
-    }
+    if (!quota) return `${JOB_FIELDS.team}: unknown team`;
     const types = this.services.types.all();
-    if (types.length > 0 && !types.some((type) => typeFits(job, type))) {
-      return 'a task fits no allowed machine type';
-    }
-    return null;
+    return whyBeyondLimit(job, quota) ?? (types.length > 0 ? whyNoTypeFits(job, types) : null);
   }
 
   private fitsRecord(job: Job): boolean {
@@ -62,3 +57,28 @@
     return sizeInJson([{ put: jobKey(job.id), value }]) <= this.services.client.limits.valueBytes;
   }
 }
+
+/** Why the job needs more than its team's limit, or null: of an array one task at a time, else all tasks. */
+function whyBeyondLimit(job: Job, quota: TeamQuota): string | null {
+  const tasksAtOnce = job.kind === 'array' ? 1 : job.tasks;
+  for (const amount of ['cpus', 'gpus'] as const) {
+    const need = job[amount] * tasksAtOnce;
+    if (withinLimit(quota, NOTHING, { ...NOTHING, [amount]: need })) continue;
+    const fields = tasksAtOnce > 1 ? `${JOB_FIELDS.tasks}, ` : '';
+    return `${fields}${JOB_FIELDS[amount]}: ${need} at once is more than the team's limit`;
+  }
+  return null;
+}
+
+/** Why a task fits no allowed machine type, or null. */
+function whyNoTypeFits(job: Job, types: MachineType[]): string | null {
+  if (types.some((type) => typeFits(job, type))) return null;
+  const named = types.filter(({ name }) => job.types === null || job.types.includes(name));
+  if (named.length === 0) return `${JOB_FIELDS.types}: no such machine type`;
+  const allowed = named.filter(({ zones }) => job.zone === null || zones.includes(job.zone));
+  if (allowed.length === 0) return `${JOB_FIELDS.zone}: no allowed machine type is in this zone`;
+  const amounts = ['cpus', 'gpus', 'memory'] as const;
+  const short = amounts.filter((amount) => allowed.every((type) => type[amount] < job[amount]));
+  const fields = (short.length > 0 ? short : amounts).map((amount) => JOB_FIELDS[amount]);
+  return `${fields.join(', ')}: a task fits no allowed machine type`;
+}
--- a/packages/core/report-handler.ts
+++ b/packages/core/report-handler.ts
@@ -15,6 +15,12 @@
 
 const LATE_COPY: ReportOutcome = { kind: 'late-copy' };
 
+/**
+ * Orders of one answer about tasks that a report lists: with the starts of a full machine they stay
+ * within what an answer may hold. The rest follows the next report, which lists what is left.
+ */
+const MAX_LISTED_ORDERS = 400;
+
 /** Takes workers' reports in. */
 export class ReportHandler {
   private readonly delivery: DeliverySettings;
@@ -99,10 +105,18 @@
 
   private takeTasks(machine: Machine, report: Report, now: number): Order[] {
     const listed = new Set(report.tasks.map((task) => taskName(task.job, task.index)));
-    const orders = this.tasks.allListed(machine, report.tasks, now);
+    const orders = mostUrgent(this.tasks.allListed(machine, report.tasks, now));
     for (const [name, assignment] of [...machine.tasks]) {
       if (!listed.has(name)) this.tasks.absent(assignment, report, now);
     }
     return orders;
   }
 }
+
+/** As many as one answer takes: what is to be stopped before what is to be forgotten. */
+function mostUrgent(orders: Order[]): Order[] {
+  if (orders.length <= MAX_LISTED_ORDERS) return orders;
+  const stops = orders.filter(({ op }) => op === 'stop');
+  const others = orders.filter(({ op }) => op !== 'stop');
+  return [...stops, ...others].slice(0, MAX_LISTED_ORDERS);
+}
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -1,3 +1,4 @@
+import type { ErrorObject } from 'ajv';
 import { MalformedBody } from './cbor.js';
 import { compileSchema } from './schema.js';
 
@@ -122,10 +123,7 @@
 
 /** Reads a submission, or throws MalformedBody naming the field. */
 export function parseJob(raw: unknown): Job {
-  if (!valid(raw)) {
-    const first = valid.errors?.[0];
-    throw new MalformedBody(`${first?.instancePath || 'body'} ${first?.message ?? 'invalid'}`);
-  }
+  if (!valid(raw)) throw new MalformedBody(whyInvalid(valid.errors?.[0]));
   return {
     id: raw.id,
     class: raw.lane,
@@ -150,6 +148,28 @@
   };
 }
 
+/** Names the field and what is wrong with it. */
+function whyInvalid(error: ErrorObject | undefined): string {
+  if (!error) return 'body: is invalid';
+  const path = error.instancePath.slice(1).replaceAll('/', '.');
+  if (error.keyword === 'required') return `${String(error.params.missingProperty)}: is missing`;
+  if (error.keyword === 'enum') {
+    return `${path}: must be one of ${(error.params.allowedValues as string[]).join(', ')}`;
+  }
+  return `${path || 'body'}: ${error.message ?? 'is invalid'}`;
+}
+
+/** The fields that decide whether a job can run, as its user knows them. */
+export const JOB_FIELDS = {
+  team: 'crew',
+  tasks: 'pieces',
+  cpus: 'cores',
+  gpus: 'accelerators',
+  memory: 'ramGb',
+  types: 'rigs',
+  zone: 'yard',
+} as const;
+
 /** The protocol's form of a job; what a client submits. */
 export function jobToWire(job: Job): Record<string, unknown> {
   return {
