--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { PeerLink } from '#peer';
 import { CloudClient, type Runtime } from '#wire';
+import { Admission } from './admission.js';
 import { CancellationRelay } from './cancellation-relay.js';
 import type { Entitlement } from './entitlement.js';
 import { makeHttpServer } from './http-interface.js';
@@ -39,6 +40,7 @@
   private readonly standby: StandbyRenewal;
   private readonly terms: OwnerTerms;
   private readonly lag: LagMonitor;
+  private readonly admission: Admission;
   private readonly vitals: Vitals;
   private readonly metrics: MetricsEndpoint;
   private readonly unownedReports: UnownedReports;
@@ -69,10 +71,11 @@
     const judging = { ...this.services, statuses: this.statuses, limits };
     this.entitlement = new OwnerEntitlement(judging);
     this.standby = new StandbyRenewal(judging);
+    this.admission = new Admission({ ...this.services, reportS: this.reportS });
     this.vitals = this.makeVitals();
     this.metrics = this.makeMetrics();
     this.terms = this.makeOwnerTerms();
-    this.lag = new LagMonitor(clock);
+    this.lag = new LagMonitor(runtime);
     this.unownedReports = new UnownedReports(clock, this.reportS);
     this.coordinator = this.makePeerCoordinator();
     this.httpServer = this.makeHttpServer();
@@ -172,6 +175,7 @@
       reportS: this.reportS,
       vitals: this.vitals,
       client: this.state.client,
+      admission: this.admission,
       owner: () => this.owner(),
     });
   }
@@ -192,7 +196,7 @@
 
   private makeHttpServer(): HttpServer {
     const { services, statuses, cancellationRelay, standby, unownedReports } = this;
-    const { vitals, metrics, lag, sockets } = this;
+    const { vitals, metrics, lag, admission, sockets } = this;
     return makeHttpServer({
       services,
       maxConnections: sockets.server,
@@ -203,6 +207,7 @@
       vitals,
       metrics,
       lag,
+      admission,
       entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
     });
   }
--- a/packages/controller/http-interface.ts
+++ b/packages/controller/http-interface.ts
@@ -1,4 +1,5 @@
 import { parseHostPort } from '#wire';
+import type { Admission } from './admission.js';
 import type { CancellationRelay } from './cancellation-relay.js';
 import { HealthEndpoint } from './health-endpoint.js';
 import { HttpServer } from './http-server.js';
@@ -26,6 +27,7 @@
   vitals: Vitals;
   metrics: MetricsEndpoint;
   lag: LagMonitor;
+  admission: Admission;
   /** Null while no owner here may answer workers. */
   entitledOwner: () => PartOwner | null;
 }
@@ -56,7 +58,7 @@
 }
 
 function makeUserApi(options: HttpInterfaceOptions, crowded: () => boolean): UserApi {
-  const { services, vitals, metrics, lag, cancellationRelay } = options;
+  const { services, vitals, metrics, lag, admission, cancellationRelay } = options;
   const { runtime, client, commits, jobs, types } = services;
   return new UserApi({
     clock: runtime.clock,
@@ -69,7 +71,8 @@
       vitals.questions++;
       return metrics.timeQuestion(kind);
     },
-    overloaded: () => lag.overloaded,
+    admission,
+    overloadedForS: () => lag.overloadedForS,
     onAbort: (job) => cancellationRelay.request(job),
     crowded,
   });
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -83,9 +83,8 @@
     this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, term: this.term, log: this.log } = options);
     const listener = fleetListener(() => this.planner, log);
-    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener, () =>
-      runtime.random(),
-    );
+    const random = () => runtime.random();
+    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener, random);
     this.planner = makePlanner(settings, this.fleet);
     this.scheduler = makeScheduler(settings, this.fleet);
     const reportS = settings.deployment.workers.report_s;
@@ -93,13 +92,8 @@
     const { clock, fleet, planner } = this;
     this.recorder = new Recorder({ ...options, fleet, reportS });
     this.intake = new JobIntake({ ...options, clock, fleet, planner });
-    const { unrecorded } = this.intake;
-    this.cancellationRecorder = new CancellationRecorder({
-      ...options,
-      clock,
-      unrecorded,
-      reportS,
-    });
+    const cancellations = { clock, unrecorded: this.intake.unrecorded, reportS };
+    this.cancellationRecorder = new CancellationRecorder({ ...options, ...cancellations });
     this.direct = new DirectCommands({
       runtime,
       fleet: this.fleet,
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -44,7 +44,6 @@
       acceptedAt,
       phase,
       done: new TaskSet(job.tasks),
-      hasUnrecordedProgress: false,
       assignments: new Map(),
       returnedTasks: new Set(),
       scanFrom: 0,
@@ -63,7 +62,7 @@
   /** Notes a final phase. The job's tasks are stopped by the caller. */
   setFinalPhase(job: JobState, phase: 'aborted' | 'done'): void {
     job.phase = phase;
-    job.hasUnrecordedProgress = false;
+    this.unrecorded.jobOver(job.spec.id);
     this.waiting.delete(job);
     this.ended.add(job);
   }
@@ -116,8 +115,8 @@
     if (job.phase !== 'accepted') return;
     if (job.spec.kind === 'gang') job.done.addAll();
     else if (!job.done.add(index)) return;
-    job.hasUnrecordedProgress = true;
     this.countsChanged(job);
+    if (job.done.size < job.spec.tasks) this.unrecorded.taskDone(job.spec.id, index);
     this.unrecorded.jobs.add(job.spec.id);
     this.leaveQueueIfNoneWaits(job);
   }
--- a/packages/testing/owner-model/recorder.ts
+++ b/packages/testing/owner-model/recorder.ts
@@ -36,7 +36,7 @@
       record.phase = 'done';
       fleet.closeJob(job, 'done', 0);
     }
-    job.hasUnrecordedProgress = false;
+    fleet.unrecorded.jobOver(id);
   }
 
   private recordMachine(name: string): void {
