Owner: all workers silent at once are a cut, and the part is given up before they give up

Cause: an owner that lost its workers alone gave its part up only once its peers heard workers ask for it.

Ruled out: the take-over itself (0.5 s), a silent and a frozen controller by themselves, processor time.

Change: an owner that is awake and has not heard any of its confirmed workers for two report periods gives the part up, if a peer is there that the state service serves. A new owner that no worker has found does not.

--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -9,6 +9,7 @@
 import type { StandbyRenewal } from './standby-renewal.js';
 import type { StatusExchange } from './status-exchange.js';
 import { HEARD_PERIODS, type UnownedReports } from './unowned-reports.js';
+import { WorkerSilence } from './worker-silence.js';
 
 /** Rounds of status in a report period. */
 const STATUS_ROUNDS = 2;
@@ -44,10 +45,13 @@
 export class PeerCoordinator {
   private readonly clock: Clock;
   private readonly reportS: number;
+  private readonly workerSilence: WorkerSilence;
 
   constructor(private readonly options: PeerCoordinatorOptions) {
     this.clock = options.runtime.clock;
     this.reportS = options.settings.deployment.workers.report_s;
+    const lookS = this.reportS / STATUS_ROUNDS;
+    this.workerSilence = new WorkerSilence({ reportS: this.reportS, lookS });
   }
 
   receive(from: string, frame: Frame): void {
@@ -136,20 +140,32 @@
   private yieldIfCut(): void {
     const { settings, client, ownership, log } = this.options;
     const owner = this.options.owner();
+    if (!owner?.ready) return;
     const now = this.clock.now();
-    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
-    // owner that none of them ever reaches would let all their leases run out.
-    if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return;
+    const allSilent = this.workerSilence.look(owner.fleet, now);
     // While the state service refuses us, nobody can take the part over that we give up.
     if (client.failing) return;
     const { machines, heard } = countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
     const heardByPeers = this.countHeardByPeers(now);
-    if (!cutFromWorkers(machines, heard, heardByPeers)) return;
+    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
+    // owner that none of them ever reaches would let all their leases run out.
+    const settled = now - owner.startedAt >= (HEARD_PERIODS + 1) * this.reportS;
+    const askElsewhere = settled && cutFromWorkers(machines, heard, heardByPeers);
+    if (!askElsewhere && !(allSilent && this.hasSuccessor(now))) return;
     const term = owner.term.term;
-    log.info({ term, machines, heard, heardByPeers }, 'cut from the workers');
+    log.info({ term, machines, heard, heardByPeers, allSilent }, 'cut from the workers');
     ownership.resign(settings.deployment.workers.lease_s);
   }
 
+  /** A peer is there that the state service serves, and that can take the part over. */
+  private hasSuccessor(now: number): boolean {
+    const statuses = this.options.statuses.statuses();
+    return statuses.some(
+      (peer) =>
+        peer !== null && this.isCurrent(peer, now) && peer.frame.loaded && !peer.frame.refused,
+    );
+  }
+
   /** Workers that lately reported to peers, which do not own. */
   private countHeardByPeers(now: number): number {
     const { statuses } = this.options;
--- /dev/null
+++ b/packages/testing/on-call/silent-workers.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { CutMode, Fault, ScenarioResult } from '../simulation/index.js';
+import {
+  killedTasks,
+  machinesUp,
+  playMeeting,
+  reportsAnswered,
+  tasksRunningAt,
+} from '../meetings/run-queries.js';
+import { BUSY_FROM_S, LEASE_S, REPORT_S, steadyScenario } from '../meetings/steady-work.js';
+
+const BEGIN_S = BUSY_FROM_S;
+const CUT_S = 35;
+const LENGTH_S = BEGIN_S + CUT_S + 20;
+/** A worker waits so long for the answer to a report. */
+const WORKER_PATIENCE_S = 4;
+
+function leaderCutFromWorkers(mode: CutMode): Fault {
+  const span = { atS: BEGIN_S, forS: CUT_S };
+  return { kind: 'controller-cut', ...span, controllers: 'leader', from: ['workers'], mode };
+}
+
+/** The leader lost its workers and nothing else, and had work on several machines. */
+function assertLost(result: ScenarioResult) {
+  const [{ leader, fromS, untilS }] = result.faults.of('controller-cut');
+  assert.ok(leader, 'nobody led');
+  assert.equal(reportsAnswered(result, leader.owner, fromS + 0.5, untilS), 0);
+  assert.ok(machinesUp(result, fromS, fromS).length >= 2);
+  assert.ok(tasksRunningAt(result, fromS) >= 10);
+  return { leader, fromS, untilS };
+}
+
+test('work lives on when the leader loses all its workers, which wait for its answers', async () => {
+  const modes: CutMode[] = ['drop', 'hold', 'refuse'];
+  for (const [index, mode] of modes.entries()) {
+    const scenario = steadyScenario(`no workers (${mode})`, LENGTH_S, [leaderCutFromWorkers(mode)]);
+    await playMeeting(scenario, [1 + 2 * index, 2 + 2 * index], (result) => {
+      const { leader, fromS, untilS } = assertLost(result);
+      const successor = result.leaders.find(({ term }) => term > leader.term);
+      assert.ok(successor, 'nobody took over');
+      assert.ok(successor.atS < fromS + WORKER_PATIENCE_S, `taken over at ${successor.atS} s`);
+      assert.notEqual(successor.owner, leader.owner);
+      assert.deepEqual(killedTasks(result, fromS, untilS + LEASE_S), []);
+      assert.ok(tasksRunningAt(result, untilS) >= 10);
+    });
+  }
+});
+
+test('work lives on when the leader loses all its workers while another controller is silent', async () => {
+  const faults: Fault[] = [
+    {
+      kind: 'controller-crash',
+      atS: BEGIN_S - 5,
+      controllers: 'one-follower',
+      downS: CUT_S,
+      silent: true,
+    },
+    leaderCutFromWorkers('drop'),
+  ];
+  await playMeeting(steadyScenario('one is silent', LENGTH_S, faults), [1, 2, 3], (result) => {
+    const { leader, fromS, untilS } = assertLost(result);
+    const [crash] = result.faults.of('controller-crash');
+    const others = result.controllers.map(({ name }) => name);
+    const left = others.filter((name) => name !== leader.owner && name !== crash.controllers[0]);
+    assert.equal(left.length, 1);
+    assert.ok(reportsAnswered(result, left[0], fromS, untilS) > LEASE_S);
+    assert.deepEqual(killedTasks(result, fromS, untilS), []);
+  });
+});
+
+test('a leader whose workers nobody can reach hands the part over at most once', async () => {
+  const cutS = 25;
+  const faults: Fault[] = [
+    {
+      kind: 'machine-cut',
+      atS: BEGIN_S,
+      forS: cutS,
+      machines: { share: 1 },
+      mode: 'drop',
+    },
+  ];
+  const scenario = steadyScenario('nobody is reached', BEGIN_S + cutS + 30, faults);
+  await playMeeting(scenario, [1, 2], (result) => {
+    const [{ fromS, untilS, machines }] = result.faults.of('machine-cut');
+    assert.ok(machines.length >= 2);
+    const changes = result.leaders.filter(({ atS }) => atS > fromS && atS < untilS);
+    assert.ok(changes.length <= 1, `${changes.length} changes`);
+    assert.ok(tasksRunningAt(result, untilS + 2 * LEASE_S) >= 5);
+  });
+});
+
+test('a leader that stood still does not take its workers for silent', async () => {
+  const frozenS = 2.2 * REPORT_S;
+  const faults: Fault[] = [0, 8, 16].map((laterS) => ({
+    kind: 'controller-freeze',
+    atS: BEGIN_S + laterS,
+    controllers: 'leader',
+    forS: frozenS,
+  }));
+  await playMeeting(steadyScenario('stands still', BEGIN_S + 50, faults), [1, 2], (result) => {
+    const freezes = result.faults.of('controller-freeze');
+    assert.equal(freezes.length, 3);
+    const given = result.controllers.flatMap(({ log }) => log.entries('cut from the workers'));
+    assert.deepEqual(given, []);
+    assert.deepEqual(killedTasks(result, BEGIN_S, BEGIN_S + 50), []);
+  });
+});
