Reports: workers are not sent to an owner that is silent or hears none of them

Their reports waited 4 s for an answer; the next controller sent them back to the same leader, where they waited once more, and their leases ran out while the successor (term from 409.8 s) already led.

Ruled out: reading the records (0.4 s), the wait for the grant (the leader gave the part up), processor time.

Change: status frames say whether their sender owns but hears next to none of its workers; a controller that does not own answers 503 instead of naming an owner that says so, or that has fallen silent while other peers are heard, so that the worker tries the next controller a second later.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -248,6 +248,8 @@
       ...this.services,
       entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
       standby: this.standby,
+      statuses: this.statuses,
+      silenceS: SILENCE_PERIODS * this.reportS,
       unownedReports: this.unownedReports,
       vitals: this.vitals,
     });
--- a/packages/controller/entitlement.test.ts
+++ b/packages/controller/entitlement.test.ts
@@ -27,6 +27,7 @@
       owner: false,
       mayOwn: false,
       holder: { term: TERM, name: 'c-0' },
+      unheard: false,
       unownedReports: 0,
       jobsRevision: 100,
       cancelledSince: 100,
--- a/packages/controller/entitlement.ts
+++ b/packages/controller/entitlement.ts
@@ -80,10 +80,15 @@
   return reachable && servedSince && !peer.frame.refused;
 }
 
+/** Of the machines that should report, an owner lately heard so few that most can't reach it. */
+export function hearsNextToNone(machines: number, heard: number): boolean {
+  return heard < machines / 8;
+}
+
 /**
  * An owner that its workers can't reach holds its term while all their leases run out. It hears next to
  * none of the machines that should report, and its peers hear some of those ask for it.
  */
 export function cutFromWorkers(machines: number, heard: number, heardByPeers: number): boolean {
-  return heard < machines / 8 && heardByPeers > Math.max(heard, machines / 16);
+  return hearsNextToNone(machines, heard) && heardByPeers > Math.max(heard, machines / 16);
 }
--- /dev/null
+++ b/packages/controller/owner-reach.test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { mayReachOwner } from './owner-reach.js';
+import type { PeerStatus } from './peer-status.js';
+
+const NOW = 30;
+const SILENCE_S = 2;
+
+function statusAt(heardAt: number, unheard = false): PeerStatus {
+  const frame = { unheard } as PeerStatus['frame'];
+  return { heardAt, asOf: heardAt, servedAt: heardAt, frame };
+}
+
+function mayReach(owner: PeerStatus | null, ...others: (PeerStatus | null)[]): boolean {
+  return mayReachOwner({ now: NOW, owner, peers: [owner, ...others], silenceS: SILENCE_S });
+}
+
+test('workers are sent to an owner that is heard, or of which nothing is known yet', () => {
+  assert.ok(mayReach(statusAt(29), statusAt(29)));
+  assert.ok(mayReach(null, statusAt(29)));
+});
+
+test('workers are not sent to an owner that has fallen silent or hears none of them', () => {
+  assert.ok(!mayReach(statusAt(20), statusAt(29)));
+  assert.ok(!mayReach(statusAt(29, true), statusAt(29)));
+});
+
+test('a controller that hears no peer sends workers to the owner all the same', () => {
+  assert.ok(mayReach(statusAt(20), statusAt(20), null));
+});
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -1,7 +1,7 @@
 import type { Frame, PeerLink } from '#peer';
 import { type Clock, pause } from '#wire';
 import type { CancellationRelay } from './cancellation-relay.js';
-import { cutFromWorkers } from './entitlement.js';
+import { cutFromWorkers, hearsNextToNone } from './entitlement.js';
 import { countHeard } from './fleet-summary.js';
 import type { PartOwner } from './owner.js';
 import type { PeerStatus } from './peer-status.js';
@@ -91,6 +91,7 @@
       owner: owner() !== null,
       mayOwn: ownership.mayOwn,
       holder: ownership.newestHolder,
+      unheard: this.isUnheard(now),
       unownedReports: unownedReports.count(),
       jobsRevision: jobs.cache.completeTo,
     };
@@ -132,17 +133,31 @@
     ownership.resign();
   }
 
+  /**
+   * How many machines should report to the owner and how many did lately; null if nothing is owned here. After a
+   * take-over the workers need some time to find us; a whole lease of it is too long, since an owner that none of
+   * them ever reaches would let all their leases run out.
+   */
+  private heardWorkers(now: number): { machines: number; heard: number } | null {
+    const owner = this.options.owner();
+    if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return null;
+    return countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
+  }
+
+  private isUnheard(now: number): boolean {
+    const workers = this.heardWorkers(now);
+    return workers !== null && hearsNextToNone(workers.machines, workers.heard);
+  }
+
   /** Leaves the part to a controller that the workers can reach. */
   private yieldIfCut(): void {
     const { settings, client, ownership, log } = this.options;
     const owner = this.options.owner();
     const now = this.clock.now();
-    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
-    // owner that none of them ever reaches would let all their leases run out.
-    if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return;
+    const workers = this.heardWorkers(now);
     // While the state service refuses us, nobody can take the part over that we give up.
-    if (client.failing) return;
-    const { machines, heard } = countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
+    if (owner === null || workers === null || client.failing) return;
+    const { machines, heard } = workers;
     const heardByPeers = this.countHeardByPeers(now);
     if (!cutFromWorkers(machines, heard, heardByPeers)) return;
     const term = owner.term.term;
--- a/packages/controller/peer-status.test.ts
+++ b/packages/controller/peer-status.test.ts
@@ -17,6 +17,7 @@
     owner: false,
     mayOwn: false,
     holder: { term: 0, name: '' },
+    unheard: false,
     unownedReports: 0,
     jobsRevision: 0,
     cancelledSince: 0,
--- a/packages/controller/report-handler.ts
+++ b/packages/controller/report-handler.ts
@@ -8,22 +8,27 @@
   type Report,
 } from '#wire';
 import { readBody, reply } from './http-bodies.js';
+import { mayReachOwner } from './owner-reach.js';
 import type { PartOwner } from './owner.js';
 import type { ControllerServices } from './services.js';
 import { WorkerConnections } from './sockets.js';
 import type { StandbyRenewal } from './standby-renewal.js';
+import type { StatusExchange } from './status-exchange.js';
 import type { UnownedReports } from './unowned-reports.js';
 import type { Vitals } from './vitals.js';
 
 /** A token that every worker drops. */
 const NO_TOKEN = 0;
 
-type Services = Pick<ControllerServices, 'settings' | 'jobs' | 'ownership' | 'log'>;
+type Services = Pick<ControllerServices, 'runtime' | 'settings' | 'jobs' | 'ownership' | 'log'>;
 
 export interface ReportHandlerOptions extends Services {
   /** The owner of the present term if it may answer workers now. */
   entitledOwner: () => PartOwner | null;
   standby: StandbyRenewal;
+  statuses: StatusExchange;
+  /** A controller that was not heard for this long is out of reach. */
+  silenceS: number;
   unownedReports: UnownedReports;
   vitals: Vitals;
 }
@@ -72,9 +77,19 @@
     const { settings, ownership, unownedReports } = this.options;
     unownedReports.note(report.machine);
     const { holder } = ownership;
-    if (holder && holder.owner !== settings.host_name)
-      reply(res, 421, redirectToWire(holder.owner));
-    else reply(res, 503, { error: 'no owner yet' });
+    if (!holder || holder.owner === settings.host_name) reply(res, 503, { error: 'no owner yet' });
+    else if (this.mayReach(holder.owner)) reply(res, 421, redirectToWire(holder.owner));
+    else reply(res, 503, { error: 'the owner is out of reach' });
+  }
+
+  private mayReach(owner: string): boolean {
+    const { runtime, statuses, silenceS } = this.options;
+    return mayReachOwner({
+      now: runtime.clock.now(),
+      owner: statuses.statusOf(owner),
+      peers: statuses.statuses(),
+      silenceS,
+    });
   }
 
   /**
--- a/packages/controller/status-exchange.ts
+++ b/packages/controller/status-exchange.ts
@@ -11,6 +11,7 @@
   | 'owner'
   | 'mayOwn'
   | 'holder'
+  | 'unheard'
   | 'unownedReports'
   | 'jobsRevision'
 >;
--- a/packages/peer/frames.ts
+++ b/packages/peer/frames.ts
@@ -37,6 +37,8 @@
   mayOwn: boolean;
   /** Newest owner of the part that the sender has seen; term 0 if none. */
   holder: { term: number; name: string };
+  /** The sender owns the part but hears next to none of the workers that should report to it. */
+  unheard: boolean;
   /** How many workers lately reported to the sender though it does not own. */
   unownedReports: number;
   /** Revision up to which the sender's cache of the jobs is complete. */
@@ -103,7 +105,7 @@
 function writeStatus(out: PayloadWriter, frame: StatusFrame): void {
   const { echo, holder } = frame;
   out.u64(frame.life).u32(frame.sequence);
-  out.flags(frame.refused, frame.loaded, frame.owner, frame.mayOwn, echo !== null);
+  out.flags(frame.refused, frame.loaded, frame.owner, frame.mayOwn, echo !== null, frame.unheard);
   if (echo) out.u64(echo.life).u32(echo.sequence);
   out.u32(frame.servedAgoMs).u32(frame.unownedReports);
   out.u64(holder.term).text(holder.name);
@@ -170,6 +172,7 @@
     loaded: flag(1),
     owner: flag(2),
     mayOwn: flag(3),
+    unheard: flag(5),
     servedAgoMs: payload.u32(),
     unownedReports: payload.u32(),
     holder: { term: payload.u64(), name: payload.text() },
--- /dev/null
+++ b/packages/testing/on-call/leader-cut-from-workers.test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { killedTasks, playMeeting, tasksRunningAt } from '../meetings/run-queries.js';
+import { BUSY_FROM_S, LEASE_S, steadyScenario } from '../meetings/steady-work.js';
+import type { CutMode, Fault } from '../simulation/index.js';
+
+const CUT_S = 35;
+
+for (const mode of ['refuse', 'hold', 'drop'] satisfies CutMode[]) {
+  test(`work lives though the leader loses its workers alone (${mode})`, async () => {
+    const faults: Fault[] = [
+      {
+        kind: 'controller-cut',
+        atS: BUSY_FROM_S,
+        forS: CUT_S,
+        controllers: 'leader',
+        from: ['workers'],
+        mode,
+      },
+    ];
+    const scenario = steadyScenario(`cut from workers (${mode})`, BUSY_FROM_S + 60, faults);
+    await playMeeting(scenario, [1, 2, 3], ({ faults, leaders, ...result }) => {
+      const [cut] = faults.of('controller-cut');
+      const successor = leaders.find(({ term }) => term > cut.leader!.term);
+      assert.ok(successor && successor.atS < cut.fromS + LEASE_S, 'nobody took over in time');
+      assert.notEqual(successor.owner, cut.leader!.owner);
+      const whole = { faults, leaders, ...result };
+      assert.ok(tasksRunningAt(whole, cut.fromS) >= 10, 'little ran');
+      assert.deepEqual(killedTasks(whole, cut.fromS, cut.untilS + LEASE_S), []);
+    });
+  });
+}
--- a/packages/testing/ownership/node.ts
+++ b/packages/testing/ownership/node.ts
@@ -108,6 +108,7 @@
       owner: this.judge !== null,
       mayOwn: this.judge !== null,
       holder,
+      unheard: false,
       unownedReports: 0,
       jobsRevision,
       cancelledSince: list.since,
--- a/packages/testing/wire.test.ts
+++ b/packages/testing/wire.test.ts
@@ -171,6 +171,7 @@
       loaded: fc.boolean(),
       owner: fc.boolean(),
       mayOwn: fc.boolean(),
+      unheard: fc.boolean(),
       holder: record({ term: u53, name }),
       unownedReports: u32,
       jobsRevision: u53,
