Ownership: who would strand its workers claims after the others

Cause: a worker that loses its leader waits 4 s for an answer there and again at the next controller; with both silent its lease is over.

Ruled out: a faster take-over (the part was free 2.6 s after the standstill, but the workers were waiting).

Change: a controller whose next one is silent while others are heard leaves a part that has become free to the others for an eighth of a grant's life. The order is that of the names' numbers, an assumption that only a preference rests on.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -9,6 +9,7 @@
 import type { Log } from './log.js';
 import { MetricsEndpoint } from './metrics-endpoint.js';
 import { OwnerEntitlement } from './owner-entitlement.js';
+import { leavesWorkersStranded, nextForWorkers } from './owner-reach.js';
 import { OwnerTerms } from './owner-terms.js';
 import type { PartOwner } from './owner.js';
 import { PeerCoordinator } from './peer-coordinator.js';
@@ -63,7 +64,7 @@
     this.reportS = workers.report_s;
     this.sockets = socketShares(limits.sockets, settings.peers.length);
     this.state = accessState(runtime, settings, () => this.owner() !== null);
-    this.services = makeServices(runtime, settings, log, this.state);
+    this.services = makeServices(runtime, settings, log, this.state, () => this.hesitates());
     const cloudTimeoutMs = CLOUD_TIMEOUT * this.reportS * 1000;
     this.cloud = new CloudClient(runtime, settings.external.cloud, cloudTimeoutMs);
     this.cancellationRelay = new CancellationRelay({
@@ -143,6 +144,18 @@
     return this.entitlement.of(this.owner());
   }
 
+  /** Others should own: the controller that our workers would try after us is silent, and others are not. */
+  private hesitates(): boolean {
+    const { host_name, peers } = this.settings;
+    const names = peers.map((peer) => peer.host_name);
+    const next = nextForWorkers(host_name, names);
+    return leavesWorkersStranded(next === null ? null : this.statuses.statusOf(next), {
+      now: this.runtime.clock.now(),
+      peers: this.statuses.statuses(),
+      silenceS: SILENCE_PERIODS * this.reportS,
+    });
+  }
+
   private makePeerLink(): PeerLink {
     const { host_name, cluster_listen, peers } = this.settings;
     return new PeerLink({
--- a/packages/controller/owner-reach.test.ts
+++ b/packages/controller/owner-reach.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { mayReachOwner } from './owner-reach.js';
+import { leavesWorkersStranded, mayReachOwner, nextForWorkers } from './owner-reach.js';
 import type { PeerStatus } from './peer-status.js';
 
 const NOW = 30;
@@ -28,3 +28,19 @@
 test('a controller that hears no peer sends workers to the owner all the same', () => {
   assert.ok(mayReach(statusAt(20), statusAt(20), null));
 });
+
+test('workers try the controller with the next number, and after the last the first', () => {
+  const peers = ['c-2', 'c-10', 'c-1'];
+  assert.equal(nextForWorkers('c-9', peers), 'c-10');
+  assert.equal(nextForWorkers('c-12', peers), 'c-1');
+  assert.equal(nextForWorkers('c-0', []), null);
+});
+
+test('others should own if the next controller for our workers is silent', () => {
+  const view = { now: NOW, peers: [statusAt(20), statusAt(29)], silenceS: SILENCE_S };
+  assert.ok(leavesWorkersStranded(statusAt(20), view));
+  assert.ok(leavesWorkersStranded(null, view));
+  assert.ok(!leavesWorkersStranded(statusAt(29), view));
+  const alone = { ...view, peers: [statusAt(20), null] };
+  assert.ok(!leavesWorkersStranded(statusAt(20), alone), 'nobody else is heard');
+});
--- a/packages/controller/owner-reach.ts
+++ b/packages/controller/owner-reach.ts
@@ -1,5 +1,10 @@
 import type { PeerStatus } from './peer-status.js';
 
+/** Whether a controller is heard now; steady seconds. */
+function isHeard(peer: PeerStatus | null, now: number, silenceS: number): boolean {
+  return peer !== null && now - peer.heardAt <= silenceS;
+}
+
 /** The owner of the part as another controller knows it; steady seconds. */
 export interface OwnerReachView {
   now: number;
@@ -18,8 +23,34 @@
  */
 export function mayReachOwner({ now, owner, peers, silenceS }: OwnerReachView): boolean {
   if (owner === null) return true;
-  const isHeard = (peer: PeerStatus | null) => peer !== null && now - peer.heardAt <= silenceS;
-  if (isHeard(owner)) return !owner.frame.unheard;
+  if (isHeard(owner, now, silenceS)) return !owner.frame.unheard;
   // Cut off from all peers, this controller can't tell whether the owner is silent for others too.
-  return !peers.some(isHeard);
+  return !peers.some((peer) => isHeard(peer, now, silenceS));
+}
+
+/**
+ * The controller that workers try after this one, when it does not answer them; null if it has no peers. Workers
+ * are taken to know the controllers in the order of their names' numbers, which the protocol does not promise.
+ */
+export function nextForWorkers(self: string, peers: readonly string[]): string | null {
+  if (peers.length === 0) return null;
+  const names = [self, ...peers].sort(inNumberedOrder);
+  return names[(names.indexOf(self) + 1) % names.length];
+}
+
+/** Shorter names first, so that `c-10` comes after `c-9`. */
+function inNumberedOrder(one: string, other: string): number {
+  return one.length - other.length || (one < other ? -1 : 1);
+}
+
+/**
+ * Whether the workers of an owner would lose their leases if it fell silent: they wait for an answer there, and then
+ * once more at the next controller, which is silent already. Others should own rather than this controller.
+ */
+export function leavesWorkersStranded(
+  next: PeerStatus | null,
+  { now, peers, silenceS }: Omit<OwnerReachView, 'owner'>,
+): boolean {
+  if (isHeard(next, now, silenceS)) return false;
+  return peers.some((peer) => isHeard(peer, now, silenceS));
 }
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -29,11 +29,13 @@
   cancellations: Cancellations;
 }
 
+/** `hesitates` tells whether others should rather own than this controller. */
 export function makeServices(
   runtime: Runtime,
   settings: Settings,
   log: Log,
   { client, world, jobs }: StateAccess,
+  hesitates: () => boolean,
 ): ControllerServices {
   const { workers, state } = settings.deployment;
   const memoryS = CANCELLATION_MEMORY * workers.cancel_s;
@@ -45,6 +47,7 @@
     name: settings.host_name,
     part: 0,
     ttlS: settings.operator.ownerTtlS,
+    hesitates,
   });
   return {
     runtime,
--- a/packages/store/ownership.ts
+++ b/packages/store/ownership.ts
@@ -16,6 +16,9 @@
 /** How often an owner sends its renewal in the life of its grant while no answer comes. */
 const RENEWALS_IN_A_LIFE = 8;
 
+/** Share of a grant's life for which a controller that should not own leaves a free part to the others. */
+const HESITATION = 1 / 8;
+
 /** The answer to a renewal, and when the renewal was sent. */
 interface Renewal {
   /** False: the grant has ended. */
@@ -33,6 +36,8 @@
   part: number;
   /** Time to live of the grant. */
   ttlS: number;
+  /** Others would make better owners now, and get the part first if they claim it. */
+  hesitates?: () => boolean;
 }
 
 /**
@@ -50,6 +55,8 @@
   private grant: number | null = null;
   /** No claim before then, so that another controller gets the part. */
   private claimAfter = -Infinity;
+  /** When the part was last seen to become free; steady seconds. */
+  private freeSince = -Infinity;
   /** When the last renewal that succeeded was sent. */
   renewedAt = -Infinity;
 
@@ -71,7 +78,7 @@
         this.newestHolder = { term: event.version, name: this.holder.owner };
         // A claim that is still to be carried out fails while the key is there.
         this.claimOpen = false;
-      }
+      } else this.freeSince = options.runtime.clock.now();
       this.noticeHolder();
       this.idle.wake();
     });
@@ -141,7 +148,13 @@
       }
     }
     const free = this.term.value === null && this.holder === null && cache.ready;
-    if (free && clock.now() >= this.claimAfter) await this.claim(signal);
+    if (free && clock.now() >= this.claimableFrom()) await this.claim(signal);
+  }
+
+  private claimableFrom(): number {
+    const { hesitates, ttlS } = this.options;
+    const hesitationS = hesitates?.() ? HESITATION * ttlS : 0;
+    return Math.max(this.claimAfter, this.freeSince + hesitationS);
   }
 
   /** An owner does not wait for long where one answer is lost: its term may end meanwhile. */
