Owner: cut from its workers, it lets its peers renew their leases in an outage

The leader could not hand over, nobody renewed leases, and all work died. After the outage it still led until the cut ended, and rented 152 machines anew: an owner counted only machines that are up among those that should report, and by then their leases had all run out.

Ruled out: the wait for workers to ask elsewhere, which had been over at 356 s.

Change: machines whose leases have run out count as those that should report. In an outage that all peers confirm, an owner cut from its workers resigns, so that the peers renew leases for its term, as they do for one that has ended; the pause in which it claims nothing begins anew while the state service refuses it. It judges this before it sends its status, so that the peers know half a report period sooner.

The tests of the simulated cluster failed with "nobody took over" before, and with killed tasks until the owner resigned.

--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -47,15 +47,23 @@
   counts[key] = (counts[key] ?? 0) + count;
 }
 
-/** How many machines should report, and how many did so within the time. */
+/**
+ * How many machines should report, and how many did so within the time. Those whose leases have run out should, too:
+ * an owner that none reaches has no others in the end.
+ */
 export function countHeard(
   fleet: FleetState,
   now: number,
   withinS: number,
 ): { machines: number; heard: number } {
-  const machines = [...fleet.machines.values()].filter(({ state }) => state === 'up');
-  const heard = machines.filter(({ answeredAt }) => now - answeredAt <= withinS);
-  return { machines: machines.length, heard: heard.length };
+  let machines = 0;
+  let heard = 0;
+  for (const { state, answeredAt } of fleet.machines.values()) {
+    if (state === 'booting') continue;
+    machines++;
+    if (state === 'up' && now - answeredAt <= withinS) heard++;
+  }
+  return { machines, heard };
 }
 
 /** Task counts of a job, for display. */
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -67,9 +67,10 @@
     const { jobs, cancellationRelay, owner: currentOwner } = this.options;
     let round = 0;
     while (!signal.aborted) {
+      // First of all, so that the peers hear at once that we own no longer.
+      this.yieldIfCut();
       this.sendStatus();
       this.renewDeadConnections();
-      this.yieldIfCut();
       cancellationRelay.endTasks();
       const owner = currentOwner();
       if (owner && round++ % COUNT_ROUNDS === 0) {
@@ -155,8 +156,9 @@
     const owner = this.options.owner();
     const now = this.clock.now();
     const workers = this.heardWorkers(now);
+    if (owner === null || workers === null) return;
     // While the state service refuses us, nobody can take the part over that we give up.
-    if (owner === null || workers === null || client.failing) return;
+    if (client.failing && !this.peersCanRenewLeases(now)) return;
     const { machines, heard } = workers;
     const heardByPeers = this.countHeardByPeers(now);
     if (!cutFromWorkers(machines, heard, heardByPeers)) return;
@@ -165,6 +167,13 @@
     ownership.resign(settings.deployment.workers.lease_s);
   }
 
+  /** In an outage for all, the peers renew leases for an owner that has stated that it owns no longer. */
+  private peersCanRenewLeases(now: number): boolean {
+    return this.options.statuses
+      .statuses()
+      .every((peer) => peer !== null && this.isCurrent(peer, now) && awaitsService(peer));
+  }
+
   /** Workers that lately reported to peers, which do not own. */
   private countHeardByPeers(now: number): number {
     const { statuses } = this.options;
@@ -175,3 +184,8 @@
     return workers;
   }
 }
+
+/** The peer has read the jobs, and is refused by the state service as we are. */
+function awaitsService({ frame }: PeerStatus): boolean {
+  return frame.loaded && frame.refused && !frame.mayOwn;
+}
--- a/packages/store/ownership.ts
+++ b/packages/store/ownership.ts
@@ -55,6 +55,8 @@
   private grant: number | null = null;
   /** No claim before then, so that another controller gets the part. */
   private claimAfter = -Infinity;
+  /** How long that pause was to be when the part was given up; seconds. */
+  private claimPauseS = 0;
   /** When the part was last seen to become free; steady seconds. */
   private freeSince = -Infinity;
   /** When the last renewal that succeeded was sent. */
@@ -100,6 +102,7 @@
         await this.step(signal);
       } catch {
         // Refused or unanswered: the term stands until the service says that it is gone.
+        this.prolongPause();
       }
       const spread = 0.8 + this.options.runtime.random() * 0.4;
       await this.idle.wait(this.pauseS() * 1000 * spread, signal);
@@ -113,6 +116,7 @@
   resign(pauseS = 0): void {
     const { client, runtime } = this.options;
     this.claimAfter = runtime.clock.now() + pauseS;
+    this.claimPauseS = pauseS;
     const grant = this.grant;
     this.grant = null;
     this.term.next(null);
@@ -121,6 +125,12 @@
     }
   }
 
+  /** In an outage the others can't claim either, so that the pause must outlast it. */
+  private prolongPause(): void {
+    const now = this.options.runtime.clock.now();
+    if (now < this.claimAfter) this.claimAfter = now + this.claimPauseS;
+  }
+
   /** An owner renews in good time; others only keep a grant ready, and hurry once the part is free. */
   private pauseS(): number {
     const { ttlS } = this.options;
--- /dev/null
+++ b/packages/testing/on-call/leader-cut-in-outage.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { killedTasks, machinesUp, playMeeting, tasksRunningAt } from '../meetings/run-queries.js';
+import { BUSY_FROM_S, LEASE_S, steadyScenario } from '../meetings/steady-work.js';
+import type { CutMode, Fault } from '../simulation/index.js';
+
+const BEGIN_S = BUSY_FROM_S;
+const CUT_S = 50;
+const OUTAGE_S = 14;
+
+for (const mode of ['refuse', 'hold'] satisfies CutMode[]) {
+  test(`machines are kept though the leader loses its workers (${mode}) right before an outage`, async () => {
+    const faults: Fault[] = [
+      {
+        kind: 'controller-cut',
+        atS: BEGIN_S,
+        forS: CUT_S,
+        controllers: 'leader',
+        from: ['workers'],
+        mode,
+      },
+      { kind: 'state-outage', atS: BEGIN_S + 2, forS: OUTAGE_S },
+    ];
+    const endS = BEGIN_S + CUT_S + 30;
+    const scenario = steadyScenario(`cut before an outage (${mode})`, endS, faults);
+    await playMeeting(scenario, [1, 2, 3], (result) => {
+      const [cut] = result.faults.of('controller-cut');
+      const [outage] = result.faults.of('state-outage');
+      assert.deepEqual(outage.leader, cut.leader);
+      const successor = result.leaders.find(({ term }) => term > cut.leader!.term);
+      assert.ok(successor, 'nobody took over');
+      const lateS = successor.atS - outage.untilS;
+      assert.ok(lateS < LEASE_S / 2, `taken over ${lateS} s after the outage`);
+      assert.notEqual(successor.owner, cut.leader!.owner);
+      const before = machinesUp(result, BEGIN_S, BEGIN_S);
+      const kept = machinesUp(result, BEGIN_S, cut.untilS);
+      assert.ok(kept.length >= before.length - 1, `${kept.length} of ${before.length} kept`);
+      assert.ok(tasksRunningAt(result, BEGIN_S) >= 10, 'little ran');
+      assert.deepEqual(killedTasks(result, cut.fromS, endS), []);
+    });
+  });
+}
