--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -10,6 +10,7 @@
 import type { Log } from './log.js';
 import { MetricsEndpoint } from './metrics-endpoint.js';
 import { entitlementLimits, OwnerEntitlement } from './owner-entitlement.js';
+import { leavesWorkersStranded, nextForWorkers } from './owner-reach.js';
 import { OwnerTerms } from './owner-terms.js';
 import type { PartOwner } from './owner.js';
 import { PeerCoordinator } from './peer-coordinator.js';
@@ -57,7 +58,7 @@
     this.reportS = deployment.workers.report_s;
     this.sockets = socketShares(deployment.limits.sockets, settings.peers.length);
     this.state = accessState(runtime, settings, () => this.owner() !== null);
-    this.services = makeServices(runtime, settings, log, this.state);
+    this.services = makeServices(runtime, settings, log, this.state, () => this.hesitates());
     const cloudTimeoutMs = CLOUD_TIMEOUT * this.reportS * 1000;
     this.cloud = new CloudClient(runtime, settings.external.cloud, cloudTimeoutMs);
     this.cancellationRelay = new CancellationRelay({
@@ -131,6 +132,18 @@
     return this.entitlement.of(this.owner());
   }
 
+  /** Others should own: the controller that our workers would try after us is silent, and others are not. */
+  private hesitates(): boolean {
+    const { host_name, peers } = this.settings;
+    const names = peers.map((peer) => peer.host_name);
+    const next = nextForWorkers(host_name, names);
+    return leavesWorkersStranded(next === null ? null : this.statuses.statusOf(next), {
+      now: this.runtime.clock.now(),
+      peers: this.statuses.statuses(),
+      silenceS: entitlementLimits(this.settings).silenceS,
+    });
+  }
+
   private makeStatusExchange(): StatusExchange {
     return new StatusExchange({
       life: Math.floor(this.runtime.random() * Number.MAX_SAFE_INTEGER),
@@ -195,7 +208,7 @@
   }
 
   private makeHttpServer(): HttpServer {
-    const { services, statuses, cancellationRelay, standby, unownedReports } = this;
+    const { services, settings, statuses, cancellationRelay, standby, unownedReports } = this;
     const { vitals, metrics, lag, admission, sockets } = this;
     return makeHttpServer({
       services,
@@ -209,6 +222,7 @@
       lag,
       admission,
       entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
+      silenceS: entitlementLimits(settings).silenceS,
     });
   }
 }
--- a/packages/controller/http-interface.ts
+++ b/packages/controller/http-interface.ts
@@ -21,6 +21,8 @@
   /** Connections of workers and users that may be open. */
   maxConnections: number;
   statuses: StatusExchange;
+  /** A controller that was not heard for this long is out of reach; seconds. */
+  silenceS: number;
   cancellationRelay: CancellationRelay;
   standby: StandbyRenewal;
   unownedReports: UnownedReports;
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -1,7 +1,7 @@
 import type { Frame, PeerLink } from '#peer';
 import { type Clock, pause } from '#wire';
 import type { CancellationRelay } from './cancellation-relay.js';
-import { cutFromWorkers } from './entitlement.js';
+import { cutFromWorkers, hearsNextToNone } from './entitlement.js';
 import { countHeard } from './fleet-summary.js';
 import type { PartOwner } from './owner.js';
 import type { PeerStatus } from './peer-status.js';
@@ -73,9 +73,10 @@
     const { jobs, cancellationRelay, owner: currentOwner } = this.options;
     let round = 0;
     while (!signal.aborted) {
+      // First of all, so that the peers hear at once that we own no longer.
+      this.yieldIfCut();
       this.sendStatus();
       this.renewDeadConnections();
-      this.yieldIfCut();
       cancellationRelay.endTasks();
       const owner = currentOwner();
       if (owner && round % COUNT_ROUNDS === 0) {
@@ -99,6 +100,7 @@
       owner: owner() !== null,
       mayOwn: ownership.mayOwn,
       holder: ownership.newestHolder,
+      unheard: this.isUnheard(now),
       unownedReports: unownedReports.count(),
       jobsRevision: jobs.cache.completeTo,
     };
@@ -140,6 +142,22 @@
     ownership.resign();
   }
 
+  /**
+   * How many machines should report to the owner and how many did lately; null if nothing is owned here. After a
+   * take-over the workers need some time to find us; a whole lease of it is too long, since an owner that none of
+   * them ever reaches would let all their leases run out.
+   */
+  private heardWorkers(now: number): { machines: number; heard: number } | null {
+    const owner = this.options.owner();
+    if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return null;
+    return countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
+  }
+
+  private isUnheard(now: number): boolean {
+    const workers = this.heardWorkers(now);
+    return workers !== null && hearsNextToNone(workers.machines, workers.heard);
+  }
+
   /** Leaves the part to a controller that the workers can reach. */
   private yieldIfCut(): void {
     const { settings, client, ownership, log } = this.options;
@@ -148,16 +166,14 @@
     const now = this.clock.now();
     const allSilent = this.workerSilence.look(owner.fleet, now);
     // While the state service refuses us, nobody can take the part over that we give up.
-    if (client.failing) return;
-    const { machines, heard } = countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
+    if (client.failing && !this.peersCanRenewLeases(now)) return;
+    const workers = this.heardWorkers(now);
     const heardByPeers = this.countHeardByPeers(now);
-    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
-    // owner that none of them ever reaches would let all their leases run out.
-    const settled = now - owner.startedAt >= (HEARD_PERIODS + 1) * this.reportS;
-    const askElsewhere = settled && cutFromWorkers(machines, heard, heardByPeers);
+    const askElsewhere =
+      workers !== null && cutFromWorkers(workers.machines, workers.heard, heardByPeers);
     if (!askElsewhere && !(allSilent && this.hasSuccessor(now))) return;
     const term = owner.term.term;
-    log.info({ term, machines, heard, heardByPeers, allSilent }, 'cut from the workers');
+    log.info({ term, ...workers, heardByPeers, allSilent }, 'cut from the workers');
     ownership.resign(settings.deployment.workers.lease_s);
   }
 
@@ -170,6 +186,13 @@
     );
   }
 
+  /** In an outage for all, the peers renew leases for an owner that has stated that it owns no longer. */
+  private peersCanRenewLeases(now: number): boolean {
+    return this.options.statuses
+      .statuses()
+      .every((peer) => peer !== null && this.isCurrent(peer, now) && awaitsService(peer));
+  }
+
   /** Workers that lately reported to peers, which do not own. */
   private countHeardByPeers(now: number): number {
     const { statuses } = this.options;
@@ -180,3 +203,8 @@
     return workers;
   }
 }
+
+/** The peer has read the jobs, and is refused by the state service as we are. */
+function awaitsService({ frame }: PeerStatus): boolean {
+  return frame.loaded && frame.refused && !frame.mayOwn;
+}
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -41,11 +41,13 @@
   return (team) => teamWeight(quotas.get(team) ?? NO_QUOTA, guaranteed, operator.floorWeight);
 }
 
+/** `hesitates` tells whether others should rather own than this controller. */
 export function makeServices(
   runtime: Runtime,
   settings: Settings,
   log: Log,
   { client, world, jobs }: StateAccess,
+  hesitates: () => boolean,
 ): ControllerServices {
   const { workers, state } = settings.deployment;
   const memoryS = CANCELLATION_MEMORY * workers.cancel_s;
@@ -57,6 +59,7 @@
     name: settings.host_name,
     part: 0,
     ttlS: settings.operator.ownerTtlS,
+    hesitates,
   });
   return {
     runtime,
--- a/packages/testing/peer-statements.ts
+++ b/packages/testing/peer-statements.ts
@@ -26,6 +26,7 @@
       owner: false,
       mayOwn: false,
       holder: { term: STATED_TERM, name: 'c-0' },
+      unheard: false,
       unownedReports: 0,
       jobsRevision: 100,
       cancelledSince: 100,
