--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -83,7 +83,9 @@
     this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, term: this.term, log: this.log } = options);
     const listener = fleetListener(() => this.planner, log);
-    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener);
+    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener, () =>
+      runtime.random(),
+    );
     this.planner = makePlanner(settings, this.fleet);
     this.scheduler = makeScheduler(settings, this.fleet);
     const reportS = settings.deployment.workers.report_s;
@@ -104,7 +106,7 @@
       timeoutMs: DIRECT_TIMEOUT * reportS * 1000,
       maxConnections: options.directSockets,
       onOrders: (machine, orders) => this.logOrders(machine.name, orders),
-      onDone: () => this.nudge(),
+      onDone: () => this.requestRound(),
     });
   }
 
@@ -118,7 +120,7 @@
     const jobs = this.options.jobs.changed.subscribe((record) => {
       this.intake.take(record);
       if (record.phase !== 'accepted') this.recorder.jobRecords.over(record.job);
-      this.nudge();
+      this.requestRound();
     });
     const rounds = this.makePacer(signal);
     this.rounds = rounds;
@@ -133,13 +135,13 @@
   }
 
   /** Asks for a scheduling round soon. */
-  nudge(): void {
+  requestRound(): void {
     this.rounds?.request();
   }
 
   /** A user gives the job up; its record may be still to come. */
   abort(id: string): void {
-    if (this.intake.cancel(id)) this.nudge();
+    if (this.intake.cancel(id)) this.requestRound();
   }
 
   private async load(signal: AbortSignal): Promise<void> {
@@ -229,7 +231,7 @@
     this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
       this.idle.wake();
-      this.nudge();
+      this.requestRound();
     }
     return { token, orders };
   }
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -94,7 +94,7 @@
     const { types } = fleet.machines;
     const packing = new SlotPacking({ standing, types, refusals: this.refusals, now });
     const usage = new Map<string, Amounts>();
-    const { firm, bestEffort } = this.waitingJobs();
+    const { firm, bestEffort } = this.waitingJobs(now);
     for (const job of firm.sort(byRankAndSize)) this.packJob(job, packing, usage);
     this.packReserve(packing, now);
     // Replicas are moved only while nothing lacks room.
@@ -110,16 +110,21 @@
   }
 
   /** The jobs that a plan looks at. */
-  private waitingJobs(): { firm: JobState[]; bestEffort: JobState[] } {
+  private waitingJobs(now: number): { firm: JobState[]; bestEffort: JobState[] } {
     const firm: JobState[] = [];
     const bestEffort: JobState[] = [];
     for (const bucket of this.options.fleet.jobs.waiting.buckets()) {
-      const jobs = firstOf(oldestFirst([bucket]), MOST_JOBS_PLANNED);
+      const jobs = firstOf(this.claiming(oldestFirst([bucket]), now), MOST_JOBS_PLANNED);
       (bucket.isBestEffort ? bestEffort : firm).push(...jobs);
     }
     return { firm, bestEffort };
   }
 
+  /** Those jobs whose failures don't speak against renting for them. */
+  private *claiming(jobs: Iterable<JobState>, now: number): Generator<JobState> {
+    for (const job of jobs) if (this.options.fleet.failures.mayClaimRoom(job, now)) yield job;
+  }
+
   /** Packs the job's waiting tasks on at most so many machines. */
   private packJob(
     job: JobState,
@@ -136,7 +141,8 @@
     const zones = new Map<string, number>();
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
-    const waiting = Math.min(fleet.jobs.waitingCount(job), MOST_TASKS_PLANNED);
+    const startable = Math.min(fleet.jobs.waitingCount(job), fleet.failures.startableTasks(job));
+    const waiting = Math.min(startable, MOST_TASKS_PLANNED);
     let left = Math.min(waiting, timesWithinLimit(quota, used, spec));
     for (let machines = 0; left > 0 && machines < mostMachines; machines++) {
       const packed = packing.place(request, left);
--- a/packages/core/choose-machine.ts
+++ b/packages/core/choose-machine.ts
@@ -29,6 +29,7 @@
     if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     if (job.isBestEffort && !mayUseSpareRoom(fleet, job, machine, candidate.type, now)) continue;
     if (fleet.holds.isHeldFromJob(machine, job, now)) continue;
+    if (fleet.failures.avoids(job, machine, now)) continue;
     if (!zoneAllowed(spec, machine.zone, ownZones)) continue;
     best = machine;
     lowest = cost;
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -65,6 +65,7 @@
       if (made >= TASKS_PER_ROUND) break;
       const isImpatient = this.isImpatient(job, now);
       if (job.backoffUntil > now || !(anyBestEffort || isImpatient)) continue;
+      if (!this.fleet.failures.mayClaimRoom(job, now)) continue;
       const failedAlike = failed.get(this.fleet.jobs.waiting.bucket(job)!)!;
       const mayStop: BlockedKind = isImpatient ? 'firm' : 'best-effort';
       if (failedAlike.has(job.spec, 'firm') || failedAlike.has(job.spec, mayStop)) continue;
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -75,7 +75,10 @@
       roomHeldFor: this.fleet.holds.machinesByJob(now),
       blocked: new BlockedShapes(),
     };
-    const isLeftOut = (job: JobState) => job.backoffUntil > now || this.isBlocked(job, round);
+    const isLeftOut = (job: JobState) =>
+      job.backoffUntil > now ||
+      this.fleet.failures.startableTasks(job) === 0 ||
+      this.isBlocked(job, round);
     let decided = 0;
     // Work that others would have to be stopped for goes first, so that nothing is started only to
     // be stopped again; among equals the design's order decides.
@@ -126,7 +129,8 @@
   }
 
   private placeGang(job: JobState, { candidates, now }: Round): number {
-    const { assignments } = this.fleet;
+    const { assignments, failures } = this.fleet;
+    if (failures.startableTasks(job) === 0) return 0;
     if (job.assignments.size > 0 || !this.shares.withinLimit(job.spec.team, wholeGang(job)))
       return 0;
     const machines = chooseGangMachines(this.fleet, job, candidates, now);
@@ -139,16 +143,17 @@
 
   private placeTasks(job: JobState, round: Round): number {
     const { candidates, blocked, now } = round;
-    const { assignments, jobs } = this.fleet;
+    const { assignments, failures, jobs } = this.fleet;
     if (this.isBlocked(job, round)) return 0;
-    const limit = Math.min(TASKS_PER_TURN, this.settings.decisionsPerRound);
+    const startable = Math.min(TASKS_PER_TURN, failures.startableTasks(job));
+    const limit = Math.min(startable, this.settings.decisionsPerRound);
     const zones = isBoundByZones(job.spec) ? tasksByZone(job) : new Map<string, number>();
     let placed = 0;
     for (const index of jobs.waitingTasks(job, limit)) {
       if (!this.shares.withinLimit(job.spec.team, job.spec)) break;
       const machine = chooseMachine(this.fleet, job, zones, candidates, now);
       if (!machine) {
-        if (!isBoundByOwnZones(job)) blocked.add(job.spec, this.blockedKind(job, now));
+        if (speaksForOthers(job)) blocked.add(job.spec, this.blockedKind(job, now));
         break;
       }
       assignments.assign(job, index, machine, assignments.newAttempt(), now);
@@ -171,6 +176,11 @@
   }
 }
 
+/** Whether others with the same needs find no place either: the job has no zones or machines of its own to avoid. */
+function speaksForOthers(job: JobState): boolean {
+  return !isBoundByOwnZones(job) && job.failures.attempts === 0;
+}
+
 /** What limits count of a gang: its processors and accelerators. */
 function wholeGang({ spec: { cpus, gpus, tasks } }: JobState): Amounts {
   return { cpus: cpus * tasks, gpus: gpus * tasks, memory: 0 };
--- a/packages/core/service-counter.ts
+++ b/packages/core/service-counter.ts
@@ -24,6 +24,12 @@
     return this.value * kept + this.rate * (this.halfLifeS / Math.LN2) * (1 - kept);
   }
 
+  /** Adds service that was not received over time. */
+  charge(amount: number, now: number): void {
+    this.value = this.read(now) + amount;
+    this.valueAt = Math.max(this.valueAt, now);
+  }
+
   /**
    * Orders counters that receive nothing at present as `read` does, at whatever time: all of them decay
    * alike. -Infinity if nothing was ever received.
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -34,6 +34,12 @@
     job.service.changeRate(sign * share, now);
   }
 
+  /** Charges a job and its team for service that they caused but did not receive, in fleet-share seconds. */
+  charge(job: JobState, amount: number, now: number): void {
+    this.service(job.spec.team, now).charge(amount, now);
+    job.service.charge(amount, now);
+  }
+
   /** Amounts of all places where tasks of the team may still be (docs/safety.md, point 9). */
   ofTeam(team: string): Readonly<Amounts> {
     return this.amountsByTeam.get(team) ?? ZERO_AMOUNTS;
