--- /dev/null
+++ b/packages/core/slot-packing.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Job } from '#wire';
+import { aFleet, aJob, aMachine, STD } from '../testing/samples.js';
+import { Refusals } from './refusals.js';
+import { SlotPacking } from './slot-packing.js';
+import { standingSlots } from './slots.js';
+
+const jobs = fc.array(
+  fc.record({
+    tasks: fc.integer({ min: 1, max: 60 }),
+    cpus: fc.constantFrom(0.25, 1, 3),
+    gpus: fc.constantFrom(0, 1, 2),
+    memory: fc.constantFrom(0.5, 4, 16),
+    spread: fc.boolean(),
+    spot: fc.boolean(),
+    zone: fc.option(fc.constantFrom('a', 'b'), { freq: 4 }),
+  }),
+  { minLength: 1, maxLength: 12 },
+);
+const machines = fc.array(fc.record({ zone: fc.constantFrom('a', 'b'), spot: fc.boolean() }), {
+  maxLength: 5,
+});
+type Values<T> = T extends fc.Arbitrary<infer V> ? V : never;
+
+/** What is rented and which amounts each machine holds, if so many tasks are packed at a time. */
+function packed(
+  ofJobs: Values<typeof jobs>,
+  ofMachines: Values<typeof machines>,
+  atATime: number,
+): unknown {
+  const fleet = aFleet();
+  ofMachines.forEach((own, i) => aMachine(fleet, `n-${i}`, own));
+  const standing = standingSlots(fleet, 1, 0);
+  const types = new Map([[STD.name, STD]]);
+  const packing = new SlotPacking({ standing, types, refusals: new Refusals(), now: 0 });
+  for (const own of ofJobs) packAll(packing, aJob(own), atATime);
+  const slots = [...packing.standing, ...packing.rented];
+  const used = slots.map(({ zone, spot, used: { cpus, gpus, memory } }) => [
+    zone,
+    spot,
+    cpus,
+    gpus,
+    memory,
+  ]);
+  return [packing.rentals(), used];
+}
+
+function packAll(packing: SlotPacking, job: Job, atATime: number): void {
+  const zones = new Map<string, number>();
+  const request = packing.request(job, job.id, zones);
+  for (let left = job.tasks; left > 0;) {
+    const found = packing.place(request, Math.min(left, atATime));
+    if (!found) return;
+    left -= found.tasks;
+    zones.set(found.slot.zone, (zones.get(found.slot.zone) ?? 0) + found.tasks);
+  }
+}
+
+// Guards the packing of many tasks at once, which must not rent otherwise than one by one.
+test('tasks packed machine by machine take the room that they take one by one', () => {
+  fc.assert(
+    fc.property(jobs, machines, (ofJobs, ofMachines) => {
+      assert.deepEqual(packed(ofJobs, ofMachines, Infinity), packed(ofJobs, ofMachines, 1));
+    }),
+    { numRuns: 300, seed: 1, includeErrorInReport: true },
+  );
+});
