--- a/packages/testing/on-call/silent-or-frozen-leader.test.ts
+++ b/packages/testing/on-call/silent-or-frozen-leader.test.ts
@@ -98,3 +98,26 @@
     assertWorkLived(result, endS);
   });
 });
+
+test('work lives though a successor stands still while it takes over from a leader that crashed', async () => {
+  const frozenS = 6;
+  const faults: Fault[] = [
+    { kind: 'controller-crash', atS: BEGIN_S, controllers: 'leader', downS: frozenS },
+    {
+      kind: 'controller-freeze',
+      atS: BEGIN_S,
+      afterTakeoverS: 0.2,
+      controllers: 'leader',
+      forS: frozenS,
+    },
+  ];
+  const endS = BEGIN_S + 40;
+  await playMeeting(steadyScenario('frozen take-over', endS, faults), [1, 2, 3], (result) => {
+    const [crash] = result.faults.of('controller-crash');
+    const [freeze] = result.faults.of('controller-freeze');
+    assert.notEqual(freeze.leader!.owner, crash.leader!.owner);
+    assert.ok(freeze.leader!.term > crash.leader!.term);
+    assertTakenOver(result, freeze.fromS);
+    assertWorkLived(result, endS);
+  });
+});
