--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -9,6 +9,7 @@
 import type { StandbyRenewal } from './standby-renewal.js';
 import type { StatusExchange } from './status-exchange.js';
 import { HEARD_PERIODS, type UnownedReports } from './unowned-reports.js';
+import { WorkerSilence } from './worker-silence.js';
 
 /** Rounds of status in a report period. */
 const STATUS_ROUNDS = 2;
@@ -44,10 +45,13 @@
 export class PeerCoordinator {
   private readonly clock: Clock;
   private readonly reportS: number;
+  private readonly workerSilence: WorkerSilence;
 
   constructor(private readonly options: PeerCoordinatorOptions) {
     this.clock = options.runtime.clock;
     this.reportS = options.settings.deployment.workers.report_s;
+    const lookS = this.reportS / STATUS_ROUNDS;
+    this.workerSilence = new WorkerSilence({ reportS: this.reportS, lookS });
   }
 
   receive(from: string, frame: Frame): void {
@@ -152,26 +156,32 @@
 
   /** Leaves the part to a controller that the workers can reach. */
   private yieldIfCut(): void {
-    const { settings, client, ownership, log } = this.options;
+    const { settings, ownership, log } = this.options;
     const owner = this.options.owner();
+    if (!owner?.ready) return;
     const now = this.clock.now();
+    const allSilent = this.workerSilence.look(owner.fleet, now);
     const workers = this.heardWorkers(now);
-    if (owner === null || workers === null) return;
-    // While the state service refuses us, nobody can take the part over that we give up.
-    if (client.failing && !this.peersCanRenewLeases(now)) return;
-    const { machines, heard } = workers;
     const heardByPeers = this.countHeardByPeers(now);
-    if (!cutFromWorkers(machines, heard, heardByPeers)) return;
+    const askElsewhere =
+      workers !== null && cutFromWorkers(workers.machines, workers.heard, heardByPeers);
+    if (!(askElsewhere || allSilent) || !this.canBeReplaced(now)) return;
     const term = owner.term.term;
-    log.info({ term, machines, heard, heardByPeers }, 'cut from the workers');
+    log.info({ term, ...workers, heardByPeers, allSilent }, 'cut from the workers');
     ownership.resign(settings.deployment.workers.lease_s);
   }
 
-  /** In an outage for all, the peers renew leases for an owner that has stated that it owns no longer. */
-  private peersCanRenewLeases(now: number): boolean {
-    return this.options.statuses
-      .statuses()
-      .every((peer) => peer !== null && this.isCurrent(peer, now) && awaitsService(peer));
+  /**
+   * A peer is there that the state service serves, and that can take the part over; or all peers are refused as we
+   * are, and renew leases for an owner that has stated that it owns no longer.
+   */
+  private canBeReplaced(now: number): boolean {
+    const peers = this.options.statuses.statuses();
+    const isThere = (peer: PeerStatus | null) =>
+      peer !== null && this.isCurrent(peer, now) && peer.frame.loaded;
+    if (this.options.client.failing)
+      return peers.every((peer) => isThere(peer) && awaitsService(peer!));
+    return peers.some((peer) => isThere(peer) && !peer!.frame.refused);
   }
 
   /** Workers that lately reported to peers, which do not own. */
@@ -185,7 +195,7 @@
   }
 }
 
-/** The peer has read the jobs, and is refused by the state service as we are. */
+/** The state service refuses the peer, which has no claim under way. */
 function awaitsService({ frame }: PeerStatus): boolean {
-  return frame.loaded && frame.refused && !frame.mayOwn;
+  return frame.refused && !frame.mayOwn;
 }
