--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { PeerLink } from '#peer';
 import { CloudClient, type Runtime } from '#wire';
+import { Admission } from './admission.js';
 import { CancellationRelay } from './cancellation-relay.js';
 import type { Entitlement } from './entitlement.js';
 import { makeHttpServer } from './http-interface.js';
@@ -9,6 +10,7 @@
 import type { Log } from './log.js';
 import { MetricsEndpoint } from './metrics-endpoint.js';
 import { entitlementLimits, OwnerEntitlement } from './owner-entitlement.js';
+import { leavesWorkersStranded, nextForWorkers } from './owner-reach.js';
 import { OwnerTerms } from './owner-terms.js';
 import type { PartOwner } from './owner.js';
 import { PeerCoordinator } from './peer-coordinator.js';
@@ -39,6 +41,7 @@
   private readonly standby: StandbyRenewal;
   private readonly terms: OwnerTerms;
   private readonly lag: LagMonitor;
+  private readonly admission: Admission;
   private readonly vitals: Vitals;
   private readonly metrics: MetricsEndpoint;
   private readonly unownedReports: UnownedReports;
@@ -55,7 +58,7 @@
     this.reportS = deployment.workers.report_s;
     this.sockets = socketShares(deployment.limits.sockets, settings.peers.length);
     this.state = accessState(runtime, settings, () => this.owner() !== null);
-    this.services = makeServices(runtime, settings, log, this.state);
+    this.services = makeServices(runtime, settings, log, this.state, () => this.hesitates());
     const cloudTimeoutMs = CLOUD_TIMEOUT * this.reportS * 1000;
     this.cloud = new CloudClient(runtime, settings.external.cloud, cloudTimeoutMs);
     this.cancellationRelay = new CancellationRelay({
@@ -69,10 +72,11 @@
     const judging = { ...this.services, statuses: this.statuses, limits };
     this.entitlement = new OwnerEntitlement(judging);
     this.standby = new StandbyRenewal(judging);
+    this.admission = new Admission({ ...this.services, reportS: this.reportS });
     this.vitals = this.makeVitals();
     this.metrics = this.makeMetrics();
     this.terms = this.makeOwnerTerms();
-    this.lag = new LagMonitor(clock);
+    this.lag = new LagMonitor(runtime);
     this.unownedReports = new UnownedReports(clock, this.reportS);
     this.coordinator = this.makePeerCoordinator();
     this.httpServer = this.makeHttpServer();
@@ -128,6 +132,18 @@
     return this.entitlement.of(this.owner());
   }
 
+  /** Others should own: the controller that our workers would try after us is silent, and others are not. */
+  private hesitates(): boolean {
+    const { host_name, peers } = this.settings;
+    const names = peers.map((peer) => peer.host_name);
+    const next = nextForWorkers(host_name, names);
+    return leavesWorkersStranded(next === null ? null : this.statuses.statusOf(next), {
+      now: this.runtime.clock.now(),
+      peers: this.statuses.statuses(),
+      silenceS: entitlementLimits(this.settings).silenceS,
+    });
+  }
+
   private makeStatusExchange(): StatusExchange {
     return new StatusExchange({
       life: Math.floor(this.runtime.random() * Number.MAX_SAFE_INTEGER),
@@ -172,6 +188,7 @@
       reportS: this.reportS,
       vitals: this.vitals,
       client: this.state.client,
+      admission: this.admission,
       owner: () => this.owner(),
     });
   }
@@ -191,8 +208,8 @@
   }
 
   private makeHttpServer(): HttpServer {
-    const { services, statuses, cancellationRelay, standby, unownedReports } = this;
-    const { vitals, metrics, lag, sockets } = this;
+    const { services, settings, statuses, cancellationRelay, standby, unownedReports } = this;
+    const { vitals, metrics, lag, admission, sockets } = this;
     return makeHttpServer({
       services,
       maxConnections: sockets.server,
@@ -203,7 +220,9 @@
       vitals,
       metrics,
       lag,
+      admission,
       entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
+      silenceS: entitlementLimits(settings).silenceS,
     });
   }
 }
--- a/packages/peer/frames.test.ts
+++ b/packages/peer/frames.test.ts
@@ -19,6 +19,7 @@
     loaded: fc.boolean(),
     owner: fc.boolean(),
     mayOwn: fc.boolean(),
+    unheard: fc.boolean(),
     holder: record({ term: u53, name: anyName }),
     unownedReports: u32,
     jobsRevision: u53,
