A best-effort job is moved at most as often as it has tasks

Besides, a single-task job was only moved if another zone had room, as its old place counted as its zone's only one.

Change: giveBack stops as many tasks of a job as it has at the most, and looks for room in all zones.

--- a/packages/core/best-effort.test.ts
+++ b/packages/core/best-effort.test.ts
@@ -3,6 +3,7 @@
 import {
   CapacityPlanner,
   FleetState,
+  giveBack,
   isBestEffort,
   JobState,
   Machine,
@@ -162,6 +163,27 @@
   assert.deepEqual([kept(false, 4), kept(true, 1), kept(true, 2)], [false, false, true]);
 });
 
+test('best-effort tasks do not go from machine to machine for ever', () => {
+  // Guards against tasks that never end in a fleet that shrinks: each machine they go to is the next to go.
+  const fleet = aSharedFleet();
+  const machines = ['n-1', 'n-2', 'n-3', 'n-4'].map((name) => aMachine(fleet, name));
+  machines.forEach((machine, i) => {
+    const service = aJob({ id: `j-${i}`, team: 'host', kind: 'service', gpus: 4 });
+    run(fleet, fleet.addJob(service, 0, 'accepted', 0), machine, 1, 0);
+  });
+  const guest = aJob({ ...GUEST, id: 'j-9', gpus: 0, cpus: 0.5, estimateS: 150 });
+  const state = fleet.addJob(guest, 0, 'accepted', 0);
+  const isStopped = machines.slice(0, 3).map((machine) => {
+    run(fleet, state, machine, 1, 0);
+    const task = machine.tasks.get('j-9/0')!;
+    giveBack(fleet, machine, 40);
+    const { stop } = task;
+    fleet.assignments.end(task, 'stopped', false, 40);
+    return stop !== null;
+  });
+  assert.deepEqual(isStopped, [true, false, false]);
+});
+
 test('a little used machine is emptied although best-effort tasks run there', () => {
   const fleet = aSharedFleet();
   const machines = [aMachine(fleet, 'n-1'), aMachine(fleet, 'n-2')];
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -3,7 +3,7 @@
 import { addAmounts, Amounts } from './amounts.js';
 import { firmUse, isLetEnd } from './best-effort.js';
 import { chooseMachine } from './choose-machine.js';
-import { hasRoom, kindAllowed, tasksByZone } from './fit.js';
+import { bindingZones, hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { Assignment, JobState, Machine } from './model.js';
 import { PlacementCandidates } from './placement-candidates.js';
@@ -66,14 +66,16 @@
 
 /**
  * Takes nothing more on the machine, so that it is given back once it is empty. Best-effort tasks that
- * are not let end begin anew elsewhere, if there is room.
+ * are not let end begin anew elsewhere, if there is room, though a job only as often as it has tasks: in
+ * a fleet that shrinks they would go from machine to machine and never end.
  */
 export function giveBack(fleet: FleetState, machine: Machine, now: number): void {
   machine.draining = true;
   for (const task of [...machine.tasks.values()]) {
     const { job, stop } = task;
     if (!job.isBestEffort || stop !== null || isLetEnd(fleet, task, now)) continue;
-    if (!hasSpareRoom(fleet, job, now)) continue;
+    if (job.tasksMoved >= job.spec.tasks || !hasSpareRoom(fleet, job, now)) continue;
+    job.tasksMoved++;
     fleet.assignments.stopGracefully(task, now);
   }
 }
@@ -81,7 +83,7 @@
 /** Whether any machine has room for one more task of the best-effort job. */
 function hasSpareRoom(fleet: FleetState, job: JobState, now: number): boolean {
   const candidates = new PlacementCandidates(fleet, now);
-  return chooseMachine(fleet, job, tasksByZone(job), candidates, now) !== null;
+  return chooseMachine(fleet, job, bindingZones(job), candidates, now) !== null;
 }
 
 function canBeEmptied(fleet: FleetState, slot: StandingSlot, now: number): boolean {
--- a/packages/core/fit.ts
+++ b/packages/core/fit.ts
@@ -75,6 +75,11 @@
   return counts;
 }
 
+/** Where a job's tasks are, as far as that bounds where one more may go. */
+export function bindingZones(job: JobState): Map<string, number> {
+  return isBoundByZones(job.spec) ? tasksByZone(job) : new Map<string, number>();
+}
+
 /** Whether one more task of the job may go to the zone, given where its other tasks are. */
 export function zoneAllowed(job: Job, zone: string, counts: Map<string, number>): boolean {
   if (job.zone !== null && job.zone !== zone) return false;
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -50,6 +50,7 @@
       scanFrom: 0,
       failures: noJobFailures(),
       backoffUntil: 0,
+      tasksMoved: 0,
       service: new ServiceCounter(this.halfLifeS, now),
       waitingSince: now,
       waitingOrder: 0,
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -67,6 +67,8 @@
   failures: JobFailures;
   /** Waits after failures: nothing of it is placed before. */
   backoffUntil: number;
+  /** Best-effort tasks that were stopped to give their machines back. */
+  tasksMoved: number;
   /** Service that the job has received. */
   service: ServiceCounter;
   /** Since when some task waits. */
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -2,7 +2,7 @@
 import { chooseMachine } from './choose-machine.js';
 import type { Amounts } from './amounts.js';
 import type { TeamQuota } from './team-quota.js';
-import { isBoundByZones, tasksByZone } from './fit.js';
+import { bindingZones } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { GangReservations } from './gang-reservations.js';
 import { mayUseAnyRoom } from './best-effort.js';
@@ -147,7 +147,7 @@
     if (this.isBlocked(job, round)) return 0;
     const startable = Math.min(TASKS_PER_TURN, failures.startableTasks(job));
     const limit = Math.min(startable, this.settings.decisionsPerRound);
-    const zones = isBoundByZones(job.spec) ? tasksByZone(job) : new Map<string, number>();
+    const zones = bindingZones(job);
     let placed = 0;
     for (const index of jobs.waitingTasks(job, limit)) {
       if (!this.shares.withinLimit(job.spec.team, job.spec)) break;
