--- a/packages/controller/admission.test.ts
+++ b/packages/controller/admission.test.ts
@@ -30,7 +30,7 @@
       .then(({ ok }) => ok && recorded.push({ team, afterS: state.now - sentAt }));
     return null;
   };
-  return { state, admission, submit, recorded };
+  return { state, admission, client, submit, recorded };
 }
 
 test('a team that overruns is refused at once, and what is accepted of it is recorded in time', async () => {
@@ -88,3 +88,20 @@
   const ratio = count('large') / count('small');
   assert.ok(ratio > 2.5 && ratio < 3.5, `${count('large')} and ${count('small')}`);
 });
+
+test('the longer the state service fails, the more the returns of those it did not serve are spread', async () => {
+  const { state, admission, client } = await anAdmission();
+  const returns = () => Array.from({ length: 200 }, () => admission.retryAfterFailureS());
+  assert.deepEqual(new Set(returns()), new Set([REPORT_S]));
+  state.service.beginOutage();
+  for (const [outageS, mostS] of [
+    [4, 2],
+    [40, 5],
+  ]) {
+    client.call(false, undefined, (api) => api.get('x')).catch(() => {});
+    await state.run(outageS);
+    const spread = returns();
+    assert.ok(Math.min(...spread) >= REPORT_S && Math.max(...spread) <= mostS + 0.5);
+    assert.ok(Math.max(...spread) - Math.min(...spread) > (mostS - REPORT_S) / 2);
+  }
+});
--- a/packages/controller/admission.ts
+++ b/packages/controller/admission.ts
@@ -6,12 +6,16 @@
 const MAX_WAIT_PERIODS = 2;
 /** Users wait so long at the most, whatever Retry-After says (docs of the protocol); seconds. */
 const MAX_RETRY_AFTER_S = 30;
+/** Part of the time for which the state service has failed over which returning users spread. */
+const FAILURE_SPREAD = 1 / 4;
+/** Report periods over which they spread at the most. */
+const FAILURE_SPREAD_PERIODS = 4;
 /** Report periods between two lines of the log about one team. */
 const LOG_PERIODS = 10;
 
 export interface AdmissionOptions {
   runtime: Runtime;
-  client: Pick<StateClient, 'usersChangesPerS' | 'usersWaitS'>;
+  client: Pick<StateClient, 'usersChangesPerS' | 'usersWaitS' | 'failingSince'>;
   commits: Pick<GroupCommit, 'ahead' | 'shareOf' | 'full'>;
   reportS: number;
   log: Log;
@@ -43,6 +47,17 @@
     return this.retryAfterS(team);
   }
 
+  /**
+   * After how many seconds a user is to come again whose request the state service did not serve. It grows with
+   * the time for which nobody has been served, so that fewer come in vain and not all return at its end.
+   */
+  retryAfterFailureS(): number {
+    const { runtime, client, reportS } = this.options;
+    const failingForS = Math.max(0, runtime.clock.now() - client.failingSince);
+    const spreadS = Math.min(FAILURE_SPREAD_PERIODS * reportS, failingForS * FAILURE_SPREAD);
+    return reportS + runtime.random() * spreadS;
+  }
+
   /** Submissions refused since the start, by team. */
   totals(): Record<string, number> {
     return Object.fromEntries([...this.refusals].map(([team, { total }]) => [team, total]));
--- a/packages/controller/user-api.ts
+++ b/packages/controller/user-api.ts
@@ -55,7 +55,8 @@
     if (res.headersSent) return;
     if (err instanceof MalformedBody) reply(res, 400, { error: err.message });
     else if (err instanceof StateRefused || err instanceof NoAnswer || err instanceof NotReady) {
-      reply(res, 503, { error: 'the state service does not answer' }, 1);
+      const retryAfterS = this.options.admission.retryAfterFailureS();
+      reply(res, 503, { error: 'the state service does not answer' }, retryAfterS);
     } else reply(res, 503, { error: 'unexpected trouble' }, 1);
   }
 
