Core: a job that failed on one machine only comes back to it after 16 report periods, not 32

With one machine that it fits on, a sound job would wait for half a minute after bad luck. Not measured by itself.

Faulty services come in the test of rents.

--- a/packages/core/failure-tracker.ts
+++ b/packages/core/failure-tracker.ts
@@ -17,7 +17,7 @@
 /** In report periods: how long a machine takes nothing new after it refused a task. */
 const AVOID_AFTER_REFUSAL = 2;
 /** In report periods: how long a job that failed on one machine waits for a place on another. */
-const TRY_ELSEWHERE = 32;
+const TRY_ELSEWHERE = 16;
 /** Tasks of a suspect job that are tried at once; a gang is tried as a whole. */
 const PROBE_TASKS = 2;
 /** Suspect jobs that are tried at once. */
--- a/packages/testing/meetings/faulty-jobs.test.ts
+++ b/packages/testing/meetings/faulty-jobs.test.ts
@@ -21,25 +21,36 @@
 /** Attempts of a suspect job in any of these runs, one after the other, and its tasks in each. */
 const MOST_PROBES = 9;
 const PROBE_TASKS = 2;
+/** Seconds by which the mean wait of sound jobs may be longer than without faulty ones. */
+const MOST_LONGER_S = 1;
 
 /** With room for all that is known to be sound. */
 const CLUSTER = { ...SMALL_CLUSTER, capacity: [{ machines: 30 }] };
 
-const [, BATCHES, , GANGS] = USUAL_CLASSES;
+const [REPLICAS, BATCHES, , GANGS] = USUAL_CLASSES;
 const SOUND_CLASSES = USUAL_CLASSES.map((jobClass) => ({ ...jobClass, mistakenShare: 0 }));
 const FAULTY = /^faulty/;
 
+/** Its tasks fail long before they could complete or save. */
 function faulty(jobClass: JobClass, perMinute: number): JobClass {
   const { template } = jobClass;
   return {
     ...jobClass,
-    template: { ...template, class: `faulty-${template.kind}`, gpus: Math.max(1, template.gpus) },
+    template: {
+      ...template,
+      class: `faulty-${template.kind}`,
+      gpus: Math.max(1, template.gpus),
+      checkpointS: 0,
+      saveS: 0,
+    },
     arrivals: { perMinute, together: [1, 2] },
+    run: { medianS: 60, p95S: 80, maxS: 100 },
     mistakenShare: 1,
   };
 }
 
 const FAULTY_CLASSES = [faulty(BATCHES, 3), faulty(GANGS, 3)];
+const FAULTY_SERVICES = faulty(REPLICAS, 1);
 const LEADER_CRASH: Fault = {
   kind: 'controller-crash',
   atS: CRASH_S,
@@ -129,19 +140,21 @@
 ] as [string, Fault[]][]) {
   test(`faulty arrays and gangs are tried seldom and don't delay sound work${when}`, async () => {
     const mixed = scenario([...SOUND_CLASSES, ...FAULTY_CLASSES], faults);
-    await playMeeting(mixed, [1, 2], async (result) => {
+    const longerS: number[] = [];
+    await playMeeting(mixed, [1, 2, 4], async (result) => {
       assertTrouble(result);
       assertAttemptsBounded(result, faults.length + 1);
       const alone = await runScenario(scenario(SOUND_CLASSES, faults), result.seed);
       assert.deepEqual(describeProblems(alone), []);
-      const [withFaulty, without] = [meanWaitS(result), meanWaitS(alone)];
-      assert.ok(withFaulty < without + 2, `${withFaulty} s, ${without} s without`);
+      longerS.push(meanWaitS(result) - meanWaitS(alone));
     });
+    const meanS = longerS.reduce((sum, each) => sum + each, 0) / longerS.length;
+    assert.ok(meanS < MOST_LONGER_S, `${meanS} s longer, by seed ${longerS}`);
   });
 
-  test(`jobs that are known to be faulty cause no rents${when}`, async () => {
+  test(`faulty arrays, gangs and services cause no rents once they are known${when}`, async () => {
     const onProcessors = SOUND_CLASSES.filter(({ template }) => template.gpus === 0);
-    const lone = scenario([...onProcessors, ...FAULTY_CLASSES], faults);
+    const lone = scenario([...onProcessors, ...FAULTY_CLASSES, FAULTY_SERVICES], faults);
     await playMeeting(lone, [1, 2], (result) => {
       assertTrouble(result);
       assertAttemptsBounded(result, faults.length + 1);
