--- a/packages/controller/admission.ts
+++ b/packages/controller/admission.ts
@@ -2,8 +2,10 @@
 import type { Runtime } from '#wire';
 import type { Log } from './log.js';
 
-/** Report periods that a submission may have to wait for its record; past that it is refused. */
+/** Report periods that a submission may be expected to wait for its record; past that it is refused. */
 const MAX_WAIT_PERIODS = 2;
+/** The same if the other controllers begin to take all that they may: users hear an answer within 5 s or not at all. */
+const MAX_LONGEST_WAIT_S = 4;
 /** Users wait so long at the most, whatever Retry-After says (docs of the protocol); seconds. */
 const MAX_RETRY_AFTER_S = 30;
 /** Part of the time for which the state service has failed over which returning users spread. */
@@ -42,8 +44,9 @@
   /** Null if the submission may wait; else after how many seconds its user is to come again. */
   refuse(team: string): number | null {
     const { client, commits, reportS } = this.options;
-    const waitS = client.usersWaitS(commits.ahead(team) + 1);
-    if (!commits.full && waitS <= MAX_WAIT_PERIODS * reportS) return null;
+    const { expected, longest } = client.usersWaitS(commits.ahead(team) + 1);
+    const isInTime = expected <= MAX_WAIT_PERIODS * reportS && longest <= MAX_LONGEST_WAIT_S;
+    if (!commits.full && isInTime) return null;
     return this.retryAfterS(team);
   }
 
@@ -70,11 +73,11 @@
    */
   retryAfterS(team: string): number {
     const { runtime, client, commits } = this.options;
-    const waitS = client.usersWaitS(commits.ahead(team) + 1);
+    const { expected } = client.usersWaitS(commits.ahead(team) + 1);
     const now = runtime.clock.now();
     const refusals = this.refusalsOf(team);
     const perSecond = client.usersChangesPerS * commits.shareOf(team);
-    const returnAt = Math.max(refusals.lastReturnAt, now + waitS) + 1 / perSecond;
+    const returnAt = Math.max(refusals.lastReturnAt, now + expected) + 1 / perSecond;
     const isWithin = returnAt <= now + MAX_RETRY_AFTER_S;
     if (isWithin) refusals.lastReturnAt = returnAt;
     const retryAfterS = isWithin ? returnAt - now : MAX_RETRY_AFTER_S * (1 - runtime.random() / 2);
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -63,9 +63,10 @@
     this.writeRate.bound({ least: least * writeRps, most: most * writeRps });
   }
 
-  /** Seconds until so many changes that users ask for are sent, if all that wait for it take no more. */
-  usersWaitS(changes: number): number {
-    return Math.max(0, changes - this.writes.left()) / this.usersChangesPerS;
+  /** Seconds until so many changes that users ask for are sent, now and if the other controllers take all they may. */
+  usersWaitS(changes: number): { expected: number; longest: number } {
+    const expected = Math.max(0, changes - this.writes.left()) / this.usersChangesPerS;
+    return { expected, longest: expected / this.writeRate.leastShare };
   }
 
   /** Changes a second that users can count on. */
--- a/packages/store/shared-rate.ts
+++ b/packages/store/shared-rate.ts
@@ -37,8 +37,9 @@
     this.grownAt = clock.now();
   }
 
-  get perSecond(): number {
-    return this.current;
+  /** What is left of the part if the service goes on refusing, as a share of what it is now. */
+  get leastShare(): number {
+    return this.bounds.least / this.current;
   }
 
   /** Other bounds from now on; begins with the most. */
