--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,4 +1,4 @@
-import { CapacityPlanner, FleetListener, FleetState, Random, Scheduler } from '#core';
+import { CapacityPlanner, FleetListener, FleetState, isBestEffort, Random, Scheduler } from '#core';
 import { maxTasksPerMachine, Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
 import { Settings, teamQuotas } from './settings.js';
@@ -14,6 +14,7 @@
   listener: FleetListener,
   random: Random,
 ): FleetState {
+  const teams = teamQuotas(settings.deployment.teams);
   const { cancel_s, lease_s, report_s, gang_peer_s } = settings.deployment.workers;
   return new FleetState({
     settings: {
@@ -28,6 +29,7 @@
     claimedAt: term.claimedAt,
     listener,
     random,
+    isBestEffort: (job) => isBestEffort(job, teams.get(job.team)),
   });
 }
 
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -9,7 +9,13 @@
   ROUND_DECISIONS,
 } from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
-import { countTasks, FleetSummary, summariseFleet, TaskCounts } from './fleet-summary.js';
+import {
+  countAllTasks,
+  countChangedTasks,
+  FleetSummary,
+  summariseFleet,
+  TaskCounts,
+} from './fleet-summary.js';
 import { fleetListener } from './fleet-events.js';
 import { JobIntake } from './job-intake.js';
 import { JobTable } from './jobs.js';
@@ -77,9 +83,8 @@
     this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, term: this.term, log: this.log } = options);
     const listener = fleetListener(() => this.planner, log);
-    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener, () =>
-      runtime.random(),
-    );
+    const random = () => runtime.random();
+    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener, random);
     this.planner = makePlanner(settings, this.fleet);
     this.scheduler = makeScheduler(settings, this.fleet);
     const reportS = settings.deployment.workers.report_s;
@@ -87,20 +92,15 @@
     const { clock, fleet, planner } = this;
     this.recorder = new Recorder({ ...options, fleet, reportS });
     this.intake = new JobIntake({ ...options, clock, fleet, planner });
-    const { unrecorded } = this.intake;
-    this.cancellationRecorder = new CancellationRecorder({
-      ...options,
-      clock,
-      unrecorded,
-      reportS,
-    });
+    const cancellations = { clock, unrecorded: this.intake.unrecorded, reportS };
+    this.cancellationRecorder = new CancellationRecorder({ ...options, ...cancellations });
     this.direct = new DirectCommands({
       runtime,
       fleet: this.fleet,
       timeoutMs: DIRECT_TIMEOUT * reportS * 1000,
       maxConnections: options.directSockets,
       onOrders: (machine, orders) => this.logOrders(machine.name, orders),
-      onDone: () => this.nudge(),
+      onDone: () => this.requestRound(),
     });
   }
 
@@ -114,7 +114,7 @@
     const jobs = this.options.jobs.changed.subscribe((record) => {
       this.intake.take(record);
       if (record.phase !== 'accepted') this.recorder.jobRecords.over(record.job);
-      this.nudge();
+      this.requestRound();
     });
     const rounds = this.makePacer(signal);
     this.rounds = rounds;
@@ -129,13 +129,13 @@
   }
 
   /** Asks for a scheduling round soon. */
-  nudge(): void {
+  requestRound(): void {
     this.rounds?.request();
   }
 
   /** A user gives the job up; its record may be still to come. */
   abort(id: string): void {
-    if (this.intake.cancel(id)) this.nudge();
+    if (this.intake.cancel(id)) this.requestRound();
   }
 
   private async load(signal: AbortSignal): Promise<void> {
@@ -225,7 +225,7 @@
     this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
       this.idle.wake();
-      this.nudge();
+      this.requestRound();
     }
     return { token, orders };
   }
@@ -239,7 +239,8 @@
     return this.fleet.fencing.newestToken;
   }
 
-  counts(): TaskCounts[] {
-    return countTasks(this.fleet);
+  /** Task counts of all open jobs, or of those alone for which they may have changed. */
+  counts(which: 'all' | 'changed'): TaskCounts[] {
+    return which === 'all' ? countAllTasks(this.fleet) : countChangedTasks(this.fleet);
   }
 }
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -1,7 +1,7 @@
 import type { Frame, PeerLink } from '#peer';
 import { type Clock, pause } from '#wire';
 import type { CancellationRelay } from './cancellation-relay.js';
-import { cutFromWorkers } from './entitlement.js';
+import { cutFromWorkers, hearsNextToNone } from './entitlement.js';
 import { countHeard } from './fleet-summary.js';
 import type { PartOwner } from './owner.js';
 import type { PeerStatus } from './peer-status.js';
@@ -9,11 +9,14 @@
 import type { StandbyRenewal } from './standby-renewal.js';
 import type { StatusExchange } from './status-exchange.js';
 import { HEARD_PERIODS, type UnownedReports } from './unowned-reports.js';
+import { WorkerSilence } from './worker-silence.js';
 
 /** Rounds of status in a report period. */
 const STATUS_ROUNDS = 2;
 /** Rounds of status from one look at counts and cancellations to the next. */
 const COUNT_ROUNDS = 2;
+/** Rounds of counts from one that holds all open jobs to the next; the others hold what has changed. */
+const ALL_COUNTS_ROUNDS = 10;
 /** Jobs whose counts share a frame. */
 const COUNTS_A_FRAME = 500;
 /** Report periods within which a peer's statement counts as current. */
@@ -44,10 +47,13 @@
 export class PeerCoordinator {
   private readonly clock: Clock;
   private readonly reportS: number;
+  private readonly workerSilence: WorkerSilence;
 
   constructor(private readonly options: PeerCoordinatorOptions) {
     this.clock = options.runtime.clock;
     this.reportS = options.settings.deployment.workers.report_s;
+    const lookS = this.reportS / STATUS_ROUNDS;
+    this.workerSilence = new WorkerSilence({ reportS: this.reportS, lookS });
   }
 
   receive(from: string, frame: Frame): void {
@@ -67,16 +73,19 @@
     const { jobs, cancellationRelay, owner: currentOwner } = this.options;
     let round = 0;
     while (!signal.aborted) {
+      // First of all, so that the peers hear at once that we own no longer.
+      this.yieldIfCut();
       this.sendStatus();
       this.renewDeadConnections();
-      this.yieldIfCut();
       cancellationRelay.endTasks();
       const owner = currentOwner();
-      if (owner && round++ % COUNT_ROUNDS === 0) {
+      if (owner && round % COUNT_ROUNDS === 0) {
         // Cancellations that others took must be known, however quiet the users are here.
         jobs.cache.sync().catch(() => {});
-        if (owner.ready) this.sendCounts(owner);
+        const isFull = (round / COUNT_ROUNDS) % ALL_COUNTS_ROUNDS === 0;
+        if (owner.ready) this.sendCounts(owner, isFull ? 'all' : 'changed');
       }
+      if (owner) round++;
       await pause(this.clock, (this.reportS * 1000) / STATUS_ROUNDS, signal);
     }
   }
@@ -91,6 +100,7 @@
       owner: owner() !== null,
       mayOwn: ownership.mayOwn,
       holder: ownership.newestHolder,
+      unheard: this.isUnheard(now),
       unownedReports: unownedReports.count(),
       jobsRevision: jobs.cache.completeTo,
     };
@@ -114,9 +124,9 @@
     return now - heardAt <= CURRENT_PERIODS * this.reportS;
   }
 
-  private sendCounts(owner: PartOwner): void {
+  private sendCounts(owner: PartOwner, which: 'all' | 'changed'): void {
     const { jobs, peers } = this.options;
-    const counts = owner.counts();
+    const counts = owner.counts(which);
     for (const { job, done, running } of counts) jobs.noteCounts(job, done, running);
     for (let i = 0; i < counts.length; i += COUNTS_A_FRAME) {
       peers.send({ kind: 'counts', jobs: counts.slice(i, i + COUNTS_A_FRAME) });
@@ -132,24 +142,52 @@
     ownership.resign();
   }
 
+  /**
+   * How many machines should report to the owner and how many did lately; null if nothing is owned here. After a
+   * take-over the workers need some time to find us; a whole lease of it is too long, since an owner that none of
+   * them ever reaches would let all their leases run out.
+   */
+  private heardWorkers(now: number): { machines: number; heard: number } | null {
+    const owner = this.options.owner();
+    if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return null;
+    return countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
+  }
+
+  private isUnheard(now: number): boolean {
+    const workers = this.heardWorkers(now);
+    return workers !== null && hearsNextToNone(workers.machines, workers.heard);
+  }
+
   /** Leaves the part to a controller that the workers can reach. */
   private yieldIfCut(): void {
-    const { settings, client, ownership, log } = this.options;
+    const { settings, ownership, log } = this.options;
     const owner = this.options.owner();
+    if (!owner?.ready) return;
     const now = this.clock.now();
-    // After a take-over the workers need some time to find us; a whole lease of it is too long, since an
-    // owner that none of them ever reaches would let all their leases run out.
-    if (!owner?.ready || now - owner.startedAt < (HEARD_PERIODS + 1) * this.reportS) return;
-    // While the state service refuses us, nobody can take the part over that we give up.
-    if (client.failing) return;
-    const { machines, heard } = countHeard(owner.fleet, now, HEARD_PERIODS * this.reportS);
+    const allSilent = this.workerSilence.look(owner.fleet, now);
+    const workers = this.heardWorkers(now);
     const heardByPeers = this.countHeardByPeers(now);
-    if (!cutFromWorkers(machines, heard, heardByPeers)) return;
+    const askElsewhere =
+      workers !== null && cutFromWorkers(workers.machines, workers.heard, heardByPeers);
+    if (!(askElsewhere || allSilent) || !this.canBeReplaced(now)) return;
     const term = owner.term.term;
-    log.info({ term, machines, heard, heardByPeers }, 'cut from the workers');
+    log.info({ term, ...workers, heardByPeers, allSilent }, 'cut from the workers');
     ownership.resign(settings.deployment.workers.lease_s);
   }
 
+  /**
+   * A peer is there that the state service serves, and that can take the part over; or all peers are refused as we
+   * are, and renew leases for an owner that has stated that it owns no longer.
+   */
+  private canBeReplaced(now: number): boolean {
+    const peers = this.options.statuses.statuses();
+    const isThere = (peer: PeerStatus | null) =>
+      peer !== null && this.isCurrent(peer, now) && peer.frame.loaded;
+    if (this.options.client.failing)
+      return peers.every((peer) => isThere(peer) && awaitsService(peer!));
+    return peers.some((peer) => isThere(peer) && !peer!.frame.refused);
+  }
+
   /** Workers that lately reported to peers, which do not own. */
   private countHeardByPeers(now: number): number {
     const { statuses } = this.options;
@@ -160,3 +198,8 @@
     return workers;
   }
 }
+
+/** The state service refuses the peer, which has no claim under way. */
+function awaitsService({ frame }: PeerStatus): boolean {
+  return frame.refused && !frame.mayOwn;
+}
--- a/packages/core/fit.ts
+++ b/packages/core/fit.ts
@@ -61,6 +61,11 @@
   return job.spread ? Math.ceil(job.tasks / 2) : job.tasks;
 }
 
+/** Whether the zones of a job's other tasks bound where one more may go. */
+export function isBoundByZones(job: Job): boolean {
+  return job.spread || job.oneZone;
+}
+
 /** Where a job's tasks are, old attempts included until they are proven gone. */
 export function tasksByZone(job: JobState): Map<string, number> {
   const counts = new Map<string, number>();
@@ -70,6 +75,11 @@
   return counts;
 }
 
+/** Where a job's tasks are, as far as that bounds where one more may go. */
+export function bindingZones(job: JobState): Map<string, number> {
+  return isBoundByZones(job.spec) ? tasksByZone(job) : new Map<string, number>();
+}
+
 /** Whether one more task of the job may go to the zone, given where its other tasks are. */
 export function zoneAllowed(job: Job, zone: string, counts: Map<string, number>): boolean {
   if (job.zone !== null && job.zone !== zone) return false;
@@ -79,8 +89,13 @@
   return (counts.get(zone) ?? 0) < zoneCap(job);
 }
 
+/** What decides, amounts and zones of its other tasks apart, on which machines a task of the job fits. */
+export function conditionsKey(job: Job): string {
+  const types = job.types === null ? '*' : job.types.join(',');
+  return `${types} ${job.zone ?? '*'} ${job.spot}`;
+}
+
 /** What decides, zones of its other tasks apart, on which machines a task of the job fits. */
 export function requirementsKey(job: Job): string {
-  const types = job.types === null ? '*' : job.types.join(',');
-  return `${job.cpus} ${job.gpus} ${job.memory} ${types} ${job.zone ?? '*'} ${job.spot}`;
+  return `${job.cpus} ${job.gpus} ${job.memory} ${conditionsKey(job)}`;
 }
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -1,5 +1,6 @@
 import { FailureTracker } from './failure-tracker.js';
 import type { Random } from './job-failures.js';
+import type { Job } from '#wire';
 import { JobRegistry } from './job-registry.js';
 import { FleetListener, NO_LISTENER } from './listener.js';
 import { MachineRegistry } from './machine-registry.js';
@@ -19,6 +20,8 @@
   listener?: FleetListener;
   /** Source of jitter for retries; without it waits have their full length. */
   random?: Random;
+  /** Tells which jobs run on room that is there anyway; none unless given. */
+  isBestEffort?: (job: Job) => boolean;
 }
 
 /** The data of a part that all operations on it share. */
@@ -42,7 +45,8 @@
     this.term = options.term;
     this.claimedAt = options.claimedAt;
     this.listener = options.listener ?? NO_LISTENER;
-    this.jobs = new JobRegistry(options.settings.halfLifeS, this.unrecorded);
+    const isBestEffort = options.isBestEffort ?? (() => false);
+    this.jobs = new JobRegistry(options.settings.halfLifeS, this.unrecorded, isBestEffort);
     this.machines = new MachineRegistry(options.term);
     this.released = new ReleasedMachines(options.settings.leaseS);
     this.usage = new UsageLedger(options.settings.halfLifeS);
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -48,14 +48,14 @@
 export interface JobState {
   /** The job as its user submitted it. */
   spec: Job;
+  /** Runs on room that is there anyway; see `isBestEffort`. */
+  isBestEffort: boolean;
   /** Equal for jobs whose tasks fit the same machines, zones of their other tasks apart. */
   requirementsKey: string;
   acceptedAt: number;
   /** `aborted` and `done` are final. */
   phase: 'accepted' | 'aborted' | 'done';
   done: TaskSet;
-  /** The state service doesn't hold all done tasks yet. */
-  hasUnrecordedProgress: boolean;
   /** Every place where a task may still be, by task; several if one runs that nobody recorded. */
   assignments: Map<number, Assignment[]>;
   /** All waiting tasks below are in `returnedTasks`. */
@@ -65,10 +65,14 @@
   failures: JobFailures;
   /** Waits after failures: nothing of it is placed before. */
   backoffUntil: number;
+  /** Best-effort tasks that were stopped to give their machines back. */
+  tasksMoved: number;
   /** Service that the job has received. */
   service: ServiceCounter;
   /** Since when some task waits. */
   waitingSince: number;
+  /** Rises with each job that begins to wait. */
+  waitingOrder: number;
 }
 
 /** How far the machine's token has been raised above that of unacknowledged starts. */
@@ -140,9 +144,13 @@
   tasks: Map<string, Assignment>;
   /** What these tasks take of it. */
   used: Amounts;
+  /** The part of it that best-effort tasks take. */
+  usedBestEffort: Amounts;
+  /** Tasks on it that are not best-effort. */
+  firmTasks: number;
   /** Rises whenever a task comes or goes. */
   assignmentVersion: number;
-  /** Since when it has no task; of use only while it has none. */
+  /** Since when it has no firm task; of use only while it has none. */
   idleSince: number;
   /** Size in GB by name of the images that its worker should have, most recently used last. */
   images: Map<string, number>;
--- a/packages/core/team-quota.ts
+++ b/packages/core/team-quota.ts
@@ -19,6 +19,11 @@
   gpuLimit: 0,
 };
 
+/** Whether anything is guaranteed to the team. */
+export function hasGuarantee(quota: TeamQuota | undefined): quota is TeamQuota {
+  return quota !== undefined && (quota.guaranteedGpus > 0 || quota.guaranteedCpus > 0);
+}
+
 /** Guaranteed share of the fleet's totals, never less than the floor weight. */
 export function teamWeight(quota: TeamQuota, totals: Amounts, floorWeight: number): number {
   return Math.max(
@@ -28,6 +33,20 @@
   );
 }
 
+/** How many times the team may use `more` beside what it uses; Infinity if nothing bounds it. */
+export function timesWithinLimit(quota: TeamQuota, used: Amounts, more: Amounts): number {
+  return Math.min(
+    timesWithin(quota.cpuLimit, used.cpus, more.cpus),
+    timesWithin(quota.gpuLimit, used.gpus, more.gpus),
+  );
+}
+
+function timesWithin(limit: number, used: number, more: number): number {
+  if (limit === 0 || (more === 0 && used <= limit + ROUNDING)) return Infinity;
+  if (used + more > limit + ROUNDING) return 0;
+  return Math.floor((limit + ROUNDING - used) / more);
+}
+
 /** Whether the team may use `more` beside what it uses. */
 export function withinLimit(quota: TeamQuota, used: Amounts, more: Amounts): boolean {
   return (
