--- a/packages/controller/admission.test.ts
+++ b/packages/controller/admission.test.ts
@@ -30,7 +30,7 @@
       .then(({ ok }) => ok && recorded.push({ team, afterS: state.now - sentAt }));
     return null;
   };
-  return { state, admission, submit, recorded };
+  return { state, admission, client, submit, recorded };
 }
 
 test('a team that overruns is refused at once, and what is accepted of it is recorded in time', async () => {
@@ -88,3 +88,38 @@
   const ratio = count('large') / count('small');
   assert.ok(ratio > 2.5 && ratio < 3.5, `${count('large')} and ${count('small')}`);
 });
+
+test('the longer the state service fails, the more the returns of those it did not serve are spread', async () => {
+  const { state, admission, client } = await anAdmission();
+  const returns = () => Array.from({ length: 200 }, () => admission.retryAfterFailureS());
+  assert.deepEqual(new Set(returns()), new Set([REPORT_S]));
+  state.service.beginOutage();
+  for (const [outageS, mostS] of [
+    [4, 2],
+    [40, 5],
+  ]) {
+    client.call(false, undefined, (api) => api.get('x')).catch(() => {});
+    await state.run(outageS);
+    const spread = returns();
+    assert.ok(Math.min(...spread) >= REPORT_S && Math.max(...spread) <= mostS + 0.5);
+    assert.ok(Math.max(...spread) - Math.min(...spread) > (mostS - REPORT_S) / 2);
+  }
+});
+
+test('what is accepted is answered before its user gives up, also when other controllers begin to take their part', async () => {
+  const { state, client, submit, recorded } = await anAdmission();
+  client.shareWrites({ least: SHARE / 6, most: SHARE });
+  const outcomes = Array.from({ length: 100 }, () => submit('guests'));
+  const accepted = outcomes.filter((retryAfterS) => retryAfterS === null).length;
+  // From now on the service refuses this controller as soon as it takes more than its least part.
+  const others = state.client(state.controller('10.0.0.2'), { share: 1 - SHARE / 6 });
+  const puts = Array.from({ length: 4 }, (_, i) => ({ put: `x/${i}`, value: 0 }));
+  const takeAll = async () => {
+    for (;;) await others.txn([], puts, false).catch(() => {});
+  };
+  void takeAll();
+  await state.run(8);
+  assert.ok(client.refused > 0);
+  assert.equal(recorded.length, accepted);
+  assert.ok(Math.max(...recorded.map(({ afterS }) => afterS)) < 5);
+});
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -160,37 +160,32 @@
 
   /** Leaves the part to a controller that the workers can reach. */
   private yieldIfCut(): void {
-    const { settings, client, ownership, log } = this.options;
+    const { settings, ownership, log } = this.options;
     const owner = this.options.owner();
     if (!owner?.ready) return;
     const now = this.clock.now();
     const allSilent = this.workerSilence.look(owner.fleet, now);
-    // While the state service refuses us, nobody can take the part over that we give up.
-    if (client.failing && !this.peersCanRenewLeases(now)) return;
     const workers = this.heardWorkers(now);
     const heardByPeers = this.countHeardByPeers(now);
     const askElsewhere =
       workers !== null && cutFromWorkers(workers.machines, workers.heard, heardByPeers);
-    if (!askElsewhere && !(allSilent && this.hasSuccessor(now))) return;
+    if (!(askElsewhere || allSilent) || !this.canBeReplaced(now)) return;
     const term = owner.term.term;
     log.info({ term, ...workers, heardByPeers, allSilent }, 'cut from the workers');
     ownership.resign(settings.deployment.workers.lease_s);
   }
 
-  /** A peer is there that the state service serves, and that can take the part over. */
-  private hasSuccessor(now: number): boolean {
-    const statuses = this.options.statuses.statuses();
-    return statuses.some(
-      (peer) =>
-        peer !== null && this.isCurrent(peer, now) && peer.frame.loaded && !peer.frame.refused,
-    );
-  }
-
-  /** In an outage for all, the peers renew leases for an owner that has stated that it owns no longer. */
-  private peersCanRenewLeases(now: number): boolean {
-    return this.options.statuses
-      .statuses()
-      .every((peer) => peer !== null && this.isCurrent(peer, now) && awaitsService(peer));
+  /**
+   * A peer is there that the state service serves, and that can take the part over; or all peers are refused as we
+   * are, and renew leases for an owner that has stated that it owns no longer.
+   */
+  private canBeReplaced(now: number): boolean {
+    const peers = this.options.statuses.statuses();
+    const isThere = (peer: PeerStatus | null) =>
+      peer !== null && this.isCurrent(peer, now) && peer.frame.loaded;
+    if (this.options.client.failing)
+      return peers.every((peer) => isThere(peer) && awaitsService(peer!));
+    return peers.some((peer) => isThere(peer) && !peer!.frame.refused);
   }
 
   /** Workers that lately reported to peers, which do not own. */
@@ -204,7 +199,7 @@
   }
 }
 
-/** The peer has read the jobs, and is refused by the state service as we are. */
+/** The state service refuses the peer, which has no claim under way. */
 function awaitsService({ frame }: PeerStatus): boolean {
-  return frame.loaded && frame.refused && !frame.mayOwn;
+  return frame.refused && !frame.mayOwn;
 }
--- a/packages/testing/on-call/leader-cut-in-outage.test.ts
+++ b/packages/testing/on-call/leader-cut-in-outage.test.ts
@@ -19,7 +19,7 @@
         from: ['workers'],
         mode,
       },
-      { kind: 'state-outage', atS: BEGIN_S + 2, forS: OUTAGE_S },
+      { kind: 'state-outage', atS: BEGIN_S + 0.5, forS: OUTAGE_S },
     ];
     const endS = BEGIN_S + CUT_S + 30;
     const scenario = steadyScenario(`cut before an outage (${mode})`, endS, faults);
