Preemption: no room is made on a machine that the job avoids

A job that failed on one machine takes no place there for 16 report periods, so work stopped there for it would be stopped for nothing. The world of failing tasks moves to packages/testing, unchanged.

--- a/packages/core/failure-tracker.test.ts
+++ b/packages/core/failure-tracker.test.ts
@@ -1,85 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { Job } from '#wire';
 import { SEEDED } from '../testing/generators.js';
-import { aFleet, aJob, aMachine } from '../testing/samples.js';
+import { FailingWorld, TEAMS } from '../testing/failing-world.js';
 import { CapacityPlanner } from './capacity-planner.js';
 import { isUsable } from './availability.js';
-import type { FleetState } from './fleet-state.js';
 import { assignmentsOf, JobState, Machine } from './model.js';
-import { Scheduler } from './scheduler.js';
-import { NO_QUOTA } from './team-quota.js';
-
-const TEAMS = new Map([
-  ['red', NO_QUOTA],
-  ['blue', NO_QUOTA],
-]);
-
-/** A fleet in which tasks of some jobs always fail, a second after they were placed. */
-class FailingWorld {
-  readonly fleet: FleetState = aFleet();
-  readonly machines: Machine[];
-  readonly scheduler: Scheduler;
-  /** Starts by job id. */
-  readonly starts = new Map<string, number>();
-  now = 0;
-
-  constructor(machineCount: number) {
-    this.machines = Array.from({ length: machineCount }, (_, i) => aMachine(this.fleet, `n-${i}`));
-    this.scheduler = new Scheduler(this.fleet, TEAMS, {
-      floorWeight: 0.05,
-      stopThreshold: 0.5,
-      gangLeaseS: 120,
-      preemptAfterS: 2,
-      decisionsPerRound: 200,
-    });
-  }
-
-  submit(own: Partial<Job>): JobState {
-    return this.fleet.addJob(aJob(own), this.now, 'accepted', this.now);
-  }
-
-  /** Plays seconds; what `fails` says of a task running on a machine ends it with an error. */
-  play(seconds: number, fails: (job: JobState, machine: Machine) => boolean): void {
-    for (const until = this.now + seconds; this.now < until; this.now++) {
-      for (const job of [...this.fleet.jobs.values()]) {
-        for (const task of assignmentsOf(job)) this.report(task.machine, job, fails);
-      }
-      this.scheduler.reservations.update(this.now);
-      this.scheduler.round(this.now);
-    }
-  }
-
-  fail(job: JobState, machine: Machine): void {
-    const attempt = this.fleet.assignments.newAttempt();
-    const [index] = this.fleet.jobs.waitingTasks(job, 1);
-    const task = this.fleet.assignments.assign(job, index, machine, attempt, this.now);
-    this.fleet.assignments.end(task, 'error', false, ++this.now);
-  }
-
-  private report(
-    machine: Machine,
-    job: JobState,
-    fails: (job: JobState, machine: Machine) => boolean,
-  ): void {
-    const { assignments, failures } = this.fleet;
-    for (const task of [...machine.tasks.values()]) {
-      if (task.job !== job || task.assignedAt >= this.now) continue;
-      if (task.stop !== null) {
-        assignments.end(task, 'stopped', false, this.now);
-        continue;
-      }
-      if (task.runningSince === null) {
-        task.runningSince = this.now;
-        task.reported = 'running';
-        this.starts.set(job.spec.id, (this.starts.get(job.spec.id) ?? 0) + 1);
-      }
-      if (fails(job, machine)) assignments.end(task, 'error', false, this.now);
-      else failures.taskRuns(task, this.now);
-    }
-  }
-}
 
 test('a job that fails everywhere is tried less and less, a few of its tasks at a time', () => {
   // Guards against an array of thousands of tasks that takes every machine over and over: being seen
@@ -195,6 +121,29 @@
   assert.ok([...assignmentsOf(running)].some(({ stop }) => stop !== null));
 });
 
+test('room for a job that failed on one machine is made on another', () => {
+  // Guards against work that is stopped for a job which then does not take the room.
+  const world = new FailingWorld(2);
+  const { fleet, machines } = world;
+  const job = world.submit({ id: 'j-000002', rank: 0, gpus: 4 });
+  world.fail(job, machines[0]);
+  const running = world.submit({ id: 'j-000009', rank: 3, tasks: 2, gpus: 4 });
+  machines.forEach((machine, index) => {
+    const task = fleet.assignments.assign(running, index, machine, index + 1, 0);
+    task.startSent = true;
+    task.reported = 'running';
+    // Stopping what began last costs least.
+    task.runningSince = index === 0 ? 0 : -100;
+  });
+  world.now += 6;
+  world.scheduler.round(world.now);
+  const stopping = [...assignmentsOf(running)].filter(({ stop }) => stop !== null);
+  assert.deepEqual(
+    stopping.map(({ machine }) => machine),
+    [machines[1]],
+  );
+});
+
 test('one faulty job condemns one machine at the most, and leaves the others usable', () => {
   // Guards against a fleet that is given back machine by machine because of one job's mistake.
   fc.assert(
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -115,6 +115,7 @@
       if (machine.state !== 'up' || machine.draining || machine.reclaimAt !== null) continue;
       if (stopping.has(machine) || this.fleet.holds.isHeldFromJob(machine, job, now)) continue;
       if (machine.reservedForGang !== null || !zoneAllowed(job.spec, machine.zone, zones)) continue;
+      if (this.fleet.failures.avoids(job, machine, now)) continue;
       const assignments = this.victimsOn(machine, job, now);
       if (assignments === null) continue;
       const cost = assignments.reduce((sum, each) => sum + lostWork(each, now), 0);
--- /dev/null
+++ b/packages/testing/failing-world.ts
@@ -0,0 +1,74 @@
+import type { Job } from '#wire';
+import { assignmentsOf, FleetState, JobState, Machine, NO_QUOTA, Scheduler } from '#core';
+import { aFleet, aJob, aMachine } from './samples.js';
+
+/** The teams of the world below. */
+export const TEAMS = new Map([
+  ['red', NO_QUOTA],
+  ['blue', NO_QUOTA],
+]);
+
+/** A fleet in which tasks of some jobs always fail, a second after they were placed. */
+export class FailingWorld {
+  readonly fleet: FleetState = aFleet();
+  readonly machines: Machine[];
+  readonly scheduler: Scheduler;
+  /** Starts by job id. */
+  readonly starts = new Map<string, number>();
+  now = 0;
+
+  constructor(machineCount: number) {
+    this.machines = Array.from({ length: machineCount }, (_, i) => aMachine(this.fleet, `n-${i}`));
+    this.scheduler = new Scheduler(this.fleet, TEAMS, {
+      floorWeight: 0.05,
+      stopThreshold: 0.5,
+      gangLeaseS: 120,
+      preemptAfterS: 2,
+      decisionsPerRound: 200,
+    });
+  }
+
+  submit(own: Partial<Job>): JobState {
+    return this.fleet.addJob(aJob(own), this.now, 'accepted', this.now);
+  }
+
+  /** Plays seconds; what `fails` says of a task running on a machine ends it with an error. */
+  play(seconds: number, fails: (job: JobState, machine: Machine) => boolean): void {
+    for (const until = this.now + seconds; this.now < until; this.now++) {
+      for (const job of [...this.fleet.jobs.values()]) {
+        for (const task of assignmentsOf(job)) this.report(task.machine, job, fails);
+      }
+      this.scheduler.reservations.update(this.now);
+      this.scheduler.round(this.now);
+    }
+  }
+
+  fail(job: JobState, machine: Machine): void {
+    const attempt = this.fleet.assignments.newAttempt();
+    const [index] = this.fleet.jobs.waitingTasks(job, 1);
+    const task = this.fleet.assignments.assign(job, index, machine, attempt, this.now);
+    this.fleet.assignments.end(task, 'error', false, ++this.now);
+  }
+
+  private report(
+    machine: Machine,
+    job: JobState,
+    fails: (job: JobState, machine: Machine) => boolean,
+  ): void {
+    const { assignments, failures } = this.fleet;
+    for (const task of [...machine.tasks.values()]) {
+      if (task.job !== job || task.assignedAt >= this.now) continue;
+      if (task.stop !== null) {
+        assignments.end(task, 'stopped', false, this.now);
+        continue;
+      }
+      if (task.runningSince === null) {
+        task.runningSince = this.now;
+        task.reported = 'running';
+        this.starts.set(job.spec.id, (this.starts.get(job.spec.id) ?? 0) + 1);
+      }
+      if (fails(job, machine)) assignments.end(task, 'error', false, this.now);
+      else failures.taskRuns(task, this.now);
+    }
+  }
+}
