Tests: the user interface of the abort test has an admission, and its server ends with it

The handler asks it when users should come again. The assertions are as before; without a server that ends, the failure kept the test run from ending.

--- a/packages/controller/user-api-abort.test.ts
+++ b/packages/controller/user-api-abort.test.ts
@@ -5,7 +5,7 @@
 import { makeApp } from './http-server.js';
 import { UserApi, type UserApiOptions } from './user-api.js';
 
-test('whoever owns hears of an abort before it is recorded, whatever becomes of the record', async () => {
+test('whoever owns hears of an abort before it is recorded, whatever becomes of the record', async (t) => {
   // Guards against tasks that run on past their time: the controller that recorded an abort ended
   // before it told the owner, and an outage of the state service began.
   const seen: string[] = [];
@@ -18,6 +18,7 @@
         return Promise.reject(new NoAnswer('cut'));
       },
     },
+    admission: { retryAfterFailureS: () => 1 },
     jobs: { get: () => record, cache: { sync: () => Promise.resolve() } },
     onRequest: () => () => {},
     crowded: () => false,
@@ -26,8 +27,8 @@
   const app = makeApp();
   new UserApi(options as unknown as UserApiOptions).mount(app);
   const { port, close } = await serveOnLoopback(app);
+  t.after(close);
   const status = await postBytes(port, `/submissions/${record.job.id}/abort`, new Uint8Array());
-  close();
   assert.equal(status, 503);
   assert.deepEqual(seen.slice(0, 2), [record.job.id, 'commit']);
 });
