Testing: a program that measures start, owner, standby and take-over of real controllers

load.ts loaded one controller with fixed settings, and only its processor time came out. Operators who size their own machines, and changes that are about processor time, need a start, a steady owner, a controller that owns nothing and a take-over with a full fleet, at their own number of controllers and machines.

sizing.js replaces it: controllers are started as processes by the run line of deploy/service.toml (of this or another built checkout), each with an address of its own at the stand-in for the state service, so that their requests are told apart; workers tell how their reports fare. Results come as a table beside the limits, and as JSON with the sources' version and the machine's speed. The platform's files are made by the same code as those of the simulated cluster.

--- a/packages/testing/simulation/addresses.ts
+++ b/packages/testing/simulation/addresses.ts
@@ -13,6 +13,17 @@
 const PEER_PORT = 8081;
 const MACHINES_PER_SUBNET = 250;
 
+/** Where the controllers of a cluster listen, and where they reach the outside systems. */
+export interface AddressBook {
+  /** Where the controller with this index, counted from 0, serves workers and users. */
+  service(index: number): HostPort;
+  /** Where it serves its peers. */
+  peer(index: number): HostPort;
+  /** Where it reaches the state service. */
+  state(index: number): HostPort;
+  cloud: HostPort;
+}
+
 export function controllerName(index: number): string {
   return `controller-${index}`;
 }
@@ -23,7 +34,7 @@
 }
 
 /** Where a controller serves its peers. */
-export function peerAddress(index: number): HostPort {
+function peerAddress(index: number): HostPort {
   return { host: `10.0.0.${index + 1}`, port: PEER_PORT };
 }
 
@@ -33,6 +44,13 @@
   return { host: `10.1.${subnet}.${1 + (number % MACHINES_PER_SUBNET)}`, port: WORKER_PORT };
 }
 
+export const SIMULATED_ADDRESSES: AddressBook = {
+  service: serviceAddress,
+  peer: peerAddress,
+  state: () => STATE_ADDRESS,
+  cloud: CLOUD_ADDRESS,
+};
+
 export function formatAddress({ host, port }: HostPort): string {
   return `${host}:${port}`;
 }
--- a/packages/testing/simulation/cluster-settings.ts
+++ b/packages/testing/simulation/cluster-settings.ts
@@ -7,12 +7,10 @@
 } from '#controller';
 import type { CapacityLimit, ControllerAddress } from '../standins/index.js';
 import {
-  CLOUD_ADDRESS,
+  type AddressBook,
   controllerName,
   formatAddress,
-  peerAddress,
-  serviceAddress,
-  STATE_ADDRESS,
+  SIMULATED_ADDRESSES,
 } from './addresses.js';
 
 type Deployment = PlatformSettings['deployment'];
@@ -31,35 +29,53 @@
   logLevel: 'error' | 'info' | 'debug';
 }
 
-/** The settings file of one controller, as the platform would write it. */
+/** What settles the platform's files of all controllers of a cluster. */
+export type SharedSettings = Pick<ClusterSettings, 'controllers' | 'deployment'>;
+
+/** The settings of one simulated controller. */
 export function controllerSettings(cluster: ClusterSettings, index: number): Settings {
-  const { deployment, controllers } = cluster;
+  const platform = platformSettings(cluster, index, SIMULATED_ADDRESSES);
+  return { ...platform, operator: withDefaults(cluster.operator, platform) };
+}
+
+/** What the platform's file of one controller holds. */
+export function platformSettings(
+  shared: SharedSettings,
+  index: number,
+  addresses: AddressBook,
+): PlatformSettings {
+  const { deployment, controllers } = shared;
   const others = Array.from({ length: controllers }, (_, i) => i).filter((i) => i !== index);
-  const platform: PlatformSettings = {
+  return {
     host_name: controllerName(index),
-    zone: zoneOfController(cluster, index),
-    listen: formatAddress(serviceAddress(index)),
-    cluster_listen: formatAddress(peerAddress(index)),
+    zone: zoneOfController(shared, index),
+    listen: formatAddress(addresses.service(index)),
+    cluster_listen: formatAddress(addresses.peer(index)),
     peers: others.map((i) => ({
       host_name: controllerName(i),
-      zone: zoneOfController(cluster, i),
-      peer_addr: formatAddress(peerAddress(i)),
+      zone: zoneOfController(shared, i),
+      peer_addr: formatAddress(addresses.peer(i)),
     })),
-    external: { cloud: formatAddress(CLOUD_ADDRESS), state: formatAddress(STATE_ADDRESS) },
+    external: {
+      cloud: formatAddress(addresses.cloud),
+      state: formatAddress(addresses.state(index)),
+    },
     deployment: { ...deployment, nodes: controllers },
   };
-  return { ...platform, operator: withDefaults(cluster.operator, platform) };
 }
 
 /** Where workers and users reach the controllers. */
-export function controllerAddresses({ controllers }: ClusterSettings): ControllerAddress[] {
+export function controllerAddresses(
+  { controllers }: Pick<ClusterSettings, 'controllers'>,
+  addresses: AddressBook = SIMULATED_ADDRESSES,
+): ControllerAddress[] {
   return Array.from({ length: controllers }, (_, index) => ({
     name: controllerName(index),
-    address: formatAddress(serviceAddress(index)),
+    address: formatAddress(addresses.service(index)),
   }));
 }
 
-export function zoneOfController({ deployment }: ClusterSettings, index: number): string {
+export function zoneOfController({ deployment }: SharedSettings, index: number): string {
   return deployment.zones[index % deployment.zones.length];
 }
 
--- /dev/null
+++ b/packages/testing/sizing/addresses.ts
@@ -0,0 +1,59 @@
+import type { HostPort } from '#wire';
+import type { AddressBook } from '../simulation/addresses.js';
+
+const STATE_PORT = 2379;
+const CLOUD_PORT = 8443;
+const SERVICE_PORT = 8080;
+const PEER_PORT = 8081;
+const FIRST_MACHINE_PORT = 10_000;
+/** Last parts of the addresses; controllers have those from 1 on. */
+const STATE_HOST = 200;
+const CLOUD_HOST = 201;
+const BALANCER_HOST = 202;
+const MACHINES_HOST = 203;
+/** Subnets below this are left to others. */
+const FIRST_SUBNET = 0x1000;
+const SUBNETS = 0x8000;
+
+/**
+ * Addresses of one run: a subnet of the loopback for each process that measures, so that runs beside each
+ * other do not meet.
+ */
+export class LoopbackAddresses implements AddressBook {
+  private readonly prefix: string;
+
+  constructor(processId: number) {
+    const subnet = FIRST_SUBNET + (processId % SUBNETS);
+    this.prefix = `127.${subnet >> 8}.${subnet & 0xff}`;
+  }
+
+  service(index: number): HostPort {
+    return this.at(1 + index, SERVICE_PORT);
+  }
+
+  peer(index: number): HostPort {
+    return this.at(1 + index, PEER_PORT);
+  }
+
+  /** One for each controller, so that their requests can be told apart. */
+  state(index: number): HostPort {
+    return this.at(STATE_HOST, STATE_PORT + index);
+  }
+
+  get cloud(): HostPort {
+    return this.at(CLOUD_HOST, CLOUD_PORT);
+  }
+
+  get balancer(): HostPort {
+    return this.at(BALANCER_HOST, SERVICE_PORT);
+  }
+
+  /** Of the machine with this number, counted from 1. */
+  machine(number: number): HostPort {
+    return this.at(MACHINES_HOST, FIRST_MACHINE_PORT + number);
+  }
+
+  private at(lastPart: number, port: number): HostPort {
+    return { host: `${this.prefix}.${lastPart}`, port };
+  }
+}
--- /dev/null
+++ b/packages/testing/sizing/calibration.ts
@@ -0,0 +1,43 @@
+/** How fast this machine is, so that figures of different machines can be compared. */
+import { availableParallelism, cpus } from 'node:os';
+
+/** The machine that measures. */
+export interface MachineSpeed {
+  model: string;
+  cores: number;
+  node: string;
+  /** Processor time of a fixed piece of work, least of several runs; ms. */
+  calibrationMs: number;
+}
+
+const RUNS = 5;
+const ROUNDS = 40_000;
+
+export function measureSpeed(): MachineSpeed {
+  return {
+    model: cpus()[0]?.model ?? 'unknown',
+    cores: availableParallelism(),
+    node: process.version,
+    calibrationMs: Math.min(...Array.from({ length: RUNS }, timeWork)),
+  };
+}
+
+function timeWork(): number {
+  const before = process.cpuUsage();
+  work();
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1000;
+}
+
+/** Objects, text, maps and numbers, as a controller handles them. */
+function work(): number {
+  const counts = new Map<string, number>();
+  let total = 0;
+  for (let round = 0; round < ROUNDS; round++) {
+    const text = JSON.stringify({ machine: `n-${round % 500}`, tasks: [round, round + 1] });
+    const { machine, tasks } = JSON.parse(text) as { machine: string; tasks: number[] };
+    counts.set(machine, (counts.get(machine) ?? 0) + tasks.length);
+    total += Buffer.from(text).reduce((sum, byte) => sum + byte, 0);
+  }
+  return total + counts.size;
+}
--- /dev/null
+++ b/packages/testing/sizing/cluster.ts
@@ -0,0 +1,176 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { stringify } from 'smol-toml';
+import { partKey, type PartRecord } from '#store';
+import { nodeRuntime } from '#wire';
+import { formatAddress } from '../simulation/addresses.js';
+import {
+  controllerAddresses,
+  platformSettings,
+  type SharedSettings,
+} from '../simulation/cluster-settings.js';
+import {
+  CloudService,
+  Fleet,
+  GangNetwork,
+  JobStorage,
+  LateReports,
+  LoadBalancer,
+  type Observer,
+  QUICK_BOOTS,
+  ReplyLoss,
+  StateService,
+  Users,
+} from '../standins/index.js';
+import { LoopbackAddresses } from './addresses.js';
+import { type ControllerCommand, ControllerProcess, NotRunning } from './controller-process.js';
+import { machineType } from './machine-type.js';
+import { ReportLog } from './report-log.js';
+import { RequestCounter } from './request-counter.js';
+
+/** What a cluster on the loopback consists of. */
+export interface LoopbackClusterOptions {
+  shared: SharedSettings;
+  machines: number;
+  command: ControllerCommand;
+}
+
+/** Who holds the part, by the state service's word. */
+export interface PartHolder {
+  owner: string;
+  term: number;
+}
+
+/** Stand-ins for the outside systems in this process, and controllers as processes of their own. */
+export class LoopbackCluster {
+  readonly addresses = new LoopbackAddresses(process.pid);
+  readonly reports = new ReportLog();
+  readonly stateRequests = new RequestCounter();
+  readonly controllers: ControllerProcess[];
+  readonly fleet: Fleet;
+  readonly users: Users;
+  /** Tasks that were killed since a lease ended. */
+  tasksKilled = 0;
+  private readonly state: StateService;
+  private readonly cloud: CloudService;
+  private readonly balancer: LoadBalancer;
+  private readonly storage: JobStorage;
+  private readonly directory = mkdtempSync(path.join(tmpdir(), 'sorreldale-sizing-'));
+
+  constructor(readonly options: LoopbackClusterOptions) {
+    const observer: Observer = (event) => {
+      if (event.kind === 'task-left' && event.cause === 'killed') this.tasksKilled++;
+    };
+    this.storage = new JobStorage(observer);
+    this.state = this.makeState();
+    this.fleet = this.makeFleet(observer);
+    this.cloud = this.makeCloud();
+    const controllers = controllerAddresses(options.shared, this.addresses);
+    this.balancer = new LoadBalancer(nodeRuntime, controllers);
+    this.users = new Users({
+      runtime: nodeRuntime,
+      balancer: formatAddress(this.addresses.balancer),
+      nodes: controllers,
+      storage: this.storage,
+      observer,
+    });
+    this.controllers = controllers.map(({ name }, index) => this.makeController(name, index));
+  }
+
+  /** Starts the stand-ins; no controller yet. None outlives this process. */
+  async listen(): Promise<void> {
+    process.once('exit', () => this.controllers.forEach((controller) => controller.killNow()));
+    const { addresses, state, cloud, balancer, controllers } = this;
+    for (const { index } of controllers) await state.listen(addresses.state(index));
+    await cloud.listen(addresses.cloud);
+    await balancer.listen(addresses.balancer);
+  }
+
+  /** Ends everything that was started. */
+  async close(): Promise<void> {
+    this.users.stop();
+    await Promise.all(this.controllers.map((controller) => controller.end('SIGTERM')));
+    for (const worker of this.fleet.workers()) worker.powerOff();
+    for (const service of [this.balancer, this.cloud, this.state]) service.close();
+    rmSync(this.directory, { recursive: true });
+  }
+
+  holder(): PartHolder | null {
+    const entry = this.state.store.get(partKey(0));
+    if (entry === undefined) return null;
+    return { owner: (entry.value as PartRecord).owner, term: entry.version };
+  }
+
+  /** The controller that holds the part and runs, or null. */
+  owner(): ControllerProcess | null {
+    const holder = this.holder();
+    const owner = this.controllers.find(({ name }) => name === holder?.owner);
+    return owner?.running ? owner : null;
+  }
+
+  /** As `owner`; throws if there is none. */
+  requireOwner(): ControllerProcess {
+    const owner = this.owner();
+    if (owner === null) throw new NotRunning('no controller owns the machines');
+    return owner;
+  }
+
+  /** Those that run and do not hold the part. */
+  standbys(): ControllerProcess[] {
+    const owner = this.owner();
+    return this.controllers.filter((controller) => controller.running && controller !== owner);
+  }
+
+  /** Requests of a controller to the state service so far. */
+  stateRequestsOf({ index }: ControllerProcess): number {
+    return this.stateRequests.count(this.addresses.state(index).port);
+  }
+
+  private makeController(name: string, index: number): ControllerProcess {
+    const settings = platformSettings(this.options.shared, index, this.addresses);
+    const file = path.join(this.directory, `${name}.toml`);
+    writeFileSync(file, stringify(settings));
+    return new ControllerProcess(name, index, file, this.options.command);
+  }
+
+  private makeState(): StateService {
+    const { rps, write_rps, value_kb, txn_ops } = this.options.shared.deployment.state;
+    const limits = { rps, writeRps: write_rps, valueKb: value_kb, txnOps: txn_ops };
+    return new StateService(this.stateRequests.watch(nodeRuntime), limits);
+  }
+
+  private makeCloud(): CloudService {
+    const { shared, machines } = this.options;
+    const { zones, cloud } = shared.deployment;
+    const types = [machineType(zones)];
+    const limits = { rps: cloud.rps, listLagS: cloud.list_lag_s };
+    const options = { types, capacity: [{ machines }], ...limits };
+    const service = new CloudService(nodeRuntime, options, this.fleet);
+    service.setBootProfile(QUICK_BOOTS);
+    return service;
+  }
+
+  private makeFleet(observer: Observer): Fleet {
+    const { workers } = this.options.shared.deployment;
+    return new Fleet({
+      surroundings: {
+        times: {
+          reportS: workers.report_s,
+          leaseS: workers.lease_s,
+          gangWaitS: workers.gang_wait_s,
+          gangPeerS: workers.gang_peer_s,
+        },
+        controllers: controllerAddresses(this.options.shared, this.addresses),
+        storage: this.storage,
+        gangs: new GangNetwork(nodeRuntime),
+        observer,
+        lateReports: new LateReports(nodeRuntime),
+        lateCommands: new ReplyLoss(nodeRuntime),
+        reportObserver: this.reports,
+      },
+      addressOf: (number) => this.addresses.machine(number),
+      hostFor: () => ({ runtime: nodeRuntime, powerOff: () => {} }),
+    });
+  }
+}
--- /dev/null
+++ b/packages/testing/sizing/controller-process.ts
@@ -0,0 +1,90 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { ProcessLog } from './process-log.js';
+import { processorTimeS, residentMemory, resetPeak, type ResidentMemory } from './process-use.js';
+
+/** How controllers are started. */
+export interface ControllerCommand {
+  /** Where it is started from. */
+  directory: string;
+  /** Program and arguments; the settings file follows. */
+  command: string[];
+  logLevel: string;
+}
+
+/** One run of a controller, from its start to its end. */
+export interface ControllerRun {
+  pid: number;
+  /** Milliseconds of this process's steady clock. */
+  startedAtMs: number;
+  log: ProcessLog;
+}
+
+/** The controller does not run, or has ended by itself. */
+export class NotRunning extends Error {}
+
+/** A controller as a process of its own, which this process starts and ends. */
+export class ControllerProcess {
+  private child: ChildProcess | null = null;
+  private current: ControllerRun | null = null;
+
+  constructor(
+    readonly name: string,
+    readonly index: number,
+    private readonly settingsFile: string,
+    private readonly how: ControllerCommand,
+  ) {}
+
+  /** Throws NotRunning. */
+  get run(): ControllerRun {
+    if (this.current === null) throw new NotRunning(`${this.name} does not run`);
+    if (this.child?.exitCode === null && this.child.signalCode === null) return this.current;
+    const lastWords = this.current.log.other.at(-1) ?? this.current.log.lines.at(-1)?.msg ?? '';
+    throw new NotRunning(`${this.name} has ended by itself: ${lastWords}`);
+  }
+
+  get running(): boolean {
+    return this.current !== null;
+  }
+
+  start(extraNodeOptions: string[] = []): ControllerRun {
+    const { directory, command, logLevel } = this.how;
+    const [program, ...args] = command;
+    const startedAtMs = performance.now();
+    const child = spawn(program, [...extraNodeOptions, ...args, this.settingsFile], {
+      cwd: directory,
+      env: { ...process.env, LOG_LEVEL: logLevel },
+      stdio: ['ignore', 'ignore', 'pipe'],
+    });
+    this.child = child;
+    this.current = { pid: child.pid!, startedAtMs, log: new ProcessLog(child.stderr!) };
+    return this.current;
+  }
+
+  /** Sends the signal and resolves once the process has ended. */
+  async end(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    const { child } = this;
+    this.child = this.current = null;
+    if (child === null || child.exitCode !== null || child.signalCode !== null) return;
+    child.kill(signal);
+    await once(child, 'exit');
+  }
+
+  /** Without waiting for its end. */
+  killNow(): void {
+    this.child?.kill('SIGKILL');
+  }
+
+  /** Since its start; seconds. */
+  processorS(): number {
+    return processorTimeS(this.run.pid);
+  }
+
+  memory(): ResidentMemory {
+    return residentMemory(this.run.pid);
+  }
+
+  resetPeakMemory(): void {
+    resetPeak(this.run.pid);
+  }
+}
--- /dev/null
+++ b/packages/testing/sizing/figure.ts
@@ -0,0 +1,58 @@
+import type { PlatformSettings } from '#controller';
+
+type Limits = PlatformSettings['deployment']['limits'];
+
+/** Units of figures; `processor s` is time that a processor worked, `s` is time that passed. */
+export type Unit = 'cores' | 'processor s' | 'processor ms' | 's' | 'ms' | 'MB' | 'a second' | '';
+
+/** One measured figure. */
+export interface Figure {
+  name: string;
+  value: number;
+  unit: Unit;
+  /**
+   * Cores and MB as a share of the limit; for processor time the seconds that it takes at the limit. Null
+   * if no limit is about it.
+   */
+  ofLimit: number | null;
+}
+
+/** Gathers figures and puts them beside a controller's limits. */
+export class Figures {
+  readonly all: Figure[] = [];
+
+  constructor(private readonly limits: Limits) {}
+
+  cores(name: string, value: number): this {
+    return this.add(name, value, 'cores', value / this.limits.cpu_share);
+  }
+
+  processorS(name: string, value: number): this {
+    return this.add(name, value, 'processor s', value / this.limits.cpu_share);
+  }
+
+  processorMs(name: string, value: number): this {
+    return this.add(name, value, 'processor ms', value / 1000 / this.limits.cpu_share);
+  }
+
+  megabytes(name: string, value: number): this {
+    return this.add(name, value, 'MB', value / this.limits.memory_mb);
+  }
+
+  seconds(name: string, value: number): this {
+    return this.add(name, value, 's', null);
+  }
+
+  rate(name: string, value: number): this {
+    return this.add(name, value, 'a second', null);
+  }
+
+  count(name: string, value: number): this {
+    return this.add(name, value, '', null);
+  }
+
+  private add(name: string, value: number, unit: Unit, ofLimit: number | null): this {
+    this.all.push({ name, value, unit, ofLimit });
+    return this;
+  }
+}
--- /dev/null
+++ b/packages/testing/sizing/full-fleet.ts
@@ -0,0 +1,39 @@
+/** Brings a cluster to the state that most measurements begin from. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { formatAddress } from '../simulation/addresses.js';
+import type { LoopbackCluster } from './cluster.js';
+import { untilHealthy } from './health.js';
+import type { SizingOptions } from './options.js';
+import { waitFor } from './wait.js';
+import { planSizingWorkload } from './workload.js';
+
+/** For how long jobs come: longer than any run of measurements. */
+const WORKLOAD_S = 3600;
+const START_WITHIN_S = 60;
+const FILL_WITHIN_S = 180;
+/** From a full fleet to the first measurement: jobs come and go, and code is compiled. */
+const SETTLE_S = 20;
+
+/** Starts all controllers and users; resolves once the whole fleet works and has done so for a while. */
+export async function fillFleet(cluster: LoopbackCluster, options: SizingOptions): Promise<void> {
+  await cluster.listen();
+  for (const controller of cluster.controllers) controller.start();
+  await allHealthy(cluster);
+  const { machines, jobsPerMinute } = options;
+  const teams = cluster.options.shared.deployment.teams.map(({ name }) => name);
+  const workload = { machines, teams, jobsPerMinute, lengthS: WORKLOAD_S };
+  cluster.users.start(planSizingWorkload(workload));
+  await waitFor(`${machines} machines that report`, FILL_WITHIN_S, () =>
+    cluster.fleet.workers().length >= machines ? true : null,
+  );
+  await sleep(SETTLE_S * 1000);
+}
+
+/** Resolves once all controllers that run say that they are healthy. */
+export async function allHealthy(cluster: LoopbackCluster): Promise<void> {
+  for (const { running, index, name } of cluster.controllers) {
+    if (!running) continue;
+    const address = cluster.addresses.service(index);
+    await untilHealthy(address, START_WITHIN_S, `${name} at ${formatAddress(address)}`);
+  }
+}
--- /dev/null
+++ b/packages/testing/sizing/health.ts
@@ -0,0 +1,35 @@
+import http from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { HostPort } from '#wire';
+import { TooLate } from './wait.js';
+
+/** From one question to the next; each costs the controller a little. */
+const ASK_EVERY_MS = 20;
+const ANSWER_WITHIN_MS = 5000;
+
+/** Resolves once the controller says that it is healthy, with the moment; rejects with TooLate. */
+export async function untilHealthy(
+  address: HostPort,
+  withinS: number,
+  name: string,
+): Promise<{ atMs: number }> {
+  const untilMs = performance.now() + withinS * 1000;
+  while (performance.now() < untilMs) {
+    if ((await askHealth(address)) === 200) return { atMs: performance.now() };
+    await sleep(ASK_EVERY_MS);
+  }
+  throw new TooLate(`${name}: not healthy within ${withinS} s`);
+}
+
+/** The status of /healthz; null if there is no answer. */
+function askHealth({ host, port }: HostPort): Promise<number | null> {
+  return new Promise((resolve) => {
+    const options = { host, port, path: '/healthz', agent: false, timeout: ANSWER_WITHIN_MS };
+    const request = http.get(options, (response) => {
+      response.resume();
+      resolve(response.statusCode ?? null);
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(null));
+  });
+}
--- /dev/null
+++ b/packages/testing/sizing/machine-type.ts
@@ -0,0 +1,17 @@
+import type { MachineType } from '#wire';
+
+/** The only machine type of the fleets that are measured: eight accelerators. */
+export function machineType(zones: string[]): MachineType {
+  return {
+    name: 'gpu-8',
+    cpus: 96,
+    gpus: 8,
+    memory: 384,
+    cacheGb: 600,
+    fetchGbPerS: 5,
+    price: 20,
+    spotPrice: 6,
+    bootS: 60,
+    zones,
+  };
+}
--- /dev/null
+++ b/packages/testing/sizing/measure-all.ts
@@ -0,0 +1,52 @@
+import { LoopbackCluster } from './cluster.js';
+import { fillFleet } from './full-fleet.js';
+import type { Measure, Measured, MeasurementName } from './measurement.js';
+import { measureStart } from './measurements/start.js';
+import { measureOwner, measureStandby } from './measurements/steady.js';
+import { measureTakeOver } from './measurements/take-over.js';
+import type { SizingOptions } from './options.js';
+import { runLine } from './sources.js';
+
+/** Is told how a run of measurements goes on. */
+export interface Progress {
+  /** Something begins that takes a while. */
+  begins(what: string): void;
+  measured(measured: Measured): void;
+}
+
+interface Plan {
+  measure: Measure;
+  /** Whether it is repeated as often as the command line says. */
+  repeated: boolean;
+}
+
+const PLANS: Record<MeasurementName, Plan> = {
+  start: { measure: measureStart, repeated: true },
+  owner: { measure: measureOwner, repeated: false },
+  standby: { measure: measureStandby, repeated: false },
+  'take-over': { measure: measureTakeOver, repeated: true },
+};
+
+/** Runs the chosen measurements one after the other on one cluster. */
+export async function measureAll(options: SizingOptions, progress: Progress): Promise<void> {
+  const cluster = makeCluster(options);
+  try {
+    progress.begins('filling the fleet');
+    await fillFleet(cluster, options);
+    for (const name of options.measurements) {
+      const { measure, repeated } = PLANS[name];
+      for (let run = 0; run < (repeated ? options.repeat : 1); run++) {
+        progress.begins(name);
+        progress.measured(await measure(cluster, options));
+      }
+    }
+  } finally {
+    await cluster.close();
+  }
+}
+
+function makeCluster({ sources, nodeOptions, logLevel, machines, cluster }: SizingOptions) {
+  const [program, ...args] = runLine(sources);
+  const command = { directory: sources, command: [program, ...nodeOptions, ...args], logLevel };
+  return new LoopbackCluster({ shared: cluster, machines, command });
+}
--- /dev/null
+++ b/packages/testing/sizing/measurement.ts
@@ -0,0 +1,17 @@
+import type { LoopbackCluster } from './cluster.js';
+import type { Figure } from './figure.js';
+import type { SizingOptions } from './options.js';
+
+/** What can be measured, in the order in which it is. */
+export const MEASUREMENTS = ['start', 'owner', 'standby', 'take-over'] as const;
+
+export type MeasurementName = (typeof MEASUREMENTS)[number];
+
+/** Figures that were taken at one go. */
+export interface Measured {
+  measurement: MeasurementName;
+  figures: Figure[];
+}
+
+/** Measures at a cluster whose fleet is full; leaves it so that others can go on there. */
+export type Measure = (cluster: LoopbackCluster, options: SizingOptions) => Promise<Measured>;
--- /dev/null
+++ b/packages/testing/sizing/measurements/steady.ts
@@ -0,0 +1,83 @@
+/** What an owner and the others need while nothing goes wrong. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { LoopbackCluster } from '../cluster.js';
+import { Figures } from '../figure.js';
+import type { Measured } from '../measurement.js';
+import { Observation, type Observed } from '../observation.js';
+import type { SizingOptions } from '../options.js';
+
+/** Watches the owner for a while. */
+export async function measureOwner(
+  cluster: LoopbackCluster,
+  { seconds }: SizingOptions,
+): Promise<Measured> {
+  const [observed] = await observe([new Observation(cluster, cluster.requireOwner())], seconds);
+  const figures = new Figures(cluster.options.shared.deployment.limits);
+  figures
+    .cores('processor', observed.cores)
+    .processorMs('processor by report', (observed.cores / observed.answeredReports) * 1000)
+    .rate('reports', observed.answeredReports);
+  addRates(figures, observed);
+  addMemory(figures, observed);
+  return { measurement: 'owner', figures: figures.all };
+}
+
+/** Watches all controllers that own nothing; the figures are their means. */
+export async function measureStandby(
+  cluster: LoopbackCluster,
+  { seconds }: SizingOptions,
+): Promise<Measured> {
+  const watched = cluster.standbys().map((each) => new Observation(cluster, each));
+  const all = await observe(watched, seconds);
+  const figures = new Figures(cluster.options.shared.deployment.limits);
+  const mean = meanOf(all);
+  figures
+    .cores('processor', mean.cores)
+    .cores('processor, the busiest', Math.max(...all.map(({ cores }) => cores)));
+  addRates(figures, mean);
+  addMemory(figures, mean);
+  return { measurement: 'standby', figures: figures.all };
+}
+
+async function observe(observations: Observation[], seconds: number): Promise<Observed[]> {
+  await sleep(seconds * 1000);
+  return observations.map((observation) => observation.end());
+}
+
+/** What a controller's own counts say, as far as it has logged them. */
+const VITALS: Record<string, string> = {
+  questionsPerS: "users' requests",
+  peerFramesPerS: 'frames from peers',
+  roundsPerS: 'rounds',
+  roundMsPerS: 'milliseconds in rounds',
+  stateChangesPerS: 'changes at the state service',
+};
+
+function addRates(figures: Figures, { stateRequests, vitals }: Observed): void {
+  figures.rate('requests to the state service', stateRequests);
+  for (const [name, text] of Object.entries(VITALS)) {
+    if (name in vitals) figures.rate(text, vitals[name]);
+  }
+}
+
+function addMemory(figures: Figures, { residentMb, peakMb, vitals }: Observed): void {
+  figures.megabytes('memory', residentMb).megabytes('greatest memory', peakMb);
+  if ('heapMb' in vitals) figures.megabytes('heap', vitals.heapMb);
+}
+
+function meanOf(all: Observed[]): Observed {
+  const mean = (values: number[]) => values.reduce((sum, value) => sum + value, 0) / values.length;
+  const by = (name: Exclude<keyof Observed, 'vitals'>) => mean(all.map((each) => each[name]));
+  const names = Object.keys(all[0].vitals);
+  const vitals = names.map((name) => [name, mean(all.map((each) => each.vitals[name] ?? 0))]);
+  return {
+    seconds: by('seconds'),
+    cores: by('cores'),
+    answeredReports: by('answeredReports'),
+    otherReports: by('otherReports'),
+    stateRequests: by('stateRequests'),
+    residentMb: by('residentMb'),
+    peakMb: by('peakMb'),
+    vitals: Object.fromEntries(vitals) as Record<string, number>,
+  };
+}
--- /dev/null
+++ b/packages/testing/sizing/observation.ts
@@ -0,0 +1,79 @@
+import type { LoopbackCluster } from './cluster.js';
+import type { ControllerProcess } from './controller-process.js';
+import type { ProcessLog } from './process-log.js';
+
+/** What one controller did and used over a span of time; rates are a second. */
+export interface Observed {
+  seconds: number;
+  cores: number;
+  /** Reports answered as the owner, and turned away, as their workers saw it. */
+  answeredReports: number;
+  otherReports: number;
+  stateRequests: number;
+  /** Resident memory at the end, and its peak; MB. */
+  residentMb: number;
+  peakMb: number;
+  /** Averages of what the controller's own `vitals` say; empty if it logged none meanwhile. */
+  vitals: Record<string, number>;
+}
+
+/** Totals since the start of a controller. */
+interface Totals {
+  atMs: number;
+  processorS: number;
+  answeredReports: number;
+  otherReports: number;
+  stateRequests: number;
+}
+
+/** Watches one controller from now on. */
+export class Observation {
+  private readonly before: Totals;
+
+  constructor(
+    private readonly cluster: LoopbackCluster,
+    readonly controller: ControllerProcess,
+  ) {
+    controller.resetPeakMemory();
+    this.before = this.totals();
+  }
+
+  /** What happened since it was made. */
+  end(): Observed {
+    const { before, controller } = this;
+    const after = this.totals();
+    const seconds = (after.atMs - before.atMs) / 1000;
+    const rate = (name: Exclude<keyof Totals, 'atMs'>) => (after[name] - before[name]) / seconds;
+    const { nowMb, peakMb } = controller.memory();
+    return {
+      seconds,
+      cores: rate('processorS'),
+      answeredReports: rate('answeredReports'),
+      otherReports: rate('otherReports'),
+      stateRequests: rate('stateRequests'),
+      residentMb: nowMb,
+      peakMb,
+      vitals: averageVitals(controller.run.log, before.atMs),
+    };
+  }
+
+  private totals(): Totals {
+    const { cluster, controller } = this;
+    const { reports } = cluster;
+    return {
+      atMs: performance.now(),
+      processorS: controller.processorS(),
+      answeredReports: reports.answered.get(controller.name) ?? 0,
+      otherReports: reports.turnedAway.get(controller.name) ?? 0,
+      stateRequests: cluster.stateRequestsOf(controller),
+    };
+  }
+}
+
+/** Mean of each number in the `vitals` lines since then. */
+function averageVitals(log: ProcessLog, sinceMs: number): Record<string, number> {
+  const lines = log.since('vitals', sinceMs);
+  const names = Object.keys(lines[0] ?? {}).filter((name) => typeof lines[0][name] === 'number');
+  const sum = (name: string) => lines.reduce((total, line) => total + (line[name] as number), 0);
+  return Object.fromEntries(names.map((name) => [name, sum(name) / lines.length]));
+}
--- /dev/null
+++ b/packages/testing/sizing/process-use.ts
@@ -0,0 +1,39 @@
+/** What a process uses, by the kernel's word (Linux). */
+import { readFileSync, writeFileSync } from 'node:fs';
+
+const TICKS_PER_SECOND = 100;
+/** Places of a process's own user and system time after its name in /proc/<pid>/stat. */
+const USER_TIME = 11;
+const SYSTEM_TIME = 12;
+/** What resets the greatest resident size when it is written to /proc/<pid>/clear_refs. */
+const RESET_PEAK = '5';
+
+/** Resident memory of a process, in MB of 2^20 bytes. */
+export interface ResidentMemory {
+  nowMb: number;
+  /** Greatest since the start, or since the last `resetPeak`. */
+  peakMb: number;
+}
+
+/** Processor time that a process has used since its start, in seconds; steps of 10 ms. */
+export function processorTimeS(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  // The name may hold blanks and brackets.
+  const fields = stat.slice(stat.lastIndexOf(') ') + 2).split(' ');
+  return (Number(fields[USER_TIME]) + Number(fields[SYSTEM_TIME])) / TICKS_PER_SECOND;
+}
+
+export function residentMemory(pid: number): ResidentMemory {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return { nowMb: field(status, 'VmRSS') / 1024, peakMb: field(status, 'VmHWM') / 1024 };
+}
+
+/** From now on the peak is that since this moment. */
+export function resetPeak(pid: number): void {
+  writeFileSync(`/proc/${pid}/clear_refs`, RESET_PEAK);
+}
+
+/** A field of /proc/<pid>/status that is in kB. */
+function field(status: string, name: string): number {
+  return Number(new RegExp(`^${name}:\\s+(\\d+) kB`, 'm').exec(status)?.[1] ?? NaN);
+}
--- /dev/null
+++ b/packages/testing/sizing/report-log.ts
@@ -0,0 +1,42 @@
+import type { ReportExchange, ReportObserver } from '../standins/index.js';
+
+/** A report that a controller has answered as the owner. */
+export interface AnsweredReport {
+  machine: string;
+  controller: string;
+  /** When its answer arrived; milliseconds of this process's steady clock. */
+  atMs: number;
+}
+
+type Listener = (report: AnsweredReport) => void;
+
+/** Status of the answer that renews a worker's lease. */
+const RENEWED = 200;
+
+/** How all workers of a fleet fare with their reports. */
+export class ReportLog implements ReportObserver {
+  /** Reports that were answered with 200, and all others, by controller. */
+  readonly answered = new Map<string, number>();
+  readonly turnedAway = new Map<string, number>();
+  leasesEnded = 0;
+  private readonly listeners = new Set<Listener>();
+
+  exchanged({ machine, controller, status }: ReportExchange): void {
+    const renewed = status === RENEWED;
+    const counts = renewed ? this.answered : this.turnedAway;
+    counts.set(controller, (counts.get(controller) ?? 0) + 1);
+    if (!renewed) return;
+    const report = { machine, controller, atMs: performance.now() };
+    for (const listener of this.listeners) listener(report);
+  }
+
+  leaseEnded(): void {
+    this.leasesEnded++;
+  }
+
+  /** Calls back for each answered report until the returned function is called. */
+  onAnswered(listener: Listener): () => void {
+    this.listeners.add(listener);
+    return () => void this.listeners.delete(listener);
+  }
+}
--- /dev/null
+++ b/packages/testing/sizing/result.ts
@@ -0,0 +1,38 @@
+import { loadavg } from 'node:os';
+import { type MachineSpeed, measureSpeed } from './calibration.js';
+import type { Measured } from './measurement.js';
+import type { SizingOptions } from './options.js';
+import { sourceVersion, type SourceVersion } from './sources.js';
+
+/** What all results of one run have in common. */
+export interface ResultContext {
+  sources: SourceVersion;
+  machine: MachineSpeed;
+  size: ReturnType<typeof sizeOf>;
+  nodeOptions: string[];
+}
+
+/** One measurement as a JSON object; `load` is that of the machine when it ended. */
+export interface Result extends Measured, ResultContext {
+  load: number;
+}
+
+export function resultContext(options: SizingOptions): ResultContext {
+  const { sources, nodeOptions } = options;
+  const machine = measureSpeed();
+  return { sources: sourceVersion(sources), machine, size: sizeOf(options), nodeOptions };
+}
+
+export function makeResult(measured: Measured, context: ResultContext): Result {
+  return { ...measured, load: currentLoad(), ...context };
+}
+
+/** Processes that ran or waited for a processor, over the last minute. */
+function currentLoad(): number {
+  return loadavg()[0];
+}
+
+function sizeOf({ cluster, machines, jobsPerMinute }: SizingOptions) {
+  const { workers, state, limits } = cluster.deployment;
+  return { controllers: cluster.controllers, machines, jobsPerMinute, workers, state, limits };
+}
--- /dev/null
+++ b/packages/testing/sizing/workload.ts
@@ -0,0 +1,130 @@
+/**
+ * The jobs of the fleets that are measured. One long-lived replica holds each machine, so that the fleet
+ * stays at its full size; jobs that come and go use about three quarters of what is left.
+ */
+import type { Job } from '#wire';
+import { aJob } from '../samples.js';
+import { Chance } from '../random.js';
+import { type JobClass, makeWorkload, type PlannedJob } from '../standins/index.js';
+
+export interface SizingWorkload {
+  machines: number;
+  teams: string[];
+  /** Jobs that come in a minute, beside those that hold the machines. */
+  jobsPerMinute: number;
+  /** For how long jobs come. */
+  lengthS: number;
+}
+
+/** Jobs in a minute for each machine that fill the fleet without a queue. */
+export const JOBS_PER_MACHINE_MINUTE = 0.276;
+const SEED = 1;
+/** Tasks of a job that holds machines, and how many such jobs come in a second. */
+const ANCHOR_TASKS = 2;
+const ANCHORS_PER_SECOND = 20;
+const ANCHOR = { class: 'anchor', cpus: 33, gpus: 4, memory: 200 };
+/** Ids of the jobs that hold machines; others' are below. */
+const FIRST_ANCHOR_ID = 990_000;
+
+const ANY_MACHINE = { types: null, zone: null, spot: true };
+const SAVES_NOTHING = { checkpointS: 0, saveS: 0 };
+
+const REPLICAS: JobClass = {
+  template: {
+    class: 'replica',
+    kind: 'service',
+    rank: 1,
+    cpus: 8,
+    gpus: 1,
+    memory: 25,
+    imageGb: 5,
+    oneZone: false,
+    spread: false,
+    ...ANY_MACHINE,
+    ...SAVES_NOTHING,
+  },
+  arrivals: { perMinute: 0.16, together: [1, 1], atStart: 0.4 },
+  tasks: [1, 5],
+  run: { medianS: 120, p95S: 300, maxS: 600 },
+  cancelledShare: 0,
+  mistakenShare: 0,
+  images: 12,
+};
+
+const BATCHES: JobClass = {
+  template: {
+    class: 'batch',
+    kind: 'array',
+    rank: 3,
+    cpus: 8,
+    gpus: 1,
+    memory: 25,
+    imageGb: 10,
+    oneZone: false,
+    spread: false,
+    ...ANY_MACHINE,
+    ...SAVES_NOTHING,
+  },
+  arrivals: { perMinute: 0.08, together: [1, 1], atStart: 0.1 },
+  tasks: [1, 29],
+  run: { medianS: 50, p95S: 130, maxS: 200 },
+  cancelledShare: 0.02,
+  mistakenShare: 0,
+  images: 12,
+};
+
+const GANGS: JobClass = {
+  template: {
+    class: 'gang',
+    kind: 'gang',
+    rank: 1,
+    cpus: 33,
+    gpus: 4,
+    memory: 100,
+    imageGb: 10,
+    oneZone: true,
+    spread: false,
+    ...ANY_MACHINE,
+    checkpointS: 20,
+    saveS: 2,
+  },
+  arrivals: { perMinute: 0.036, together: [1, 1], atStart: 0.06 },
+  tasks: [1, 4],
+  run: { medianS: 90, p95S: 200, maxS: 300 },
+  cancelledShare: 0.03,
+  mistakenShare: 0,
+  images: 12,
+};
+
+/** Classes whose rates are those of one machine. */
+const CLASSES: JobClass[] = [REPLICAS, BATCHES, GANGS];
+
+/** All jobs of a run, in the order in which they come. */
+export function planSizingWorkload(workload: SizingWorkload): PlannedJob[] {
+  const { teams, lengthS, jobsPerMinute, machines } = workload;
+  const chance = new Chance(SEED);
+  const churn = makeWorkload(() => chance.next(), {
+    classes: CLASSES,
+    teams,
+    lengthS,
+    intensity: jobsPerMinute / JOBS_PER_MACHINE_MINUTE,
+  });
+  return [...planAnchors(machines, teams), ...churn];
+}
+
+/** Jobs of which each machine has room for one task only, with as many tasks as there are machines. */
+function planAnchors(machines: number, teams: string[]): PlannedJob[] {
+  const count = Math.ceil(machines / ANCHOR_TASKS);
+  return Array.from({ length: count }, (_, index) => {
+    const tasks = Math.min(ANCHOR_TASKS, machines - index * ANCHOR_TASKS);
+    const fields: Partial<Job> = { ...ANCHOR, ...ANY_MACHINE, kind: 'service', rank: 0, tasks };
+    const id = `j-${FIRST_ANCHOR_ID + index}`;
+    const job = aJob({ ...fields, id, team: teams[index % teams.length] });
+    return {
+      program: { job, runS: Array<number>(tasks).fill(0), failsAfterS: null },
+      submitAtS: index / ANCHORS_PER_SECOND,
+      cancelAfterS: null,
+      repeatAfterS: null,
+    };
+  });
+}
--- a/packages/testing/standins/state/state-service.ts
+++ b/packages/testing/standins/state/state-service.ts
@@ -33,7 +33,7 @@
   private readonly lostReplies: ReplyLoss;
   private readonly requestRate: RateLimit;
   private readonly changeRate: RateLimit;
-  private server: CborServer | null = null;
+  private readonly servers: CborServer[] = [];
 
   constructor(
     private readonly runtime: Runtime,
@@ -49,15 +49,17 @@
     this.changeRate = new RateLimit(runtime.clock, limits.writeRps, BURST_S);
   }
 
+  /** May be called for several addresses. */
   async listen(address: HostPort): Promise<CborServer> {
-    this.server = await serveCbor(this.runtime, address, (request) => this.handle(request));
-    return this.server;
+    const server = await serveCbor(this.runtime, address, (request) => this.handle(request));
+    this.servers.push(server);
+    return server;
   }
 
   close(): void {
     this.leases.suspend();
     this.watchers.wakeAll();
-    this.server?.close();
+    for (const server of this.servers) server.close();
   }
 
   /** Nobody is served; watches stay open and wait, and no lease ends. */
--- a/packages/testing/standins/worker/reporter.ts
+++ b/packages/testing/standins/worker/reporter.ts
@@ -15,6 +15,8 @@
   answered(body: unknown, sentAt: number, node: ControllerAddress): void;
   /** A report went out to that node. */
   sent(body: unknown, node: ControllerAddress): void;
+  /** A report was answered with that status, or with none in time, `sentAt` of the runtime's clock. */
+  exchanged(status: number | null, sentAt: number, node: ControllerAddress): void;
   /** Resolves once the machine does not hang. */
   whenRunning(): Promise<void>;
 }
@@ -72,6 +74,7 @@
     await this.source.whenRunning();
     if (this.stopping.signal.aborted) return;
     const inTime = this.runtime.clock.now() - sentAt <= ANSWER_TIMEOUT_S;
+    this.source.exchanged(inTime ? (answer?.status ?? null) : null, sentAt, node);
     if (answer?.status === 200 && inTime) this.source.answered(answer.body, sentAt, node);
     else if (answer?.status === 421 && inTime) this.follow(parseRedirect(answer.body));
     else this.tryNextNode();
--- a/packages/testing/standins/worker/worker-setup.ts
+++ b/packages/testing/standins/worker/worker-setup.ts
@@ -6,6 +6,24 @@
 import type { ControllerAddress } from './node-choice.js';
 import type { WorkerTimes } from './task-host.js';
 
+/** One report and what became of it; seconds of the worker's clock. */
+export interface ReportExchange {
+  machine: string;
+  /** Name of the controller that it was sent to. */
+  controller: string;
+  /** Null if no answer came in time. */
+  status: number | null;
+  sentAtS: number;
+  endedAtS: number;
+}
+
+/** Is told how workers fare with their reports, for measurements. */
+export interface ReportObserver {
+  exchanged(exchange: ReportExchange): void;
+  /** The machine's lease has run out. */
+  leaseEnded(machine: string): void;
+}
+
 /** What all workers of a fleet share. */
 export interface WorkerSurroundings {
   times: WorkerTimes;
@@ -15,6 +33,7 @@
   observer: Observer;
   lateReports: LateReports;
   lateCommands: ReplyLoss;
+  reportObserver?: ReportObserver;
 }
 
 /** How one machine differs from others of its type. */
--- a/packages/testing/standins/worker/worker.ts
+++ b/packages/testing/standins/worker/worker.ts
@@ -54,6 +54,11 @@
       },
       answered: (body, sentAt, node) => this.answered(body, sentAt, node),
       sent: (body, node) => lateReports.reportSent(facts.name, body, node),
+      exchanged: (status, sentAtS, { name: controller }) => {
+        const endedAtS = this.clock.now();
+        const exchange = { machine: facts.name, controller, status, sentAtS, endedAtS };
+        surroundings.reportObserver?.exchanged(exchange);
+      },
       whenRunning: () => this.clock.whenRunning(),
     });
     this.server = new CommandServer(runtime, this, lateCommands);
@@ -181,6 +186,7 @@
   }
 
   private leaseEnded(): void {
+    this.surroundings.reportObserver?.leaseEnded(this.machine);
     this.tasks.killAll();
     this.reporter.noteChange();
   }
--- a/packages/testing/standins/workload/job-class.ts
+++ b/packages/testing/standins/workload/job-class.ts
@@ -7,6 +7,8 @@
   perMinute: number;
   /** Jobs that come together on one occasion. */
   together: Span;
+  /** Jobs that come at the very start, beside the others; none if it is left out. */
+  atStart?: number;
 }
 
 /** One class of jobs: what they need, when they come and how long they run. */
--- a/packages/testing/standins/workload/workload.ts
+++ b/packages/testing/standins/workload/workload.ts
@@ -18,7 +18,7 @@
   teams: string[];
   /** Jobs come during this time. */
   lengthS: number;
-  /** Multiplies the rates of arrival. */
+  /** Multiplies the rates of arrival, and the jobs at the start. */
   intensity?: number;
 }
 
@@ -57,7 +57,7 @@
   intensity: number,
   lengthS: number,
 ): number[] {
-  const times: number[] = [];
+  const times = Array<number>(Math.round((arrivals.atStart ?? 0) * intensity)).fill(0);
   const perSecond = (arrivals.perMinute * intensity) / 60;
   for (let atS = 0; ;) {
     atS += exponential(random, perSecond);
