Stand-in for the load balancer: asks each node once for its load

The load of a node that has just become healthy changes with time. It was asked twice, so on a real clock the least load could belong to no node, and the stand-in fell over (seen when the sizing program began with 7 controllers).

--- a/packages/testing/standins/balancer/load-balancer.ts
+++ b/packages/testing/standins/balancer/load-balancer.ts
@@ -57,13 +57,14 @@
 
   /** The healthy node with the least load for its share; the first of several equals at random. */
   private pick(tried: Set<Backend>): Backend | null {
-    const eligible = this.backends.filter(
-      (backend) => backend.health.isEligible && !tried.has(backend),
-    );
+    const eligible = this.backends
+      .filter((backend) => backend.health.isEligible && !tried.has(backend))
+      // Each is asked once: its share changes with time.
+      .map((backend) => ({ backend, load: backend.load }));
     if (eligible.length === 0) return null;
-    const leastLoad = Math.min(...eligible.map((backend) => backend.load));
-    const best = eligible.filter((backend) => backend.load === leastLoad);
-    return best[Math.floor(this.runtime.random() * best.length)];
+    const leastLoad = Math.min(...eligible.map(({ load }) => load));
+    const best = eligible.filter(({ load }) => load === leastLoad);
+    return best[Math.floor(this.runtime.random() * best.length)].backend;
   }
 }
 
