Sizing: what an owner and others spend their processor time on, by cause

A profile of separate modules tells each function's module; a sample counts for the first rule that a frame of its stack matches. Processor time is also told apart by kernel and program, and by the program's thread and V8's own.

--- /dev/null
+++ b/packages/testing/sizing/causes.ts
@@ -0,0 +1,125 @@
+/** What the samples of a processor profile were taken for, by the modules and functions on their stacks. */
+
+/** What a controller spends processor time on. */
+export const CAUSES = [
+  'rounds',
+  'reports',
+  'users',
+  'direct commands',
+  'records',
+  'peers',
+  'state service, all else',
+  'cloud',
+  'log and counters',
+  'HTTP server, all else',
+  'HTTP clients, all else',
+  'sockets, streams and timers',
+  'garbage collection',
+  'outside JavaScript',
+  'other',
+] as const;
+
+export type Cause = (typeof CAUSES)[number];
+
+/** A function on the stack of a sample. */
+export interface StackFrame {
+  functionName: string;
+  /** Of its module: a file URL, `node:...`, or empty for V8's own entries. */
+  url: string;
+}
+
+/** Matches a stack if a frame of it is in one of the modules, or has one of the names. */
+interface Rule {
+  cause: Cause;
+  /** Of the sources: below target/ and without extension; a directory ends with a slash. */
+  modules?: string[];
+  /** Names in Node, such as `node:_http_server`, or packages below node_modules. */
+  libraries?: string[];
+  /** Functions of any module. */
+  functions?: string[];
+}
+
+/** The first that matches counts: what is more special comes first. */
+const RULES: Rule[] = [
+  { cause: 'garbage collection', functions: ['(garbage collector)'] },
+  { cause: 'outside JavaScript', functions: ['(program)'] },
+  {
+    cause: 'rounds',
+    functions: ['timedRound'],
+    modules: ['core/scheduler', 'core/capacity-planner'],
+  },
+  {
+    cause: 'reports',
+    modules: ['controller/report-handler', 'core/report-handler', 'wire/report'],
+  },
+  {
+    cause: 'log and counters',
+    modules: ['controller/vitals', 'controller/lag', 'controller/log'],
+    libraries: ['pino'],
+  },
+  {
+    cause: 'users',
+    modules: ['controller/user-api', 'controller/health-endpoint', 'controller/admission'],
+    libraries: ['express', 'router'],
+  },
+  { cause: 'direct commands', modules: ['controller/direct', 'core/direct-orders'] },
+  {
+    cause: 'cloud',
+    modules: ['controller/cloud', 'controller/rentals', 'controller/machine-list', 'wire/cloud'],
+  },
+  {
+    cause: 'records',
+    modules: [
+      'controller/recorder',
+      'controller/record-batch',
+      'controller/machine-records',
+      'controller/job-records',
+      'controller/owner-records',
+      'store/commit',
+    ],
+  },
+  {
+    cause: 'peers',
+    modules: [
+      'peer/',
+      'controller/peer-coordinator',
+      'controller/peer-link',
+      'controller/status-exchange',
+      'controller/cancellation-relay',
+    ],
+  },
+  { cause: 'state service, all else', modules: ['store/', 'controller/jobs', 'wire/state'] },
+  {
+    cause: 'HTTP server, all else',
+    libraries: ['node:_http_server'],
+    modules: ['controller/http-server'],
+  },
+  {
+    cause: 'HTTP clients, all else',
+    libraries: ['node:_http_client', 'node:_http_agent'],
+    modules: ['wire/http', 'wire/agent'],
+  },
+  { cause: 'sockets, streams and timers', libraries: ['node:'] },
+];
+/** Not counted at all. */
+const IDLE = '(idle)';
+
+/** Null: the processor was idle. */
+export function causeOf(stack: StackFrame[]): Cause | null {
+  if (stack.some(({ functionName }) => functionName === IDLE)) return null;
+  return RULES.find((rule) => stack.some((frame) => matches(rule, frame)))?.cause ?? 'other';
+}
+
+function matches(rule: Rule, { functionName, url }: StackFrame): boolean {
+  const { functions = [], modules = [], libraries = [] } = rule;
+  if (functions.includes(functionName)) return true;
+  const module = /\/target\/(.*)\.js$/.exec(url)?.[1];
+  if (module !== undefined) return modules.some((name) => isWithin(module, name));
+  const library = /\/node_modules\/(.*)$/.exec(url)?.[1] ?? url;
+  return libraries.some((name) => isWithin(library, name) || library.startsWith(`${name}/`));
+}
+
+/** `peer/` and `node:` stand for all that begins with them. */
+function isWithin(name: string, pattern: string): boolean {
+  return /[/:]$/.test(pattern) ? name.startsWith(pattern) : name === pattern;
+}
--- a/packages/testing/sizing/cluster.ts
+++ b/packages/testing/sizing/cluster.ts
@@ -56,7 +56,8 @@
   private readonly cloud: CloudService;
   private readonly balancer: LoadBalancer;
   private readonly storage: JobStorage;
-  private readonly directory = mkdtempSync(path.join(tmpdir(), 'sorreldale-sizing-'));
+  /** For the controllers' settings; removed with the cluster. */
+  readonly directory = mkdtempSync(path.join(tmpdir(), 'sorreldale-sizing-'));
 
   constructor(readonly options: LoopbackClusterOptions) {
     const observer: Observer = (event) => {
--- a/packages/testing/sizing/controller-process.ts
+++ b/packages/testing/sizing/controller-process.ts
@@ -1,7 +1,13 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { ProcessLog } from './process-log.js';
-import { processorTimeS, residentMemory, resetPeak, type ResidentMemory } from './process-use.js';
+import {
+  processorTime,
+  type ProcessorTime,
+  residentMemory,
+  type ResidentMemory,
+  resetPeak,
+} from './process-use.js';
 
 /** How controllers are started. */
 export interface ControllerCommand {
@@ -47,11 +53,12 @@
     return this.current !== null;
   }
 
-  start(extraNodeOptions: string[] = []): ControllerRun {
-    const { directory, command, logLevel } = this.how;
+  /** Starts it by another command than usual if one is given. */
+  start(command: string[] = this.how.command): ControllerRun {
+    const { directory, logLevel } = this.how;
     const [program, ...args] = command;
     const startedAtMs = performance.now();
-    const child = spawn(program, [...extraNodeOptions, ...args, this.settingsFile], {
+    const child = spawn(program, [...args, this.settingsFile], {
       cwd: directory,
       env: { ...process.env, LOG_LEVEL: logLevel },
       stdio: ['ignore', 'ignore', 'pipe'],
@@ -77,7 +84,11 @@
 
   /** Since its start; seconds. */
   processorS(): number {
-    return processorTimeS(this.run.pid);
+    return this.processor().totalS;
+  }
+
+  processor(): ProcessorTime {
+    return processorTime(this.run.pid);
   }
 
   memory(): ResidentMemory {
--- a/packages/testing/sizing/measure-all.ts
+++ b/packages/testing/sizing/measure-all.ts
@@ -1,6 +1,7 @@
 import { LoopbackCluster } from './cluster.js';
 import { fillFleet } from './full-fleet.js';
 import type { Measure, Measured, MeasurementName } from './measurement.js';
+import { measureCauses } from './measurements/causes.js';
 import { measureStart } from './measurements/start.js';
 import { measureOwner, measureStandby } from './measurements/steady.js';
 import { measureTakeOver } from './measurements/take-over.js';
@@ -24,6 +25,7 @@
   start: { measure: measureStart, repeated: true },
   owner: { measure: measureOwner, repeated: false },
   standby: { measure: measureStandby, repeated: false },
+  causes: { measure: measureCauses, repeated: false },
   'take-over': { measure: measureTakeOver, repeated: true },
 };
 
@@ -37,7 +39,7 @@
       const { measure, repeated } = PLANS[name];
       for (let run = 0; run < (repeated ? options.repeat : 1); run++) {
         progress.begins(name);
-        progress.measured(await measure(cluster, options));
+        for (const measured of await measure(cluster, options)) progress.measured(measured);
       }
     }
   } finally {
@@ -46,7 +48,6 @@
 }
 
 function makeCluster({ sources, nodeOptions, logLevel, machines, cluster }: SizingOptions) {
-  const [program, ...args] = runLine(sources);
-  const command = { directory: sources, command: [program, ...nodeOptions, ...args], logLevel };
+  const command = { directory: sources, command: runLine(sources, nodeOptions), logLevel };
   return new LoopbackCluster({ shared: cluster, machines, command });
 }
--- a/packages/testing/sizing/measurement.ts
+++ b/packages/testing/sizing/measurement.ts
@@ -3,15 +3,16 @@
 import type { SizingOptions } from './options.js';
 
 /** What can be measured, in the order in which it is. */
-export const MEASUREMENTS = ['start', 'owner', 'standby', 'take-over'] as const;
+export const MEASUREMENTS = ['start', 'owner', 'standby', 'take-over', 'causes'] as const;
 
 export type MeasurementName = (typeof MEASUREMENTS)[number];
 
 /** Figures that were taken at one go. */
 export interface Measured {
-  measurement: MeasurementName;
+  /** Its name; one that is about several roles adds the role. */
+  measurement: MeasurementName | `${MeasurementName}, ${string}`;
   figures: Figure[];
 }
 
 /** Measures at a cluster whose fleet is full; leaves it so that others can go on there. */
-export type Measure = (cluster: LoopbackCluster, options: SizingOptions) => Promise<Measured>;
+export type Measure = (cluster: LoopbackCluster, options: SizingOptions) => Promise<Measured[]>;
--- /dev/null
+++ b/packages/testing/sizing/measurements/causes.ts
@@ -0,0 +1,93 @@
+/**
+ * What an owner and another controller spend their processor time on. Both run as separate modules and with
+ * Node's profiler, which takes processor time itself: the shares count, more than their sum.
+ */
+import { mkdirSync } from 'node:fs';
+import path from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { CAUSES } from '../causes.js';
+import type { LoopbackCluster } from '../cluster.js';
+import type { ControllerProcess } from '../controller-process.js';
+import { Figures } from '../figure.js';
+import { allHealthy } from '../full-fleet.js';
+import type { Measured } from '../measurement.js';
+import { Observation, type Observed } from '../observation.js';
+import type { SizingOptions } from '../options.js';
+import { profileClockUs, readProfile, sharesByCause, type TimeSpan } from '../profile.js';
+import { ReturnOfWorkers } from '../return-of-workers.js';
+import { profiledRunLine } from '../sources.js';
+
+const RETURN_WITHIN_S = 120;
+/** From the start of the last controller to the measurement. */
+const SETTLE_S = 20;
+
+interface ProfiledUse {
+  controller: ControllerProcess;
+  directory: string;
+  observed: Observed;
+  span: TimeSpan;
+}
+
+/** Starts all controllers anew, so that the first one is the owner, and profiles it and the next. */
+export async function measureCauses(
+  cluster: LoopbackCluster,
+  { seconds }: SizingOptions,
+): Promise<Measured[]> {
+  const [first, second] = cluster.controllers;
+  await startProfiled(cluster);
+  await sleep(SETTLE_S * 1000);
+  const watched = [first, second].filter((each) => each !== undefined);
+  const observations = watched.map((each) => new Observation(cluster, each));
+  const fromUs = profileClockUs();
+  await sleep(seconds * 1000);
+  const span = { fromUs, untilUs: profileClockUs() };
+  const uses = observations.map((observation) => ({
+    controller: observation.controller,
+    directory: profileDirectory(cluster, observation.controller),
+    observed: observation.end(),
+    span,
+  }));
+  const measured: Measured[] = [];
+  for (const use of uses) measured.push(await figuresOf(cluster, use));
+  for (const { controller } of uses) controller.start();
+  await allHealthy(cluster);
+  return measured;
+}
+
+async function startProfiled(cluster: LoopbackCluster): Promise<void> {
+  const [first, second, ...others] = cluster.controllers;
+  await Promise.all(cluster.controllers.map((controller) => controller.end('SIGTERM')));
+  const workers = new ReturnOfWorkers(cluster, null);
+  startWithProfile(cluster, first);
+  await workers.all(RETURN_WITHIN_S);
+  if (second !== undefined) startWithProfile(cluster, second);
+  for (const controller of others) controller.start();
+  await allHealthy(cluster);
+}
+
+function startWithProfile(cluster: LoopbackCluster, controller: ControllerProcess): void {
+  const directory = profileDirectory(cluster, controller);
+  mkdirSync(directory, { recursive: true });
+  controller.start(profiledRunLine(cluster.options.command.command, directory));
+}
+
+function profileDirectory(cluster: LoopbackCluster, { name }: ControllerProcess): string {
+  return path.join(cluster.directory, `profile-${name}`);
+}
+
+/** Ends the controller, which writes its profile then. */
+async function figuresOf(
+  cluster: LoopbackCluster,
+  { controller, directory, observed, span }: ProfiledUse,
+): Promise<Measured> {
+  const measurement = controller === cluster.owner() ? 'causes, owner' : 'causes, standby';
+  await controller.end('SIGTERM');
+  const shares = sharesByCause(readProfile(directory), span);
+  const figures = new Figures(cluster.options.shared.deployment.limits);
+  for (const cause of CAUSES)
+    figures.cores(cause, (shares.get(cause) ?? 0) * observed.mainThreadCores);
+  figures
+    .cores("all of the program's thread", observed.mainThreadCores)
+    .rate('answered reports', observed.answeredReports);
+  return { measurement, figures: figures.all };
+}
--- a/packages/testing/sizing/measurements/start.ts
+++ b/packages/testing/sizing/measurements/start.ts
@@ -13,13 +13,13 @@
 const WATCH_S = 10;
 
 /** Ends one controller that owns nothing and starts it again. */
-export async function measureStart(cluster: LoopbackCluster): Promise<Measured> {
+export async function measureStart(cluster: LoopbackCluster): Promise<Measured[]> {
   const controller = cluster.standbys().at(-1) ?? cluster.controllers[0];
   await controller.end('SIGKILL');
   await sleep(DOWN_S * 1000);
   const figures = new Figures(cluster.options.shared.deployment.limits);
   await watchStart(cluster, controller, figures);
-  return { measurement: 'start', figures: figures.all };
+  return [{ measurement: 'start', figures: figures.all }];
 }
 
 async function watchStart(
--- a/packages/testing/sizing/measurements/steady.ts
+++ b/packages/testing/sizing/measurements/steady.ts
@@ -10,33 +10,37 @@
 export async function measureOwner(
   cluster: LoopbackCluster,
   { seconds }: SizingOptions,
-): Promise<Measured> {
+): Promise<Measured[]> {
   const [observed] = await observe([new Observation(cluster, cluster.requireOwner())], seconds);
   const figures = new Figures(cluster.options.shared.deployment.limits);
   figures
     .cores('processor', observed.cores)
+    .cores('of that without the kernel', observed.userCores)
+    .cores('of that other threads', observed.cores - observed.mainThreadCores)
     .processorMs('processor by report', (observed.cores / observed.answeredReports) * 1000)
-    .rate('reports', observed.answeredReports);
+    .rate('answered reports', observed.answeredReports);
   addRates(figures, observed);
   addMemory(figures, observed);
-  return { measurement: 'owner', figures: figures.all };
+  return [{ measurement: 'owner', figures: figures.all }];
 }
 
 /** Watches all controllers that own nothing; the figures are their means. */
 export async function measureStandby(
   cluster: LoopbackCluster,
   { seconds }: SizingOptions,
-): Promise<Measured> {
+): Promise<Measured[]> {
   const watched = cluster.standbys().map((each) => new Observation(cluster, each));
   const all = await observe(watched, seconds);
   const figures = new Figures(cluster.options.shared.deployment.limits);
   const mean = meanOf(all);
   figures
     .cores('processor', mean.cores)
+    .cores('of that without the kernel', mean.userCores)
+    .cores('of that other threads', mean.cores - mean.mainThreadCores)
     .cores('processor, the busiest', Math.max(...all.map(({ cores }) => cores)));
   addRates(figures, mean);
   addMemory(figures, mean);
-  return { measurement: 'standby', figures: figures.all };
+  return [{ measurement: 'standby', figures: figures.all }];
 }
 
 async function observe(observations: Observation[], seconds: number): Promise<Observed[]> {
@@ -73,6 +77,8 @@
   return {
     seconds: by('seconds'),
     cores: by('cores'),
+    userCores: by('userCores'),
+    mainThreadCores: by('mainThreadCores'),
     answeredReports: by('answeredReports'),
     otherReports: by('otherReports'),
     stateRequests: by('stateRequests'),
--- a/packages/testing/sizing/measurements/take-over.ts
+++ b/packages/testing/sizing/measurements/take-over.ts
@@ -16,7 +16,7 @@
 const REST_S = 10;
 
 /** Kills the owner and watches its successor. */
-export async function measureTakeOver(cluster: LoopbackCluster): Promise<Measured> {
+export async function measureTakeOver(cluster: LoopbackCluster): Promise<Measured[]> {
   const former = cluster.requireOwner();
   const figures = new Figures(cluster.options.shared.deployment.limits);
   const { leasesEnded } = cluster.reports;
@@ -30,7 +30,7 @@
   former.start();
   await allHealthy(cluster);
   await sleep(REST_S * 1000);
-  return { measurement: 'take-over', figures: figures.all };
+  return [{ measurement: 'take-over', figures: figures.all }];
 }
 
 async function watchSuccessor(
--- a/packages/testing/sizing/observation.ts
+++ b/packages/testing/sizing/observation.ts
@@ -1,11 +1,15 @@
 import type { LoopbackCluster } from './cluster.js';
 import type { ControllerProcess } from './controller-process.js';
 import type { ProcessLog } from './process-log.js';
+import type { ProcessorTime } from './process-use.js';
 
 /** What one controller did and used over a span of time; rates are a second. */
 export interface Observed {
   seconds: number;
   cores: number;
+  /** The part of `cores` that the kernel did not use for it, and that of the program's own thread. */
+  userCores: number;
+  mainThreadCores: number;
   /** Reports answered as the owner, and turned away, as their workers saw it. */
   answeredReports: number;
   otherReports: number;
@@ -20,7 +24,7 @@
 /** Totals since the start of a controller. */
 interface Totals {
   atMs: number;
-  processorS: number;
+  processor: ProcessorTime;
   answeredReports: number;
   otherReports: number;
   stateRequests: number;
@@ -43,14 +47,16 @@
     const { before, controller } = this;
     const after = this.totals();
     const seconds = (after.atMs - before.atMs) / 1000;
-    const rate = (name: Exclude<keyof Totals, 'atMs'>) => (after[name] - before[name]) / seconds;
+    const rate = (total: (totals: Totals) => number) => (total(after) - total(before)) / seconds;
     const { nowMb, peakMb } = controller.memory();
     return {
       seconds,
-      cores: rate('processorS'),
-      answeredReports: rate('answeredReports'),
-      otherReports: rate('otherReports'),
-      stateRequests: rate('stateRequests'),
+      cores: rate(({ processor }) => processor.totalS),
+      userCores: rate(({ processor }) => processor.userS),
+      mainThreadCores: rate(({ processor }) => processor.mainThreadS),
+      answeredReports: rate(({ answeredReports }) => answeredReports),
+      otherReports: rate(({ otherReports }) => otherReports),
+      stateRequests: rate(({ stateRequests }) => stateRequests),
       residentMb: nowMb,
       peakMb,
       vitals: averageVitals(controller.run.log, before.atMs),
@@ -62,7 +68,7 @@
     const { reports } = cluster;
     return {
       atMs: performance.now(),
-      processorS: controller.processorS(),
+      processor: controller.processor(),
       answeredReports: reports.answered.get(controller.name) ?? 0,
       otherReports: reports.turnedAway.get(controller.name) ?? 0,
       stateRequests: cluster.stateRequestsOf(controller),
--- a/packages/testing/sizing/process-use.ts
+++ b/packages/testing/sizing/process-use.ts
@@ -16,11 +16,30 @@
 }
 
 /** Processor time that a process has used since its start, in seconds; steps of 10 ms. */
-export function processorTimeS(pid: number): number {
-  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+export interface ProcessorTime {
+  totalS: number;
+  /** In the program itself, and not in the kernel for it. */
+  userS: number;
+  /** Of the thread that runs the program; the others collect garbage and compile. */
+  mainThreadS: number;
+}
+
+export function processorTime(pid: number): ProcessorTime {
+  const whole = readTimes(`/proc/${pid}/stat`);
+  const main = readTimes(`/proc/${pid}/task/${pid}/stat`);
+  return {
+    totalS: whole.userS + whole.systemS,
+    userS: whole.userS,
+    mainThreadS: main.userS + main.systemS,
+  };
+}
+
+function readTimes(file: string): { userS: number; systemS: number } {
+  const stat = readFileSync(file, 'utf8');
   // The name may hold blanks and brackets.
   const fields = stat.slice(stat.lastIndexOf(') ') + 2).split(' ');
-  return (Number(fields[USER_TIME]) + Number(fields[SYSTEM_TIME])) / TICKS_PER_SECOND;
+  const seconds = (place: number) => Number(fields[place]) / TICKS_PER_SECOND;
+  return { userS: seconds(USER_TIME), systemS: seconds(SYSTEM_TIME) };
 }
 
 export function residentMemory(pid: number): ResidentMemory {
--- a/packages/testing/sizing/sources.ts
+++ b/packages/testing/sizing/sources.ts
@@ -17,8 +17,11 @@
 /** A directory that holds no built checkout; the message names what is missing. */
 export class NotBuilt extends Error {}
 
-/** The run line of deploy/service.toml in words: program, options, and where the settings file follows. */
-export function runLine(directory: string): string[] {
+/** The program of the run line before it was put in one file, so that each function tells its module. */
+const UNBUNDLED = 'target/cli/main.js';
+
+/** The run line of deploy/service.toml in words, with more options of Node; the settings file follows. */
+export function runLine(directory: string, nodeOptions: string[]): string[] {
   const file = path.join(directory, 'deploy/service.toml');
   if (!existsSync(file)) throw new NotBuilt(`--sources ${directory}: has no deploy/service.toml`);
   const { run } = parse(readFileSync(file, 'utf8')) as { run: string };
@@ -27,7 +30,15 @@
   if (program !== undefined && !existsSync(path.join(directory, program))) {
     throw new NotBuilt(`--sources ${directory}: ${program} is missing; npm run build makes it`);
   }
-  return words;
+  const [node, ...args] = words;
+  return [node, ...nodeOptions, ...args];
+}
+
+/** The same for a controller that is profiled: it leaves its profile in that directory when it ends. */
+export function profiledRunLine(command: string[], profileDirectory: string): string[] {
+  const unbundled = command.map((word) => (word.endsWith('.js') ? UNBUNDLED : word));
+  const [node, ...args] = unbundled;
+  return [node, '--cpu-prof', `--cpu-prof-dir=${profileDirectory}`, ...args];
 }
 
 export function sourceVersion(directory: string): SourceVersion {
--- a/packages/testing/sizing/table.ts
+++ b/packages/testing/sizing/table.ts
@@ -15,6 +15,7 @@
 
 const HEADING = ['measurement', 'figure', 'median', 'least', 'most', 'unit', 'of the limit'];
 const DIGITS = 3;
+const MOST_DECIMALS = 4;
 /** The columns of numbers, which end at the same place. */
 const NUMBERS = new Set([2, 3, 4, 6]);
 
@@ -94,10 +95,9 @@
   return format(ofLimit);
 }
 
-/** With three significant digits, without an exponent. */
+/** With three significant digits, but no more than four after the point. */
 function format(value: number): string {
   if (!Number.isFinite(value)) return '-';
-  return Math.abs(value) >= 10 ** (DIGITS - 1)
-    ? value.toFixed(0)
-    : String(Number(value.toPrecision(DIGITS)));
+  if (Math.abs(value) >= 10 ** (DIGITS - 1)) return value.toFixed(0);
+  return String(Number(Number(value.toPrecision(DIGITS)).toFixed(MOST_DECIMALS)));
 }
