--- a/packages/testing/sizing/controller-process.ts
+++ b/packages/testing/sizing/controller-process.ts
@@ -3,6 +3,7 @@
 import { ProcessLog } from './process-log.js';
 import {
   processorTime,
+  processorTimeS,
   type ProcessorTime,
   residentMemory,
   type ResidentMemory,
@@ -33,6 +34,7 @@
 export class ControllerProcess {
   private child: ChildProcess | null = null;
   private current: ControllerRun | null = null;
+  private stopped = false;
 
   constructor(
     readonly name: string,
@@ -44,15 +46,20 @@
   /** Throws NotRunning. */
   get run(): ControllerRun {
     if (this.current === null) throw new NotRunning(`${this.name} does not run`);
-    if (this.child?.exitCode === null && this.child.signalCode === null) return this.current;
+    if (this.alive) return this.current;
     const lastWords = this.current.log.other.at(-1) ?? this.current.log.lines.at(-1)?.msg ?? '';
     throw new NotRunning(`${this.name} has ended by itself: ${lastWords}`);
   }
 
+  /** It was started and not ended; it may have ended by itself. */
   get running(): boolean {
     return this.current !== null;
   }
 
+  get alive(): boolean {
+    return this.child !== null && this.child.exitCode === null && this.child.signalCode === null;
+  }
+
   /** Starts it by another command than usual if one is given. */
   start(command: string[] = this.how.command): ControllerRun {
     const { directory, logLevel } = this.how;
@@ -71,12 +78,20 @@
   /** Sends the signal and resolves once the process has ended. */
   async end(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     const { child } = this;
+    if (this.current !== null) this.setStopped(false);
     this.child = this.current = null;
     if (child === null || child.exitCode !== null || child.signalCode !== null) return;
     child.kill(signal);
     await once(child, 'exit');
   }
 
+  /** Lets the process stand still, or go on. */
+  setStopped(stopped: boolean): void {
+    if (stopped === this.stopped) return;
+    this.stopped = stopped;
+    this.child?.kill(stopped ? 'SIGSTOP' : 'SIGCONT');
+  }
+
   /** Without waiting for its end. */
   killNow(): void {
     this.child?.kill('SIGKILL');
@@ -84,7 +99,7 @@
 
   /** Since its start; seconds. */
   processorS(): number {
-    return this.processor().totalS;
+    return processorTimeS(this.run.pid);
   }
 
   processor(): ProcessorTime {
--- a/packages/testing/sizing/measure-all.ts
+++ b/packages/testing/sizing/measure-all.ts
@@ -7,6 +7,7 @@
 import { measureTakeOver } from './measurements/take-over.js';
 import type { SizingOptions } from './options.js';
 import { runLine } from './sources.js';
+import { Throttle } from './throttle.js';
 
 /** Is told how a run of measurements goes on. */
 export interface Progress {
@@ -32,9 +33,11 @@
 /** Runs the chosen measurements one after the other on one cluster. */
 export async function measureAll(options: SizingOptions, progress: Progress): Promise<void> {
   const cluster = makeCluster(options);
+  const throttle = new Throttle(cluster.controllers, options.throttleCores ?? Infinity);
   try {
     progress.begins('filling the fleet');
     await fillFleet(cluster, options);
+    if (options.throttleCores !== null) throttle.begin();
     for (const name of options.measurements) {
       const { measure, repeated } = PLANS[name];
       for (let run = 0; run < (repeated ? options.repeat : 1); run++) {
@@ -43,6 +46,7 @@
       }
     }
   } finally {
+    throttle.end();
     await cluster.close();
   }
 }
--- a/packages/testing/sizing/options.ts
+++ b/packages/testing/sizing/options.ts
@@ -23,6 +23,8 @@
   /** Options of Node itself, before those of the run line. */
   nodeOptions: string[];
   logLevel: string;
+  /** Cores that each controller is held to by stopping and continuing it; null: it is not. */
+  throttleCores: number | null;
   /** Where JSON lines are added; null for nowhere. */
   json: string | null;
 }
@@ -47,6 +49,7 @@
   sources: string;
   nodeOptions: string;
   logLevel: string;
+  throttle?: number;
   json?: string;
 }
 
@@ -109,6 +112,11 @@
     .option('--sources <directory>', 'a built checkout whose controllers are measured', OWN_SOURCES)
     .option('--node-options <options>', 'options of Node for the controllers', '')
     .option('--log-level <level>', "the controllers' (vitals need info)", 'info')
+    .option(
+      '--throttle <cores>',
+      'hold controllers to it by stopping and continuing them',
+      positive,
+    )
     .option('--json <file>', 'add one JSON object per measurement to the file; - for the output')
     .addHelpText(
       'after',
@@ -134,6 +142,7 @@
     sources,
     nodeOptions: raw.nodeOptions.split(' ').filter((option) => option !== ''),
     logLevel,
+    throttleCores: raw.throttle ?? null,
     json: raw.json ?? null,
   };
 }
--- a/packages/testing/sizing/process-use.ts
+++ b/packages/testing/sizing/process-use.ts
@@ -1,5 +1,5 @@
 /** What a process uses, by the kernel's word (Linux). */
-import { readFileSync, writeFileSync } from 'node:fs';
+import { readdirSync, readFileSync, writeFileSync } from 'node:fs';
 
 const TICKS_PER_SECOND = 100;
 /** Places of a process's own user and system time after its name in /proc/<pid>/stat. */
@@ -15,26 +15,38 @@
   peakMb: number;
 }
 
-/** Processor time that a process has used since its start, in seconds; steps of 10 ms. */
+/** Processor time that a process has used since its start, in seconds. */
 export interface ProcessorTime {
   totalS: number;
-  /** In the program itself, and not in the kernel for it. */
+  /** In the program itself, and not in the kernel for it; steps of 10 ms. */
   userS: number;
   /** Of the thread that runs the program; the others collect garbage and compile. */
   mainThreadS: number;
 }
 
 export function processorTime(pid: number): ProcessorTime {
-  const whole = readTimes(`/proc/${pid}/stat`);
-  const main = readTimes(`/proc/${pid}/task/${pid}/stat`);
-  return {
-    totalS: whole.userS + whole.systemS,
-    userS: whole.userS,
-    mainThreadS: main.userS + main.systemS,
-  };
+  return { totalS: processorTimeS(pid), userS: userTimeS(pid), mainThreadS: threadTimeS(pid, pid) };
 }
 
-function readTimes(file: string): { userS: number; systemS: number } {
+/** Of all threads that live. */
+export function processorTimeS(pid: number): number {
+  const threads = readdirSync(`/proc/${pid}/task`);
+  return threads.reduce((sum, thread) => sum + threadTimeS(pid, Number(thread)), 0);
+}
+
+/** Where the kernel does not count it in nanoseconds, it does in steps of 10 ms. */
+function threadTimeS(pid: number, thread: number): number {
+  const [nanoseconds] = readFileSync(`/proc/${pid}/task/${thread}/schedstat`, 'utf8').split(' ');
+  if (nanoseconds !== '0') return Number(nanoseconds) / 1e9;
+  const { userS, systemS } = readTicks(`/proc/${pid}/task/${thread}/stat`);
+  return userS + systemS;
+}
+
+function userTimeS(pid: number): number {
+  return readTicks(`/proc/${pid}/stat`).userS;
+}
+
+function readTicks(file: string): { userS: number; systemS: number } {
   const stat = readFileSync(file, 'utf8');
   // The name may hold blanks and brackets.
   const fields = stat.slice(stat.lastIndexOf(') ') + 2).split(' ');
--- a/packages/testing/sizing/result.ts
+++ b/packages/testing/sizing/result.ts
@@ -10,6 +10,8 @@
   machine: MachineSpeed;
   size: ReturnType<typeof sizeOf>;
   nodeOptions: string[];
+  /** Cores that each controller was held to by stopping and continuing it; null: it was not. */
+  throttleCores: number | null;
 }
 
 /** One measurement as a JSON object; `load` is that of the machine when it ended. */
@@ -18,9 +20,15 @@
 }
 
 export function resultContext(options: SizingOptions): ResultContext {
-  const { sources, nodeOptions } = options;
+  const { sources, nodeOptions, throttleCores } = options;
   const machine = measureSpeed();
-  return { sources: sourceVersion(sources), machine, size: sizeOf(options), nodeOptions };
+  return {
+    sources: sourceVersion(sources),
+    machine,
+    size: sizeOf(options),
+    nodeOptions,
+    throttleCores,
+  };
 }
 
 export function makeResult(measured: Measured, context: ResultContext): Result {
--- a/packages/testing/sizing/table.ts
+++ b/packages/testing/sizing/table.ts
@@ -32,11 +32,17 @@
     `sources ${version} ${commit ?? ''}${changed ? ' with changes' : ''}, Node ${machine.node}`,
     `${machine.cores} cores, ${machine.model}: calibration ${machine.calibrationMs.toFixed(0)} ms, ` +
       `load after each measurement ${loads.join(' ')}`,
+    ...describeThrottle(context),
     '',
     '',
   ].join('\n');
 }
 
+function describeThrottle({ throttleCores }: ResultContext): string[] {
+  if (throttleCores === null) return [];
+  return [`controllers held to ${throttleCores} cores by stopping and continuing their processes`];
+}
+
 /** Lines of a table in Markdown; several runs of one measurement share their lines. */
 export function formatTable(measured: Measured[]): string {
   const rows = [HEADING, ...rowsOf(measured).map(cellsOf)];
