--- a/packages/testing/simulation/addresses.ts
+++ b/packages/testing/simulation/addresses.ts
@@ -38,6 +38,10 @@
   return { host: `10.0.0.${index + 1}`, port: PEER_PORT };
 }
 
+export function isPeerAddress({ port }: HostPort): boolean {
+  return port === PEER_PORT;
+}
+
 /** Address of a machine, by the number of machines that were rented before it. */
 export function workerAddress(number: number): HostPort {
   const subnet = Math.floor(number / MACHINES_PER_SUBNET);
--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -18,6 +18,7 @@
   USERS_HOST,
 } from './addresses.js';
 import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
+import { CostCounter } from './costs.js';
 import { makeControllers, type SimulatedController } from './controllers.js';
 import { Machines } from './machines.js';
 import { SimulatedHost, type HostRole } from './host.js';
@@ -41,6 +42,8 @@
   readonly controllers: SimulatedController[];
   /** What the controllers have answered. */
   readonly requests: RequestLog;
+  /** What the controllers have cost, by the address of their hosts. */
+  readonly costs = new CostCounter();
   readonly balancer: LoadBalancer;
   readonly users: Users;
   readonly ownership: OwnershipHistory;
@@ -57,14 +60,15 @@
     this.checker = this.makeChecker();
     this.observer = (event) => {
       this.timeline.observe(event);
+      this.costs.observe(event);
       this.checker.observe(event);
     };
     this.storage = new JobStorage(this.observer);
     this.state = this.makeState();
     this.machines = this.makeMachines();
     this.cloud = this.makeCloud();
-    const { world, network, requests } = this;
-    this.controllers = makeControllers({ world, network, cluster: settings, requests });
+    const { world, network, requests, costs } = this;
+    this.controllers = makeControllers({ world, network, cluster: settings, requests, costs });
     this.balancer = this.makeBalancer();
     this.users = this.makeUsers();
     this.ownership = new OwnershipHistory(this.world, (key) => this.state.store.get(key) ?? null);
@@ -90,7 +94,8 @@
     const { rps, write_rps, value_kb, txn_ops } = this.settings.deployment.state;
     const runtime = this.serviceRuntime('state', 'state', STATE_ADDRESS.host);
     const limits = { rps, writeRps: write_rps, valueKb: value_kb, txnOps: txn_ops };
-    return new StateService(runtime, limits, this.observer);
+    const counted = this.costs.watchServer('stateRequests', runtime);
+    return new StateService(counted, limits, this.observer);
   }
 
   private makeMachines(): Machines {
@@ -100,6 +105,7 @@
       cluster: this.settings,
       storage: this.storage,
       observer: this.observer,
+      costs: this.costs,
       runtime: this.serviceRuntime('machine-room', 'users', MACHINE_ROOM_HOST),
     });
   }
@@ -109,7 +115,8 @@
     const { rps, list_lag_s } = deployment.cloud;
     const runtime = this.serviceRuntime('cloud', 'cloud', CLOUD_ADDRESS.host);
     const options = { types: machineTypes, capacity, rps, listLagS: list_lag_s };
-    return new CloudService(runtime, options, this.machines.fleet);
+    const counted = this.costs.watchServer('cloudRequests', runtime);
+    return new CloudService(counted, options, this.machines.fleet);
   }
 
   private makeBalancer(): LoadBalancer {
@@ -117,7 +124,8 @@
     return new LoadBalancer(runtime, controllerAddresses(this.settings));
   }
 
-  private makeUsers(): Users {
+  /** Users of their own, beside those of the cluster. */
+  makeUsers(): Users {
     return new Users({
       runtime: this.serviceRuntime('users', 'users', USERS_HOST),
       balancer: formatAddress(BALANCER_ADDRESS),
--- a/packages/testing/simulation/controllers.ts
+++ b/packages/testing/simulation/controllers.ts
@@ -4,6 +4,7 @@
 import { drawSkew } from './clock.js';
 import { ControllerLog } from './controller-log.js';
 import { controllerSettings, zoneOfController, type ClusterSettings } from './cluster-settings.js';
+import type { CostCounter } from './costs.js';
 import { SimulatedHost } from './host.js';
 import type { SimulatedNetwork } from './network.js';
 import { SimulatedProcess } from './process.js';
@@ -25,6 +26,8 @@
   cluster: ClusterSettings;
   /** Notes what the controllers answer. */
   requests: RequestLog;
+  /** Counts what they do. */
+  costs: CostCounter;
 }
 
 /** Makes the controllers of a cluster; none is started yet. */
@@ -34,7 +37,7 @@
 }
 
 function makeController(parts: ControllerParts, index: number): SimulatedController {
-  const { world, network, cluster, requests } = parts;
+  const { world, network, cluster, requests, costs } = parts;
   const name = controllerName(index);
   const zone = zoneOfController(cluster, index);
   const host = new SimulatedHost(name, 'controller', serviceAddress(index).host, zone);
@@ -44,7 +47,7 @@
   const settings = controllerSettings(cluster, index);
   const program = (runtime: Runtime) => {
     const forever = new AbortController().signal;
-    const watched = requests.watch(name, runtime);
+    const watched = requests.watch(name, costs.watchController(host.address, runtime));
     new Controller(watched, settings, log.logger()).run(forever).catch((error: unknown) => {
       world.uncaught.push({ atS: world.now, where: name, error });
     });
--- a/packages/testing/simulation/machines.ts
+++ b/packages/testing/simulation/machines.ts
@@ -14,6 +14,7 @@
 import { workerAddress } from './addresses.js';
 import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
 import { drawSkew } from './clock.js';
+import type { CostCounter } from './costs.js';
 import { SimulatedHost } from './host.js';
 import type { SimulatedNetwork } from './network.js';
 import { SimulatedProcess } from './process.js';
@@ -34,6 +35,8 @@
   cluster: ClusterSettings;
   storage: JobStorage;
   observer: Observer;
+  /** Counts what controllers ask of workers directly. */
+  costs: CostCounter;
   /** Of a process that outlives all machines. */
   runtime: Runtime;
 }
@@ -72,7 +75,7 @@
   }
 
   private hostFor({ name, zone, address }: RentedMachine): MachineHost {
-    const { world, network, cluster } = this.options;
+    const { world, network, cluster, costs } = this.options;
     const host = network.addHost(new SimulatedHost(name, 'worker', address.host, zone));
     this.hosts.set(name, host);
     const skew = drawSkew(world, name, cluster.deployment.clock_off_ms);
@@ -81,7 +84,8 @@
       host.powered = false;
       process.crash('silent');
     };
-    return { runtime: process.start().runtime, powerOff };
+    const { runtime } = process.start();
+    return { runtime: costs.watchServer('directCommands', runtime), powerOff };
   }
 
   private surroundings(): WorkerSurroundings {
--- a/packages/testing/simulation/request-log.ts
+++ b/packages/testing/simulation/request-log.ts
@@ -1,7 +1,7 @@
 /** Which controller answered which request, for tests that ask who told whom. */
-import http from 'node:http';
-import type net from 'node:net';
-import type { HostPort, Network, Runtime } from '#wire';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Runtime } from '#wire';
+import { watchRequests } from '../watch-requests.js';
 import type { World } from './world.js';
 
 /** A request that a controller has answered. */
@@ -36,14 +36,7 @@
 
   /** The runtime of a controller whose answers are to be noted. */
   watch(controller: string, runtime: Runtime): Runtime {
-    const network: Network = {
-      connect: (address: HostPort) => runtime.network.connect(address),
-      listen: (server: net.Server, address: HostPort) => {
-        if (server instanceof http.Server) this.follow(controller, server);
-        return runtime.network.listen(server, address);
-      },
-    };
-    return { clock: runtime.clock, network, random: () => runtime.random() };
+    return watchRequests(runtime, (req, res) => this.follow(controller, req, res));
   }
 
   /** The answered requests that match, in the order of their answers. */
@@ -51,15 +44,13 @@
     return this.answered.filter((request) => matches(request, filter));
   }
 
-  private follow(controller: string, server: http.Server): void {
-    server.on('request', (req, res) => {
-      const { method = 'GET', url: path = '/' } = req;
-      const clientHost = req.socket.remoteAddress ?? '';
-      res.once('finish', () => {
-        const { statusCode: status } = res;
-        const atS = this.world.now;
-        this.answered.push({ atS, controller, method, path, status, clientHost });
-      });
+  private follow(controller: string, req: IncomingMessage, res: ServerResponse): void {
+    const { method = 'GET', url: path = '/' } = req;
+    const clientHost = req.socket.remoteAddress ?? '';
+    res.once('finish', () => {
+      const { statusCode: status } = res;
+      const atS = this.world.now;
+      this.answered.push({ atS, controller, method, path, status, clientHost });
     });
   }
 }
--- a/packages/testing/sizing/cluster.ts
+++ b/packages/testing/sizing/cluster.ts
@@ -28,6 +28,13 @@
 import { machineType } from './machine-type.js';
 import { ReportLog } from './report-log.js';
 import { RequestCounter } from './request-counter.js';
+import { UserLog } from './user-log.js';
+
+/** What ends this process from outside, and the exit codes that shells give for it. */
+const ENDING_SIGNALS = { SIGINT: 2, SIGTERM: 15 };
+const SIGNAL_EXIT = 128;
+/** Ids below are those of the workload. */
+const FIRST_JOB_ID = 1_000_000;
 
 /** What a cluster on the loopback consists of. */
 export interface LoopbackClusterOptions {
@@ -47,11 +54,13 @@
   readonly addresses = new LoopbackAddresses(process.pid);
   readonly reports = new ReportLog();
   readonly stateRequests = new RequestCounter();
+  readonly userLog = new UserLog();
   readonly controllers: ControllerProcess[];
   readonly fleet: Fleet;
   readonly users: Users;
   /** Tasks that were killed since a lease ended. */
   tasksKilled = 0;
+  private jobsMade = 0;
   private readonly state: StateService;
   private readonly cloud: CloudService;
   private readonly balancer: LoadBalancer;
@@ -61,6 +70,7 @@
 
   constructor(readonly options: LoopbackClusterOptions) {
     const observer: Observer = (event) => {
+      this.userLog.observe(event);
       if (event.kind === 'task-left' && event.cause === 'killed') this.tasksKilled++;
     };
     this.storage = new JobStorage(observer);
@@ -81,13 +91,22 @@
 
   /** Starts the stand-ins; no controller yet. None outlives this process. */
   async listen(): Promise<void> {
-    process.once('exit', () => this.controllers.forEach((controller) => controller.killNow()));
+    process.once('exit', () => this.abandon());
+    for (const [signal, number] of Object.entries(ENDING_SIGNALS)) {
+      process.once(signal, () => process.exit(SIGNAL_EXIT + number));
+    }
     const { addresses, state, cloud, balancer, controllers } = this;
     for (const { index } of controllers) await state.listen(addresses.state(index));
     await cloud.listen(addresses.cloud);
     await balancer.listen(addresses.balancer);
   }
 
+  /** Leaves no process and no file behind; for the end of this process. */
+  private abandon(): void {
+    for (const controller of this.controllers) controller.killNow();
+    rmSync(this.directory, { recursive: true, force: true });
+  }
+
   /** Ends everything that was started. */
   async close(): Promise<void> {
     this.users.stop();
@@ -97,6 +116,11 @@
     rmSync(this.directory, { recursive: true });
   }
 
+  /** An id that no other job has. */
+  newJobId(): string {
+    return `j-${FIRST_JOB_ID + this.jobsMade++}`;
+  }
+
   holder(): PartHolder | null {
     const entry = this.state.store.get(partKey(0));
     if (entry === undefined) return null;
--- a/packages/testing/sizing/machine-type.ts
+++ b/packages/testing/sizing/machine-type.ts
@@ -1,9 +1,11 @@
 import type { MachineType } from '#wire';
 
+export const MACHINE_TYPE = 'gpu-8';
+
 /** The only machine type of the fleets that are measured: eight accelerators. */
 export function machineType(zones: string[]): MachineType {
   return {
-    name: 'gpu-8',
+    name: MACHINE_TYPE,
     cpus: 96,
     gpus: 8,
     memory: 384,
--- a/packages/testing/sizing/measure-all.ts
+++ b/packages/testing/sizing/measure-all.ts
@@ -2,6 +2,8 @@
 import { fillFleet } from './full-fleet.js';
 import type { Measure, Measured, MeasurementName } from './measurement.js';
 import { measureCauses } from './measurements/causes.js';
+import { measureArray, measureBurst, measureLargeJobs } from './measurements/peaks.js';
+import { measureRestart } from './measurements/restart.js';
 import { measureStart } from './measurements/start.js';
 import { measureOwner, measureStandby } from './measurements/steady.js';
 import { measureTakeOver } from './measurements/take-over.js';
@@ -26,6 +28,10 @@
   start: { measure: measureStart, repeated: true },
   owner: { measure: measureOwner, repeated: false },
   standby: { measure: measureStandby, repeated: false },
+  burst: { measure: measureBurst, repeated: false },
+  'large-jobs': { measure: measureLargeJobs, repeated: false },
+  array: { measure: measureArray, repeated: false },
+  restart: { measure: measureRestart, repeated: true },
   causes: { measure: measureCauses, repeated: false },
   'take-over': { measure: measureTakeOver, repeated: true },
 };
--- a/packages/testing/sizing/measurement.ts
+++ b/packages/testing/sizing/measurement.ts
@@ -3,7 +3,17 @@
 import type { SizingOptions } from './options.js';
 
 /** What can be measured, in the order in which it is. */
-export const MEASUREMENTS = ['start', 'owner', 'standby', 'take-over', 'causes'] as const;
+export const MEASUREMENTS = [
+  'start',
+  'owner',
+  'standby',
+  'burst',
+  'large-jobs',
+  'array',
+  'take-over',
+  'restart',
+  'causes',
+] as const;
 
 export type MeasurementName = (typeof MEASUREMENTS)[number];
 
--- /dev/null
+++ b/packages/testing/sizing/measurements/peaks.ts
@@ -0,0 +1,124 @@
+/** How far processor and memory rise when many, large or very wide jobs come at once. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { encodeJob, jobKey, sizeInJson } from '#store';
+import type { Job } from '#wire';
+import { aJob } from '../../samples.js';
+import type { LoopbackCluster } from '../cluster.js';
+import { Figures } from '../figure.js';
+import { MACHINE_TYPE } from '../machine-type.js';
+import type { Measured, MeasurementName } from '../measurement.js';
+import type { SizingOptions } from '../options.js';
+import { type Peak, PeakWatch } from '../peak-watch.js';
+
+/** How long the controllers are watched from the first submission on. */
+const WATCH_S = 30;
+/** From the cancellation of what is left to the next measurement. */
+const REST_S = 10;
+const ACCEPT_LOOK_MS = 5;
+const ARRAY_TASKS = 25_000;
+const ARRAY_RUN_S = 20;
+const BURST_RUN_S = 10;
+/** Beside the replica that holds each machine, for many at a time. */
+const SMALL: Partial<Job> = { class: 'batch', rank: 3, spot: true, gpus: 0, memory: 2 };
+
+/** Many small jobs at once. */
+export async function measureBurst(
+  cluster: LoopbackCluster,
+  { burst }: SizingOptions,
+): Promise<Measured[]> {
+  const jobs = Array.from({ length: burst }, () => newJob(cluster, SMALL));
+  return watchSubmission(cluster, 'burst', jobs, BURST_RUN_S);
+}
+
+/** One array of very many tasks. */
+export async function measureArray(cluster: LoopbackCluster): Promise<Measured[]> {
+  const job = newJob(cluster, { ...SMALL, cpus: 4, tasks: ARRAY_TASKS });
+  return watchSubmission(cluster, 'array', [job], ARRAY_RUN_S);
+}
+
+/** Many jobs, each of which fills one value of the state service. */
+export async function measureLargeJobs(
+  cluster: LoopbackCluster,
+  { burst }: SizingOptions,
+): Promise<Measured[]> {
+  const valueBytes = cluster.options.shared.deployment.state.value_kb * 1024;
+  const jobs = Array.from({ length: burst }, () => fillValue(newJob(cluster, SMALL), valueBytes));
+  return watchSubmission(cluster, 'large-jobs', jobs, BURST_RUN_S);
+}
+
+function newJob(cluster: LoopbackCluster, fields: Partial<Job>): Job {
+  const [team] = cluster.options.shared.deployment.teams;
+  return aJob({ ...fields, id: cluster.newJobId(), team: team.name });
+}
+
+/** The same job with as many names of machine types as its record has room for. */
+function fillValue(job: Job, valueBytes: number): Job {
+  const withTypes = (count: number) => ({ ...job, types: Array<string>(count).fill(MACHINE_TYPE) });
+  const bytes = (count: number) => recordBytes(withTypes(count));
+  const perType = bytes(2) - bytes(1);
+  return withTypes(1 + Math.floor((valueBytes - bytes(1)) / perType));
+}
+
+/** As the controllers measure it before they accept a job. */
+function recordBytes(job: Job): number {
+  const record = { job, acceptedAtMs: Number.MAX_SAFE_INTEGER, phase: 'accepted' as const };
+  return sizeInJson([{ put: jobKey(job.id), value: encodeJob(record) }]);
+}
+
+async function watchSubmission(
+  cluster: LoopbackCluster,
+  measurement: MeasurementName,
+  jobs: Job[],
+  runS: number,
+): Promise<Measured[]> {
+  const owner = cluster.requireOwner();
+  const ownerWatch = new PeakWatch(owner);
+  const watches = cluster.standbys().map((controller) => new PeakWatch(controller));
+  const refusals = cluster.userLog.refusals;
+  const startedAtMs = performance.now();
+  submitAll(cluster, jobs, runS);
+  const acceptedS = await untilAccepted(cluster, jobs, startedAtMs);
+  await sleep(Math.max(0, startedAtMs + WATCH_S * 1000 - performance.now()));
+  const figures = new Figures(cluster.options.shared.deployment.limits);
+  addPeak(figures, 'owner', ownerWatch.end());
+  const others = watches.map((watch) => watch.end());
+  if (others.length > 0) addPeak(figures, 'others', greatest(others));
+  figures
+    .seconds('until the last was accepted', acceptedS)
+    .count('submissions put off', cluster.userLog.refusals - refusals);
+  for (const { id } of jobs) cluster.users.cancel(id);
+  await sleep(REST_S * 1000);
+  return [{ measurement, figures: figures.all }];
+}
+
+function submitAll(cluster: LoopbackCluster, jobs: Job[], runS: number): void {
+  for (const job of jobs) {
+    const program = { job, runS: Array<number>(job.tasks).fill(runS), failsAfterS: null };
+    cluster.users.submit({ program, submitAtS: 0, cancelAfterS: null, repeatAfterS: null });
+  }
+}
+
+/** Seconds until the last was accepted; infinite if some were not while the controllers are watched. */
+async function untilAccepted(
+  { userLog }: LoopbackCluster,
+  jobs: Job[],
+  startedAtMs: number,
+): Promise<number> {
+  const isOpen = () => jobs.some(({ id }) => !userLog.accepted.has(id));
+  const passedS = () => (performance.now() - startedAtMs) / 1000;
+  while (isOpen() && passedS() < WATCH_S) await sleep(ACCEPT_LOOK_MS);
+  return isOpen() ? Infinity : passedS();
+}
+
+function addPeak(figures: Figures, role: string, { cores, memoryMb }: Peak): void {
+  figures
+    .cores(`${role}: processor over the busiest second`, cores)
+    .megabytes(`${role}: greatest memory`, memoryMb);
+}
+
+function greatest(peaks: Peak[]): Peak {
+  return {
+    cores: Math.max(...peaks.map(({ cores }) => cores)),
+    memoryMb: Math.max(...peaks.map(({ memoryMb }) => memoryMb)),
+  };
+}
--- /dev/null
+++ b/packages/testing/sizing/measurements/restart.ts
@@ -0,0 +1,65 @@
+/** What it costs if all controllers end at once and come back together. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { LoopbackCluster } from '../cluster.js';
+import { Figures } from '../figure.js';
+import { allHealthy } from '../full-fleet.js';
+import type { Measured } from '../measurement.js';
+import type { SizingOptions } from '../options.js';
+import { ReturnOfWorkers } from '../return-of-workers.js';
+import { waitFor } from '../wait.js';
+
+const CLAIM_WITHIN_S = 60;
+const RETURN_WITHIN_S = 120;
+/** How long the controllers are watched from their start on. */
+const WATCH_S = 10;
+const REST_S = 10;
+
+/** Kills all controllers and starts them again together. */
+export async function measureRestart(
+  cluster: LoopbackCluster,
+  { downS }: SizingOptions,
+): Promise<Measured[]> {
+  const { controllers, reports } = cluster;
+  const { leasesEnded } = reports;
+  const { tasksKilled } = cluster;
+  await Promise.all(controllers.map((controller) => controller.end('SIGKILL')));
+  await sleep(downS * 1000);
+  const workers = new ReturnOfWorkers(cluster, null);
+  for (const controller of controllers) controller.start();
+  const figures = new Figures(cluster.options.shared.deployment.limits);
+  await watchReturn(cluster, workers, figures);
+  figures
+    .count("workers' leases that ran out", reports.leasesEnded - leasesEnded)
+    .count('tasks killed', cluster.tasksKilled - tasksKilled);
+  await allHealthy(cluster);
+  await sleep(REST_S * 1000);
+  return [{ measurement: 'restart', figures: figures.all }];
+}
+
+async function watchReturn(
+  cluster: LoopbackCluster,
+  workers: ReturnOfWorkers,
+  figures: Figures,
+): Promise<void> {
+  const sinceStartS = (atMs: number) => (atMs - workers.sinceMs) / 1000;
+  const owner = await waitFor('a new owner', CLAIM_WITHIN_S, () => cluster.owner());
+  figures
+    .seconds('from the start to the claim', sinceStartS(performance.now()))
+    .processorS('owner: until its claim', owner.processorS());
+  const first = await workers.first(RETURN_WITHIN_S);
+  figures
+    .seconds('from the start to the first answered report', sinceStartS(first.atMs))
+    .processorS('owner: until its first answered report', first.processorS);
+  const all = await workers.all(RETURN_WITHIN_S);
+  figures
+    .seconds('from the start until all workers were answered', sinceStartS(all.atMs))
+    .processorS('owner: until all workers were answered', all.processorS);
+  await sleep(Math.max(0, workers.sinceMs + WATCH_S * 1000 - performance.now()));
+  const others = cluster.standbys().map((controller) => controller.processorS());
+  figures
+    .processorS(`owner: in its first ${WATCH_S} s`, owner.processorS())
+    .megabytes('owner: greatest memory', owner.memory().peakMb);
+  if (others.length > 0) {
+    figures.processorS(`others: in their first ${WATCH_S} s, most`, Math.max(...others));
+  }
+}
--- a/packages/testing/sizing/options.ts
+++ b/packages/testing/sizing/options.ts
@@ -16,8 +16,12 @@
   jobsPerMinute: number;
   /** Length of a steady measurement. */
   seconds: number;
-  /** How often starts and take-overs are measured. */
+  /** How often starts, take-overs and restarts are measured. */
   repeat: number;
+  /** Jobs that come at once where a burst is measured. */
+  burst: number;
+  /** How long all controllers are down where their restart is measured. */
+  downS: number;
   /** A built checkout whose controllers are measured. */
   sources: string;
   /** Options of Node itself, before those of the run line. */
@@ -46,6 +50,8 @@
   stateWriteRps?: number;
   seconds: number;
   repeat: number;
+  burst: number;
+  downS: number;
   sources: string;
   nodeOptions: string;
   logLevel: string;
@@ -89,7 +95,14 @@
       amount,
     )
     .option('--seconds <number>', 'length of a steady measurement', positive, 30)
-    .option('--repeat <number>', 'how often starts and take-overs are measured', atLeast(1), 3);
+    .option(
+      '--repeat <number>',
+      'how often starts, take-overs, restarts are measured',
+      atLeast(1),
+      3,
+    )
+    .option('--burst <number>', 'jobs that come at once in burst and large-jobs', atLeast(1), 200)
+    .option('--down-s <seconds>', 'how long controllers are down in restart', amount, 6);
   addClusterOptions(program);
   return addProgramOptions(program);
 }
@@ -126,7 +139,7 @@
 
 function fromRaw(names: string[], raw: RawOptions): SizingOptions {
   const cluster = clusterFrom(raw);
-  const { machines, seconds, repeat, sources, logLevel } = raw;
+  const { machines, seconds, repeat, burst, downS, sources, logLevel } = raw;
   const chosen = names.length > 0 ? names : [...DEFAULT_MEASUREMENTS];
   const measurements = MEASUREMENTS.filter((name) => chosen.includes(name) || chosen.includes(ALL));
   if (measurements.includes('take-over') && cluster.controllers < 2) {
@@ -139,6 +152,8 @@
     jobsPerMinute: raw.jobsPerMinute ?? machines * JOBS_PER_MACHINE_MINUTE,
     seconds,
     repeat,
+    burst,
+    downS,
     sources,
     nodeOptions: raw.nodeOptions.split(' ').filter((option) => option !== ''),
     logLevel,
--- /dev/null
+++ b/packages/testing/sizing/peak-watch.ts
@@ -0,0 +1,53 @@
+import type { ControllerProcess } from './controller-process.js';
+
+const SAMPLE_MS = 100;
+/** Span over which the greatest use is taken. */
+const SPAN_MS = 1000;
+
+interface Sample {
+  atMs: number;
+  processorS: number;
+}
+
+/** The most that a controller used at a time. */
+export interface Peak {
+  /** Greatest over a second. */
+  cores: number;
+  memoryMb: number;
+}
+
+/** Watches one controller until `end`. */
+export class PeakWatch {
+  private readonly samples: Sample[] = [];
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly controller: ControllerProcess) {
+    controller.resetPeakMemory();
+    this.sample();
+    this.timer = setInterval(() => this.sample(), SAMPLE_MS);
+  }
+
+  end(): Peak {
+    clearInterval(this.timer);
+    this.sample();
+    return { cores: greatestUse(this.samples), memoryMb: this.controller.memory().peakMb };
+  }
+
+  private sample(): void {
+    if (!this.controller.alive) return;
+    this.samples.push({ atMs: performance.now(), processorS: this.controller.processorS() });
+  }
+}
+
+/** Greatest number of cores in use over a span of a second; samples may come late. */
+export function greatestUse(samples: Sample[]): number {
+  let greatest = 0;
+  let first = 0;
+  for (const { atMs, processorS } of samples) {
+    while (atMs - samples[first + 1]?.atMs >= SPAN_MS) first++;
+    const spanMs = atMs - samples[first].atMs;
+    if (spanMs < SPAN_MS) continue;
+    greatest = Math.max(greatest, ((processorS - samples[first].processorS) / spanMs) * 1000);
+  }
+  return greatest;
+}
--- a/packages/testing/sizing/workload.ts
+++ b/packages/testing/sizing/workload.ts
@@ -113,7 +113,7 @@
 }
 
 /** Jobs of which each machine has room for one task only, with as many tasks as there are machines. */
-function planAnchors(machines: number, teams: string[]): PlannedJob[] {
+export function planAnchors(machines: number, teams: string[]): PlannedJob[] {
   const count = Math.ceil(machines / ANCHOR_TASKS);
   return Array.from({ length: count }, (_, index) => {
     const tasks = Math.min(ANCHOR_TASKS, machines - index * ANCHOR_TASKS);
