--- a/packages/testing/sizing/calibration.ts
+++ b/packages/testing/measuring/machine-speed.ts
@@ -1,5 +1,5 @@
 /** How fast this machine is, so that figures of different machines can be compared. */
-import { availableParallelism, cpus } from 'node:os';
+import { availableParallelism, cpus, loadavg } from 'node:os';
 
 /** The machine that measures. */
 export interface MachineSpeed {
@@ -10,6 +10,16 @@
   calibrationMs: number;
 }
 
+/** Processes that ran or waited for a processor, over the last minute. */
+export function currentLoad(): number {
+  return loadavg()[0];
+}
+
+/** One line. */
+export function describeMachine({ cores, model, node, calibrationMs }: MachineSpeed): string {
+  return `${cores} cores, ${model}, Node ${node}; calibration ${calibrationMs.toFixed(0)} ms`;
+}
+
 const RUNS = 5;
 const ROUNDS = 40_000;
 
--- a/packages/testing/sizing/full-fleet.ts
+++ b/packages/testing/sizing/full-fleet.ts
@@ -11,22 +11,20 @@
 const WORKLOAD_S = 3600;
 const START_WITHIN_S = 60;
 const FILL_WITHIN_S = 180;
-/** From a full fleet to the first measurement: jobs come and go, and code is compiled. */
-const SETTLE_S = 20;
 
 /** Starts all controllers and users; resolves once the whole fleet works and has done so for a while. */
 export async function fillFleet(cluster: LoopbackCluster, options: SizingOptions): Promise<void> {
   await cluster.listen();
   for (const controller of cluster.controllers) controller.start();
   await allHealthy(cluster);
-  const { machines, jobsPerMinute } = options;
+  const { machines, jobsPerMinute, settleS } = options;
   const teams = cluster.options.shared.deployment.teams.map(({ name }) => name);
   const workload = { machines, teams, jobsPerMinute, lengthS: WORKLOAD_S };
   cluster.users.start(planSizingWorkload(workload));
   await waitFor(`${machines} machines that report`, FILL_WITHIN_S, () =>
     cluster.fleet.workers().length >= machines ? true : null,
   );
-  await sleep(SETTLE_S * 1000);
+  await sleep(settleS * 1000);
 }
 
 /** Resolves once all controllers that run say that they are healthy. */
--- a/packages/testing/sizing/measure-all.ts
+++ b/packages/testing/sizing/measure-all.ts
@@ -57,7 +57,8 @@
   }
 }
 
-function makeCluster({ sources, nodeOptions, logLevel, machines, cluster }: SizingOptions) {
+/** The cluster that the options describe; nothing of it runs yet. */
+export function makeCluster({ sources, nodeOptions, logLevel, machines, cluster }: SizingOptions) {
   const command = { directory: sources, command: runLine(sources, nodeOptions), logLevel };
   return new LoopbackCluster({ shared: cluster, machines, command });
 }
--- a/packages/testing/sizing/options.ts
+++ b/packages/testing/sizing/options.ts
@@ -16,6 +16,8 @@
   jobsPerMinute: number;
   /** Length of a steady measurement. */
   seconds: number;
+  /** How long the full fleet works before anything is measured. */
+  settleS: number;
   /** How often starts, take-overs and restarts are measured. */
   repeat: number;
   /** Jobs that come at once where a burst is measured. */
@@ -49,6 +51,7 @@
   stateRps?: number;
   stateWriteRps?: number;
   seconds: number;
+  settleS: number;
   repeat: number;
   burst: number;
   downS: number;
@@ -95,6 +98,7 @@
       amount,
     )
     .option('--seconds <number>', 'length of a steady measurement', positive, 30)
+    .option('--settle-s <seconds>', 'how long the full fleet works before', amount, 20)
     .option(
       '--repeat <number>',
       'how often starts, take-overs, restarts are measured',
@@ -139,7 +143,7 @@
 
 function fromRaw(names: string[], raw: RawOptions): SizingOptions {
   const cluster = clusterFrom(raw);
-  const { machines, seconds, repeat, burst, downS, sources, logLevel } = raw;
+  const { machines, seconds, settleS, repeat, burst, downS, sources, logLevel } = raw;
   const chosen = names.length > 0 ? names : [...DEFAULT_MEASUREMENTS];
   const measurements = MEASUREMENTS.filter((name) => chosen.includes(name) || chosen.includes(ALL));
   if (measurements.includes('take-over') && cluster.controllers < 2) {
@@ -151,6 +155,7 @@
     machines,
     jobsPerMinute: raw.jobsPerMinute ?? machines * JOBS_PER_MACHINE_MINUTE,
     seconds,
+    settleS,
     repeat,
     burst,
     downS,
--- a/packages/testing/sizing/result.ts
+++ b/packages/testing/sizing/result.ts
@@ -1,5 +1,4 @@
-import { loadavg } from 'node:os';
-import { type MachineSpeed, measureSpeed } from './calibration.js';
+import { currentLoad, type MachineSpeed, measureSpeed } from '../measuring/machine-speed.js';
 import type { Measured } from './measurement.js';
 import type { SizingOptions } from './options.js';
 import { sourceVersion, type SourceVersion } from './sources.js';
@@ -35,11 +34,6 @@
   return { ...measured, load: currentLoad(), ...context };
 }
 
-/** Processes that ran or waited for a processor, over the last minute. */
-function currentLoad(): number {
-  return loadavg()[0];
-}
-
 function sizeOf({ cluster, machines, jobsPerMinute }: SizingOptions) {
   const { workers, state, limits } = cluster.deployment;
   return { controllers: cluster.controllers, machines, jobsPerMinute, workers, state, limits };
--- /dev/null
+++ b/packages/testing/sizing/smoke.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { after, test } from 'node:test';
+import type { Figure } from './figure.js';
+import { fillFleet } from './full-fleet.js';
+import { makeCluster } from './measure-all.js';
+import { measureOwner, measureStandby } from './measurements/steady.js';
+import { readOptions } from './options.js';
+import { waitFor } from './wait.js';
+
+const options = readOptions(
+  '--controllers 2 --machines 4 --jobs-per-minute 0 --settle-s 0 --seconds 1'.split(' '),
+);
+const cluster = makeCluster(options);
+after(() => cluster.close());
+
+function valueOf(figures: Figure[], name: string): number {
+  return figures.find((figure) => figure.name === name)?.value ?? NaN;
+}
+
+test('two controllers on the loopback: a fleet that fills, its figures, and a successor', async () => {
+  await fillFleet(cluster, options);
+  const [owner] = await measureOwner(cluster, options);
+  const [standby] = await measureStandby(cluster, options);
+  for (const { measurement, figures } of [owner, standby]) {
+    assert.ok(valueOf(figures, 'processor') >= 0, measurement);
+    assert.ok(valueOf(figures, 'memory') > 10, measurement);
+    assert.ok(valueOf(figures, 'requests to the state service') >= 0, measurement);
+  }
+  const former = cluster.requireOwner();
+  await former.end('SIGKILL');
+  const successor = await waitFor('a successor', 60, () => cluster.owner());
+  assert.notEqual(successor, former);
+});
--- a/packages/testing/standins/state/state-service.ts
+++ b/packages/testing/standins/state/state-service.ts
@@ -34,6 +34,7 @@
   private readonly requestRate: RateLimit;
   private readonly changeRate: RateLimit;
   private readonly servers: CborServer[] = [];
+  private closed = false;
 
   constructor(
     private readonly runtime: Runtime,
@@ -57,6 +58,7 @@
   }
 
   close(): void {
+    this.closed = true;
     this.leases.suspend();
     this.watchers.wakeAll();
     for (const server of this.servers) server.close();
@@ -191,7 +193,7 @@
       await this.latency.around(() => {});
       await this.availability.whenServed(clientHost);
       const outcome = this.store.changesAfter(prefix, after);
-      const over = this.runtime.clock.now() >= until;
+      const over = this.closed || this.runtime.clock.now() >= until;
       if (over || outcome === 'too-old' || outcome.events.length > 0) {
         return serving.watchReply(outcome);
       }
