--- a/packages/testing/measure-scale.ts
+++ b/packages/testing/measure-scale.ts
@@ -3,9 +3,11 @@
  * waiting tasks and jobs: `node --expose-gc target/testing/measure-scale.js`. Times are medians in
  * milliseconds on one core; bytes are of the heap.
  */
-import { loadavg } from 'node:os';
 import { CapacityPlanner, FleetState, NO_QUOTA, Scheduler } from '#core';
-import type { Job } from '#wire';
+import type { Job, Report } from '#wire';
+import { currentLoad, describeMachine, measureSpeed } from './measuring/machine-speed.js';
+import { median } from './measuring/median.js';
+import { type Column, formatNumber, textTable } from './measuring/text-table.js';
 import { aFleet, aJob, aMachine, aReport } from './samples.js';
 
 const MACHINES = 48;
@@ -13,23 +15,47 @@
 /** Jobs whose memory is taken. */
 const JOBS_WEIGHED = 1_000;
 const TEAMS = new Map([['red', NO_QUOTA]]);
+/** When rounds, plans and reports happen; seconds after the jobs came. */
+const LATER_S = 10;
+const SCHEDULER_SETTINGS = {
+  floorWeight: 0.05,
+  preemptAfterS: 2,
+  gangLeaseS: 120,
+  stopThreshold: 0.5,
+  decisionsPerRound: 200,
+};
+const PLANNER_SETTINGS = { reserveSigmas: 2, idleHoldS: 60, memoryS: 120 };
 
+/** What waits. */
 interface Load {
-  name: string;
   jobs: number;
+  /** Of each job. */
   tasks: number;
   /** Nothing more has room. */
   full: boolean;
 }
 
 const LOADS: Load[] = [
-  ...[25, 25_000].map((tasks) => ({ name: `1 job of ${tasks} tasks`, jobs: 1, tasks })),
-  ...[10, 1_000, 10_000].map((jobs) => ({ name: `${jobs} jobs of 1 task`, jobs, tasks: 1 })),
+  { jobs: 1, tasks: 25 },
+  { jobs: 1, tasks: 25_000 },
+  { jobs: 10, tasks: 1 },
+  { jobs: 1_000, tasks: 1 },
+  { jobs: 10_000, tasks: 1 },
 ].flatMap((load) => [
   { ...load, full: false },
   { ...load, full: true },
 ]);
 
+const COLUMNS: Column[] = [
+  { heading: 'waiting' },
+  { heading: 'machines' },
+  { heading: 'take-over', isNumber: true },
+  { heading: 'round', isNumber: true },
+  { heading: 'plan', isNumber: true },
+  { heading: 'report', isNumber: true },
+  { heading: 'bytes a job', isNumber: true },
+];
+
 /** Job number i of a load; their needs differ a little. */
 function jobOf(i: number, { tasks }: Load): Job {
   const cpus = 0.25 * (0.7 + 0.6 * ((i * 0.618) % 1));
@@ -53,19 +79,45 @@
   return fleet;
 }
 
-function medianMs(runs: (() => void)[]): number {
-  const times = runs.map((run) => {
-    const startedAt = performance.now();
-    run();
-    return performance.now() - startedAt;
+/** Median time of a piece of work in milliseconds; what `prepare` does is not counted. */
+function medianMs<T>(prepare: () => T, work: (prepared: T) => void): number {
+  const prepared = Array.from({ length: RUNS }, prepare);
+  const times = prepared.map((each) => {
+    const startedAtMs = performance.now();
+    work(each);
+    return performance.now() - startedAtMs;
   });
-  return times.sort((a, b) => a - b)[times.length >> 1];
+  return median(times);
 }
 
-function memoryUsed(): number {
-  global.gc?.();
-  const { heapUsed, arrayBuffers } = process.memoryUsage();
-  return heapUsed + arrayBuffers;
+function timeTakeOver(load: Load): number {
+  return medianMs(
+    () => load,
+    (each) => void fleetWith(each),
+  );
+}
+
+function timeRound(load: Load): number {
+  return medianMs(
+    () => new Scheduler(fleetWith(load), TEAMS, SCHEDULER_SETTINGS),
+    (scheduler) => void scheduler.round(LATER_S),
+  );
+}
+
+function timePlan(fleet: FleetState): number {
+  const options = { fleet, settings: PLANNER_SETTINGS, objectives: [], teams: TEAMS };
+  return medianMs(
+    () => new CapacityPlanner(options),
+    (planner) => void planner.plan(LATER_S),
+  );
+}
+
+function timeReport(fleet: FleetState): number {
+  let seq = 0;
+  const running = { state: 'running' as const, cause: null, saved: false };
+  const tasks = [{ job: 's-1', index: 0, attempt: 6553601, ...running }];
+  const nextReport = (): Report => aReport({ machine: 'n-1', seq: ++seq, tasks });
+  return medianMs(nextReport, (report) => void fleet.reports.handle(report, LATER_S));
 }
 
 /** Bytes that a fleet takes for each waiting job of the load. */
@@ -78,50 +130,23 @@
   return fleet.jobs.waiting.size > 0 ? bytes : 0;
 }
 
-function measure(load: Load): void {
+function memoryUsed(): number {
+  global.gc?.();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** One line of the table. */
+function measure(load: Load): string[] {
+  const { jobs, tasks, full } = load;
   const held = fleetWith(load);
   const bytes = bytesPerJob(load);
-  const settings = {
-    floorWeight: 0.05,
-    preemptAfterS: 2,
-    gangLeaseS: 120,
-    stopThreshold: 0.5,
-    decisionsPerRound: 200,
-  };
-  const runs = <T>(prepare: () => T, run: (given: T) => void) =>
-    medianMs(Array.from({ length: RUNS }, prepare).map((given) => () => run(given)));
-  const later = 10;
-  const takeOver = runs(
-    () => null,
-    () => void fleetWith(load),
-  );
-  const round = runs(
-    () => new Scheduler(fleetWith(load), TEAMS, settings),
-    (scheduler) => void scheduler.round(later),
-  );
-  const options = { reserveSigmas: 2, idleHoldS: 60, memoryS: 120 };
-  const plan = runs(
-    () => new CapacityPlanner({ fleet: held, settings: options, objectives: [], teams: TEAMS }),
-    (planner) => void planner.plan(later),
-  );
-  let seq = 0;
-  const running = { state: 'running' as const, cause: null, saved: false };
-  const tasks = [{ job: 's-1', index: 0, attempt: 6553601, ...running }];
-  const report = runs(
-    () => aReport({ machine: 'n-1', seq: ++seq, tasks }),
-    (given) => void held.reports.handle(given, later),
-  );
-  const figures = { takeOver, round, plan, report };
-  const texts = Object.entries(figures).map(([name, ms]) => `${name} ${ms.toFixed(3)}`);
-  const room = load.full ? 'no room' : 'room';
-  process.stdout.write(
-    `${load.name}, ${room}: ${texts.join(', ')}; ${bytes.toFixed(0)} bytes a job\n`,
-  );
+  const times = [timeTakeOver(load), timeRound(load), timePlan(held), timeReport(held)];
+  const waiting = `${jobs} ${jobs === 1 ? 'job' : 'jobs'} of ${tasks} ${tasks === 1 ? 'task' : 'tasks'}`;
+  return [waiting, full ? 'full' : 'with room', ...times.map(formatNumber), bytes.toFixed(0)];
 }
 
-process.stdout.write(
-  `load of the machine ${loadavg()
-    .map((each) => each.toFixed(1))
-    .join(' ')}\n`,
-);
-for (const load of LOADS) measure(load);
+const rows = LOADS.map(measure);
+const load = currentLoad().toFixed(1);
+process.stdout.write(`${describeMachine(measureSpeed())}, load ${load}\n\n`);
+process.stdout.write(textTable(COLUMNS, rows));
--- a/packages/testing/simulation/measure-speed.ts
+++ b/packages/testing/simulation/measure-speed.ts
@@ -2,6 +2,8 @@
  * Measures how fast the simulated cluster plays: `node target/testing/simulation/measure-speed.js`.
  * Prints simulated seconds per second for a small and a large cluster on a day without faults.
  */
+import { currentLoad, describeMachine, measureSpeed } from '../measuring/machine-speed.js';
+import { type Column, formatNumber, textTable } from '../measuring/text-table.js';
 import { USUAL_CLASSES } from '../standins/index.js';
 import { LARGE_CLUSTER, SMALL_CLUSTER, type ClusterSettings } from './cluster-settings.js';
 import { runScenario } from './run-scenario.js';
@@ -9,7 +11,18 @@
 const LENGTH_S = 300;
 const SEED = 1;
 
-async function measure(name: string, cluster: ClusterSettings, intensity: number): Promise<void> {
+const COLUMNS: Column[] = [
+  { heading: 'cluster' },
+  { heading: 'simulated seconds a second', isNumber: true },
+  { heading: 'a second of processor time', isNumber: true },
+  { heading: 'events', isNumber: true },
+  { heading: 'jobs', isNumber: true },
+  { heading: 'tasks started', isNumber: true },
+];
+
+/** One line of the table. */
+async function measure(cluster: ClusterSettings, intensity: number): Promise<string[]> {
+  const name = `${cluster.controllers} controllers, ${cluster.capacity[0].machines} machines`;
   const workload = { classes: USUAL_CLASSES, intensity, untilS: LENGTH_S };
   const scenario = { name, cluster, workload, faults: [], lengthS: LENGTH_S };
   const startedAtMs = performance.now();
@@ -18,12 +31,11 @@
   const tookS = (performance.now() - startedAtMs) / 1000;
   const used = process.cpuUsage(usedBefore);
   const processorS = (used.user + used.system) / 1e6;
-  process.stdout.write(
-    `${name}: ${(LENGTH_S / tookS).toFixed(1)} simulated seconds per second, ` +
-      `${(LENGTH_S / processorS).toFixed(1)} per second of processor time; ` +
-      `${eventCount} events, ${counts.jobsSubmitted} jobs, ${counts.tasksStarted} tasks started\n`,
-  );
+  const figures = [LENGTH_S / tookS, LENGTH_S / processorS, eventCount];
+  return [name, ...[...figures, counts.jobsSubmitted, counts.tasksStarted].map(formatNumber)];
 }
 
-await measure('3 controllers, 12 machines', SMALL_CLUSTER, 2);
-await measure('7 controllers, 60 machines', LARGE_CLUSTER, 8);
+const rows = [await measure(SMALL_CLUSTER, 2), await measure(LARGE_CLUSTER, 8)];
+const load = currentLoad().toFixed(1);
+process.stdout.write(`${describeMachine(measureSpeed())}, load ${load}\n\n`);
+process.stdout.write(textTable(COLUMNS, rows));
