A program that measures an owner's duties, cold and warm, at a number of machines

Cause: profiles of a running owner show HTTP above all; what rounds, plans, records and commands cost, above all while their code is new as after a take-over, could not be told from them. Each duty runs in a process of its own on a fleet that is read from its records.

--- /dev/null
+++ b/packages/testing/owner-load/figures.ts
@@ -0,0 +1,167 @@
+/** The duties of an owner that `measure-owner` times, one at a time on a fleet of its own. */
+import type { Assignment, Machine } from '#core';
+import { encodeFrame } from '#peer';
+import type { StateLimits } from '#store';
+import { commandToWire, encode, parseReport, reportToWire } from '#wire';
+import {
+  countAllTasks,
+  countChangedTasks,
+  summariseFleet,
+} from '../../controller/fleet-summary.js';
+import type { JobTable } from '../../controller/jobs.js';
+import { MachineRecords } from '../../controller/machine-records.js';
+import { stopOnNotices } from '../../controller/notices.js';
+import { RecordBatch } from '../../controller/record-batch.js';
+import { RemovalMarker } from '../../controller/removal-marker.js';
+import { uselessMachines } from '../../controller/useless-machines.js';
+import type { StandingFleet } from './standing-fleet.js';
+
+/** One duty: `prepare` is not timed, and is called anew before each run. */
+export interface Figure {
+  /** What waits or changes; tasks and jobs are given for 100 machines. */
+  prepare(standing: StandingFleet, now: number): void;
+  run(standing: StandingFleet, now: number): void;
+}
+
+const LEASE_S = 10;
+const TERM = { part: 0, term: 100, grant: 1, claimedAt: 0 };
+const LIMITS: StateLimits = { rps: 150, writeRps: 50, valueBytes: 8192, txnOps: 24 };
+/** Machines whose records change together. */
+const RECORDED_TOGETHER = 8;
+
+const nothing = () => {};
+
+/** What an owner does in a round, the order and sending of commands apart. */
+function round({ fleet, scheduler }: StandingFleet, now: number): void {
+  fleet.leases.expire(now);
+  fleet.machines.updateTotals();
+  stopOnNotices(fleet, now);
+  scheduler.reservations.update(now);
+  scheduler.round(now);
+}
+
+/** So many tasks end, and what they leave is recorded. */
+function endTasks(standing: StandingFleet, count: number, now: number): void {
+  const { fleet } = standing;
+  const ending = standing.drawEnding(count);
+  for (const machine of new Set(ending.map((task) => task.machine))) {
+    fleet.reports.handle(standing.reportOf(machine, new Set(ending)), now);
+  }
+  standing.settle(now);
+}
+
+/** Keeps so many array tasks waiting. */
+function keepWaiting(standing: StandingFleet, tasks: number, now: number): void {
+  const { jobs } = standing.fleet;
+  let waiting = 0;
+  for (const job of jobs.waiting) waiting += jobs.waitingCount(job);
+  for (; waiting < tasks; waiting += 10) standing.submit(now, { kind: 'array', tasks: 10 });
+}
+
+/** Waiting work of all kinds that finds no room. */
+function crowd(standing: StandingFleet, jobs: number, now: number): void {
+  for (let missing = jobs - standing.fleet.jobs.waiting.size; missing > 0; missing--) {
+    standing.submit(now);
+  }
+}
+
+function aRecordBatch(standing: StandingFleet): Uint8Array {
+  const { fleet } = standing;
+  const jobs = { get: () => ({ version: 1 }) } as unknown as JobTable;
+  const records = new MachineRecords({ fleet, jobs, limits: LIMITS });
+  const batch = new RecordBatch(TERM, new RemovalMarker(TERM), LIMITS, RECORDED_TOGETHER);
+  const machines = [...fleet.machines.values()].filter(({ tasks }) => tasks.size > 0);
+  for (const { name } of machines.slice(0, RECORDED_TOGETHER)) {
+    batch.add(records.changeOf(name)!);
+  }
+  const conditions = batch.allConditions().map(({ key, version }) => ({ k: key, stamp: version }));
+  const changes = batch.changes.map(({ change }) => change);
+  return encode({ if: conditions, apply: changes });
+}
+
+function directCommand(standing: StandingFleet, machine: Machine, now: number): void {
+  const { fleet } = standing;
+  const orders = fleet.directOrders.take(machine, now);
+  encode(commandToWire(machine.token, machine.session, orders));
+  const report = parseReport(reportToWire(standing.reportOf(machine)));
+  fleet.directOrders.finish(machine, orders, { kind: 'executed', report }, now);
+}
+
+function anyMachine(standing: StandingFleet): Machine {
+  const machines = [...standing.fleet.machines.values()].filter(({ tasks }) => tasks.size > 0);
+  return machines[standing.chance.int(0, machines.length - 1)];
+}
+
+/** The tasks of a machine are placed but not started. */
+function unstart(task: Assignment): void {
+  Object.assign(task, { startSent: false, reported: null, recorded: true });
+}
+
+let chosen: Machine;
+const perHundred = (standing: StandingFleet, count: number) =>
+  Math.ceil((standing.fleet.machines.size * count) / 100);
+
+export const FIGURES: Record<string, Figure> = {
+  'round, nothing to do': { prepare: nothing, run: round },
+  'round, a few changes': {
+    prepare: (standing, now) => {
+      endTasks(standing, perHundred(standing, 1), now);
+      keepWaiting(standing, perHundred(standing, 1), now);
+    },
+    run: round,
+  },
+  'round, a burst': {
+    prepare: (standing, now) => {
+      endTasks(standing, perHundred(standing, 100), now);
+      keepWaiting(standing, perHundred(standing, 150), now);
+    },
+    run: round,
+  },
+  'round, work that finds no room': {
+    prepare: (standing, now) => crowd(standing, perHundred(standing, 100), now),
+    run: round,
+  },
+  'plan, nothing waits': { prepare: nothing, run: ({ planner }, now) => void planner.plan(now) },
+  'plan, work that finds no room': {
+    prepare: (standing, now) => crowd(standing, perHundred(standing, 100), now),
+    run: ({ planner }, now) => void planner.plan(now),
+  },
+  'leases expire': { prepare: nothing, run: ({ fleet }, now) => void fleet.leases.expire(now) },
+  totals: { prepare: nothing, run: ({ fleet }) => fleet.machines.updateTotals() },
+  notices: { prepare: nothing, run: ({ fleet }, now) => stopOnNotices(fleet, now) },
+  'useless machines': {
+    prepare: nothing,
+    run: ({ fleet }, now) => void uselessMachines(fleet, now, LEASE_S),
+  },
+  'reservations, none wait': {
+    prepare: nothing,
+    run: ({ scheduler }, now) => scheduler.reservations.update(now),
+  },
+  summary: {
+    prepare: nothing,
+    run: ({ fleet, scheduler }, now) => void summariseFleet(fleet, scheduler, ['red'], now),
+  },
+  'peers, all counts': {
+    prepare: nothing,
+    run: ({ fleet }) => void encodeFrame({ kind: 'counts', jobs: countAllTasks(fleet) }),
+  },
+  'peers, changed counts': {
+    prepare: nothing,
+    run: ({ fleet }) => void encodeFrame({ kind: 'counts', jobs: countChangedTasks(fleet) }),
+  },
+  'records of 8 machines': { prepare: nothing, run: (standing) => void aRecordBatch(standing) },
+  'direct command': {
+    prepare: (standing) => {
+      chosen = anyMachine(standing);
+      for (const task of chosen.tasks.values()) unstart(task);
+      standing.fleet.machinesWithCommands.add(chosen);
+    },
+    run: (standing, now) => directCommand(standing, chosen, now),
+  },
+  'report without news': {
+    prepare: (standing) => {
+      chosen = anyMachine(standing);
+    },
+    run: (standing, now) => void standing.fleet.reports.handle(standing.reportOf(chosen), now),
+  },
+};
--- /dev/null
+++ b/packages/testing/owner-load/job-source.ts
@@ -0,0 +1,93 @@
+/** Jobs in the proportions of a fleet that serves models. */
+import type { Job } from '#wire';
+import type { Chance } from '../random.js';
+import { aJob } from '../samples.js';
+
+const ID_PREFIX = 'j-';
+/** Images of a class. */
+const IMAGES = 12;
+
+/** Kinds of jobs in the proportions of a fleet that serves models, and the share of draws of each. */
+const KINDS: { share: number; draw: (chance: Chance) => Partial<Job> }[] = [
+  {
+    share: 0.12,
+    draw: (chance) => ({
+      class: 'large',
+      kind: 'service',
+      rank: 0,
+      tasks: chance.int(1, 3),
+      cpus: 33,
+      gpus: 4,
+      memory: 100,
+      imageGb: 68,
+      spread: true,
+    }),
+  },
+  {
+    share: 0.5,
+    draw: (chance) => ({
+      class: 'replica',
+      kind: 'service',
+      rank: 1,
+      tasks: [1, 2, 4, 8][chance.int(0, 3)],
+      cpus: 8,
+      gpus: 1,
+      memory: 25,
+      imageGb: 16,
+    }),
+  },
+  {
+    share: 0.2,
+    draw: (chance) => ({
+      class: 'batch',
+      kind: 'array',
+      rank: 2,
+      tasks: chance.int(5, 40),
+      cpus: 8 * (0.7 + 0.6 * chance.next()),
+      gpus: 1,
+      memory: 25,
+      imageGb: 34,
+      spot: true,
+      estimateS: 60,
+    }),
+  },
+  {
+    share: 0.18,
+    draw: (chance) => ({
+      class: 'gang',
+      kind: 'gang',
+      rank: 1,
+      tasks: chance.int(1, 4),
+      cpus: 86,
+      gpus: 8,
+      memory: 310,
+      imageGb: 30,
+      oneZone: true,
+      spot: true,
+      estimateS: 150,
+      checkpointS: 20,
+      saveS: 3,
+    }),
+  },
+];
+
+/** Draws jobs in the usual proportions, each with an id of its own. */
+export class JobSource {
+  private count = 0;
+
+  constructor(private readonly chance: Chance) {}
+
+  /** The id is in use. */
+  skip(id: string): void {
+    this.count = Math.max(this.count, Number(id.slice(ID_PREFIX.length)));
+  }
+
+  next(own: Partial<Job> = {}): Job {
+    let left = this.chance.next();
+    const kind = KINDS.find(({ share }) => (left -= share) < 0) ?? KINDS[1];
+    const drawn = kind.draw(this.chance);
+    const image = `${drawn.class}-${this.chance.int(1, IMAGES)}`;
+    const id = ID_PREFIX + String(++this.count).padStart(6, '0');
+    return aJob({ image, ...drawn, ...own, id });
+  }
+}
--- /dev/null
+++ b/packages/testing/owner-load/standing-fleet.ts
@@ -0,0 +1,196 @@
+/** Fleets in the middle of their work, for measurements and for tests that compare decisions. */
+import {
+  Assignment,
+  CapacityPlanner,
+  FleetState,
+  isBestEffort,
+  JobState,
+  Machine,
+  NO_QUOTA,
+  Scheduler,
+  ScheduleSettings,
+} from '#core';
+import type { Job, MachineType, Report, TaskReport } from '#wire';
+import { decodeJob, MACHINES, type MachineRecord } from '#store';
+import type { MachineFacts } from '../../core/machine-registry.js';
+import { Chance } from '../random.js';
+import { aFleet } from '../samples.js';
+import type { FleetRecords } from './fleet-records.js';
+import { JobSource } from './job-source.js';
+
+/** A large machine: 8 accelerators. */
+const LARGE: MachineType = {
+  name: 'large',
+  cpus: 96,
+  gpus: 8,
+  memory: 384,
+  cacheGb: 600,
+  fetchGbPerS: 4.6,
+  price: 20,
+  spotPrice: 6,
+  bootS: 60,
+  zones: ['a', 'b', 'c'],
+};
+
+const TEAMS = new Map([['red', NO_QUOTA]]);
+const OBJECTIVES = [
+  { class: 'replica', kind: 'wait', withinS: 4 },
+  { class: 'large', kind: 'wait', withinS: 15 },
+  { class: 'gang', kind: 'wait', withinS: 12 },
+];
+const SCHEDULE: ScheduleSettings = {
+  floorWeight: 0.05,
+  preemptAfterS: 2,
+  gangLeaseS: 120,
+  stopThreshold: 0.5,
+  decisionsPerRound: 200,
+};
+const CAPACITY = { reserveSigmas: 2, idleHoldS: 60, memoryS: 120 };
+/** Share of the machines that are spot machines. */
+const SPOT_SHARE = 0.2;
+/** Draws until a fleet is taken to be as full as it gets. */
+const MOST_DRAWS = 10_000;
+
+/** When the fleet was filled; steady seconds. */
+const FILLED_AT = 100;
+/** When everything runs and has settled. */
+export const STEADY_AT = 200;
+
+/** A fleet and what an owner drives it with. */
+export class StandingFleet {
+  readonly fleet: FleetState;
+  readonly scheduler: Scheduler;
+  readonly planner: CapacityPlanner;
+  readonly jobs: JobSource;
+  private readonly seqs = new Map<string, number>();
+
+  private constructor(
+    readonly chance: Chance,
+    schedule: Partial<ScheduleSettings>,
+  ) {
+    this.fleet = aFleet({ isBestEffort: (job) => isBestEffort(job, TEAMS.get(job.team)) });
+    this.fleet.machines.types.set(LARGE.name, LARGE);
+    this.scheduler = new Scheduler(this.fleet, TEAMS, { ...SCHEDULE, ...schedule });
+    this.planner = new CapacityPlanner({
+      fleet: this.fleet,
+      settings: CAPACITY,
+      objectives: OBJECTIVES,
+      teams: TEAMS,
+    });
+    this.jobs = new JobSource(chance);
+  }
+
+  /** So many empty machines. */
+  static ofMachines(
+    machines: number,
+    chance: Chance,
+    schedule: Partial<ScheduleSettings> = {},
+  ): StandingFleet {
+    const standing = new StandingFleet(chance, schedule);
+    for (let i = 0; i < machines; i++) {
+      const name = `n-${String(i).padStart(6, '0')}`;
+      const zone = LARGE.zones[i % LARGE.zones.length];
+      const spot = chance.hit(SPOT_SHARE);
+      standing.addMachine({ name, addr: `10.1.0.${i}:9000`, type: LARGE.name, zone, spot });
+    }
+    standing.fleet.machines.updateTotals();
+    return standing;
+  }
+
+  /** The fleet that a new owner reads from the records of another one, once every worker has reported. */
+  static ofRecords({ jobs, machines }: FleetRecords, chance: Chance): StandingFleet {
+    const standing = new StandingFleet(chance, {});
+    const { fleet } = standing;
+    for (const { value, version } of jobs) {
+      const { job, phase } = decodeJob(value, version);
+      fleet.addJob(job, FILLED_AT, phase, FILLED_AT);
+      standing.jobs.skip(job.id);
+    }
+    for (const { key, value } of machines) {
+      const { tasks, ...facts } = value as MachineRecord;
+      const machine = standing.addMachine({ name: key.slice(MACHINES.length), ...facts });
+      for (const [id, index, attempt] of tasks) {
+        fleet.assignments.inherit(fleet.jobs.get(id)!, index, machine, attempt, FILLED_AT);
+      }
+    }
+    fleet.machines.updateTotals();
+    standing.settle(STEADY_AT);
+    return standing;
+  }
+
+  private addMachine(facts: MachineFacts): Machine {
+    const machine = this.fleet.machines.register(facts, 'up', 0);
+    return Object.assign(machine, { session: 1, termConfirmed: true, answeredAt: STEADY_AT });
+  }
+
+  /** A user submits a job. */
+  submit(now: number, own: Partial<Job> = {}): JobState {
+    const job = this.jobs.next(own);
+    const state = this.fleet.addJob(job, now, 'accepted', now);
+    this.planner.jobArrived(job, now);
+    return state;
+  }
+
+  /** Submits jobs and places them until less than so much of the accelerators is free. */
+  fill(freeShare: number): void {
+    const { machines, usage } = this.fleet;
+    for (let draws = 0; draws < MOST_DRAWS; draws++) {
+      if (usage.ofTeam('red').gpus >= machines.totals.gpus * (1 - freeShare)) break;
+      const state = this.submit(FILLED_AT);
+      this.scheduler.place(FILLED_AT);
+      if (state.assignments.size === 0) this.fleet.closeJob(state, 'aborted', FILLED_AT);
+    }
+    this.fleet.jobs.removeEnded();
+    this.settle(FILLED_AT);
+  }
+
+  /** All is recorded and every order was carried out. */
+  settle(now: number): void {
+    const { machines, unrecorded, machinesWithCommands, jobs } = this.fleet;
+    for (const machine of machines.values()) {
+      machine.answeredAt = now;
+      for (const task of [...machine.tasks.values()]) {
+        if (task.stop === null) markRunning(task, now);
+        else this.fleet.assignments.end(task, 'stopped', false, now);
+      }
+    }
+    for (const name of [...unrecorded.machines]) unrecorded.machineTaken(name);
+    unrecorded.jobs.clear();
+    machinesWithCommands.clear();
+    jobs.takeCountsChanged();
+  }
+
+  /** The next report of a machine; tasks that `exits` names have ended. */
+  reportOf(machine: Machine, exits: ReadonlySet<Assignment> = new Set()): Report {
+    const seq = (this.seqs.get(machine.name) ?? 0) + 1;
+    this.seqs.set(machine.name, seq);
+    const { name, addr, type, zone, spot, session, token, tasks } = machine;
+    const listed = [...tasks.values()].map((task) => reportTask(task, exits.has(task)));
+    const facts = { machine: name, addr, type, zone, spot, session, token };
+    return { ...facts, seq, noticeS: null, tasks: listed };
+  }
+
+  /** So many tasks that end by themselves, drawn over the whole fleet. */
+  drawEnding(count: number): Assignment[] {
+    const ending: Assignment[] = [];
+    const running = [...this.fleet.machines.values()]
+      .flatMap(({ tasks }) => [...tasks.values()])
+      .filter(({ job }) => job.spec.kind === 'array');
+    while (ending.length < count && running.length > 0) {
+      ending.push(...running.splice(this.chance.int(0, running.length - 1), 1));
+    }
+    return ending;
+  }
+}
+
+function reportTask({ job, index, attempt }: Assignment, exited: boolean): TaskReport {
+  const ref = { job: job.spec.id, index, attempt };
+  if (exited) return { ...ref, state: 'exited', cause: 'done', saved: false };
+  return { ...ref, state: 'running', cause: null, saved: false };
+}
+
+/** The task was recorded, started and is seen to run. */
+function markRunning(task: Assignment, now: number): void {
+  Object.assign(task, { recorded: true, startSent: true, reported: 'running' });
+  task.runningSince ??= now;
+}
