--- a/packages/core/amounts.ts
+++ b/packages/core/amounts.ts
@@ -5,6 +5,9 @@
   memory: number;
 }
 
+/** Amounts are sums of decimal numbers; differences below this are rounding. */
+export const ROUNDING = 1e-9;
+
 /** Nothing. Shared, so copy it before adding to it. */
 export const ZERO_AMOUNTS: Readonly<Amounts> = { cpus: 0, gpus: 0, memory: 0 };
 
--- a/packages/core/best-effort.ts
+++ b/packages/core/best-effort.ts
@@ -1,12 +1,10 @@
 import type { Job, MachineType } from '#wire';
-import { addAmounts, Amounts } from './amounts.js';
+import { addAmounts, Amounts, ROUNDING } from './amounts.js';
 import type { FleetTables } from './fleet-tables.js';
 import type { Assignment, JobState, Machine } from './model.js';
 import { LOWEST_RANK } from './ranks.js';
 import { hasGuarantee, TeamQuota } from './team-quota.js';
 
-/** Amounts are sums of decimal numbers; differences below this are rounding. */
-const ROUNDING = 1e-9;
 /** Share of a machine's record that best-effort tasks may fill, so that other work never lacks a line. */
 const RECORD_SHARE = 3 / 4;
 /** Boot times that a best-effort job may wait before it may use any free room, and before room is rented. */
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -1,6 +1,6 @@
 import type { Job, MachineType } from '#wire';
 import { isUsable } from './availability.js';
-import { addAmounts, Amounts } from './amounts.js';
+import { addAmounts, Amounts, ROUNDING } from './amounts.js';
 import { firmUse, isLetEnd } from './best-effort.js';
 import { chooseMachine } from './choose-machine.js';
 import { bindingZones, hasRoom, kindAllowed } from './fit.js';
@@ -10,8 +10,6 @@
 import { SETTLED_S } from './settled.js';
 import type { StandingSlot } from './slots.js';
 
-/** Amounts are sums of decimal numbers; differences below this are rounding. */
-const ROUNDING = 1e-9;
 /** No machine that is used more than this is emptied. */
 const MOST_USED = 0.5;
 /** Report periods for which the room found for a replica is held. */
--- a/packages/core/fit.ts
+++ b/packages/core/fit.ts
@@ -1,10 +1,7 @@
 import type { Job, MachineType } from '#wire';
-import type { Amounts } from './amounts.js';
+import { type Amounts, ROUNDING } from './amounts.js';
 import { assignmentsOf, JobState } from './model.js';
 
-/** Amounts are sums of decimal numbers; differences below this are rounding. */
-const ROUNDING = 1e-9;
-
 /** Where a task could run, as far as the job's own conditions decide. */
 export interface MachineKind {
   type: MachineType;
--- a/packages/core/team-quota.ts
+++ b/packages/core/team-quota.ts
@@ -1,7 +1,4 @@
-import type { Amounts } from './amounts.js';
-
-/** Amounts are sums of decimal numbers; differences below this are rounding. */
-const ROUNDING = 1e-9;
+import { type Amounts, ROUNDING } from './amounts.js';
 
 /** A team's guarantee and limit. For a limit, 0 means that there is none. */
 export interface TeamQuota {
