Giving a machine back lists where best-effort tasks may go once, not for each task

Cause: each task of the machine listed all candidates anew. Only the stop of a gang's task can make room elsewhere at once, so the list is made anew after that alone.

--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -5,7 +5,7 @@
 import { chooseMachine } from './choose-machine.js';
 import { bindingZones, hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
-import type { Assignment, JobState, Machine } from './model.js';
+import type { Assignment, Machine } from './model.js';
 import { PlacementCandidates } from './placement-candidates.js';
 import { SETTLED_S } from './settled.js';
 import type { StandingSlot } from './slots.js';
@@ -69,21 +69,19 @@
  */
 export function giveBack(fleet: FleetState, machine: Machine, now: number): void {
   machine.draining = true;
+  let candidates = new PlacementCandidates(fleet, now);
   for (const task of [...machine.tasks.values()]) {
     const { job, stop } = task;
     if (!job.isBestEffort || stop !== null || isLetEnd(fleet, task, now)) continue;
-    if (job.tasksMoved >= job.spec.tasks || !hasSpareRoom(fleet, job, now)) continue;
+    if (job.tasksMoved >= job.spec.tasks) continue;
+    if (chooseMachine(fleet, job, bindingZones(job), candidates, now) === null) continue;
     job.tasksMoved++;
     fleet.assignments.stopGracefully(task, now);
+    // The rest of a gang that was not started yet is gone at once, and there is room where it was.
+    if (job.spec.kind === 'gang') candidates = new PlacementCandidates(fleet, now);
   }
 }
 
-/** Whether any machine has room for one more task of the best-effort job. */
-function hasSpareRoom(fleet: FleetState, job: JobState, now: number): boolean {
-  const candidates = new PlacementCandidates(fleet, now);
-  return chooseMachine(fleet, job, bindingZones(job), candidates, now) !== null;
-}
-
 function canBeEmptied(fleet: FleetState, slot: StandingSlot, now: number): boolean {
   const { machine, type, used, reservedForGang } = slot;
   if (machine.firmTasks === 0 || load(machine, type) > MOST_USED) return false;
