One judgement of which jobs speak for others of their kind

Cause: the scheduler and the preemption rule each had their own, and only the scheduler's left out jobs that avoid machines on which they failed: such a job kept younger ones of the same needs from having room made. The scheduler also asked twice whether a gang may be started. The new test fails with the former rule.

--- a/packages/core/job-queues.ts
+++ b/packages/core/job-queues.ts
@@ -154,7 +154,8 @@
   return a.spec.rank - b.spec.rank || byAge(a, b);
 }
 
-/** Whether a task of the job may find no place where one of a job that has none anywhere would. */
-export function isBoundByOwnZones({ spec, assignments }: JobState): boolean {
-  return isBoundByZones(spec) && assignments.size > 0;
+/** Whether others with the same needs find no place either: the job has no zones or machines of its own to avoid. */
+export function speaksForOthers({ spec, assignments, failures }: JobState): boolean {
+  const isBoundByOwnZones = isBoundByZones(spec) && assignments.size > 0;
+  return !isBoundByOwnZones && failures.attempts === 0;
 }
--- a/packages/core/preemption.test.ts
+++ b/packages/core/preemption.test.ts
@@ -55,3 +55,18 @@
   scheduler.round(104.25);
   assert.equal(stopping().length, 1, 'room for the second task is being made');
 });
+
+test('a job that avoids the only machine with work to stop does not speak for others', () => {
+  // Guards against work that waits for as long as an older job of the same needs avoids a machine.
+  const { fleet, scheduler, stopping } = fullFleet();
+  for (const name of ['n-2', 'n-3']) fleet.machines.get(name)!.draining = true;
+  const own = { rank: 1, gpus: 4 };
+  const avoiding = fleet.addJob(aJob({ ...own, id: 'j-2' }), 99, 'accepted', 99);
+  Object.assign(avoiding.failures, { attempts: 1, countedAt: 99, machines: new Set(['n-1']) });
+  fleet.addJob(aJob({ ...own, id: 'j-3' }), 100, 'accepted', 100);
+  scheduler.round(103);
+  assert.deepEqual(
+    stopping().map(({ machine }) => [machine.name, machine.roomHold?.job.spec.id]),
+    [['n-1', 'j-3']],
+  );
+});
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -4,7 +4,7 @@
 import { hasRoom, kindAllowed, tasksByZone, zoneAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { BlockedKind, BlockedShapes } from './blocked-shapes.js';
-import { isBoundByOwnZones } from './job-queues.js';
+import { speaksForOthers } from './job-queues.js';
 import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
 import { SETTLED_S } from './settled.js';
 import type { TeamShares } from './team-shares.js';
@@ -77,7 +77,7 @@
         stopping.add(victims.machine);
         this.makeRoom(job, victims, heldRoom, now);
         made++;
-      } else if (!isBoundByOwnZones(job)) failedAlike.add(job.spec, mayStop);
+      } else if (speaksForOthers(job)) failedAlike.add(job.spec, mayStop);
     }
   }
 
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -7,7 +7,7 @@
 import { GangReservations } from './gang-reservations.js';
 import { mayUseAnyRoom } from './best-effort.js';
 import { BlockedKind, BlockedShapes } from './blocked-shapes.js';
-import { isBoundByOwnZones, queuesByPrecedence, TeamQueue, Tier } from './job-queues.js';
+import { queuesByPrecedence, speaksForOthers, TeamQueue, Tier } from './job-queues.js';
 import type { JobState } from './model.js';
 import { PlacementCandidates } from './placement-candidates.js';
 import { Preemption, PreemptionSettings } from './preemption.js';
@@ -129,8 +129,7 @@
   }
 
   private placeGang(job: JobState, { candidates, now }: Round): number {
-    const { assignments, failures } = this.fleet;
-    if (failures.startableTasks(job) === 0) return 0;
+    const { assignments } = this.fleet;
     if (job.assignments.size > 0 || !this.shares.withinLimit(job.spec.team, wholeGang(job)))
       return 0;
     const machines = chooseGangMachines(this.fleet, job, candidates, now);
@@ -176,11 +175,6 @@
   }
 }
 
-/** Whether others with the same needs find no place either: the job has no zones or machines of its own to avoid. */
-function speaksForOthers(job: JobState): boolean {
-  return !isBoundByOwnZones(job) && job.failures.attempts === 0;
-}
-
 /** What limits count of a gang: its processors and accelerators. */
 function wholeGang({ spec: { cpus, gpus, tasks } }: JobState): Amounts {
   return { cpus: cpus * tasks, gpus: gpus * tasks, memory: 0 };
