Rounds, releases and reservations look at groups of machines in place of all

Cause: notices, releases of useless machines, gangs' reservations and the preemption rule walked over all machines (the last over all tasks, too) several times a second, though next to none is concerned. The registry now keeps the machines that boot, drain, have failed, are taken back, are reserved or hold a task that is stopped, at the change; the fields that decide are read-only elsewhere, so tests set them through the registry.

--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -49,7 +49,7 @@
   const stop = new AbortController();
   const cloud = new RecordingCloud();
   const fleet = aFleet();
-  aMachine(fleet, 'n-1').failedInList = true;
+  fleet.machines.noteFailed(aMachine(fleet, 'n-1'));
   let plans = 0;
   const owner = anOwner(fleet, {
     plan: () => {
--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -130,7 +130,7 @@
 
   private async release(machines: Machine[], signal: AbortSignal): Promise<void> {
     const names = machines.map((machine) => machine.name);
-    for (const machine of machines) machine.draining = true;
+    for (const machine of machines) this.fleet.machines.drain(machine);
     await this.access.budget.take(1, true, signal);
     // The wait for the budget may have been long, or the process may have stood still in it.
     if (!this.options.mayRelease()) return;
--- a/packages/controller/machine-list.ts
+++ b/packages/controller/machine-list.ts
@@ -73,14 +73,14 @@
     if (this.releasedAt.has(listed.name)) return;
     const known = machines.get(listed.name);
     if (known) {
-      if (listed.state === 'failed') known.failedInList = true;
+      if (listed.state === 'failed') machines.noteFailed(known);
       return;
     }
     const bootS = machines.types.get(listed.type)?.bootS ?? 0;
     // One that is listed as running has a boot time's worth of patience to report to us.
     const rentedAt = listed.state === 'booting' ? now - listed.ageS : now - bootS;
     const machine = machines.register(listed, 'booting', rentedAt);
-    machine.failedInList = listed.state === 'failed';
+    if (listed.state === 'failed') machines.noteFailed(machine);
   }
 
   private forgetOldReleases(now: number): void {
--- a/packages/controller/useless-machines.ts
+++ b/packages/controller/useless-machines.ts
@@ -13,7 +13,7 @@
     neverCameUp(machine, machines.typeOf(machine)?.bootS ?? 0, now) ||
     isLongSilent(machine, leaseS, now) ||
     isEmptyAndUnwanted(machine);
-  return [...machines.values()].filter(isUseless);
+  return [...machines.groups.unsettled].filter(isUseless);
 }
 
 function neverCameUp(machine: Machine, bootS: number, now: number): boolean {
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -54,6 +54,7 @@
   ): Assignment {
     const assignment = this.add(job, index, machine, attempt, now);
     assignment.stop = { graceS: 0, sentDirectly: false };
+    this.tables.machines.countStop(machine, 1);
     return assignment;
   }
 
@@ -93,8 +94,10 @@
   stop(assignment: Assignment, graceS: number, now: number): void {
     if (this.endIfUnsent(assignment, now)) return;
     const { stop } = assignment;
-    if (stop === null) assignment.stop = { graceS, sentDirectly: false };
-    else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, sentDirectly: false };
+    if (stop === null) {
+      assignment.stop = { graceS, sentDirectly: false };
+      this.tables.machines.countStop(assignment.machine, 1);
+    } else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, sentDirectly: false };
     this.tables.machinesWithCommands.add(assignment.machine);
   }
 
@@ -121,6 +124,7 @@
     const name = taskName(job.spec.id, index);
     if (machine.tasks.get(name) !== assignment) return;
     machine.tasks.delete(name);
+    if (assignment.stop !== null) this.tables.machines.countStop(machine, -1);
     removeFromJob(assignment);
     this.count(assignment, -1, now);
     if (!job.isBestEffort && machine.firmTasks === 0) machine.idleSince = now;
--- a/packages/core/choose-machine.test.ts
+++ b/packages/core/choose-machine.test.ts
@@ -69,10 +69,10 @@
     }
     for (let i = 0; i < 12; i++) {
       const machine = aMachine(fleet, `n-${i}`, { zone: i % 2 ? 'a' : 'b', spot: chance.hit(0.3) });
-      if (chance.hit(0.1)) machine.draining = true;
+      if (chance.hit(0.1)) fleet.machines.drain(machine);
       if (chance.hit(0.1)) machine.avoidUntil = 5;
       if (chance.hit(0.2)) fleet.holds.hold(machine, jobs[chance.int(0, 23)], 20);
-      if (chance.hit(0.1)) machine.reservedForGang = jobs[chance.int(0, 23)].spec.id;
+      if (chance.hit(0.1)) fleet.machines.reserve(machine, jobs[chance.int(0, 23)].spec.id);
     }
     const now = 10;
     const places = new PlacementCandidates(fleet, now);
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -68,7 +68,7 @@
  * a fleet that shrinks they would go from machine to machine and never end.
  */
 export function giveBack(fleet: FleetState, machine: Machine, now: number): void {
-  machine.draining = true;
+  fleet.machines.drain(machine);
   let candidates = new PlacementCandidates(fleet, now);
   for (const task of [...machine.tasks.values()]) {
     const { job, stop } = task;
--- a/packages/core/failure-tracker.ts
+++ b/packages/core/failure-tracker.ts
@@ -175,7 +175,7 @@
   private drainIfBroken(machine: Machine, now: number): void {
     if (machine.draining || now < this.nextDrainAt || !isBroken(machine.failures)) return;
     this.nextDrainAt = now + DRAIN_PAUSE * this.options.settings.leaseS;
-    machine.draining = true;
+    this.options.machines.drain(machine);
     this.options.listener.machineBroken(machine, now);
   }
 }
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -4,6 +4,7 @@
 import { kindAllowed, tasksThatFit } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { byRankAndAge } from './job-queues.js';
+import type { MachineRegistry } from './machine-registry.js';
 import type { JobState, Machine } from './model.js';
 
 /** Run times are estimated by their owners; a task is expected to take this many times as long... */
@@ -49,7 +50,7 @@
       const { holds, failures } = this.fleet;
       const isHeld = (machine: Machine) =>
         holds.isHeldFromJob(machine, gang, now) || failures.avoids(gang, machine, now);
-      reserveFor(gang, emptying, byGang.get(gang.spec.id) ?? [], isHeld);
+      reserveFor(this.fleet.machines, gang, emptying, byGang.get(gang.spec.id) ?? [], isHeld);
     }
     this.clearReserved(emptying, now);
   }
@@ -66,25 +67,27 @@
 
   /** The gang has started. */
   release(gangId: string): void {
-    for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedForGang === gangId) machine.reservedForGang = null;
+    const { machines } = this.fleet;
+    for (const machine of machines.groups.reserved) {
+      if (machine.reservedForGang === gangId) machines.reserve(machine, null);
     }
   }
 
   private releaseObsolete(waitingGangs: Set<string>): void {
-    for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedForGang === null) continue;
+    const { machines } = this.fleet;
+    for (const machine of machines.groups.reserved) {
       const leaves = machine.state === 'expired' || machine.draining || machine.reclaimAt !== null;
-      if (leaves || !waitingGangs.has(machine.reservedForGang)) machine.reservedForGang = null;
+      const gang = machine.reservedForGang;
+      if (leaves || gang === null || !waitingGangs.has(gang)) machines.reserve(machine, null);
     }
   }
 
   /** One that something keeps from becoming empty is no longer waited for. */
   private releaseIfNotEmptying(emptying: EmptyingMachine[]): void {
-    const machines = new Set(emptying.map(({ machine }) => machine));
-    for (const machine of this.fleet.machines.values()) {
-      if (machine.reservedForGang !== null && !machines.has(machine))
-        machine.reservedForGang = null;
+    const { machines } = this.fleet;
+    const found = new Set(emptying.map(({ machine }) => machine));
+    for (const machine of machines.groups.reserved) {
+      if (!found.has(machine)) machines.reserve(machine, null);
     }
   }
 
@@ -124,6 +127,7 @@
  * whose room is held for other work is left to it: reserved as well, it would serve neither of the two.
  */
 function reserveFor(
+  machines: MachineRegistry,
   { spec }: JobState,
   emptying: EmptyingMachine[],
   own: EmptyingMachine[],
@@ -142,8 +146,8 @@
     chosen = found.machines;
     break;
   }
-  for (const { machine } of own) machine.reservedForGang = null;
-  for (const machine of chosen) machine.reservedForGang = spec.id;
+  for (const { machine } of own) machines.reserve(machine, null);
+  for (const machine of chosen) machines.reserve(machine, spec.id);
 }
 
 /**
--- /dev/null
+++ b/packages/core/machine-groups.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Chance } from '../testing/random.js';
+import { RandomFleet } from '../testing/owner-load/random-steps.js';
+import type { Machine } from './index.js';
+
+const SEEDS = 40;
+const STEPS = 150;
+
+/** What decides whether a machine is in each group, by a look at the machine. */
+const BELONGS: Record<string, (machine: Machine) => boolean> = {
+  unsettled: (machine) => machine.state !== 'up' || machine.draining || machine.failedInList,
+  noticed: (machine) => machine.reclaimAt !== null,
+  reserved: (machine) => machine.reservedForGang !== null,
+  stopping: (machine) => [...machine.tasks.values()].some(({ stop }) => stop !== null),
+};
+
+// Guards duties that look at a few machines in place of all: they must not miss any.
+test('groups of machines hold what a look at every machine finds, whatever happens', () => {
+  const seen: Record<string, number> = {};
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const random = new RandomFleet(new Chance(seed));
+    for (let step = 0; step < STEPS; step++) {
+      random.step();
+      const { machines } = random.fleet;
+      for (const [name, belongs] of Object.entries(BELONGS)) {
+        const group = machines.groups[name as keyof typeof machines.groups];
+        const expected = [...machines.values()].filter(belongs);
+        assert.deepEqual(
+          namesOf(group as Set<Machine>),
+          namesOf(expected),
+          `${name}, seed ${seed}`,
+        );
+        seen[name] = (seen[name] ?? 0) + expected.length;
+      }
+    }
+  }
+  for (const name of Object.keys(BELONGS)) assert.ok(seen[name] > SEEDS, name);
+});
+
+function namesOf(machines: Iterable<Machine>): string[] {
+  return [...machines].map(({ name }) => name).sort();
+}
--- a/packages/core/machine-leases.ts
+++ b/packages/core/machine-leases.ts
@@ -19,10 +19,10 @@
       if (machine.state === 'booting' && machine.tasks.size === 0) continue;
       if (machine.state === 'expired' || now <= this.latestEnd(machine)) continue;
       this.assignments.endAllOn(machine, now);
-      machine.state = 'expired';
+      this.tables.machines.setState(machine, 'expired');
       machine.expiredAt = now;
       this.tables.machinesWithCommands.delete(machine);
-      machine.reservedForGang = null;
+      this.tables.machines.reserve(machine, null);
       expired.push(machine);
     }
     return expired;
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -1,6 +1,7 @@
 import type { MachineType } from '#wire';
 import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
 import { noMachineFailures } from './machine-failures.js';
+import { MachineGroups } from './machine-groups.js';
 import type { Machine } from './model.js';
 
 /** What identifies a machine and decides which tasks it may hold. */
@@ -13,8 +14,16 @@
   spot: boolean;
 }
 
+/** What decides to which groups a machine belongs. */
+type GroupingFields = Pick<
+  Machine,
+  'state' | 'draining' | 'failedInList' | 'reclaimAt' | 'reservedForGang' | 'stoppingTasks'
+>;
+
 /** The known machines and machine types. */
 export class MachineRegistry {
+  /** Machines that something sets apart. */
+  readonly groups = new MachineGroups();
   /** Machine types by name, as the cloud last listed them. */
   readonly types = new Map<string, MachineType>();
   /** Totals of all machines, as of the last `updateTotals`. */
@@ -57,12 +66,49 @@
     if (known) return known;
     const machine = newMachine(facts, state, rentedAt, this.token);
     this.byName.set(facts.name, machine);
+    this.groups.update(machine);
     return machine;
   }
 
   /** The machine is gone from the cloud. */
   remove(machine: Machine): void {
     this.byName.delete(machine.name);
+    this.groups.remove(machine);
+  }
+
+  /** Its worker was heard for the first time or again, or has been silent past its lease. */
+  setState(machine: Machine, state: 'up' | 'expired'): void {
+    this.change(machine, { state });
+  }
+
+  /** It takes no new work and is given back once it is empty. */
+  drain(machine: Machine): void {
+    this.change(machine, { draining: true });
+  }
+
+  /** The cloud lists it as failed. */
+  noteFailed(machine: Machine): void {
+    this.change(machine, { failedInList: true });
+  }
+
+  /** When the cloud takes it away, or null if it gives no notice. */
+  noteReclaim(machine: Machine, reclaimAt: number | null): void {
+    if (reclaimAt !== machine.reclaimAt) this.change(machine, { reclaimAt });
+  }
+
+  /** Keeps it free for the gang of that id, or for none. */
+  reserve(machine: Machine, gang: string | null): void {
+    this.change(machine, { reservedForGang: gang });
+  }
+
+  /** The end of a task on it was asked for (1), or such a task has gone (-1). */
+  countStop(machine: Machine, sign: 1 | -1): void {
+    this.change(machine, { stoppingTasks: machine.stoppingTasks + sign });
+  }
+
+  private change(machine: Machine, changes: Partial<GroupingFields>): void {
+    Object.assign(machine, changes);
+    if (this.byName.get(machine.name) === machine) this.groups.update(machine);
   }
 
   /** Sums up what all machines have; before a round, and after the list of machines. */
@@ -108,6 +154,7 @@
     used: { ...ZERO_AMOUNTS },
     usedBestEffort: { ...ZERO_AMOUNTS },
     firmTasks: 0,
+    stoppingTasks: 0,
     assignmentVersion: 0,
     idleSince: rentedAt,
     reservedForGang: null,
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -90,7 +90,10 @@
   until: number;
 }
 
-/** A rented machine and its worker. Times are seconds of this process's steady clock. */
+/**
+ * A rented machine and its worker. Times are seconds of this process's steady clock. What is read-only here is
+ * changed by the MachineRegistry alone, which keeps groups of machines by it.
+ */
 export interface Machine {
   name: string;
   /** `host:port` of the worker; empty until it has reported. */
@@ -100,13 +103,13 @@
   zone: string;
   spot: boolean;
   /** `expired`: its lease has certainly run out, and nothing is on it (docs/safety.md, point 5). */
-  state: 'booting' | 'up' | 'expired';
+  readonly state: 'booting' | 'up' | 'expired';
   rentedAt: number;
   expiredAt: number;
   /** When the cloud takes it away, if it gave notice. */
-  reclaimAt: number | null;
+  readonly reclaimAt: number | null;
   /** The cloud lists it as failed. */
-  failedInList: boolean;
+  readonly failedInList: boolean;
 
   /** The worker's session: rises whenever its lease has run out. */
   session: number;
@@ -131,13 +134,13 @@
   noDirectCommandBefore: number;
 
   /** Takes no new work and is given back once it is empty. */
-  draining: boolean;
+  readonly draining: boolean;
   /** Takes no new work before. */
   avoidUntil: number;
   /** Failures that may be its fault. */
   failures: MachineFailures;
   /** Id of the gang that it is kept free for. */
-  reservedForGang: string | null;
+  readonly reservedForGang: string | null;
   roomHold: RoomHold | null;
 
   /** By task name: what is or may be on it. */
@@ -148,6 +151,8 @@
   usedBestEffort: Amounts;
   /** Tasks on it that are not best-effort. */
   firmTasks: number;
+  /** Tasks on it whose end was asked for. */
+  readonly stoppingTasks: number;
   /** Rises whenever a task comes or goes. */
   assignmentVersion: number;
   /** Since when it has no firm task; of use only while it has none. */
--- a/packages/core/preemption.test.ts
+++ b/packages/core/preemption.test.ts
@@ -59,7 +59,7 @@
 test('a job that avoids the only machine with work to stop does not speak for others', () => {
   // Guards against work that waits for as long as an older job of the same needs avoids a machine.
   const { fleet, scheduler, stopping } = fullFleet();
-  for (const name of ['n-2', 'n-3']) fleet.machines.get(name)!.draining = true;
+  for (const name of ['n-2', 'n-3']) fleet.machines.drain(fleet.machines.get(name)!);
   const own = { rank: 1, gpus: 4 };
   const avoiding = fleet.addJob(aJob({ ...own, id: 'j-2' }), 99, 'accepted', 99);
   Object.assign(avoiding.failures, { attempts: 1, countedAt: 99, machines: new Set(['n-1']) });
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -54,7 +54,7 @@
     const buckets = [...this.fleet.jobs.waiting.buckets()].filter((each) => this.mayStopAny(each));
     if (buckets.length === 0) return;
     const anyBestEffort = this.fleet.usage.groups().some(({ isBestEffort }) => isBestEffort);
-    const stopping = this.machinesWithStops();
+    const stopping = new Set(this.fleet.machines.groups.stopping);
     const heldRoom = this.fleet.holds.machinesByJob(now);
     const failed = new Map(buckets.map((bucket) => [bucket, new BlockedShapes()]));
     const isOver = (bucket: WaitingBucket) =>
@@ -99,14 +99,6 @@
     });
   }
 
-  private machinesWithStops(): Set<Machine> {
-    const stopping = new Set<Machine>();
-    for (const machine of this.fleet.machines.values()) {
-      for (const { stop } of machine.tasks.values()) if (stop !== null) stopping.add(machine);
-    }
-    return stopping;
-  }
-
   /** The machine where room for the job costs least, and what must be stopped there; null if none. */
   private cheapestVictims(job: JobState, stopping: Set<Machine>, now: number): Victims | null {
     const zones = tasksByZone(job);
--- a/packages/core/report-handler.ts
+++ b/packages/core/report-handler.ts
@@ -88,7 +88,7 @@
   private markUp(machine: Machine, now: number): void {
     if (machine.state === 'up') return;
     if (machine.state === 'booting') this.tables.listener.machineUp(machine, now);
-    machine.state = 'up';
+    this.tables.machines.setState(machine, 'up');
     machine.idleSince = now;
   }
 
@@ -97,7 +97,8 @@
     machine.session = report.session;
     machine.lastMessageSeq = report.seq;
     machine.lastReportSeq = report.seq;
-    machine.reclaimAt = report.noticeS === null ? null : now + report.noticeS;
+    const reclaimAt = report.noticeS === null ? null : now + report.noticeS;
+    this.tables.machines.noteReclaim(machine, reclaimAt);
     if (report.token >= this.tables.term) machine.termConfirmed = true;
     this.fencing.tokenSeen(machine, report.token);
     this.fencing.fenceOverdueStarts(machine, now);
--- /dev/null
+++ b/packages/testing/owner-load/random-steps.ts
@@ -0,0 +1,86 @@
+/** Random events of a fleet, for tests that compare what is kept with a look at everything. */
+import type { Machine } from '#core';
+import type { Chance } from '../random.js';
+import { StandingFleet, STEADY_AT } from './standing-fleet.js';
+
+const MACHINES = 8;
+/** Longest time from one event to the next, in seconds; a lease is ten. */
+const LONGEST_PAUSE_S = 2;
+
+/** A small fleet to which one thing after another happens. */
+export class RandomFleet {
+  readonly standing: StandingFleet;
+  now = STEADY_AT;
+  private registered = MACHINES;
+  private readonly events: (() => void)[] = [
+    () => this.standing.submit(this.now),
+    () => this.round(),
+    () => this.round(),
+    () => this.reports(),
+    () => this.reports(),
+    () => this.reports(),
+    () => this.standing.fleet.leases.expire(this.now),
+    () => this.rent(),
+    () => this.endJob(),
+    () => this.stopTask(),
+    () => this.fleet.machines.drain(this.anyMachine()),
+    () => this.fleet.machines.noteFailed(this.anyMachine()),
+    () => this.fleet.removeMachine(this.anyMachine().name, this.now),
+  ];
+
+  constructor(private readonly chance: Chance) {
+    this.standing = StandingFleet.ofMachines(MACHINES, chance);
+  }
+
+  get fleet() {
+    return this.standing.fleet;
+  }
+
+  /** One more thing happens. */
+  step(): void {
+    this.now += this.chance.next() * LONGEST_PAUSE_S;
+    if (this.fleet.machines.size < MACHINES / 2) this.rent();
+    this.events[this.chance.int(0, this.events.length - 1)]();
+  }
+
+  private anyMachine(): Machine {
+    const machines = [...this.fleet.machines.values()];
+    return machines[this.chance.int(0, machines.length - 1)];
+  }
+
+  private round(): void {
+    const { scheduler, fleet } = this.standing;
+    fleet.machines.updateTotals();
+    scheduler.reservations.update(this.now);
+    scheduler.round(this.now);
+  }
+
+  /** Most machines report; some tasks have ended, and now and then the cloud takes a machine back. */
+  private reports(): void {
+    for (const machine of [...this.fleet.machines.values()]) {
+      if (this.chance.hit(0.1)) continue;
+      const tasks = [...machine.tasks.values()];
+      const ended = tasks.filter(({ stop }) => this.chance.hit(stop === null ? 0.05 : 0.5));
+      const noticeS = this.chance.hit(0.05) ? 30 : null;
+      const report = { ...this.standing.reportOf(machine, new Set(ended)), noticeS };
+      this.fleet.reports.handle(report, this.now);
+    }
+  }
+
+  private rent(): void {
+    this.standing.addMachineNumber(this.registered++, 'booting', this.now);
+  }
+
+  private endJob(): void {
+    const jobs = [...this.fleet.jobs.values()];
+    if (jobs.length === 0) return;
+    const job = jobs[this.chance.int(0, jobs.length - 1)];
+    this.fleet.closeJob(job, 'aborted', this.now);
+    this.fleet.jobs.removeEnded();
+  }
+
+  private stopTask(): void {
+    const [task] = this.anyMachine().tasks.values();
+    if (task) this.fleet.assignments.stopGracefully(task, this.now);
+  }
+}
--- a/packages/testing/owner-load/standing-fleet.ts
+++ b/packages/testing/owner-load/standing-fleet.ts
@@ -87,12 +87,7 @@
     schedule: Partial<ScheduleSettings> = {},
   ): StandingFleet {
     const standing = new StandingFleet(chance, schedule);
-    for (let i = 0; i < machines; i++) {
-      const name = `n-${String(i).padStart(6, '0')}`;
-      const zone = LARGE.zones[i % LARGE.zones.length];
-      const spot = chance.hit(SPOT_SHARE);
-      standing.addMachine({ name, addr: `10.1.0.${i}:9000`, type: LARGE.name, zone, spot });
-    }
+    for (let i = 0; i < machines; i++) standing.addMachineNumber(i, 'up', 0);
     standing.fleet.machines.updateTotals();
     return standing;
   }
@@ -118,6 +113,16 @@
     return standing;
   }
 
+  /** A machine of its own name, zone and kind; one that is up has been heard. */
+  addMachineNumber(number: number, state: 'booting' | 'up', rentedAt: number): Machine {
+    const name = `n-${String(number).padStart(6, '0')}`;
+    const zone = LARGE.zones[number % LARGE.zones.length];
+    const spot = this.chance.hit(SPOT_SHARE);
+    const facts = { name, addr: `10.1.0.${number}:9000`, type: LARGE.name, zone, spot };
+    if (state === 'up') return this.addMachine(facts);
+    return this.fleet.machines.register(facts, state, rentedAt);
+  }
+
   private addMachine(facts: MachineFacts): Machine {
     const machine = this.fleet.machines.register(facts, 'up', 0);
     return Object.assign(machine, { session: 1, termConfirmed: true, answeredAt: STEADY_AT });
