--- a/packages/core/machine-leases.test.ts
+++ b/packages/core/machine-leases.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RandomFleet } from '../testing/owner-load/random-steps.js';
+import { Chance } from '../testing/random.js';
 import { aFleet, aJob, aMachine } from '../testing/samples.js';
 import { FleetState } from './fleet-state.js';
 
@@ -14,3 +16,26 @@
   fleet.leases.expire(50 + formerOwnerS + leaseS + 2);
   assert.equal(fleet.jobs.waitingCount(job), 1);
 });
+
+test('no lease that has run out is overlooked, though most looks are left out', () => {
+  // Guards the moment until which nobody looks: it must hold whatever happens to the machines meanwhile.
+  let looks = 0;
+  let asked = 0;
+  let expired = 0;
+  for (let seed = 1; seed <= 40; seed++) {
+    const random = new RandomFleet(new Chance(seed));
+    const { leases, machines } = random.fleet;
+    for (let step = 0; step < 150; step++) {
+      random.step();
+      const { values } = machines;
+      machines.values = () => (looks++, values.call(machines));
+      expired += leases.expire(random.now).length;
+      machines.values = values;
+      asked++;
+      for (const machine of machines.values()) {
+        if (machine.state === 'up') assert.ok(random.now <= leases.latestEnd(machine));
+      }
+    }
+  }
+  assert.ok(expired > 100 && looks < asked / 2, `${looks} looks in ${asked}, ${expired} expired`);
+});
