--- a/packages/controller/cloud.test.ts
+++ b/packages/controller/cloud.test.ts
@@ -118,7 +118,7 @@
   const calls = 4;
   const { server, asked } = await aFullCloud(calls);
   const fleet = aFleet();
-  fleet.machines.types.set(STD.name, STD);
+  fleet.machines.noteType(STD);
   const stop = new AbortController();
   const refused: string[] = [];
   const owner = anOwner(fleet, {
--- a/packages/controller/machine-catalog.ts
+++ b/packages/controller/machine-catalog.ts
@@ -22,11 +22,11 @@
   /** Reads the catalog if no type is known or the last look is old by now. */
   async refreshIfDue(now: number, signal: AbortSignal): Promise<void> {
     const { cloud, budget, fleet, reportS, onTypes } = this.options;
-    const { types: known } = fleet.machines;
-    if (now - this.readAt <= CATALOG_PERIODS * reportS && known.size > 0) return;
+    const { machines } = fleet;
+    if (now - this.readAt <= CATALOG_PERIODS * reportS && machines.types.size > 0) return;
     await budget.take(1, false, signal);
     const types = await cloud.catalog(signal);
-    for (const type of types) known.set(type.name, type);
+    for (const type of types) machines.noteType(type);
     await onTypes(types, signal);
     this.readAt = now;
   }
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -141,7 +141,7 @@
   private async load(signal: AbortSignal): Promise<void> {
     const { client, jobs, types } = this.options;
     const { fleet, recorder } = this;
-    for (const type of types()) fleet.machines.types.set(type.name, type);
+    for (const type of types()) fleet.machines.noteType(type);
     const records = new OwnerRecords({
       client,
       jobs,
--- a/packages/core/machine-groups.test.ts
+++ b/packages/core/machine-groups.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { Chance } from '../testing/random.js';
 import { RandomFleet } from '../testing/owner-load/random-steps.js';
-import type { Machine } from './index.js';
+import { addAmounts, type Amounts, type FleetState, type Machine, ZERO_AMOUNTS } from './index.js';
 
 const SEEDS = 40;
 const STEPS = 150;
@@ -16,7 +16,7 @@
 };
 
 // Guards duties that look at a few machines in place of all: they must not miss any.
-test('groups of machines hold what a look at every machine finds, whatever happens', () => {
+test('groups and totals of machines are what a look at every machine finds, whatever happens', () => {
   const seen: Record<string, number> = {};
   for (let seed = 1; seed <= SEEDS; seed++) {
     const random = new RandomFleet(new Chance(seed));
@@ -33,11 +33,19 @@
         );
         seen[name] = (seen[name] ?? 0) + expected.length;
       }
+      machines.updateTotals();
+      assert.deepEqual(machines.totals, totalsOf(random.fleet));
     }
   }
   for (const name of Object.keys(BELONGS)) assert.ok(seen[name] > SEEDS, name);
 });
 
+function totalsOf({ machines }: FleetState): Amounts {
+  const totals = { ...ZERO_AMOUNTS };
+  for (const machine of machines.values()) addAmounts(totals, machines.typeOf(machine)!, 1);
+  return totals;
+}
+
 function namesOf(machines: Iterable<Machine>): string[] {
   return [...machines].map(({ name }) => name).sort();
 }
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -24,10 +24,11 @@
 export class MachineRegistry {
   /** Machines that something sets apart. */
   readonly groups = new MachineGroups();
-  /** Machine types by name, as the cloud last listed them. */
-  readonly types = new Map<string, MachineType>();
   /** Totals of all machines, as of the last `updateTotals`. */
-  totals: Amounts = { ...ZERO_AMOUNTS };
+  totals: Readonly<Amounts> = ZERO_AMOUNTS;
+  /** Machines or sizes have changed since then. */
+  private totalsAreOld = false;
+  private readonly typesByName = new Map<string, MachineType>();
   private readonly byName = new Map<string, Machine>();
 
   /** `token` is what answers to a new machine carry: the owner's term. */
@@ -49,9 +50,20 @@
     return this.byName.values();
   }
 
+  /** Machine types by name, as the cloud last listed them. */
+  get types(): ReadonlyMap<string, MachineType> {
+    return this.typesByName;
+  }
+
+  /** The cloud lists a type. */
+  noteType(type: MachineType): void {
+    this.typesByName.set(type.name, type);
+    this.totalsAreOld = true;
+  }
+
   /** Type of the machine, or undefined while the cloud's list of types is not known. */
   typeOf(machine: Machine): MachineType | undefined {
-    return this.types.get(machine.type);
+    return this.typesByName.get(machine.type);
   }
 
   /** Seconds that the type which is up soonest takes to boot; 0 while no type is known. */
@@ -66,6 +78,7 @@
     if (known) return known;
     const machine = newMachine(facts, state, rentedAt, this.token);
     this.byName.set(facts.name, machine);
+    this.totalsAreOld = true;
     this.groups.update(machine);
     return machine;
   }
@@ -73,6 +86,7 @@
   /** The machine is gone from the cloud. */
   remove(machine: Machine): void {
     this.byName.delete(machine.name);
+    this.totalsAreOld = true;
     this.groups.remove(machine);
   }
 
@@ -113,6 +127,8 @@
 
   /** Sums up what all machines have; before a round, and after the list of machines. */
   updateTotals(): void {
+    if (!this.totalsAreOld) return;
+    this.totalsAreOld = false;
     const totals = { ...ZERO_AMOUNTS };
     for (const machine of this.byName.values()) {
       const type = this.typeOf(machine);
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -45,7 +45,7 @@
 /** What a plan starts from: machines that stand or boot, types by name, and what is not to be had. */
 export interface PackingOptions {
   standing: StandingSlot[];
-  types: Map<string, MachineType>;
+  types: ReadonlyMap<string, MachineType>;
   refusals: Refusals;
   now: number;
 }
--- a/packages/testing/owner-load/random-steps.ts
+++ b/packages/testing/owner-load/random-steps.ts
@@ -1,7 +1,7 @@
 /** Random events of a fleet, for tests that compare what is kept with a look at everything. */
 import type { Machine } from '#core';
 import type { Chance } from '../random.js';
-import { StandingFleet, STEADY_AT } from './standing-fleet.js';
+import { LARGE, StandingFleet, STEADY_AT } from './standing-fleet.js';
 
 const MACHINES = 8;
 /** Longest time from one event to the next, in seconds; a lease is ten. */
@@ -26,6 +26,7 @@
     () => this.fleet.machines.drain(this.anyMachine()),
     () => this.fleet.machines.noteFailed(this.anyMachine()),
     () => this.fleet.removeMachine(this.anyMachine().name, this.now),
+    () => this.fleet.machines.noteType({ ...LARGE, cpus: LARGE.cpus + this.chance.int(0, 3) }),
   ];
 
   constructor(private readonly chance: Chance) {
--- a/packages/testing/owner-load/standing-fleet.ts
+++ b/packages/testing/owner-load/standing-fleet.ts
@@ -19,7 +19,7 @@
 import { JobSource } from './job-source.js';
 
 /** A large machine: 8 accelerators. */
-const LARGE: MachineType = {
+export const LARGE: MachineType = {
   name: 'large',
   cpus: 96,
   gpus: 8,
@@ -69,7 +69,7 @@
     schedule: Partial<ScheduleSettings>,
   ) {
     this.fleet = aFleet({ isBestEffort: (job) => isBestEffort(job, TEAMS.get(job.team)) });
-    this.fleet.machines.types.set(LARGE.name, LARGE);
+    this.fleet.machines.noteType(LARGE);
     this.scheduler = new Scheduler(this.fleet, TEAMS, { ...SCHEDULE, ...schedule });
     this.planner = new CapacityPlanner({
       fleet: this.fleet,
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -57,7 +57,7 @@
     claimedAt: 0,
     ...own,
   });
-  fleet.machines.types.set(STD.name, STD);
+  fleet.machines.noteType(STD);
   return fleet;
 }
 
