A task looks for a place among the machines that are not full

Cause: each new need of processors and memory in a round looked at every machine, though in a fleet that is well used nearly all are full, and while it boots none is up. The machines that are up with free accelerators, or free processors, are now kept as tasks come and go, in the order in which they became known; zones as machines do.

--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -84,6 +84,7 @@
     const { machine, job } = assignment;
     machine.assignmentVersion++;
     addAmounts(machine.used, job.spec, sign);
+    this.tables.machines.useChanged(machine);
     if (job.isBestEffort) addAmounts(machine.usedBestEffort, job.spec, sign);
     else machine.firmTasks += sign;
     this.tables.usage.count(assignment, sign, now);
--- a/packages/core/choose-gang-machines.ts
+++ b/packages/core/choose-gang-machines.ts
@@ -24,7 +24,7 @@
   candidates: PlacementCandidates,
   now: number,
 ): Machine[] | null {
-  const zones = job.spec.oneZone ? candidates.zones() : [null];
+  const zones = job.spec.oneZone ? fleet.machines.zones : [null];
   const options = gangOptions(fleet, job, candidates, now);
   let best: GangPlacement | null = null;
   for (const zone of zones) {
--- /dev/null
+++ b/packages/core/free-machines.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RandomFleet } from '../testing/owner-load/random-steps.js';
+import { Chance } from '../testing/random.js';
+import { aJob } from '../testing/samples.js';
+import { type FleetState, hasRoom, type Machine } from './index.js';
+
+const TASKS = [
+  { gpus: 1, cpus: 8 },
+  { gpus: 4, cpus: 0 },
+  { gpus: 0, cpus: 4 },
+  { gpus: 0, cpus: 0 },
+].map((need) => aJob({ ...need, memory: 1 }));
+
+function withRoom(fleet: FleetState, machines: Iterable<Machine>, task: (typeof TASKS)[0]) {
+  return [...machines].filter((machine) => {
+    const type = fleet.machines.typeOf(machine);
+    return machine.state === 'up' && type && hasRoom(task, machine.used, type);
+  });
+}
+
+// Guards placement, which looks at these machines alone: it must find the same places in the same order.
+test('the machines that may hold a task are those with room that a look at every machine finds', () => {
+  let found = 0;
+  for (let seed = 1; seed <= 40; seed++) {
+    const random = new RandomFleet(new Chance(seed));
+    const { fleet } = random;
+    for (let step = 0; step < 150; step++) {
+      random.step();
+      for (const task of TASKS) {
+        const listed = withRoom(fleet, fleet.machines.free.mayHold(task), task);
+        const expected = withRoom(fleet, fleet.machines.values(), task);
+        assert.deepEqual(listed, expected);
+        found += expected.length;
+      }
+    }
+  }
+  assert.ok(found > 10_000, `${found} places`);
+});
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -1,18 +1,9 @@
 import type { MachineType } from '#wire';
 import { addAmounts, Amounts, ZERO_AMOUNTS } from './amounts.js';
-import { noMachineFailures } from './machine-failures.js';
+import { FreeMachines } from './free-machines.js';
 import { MachineGroups } from './machine-groups.js';
 import type { Machine } from './model.js';
-
-/** What identifies a machine and decides which tasks it may hold. */
-export interface MachineFacts {
-  name: string;
-  /** `host:port` of the worker, empty until it has reported. */
-  addr: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-}
+import { type MachineFacts, newMachine } from './new-machine.js';
 
 /** What decides to which groups a machine belongs. */
 type GroupingFields = Pick<
@@ -24,12 +15,17 @@
 export class MachineRegistry {
   /** Machines that something sets apart. */
   readonly groups = new MachineGroups();
+  /** Machines with room. */
+  readonly free = new FreeMachines();
   /** Totals of all machines, as of the last `updateTotals`. */
   totals: Readonly<Amounts> = ZERO_AMOUNTS;
   /** Machines or sizes have changed since then. */
   private totalsAreOld = false;
   private readonly typesByName = new Map<string, MachineType>();
   private readonly byName = new Map<string, Machine>();
+  private registered = 0;
+  /** Null after machines have come or gone. */
+  private zonesInOrder: readonly string[] | null = null;
 
   /** `token` is what answers to a new machine carry: the owner's term. */
   constructor(private readonly token: number) {}
@@ -59,6 +55,9 @@
   noteType(type: MachineType): void {
     this.typesByName.set(type.name, type);
     this.totalsAreOld = true;
+    for (const machine of this.byName.values()) {
+      if (machine.type === type.name) this.free.update(machine, type);
+    }
   }
 
   /** Type of the machine, or undefined while the cloud's list of types is not known. */
@@ -76,23 +75,43 @@
   register(facts: MachineFacts, state: Machine['state'], rentedAt: number): Machine {
     const known = this.byName.get(facts.name);
     if (known) return known;
-    const machine = newMachine(facts, state, rentedAt, this.token);
+    const number = ++this.registered;
+    const machine = newMachine({ facts, number, state, rentedAt, token: this.token });
     this.byName.set(facts.name, machine);
-    this.totalsAreOld = true;
+    this.membersChanged();
     this.groups.update(machine);
+    this.free.update(machine, this.typeOf(machine));
     return machine;
   }
 
   /** The machine is gone from the cloud. */
   remove(machine: Machine): void {
     this.byName.delete(machine.name);
-    this.totalsAreOld = true;
+    this.membersChanged();
     this.groups.remove(machine);
+    this.free.remove(machine);
+  }
+
+  private membersChanged(): void {
+    this.totalsAreOld = true;
+    this.zonesInOrder = null;
+  }
+
+  /** Zones of all machines, in the order in which they became known. */
+  get zones(): readonly string[] {
+    this.zonesInOrder ??= [...new Set([...this.byName.values()].map(({ zone }) => zone))];
+    return this.zonesInOrder;
   }
 
   /** Its worker was heard for the first time or again, or has been silent past its lease. */
   setState(machine: Machine, state: 'up' | 'expired'): void {
     this.change(machine, { state });
+    this.useChanged(machine);
+  }
+
+  /** What its tasks take has changed. */
+  useChanged(machine: Machine): void {
+    if (this.byName.get(machine.name) === machine) this.free.update(machine, this.typeOf(machine));
   }
 
   /** It takes no new work and is given back once it is empty. */
@@ -137,44 +156,3 @@
     this.totals = totals;
   }
 }
-
-function newMachine(
-  facts: MachineFacts,
-  state: Machine['state'],
-  rentedAt: number,
-  token: number,
-): Machine {
-  return {
-    ...facts,
-    state,
-    rentedAt,
-    session: 0,
-    lastMessageSeq: -1,
-    lastReportSeq: -1,
-    token,
-    fence: 'none',
-    unacknowledgedStarts: new Map(),
-    directCommandInFlight: false,
-    noDirectCommandBefore: 0,
-    termConfirmed: false,
-    answeredAt: -Infinity,
-    expiredAt: 0,
-    reclaimAt: null,
-    draining: false,
-    avoidUntil: 0,
-    answeredSince: Infinity,
-    oldTokenSince: null,
-    failures: noMachineFailures(),
-    images: new Map(),
-    tasks: new Map(),
-    used: { ...ZERO_AMOUNTS },
-    usedBestEffort: { ...ZERO_AMOUNTS },
-    firmTasks: 0,
-    stoppingTasks: 0,
-    assignmentVersion: 0,
-    idleSince: rentedAt,
-    reservedForGang: null,
-    roomHold: null,
-    failedInList: false,
-  };
-}
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -96,6 +96,8 @@
  */
 export interface Machine {
   name: string;
+  /** Rises with each machine that becomes known. */
+  readonly number: number;
   /** `host:port` of the worker; empty until it has reported. */
   addr: string;
   /** Name of its machine type. */
--- /dev/null
+++ b/packages/core/new-machine.ts
@@ -0,0 +1,88 @@
+import { ZERO_AMOUNTS } from './amounts.js';
+import { noMachineFailures } from './machine-failures.js';
+import type { Machine } from './model.js';
+
+/** What identifies a machine and decides which tasks it may hold. */
+export interface MachineFacts {
+  name: string;
+  /** `host:port` of the worker, empty until it has reported. */
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** What is known of a machine's worker. */
+type WorkerFields = Pick<
+  Machine,
+  | 'session'
+  | 'lastMessageSeq'
+  | 'lastReportSeq'
+  | 'token'
+  | 'termConfirmed'
+  | 'answeredAt'
+  | 'answeredSince'
+  | 'oldTokenSince'
+  | 'fence'
+  | 'unacknowledgedStarts'
+  | 'directCommandInFlight'
+  | 'noDirectCommandBefore'
+>;
+
+/** Where a new machine comes in the registry, and what answers to it carry. */
+interface NewMachine {
+  facts: MachineFacts;
+  number: number;
+  state: Machine['state'];
+  rentedAt: number;
+  token: number;
+}
+
+/** A machine without tasks of which nothing was heard. */
+export function newMachine({ facts, number, state, rentedAt, token }: NewMachine): Machine {
+  const { name, addr, type, zone, spot } = facts;
+  return {
+    name,
+    number,
+    addr,
+    type,
+    zone,
+    spot,
+    state,
+    rentedAt,
+    ...unheardWorker(token),
+    expiredAt: 0,
+    reclaimAt: null,
+    draining: false,
+    avoidUntil: 0,
+    failures: noMachineFailures(),
+    images: new Map(),
+    tasks: new Map(),
+    used: { ...ZERO_AMOUNTS },
+    usedBestEffort: { ...ZERO_AMOUNTS },
+    firmTasks: 0,
+    stoppingTasks: 0,
+    assignmentVersion: 0,
+    idleSince: rentedAt,
+    reservedForGang: null,
+    roomHold: null,
+    failedInList: false,
+  };
+}
+
+function unheardWorker(token: number): WorkerFields {
+  return {
+    session: 0,
+    lastMessageSeq: -1,
+    lastReportSeq: -1,
+    token,
+    termConfirmed: false,
+    answeredAt: -Infinity,
+    answeredSince: Infinity,
+    oldTokenSince: null,
+    fence: 'none',
+    unacknowledgedStarts: new Map(),
+    directCommandInFlight: false,
+    noDirectCommandBefore: 0,
+  };
+}
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -31,7 +31,6 @@
 export class PlacementCandidates {
   private readonly byRequirementsAndImage = new Map<string, Candidate[]>();
   private readonly byRequirements = new Map<string, RoomyMachine[]>();
-  private zoneNames: Set<string> | null = null;
 
   constructor(
     private readonly fleet: FleetState,
@@ -43,11 +42,7 @@
     const key = `${job.requirementsKey} ${job.spec.image} ${job.isBestEffort}`;
     let candidates = this.byRequirementsAndImage.get(key);
     if (!candidates) {
-      candidates = this.withRoom(job).map((roomy) => ({
-        ...roomy,
-        cost: 0,
-        assignmentVersion: -1,
-      }));
+      candidates = this.withRoom(job).map(asCandidate);
       this.byRequirementsAndImage.set(key, candidates);
     }
     return candidates;
@@ -67,9 +62,12 @@
 
   /** Whether any machine has room for a task that needs so much on the job's conditions, reserved or not. */
   anyRoomFor(job: Job, need: Readonly<Amounts>): boolean {
+    const { machines } = this.fleet;
+    const candidates = machines.free.mayHold(need);
+    if (candidates.length === 0) return false;
     const task = { ...job, ...need };
-    for (const machine of this.fleet.machines.values()) {
-      const type = this.fleet.machines.typeOf(machine);
+    for (const machine of candidates) {
+      const type = machines.typeOf(machine);
       if (!type || !hasRoom(task, machine.used, type)) continue;
       if (kindAllowed(task, type, machine.zone, machine.spot) && this.isUsable(machine))
         return true;
@@ -77,18 +75,13 @@
     return false;
   }
 
-  /** Zones of all machines. */
-  zones(): Set<string> {
-    this.zoneNames ??= new Set([...this.fleet.machines.values()].map(({ zone }) => zone));
-    return this.zoneNames;
-  }
-
   private withRoom({ requirementsKey, spec }: JobState): RoomyMachine[] {
     let roomy = this.byRequirements.get(requirementsKey);
     if (!roomy) {
       this.byRequirements.set(requirementsKey, (roomy = []));
-      for (const machine of this.fleet.machines.values()) {
-        const type = this.fleet.machines.typeOf(machine);
+      const { machines } = this.fleet;
+      for (const machine of machines.free.mayHold(spec)) {
+        const type = machines.typeOf(machine);
         if (!type || !hasRoom(spec, machine.used, type)) continue;
         if (!kindAllowed(spec, type, machine.zone, machine.spot)) continue;
         if (this.isUsable(machine)) roomy.push({ machine, type });
@@ -101,3 +94,7 @@
     return isUsable(machine, this.fleet.settings.maxTasksPerMachine, this.now);
   }
 }
+
+function asCandidate({ machine, type }: RoomyMachine): Candidate {
+  return { machine, type, cost: 0, assignmentVersion: -1 };
+}
--- a/packages/testing/owner-load/standing-fleet.ts
+++ b/packages/testing/owner-load/standing-fleet.ts
@@ -12,7 +12,7 @@
 } from '#core';
 import type { Job, MachineType, Report, TaskReport } from '#wire';
 import { decodeJob, MACHINES, type MachineRecord } from '#store';
-import type { MachineFacts } from '../../core/machine-registry.js';
+import type { MachineFacts } from '../../core/new-machine.js';
 import { Chance } from '../random.js';
 import { aFleet } from '../samples.js';
 import type { FleetRecords } from './fleet-records.js';
