Reservations look at the machines that become empty by themselves, in place of all

The registry keeps these machines now; a reservation that stays as it is is not written again, and each change touches its own group alone. The shortest boot time is kept with the types.

--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -53,8 +53,7 @@
     now: number,
   ): Assignment {
     const assignment = this.add(job, index, machine, attempt, now);
-    assignment.stop = { graceS: 0, sentDirectly: false };
-    this.tables.machines.countStop(machine, 1);
+    this.beginStop(assignment, 0);
     return assignment;
   }
 
@@ -87,6 +86,7 @@
     this.tables.machines.useChanged(machine);
     if (job.isBestEffort) addAmounts(machine.usedBestEffort, job.spec, sign);
     else machine.firmTasks += sign;
+    if (stays(assignment)) this.tables.machines.countReplica(machine, sign);
     this.tables.usage.count(assignment, sign, now);
     this.tables.jobs.countsChanged(job);
   }
@@ -95,13 +95,18 @@
   stop(assignment: Assignment, graceS: number, now: number): void {
     if (this.endIfUnsent(assignment, now)) return;
     const { stop } = assignment;
-    if (stop === null) {
-      assignment.stop = { graceS, sentDirectly: false };
-      this.tables.machines.countStop(assignment.machine, 1);
-    } else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, sentDirectly: false };
+    if (stop === null) this.beginStop(assignment, graceS);
+    else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, sentDirectly: false };
     this.tables.machinesWithCommands.add(assignment.machine);
   }
 
+  private beginStop(assignment: Assignment, graceS: number): void {
+    const { machines } = this.tables;
+    if (stays(assignment)) machines.countReplica(assignment.machine, -1);
+    assignment.stop = { graceS, sentDirectly: false };
+    machines.countStop(assignment.machine, 1);
+  }
+
   /** Ends an assignment whose start was never sent to the worker, and so never will be. */
   endIfUnsent(assignment: Assignment, now: number): boolean {
     const { startSent, inherited, reported } = assignment;
@@ -182,6 +187,11 @@
   };
 }
 
+/** Whether it is a replica that keeps its machine from becoming empty by itself. */
+function stays({ job, stop }: Assignment): boolean {
+  return stop === null && job.spec.kind === 'service' && !job.isBestEffort;
+}
+
 function removeFromJob(assignment: Assignment): void {
   const { assignments } = assignment.job;
   const rest = (assignments.get(assignment.index) ?? []).filter((other) => other !== assignment);
--- a/packages/core/best-effort.ts
+++ b/packages/core/best-effort.ts
@@ -64,7 +64,7 @@
   boots: number,
   now: number,
 ): boolean {
-  return job.assignments.size === 0 && now - job.waitingSince >= boots * machines.shortestBootS();
+  return job.assignments.size === 0 && now - job.waitingSince >= boots * machines.shortestBootS;
 }
 
 /**
@@ -78,5 +78,5 @@
 ): boolean {
   if (spec.kind === 'service' || runningSince === null) return false;
   const restS = spec.estimateS - (now - runningSince);
-  return restS <= Math.min(spec.estimateS / 2, machines.shortestBootS());
+  return restS <= Math.min(spec.estimateS / 2, machines.shortestBootS);
 }
--- a/packages/core/gang-reservations.ts
+++ b/packages/core/gang-reservations.ts
@@ -94,12 +94,11 @@
   /** Machines that become empty by themselves, soonest first. */
   private emptyingMachines(now: number): EmptyingMachine[] {
     const found: EmptyingMachine[] = [];
-    for (const machine of this.fleet.machines.values()) {
-      const type = this.fleet.machines.typeOf(machine);
-      if (!type || machine.state === 'expired' || machine.draining) continue;
-      if (machine.reclaimAt !== null || isAvoided(machine, now)) continue;
-      const waitS = emptyInS(machine, type.bootS, now);
-      if (waitS !== null) found.push({ machine, type, waitS });
+    const { machines } = this.fleet;
+    for (const machine of machines.groups.emptying) {
+      const type = machines.typeOf(machine);
+      if (!type || isAvoided(machine, now)) continue;
+      found.push({ machine, type, waitS: emptyInS(machine, type.bootS, now) });
     }
     return found.sort((a, b) => a.waitS - b.waitS);
   }
@@ -146,7 +145,7 @@
     chosen = found.machines;
     break;
   }
-  for (const { machine } of own) machines.reserve(machine, null);
+  for (const { machine } of own) if (!chosen.includes(machine)) machines.reserve(machine, null);
   for (const machine of chosen) machines.reserve(machine, spec.id);
 }
 
@@ -174,14 +173,13 @@
   }
 }
 
-/** Seconds until a machine could be empty, or null if something on it does not end by itself. */
-function emptyInS(machine: Machine, bootS: number, now: number): number | null {
+/** Seconds until a machine could be empty on which all firm tasks end by themselves. */
+function emptyInS(machine: Machine, bootS: number, now: number): number {
   if (machine.state === 'booting') return Math.max(1, machine.rentedAt + bootS - now);
   let waitS = 0;
   for (const { job, stop, runningSince } of machine.tasks.values()) {
-    const { kind, estimateS } = job.spec;
+    const { estimateS } = job.spec;
     if (stop !== null || job.isBestEffort) continue;
-    if (kind === 'service') return null;
     const ranS = runningSince === null ? 0 : now - runningSince;
     waitS = Math.max(waitS, estimateS * ESTIMATE_MARGIN - ranS, estimateS * ESTIMATE_REST);
   }
--- a/packages/core/machine-groups.test.ts
+++ b/packages/core/machine-groups.test.ts
@@ -13,6 +13,13 @@
   noticed: (machine) => machine.reclaimAt !== null,
   reserved: (machine) => machine.reservedForGang !== null,
   stopping: (machine) => [...machine.tasks.values()].some(({ stop }) => stop !== null),
+  emptying: ({ state, draining, reclaimAt, tasks }) =>
+    state !== 'expired' &&
+    !draining &&
+    reclaimAt === null &&
+    [...tasks.values()].every(
+      ({ job, stop }) => job.isBestEffort || stop !== null || job.spec.kind !== 'service',
+    ),
 };
 
 // Guards duties that look at a few machines in place of all: they must not miss any.
@@ -27,7 +34,7 @@
         const group = machines.groups[name as keyof typeof machines.groups];
         const expected = [...machines.values()].filter(belongs);
         assert.deepEqual(
-          namesOf(group as Set<Machine>),
+          namesOf(group as Iterable<Machine>),
           namesOf(expected),
           `${name}, seed ${seed}`,
         );
--- a/packages/core/machine-groups.ts
+++ b/packages/core/machine-groups.ts
@@ -1,4 +1,5 @@
 import type { Machine } from './model.js';
+import { OrderedMachines } from './ordered-machines.js';
 
 /**
  * Machines that something sets apart, kept current where that changes. They are few, so that duties which
@@ -9,6 +10,7 @@
   private readonly noticedOnes = new Set<Machine>();
   private readonly reservedOnes = new Set<Machine>();
   private readonly stoppingOnes = new Set<Machine>();
+  private readonly emptyingOnes = new OrderedMachines();
 
   /** Those that boot, are silent past their lease, drain, or have failed by the cloud's list. */
   get unsettled(): ReadonlySet<Machine> {
@@ -30,21 +32,47 @@
     return this.stoppingOnes;
   }
 
-  /** To be called whenever one of the fields that decide has changed. */
-  update(machine: Machine): void {
-    const { state, draining, failedInList, reclaimAt, reservedForGang, stoppingTasks } = machine;
-    const isUnsettled = state !== 'up' || draining || failedInList;
-    setMember(this.unsettledOnes, machine, isUnsettled);
-    setMember(this.noticedOnes, machine, reclaimAt !== null);
-    setMember(this.reservedOnes, machine, reservedForGang !== null);
-    setMember(this.stoppingOnes, machine, stoppingTasks > 0);
+  /** Those that boot or are up, are to stay, and become empty by themselves; as they became known. */
+  get emptying(): readonly Machine[] {
+    return this.emptyingOnes.machines;
+  }
+
+  /** A machine became known. */
+  add(machine: Machine): void {
+    this.stateChanged(machine);
+    this.reclaimChanged(machine);
   }
 
   remove(machine: Machine): void {
-    this.unsettledOnes.delete(machine);
-    this.noticedOnes.delete(machine);
-    this.reservedOnes.delete(machine);
-    this.stoppingOnes.delete(machine);
+    for (const group of [this.unsettledOnes, this.noticedOnes]) group.delete(machine);
+    for (const group of [this.reservedOnes, this.stoppingOnes]) group.delete(machine);
+    this.emptyingOnes.setMember(machine, false);
+  }
+
+  /** It is up or expired, drains, or is listed as failed. */
+  stateChanged(machine: Machine): void {
+    const { state, draining, failedInList } = machine;
+    setMember(this.unsettledOnes, machine, state !== 'up' || draining || failedInList);
+    this.replicasChanged(machine);
+  }
+
+  reclaimChanged(machine: Machine): void {
+    setMember(this.noticedOnes, machine, machine.reclaimAt !== null);
+    this.replicasChanged(machine);
+  }
+
+  reservationChanged(machine: Machine): void {
+    setMember(this.reservedOnes, machine, machine.reservedForGang !== null);
+  }
+
+  stopsChanged(machine: Machine): void {
+    setMember(this.stoppingOnes, machine, machine.stoppingTasks > 0);
+  }
+
+  replicasChanged(machine: Machine): void {
+    const { state, draining, reclaimAt, stayingReplicas } = machine;
+    const stays = state !== 'expired' && !draining && reclaimAt === null;
+    this.emptyingOnes.setMember(machine, stays && stayingReplicas === 0);
   }
 }
 
--- a/packages/core/machine-registry.ts
+++ b/packages/core/machine-registry.ts
@@ -5,11 +5,8 @@
 import type { Machine } from './model.js';
 import { type MachineFacts, newMachine } from './new-machine.js';
 
-/** What decides to which groups a machine belongs. */
-type GroupingFields = Pick<
-  Machine,
-  'state' | 'draining' | 'failedInList' | 'reclaimAt' | 'reservedForGang' | 'stoppingTasks'
->;
+/** A machine as the registry may change it. */
+type Writable = { -readonly [Field in keyof Machine]: Machine[Field] };
 
 /** The known machines and machine types. */
 export class MachineRegistry {
@@ -21,6 +18,8 @@
   totals: Readonly<Amounts> = ZERO_AMOUNTS;
   /** Machines or sizes have changed since then. */
   private totalsAreOld = false;
+  /** Seconds that the type which is up soonest takes to boot; 0 while no type is known. */
+  shortestBootS = 0;
   private readonly typesByName = new Map<string, MachineType>();
   private readonly byName = new Map<string, Machine>();
   private registered = 0;
@@ -55,6 +54,7 @@
   noteType(type: MachineType): void {
     this.typesByName.set(type.name, type);
     this.totalsAreOld = true;
+    this.shortestBootS = Math.min(...[...this.typesByName.values()].map(({ bootS }) => bootS));
     for (const machine of this.byName.values()) {
       if (machine.type === type.name) this.free.update(machine, type);
     }
@@ -65,12 +65,6 @@
     return this.typesByName.get(machine.type);
   }
 
-  /** Seconds that the type which is up soonest takes to boot; 0 while no type is known. */
-  shortestBootS(): number {
-    const times = [...this.types.values()].map(({ bootS }) => bootS);
-    return times.length > 0 ? Math.min(...times) : 0;
-  }
-
   /** A machine that the cloud, a record or its own report made known; unchanged if known already. */
   register(facts: MachineFacts, state: Machine['state'], rentedAt: number): Machine {
     const known = this.byName.get(facts.name);
@@ -79,7 +73,7 @@
     const machine = newMachine({ facts, number, state, rentedAt, token: this.token });
     this.byName.set(facts.name, machine);
     this.membersChanged();
-    this.groups.update(machine);
+    this.groups.add(machine);
     this.free.update(machine, this.typeOf(machine));
     return machine;
   }
@@ -105,43 +99,58 @@
 
   /** Its worker was heard for the first time or again, or has been silent past its lease. */
   setState(machine: Machine, state: 'up' | 'expired'): void {
-    this.change(machine, { state });
-    this.useChanged(machine);
-  }
-
-  /** What its tasks take has changed. */
-  useChanged(machine: Machine): void {
-    if (this.byName.get(machine.name) === machine) this.free.update(machine, this.typeOf(machine));
+    writable(machine).state = state;
+    if (!this.isKnown(machine)) return;
+    this.groups.stateChanged(machine);
+    this.free.update(machine, this.typeOf(machine));
   }
 
   /** It takes no new work and is given back once it is empty. */
   drain(machine: Machine): void {
-    this.change(machine, { draining: true });
+    writable(machine).draining = true;
+    if (this.isKnown(machine)) this.groups.stateChanged(machine);
   }
 
   /** The cloud lists it as failed. */
   noteFailed(machine: Machine): void {
-    this.change(machine, { failedInList: true });
+    writable(machine).failedInList = true;
+    if (this.isKnown(machine)) this.groups.stateChanged(machine);
   }
 
   /** When the cloud takes it away, or null if it gives no notice. */
   noteReclaim(machine: Machine, reclaimAt: number | null): void {
-    if (reclaimAt !== machine.reclaimAt) this.change(machine, { reclaimAt });
+    if (reclaimAt === machine.reclaimAt) return;
+    writable(machine).reclaimAt = reclaimAt;
+    if (this.isKnown(machine)) this.groups.reclaimChanged(machine);
   }
 
   /** Keeps it free for the gang of that id, or for none. */
   reserve(machine: Machine, gang: string | null): void {
-    this.change(machine, { reservedForGang: gang });
+    if (gang === machine.reservedForGang) return;
+    writable(machine).reservedForGang = gang;
+    if (this.isKnown(machine)) this.groups.reservationChanged(machine);
   }
 
   /** The end of a task on it was asked for (1), or such a task has gone (-1). */
   countStop(machine: Machine, sign: 1 | -1): void {
-    this.change(machine, { stoppingTasks: machine.stoppingTasks + sign });
+    writable(machine).stoppingTasks += sign;
+    if (this.isKnown(machine)) this.groups.stopsChanged(machine);
   }
 
-  private change(machine: Machine, changes: Partial<GroupingFields>): void {
-    Object.assign(machine, changes);
-    if (this.byName.get(machine.name) === machine) this.groups.update(machine);
+  /** A replica is to stay on it (1), or no longer is (-1). */
+  countReplica(machine: Machine, sign: 1 | -1): void {
+    writable(machine).stayingReplicas += sign;
+    if (this.isKnown(machine)) this.groups.replicasChanged(machine);
+  }
+
+  /** What its tasks take has changed. */
+  useChanged(machine: Machine): void {
+    if (this.isKnown(machine)) this.free.update(machine, this.typeOf(machine));
+  }
+
+  /** Others that still hold a machine may name one that is gone. */
+  private isKnown(machine: Machine): boolean {
+    return this.byName.get(machine.name) === machine;
   }
 
   /** Sums up what all machines have; before a round, and after the list of machines. */
@@ -156,3 +165,7 @@
     this.totals = totals;
   }
 }
+
+function writable(machine: Machine): Writable {
+  return machine;
+}
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -155,6 +155,8 @@
   firmTasks: number;
   /** Tasks on it whose end was asked for. */
   readonly stoppingTasks: number;
+  /** Replicas on it that are not best-effort and whose end was not asked for. */
+  readonly stayingReplicas: number;
   /** Rises whenever a task comes or goes. */
   assignmentVersion: number;
   /** Since when it has no firm task; of use only while it has none. */
--- a/packages/core/new-machine.ts
+++ b/packages/core/new-machine.ts
@@ -62,6 +62,7 @@
     usedBestEffort: { ...ZERO_AMOUNTS },
     firmTasks: 0,
     stoppingTasks: 0,
+    stayingReplicas: 0,
     assignmentVersion: 0,
     idleSince: rentedAt,
     reservedForGang: null,
