--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,7 @@
 import tseslint from 'typescript-eslint';
 
-const PRODUCTION = ['packages/{wire,core,store,peer,controller,cli}/**/*.ts'];
+const SOURCES = ['packages/**/*.{ts,cts}'];
+const PRODUCTION = ['packages/{wire,core,store,peer,controller,cli}/**/*.{ts,cts}'];
 const TESTS = ['packages/**/*.test.ts'];
 const GIVEN = 'Use the Runtime that the caller hands over (packages/wire/runtime.ts).';
 
@@ -75,7 +76,7 @@
   'max-lines-per-function': ['error', { max: 40, skipComments: true, skipBlankLines: true }],
 };
 
-/** The packages that each may import. Production imports neither `testing` nor stand-ins' messages. */
+/** The packages that each may import. Production imports neither `testing`, `bundle` nor stand-ins' messages. */
 const MAY_IMPORT = {
   wire: [],
   core: ['wire'],
@@ -84,7 +85,7 @@
   controller: ['wire', 'core', 'store', 'peer'],
   cli: ['wire', 'core', 'store', 'peer', 'controller'],
 };
-const PACKAGES = [...Object.keys(MAY_IMPORT), 'testing'];
+const PACKAGES = [...Object.keys(MAY_IMPORT), 'testing', 'bundle'];
 
 /** Forbids, by either way to name a package, to import one that is not lower. */
 function directionRules(name, allowed) {
@@ -122,7 +123,7 @@
   { ignores: ['target/**', 'node_modules/**', 'journal/**'] },
   ...tseslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: SOURCES,
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
       '@typescript-eslint/no-floating-promises': 'error',
@@ -130,7 +131,7 @@
       eqeqeq: 'error',
     },
   },
-  { files: ['packages/**/*.ts'], ignores: TESTS, rules: sizeRules },
+  { files: SOURCES, ignores: TESTS, rules: sizeRules },
   { files: PRODUCTION, ignores: ['packages/wire/runtime.ts', ...TESTS], rules: runtimeRules },
   {
     // Several controllers may run in one process; only the command line may end it.
--- /dev/null
+++ b/packages/bundle/bundle-program.ts
@@ -0,0 +1,32 @@
+import { build, type BuildOptions } from 'esbuild';
+import { fileURLToPath } from 'node:url';
+
+const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+
+/** Libraries, or parts of them, that the program does without, and what the bundle takes instead. */
+const REPLACED = {
+  'body-parser': './deploy/no-body-parser.cjs',
+  // The ES modules, of which only what is used is taken; the CommonJS ones were a fifth of the program.
+  rxjs: './node_modules/rxjs/dist/esm/index.js',
+};
+
+const OPTIONS: BuildOptions = {
+  absWorkingDir: ROOT,
+  entryPoints: ['target/cli/main.js'],
+  outfile: 'target/bin/sorreldale.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  minifyWhitespace: true,
+  minifySyntax: true,
+  logLevel: 'warning',
+  alias: REPLACED,
+  define: { 'import.meta.url': 'bundleUrl' },
+  banner: { js: "const bundleUrl=require('node:url').pathToFileURL(__filename).href;" },
+};
+
+/** Writes the program with all its libraries in one file. */
+export async function bundleProgram(): Promise<void> {
+  await build(OPTIONS);
+}
--- a/packages/cli/program.test.ts
+++ b/packages/cli/program.test.ts
@@ -128,7 +128,7 @@
 });
 
 test('the program as it is built ends with the line and the code', () => {
-  const launch = fileURLToPath(new URL('./launch.js', import.meta.url));
+  const launch = fileURLToPath(new URL('./launch.cjs', import.meta.url));
   const command = [launch, 'submit', path.join(directory, 'none.json')];
   const { status, stdout, stderr } = spawnSync(process.execPath, command, { encoding: 'utf8' });
   assert.deepEqual([status, stdout], [2, '']);
--- a/packages/cli/serve.test.ts
+++ b/packages/cli/serve.test.ts
@@ -35,7 +35,7 @@
     .replace(/^cluster_listen = .*$/m, `cluster_listen = "${clusterListen}"`)
     .replaceAll('"10.', '"127.');
   writeFileSync(file, text);
-  const launch = fileURLToPath(new URL('./launch.js', import.meta.url));
+  const launch = fileURLToPath(new URL('./launch.cjs', import.meta.url));
   const env = { ...process.env, LOG_LEVEL: 'info' };
   return spawn(process.execPath, [launch, '--config', file], {
     env,
--- a/packages/controller/operator.test.ts
+++ b/packages/controller/operator.test.ts
@@ -5,7 +5,7 @@
 import type { PlatformSettings } from './platform-settings.js';
 
 test('the schema in the documentation is the one in force', () => {
-  // Written by `node target/cli/launch.js schema > docs/operator.schema.json`.
+  // Written by `node target/cli/launch.cjs schema > docs/operator.schema.json`.
   const file = new URL('../../docs/operator.schema.json', import.meta.url);
   assert.deepEqual(JSON.parse(readFileSync(file, 'utf8')), operatorSchema);
 });
--- a/packages/testing/docs.test.ts
+++ b/packages/testing/docs.test.ts
@@ -12,7 +12,7 @@
     .filter((name) => name.endsWith('.md'))
     .map((name) => `docs/${name}`),
 ];
-const PACKAGES = 'wire|core|store|peer|controller|cli|testing';
+const PACKAGES = 'wire|core|store|peer|controller|cli|testing|bundle';
 
 /** Tables whose column of module names is about one directory; names with a slash are of a package. */
 const MODULE_TABLES = [
@@ -33,7 +33,7 @@
 
 /** The file or directory, with or without `.ts`; what the build makes stands for its source. */
 function exists(name: string): boolean {
-  const source = name.replace(/^target\/(.*)\.js$/, 'packages/$1.ts');
+  const source = name.replace(/^target\/(.*)\.(c?)js$/, 'packages/$1.$2ts');
   return [source, `${source}.ts`].some((file) => existsSync(path.join(ROOT, file)));
 }
 
@@ -54,7 +54,7 @@
 test('files that the documentation names exist', () => {
   const patterns: [RegExp, string][] = [
     [/(?<![\w/.-])(?:packages|docs|deploy|examples)\/[\w./-]*\w/g, ''],
-    [/(?<![\w/.-])target\/(?!bin\/)[\w./-]+\.js\b/g, ''],
+    [/(?<![\w/.-])target\/(?!bin\/)[\w./-]+\.c?js\b/g, ''],
     [new RegExp(`(?<![\\w/.#-])(?:${PACKAGES})/[\\w/-]+\\.ts\\b`, 'g'), 'packages/'],
     [new RegExp(`(?<=\`)(?:${PACKAGES})/[\\w./-]+(?=\`)`, 'g'), 'packages/'],
   ];
--- a/packages/testing/load.ts
+++ b/packages/testing/load.ts
@@ -63,7 +63,7 @@
 
 /** Starts the controller that is loaded. */
 function startController(settings: string, nodeOptions: string[]): ChildProcess {
-  const command = [...nodeOptions, 'target/cli/launch.js', '--config', settings];
+  const command = [...nodeOptions, 'target/cli/launch.cjs', '--config', settings];
   return spawn(process.execPath, command, { stdio: 'inherit' });
 }
 
