Start: the checks of all schemas are code that the build makes, ajv is not loaded

Ajv was loaded and compiled four schemas at each start. Its standalone code is now made by the build and takes the place of wire/schema.ts in the bundle; tests go on with ajv's compile at run time, and one compares the two: same verdict, same errors, same defaults for values that are right and made wrong in one place, drawn from all four schemas.

--- a/packages/bundle/bundle-program.ts
+++ b/packages/bundle/bundle-program.ts
@@ -1,5 +1,6 @@
 import { build, type BuildOptions } from 'esbuild';
 import { fileURLToPath } from 'node:url';
+import { compiledSchemas } from './schema-checks.js';
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 
@@ -22,6 +23,7 @@
   minifySyntax: true,
   logLevel: 'warning',
   alias: REPLACED,
+  plugins: [compiledSchemas],
   define: { 'import.meta.url': 'bundleUrl' },
   banner: { js: "const bundleUrl=require('node:url').pathToFileURL(__filename).href;" },
 };
--- /dev/null
+++ b/packages/bundle/schema-checks.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import { test } from 'node:test';
+import type { ValidateFunction } from 'ajv';
+import fc from 'fast-check';
+import { parse as parseToml } from 'smol-toml';
+import { anyJob, anyReport, SEEDED } from '#testing';
+import { compileSchema, jobToWire, reportToWire } from '#wire';
+import { namedSchemas } from '../wire/schema.js';
+import { schemaChecksCode } from './schema-checks.js';
+
+type Checks = Record<string, ValidateFunction>;
+type Json = Record<string, unknown>;
+
+const EXAMPLES = new URL('../../examples/', import.meta.url);
+
+function readExample(name: string): string {
+  return readFileSync(new URL(name, EXAMPLES), 'utf8');
+}
+
+/** What is right by each schema, to be made wrong in one place. */
+const GOOD: Record<string, fc.Arbitrary<Json>> = {
+  job: anyJob.map(jobToWire),
+  report: anyReport.map(reportToWire),
+  platformSettings: fc.constant(parseToml(readExample('settings.toml'))),
+  operatorSettings: fc.constant(JSON.parse(readExample('operator.json')) as Json),
+};
+
+const anyValue = fc.oneof(
+  fc.constantFrom<unknown>(undefined, null, '', 0, -1, 0.5, 1e300, {}, []),
+  fc.string(),
+  fc.double(),
+  fc.boolean(),
+);
+
+function evaluate(code: string): Checks {
+  const module = { exports: {} as Checks };
+  const require = createRequire(import.meta.url);
+  new Function('module', 'exports', 'require', code)(module, module.exports, require);
+  return module.exports;
+}
+
+/** Every object and array in a value, itself included. */
+function containersIn(value: unknown): Json[] {
+  if (typeof value !== 'object' || value === null) return [];
+  return [value as Json, ...Object.values(value).flatMap(containersIn)];
+}
+
+/** Puts another value in one place, or takes it out if that is undefined. */
+function spoil(good: Json, place: number, other: unknown): Json {
+  const copy = structuredClone(good);
+  const places = containersIn(copy).flatMap((container) =>
+    Object.keys(container).map((key) => ({ container, key })),
+  );
+  const { container, key } = places[place % places.length];
+  if (other === undefined) delete container[key];
+  else container[key] = other;
+  return copy;
+}
+
+function outcome(check: ValidateFunction, value: Json): unknown {
+  const checked = structuredClone(value);
+  const isGood = check(checked);
+  return { isGood, errors: isGood ? null : check.errors, checked };
+}
+
+test('the code that the build makes of each schema gives the same errors and defaults as ajv', () => {
+  assert.deepEqual([...namedSchemas.keys()].sort(), Object.keys(GOOD).sort());
+  const checks = evaluate(schemaChecksCode());
+  for (const [name, schema] of [...namedSchemas]) {
+    const compiled = compileSchema(name, schema);
+    const wrong = new Set<string>();
+    fc.assert(
+      fc.property(GOOD[name], fc.nat(), anyValue, (good, place, other) => {
+        assert.equal(checks[name](structuredClone(good)), true, name);
+        const value = spoil(good, place, other);
+        const expected = outcome(compiled, value);
+        assert.deepEqual(outcome(checks[name], value), expected);
+        for (const { keyword } of compiled.errors ?? []) wrong.add(keyword);
+      }),
+      SEEDED,
+    );
+    assert.ok(wrong.size > 1, `${name} was made wrong in several ways`);
+  }
+});
--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -29,8 +29,8 @@
   operator: OperatorSettings;
 }
 
-const validPlatform = compileSchema<PlatformSettings>(platformSchema);
-const validOperator = compileSchema<OperatorSettings>(operatorSchema);
+const validPlatform = compileSchema<PlatformSettings>('platformSettings', platformSchema);
+const validOperator = compileSchema<OperatorSettings>('operatorSettings', operatorSchema);
 
 function check<T>(file: string, value: unknown, valid: ValidateFunction<T>): T {
   if (valid(value)) return value;
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -6,7 +6,7 @@
 export * from './order.js';
 export * from './report.js';
 export * from './runtime.js';
-export * from './schema.js';
+export { compileSchema } from './schema.js';
 export * from './state.js';
 export * from './task.js';
 export * from './user.js';
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -136,7 +136,7 @@
   dueS?: number | null;
 }
 
-const valid = compileSchema<RawJob>(schema);
+const valid = compileSchema<RawJob>('job', schema);
 
 /** Reads a submission, or throws MalformedBody naming the field. */
 export function parseJob(raw: unknown): Job {
--- a/packages/wire/report.ts
+++ b/packages/wire/report.ts
@@ -108,7 +108,7 @@
   kept?: boolean | null;
 }
 
-const valid = compileSchema<RawReport>(schema);
+const valid = compileSchema<RawReport>('report', schema);
 
 /** Reads a worker's report, or throws MalformedBody naming the field. */
 export function parseReport(raw: unknown): Report {
