Start: pino is bundled without its transports, with which threads and the loader of modules came

Only pino's transports use worker_threads, node:module and thread-stream, and only sonic-boom's plain asserts use node:assert; each library that gets another module is named, and all others get the true one.

--- a/packages/bundle/bundle-program.ts
+++ b/packages/bundle/bundle-program.ts
@@ -1,15 +1,12 @@
 import { build, type BuildOptions } from 'esbuild';
 import { fileURLToPath } from 'node:url';
+import { replacements } from './replacements.js';
 import { compiledSchemas } from './schema-checks.js';
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 
-/** Libraries, or parts of them, that the program does without, and what the bundle takes instead. */
-const REPLACED = {
-  'body-parser': './deploy/no-body-parser.cjs',
-  // The ES modules, of which only what is used is taken; the CommonJS ones were a fifth of the program.
-  rxjs: './node_modules/rxjs/dist/esm/index.js',
-};
+/** The ES modules of rxjs, of which only what is used is taken; the CommonJS ones were a fifth of the program. */
+const RXJS = './node_modules/rxjs/dist/esm/index.js';
 
 const OPTIONS: BuildOptions = {
   absWorkingDir: ROOT,
@@ -22,8 +19,8 @@
   minifyWhitespace: true,
   minifySyntax: true,
   logLevel: 'warning',
-  alias: REPLACED,
-  plugins: [compiledSchemas],
+  alias: { rxjs: RXJS },
+  plugins: [compiledSchemas, replacements],
   define: { 'import.meta.url': 'bundleUrl' },
   banner: { js: "const bundleUrl=require('node:url').pathToFileURL(__filename).href;" },
 };
