Start: the compiled code holds what controllers run, also after a take-over

The build now plays 90 simulated seconds of a small cluster with the bundled program's own controllers, with users, machines and a change of owner, and keeps what that compiled.

A test holds that a controller started as in deploy/service.toml uses the compiled code, and that it starts without it.

--- /dev/null
+++ b/packages/bundle/compiled-code.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { CACHE_FILE, compileProgram, loadProgram } from '../cli/launch.cjs';
+import { nodeOptions } from './service-file.js';
+
+const LAUNCH = fileURLToPath(new URL('../cli/launch.cjs', import.meta.url));
+
+test('the compiled code that the build keeps is used by a controller as the platform starts it', () => {
+  const program = `
+    const { CACHE_FILE, compileProgram } = require(${JSON.stringify(LAUNCH)});
+    const { cachedDataRejected } = compileProgram(require('node:fs').readFileSync(CACHE_FILE));
+    process.stdout.write(String(cachedDataRejected));`;
+  const command = [...nodeOptions(), '--eval', program];
+  const { stdout, stderr } = spawnSync(process.execPath, command, { encoding: 'utf8' });
+  assert.equal(stdout, 'false', stderr);
+});
+
+test('without usable compiled code the program is loaded as well', () => {
+  const whole = readFileSync(CACHE_FILE);
+  const other = Buffer.from(whole);
+  // The first bytes tell versions and options.
+  other.fill(0, 0, 16);
+  for (const cache of [undefined, Buffer.alloc(0), whole.subarray(0, 5000), other]) {
+    assert.equal(typeof loadProgram(compileProgram(cache)).main, 'function');
+  }
+});
--- /dev/null
+++ b/packages/bundle/rehearsal.ts
@@ -0,0 +1,40 @@
+/** Runs what controllers run, so that all of it gets compiled. */
+import { closeSync, openSync } from 'node:fs';
+import { devNull } from 'node:os';
+import { fileURLToPath } from 'node:url';
+import { type ControllerMaker, describeProblems, runScenario, SMALL_CLUSTER } from '#testing';
+import type { Program } from '../cli/launch.cjs';
+import { USUAL_CLASSES } from '../testing/standins/index.js';
+
+const EXAMPLE_SETTINGS = fileURLToPath(new URL('../../examples/settings.toml', import.meta.url));
+const SEED = 1;
+/** Simulated seconds: long enough for machines to boot, and for jobs to come, run, be cancelled and end. */
+const LENGTH_S = 90;
+const LAST_JOBS_S = 70;
+/** By then work runs, which the next owner takes over. */
+const TAKE_OVER_S = 50;
+
+/**
+ * Plays a day of a small cluster whose controllers are the program's own; with users, machines and a change of
+ * owner. Throws if anything went wrong.
+ */
+export async function rehearse(program: Program): Promise<void> {
+  program.loadSettings(EXAMPLE_SETTINGS, null);
+  const logFile = openSync(devNull, 'w');
+  const make: ControllerMaker = (runtime, settings) => {
+    const log = program.makeLog(runtime.clock, settings.host_name, 'info', logFile);
+    return new program.Controller(runtime, settings, log);
+  };
+  const scenario = {
+    name: 'rehearsal',
+    cluster: SMALL_CLUSTER,
+    workload: { classes: USUAL_CLASSES, intensity: 2, untilS: LAST_JOBS_S },
+    faults: [
+      { kind: 'controller-crash', controllers: 'leader', atS: TAKE_OVER_S, downS: 5 } as const,
+    ],
+    lengthS: LENGTH_S,
+  };
+  const problems = describeProblems(await runScenario(scenario, SEED, make));
+  closeSync(logFile);
+  if (problems.length > 0) throw new Error(`the rehearsal went wrong: ${problems.join('; ')}`);
+}
--- a/packages/cli/launch.cts
+++ b/packages/cli/launch.cts
@@ -9,12 +9,10 @@
 import { readFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { Script } from 'node:vm';
-import type { main } from './main.js' with { 'resolution-mode': 'import' };
+import type * as ProgramModule from './main.js' with { 'resolution-mode': 'import' };
 
 /** What the bundled program exports. */
-interface Program {
-  main: typeof main;
-}
+export type Program = typeof ProgramModule;
 
 const PROGRAM_FILE = join(__dirname, '..', 'bin', 'sorreldale.cjs');
 export const CACHE_FILE = join(__dirname, '..', 'bin', 'sorreldale.cache');
--- a/packages/cli/main.ts
+++ b/packages/cli/main.ts
@@ -9,3 +9,6 @@
     if (exitCode !== 0) process.exit(exitCode);
   });
 }
+
+/** For the build, which plays a day with the bundled program to have compiled what controllers run. */
+export { Controller, loadSettings, makeLog } from '#controller';
--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -18,7 +18,12 @@
   USERS_HOST,
 } from './addresses.js';
 import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
-import { makeControllers, type SimulatedController } from './controllers.js';
+import {
+  type ControllerMaker,
+  makeControllers,
+  makeOwnController,
+  type SimulatedController,
+} from './controllers.js';
 import { Machines } from './machines.js';
 import { SimulatedHost, type HostRole } from './host.js';
 import { SimulatedNetwork } from './network.js';
@@ -49,6 +54,7 @@
   constructor(
     readonly settings: ClusterSettings,
     seed: number,
+    make: ControllerMaker = makeOwnController,
   ) {
     this.world = new World(seed);
     this.network = new SimulatedNetwork(this.world);
@@ -64,7 +70,7 @@
     this.machines = this.makeMachines();
     this.cloud = this.makeCloud();
     const { world, network, requests } = this;
-    this.controllers = makeControllers({ world, network, cluster: settings, requests });
+    this.controllers = makeControllers({ world, network, cluster: settings, requests, make });
     this.balancer = this.makeBalancer();
     this.users = this.makeUsers();
     this.ownership = new OwnershipHistory(this.world, (key) => this.state.store.get(key) ?? null);
--- a/packages/testing/simulation/controllers.ts
+++ b/packages/testing/simulation/controllers.ts
@@ -1,4 +1,4 @@
-import { Controller } from '#controller';
+import { Controller, type Log, type Settings } from '#controller';
 import type { Runtime } from '#wire';
 import { controllerName, serviceAddress } from './addresses.js';
 import { drawSkew } from './clock.js';
@@ -19,12 +19,23 @@
   log: ControllerLog;
 }
 
+/** Makes one controller, to be run by a simulated process. */
+export type ControllerMaker = (
+  runtime: Runtime,
+  settings: Settings,
+  log: Log,
+) => Pick<Controller, 'run'>;
+
+export const makeOwnController: ControllerMaker = (runtime, settings, log) =>
+  new Controller(runtime, settings, log);
+
 export interface ControllerParts {
   world: World;
   network: SimulatedNetwork;
   cluster: ClusterSettings;
   /** Notes what the controllers answer. */
   requests: RequestLog;
+  make: ControllerMaker;
 }
 
 /** Makes the controllers of a cluster; none is started yet. */
@@ -34,7 +45,7 @@
 }
 
 function makeController(parts: ControllerParts, index: number): SimulatedController {
-  const { world, network, cluster, requests } = parts;
+  const { world, network, cluster, requests, make } = parts;
   const name = controllerName(index);
   const zone = zoneOfController(cluster, index);
   const host = new SimulatedHost(name, 'controller', serviceAddress(index).host, zone);
@@ -45,7 +56,8 @@
   const program = (runtime: Runtime) => {
     const forever = new AbortController().signal;
     const watched = requests.watch(name, runtime);
-    new Controller(watched, settings, log.logger()).run(forever).catch((error: unknown) => {
+    const controller = make(watched, settings, log.logger());
+    controller.run(forever).catch((error: unknown) => {
       world.uncaught.push({ atS: world.now, where: name, error });
     });
   };
--- a/packages/testing/simulation/run-scenario.ts
+++ b/packages/testing/simulation/run-scenario.ts
@@ -1,7 +1,7 @@
 /** Plays a scenario and says what came of it. */
 import { describeViolation, makeWorkload, type Violation } from '../standins/index.js';
 import { Cluster } from './cluster.js';
-import type { SimulatedController } from './controllers.js';
+import type { ControllerMaker, SimulatedController } from './controllers.js';
 import { countRun, type RunCounts } from './counts.js';
 import { FaultInjector } from './fault-injector.js';
 import type { FaultJournal } from './fault-journal.js';
@@ -33,9 +33,13 @@
   eventCount: number;
 }
 
-/** Plays the scenario; the same seed gives the same run. */
-export async function runScenario(scenario: Scenario, seed: number): Promise<ScenarioResult> {
-  const cluster = new Cluster(scenario.cluster, seed);
+/** Plays the scenario, with other controllers than ours if they are given; the same seed gives the same run. */
+export async function runScenario(
+  scenario: Scenario,
+  seed: number,
+  make?: ControllerMaker,
+): Promise<ScenarioResult> {
+  const cluster = new Cluster(scenario.cluster, seed, make);
   const { world, checker, timeline, controllers, ownership } = cluster;
   const injector = new FaultInjector(cluster);
   const stopWatching = collectRejections(world);
