--- /dev/null
+++ b/packages/bundle/bundle-program.ts
@@ -0,0 +1,31 @@
+import { build, type BuildOptions } from 'esbuild';
+import { fileURLToPath } from 'node:url';
+import { replacements } from './replacements.js';
+import { compiledSchemas } from './schema-checks.js';
+
+const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+
+/** The ES modules of rxjs, of which only what is used is taken; the CommonJS ones were a fifth of the program. */
+const RXJS = './node_modules/rxjs/dist/esm/index.js';
+
+const OPTIONS: BuildOptions = {
+  absWorkingDir: ROOT,
+  entryPoints: ['target/cli/main.js'],
+  outfile: 'target/bin/sorreldale.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  minifyWhitespace: true,
+  minifySyntax: true,
+  logLevel: 'warning',
+  alias: { rxjs: RXJS },
+  plugins: [compiledSchemas, replacements],
+  define: { 'import.meta.url': 'bundleUrl' },
+  banner: { js: "const bundleUrl=require('node:url').pathToFileURL(__filename).href;" },
+};
+
+/** Writes the program with all its libraries in one file. */
+export async function bundleProgram(): Promise<void> {
+  await build(OPTIONS);
+}
--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -19,7 +19,12 @@
 } from './addresses.js';
 import { controllerAddresses, type ClusterSettings } from './cluster-settings.js';
 import { CostCounter } from './costs.js';
-import { makeControllers, type SimulatedController } from './controllers.js';
+import {
+  type ControllerMaker,
+  makeControllers,
+  makeOwnController,
+  type SimulatedController,
+} from './controllers.js';
 import { Machines } from './machines.js';
 import { SimulatedHost, type HostRole } from './host.js';
 import { SimulatedNetwork } from './network.js';
@@ -52,6 +57,7 @@
   constructor(
     readonly settings: ClusterSettings,
     seed: number,
+    make: ControllerMaker = makeOwnController,
   ) {
     this.world = new World(seed);
     this.network = new SimulatedNetwork(this.world);
@@ -68,7 +74,8 @@
     this.machines = this.makeMachines();
     this.cloud = this.makeCloud();
     const { world, network, requests, costs } = this;
-    this.controllers = makeControllers({ world, network, cluster: settings, requests, costs });
+    const parts = { world, network, cluster: settings, requests, costs, make };
+    this.controllers = makeControllers(parts);
     this.balancer = this.makeBalancer();
     this.users = this.makeUsers();
     this.ownership = new OwnershipHistory(this.world, (key) => this.state.store.get(key) ?? null);
