--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 const SOURCES = ['packages/**/*.{ts,cts}'];
-const PRODUCTION = ['packages/{wire,core,store,peer,controller,cli}/**/*.{ts,cts}'];
+const PRODUCTION = ['packages/{wire,core,store,peer,parts,controller,cli}/**/*.{ts,cts}'];
 const TESTS = ['packages/**/*.test.ts'];
 const GIVEN = 'Use the Runtime that the caller hands over (packages/wire/runtime.ts).';
 
@@ -82,8 +82,9 @@
   core: ['wire'],
   store: ['wire', 'core'],
   peer: ['wire', 'core'],
-  controller: ['wire', 'core', 'store', 'peer'],
-  cli: ['wire', 'core', 'store', 'peer', 'controller'],
+  parts: ['wire', 'core', 'store'],
+  controller: ['wire', 'core', 'store', 'peer', 'parts'],
+  cli: ['wire', 'core', 'store', 'peer', 'parts', 'controller'],
 };
 const PACKAGES = [...Object.keys(MAY_IMPORT), 'testing', 'bundle'];
 
--- a/packages/cli/commands.ts
+++ b/packages/cli/commands.ts
@@ -4,6 +4,7 @@
 import { ExitCode } from './command-error.js';
 import { examples } from './help.js';
 import type { Output } from './output.js';
+import { addPartCommands } from './part-commands.js';
 import { serve } from './serve.js';
 import { addSettingsCommands } from './settings-commands.js';
 import type { SettingsFiles } from './settings-files.js';
@@ -43,6 +44,7 @@
     });
   addSettingsCommands(program, output);
   addUserCommands(program, output);
+  addPartCommands(program, output);
   return program;
 }
 
--- /dev/null
+++ b/packages/cli/part-commands.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { after, test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { moveKey, moveResultKey } from '#parts';
+import { partKey } from '#store';
+import { nodeRuntime } from '#wire';
+import { FREE_LOOPBACK_PORT, StateService } from '../testing/standins/index.js';
+import { until } from '#testing';
+import { runCommandLine } from './program.js';
+
+const directory = mkdtempSync(path.join(tmpdir(), 'sorreldale-part-'));
+after(() => rmSync(directory, { recursive: true }));
+const SAMPLE = fileURLToPath(new URL('../../examples/settings.toml', import.meta.url));
+const LIMITS = { rps: 500, writeRps: 200, valueKb: 8, txnOps: 24 };
+
+/** The sample settings with the state service at that address. */
+function settingsFor(state: string): string {
+  const file = path.join(directory, `${state.replace(':', '-')}.toml`);
+  const sample = readFileSync(SAMPLE, 'utf8');
+  writeFileSync(file, sample.replace(/^state = .*$/m, `state = "${state}"`));
+  return file;
+}
+
+async function aStateService() {
+  const state = new StateService(nodeRuntime, LIMITS);
+  const { target } = await state.listen(FREE_LOOPBACK_PORT);
+  after(() => state.close());
+  const term = state.store.apply([{ put: partKey(0), value: { owner: 'controller-0', grant: 1 } }]);
+  return { store: state.store, term, config: settingsFor(target) };
+}
+
+async function run(...args: string[]) {
+  let out = '';
+  let err = '';
+  const output = { out: (text: string) => (out += text), err: (text: string) => (err += text) };
+  const exitCode = await runCommandLine(['part', ...args], output);
+  return { exitCode, out, err };
+}
+
+test('a move that is carried out is told with its term, and one that the owner refuses with its reason', async () => {
+  const { store, config } = await aStateService();
+  const asked = run('move', 'controller-1', '--reason', 'a restart', '--settings', config);
+  await Promise.race([asked, until(() => store.get(moveKey(0)) !== undefined)]);
+  assert.equal((store.get(moveKey(0))!.value as { reason: string }).reason, 'a restart');
+  const term = store.apply([
+    { put: partKey(0), value: { owner: 'controller-1', grant: 2 } },
+    { delete: moveKey(0) },
+  ]);
+  assert.deepEqual(await asked, {
+    exitCode: 0,
+    out: `{"owner":"controller-1","term":${term}}\n`,
+    err: '',
+  });
+  const refused = run('move', 'controller-2', '--settings', config);
+  await Promise.race([refused, until(() => store.get(moveKey(0)) !== undefined)]);
+  const result = {
+    outcome: 'refused',
+    to: 'controller-2',
+    reason: '',
+    why: 'controller-2 is asleep',
+  };
+  store.apply([{ delete: moveKey(0) }, { put: moveResultKey(0), value: result }]);
+  const { exitCode, err } = await refused;
+  assert.deepEqual([exitCode, err], [1, 'part move controller-2: controller-2 is asleep\n']);
+});
+
+test('a request that nobody takes up is withdrawn, and one beside another is refused', async () => {
+  const { store, term, config } = await aStateService();
+  const ignored = await run('move', 'controller-1', '--within', '0.2', '--settings', config);
+  assert.equal(ignored.exitCode, 3);
+  assert.match(
+    ignored.err,
+    /^part move controller-1: withdrawn, the owner has not taken it up.*\n$/,
+  );
+  assert.equal(store.get(moveKey(0)), undefined);
+  const record = { fromTerm: term, to: 'controller-2', reason: '', phase: 'requested' };
+  store.apply([{ put: moveKey(0), value: record }]);
+  const second = await run('move', 'controller-1', '--settings', config);
+  assert.deepEqual(second.exitCode, 1);
+  assert.match(second.err, /a move to controller-2 is under way/);
+  assert.equal((await run('withdraw', '--settings', config)).exitCode, 0);
+  assert.equal((await run('withdraw', '--settings', config)).exitCode, 1);
+});
+
+test('a damaged move is shown as such and can be withdrawn, and one that is carried out can not', async () => {
+  const { store, term, config } = await aStateService();
+  store.apply([{ put: moveKey(0), value: { phase: 'unheard of' } }]);
+  const shown = JSON.parse((await run('show', '--settings', config)).out) as { move: string };
+  assert.equal(shown.move, 'unreadable');
+  assert.equal((await run('withdraw', '--settings', config)).exitCode, 0);
+  const record = { fromTerm: term, to: 'controller-2', reason: '', phase: 'quiesced', grant: 3 };
+  store.apply([{ put: moveKey(0), value: record }]);
+  assert.equal((await run('withdraw', '--settings', config)).exitCode, 1);
+  assert.ok(store.get(moveKey(0)));
+});
+
+test('unknown controllers, times that are none and a silent state service end with one line', async () => {
+  const { config } = await aStateService();
+  const cases: [string[], number, RegExp][] = [
+    [
+      ['move', 'controller-9', '--settings', config],
+      2,
+      /^controller-9: is no controller; there are controller-0/,
+    ],
+    [['move', 'controller-0', '--settings', config], 1, /controller-0 owns the part already/],
+    [
+      ['move', 'controller-1', '--within', '0', '--settings', config],
+      2,
+      /^--within 0: must be a number/,
+    ],
+    [['show', '--settings', path.join(directory, 'none.toml')], 2, /none\.toml: the file: ENOENT/],
+    [['show', '--settings', settingsFor('127.0.0.1:9')], 3, /no answer from the state service at/],
+  ];
+  for (const [args, exitCode, line] of cases) {
+    const result = await run(...args);
+    assert.match(result.err, line);
+    assert.match(result.err, /^[^\n]+\n$/);
+    assert.deepEqual([result.exitCode, result.out], [exitCode, '']);
+  }
+});
--- /dev/null
+++ b/packages/cli/part-commands.ts
@@ -0,0 +1,125 @@
+import type { Command } from 'commander';
+import { MoveRequests, type RequestOutcome } from '#parts';
+import { NoAnswer, nodeRuntime, StateApi, StateRefused } from '#wire';
+import type { PlatformSettings } from '#controller';
+import { CommandError, ExitCode } from './command-error.js';
+import { examples } from './help.js';
+import type { Output } from './output.js';
+import { readSettings } from './settings-files.js';
+
+/** The part that holds all machines. */
+const PART = 0;
+const TIMEOUT_MS = 2000;
+const DEFAULT_WITHIN_S = 30;
+
+interface PartOptions {
+  settings: string;
+}
+
+interface MoveOptions extends PartOptions {
+  reason: string;
+  within: string;
+}
+
+const SETTINGS = [
+  '--settings <file>',
+  "the platform's settings file of any controller (TOML)",
+] as const;
+
+/** Adds part show, part move and part withdraw, for operators at a terminal. */
+export function addPartCommands(program: Command, output: Output): void {
+  const part = program.command('part').description('see and move the part that holds the machines');
+  addShow(part, output);
+  addMove(part, output);
+  addWithdraw(part);
+}
+
+function addShow(part: Command, output: Output): void {
+  part
+    .command('show')
+    .description('print who owns the part, and its moves')
+    .requiredOption(...SETTINGS)
+    .addHelpText('after', examples('part show --settings examples/settings.toml'))
+    .action(async (options: PartOptions) => {
+      const status = await withRequests('part show', options, (requests) => requests.status());
+      output.out(`${JSON.stringify(status)}\n`);
+    });
+}
+
+function addMove(part: Command, output: Output): void {
+  part
+    .command('move')
+    .description('have another controller own the part, while jobs run on')
+    .argument('<controller>', 'its host_name')
+    .requiredOption(...SETTINGS)
+    .option('--reason <text>', 'kept with the move, for others to see', '')
+    .option('--within <seconds>', 'how long to wait for it', String(DEFAULT_WITHIN_S))
+    .addHelpText('after', examples('part move controller-1 --settings examples/settings.toml'))
+    .action(async (controller: string, options: MoveOptions) => {
+      const withinS = seconds(options.within);
+      const name = knownController(controller, options);
+      const { reason } = options;
+      const outcome = await withRequests(`part move ${name}`, options, (requests) =>
+        requests.move(name, reason, withinS),
+      );
+      output.out(`${JSON.stringify(requireMoved(name, outcome))}\n`);
+    });
+}
+
+function addWithdraw(part: Command): void {
+  part
+    .command('withdraw')
+    .description('take a request to move the part back')
+    .requiredOption(...SETTINGS)
+    .addHelpText('after', examples('part withdraw --settings examples/settings.toml'))
+    .action(async (options: PartOptions) => {
+      const withdraw = (requests: MoveRequests) => requests.withdraw('withdrawn');
+      if (await withRequests('part withdraw', options, withdraw)) return;
+      const why = 'no move is there that could be taken back';
+      throw new CommandError(ExitCode.refused, `part withdraw: ${why}`);
+    });
+}
+
+/** Throws CommandError if the part has not moved. */
+function requireMoved(name: string, outcome: RequestOutcome): object {
+  if (outcome.kind === 'moved') return { owner: name, term: outcome.term };
+  if (outcome.kind === 'not-moved') {
+    throw new CommandError(ExitCode.refused, `part move ${name}: ${outcome.why}`);
+  }
+  const why = "the owner has not taken it up; is the section moves in its operators' settings?";
+  throw new CommandError(ExitCode.noAnswer, `part move ${name}: withdrawn, ${why}`);
+}
+
+function seconds(text: string): number {
+  const value = text.trim() === '' ? NaN : Number(text);
+  if (value > 0 && value < Infinity) return value;
+  throw new CommandError(ExitCode.badInput, `--within ${text}: must be a number above 0`);
+}
+
+/** The name as it was given, if the settings name such a controller. */
+function knownController(name: string, { settings }: PartOptions): string {
+  const { host_name, peers } = readSettings({ config: settings });
+  const names = [host_name, ...peers.map((peer) => peer.host_name)];
+  if (names.includes(name)) return name;
+  const known = names.sort().join(', ');
+  throw new CommandError(ExitCode.badInput, `${name}: is no controller; there are ${known}`);
+}
+
+/** Asks the state service that the settings name; throws CommandError if it does not answer. */
+async function withRequests<T>(
+  subject: string,
+  { settings }: PartOptions,
+  ask: (requests: MoveRequests) => Promise<T>,
+): Promise<T> {
+  const { external }: PlatformSettings = readSettings({ config: settings });
+  const api = new StateApi(nodeRuntime, external.state, TIMEOUT_MS);
+  try {
+    return await ask(new MoveRequests(api, nodeRuntime.clock, PART));
+  } catch (err) {
+    if (!(err instanceof NoAnswer || err instanceof StateRefused)) throw err;
+    const why = `no answer from the state service at ${external.state}: ${err.message}`;
+    throw new CommandError(ExitCode.noAnswer, `${subject}: ${why}`);
+  } finally {
+    api.close();
+  }
+}
--- a/packages/controller/cloud.ts
+++ b/packages/controller/cloud.ts
@@ -43,6 +43,9 @@
 /** The leader's dealings with the cloud: the list, rents and releases. */
 export class CloudDuty {
   private plannedAt = -Infinity;
+  private paused = false;
+  /** The step that is under way; resolved if none is. */
+  private current: Promise<void> = Promise.resolve();
   private readonly clock: Clock;
   private readonly owner: PartOwner;
   private readonly fleet: FleetState;
@@ -70,7 +73,8 @@
     const { reportS } = this.options;
     while (!signal.aborted) {
       try {
-        await this.step(signal);
+        if (!this.paused) this.current = this.step(signal);
+        await this.current;
       } catch (err) {
         if (signal.aborted) return;
         this.log.debug({ err: String(err) }, 'cloud');
@@ -80,6 +84,17 @@
     }
   }
 
+  /** Asks the cloud for nothing more; resolves once no call is under way. */
+  async pause(): Promise<void> {
+    this.paused = true;
+    await this.current.catch(() => {});
+  }
+
+  /** Goes on after a pause. */
+  resume(): void {
+    this.paused = false;
+  }
+
   private async rest(seconds: number, signal: AbortSignal): Promise<void> {
     const spread = LEAST_PAUSE + this.options.runtime.random() * 2 * (1 - LEAST_PAUSE);
     await pause(this.clock, seconds * 1000 * spread, signal);
--- a/packages/controller/controller.test.ts
+++ b/packages/controller/controller.test.ts
@@ -67,6 +67,7 @@
       reserveSigmas: 2,
       idleHoldS: 24,
       arrivalMemoryS: 48,
+      moves: null,
     },
   };
 }
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events';
+import type { PartMover } from '#parts';
 import type { PeerLink } from '#peer';
 import { CloudClient, type Runtime } from '#wire';
 import { Admission } from './admission.js';
@@ -13,9 +14,10 @@
 import { leavesWorkersStranded, nextForWorkers } from './owner-reach.js';
 import { OwnerTerms } from './owner-terms.js';
 import type { PartOwner } from './owner.js';
+import { loadPartMover } from './part-moves.js';
 import { PeerCoordinator } from './peer-coordinator.js';
 import { makePeerLink } from './peer-link.js';
-import { type ControllerServices, makeServices } from './services.js';
+import { type ControllerServices, makeServices, OWNED_PART } from './services.js';
 import type { Settings } from './settings.js';
 import { socketShares } from './sockets.js';
 import { StandbyRenewal } from './standby-renewal.js';
@@ -93,7 +95,10 @@
     const end = () => stop.abort();
     if (signal.aborted) end();
     signal.addEventListener('abort', end, { once: true });
+    // What follows records must be there before the caches run.
+    const moves = this.settings.operator.moves === null ? null : await this.loadMoves();
     const duties = this.start(stop.signal);
+    if (moves !== null) duties.push(moves.run(stop.signal));
     try {
       await Promise.all(duties);
     } finally {
@@ -123,6 +128,13 @@
     ];
   }
 
+  private loadMoves(): Promise<PartMover | null> {
+    const { services, state, statuses, terms, settings } = this;
+    const { silenceS } = entitlementLimits(settings);
+    const { world } = state;
+    return loadPartMover({ ...services, world, statuses, terms, part: OWNED_PART, silenceS });
+  }
+
   /** The owner of the present term, null while nothing is owned here. */
   private owner(): PartOwner | null {
     return this.terms.current;
--- a/packages/controller/operator.test.ts
+++ b/packages/controller/operator.test.ts
@@ -19,3 +19,11 @@
   assert.equal(settings.gangLeaseS, 120);
   assert.equal(settings.reserveSigmas, 2);
 });
+
+test('planned moves are switched off unless their section is there, and then have defaults', () => {
+  const workers = { lease_s: 10, report_s: 2 };
+  const platform = { deployment: { workers } } as unknown as PlatformSettings;
+  assert.equal(withDefaults({}, platform).moves, null);
+  assert.deepEqual(withDefaults({ moves: {} }, platform).moves, { prepareS: 16, switchS: 4 });
+  assert.equal(withDefaults({ moves: { switchS: 1 } }, platform).moves?.switchS, 1);
+});
--- a/packages/controller/operator.ts
+++ b/packages/controller/operator.ts
@@ -1,7 +1,21 @@
 import type { PlatformSettings } from './platform-settings.js';
 
 /** The operators' own settings, in force; docs/operator.schema.json describes them. */
-export interface OperatorSettings {
+export interface OperatorSettings extends PlainSettings {
+  /** Planned moves of the part; null: they are switched off, and nothing of them is loaded. */
+  moves: MoveSettings | null;
+}
+
+/** What the operators' file may hold. */
+export type OperatorFile = Partial<PlainSettings> & { moves?: Partial<MoveSettings> };
+
+/** How long a planned move of the part may take. */
+export interface MoveSettings {
+  prepareS: number;
+  switchS: number;
+}
+
+interface PlainSettings {
   shareHalfLifeS: number;
   floorWeight: number;
   stopThreshold: number;
@@ -32,7 +46,7 @@
 /** What the state service accepts as a grant's time to live; seconds. */
 const grantLife = { type: 'number', minimum: 0.1, maximum: 600 };
 
-const fields: Record<keyof OperatorSettings, OperatorField> = {
+const fields: Record<keyof PlainSettings, OperatorField> = {
   shareHalfLifeS: {
     description: 'Half-life of the service counters, seconds.',
     schema: positive,
@@ -84,33 +98,70 @@
   },
 };
 
+const moveFields: Record<keyof MoveSettings, OperatorField> = {
+  prepareS: {
+    description:
+      'How long the owner waits for the target of a move to be ready, and for its own decisions to stop, seconds.',
+    schema: positive,
+    default: { times: 8, of: 'report_s' },
+  },
+  switchS: {
+    description:
+      'How long the owner, which decides nothing meanwhile, waits for the target to take the part, seconds.',
+    schema: positive,
+    default: { times: 2, of: 'report_s' },
+  },
+};
+
 /** JSON schema of the operators' file; `sorreldale schema` prints it. */
 export const operatorSchema = {
   $schema: 'http://json-schema.org/draft-07/schema#',
   title: "sorreldale: operators' settings",
   type: 'object',
-  properties: Object.fromEntries(
-    Object.entries(fields).map(([name, field]) => [
-      name,
-      { ...field.schema, description: `${field.description} Default: ${defaultText(field)}.` },
-    ]),
-  ),
+  properties: {
+    ...propertiesOf(fields),
+    moves: {
+      type: 'object',
+      description:
+        'Planned moves of the part from one controller to another. Switched off if the section is absent.',
+      properties: propertiesOf(moveFields),
+      additionalProperties: false,
+    },
+  },
 };
 
+function propertiesOf(described: Record<string, OperatorField>): Record<string, object> {
+  const properties = Object.entries(described).map(([name, field]) => [
+    name,
+    { ...field.schema, description: `${field.description} Default: ${defaultText(field)}.` },
+  ]);
+  return Object.fromEntries(properties) as Record<string, object>;
+}
+
 function defaultText({ default: value }: OperatorField): string {
   if (typeof value === 'number') return String(value);
   return `${value.times} times workers.${value.of}`;
 }
 
 /** What is in force: the operators' own values, and defaults for the rest. */
-export function withDefaults(
-  own: Partial<OperatorSettings>,
-  platform: PlatformSettings,
-): OperatorSettings {
-  const { workers } = platform.deployment;
-  const settings = Object.entries(fields).map(([name, { default: value }]) => {
-    const ratioOf = typeof value === 'number' ? value : value.times * workers[value.of];
-    return [name, own[name as keyof OperatorSettings] ?? ratioOf];
+export function withDefaults(own: OperatorFile, platform: PlatformSettings): OperatorSettings {
+  const { moves, ...plain } = own;
+  return {
+    ...complete(fields, plain, platform),
+    moves: moves === undefined ? null : complete(moveFields, moves, platform),
+  };
+}
+
+function complete<Name extends string>(
+  described: Record<Name, OperatorField>,
+  own: Partial<Record<Name, number>>,
+  { deployment }: PlatformSettings,
+): Record<Name, number> {
+  const names = Object.keys(described) as Name[];
+  const settings = names.map((name) => {
+    const { default: value } = described[name];
+    const usual = typeof value === 'number' ? value : value.times * deployment.workers[value.of];
+    return [name, own[name] ?? usual];
   });
-  return Object.fromEntries(settings) as unknown as OperatorSettings;
+  return Object.fromEntries(settings) as Record<Name, number>;
 }
--- a/packages/controller/owner-entitlement.ts
+++ b/packages/controller/owner-entitlement.ts
@@ -37,7 +37,7 @@
       now: runtime.clock.now(),
       term: owner.term.term,
       grantedUntil: ownership.provenUntil,
-      grantAliveAt: ownership.renewedAt,
+      grantAliveAt: ownership.soleAt,
       jobsCurrentAt: jobs.cache.syncedAt,
       jobsRevision: jobs.cache.completeTo,
       failingSince: client.failingSince,
--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -33,6 +33,8 @@
 export class OwnerTerms {
   /** The owner of the present term, null while nothing is owned here. */
   current: PartOwner | null = null;
+  /** Its dealings with the cloud. */
+  private cloud: CloudDuty | null = null;
   /** Aborts when the present term ends. */
   private term: { id: number; end: AbortController } | null = null;
   /** What is still ending, too. */
@@ -51,11 +53,23 @@
     await Promise.all(this.running);
   }
 
+  /** Stops all decisions; resolves once none is on its way to the state service or the cloud. */
+  async pause(): Promise<void> {
+    await Promise.all([this.current?.pause(), this.cloud?.pause()]);
+  }
+
+  /** Decides again after a pause. */
+  resume(): void {
+    this.current?.resume();
+    this.cloud?.resume();
+  }
+
   private change(term: Term | null, signal: AbortSignal): void {
     const { log } = this.options;
     this.term?.end.abort();
     this.term = null;
     this.current = null;
+    this.cloud = null;
     this.shareWrites(term !== null);
     if (!term) return;
     log.info({ term: term.term }, 'term begins');
@@ -83,7 +97,8 @@
       const attempt = AbortSignal.any([signal, end.signal]);
       // Every call to a worker listens to it.
       setMaxListeners(0, attempt);
-      const cloud = this.makeCloudDuty(owner).run(attempt);
+      this.cloud = this.makeCloudDuty(owner);
+      const cloud = this.cloud.run(attempt);
       try {
         await owner.run(attempt);
       } catch (err) {
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,4 +1,4 @@
-import { Clock, MachineType, Order, Report, Runtime, WakeablePause } from '#wire';
+import { Clock, MachineType, Order, Report, Runtime } from '#wire';
 import { FleetState, CapacityPlanner, Scheduler } from '#core';
 import { GroupCommit, StateClient, Term } from '#store';
 import { CancellationRecorder } from './cancellation-recorder.js';
@@ -9,14 +9,9 @@
   ROUND_DECISIONS,
 } from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
-import {
-  countAllTasks,
-  countChangedTasks,
-  FleetSummary,
-  summariseFleet,
-  TaskCounts,
-} from './fleet-summary.js';
+import { FleetSummary, summariseFleet } from './fleet-summary.js';
 import { fleetListener } from './fleet-events.js';
+import { FlushLoop } from './flush-loop.js';
 import { JobIntake } from './job-intake.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
@@ -67,7 +62,7 @@
   private readonly intake: JobIntake;
   private readonly cancellationRecorder: CancellationRecorder;
   private rounds: Pacer | null = null;
-  private readonly idle: WakeablePause;
+  private readonly flushing: FlushLoop;
   /** From one round to the next if nothing asks for more. */
   private readonly tickMs: number;
   /** The records are read and orders may have been given. */
@@ -80,7 +75,6 @@
     const { runtime, settings, client, term, log } = options;
     this.clock = runtime.clock;
     this.startedAt = this.clock.now();
-    this.idle = new WakeablePause(this.clock);
     ({ settings: this.settings, term: this.term, log: this.log } = options);
     const listener = fleetListener(() => this.planner, log);
     const random = () => runtime.random();
@@ -102,6 +96,12 @@
       onOrders: (machine, orders) => this.logOrders(machine.name, orders),
       onDone: () => this.requestRound(),
     });
+    this.flushing = new FlushLoop({
+      clock,
+      recorder: this.recorder,
+      idleMs: this.tickMs,
+      onFlushed: (signal) => this.pushDirect(signal),
+    });
   }
 
   /** Runs until the term ends; throws TermBroken if it must be given up. */
@@ -120,7 +120,7 @@
     this.rounds = rounds;
     rounds.start();
     try {
-      await this.flushLoop(signal);
+      await this.flushing.run(signal);
     } finally {
       jobs.unsubscribe();
       rounds.stop();
@@ -128,6 +128,23 @@
     }
   }
 
+  private pushDirect(signal: AbortSignal): void {
+    if (this.options.entitled()) this.direct.push(signal);
+  }
+
+  /** Stops deciding; resolves once nothing that was decided is on its way to the state service. */
+  pause(): Promise<void> {
+    this.rounds?.stop();
+    return this.flushing.pause();
+  }
+
+  /** Decides again after a pause. */
+  resume(): void {
+    this.flushing.resume();
+    this.rounds?.start();
+    this.requestRound();
+  }
+
   /** Asks for a scheduling round soon. */
   requestRound(): void {
     this.rounds?.request();
@@ -186,8 +203,8 @@
     stopOnNotices(this.fleet, now);
     this.scheduler.reservations.update(now);
     const decided = this.scheduler.round(now);
-    if (this.recorder.pending) this.idle.wake();
-    if (this.options.entitled()) this.direct.push(signal);
+    if (this.recorder.pending) this.flushing.wake();
+    this.pushDirect(signal);
     this.cancellationRecorder.push();
     this.summarise(now);
     return decided;
@@ -206,15 +223,6 @@
     return summariseFleet(this.fleet, this.scheduler, teams, this.clock.now());
   }
 
-  private async flushLoop(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      if (this.recorder.pending) {
-        await this.recorder.flush(signal);
-        if (this.options.entitled()) this.direct.push(signal);
-      } else await this.idle.wait(this.tickMs, signal);
-    }
-  }
-
   /** Takes a report and says what to answer; null for a late copy. */
   report(report: Report): { token: number; orders: Order[] } | null {
     const before = this.recorder.pending;
@@ -224,7 +232,7 @@
     const token = this.fleet.machines.get(report.machine)?.token ?? this.term.term;
     this.logOrders(report.machine, orders);
     if (this.recorder.pending && !before) {
-      this.idle.wake();
+      this.flushing.wake();
       this.requestRound();
     }
     return { token, orders };
@@ -233,14 +241,4 @@
   private logOrders(machine: string, orders: Order[]): void {
     for (const order of orders) this.log.debug({ machine, ...order }, 'order');
   }
-
-  /** No answer of this term carries a larger token. */
-  get newestToken(): number {
-    return this.fleet.fencing.newestToken;
-  }
-
-  /** Task counts of all open jobs, or of those alone for which they may have changed. */
-  counts(which: 'all' | 'changed'): TaskCounts[] {
-    return which === 'all' ? countAllTasks(this.fleet) : countChangedTasks(this.fleet);
-  }
 }
--- /dev/null
+++ b/packages/controller/part-moves.ts
@@ -0,0 +1,60 @@
+import type { PartMover } from '#parts';
+import type { PrefixCache } from '#store';
+import type { OwnerTerms } from './owner-terms.js';
+import type { ControllerServices } from './services.js';
+import type { StatusExchange } from './status-exchange.js';
+
+/** Looks in a report period if nothing happens. */
+const LOOKS = 4;
+
+export interface PartMovesOptions extends ControllerServices {
+  /** Holds the records of the part and of its moves. */
+  world: PrefixCache;
+  statuses: StatusExchange;
+  terms: OwnerTerms;
+  part: number;
+  /** A controller that was not heard for this long is out of reach; seconds. */
+  silenceS: number;
+}
+
+/**
+ * What carries out planned moves of the part; null if the operators have not switched them on, and then the package is
+ * not loaded.
+ */
+export async function loadPartMover(options: PartMovesOptions): Promise<PartMover | null> {
+  const { settings, terms, jobs, client } = options;
+  const limits = settings.operator.moves;
+  if (limits === null) return null;
+  const { PartMover } = await import('#parts');
+  return new PartMover({
+    ...options,
+    name: settings.host_name,
+    limits,
+    lookMs: (settings.deployment.workers.report_s * 1000) / LOOKS,
+    owner: () => movableOwner(terms),
+    obstacle: (controller) => obstacleTo(controller, options),
+    canOwn: () => jobs.cache.ready && !client.failing,
+  });
+}
+
+function movableOwner(terms: OwnerTerms) {
+  const owner = terms.current;
+  if (owner === null) return null;
+  const { term, ready } = owner;
+  return { term, ready, pause: () => terms.pause(), resume: () => terms.resume() };
+}
+
+/** What keeps a controller from becoming the owner now; null if nothing does. */
+function obstacleTo(
+  controller: string,
+  { runtime, settings, statuses, silenceS }: PartMovesOptions,
+): string | null {
+  const isKnown = settings.peers.some((peer) => peer.host_name === controller);
+  if (!isKnown) return `${controller} is no controller of this cluster`;
+  const status = statuses.statusOf(controller);
+  if (status === null || runtime.clock.now() - status.heardAt > silenceS) {
+    return `${controller} was not heard lately`;
+  }
+  if (status.frame.refused) return `${controller} is refused by the state service`;
+  return status.frame.loaded ? null : `${controller} has not read the jobs yet`;
+}
--- a/packages/controller/peer-coordinator.ts
+++ b/packages/controller/peer-coordinator.ts
@@ -2,7 +2,7 @@
 import { type Clock, pause } from '#wire';
 import type { CancellationRelay } from './cancellation-relay.js';
 import { cutFromWorkers, hearsNextToNone } from './entitlement.js';
-import { countHeard } from './fleet-summary.js';
+import { countAllTasks, countChangedTasks, countHeard } from './fleet-summary.js';
 import type { PartOwner } from './owner.js';
 import type { PeerStatus } from './peer-status.js';
 import type { ControllerServices } from './services.js';
@@ -126,7 +126,8 @@
 
   private sendCounts(owner: PartOwner, which: 'all' | 'changed'): void {
     const { jobs, peers } = this.options;
-    const counts = owner.counts(which);
+    const count = which === 'all' ? countAllTasks : countChangedTasks;
+    const counts = count(owner.fleet);
     for (const { job, done, running } of counts) jobs.noteCounts(job, done, running);
     for (let i = 0; i < counts.length; i += COUNTS_A_FRAME) {
       peers.send({ kind: 'counts', jobs: counts.slice(i, i + COUNTS_A_FRAME) });
--- a/packages/controller/report-handler.ts
+++ b/packages/controller/report-handler.ts
@@ -50,7 +50,7 @@
     this.options.vitals.reports++;
     const owner = this.options.entitledOwner();
     if (owner === null) this.answerAsOther(report, res);
-    else if (this.isNewer(report, owner.newestToken)) this.resign(report, res);
+    else if (this.isNewer(report, owner.fleet.fencing.newestToken)) this.resign(report, res);
     else if (owner.ready) this.answer(owner, report, res);
     else this.renewLease(owner.term.term, report, res);
   }
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -8,6 +8,9 @@
 import { type Settings, teamQuotas } from './settings.js';
 import type { StateAccess } from './state-access.js';
 
+/** The part that holds all machines. */
+export const OWNED_PART = 0;
+
 /** Cancellations whose records are remembered, to be told to peers that have not read them. */
 const RECORDED_CANCELLATIONS = 2000;
 /** Multiple of the time to cancel for which a request to cancel is remembered. */
@@ -57,7 +60,7 @@
     runtime,
     cache: world,
     name: settings.host_name,
-    part: 0,
+    part: OWNED_PART,
     ttlS: settings.operator.ownerTtlS,
     hesitates,
   });
--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -3,9 +3,9 @@
 import { parse as parseToml } from 'smol-toml';
 import { compileSchema } from '#wire';
 import type { TeamQuota } from '#core';
-import { operatorSchema, OperatorSettings, withDefaults } from './operator.js';
+import { type OperatorFile, operatorSchema, OperatorSettings, withDefaults } from './operator.js';
 import { platformSchema, PlatformSettings, TeamSettings } from './platform-settings.js';
-import { checkTimes } from './time-bounds.js';
+import { checkMoveTimes, checkTimes } from './time-bounds.js';
 
 /** A settings file that can't be used; the message names file, field and reason. */
 export class BadSettings extends Error {}
@@ -30,7 +30,7 @@
 }
 
 const validPlatform = compileSchema<PlatformSettings>('platformSettings', platformSchema);
-const validOperator = compileSchema<OperatorSettings>('operatorSettings', operatorSchema);
+const validOperator = compileSchema<OperatorFile>('operatorSettings', operatorSchema);
 
 function check<T>(file: string, value: unknown, valid: ValidateFunction<T>): T {
   if (valid(value)) return value;
@@ -64,5 +64,7 @@
   const settings = { ...platform, operator: withDefaults(operator, platform) };
   const problem = checkTimes(settings.deployment.workers);
   if (problem) throw new BadSettings(`${platformFile}: ${problem}`);
+  const moveProblem = checkMoveTimes(settings.deployment.workers, settings.operator.moves);
+  if (moveProblem) throw new BadSettings(`${operatorFile}: ${moveProblem}`);
   return settings;
 }
--- a/packages/controller/time-bounds.ts
+++ b/packages/controller/time-bounds.ts
@@ -1,3 +1,4 @@
+import type { MoveSettings } from './operator.js';
 import type { PlatformSettings } from './platform-settings.js';
 
 /** Clocks differ by 0.05% each; a lease is counted on the worker's. */
@@ -28,3 +29,24 @@
     `${MARGIN_REPORTS + LEAST_GRACE_REPORTS} report periods end within it`
   );
 }
+
+/**
+ * Share of the time for which an owner may go on without proof that a move may take from it: it must be able to take
+ * the part back, and an outage may begin meanwhile.
+ */
+const MOVE_SHARE = 1 / 2;
+
+/** Why the times of planned moves can't be kept, or null. */
+export function checkMoveTimes(
+  workers: PlatformSettings['deployment']['workers'],
+  moves: MoveSettings | null,
+): string | null {
+  const { cancel_s: cancelS, lease_s: leaseS, report_s: reportS } = workers;
+  const mostS = graceAfterLoss(cancelS, leaseS, reportS) * MOVE_SHARE;
+  if (moves === null || moves.switchS <= mostS) return null;
+  const bound = Math.floor(mostS * 100) / 100;
+  return (
+    `moves.switchS: must be at most ${bound}, half of the time for which an owner may answer workers ` +
+    'without proof that it owns'
+  );
+}
--- /dev/null
+++ b/packages/parts/index.ts
@@ -0,0 +1,6 @@
+/** Planned moves of a part from one controller to another (docs/parts.md). */
+export * from './move-record.js';
+export * from './move-requests.js';
+export * from './move-source.js';
+export * from './move-target.js';
+export * from './part-mover.js';
--- /dev/null
+++ b/packages/parts/move-requests.ts
@@ -0,0 +1,111 @@
+import { type Clock, pause, type StateApi } from '#wire';
+import { partKey, type PartRecord } from '#store';
+import {
+  decodeMove,
+  endMove,
+  moveKey,
+  type MoveRecord,
+  type MoveResult,
+  moveResultKey,
+} from './move-record.js';
+
+/** Between two looks at a move that is waited for. */
+const LOOK_MS = 100;
+
+/** A part as the state service holds it. */
+export interface PartStatus {
+  part: number;
+  /** Null while nobody owns it. */
+  owner: { name: string; term: number } | null;
+  /** The move under way; `unreadable` if its record is damaged or of a later version. */
+  move: MoveRecord | 'unreadable' | null;
+  /** How the last move ended; null if there was none. */
+  lastMove: MoveResult | null;
+}
+
+/** What became of a request. */
+export type RequestOutcome =
+  | { kind: 'moved'; term: number }
+  /** Nothing was changed, or the owner has kept the part. */
+  | { kind: 'not-moved'; why: string }
+  /** Nobody has taken the request up, and it was withdrawn. */
+  | { kind: 'ignored' };
+
+/** Asks for moves of a part, and tells how they are, for people at a terminal and for programs. */
+export class MoveRequests {
+  constructor(
+    private readonly api: StateApi,
+    private readonly clock: Clock,
+    private readonly part: number,
+  ) {}
+
+  /** Rejects with NoAnswer or StateRefused, as all others do. */
+  async status(): Promise<PartStatus> {
+    const { part, api } = this;
+    const [owner, move, lastMove] = await Promise.all([
+      api.get(partKey(part)),
+      api.get(moveKey(part)),
+      api.get(moveResultKey(part)),
+    ]);
+    return {
+      part,
+      owner: owner && { name: (owner.value as PartRecord).owner, term: owner.version },
+      move: move && (decodeMove(move.value) ?? 'unreadable'),
+      lastMove: lastMove && (lastMove.value as MoveResult),
+    };
+  }
+
+  /** Asks for a move and waits for its end, or for so many seconds. */
+  async move(to: string, reason: string, withinS: number): Promise<RequestOutcome> {
+    const { part, api, clock } = this;
+    const { owner } = await this.status();
+    if (owner === null) return { kind: 'not-moved', why: 'nobody owns the part now' };
+    if (owner.name === to) return { kind: 'not-moved', why: `${to} owns the part already` };
+    const value: MoveRecord = { fromTerm: owner.term, to, reason, phase: 'requested' };
+    const conditions = [
+      { key: partKey(part), version: owner.term },
+      { key: moveKey(part), version: 0 },
+    ];
+    const out = await api.txn(conditions, [{ put: moveKey(part), value }]);
+    if (!out.ok) return { kind: 'not-moved', why: await this.describeConflict() };
+    const untilS = clock.now() + withinS;
+    while ((await api.get(moveKey(part))) !== null) {
+      if (clock.now() > untilS) return this.giveUp();
+      await pause(clock, LOOK_MS);
+    }
+    return this.outcome(to);
+  }
+
+  private async describeConflict(): Promise<string> {
+    const { move } = await this.status();
+    if (move === null) return 'the part has changed its owner just now';
+    return move === 'unreadable'
+      ? 'an unreadable move is there'
+      : `a move to ${move.to} is under way`;
+  }
+
+  private async giveUp(): Promise<RequestOutcome> {
+    const withdrawn = await this.withdraw('not carried out in time');
+    if (withdrawn) return { kind: 'ignored' };
+    return { kind: 'not-moved', why: 'not yet: it is being carried out' };
+  }
+
+  private async outcome(to: string): Promise<RequestOutcome> {
+    const { owner, lastMove } = await this.status();
+    if (owner?.name === to) return { kind: 'moved', term: owner.term };
+    return { kind: 'not-moved', why: lastMove?.why || 'the part has changed its owner since' };
+  }
+
+  /** Takes a request back that is not being carried out yet; false if there is none. */
+  async withdraw(why: string): Promise<boolean> {
+    const { api, part } = this;
+    const move = await api.get(moveKey(part));
+    if (move === null) return false;
+    const record = decodeMove(move.value);
+    if (record?.phase === 'quiesced') return false;
+    const { to = '', reason = '' } = record ?? {};
+    const result: MoveResult = { outcome: 'refused', to, reason, why };
+    const conditions = [{ key: moveKey(part), version: move.version }];
+    return (await api.txn(conditions, endMove(part, result))).ok;
+  }
+}
--- /dev/null
+++ b/packages/parts/part-mover.ts
@@ -0,0 +1,101 @@
+import { type Runtime, WakeablePause } from '#wire';
+import { type Ownership, partKey, type PrefixCache, type StateClient, type Term } from '#store';
+import { decodeMove, moveKey, type SeenMove } from './move-record.js';
+import type { MoveLimits } from './move-source.js';
+import { SourceDuty } from './source-duty.js';
+import { TargetDuty } from './target-duty.js';
+
+/** The owner of a part as far as a move concerns it. */
+export interface MovableOwner {
+  readonly term: Term;
+  /** Its records are read, and it decides. */
+  readonly ready: boolean;
+  /** Stops all decisions; resolves once none is on its way to the state service or the cloud. */
+  pause(): Promise<void>;
+  /** Decides again. */
+  resume(): void;
+}
+
+/** What the mover logs to; pino's loggers are such. */
+export interface MoveLog {
+  info(fields: object, message: string): void;
+  error(fields: object, message: string): void;
+}
+
+export interface PartMoverOptions {
+  runtime: Runtime;
+  client: StateClient;
+  /** Holds the records of the part and of its moves. */
+  world: PrefixCache;
+  ownership: Ownership;
+  /** This controller's name. */
+  name: string;
+  part: number;
+  limits: MoveLimits;
+  /** From one look to the next if nothing happens. */
+  lookMs: number;
+  /** The owner here; null while nothing is owned. */
+  owner: () => MovableOwner | null;
+  /** What keeps a controller from becoming the owner now; null if nothing does. */
+  obstacle: (controller: string) => string | null;
+  /** This controller is served and knows all jobs. */
+  canOwn: () => boolean;
+  log: MoveLog;
+}
+
+/** Carries planned moves of a part out, on the side of the owner and on that of the target. */
+export class PartMover {
+  /** The move's record as the watch has shown it last. */
+  private move: SeenMove | null = null;
+  private readonly source: SourceDuty;
+  private readonly target: TargetDuty;
+  private readonly idle: WakeablePause;
+  /** Something has happened since the last look. */
+  private woken = false;
+
+  /** To be made before the cache runs, which tells of each record once. */
+  constructor(private readonly options: PartMoverOptions) {
+    const { runtime, world, part } = options;
+    this.idle = new WakeablePause(runtime.clock);
+    this.source = new SourceDuty(options, () => this.wake());
+    this.target = new TargetDuty(options);
+    world.changes.subscribe(({ key, value, version }) => {
+      if (key === moveKey(part)) this.noteMove(value, version);
+      if (key === moveKey(part) || key === partKey(part)) this.wake();
+    });
+  }
+
+  /** Carries moves out until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { log, lookMs } = this.options;
+    while (!signal.aborted) {
+      this.woken = false;
+      let goesOn = false;
+      try {
+        const sourceGoesOn = await this.source.step(this.move, signal);
+        const targetGoesOn = await this.target.step(this.move, signal);
+        goesOn = sourceGoesOn || targetGoesOn || this.woken;
+      } catch (err) {
+        if (signal.aborted) return;
+        log.error({ err: String(err) }, 'unexpected');
+      }
+      if (!goesOn) await this.idle.wait(lookMs, signal);
+    }
+  }
+
+  private wake(): void {
+    this.woken = true;
+    this.idle.wake();
+  }
+
+  private noteMove(value: unknown, version: number): void {
+    const { log, part } = this.options;
+    if (value === undefined) {
+      this.move = null;
+      return;
+    }
+    const record = decodeMove(value);
+    this.move = { record, version };
+    if (record === null) log.info({ part, version }, 'unreadable move');
+  }
+}
--- /dev/null
+++ b/packages/parts/target-duty.ts
@@ -0,0 +1,49 @@
+import type { SeenMove } from './move-record.js';
+import {
+  IDLE,
+  mayTakePart,
+  stepTarget,
+  type TargetAction,
+  targetAnswered,
+  type TargetState,
+} from './move-target.js';
+import type { PartMoverOptions } from './part-mover.js';
+import { sendTransaction } from './send-transaction.js';
+
+/** Carries out what the target of a move has to do. */
+export class TargetDuty {
+  private state: TargetState = IDLE;
+
+  constructor(private readonly options: PartMoverOptions) {}
+
+  /** Does what is due; true if there may be more to do at once. */
+  async step(move: SeenMove | null, signal: AbortSignal): Promise<boolean> {
+    const { ownership, part, name, canOwn, owner } = this.options;
+    const { state, action } = stepTarget(this.state, {
+      part,
+      name,
+      grant: ownership.provenGrant,
+      partVersion: ownership.holder?.version ?? 0,
+      move,
+      ready: canOwn() && owner() === null,
+    });
+    // Before anything is sent: from then on we may own without knowing.
+    this.setState(state);
+    return this.act(action, signal);
+  }
+
+  private setState(state: TargetState): void {
+    this.state = state;
+    this.options.ownership.handover.mayTakePart = mayTakePart(state);
+  }
+
+  private async act(action: TargetAction, signal: AbortSignal): Promise<boolean> {
+    const { client, world, log, part } = this.options;
+    if (action.kind === 'wait') return false;
+    const outcome = await sendTransaction(client, world, action.transaction, signal);
+    this.setState(targetAnswered(this.state, outcome));
+    if (outcome.kind !== 'applied') return false;
+    log.info({ part }, action.kind === 'switch' ? 'part taken' : 'ready for the part');
+    return true;
+  }
+}
--- a/packages/store/ownership.ts
+++ b/packages/store/ownership.ts
@@ -2,7 +2,7 @@
 import { NoAnswer, Runtime, WakeablePause } from '#wire';
 import { PrefixCache } from './cache.js';
 import { StateClient } from './client.js';
-import { Hedge } from './hedge.js';
+import { OwnerGrant } from './owner-grant.js';
 import { PartRecord, partKey } from './records.js';
 
 export interface Term {
@@ -13,17 +13,15 @@
   claimedAt: number;
 }
 
-/** How often an owner sends its renewal in the life of its grant while no answer comes. */
-const RENEWALS_IN_A_LIFE = 8;
-
 /** Share of a grant's life for which a controller that should not own leaves a free part to the others. */
 const HESITATION = 1 / 8;
 
-/** The answer to a renewal, and when the renewal was sent. */
-interface Renewal {
-  /** False: the grant has ended. */
-  alive: boolean;
-  sentAt: number;
+/** What a planned move of the part changes for its ownership; set by whoever carries the move out. */
+export interface Handover {
+  /** Since when a successor may own without our knowing, steady seconds; null while none may. */
+  successorPossibleSince: number | null;
+  /** A transaction was sent that makes us the owner, and may still be carried out. */
+  mayTakePart: boolean;
 }
 
 export interface OwnershipOptions {
@@ -52,27 +50,20 @@
   newestHolder = { term: 0, name: '' };
   /** A claim was sent that may still be carried out, with no owner seen since. */
   private claimOpen = false;
-  private grant: number | null = null;
+  readonly handover: Handover = { successorPossibleSince: null, mayTakePart: false };
+  private readonly grant: OwnerGrant;
   /** No claim before then, so that another controller gets the part. */
   private claimAfter = -Infinity;
   /** How long that pause was to be when the part was given up; seconds. */
   private claimPauseS = 0;
   /** When the part was last seen to become free; steady seconds. */
   private freeSince = -Infinity;
-  /** When the last renewal that succeeded was sent. */
-  renewedAt = -Infinity;
-
   private readonly idle: WakeablePause;
-  private readonly renewals: Hedge;
 
   constructor(private readonly options: OwnershipOptions) {
     const { clock } = options.runtime;
     this.idle = new WakeablePause(clock);
-    this.renewals = new Hedge({
-      clock,
-      leastDelayS: options.ttlS / RENEWALS_IN_A_LIFE,
-      maxAttempts: RENEWALS_IN_A_LIFE,
-    });
+    this.grant = new OwnerGrant(options);
     options.cache.changes.subscribe((event) => {
       if (event.key !== partKey(options.part)) return;
       this.holder = event.value ? { ...(event.value as PartRecord), version: event.version } : null;
@@ -88,12 +79,28 @@
 
   /** Surely ours until then, by the grant alone. */
   get provenUntil(): number {
-    return this.renewedAt + this.options.ttlS * 0.95;
+    return this.unlessHandedOver(this.grant.provenUntil);
+  }
+
+  /** When it was certain last that nobody else owns, by the grant alone; steady seconds. */
+  get soleAt(): number {
+    return this.unlessHandedOver(this.grant.renewedAt);
+  }
+
+  /** The grant lives on beyond a move, and proves nothing from the moment on at which the part may be taken. */
+  private unlessHandedOver(provenAt: number): number {
+    return Math.min(provenAt, this.handover.successorPossibleSince ?? Infinity);
+  }
+
+  /** A grant that is surely alive, and that the part can be made to hang on; null while there is none. */
+  get provenGrant(): number | null {
+    const isAlive = this.options.runtime.clock.now() < this.grant.provenUntil;
+    return isAlive ? this.grant.id : null;
   }
 
   /** We own the part, or may own it without knowing yet. */
   get mayOwn(): boolean {
-    return this.term.value !== null || this.claimOpen;
+    return this.term.value !== null || this.claimOpen || this.handover.mayTakePart;
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -114,15 +121,10 @@
    * for a while.
    */
   resign(pauseS = 0): void {
-    const { client, runtime } = this.options;
-    this.claimAfter = runtime.clock.now() + pauseS;
+    this.claimAfter = this.options.runtime.clock.now() + pauseS;
     this.claimPauseS = pauseS;
-    const grant = this.grant;
-    this.grant = null;
+    this.grant.drop();
     this.term.next(null);
-    if (grant !== null) {
-      client.call(true, undefined, (api) => api.drop(grant)).catch(() => {});
-    }
   }
 
   /** In an outage the others can't claim either, so that the pause must outlast it. */
@@ -139,26 +141,22 @@
   }
 
   private async step(signal: AbortSignal): Promise<void> {
-    const { client, cache, runtime, ttlS } = this.options;
-    const { clock } = runtime;
-    if (this.grant === null) {
-      const sentAt = clock.now();
-      const ttlMs = Math.round(ttlS * 1000);
-      this.grant = await client.call(true, signal, (api) => api.grant(ttlMs, signal));
-      this.renewedAt = sentAt;
-    } else {
-      const grant = this.grant;
-      const { alive, sentAt } = await this.renew(grant, signal);
-      if (this.grant !== grant) return;
-      if (alive) this.renewedAt = sentAt;
-      else {
-        this.grant = null;
-        this.term.next(null);
-        return;
-      }
-    }
+    const { cache, runtime } = this.options;
+    if (!(await this.keepGrant(signal))) return;
     const free = this.term.value === null && this.holder === null && cache.ready;
-    if (free && clock.now() >= this.claimableFrom()) await this.claim(signal);
+    if (free && runtime.clock.now() >= this.claimableFrom()) await this.claim(signal);
+  }
+
+  /** Renews the grant, or gets one. False if it has ended, and the term with it. */
+  private async keepGrant(signal: AbortSignal): Promise<boolean> {
+    const { grant } = this;
+    if (grant.id === null) {
+      await grant.obtain(signal);
+      return true;
+    }
+    const outcome = await grant.renew(signal, { resend: this.term.value !== null });
+    if (outcome === 'ended') this.term.next(null);
+    return outcome === 'alive';
   }
 
   private claimableFrom(): number {
@@ -167,20 +165,9 @@
     return Math.max(this.claimAfter, this.freeSince + hesitationS);
   }
 
-  /** An owner does not wait for long where one answer is lost: its term may end meanwhile. */
-  private renew(grant: number, signal: AbortSignal): Promise<Renewal> {
-    const { client, runtime } = this.options;
-    const request = async (own: AbortSignal): Promise<Renewal> => {
-      const sentAt = runtime.clock.now();
-      const alive = await client.call(true, own, (api) => api.touch(grant, own));
-      return { alive, sentAt };
-    };
-    return this.term.value === null ? request(signal) : this.renewals.run(request, signal);
-  }
-
   private async claim(signal: AbortSignal): Promise<void> {
     const { client, cache, name, part } = this.options;
-    const grant = this.grant!;
+    const grant = this.grant.id!;
     const key = partKey(part);
     const value: PartRecord = { owner: name, grant };
     this.claimOpen = true;
@@ -194,7 +181,7 @@
       if (out.ok) {
         // Through the cache, so that an older event which is still to come is known as older.
         cache.learn(key, value, out.revision);
-      } else if ('leaseGone' in out) this.grant = null;
+      } else if ('leaseGone' in out) this.grant.id = null;
       this.claimOpen = false;
     } catch (err) {
       // A claim applied late shows up in the watch; it is then ours, or lapses with its grant.
@@ -207,12 +194,13 @@
   private noticeHolder(): void {
     const holder = this.holder;
     const held = this.term.value;
-    if (holder && this.grant !== null && holder.grant === this.grant) {
+    const grant = this.grant.id;
+    if (holder && grant !== null && holder.grant === grant) {
       if (held?.term !== holder.version) {
         this.term.next({
           part: this.options.part,
           term: holder.version,
-          grant: this.grant,
+          grant,
           claimedAt: this.options.runtime.clock.now(),
         });
       }
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -13,3 +13,6 @@
 export * from './simulation/index.js';
 export * from './state-world.js';
 export * from './until.js';
+export * from './move-model/explore.js';
+export type { MoveMistake } from './move-model/mistakes.js';
+export type { MoveBudget } from './move-model/state.js';
--- /dev/null
+++ b/packages/testing/move-model/controller.ts
@@ -0,0 +1,161 @@
+/** What a controller of the model does: the production code's steps, on what it has seen so far. */
+import type { Draft } from 'immer';
+import {
+  DECIDING,
+  IDLE,
+  type SourceAction,
+  sourceAnswered,
+  sourceRead,
+  stepSource,
+  stepTarget,
+  targetAnswered,
+  type Transaction,
+  type TransactionOutcome,
+} from '#parts';
+import { mistaken, type MoveMistake, trustsGrant } from './mistakes.js';
+import { type ControllerName, type ModelController, type ModelState, PART } from './state.js';
+
+const LIMITS = { prepareS: 1, switchS: 1 };
+/** Later than all limits. */
+const LATE_S = 10;
+
+/** It takes its grant for proof that nobody else owns, and acts on that. */
+export function actsAsOwner({ term, proven, source }: ModelController, mistake: MoveMistake) {
+  return term !== 0 && proven && trustsGrant(source, mistake);
+}
+
+/** Its watch shows what the state service holds now. */
+export function synchronise(state: Draft<ModelState>, name: ControllerName): void {
+  const controller = state.controllers[name];
+  controller.part = state.part;
+  controller.move = state.move;
+  const term = state.part?.grant === controller.grant ? state.part.version : 0;
+  if (term === controller.term) return;
+  controller.term = term;
+  controller.source = DECIDING;
+  controller.paused = false;
+  if (controller.waiting === 'source') controller.waiting = null;
+}
+
+/** A new life, which has seen nothing and has a new grant. */
+export function restart(state: Draft<ModelState>, name: ControllerName): void {
+  const { life } = state.controllers[name];
+  const grant = state.nextGrant++;
+  state.liveGrants.push(grant);
+  state.controllers[name] = {
+    life: life + 1,
+    grant,
+    proven: true,
+    part: null,
+    move: null,
+    term: 0,
+    source: DECIDING,
+    target: IDLE,
+    paused: false,
+    waiting: null,
+  };
+}
+
+/** One look of the owner; `late`: all its times have run out. */
+export function stepOwner(
+  state: Draft<ModelState>,
+  name: ControllerName,
+  late: boolean,
+  mistake: MoveMistake,
+): void {
+  const controller = state.controllers[name];
+  const { state: source, action } = stepSource(controller.source, {
+    now: late && mistake !== 'waits-for-ever' ? LATE_S : 0,
+    part: PART,
+    term: controller.term,
+    name,
+    move: controller.move,
+    paused: controller.paused,
+    obstacle: () => null,
+    limits: LIMITS,
+  });
+  controller.source = untimed(source);
+  act(state, name, action, mistake);
+}
+
+function act(
+  state: Draft<ModelState>,
+  name: ControllerName,
+  action: SourceAction,
+  mistake: MoveMistake,
+): void {
+  const controller = state.controllers[name];
+  if (action.kind === 'pause' || action.kind === 'resume') controller.paused = false;
+  if (action.kind === 'read') controller.source = sourceRead(controller.source, state.move);
+  if ('transaction' in action) send(state, name, 'source', action.transaction, mistake);
+}
+
+/** One look of the target. */
+export function stepCandidate(
+  state: Draft<ModelState>,
+  name: ControllerName,
+  mistake: MoveMistake,
+): void {
+  const controller = state.controllers[name];
+  const { state: target, action } = stepTarget(controller.target, {
+    part: PART,
+    name,
+    grant: controller.proven ? controller.grant : null,
+    partVersion: controller.part?.version ?? 0,
+    move: controller.move,
+    ready: controller.term === 0,
+  });
+  controller.target = target;
+  if ('transaction' in action) send(state, name, 'target', action.transaction, mistake);
+}
+
+function send(
+  state: Draft<ModelState>,
+  from: ControllerName,
+  kind: 'source' | 'target',
+  transaction: Transaction,
+  mistake: MoveMistake,
+): void {
+  const controller = state.controllers[from];
+  controller.waiting = kind;
+  const sent = mistaken(kind, transaction, mistake);
+  state.pending.push({ from, life: controller.life, transaction: sent });
+}
+
+/** An answer has come, or the wait for it is over. */
+export function answer(
+  state: Draft<ModelState>,
+  name: ControllerName,
+  outcome: TransactionOutcome,
+  mistake: MoveMistake,
+): void {
+  const controller = state.controllers[name];
+  const { waiting } = controller;
+  controller.waiting = null;
+  if (waiting === 'target') controller.target = targetAnswered(controller.target, outcome);
+  if (waiting !== 'source') return;
+  const believed = believe(outcome, controller, mistake);
+  const { state: source, action } = sourceAnswered(controller.source, believed, { part: PART });
+  controller.source = untimed(source);
+  act(state, name, action, mistake);
+}
+
+function believe(
+  outcome: TransactionOutcome,
+  { source }: ModelController,
+  mistake: MoveMistake,
+): TransactionOutcome {
+  const takesForDone =
+    source.phase === 'retracting' &&
+    ((mistake === 'resumes-on-silence' && outcome.kind === 'unknown') ||
+      (mistake === 'resumes-on-failure' && outcome.kind === 'failed'));
+  return takesForDone ? { kind: 'applied' } : outcome;
+}
+
+/** Times are told apart by `late` alone. */
+function untimed(source: ModelController['source']): ModelController['source'] {
+  if (source.phase === 'deciding') {
+    return { ...source, request: source.request && { ...source.request, seenAt: 0 } };
+  }
+  return source.phase === 'over' ? source : { ...source, since: 0 };
+}
--- /dev/null
+++ b/packages/testing/move-model/mistakes.ts
@@ -0,0 +1,42 @@
+import { moveKey, type SourceState, successorPossibleSince, type Transaction } from '#parts';
+import { partKey } from '#store';
+import { PART } from './state.js';
+
+/** A deliberate mistake, each of which takes one guard of a move away. */
+export type MoveMistake =
+  | 'none'
+  /** The owner takes its grant as proof after it has stated that it decides nothing more. */
+  | 'trusts-its-grant'
+  /** The owner decides again without undoing the move when no answer came. */
+  | 'resumes-on-silence'
+  /** The owner undoes a move, and takes a failed condition for success. */
+  | 'resumes-on-failure'
+  /** The target takes the part whatever has become of the move's record. */
+  | 'takes-without-record'
+  /** The target takes the part whoever owns it. */
+  | 'takes-without-term'
+  /** The owner states that it is quiet, whatever has become of the move's record. */
+  | 'quiesces-without-record'
+  /** The owner never gives up waiting for the target. */
+  | 'waits-for-ever';
+
+/** A transaction as a controller with the mistake sends it. */
+export function mistaken(
+  kind: 'source' | 'target',
+  { conditions, changes }: Transaction,
+  mistake: MoveMistake,
+): Transaction {
+  const without = (key: string): Transaction => ({
+    conditions: conditions.filter((condition) => condition.key !== key),
+    changes,
+  });
+  if (kind === 'target' && mistake === 'takes-without-record') return without(moveKey(PART));
+  if (kind === 'target' && mistake === 'takes-without-term') return without(partKey(PART));
+  if (kind === 'source' && mistake === 'quiesces-without-record') return without(moveKey(PART));
+  return { conditions, changes };
+}
+
+/** Whether the owner, by its state in the move, takes its grant as proof that nobody else owns. */
+export function trustsGrant(state: SourceState, mistake: MoveMistake): boolean {
+  return mistake === 'trusts-its-grant' || successorPossibleSince(state) === null;
+}
--- /dev/null
+++ b/packages/testing/move-model/service.ts
@@ -0,0 +1,36 @@
+/** The state service of the model. */
+import type { Draft } from 'immer';
+import { decodeMove, moveKey, type Transaction, type TransactionOutcome } from '#parts';
+import { partKey, type PartRecord } from '#store';
+import { type ModelState, PART } from './state.js';
+
+/** Carries a transaction out, or says which of its conditions do not hold. */
+export function carryOut(state: Draft<ModelState>, transaction: Transaction): TransactionOutcome {
+  const { conditions, changes } = transaction;
+  const version = (key: string) => (key === partKey(PART) ? state.part : state.move)?.version ?? 0;
+  const keys = conditions
+    .filter((each) => version(each.key) !== each.version)
+    .map(({ key }) => key);
+  const lease = changes.map((change) => ('put' in change ? change.lease : undefined)).find(Boolean);
+  if (keys.length > 0) return { kind: 'failed', keys };
+  if (lease !== undefined && !state.liveGrants.includes(lease)) return { kind: 'failed', keys: [] };
+  if (changes.length > 0) state.revision++;
+  for (const change of changes) {
+    if ('delete' in change) {
+      if (change.delete === moveKey(PART)) state.move = null;
+    } else if (change.put === partKey(PART)) {
+      state.part = { ...(change.value as PartRecord), version: state.revision };
+    } else if (change.put === moveKey(PART)) {
+      state.move = { record: decodeMove(change.value), version: state.revision };
+    }
+  }
+  return { kind: 'applied' };
+}
+
+/** A grant ends, and the part's key with it if it hangs on it. */
+export function endGrant(state: Draft<ModelState>, grant: number): void {
+  state.liveGrants = state.liveGrants.filter((each) => each !== grant);
+  if (state.part?.grant !== grant) return;
+  state.part = null;
+  state.revision++;
+}
--- /dev/null
+++ b/packages/testing/moves/loopback-run.ts
@@ -0,0 +1,189 @@
+/** Many moves of the part between real controller processes, with ends and standstills of either side. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { MoveRequests, type RequestOutcome } from '#parts';
+import { nodeRuntime, StateApi } from '#wire';
+import { formatAddress } from '../simulation/addresses.js';
+import { Chance } from '../random.js';
+import { LoopbackCluster } from '../sizing/cluster.js';
+import type { ControllerProcess } from '../sizing/controller-process.js';
+import { allHealthy, fillFleet } from '../sizing/full-fleet.js';
+import type { SizingOptions } from '../sizing/options.js';
+import { runLine } from '../sizing/sources.js';
+import { RuleChecker, type Violation } from '../standins/index.js';
+import { OwnerAudit, type OwnerBreach } from './owner-audit.js';
+
+const PART = 0;
+const SEED = 1;
+const MOVE_WITHIN_S = 20;
+const STATE_TIMEOUT_MS = 2000;
+/** A fault begins so long after its move was asked for at the most. */
+const FAULT_WITHIN_MS = 120;
+const STANDSTILL_S = 3;
+const DOWN_S = 1;
+
+export interface MoveRunOptions {
+  sizing: SizingOptions;
+  moves: number;
+  /** From the end of one move to the next request. */
+  everyS: number;
+  /** One move in so many meets the end or the standstill of one of its sides; 0: none does. */
+  faultEvery: number;
+}
+
+/** What came of a run; times are milliseconds. */
+export interface MoveRunResult {
+  moved: number;
+  /** Requests that ended otherwise, by reason. */
+  notMoved: Record<string, number>;
+  faults: number;
+  /** From the request to the new owner's key. */
+  moveMs: number[];
+  /** From the last decision of the old owner to the new one's first, in moves without a fault. */
+  undecidedMs: number[];
+  breaches: OwnerBreach[];
+  violations: Violation[];
+  obeyedAnswers: number;
+  tasksKilled: number;
+  tasksCompleted: number;
+  leasesEnded: number;
+}
+
+/** Runs a cluster whose part moves; `progress` is told after each move. */
+export async function runMoves(
+  options: MoveRunOptions,
+  progress: (done: number) => void,
+): Promise<MoveRunResult> {
+  const run = new MoveRun(options);
+  try {
+    await run.start();
+    for (let done = 1; done <= options.moves; done++) {
+      await run.move(done);
+      progress(done);
+    }
+    return run.finish();
+  } finally {
+    await run.close();
+  }
+}
+
+class MoveRun {
+  private readonly chance = new Chance(SEED);
+  private readonly audit = new OwnerAudit();
+  private readonly checker: RuleChecker;
+  private readonly cluster: LoopbackCluster;
+  private readonly api: StateApi;
+  private readonly requests: MoveRequests;
+  private readonly counts: Pick<MoveRunResult, 'moved' | 'notMoved' | 'faults' | 'tasksCompleted'>;
+  private readonly moveMs: number[] = [];
+  private readonly undecidedMs: number[] = [];
+
+  constructor(private readonly options: MoveRunOptions) {
+    const { sources, nodeOptions, machines, cluster: shared } = options.sizing;
+    this.counts = { moved: 0, notMoved: {}, faults: 0, tasksCompleted: 0 };
+    const cancelS = shared.deployment.workers.cancel_s;
+    this.checker = new RuleChecker(nodeRuntime.clock, { teams: [], cancelS });
+    const command = {
+      directory: sources,
+      command: runLine(sources, nodeOptions),
+      logLevel: 'info',
+    };
+    this.cluster = new LoopbackCluster({
+      shared,
+      machines,
+      command,
+      operator: { moves: {} },
+      observe: (event) => {
+        this.checker.observe(event);
+        if (event.kind === 'task-completed') this.counts.tasksCompleted++;
+        if (event.kind === 'transaction') this.noteOwner();
+      },
+    });
+    this.cluster.reports.onObeyed = (...answer) => this.audit.obeyed(...answer);
+    const address = formatAddress(this.cluster.addresses.state(0));
+    this.api = new StateApi(nodeRuntime, address, STATE_TIMEOUT_MS);
+    this.requests = new MoveRequests(this.api, nodeRuntime.clock, PART);
+  }
+
+  async start(): Promise<void> {
+    await fillFleet(this.cluster, this.options.sizing);
+    this.noteOwner();
+  }
+
+  private noteOwner(): void {
+    const holder = this.cluster.holder();
+    if (holder !== null) this.audit.recorded(holder.owner, holder.term);
+  }
+
+  /** Moves the part to a controller that does not own it; now and then with a fault. */
+  async move(number: number): Promise<void> {
+    const { cluster, options, chance } = this;
+    const source = cluster.owner();
+    const others = cluster.standbys();
+    if (source === null || others.length === 0) return sleep(options.everyS * 1000);
+    const target = others[chance.int(0, others.length - 1)];
+    const isFaulty = options.faultEvery > 0 && number % options.faultEvery === 0;
+    const fromMs = performance.now();
+    const fault = isFaulty ? this.trouble([source, target][chance.int(0, 1)]) : Promise.resolve();
+    const outcome = await this.requests.move(target.name, `move ${number}`, MOVE_WITHIN_S);
+    this.noteOutcome(outcome, performance.now() - fromMs);
+    await fault;
+    if (isFaulty) await allHealthy(cluster);
+    await sleep(options.everyS * 1000);
+    const isClean = !isFaulty && outcome.kind === 'moved';
+    if (isClean) this.noteUndecided(source, target, fromMs);
+  }
+
+  private noteOutcome(outcome: RequestOutcome, tookMs: number): void {
+    const { counts } = this;
+    if (outcome.kind === 'moved') {
+      counts.moved++;
+      this.moveMs.push(tookMs);
+      return;
+    }
+    const why = outcome.kind === 'ignored' ? 'not taken up' : outcome.why;
+    counts.notMoved[why] = (counts.notMoved[why] ?? 0) + 1;
+  }
+
+  /** By the logs of both: from the pause of the old owner to the first round of the new one. */
+  private noteUndecided(
+    source: ControllerProcess,
+    target: ControllerProcess,
+    fromMs: number,
+  ): void {
+    const paused = source.run.log.since('part to be moved', fromMs)[0];
+    const decides = target.run.log.since('owner', fromMs)[0];
+    if (paused && decides) this.undecidedMs.push(decides.receivedAtMs - paused.receivedAtMs);
+  }
+
+  /** One side of the move ends and comes back, or stands still, some time into the move. */
+  private async trouble(victim: ControllerProcess): Promise<void> {
+    const { chance, counts } = this;
+    const ends = chance.hit(0.5);
+    counts.faults++;
+    await sleep(chance.next() * FAULT_WITHIN_MS);
+    if (ends) await victim.end('SIGKILL');
+    else victim.setStopped(true);
+    await sleep((ends ? DOWN_S : STANDSTILL_S) * 1000);
+    if (ends) victim.start();
+    else victim.setStopped(false);
+  }
+
+  finish(): MoveRunResult {
+    const { cluster, audit, checker, moveMs, undecidedMs } = this;
+    return {
+      ...this.counts,
+      moveMs,
+      undecidedMs,
+      breaches: audit.breaches,
+      violations: checker.finish(),
+      obeyedAnswers: audit.obeyedAnswers,
+      tasksKilled: cluster.tasksKilled,
+      leasesEnded: cluster.reports.leasesEnded,
+    };
+  }
+
+  async close(): Promise<void> {
+    this.api.close();
+    await this.cluster.close();
+  }
+}
--- /dev/null
+++ b/packages/testing/moves/move-scenarios.ts
@@ -0,0 +1,54 @@
+/** Scenarios in which the part moves again and again while work runs, and what tests ask of them. */
+import assert from 'node:assert/strict';
+import { killedTasks, playMeeting } from '../meetings/run-queries.js';
+import { BUSY_FROM_S, steadyScenario } from '../meetings/steady-work.js';
+import type { Fault, Scenario, ScenarioResult } from '../simulation/index.js';
+
+/** Time between two requests in which a move and what a fault has done to it are over. */
+export const MOVE_EVERY_S = 20;
+
+export interface MovingOptions {
+  name: string;
+  /** Moves are asked for during that time. */
+  movingS: number;
+  everyS: number;
+  faults: Fault[];
+}
+
+/** Steady work on a cluster whose part is moved from one controller to the next. */
+function movingScenario({ name, movingS, everyS, faults }: MovingOptions): Scenario {
+  const moves: Fault = { kind: 'part-moves', atS: BUSY_FROM_S, forS: movingS, everyS };
+  const scenario = steadyScenario(name, BUSY_FROM_S + movingS + 60, [moves, ...faults]);
+  return { ...scenario, cluster: { ...scenario.cluster, operator: { moves: {} } } };
+}
+
+/** Plays it; no rule may break, no work may be lost, and the part moves on after all faults. */
+export async function playMoves(
+  options: MovingOptions,
+  seeds: number[],
+  check: (result: ScenarioResult) => void,
+): Promise<void> {
+  await playMeeting(movingScenario(options), seeds, (result) => {
+    const untilS = BUSY_FROM_S + options.movingS + 60;
+    assert.deepEqual(killedTasks(result, BUSY_FROM_S, untilS), [], 'no work was lost');
+    for (const fault of options.faults) {
+      assert.ok(
+        result.faults.records.some((record) => record.fault === fault),
+        `${fault.kind} at ${fault.atMovePhase} did not occur`,
+      );
+    }
+    const lastFaultS = Math.max(0, ...result.faults.records.map(({ fromS }) => fromS));
+    assert.ok(
+      result.leaders.some(({ atS }) => atS > lastFaultS),
+      'the part moves again after the last fault',
+    );
+    check(result);
+  });
+}
+
+/** One fault after another, each at the given phase of a move of its own. */
+export function atPhases(faults: Omit<Fault, 'atS'>[]): Fault[] {
+  return faults.map((fault, index) => {
+    return { ...fault, atS: BUSY_FROM_S + 1 + index * MOVE_EVERY_S } as Fault;
+  });
+}
--- /dev/null
+++ b/packages/testing/moves/moves.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { BUSY_FROM_S } from '../meetings/steady-work.js';
+import type { Fault, MovePhase } from '../simulation/index.js';
+import { atPhases, MOVE_EVERY_S, playMoves } from './move-scenarios.js';
+
+const PHASES: MovePhase[] = ['requested', 'prepared', 'quiesced', 'switched'];
+const SIDES = ['move-source', 'move-target'] as const;
+
+/** One fault on each side of a move in each of its phases. */
+function onEachSide(fault: Omit<Fault, 'atS' | 'controllers'>): Fault[] {
+  const each = PHASES.flatMap((atMovePhase) =>
+    SIDES.map((side) => ({ ...fault, atMovePhase, controllers: side })),
+  );
+  return atPhases(each);
+}
+
+test('work goes on through fifty moves, and so do its steps that are under way', async () => {
+  const moving = { name: 'fifty moves', movingS: 100, everyS: 2, faults: [] };
+  await playMoves(moving, [1, 2], (result) => {
+    const { timeline, leaders, moves, controllers } = result;
+    const switches = leaders.filter(({ atS }) => atS >= BUSY_FROM_S);
+    assert.ok(moves.counts.switched >= 48, `${moves.counts.switched} moves`);
+    assert.equal(switches.length, moves.counts.switched, 'no owner but by a move');
+    const movesBetween = (fromS: number, untilS: number) =>
+      switches.filter(({ atS }) => atS > fromS && atS < untilS).length;
+    const startedAt = new Map(
+      timeline.of('task-started').map(({ atS, task: { job, index } }) => [`${job}/${index}`, atS]),
+    );
+    const completed = timeline
+      .of('task-completed', BUSY_FROM_S)
+      .filter(({ atS, job, index }) => movesBetween(startedAt.get(`${job}/${index}`)!, atS) > 0);
+    assert.ok(completed.length >= 20, `${completed.length} tasks ran across a move and completed`);
+    const paused = controllers.flatMap(({ log }) => log.entries('part kept'));
+    assert.deepEqual(paused, [], 'no move failed');
+  });
+});
+
+test('either side of a move crashes in any phase, and one controller owns the part afterwards', async () => {
+  const faults = onEachSide({ kind: 'controller-crash', downS: 2 } as Fault);
+  const movingS = MOVE_EVERY_S * (faults.length + 3);
+  await playMoves({ name: 'crashes', movingS, everyS: MOVE_EVERY_S, faults }, [1], (result) => {
+    assert.equal(result.faults.of('controller-crash').length, faults.length);
+  });
+});
+
+test('either side of a move stands still in any phase, and wakes with old knowledge', async () => {
+  const faults = onEachSide({ kind: 'controller-freeze', forS: 5 } as Fault);
+  const movingS = MOVE_EVERY_S * (faults.length + 3);
+  await playMoves({ name: 'standstills', movingS, everyS: MOVE_EVERY_S, faults }, [1], (result) => {
+    assert.equal(result.faults.of('controller-freeze').length, faults.length);
+  });
+});
+
+test('either side of a move loses the state service or its peers in any phase', async () => {
+  const cut = { kind: 'controller-cut', forS: 5, mode: 'hold' };
+  for (const from of [['state'], ['controllers']]) {
+    const faults = onEachSide({ ...cut, from } as Fault);
+    const movingS = MOVE_EVERY_S * (faults.length + 3);
+    const name = `cut from ${from}`;
+    await playMoves({ name, movingS, everyS: MOVE_EVERY_S, faults }, [1], () => {});
+  }
+});
+
+test('answers of each step are lost, and each step is carried out late', async () => {
+  const phases: MovePhase[] = ['requested', 'prepared', 'quiesced'];
+  const faults = atPhases(
+    phases.flatMap((atMovePhase) => [
+      { kind: 'lost-answers', share: 1, forS: 0.5, atMovePhase },
+      { kind: 'late-writes', share: 1, forS: 0.5, delayS: [3, 8], atMovePhase },
+    ]) as Fault[],
+  );
+  const movingS = MOVE_EVERY_S * (faults.length + 3);
+  await playMoves(
+    { name: 'lost and late', movingS, everyS: MOVE_EVERY_S, faults },
+    [1, 2],
+    () => {},
+  );
+});
+
+test('the state service is away in any phase of a move for longer than a lease', async () => {
+  const faults = atPhases(
+    PHASES.map((atMovePhase) => ({ kind: 'state-outage', forS: 14, atMovePhase })) as Fault[],
+  ).map((fault, index) => ({ ...fault, atS: BUSY_FROM_S + 1 + index * 2 * MOVE_EVERY_S }) as Fault);
+  const movingS = 2 * MOVE_EVERY_S * (faults.length + 3);
+  await playMoves({ name: 'outages', movingS, everyS: MOVE_EVERY_S, faults }, [1], () => {});
+});
+
+test('all controllers end in any phase of a move', async () => {
+  const faults = atPhases(
+    PHASES.map((atMovePhase) => {
+      return { kind: 'controller-crash', controllers: 'all', downS: 1, atMovePhase };
+    }) as Fault[],
+  );
+  const movingS = MOVE_EVERY_S * (faults.length + 3);
+  await playMoves({ name: 'all end', movingS, everyS: MOVE_EVERY_S, faults }, [1], () => {});
+});
+
+test('jobs are cancelled in each phase of a move, and their tasks are gone in time', async () => {
+  const faults = atPhases(
+    PHASES.map((atMovePhase) => ({ kind: 'cancel-now', count: 3, atMovePhase })) as Fault[],
+  );
+  const movingS = MOVE_EVERY_S * (faults.length + 3);
+  await playMoves(
+    { name: 'cancellations', movingS, everyS: MOVE_EVERY_S, faults },
+    [1, 2],
+    (result) => {
+      const cancelled = result.faults.of('cancel-now').flatMap(({ machines }) => machines);
+      assert.ok(cancelled.length >= 4, `${cancelled.length} machines with cancelled work`);
+    },
+  );
+});
--- /dev/null
+++ b/packages/testing/moves/owner-audit.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { OwnerAudit } from './owner-audit.js';
+
+function auditOfTwoTerms(): OwnerAudit {
+  const audit = new OwnerAudit();
+  audit.recorded('c-0', 5);
+  audit.obeyed('n-1', 'c-0', 5);
+  // A revision within the term, by which a machine was fenced.
+  audit.obeyed('n-1', 'c-0', 7);
+  audit.recorded('c-1', 9);
+  audit.obeyed('n-2', 'c-0', 5);
+  audit.obeyed('n-1', 'c-1', 9);
+  return audit;
+}
+
+test('owners that follow one another, each machine in its own time, are no breach', () => {
+  const audit = auditOfTwoTerms();
+  assert.deepEqual(audit.breaches, []);
+  assert.equal(audit.obeyedAnswers, 4);
+});
+
+test('each kind of breach is noticed', () => {
+  const kindsAfter = (breach: (audit: OwnerAudit) => void) => {
+    const audit = auditOfTwoTerms();
+    breach(audit);
+    return audit.breaches.map(({ kind }) => kind);
+  };
+  assert.deepEqual(
+    kindsAfter((audit) => audit.recorded('c-2', 9)),
+    ['two-owners'],
+  );
+  assert.deepEqual(
+    kindsAfter((audit) => audit.obeyed('n-2', 'c-0', 9)),
+    ['foreign-owner'],
+  );
+  assert.deepEqual(
+    kindsAfter((audit) => audit.obeyed('n-1', 'c-0', 7)),
+    ['older-owner'],
+  );
+  assert.deepEqual(
+    kindsAfter((audit) => audit.obeyed('n-3', 'c-2', 3)),
+    ['foreign-owner'],
+  );
+});
--- a/packages/testing/simulation/cluster-settings.ts
+++ b/packages/testing/simulation/cluster-settings.ts
@@ -1,10 +1,5 @@
 import type { MachineType } from '#wire';
-import {
-  withDefaults,
-  type OperatorSettings,
-  type PlatformSettings,
-  type Settings,
-} from '#controller';
+import { withDefaults, type OperatorFile, type PlatformSettings, type Settings } from '#controller';
 import type { CapacityLimit, ControllerAddress } from '../standins/index.js';
 import {
   type AddressBook,
@@ -20,7 +15,7 @@
   controllers: number;
   /** The part of the platform's settings that all controllers share. */
   deployment: Omit<Deployment, 'nodes'>;
-  operator: Partial<OperatorSettings>;
+  operator: OperatorFile;
   machineTypes: MachineType[];
   /** How many machines the cloud has. */
   capacity: CapacityLimit[];
--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -28,6 +28,7 @@
 import { Machines } from './machines.js';
 import { SimulatedHost, type HostRole } from './host.js';
 import { SimulatedNetwork } from './network.js';
+import { MovePhases } from './move-phases.js';
 import { OwnershipHistory } from './ownership-history.js';
 import { RequestLog } from './request-log.js';
 import { SimulatedProcess } from './process.js';
@@ -52,6 +53,7 @@
   readonly balancer: LoadBalancer;
   readonly users: Users;
   readonly ownership: OwnershipHistory;
+  readonly moves: MovePhases;
   private readonly observer: Observer;
 
   constructor(
@@ -68,6 +70,7 @@
       this.timeline.observe(event);
       this.costs.observe(event);
       this.checker.observe(event);
+      this.moves.observe(event);
     };
     this.storage = new JobStorage(this.observer);
     this.state = this.makeState();
@@ -79,6 +82,7 @@
     this.balancer = this.makeBalancer();
     this.users = this.makeUsers();
     this.ownership = new OwnershipHistory(this.world, (key) => this.state.store.get(key) ?? null);
+    this.moves = new MovePhases(() => this.ownership.current()?.owner ?? null);
   }
 
   /** Starts the services and all controllers. */
--- a/packages/testing/simulation/fault-injector.ts
+++ b/packages/testing/simulation/fault-injector.ts
@@ -6,6 +6,8 @@
 import type { FaultEffect } from './faults/effect.js';
 import { MachineFaults } from './faults/machine-faults.js';
 import { beginMessageFault } from './faults/message-faults.js';
+import { beginOperatorRequests } from './faults/operator-requests.js';
+import type { Roles } from './faults/targets.js';
 import { StateFaults } from './faults/state-faults.js';
 import { beginUserFault } from './faults/user-faults.js';
 import type { SimulatedMachine } from './machines.js';
@@ -51,34 +53,37 @@
           if (open === 0) onAllOver();
         });
       };
-      world.schedule(fault.atS - world.now, () => this.awaitTakeover(fault, begin));
+      world.schedule(fault.atS - world.now, () => this.awaitMoment(fault, begin));
     }
   }
 
-  private awaitTakeover({ afterTakeoverS }: Fault, begin: () => void): void {
-    const { world, ownership } = this.cluster;
-    if (afterTakeoverS === undefined) begin();
+  private awaitMoment({ afterTakeoverS, atMovePhase }: Fault, begin: () => void): void {
+    const { world, ownership, moves } = this.cluster;
+    if (atMovePhase !== undefined) moves.onNext(atMovePhase, begin);
+    else if (afterTakeoverS === undefined) begin();
     else ownership.onNextChange(() => world.schedule(afterTakeoverS, begin));
   }
 
   private begin(fault: Fault): void {
     const { world, ownership } = this.cluster;
     const leader = ownership.current();
-    const effect = this.beginByKind(fault, leader?.owner ?? null);
+    const roles = { owner: leader?.owner ?? null, moves: this.cluster.moves };
+    const effect = this.beginByKind(fault, roles);
     this.journal.begun(fault, effect, leader, world.now);
     const { end } = effect;
     if ('forS' in fault && end !== null) world.schedule(fault.forS, end);
   }
 
-  private beginByKind(fault: Fault, owner: string | null): FaultEffect {
-    if (isOf<StateFault>(fault, STATE_KINDS)) return this.stateFaults.begin(fault, owner);
+  private beginByKind(fault: Fault, roles: Roles): FaultEffect {
+    if (isOf<StateFault>(fault, STATE_KINDS)) return this.stateFaults.begin(fault, roles);
     if (isOf<CloudFault>(fault, CLOUD_KINDS)) return this.cloudFaults.begin(fault);
     if (isOf<MachineFault>(fault, MACHINE_KINDS)) return this.machineFaults.begin(fault);
     if (isOf<MessageFault>(fault, MESSAGE_KINDS)) {
       return beginMessageFault(this.cluster.machines, fault);
     }
     if (isOf<UserFault>(fault, USER_KINDS)) return this.beginUserFault(fault);
-    return beginControllerFault({ ...this.cluster, owner }, fault as ControllerFault);
+    if (fault.kind === 'part-moves') return beginOperatorRequests(this.cluster, fault);
+    return beginControllerFault({ ...this.cluster, roles }, fault as ControllerFault);
   }
 
   private beginUserFault(fault: UserFault): FaultEffect {
--- a/packages/testing/simulation/faults/controller-faults.ts
+++ b/packages/testing/simulation/faults/controller-faults.ts
@@ -4,21 +4,21 @@
 import type { World } from '../world.js';
 import { effect, type FaultEffect } from './effect.js';
 import { cutFrom } from './link-faults.js';
-import { targetControllers } from './targets.js';
+import { type Roles, targetControllers } from './targets.js';
 
 export interface ControllerFaultContext {
   world: World;
   network: SimulatedNetwork;
   controllers: SimulatedController[];
-  /** Name of the part's owner now. */
-  owner: string | null;
+  /** Who has which part now. */
+  roles: Roles;
 }
 
 export function beginControllerFault(
   context: ControllerFaultContext,
   fault: ControllerFault,
 ): FaultEffect {
-  const { network, controllers, owner } = context;
+  const { network, controllers, roles } = context;
   if (fault.kind === 'controller-roll') return roll(context, fault);
   if (fault.kind === 'peers-cut') {
     const hosts = controllers.map((c) => c.host);
@@ -27,7 +27,7 @@
       end: cutFrom(network, hosts, ['controllers'], fault.mode),
     });
   }
-  const hit = targetControllers(controllers, fault.controllers, owner);
+  const hit = targetControllers(controllers, fault.controllers, roles);
   switch (fault.kind) {
     case 'controller-cut': {
       const hosts = hit.map((c) => c.host);
@@ -44,11 +44,11 @@
 }
 
 function roll(
-  { world, controllers, owner }: ControllerFaultContext,
+  { world, controllers, roles }: ControllerFaultContext,
   { downS, intervalS }: ControllerFault & { kind: 'controller-roll' },
 ): FaultEffect {
-  const followers = targetControllers(controllers, 'followers', owner);
-  const leader = targetControllers(controllers, 'leader', owner);
+  const followers = targetControllers(controllers, 'followers', roles);
+  const leader = targetControllers(controllers, 'leader', roles);
   [...followers, ...leader].forEach((controller, position) => {
     world.schedule(position * intervalS, () => controller.process.restart(downS));
   });
--- /dev/null
+++ b/packages/testing/simulation/faults/operator-requests.ts
@@ -0,0 +1,49 @@
+import { moveKey, type MoveRecord } from '#parts';
+import { partKey, type PartRecord } from '#store';
+import type { StateService } from '../../standins/index.js';
+import type { SimulatedController } from '../controllers.js';
+import type { MovePhases } from '../move-phases.js';
+import type { OperatorRequest } from '../scenario.js';
+import type { World } from '../world.js';
+import { effect, type FaultEffect } from './effect.js';
+
+const PART = 0;
+
+export interface OperatorContext {
+  world: World;
+  state: StateService;
+  moves: MovePhases;
+  controllers: SimulatedController[];
+}
+
+/** What the operators ask for, over and over until its end. */
+export function beginOperatorRequests(
+  context: OperatorContext,
+  { everyS }: OperatorRequest,
+): FaultEffect {
+  const { world, controllers } = context;
+  let going = true;
+  let round = 0;
+  const next = () => {
+    if (!going) return;
+    requestMove(context, controllers[++round % controllers.length].name);
+    world.schedule(everyS, next);
+  };
+  next();
+  return effect({
+    controllers: controllers.map(({ name }) => name),
+    end: () => void (going = false),
+  });
+}
+
+/** Asks for a move as the command line does: if there is an owner, and no move is under way. */
+function requestMove({ state, moves }: OperatorContext, to: string): void {
+  const { store } = state;
+  const part = store.get(partKey(PART));
+  if (!part || store.get(moveKey(PART)) || (part.value as PartRecord).owner === to) return;
+  const value: MoveRecord = { fromTerm: part.version, to, reason: 'a test', phase: 'requested' };
+  const changes = [{ put: moveKey(PART), value }];
+  store.apply(changes);
+  const sent = { clientHost: 'operator', answered: true, heldS: 0 };
+  moves.observe({ kind: 'transaction', changes, applied: true, ...sent });
+}
--- a/packages/testing/simulation/faults/state-faults.ts
+++ b/packages/testing/simulation/faults/state-faults.ts
@@ -3,7 +3,7 @@
 import type { StateFault } from '../scenario.js';
 import { effect, type FaultEffect } from './effect.js';
 import { Overlap } from './overlap.js';
-import { targetControllers } from './targets.js';
+import { type Roles, targetControllers } from './targets.js';
 
 /** Faults of the state service, any of which may overlap with others of its kind. */
 export class StateFaults {
@@ -14,12 +14,12 @@
     private readonly controllers: SimulatedController[],
   ) {}
 
-  begin(fault: StateFault, owner: string | null): FaultEffect {
+  begin(fault: StateFault, roles: Roles): FaultEffect {
     switch (fault.kind) {
       case 'state-outage':
         return this.outage();
       case 'state-refuses':
-        return this.refuse(targetControllers(this.controllers, fault.controllers, owner));
+        return this.refuse(targetControllers(this.controllers, fault.controllers, roles));
       case 'state-slow':
         return this.slow(fault.latencyMs);
       case 'late-writes':
--- a/packages/testing/simulation/faults/targets.ts
+++ b/packages/testing/simulation/faults/targets.ts
@@ -1,12 +1,20 @@
 import type { Chance } from '../../random.js';
+import type { MovePhases } from '../move-phases.js';
 import type { SimulatedController } from '../controllers.js';
 import type { ControllerTarget, MachineTarget } from '../scenario.js';
 
-/** Resolves a target to controllers, given the name of the part's owner at that moment. */
+/** Who has which part in what goes on at a moment. */
+export interface Roles {
+  /** The part's owner; null if there is none. */
+  owner: string | null;
+  moves: Pick<MovePhases, 'source' | 'target'>;
+}
+
+/** Resolves a target to controllers, given their roles at that moment. */
 export function targetControllers(
   controllers: SimulatedController[],
   target: ControllerTarget,
-  owner: string | null,
+  { owner, moves }: Roles,
 ): SimulatedController[] {
   const leader = controllers.find((c) => c.name === owner) ?? controllers[0];
   const followers = controllers.filter((c) => c !== leader);
@@ -18,6 +26,10 @@
       return followers;
     case 'one-follower':
       return followers.slice(0, 1);
+    case 'move-source':
+      return controllers.filter((c) => c.name === moves.source);
+    case 'move-target':
+      return controllers.filter((c) => c.name === moves.target);
     case 'all':
       return controllers;
   }
--- a/packages/testing/simulation/index.ts
+++ b/packages/testing/simulation/index.ts
@@ -10,6 +10,7 @@
 export * from './cluster-settings.js';
 export * from './controller-log.js';
 export * from './controllers.js';
+export * from './move-phases.js';
 export * from './ownership-history.js';
 export * from './scenario.js';
 export * from './cluster.js';
--- a/packages/testing/simulation/run-scenario.ts
+++ b/packages/testing/simulation/run-scenario.ts
@@ -5,6 +5,7 @@
 import { countRun, type RunCounts } from './counts.js';
 import { FaultInjector } from './fault-injector.js';
 import type { FaultJournal } from './fault-journal.js';
+import type { MovePhases } from './move-phases.js';
 import type { OwnershipChange } from './ownership-history.js';
 import type { RequestLog } from './request-log.js';
 import type { Scenario } from './scenario.js';
@@ -22,6 +23,8 @@
   faults: FaultJournal;
   /** Who led from when on. */
   leaders: OwnershipChange[];
+  /** How far moves of the part came. */
+  moves: MovePhases;
   /** All that the stand-ins did and saw. */
   timeline: Timeline;
   /** What the controllers have answered to workers and users. */
@@ -59,6 +62,7 @@
     counts: countRun(timeline),
     faults: injector.journal,
     leaders: ownership.changes,
+    moves: cluster.moves,
     timeline,
     requests: cluster.requests,
     controllers,
--- a/packages/testing/simulation/scenario.ts
+++ b/packages/testing/simulation/scenario.ts
@@ -2,6 +2,7 @@
 import type { JobClass } from '../standins/index.js';
 import type { ClusterSettings } from './cluster-settings.js';
 import type { LinkEffect } from './link-rules.js';
+import type { MovePhase } from './move-phases.js';
 
 /** Which controllers a fault is about, decided at the moment at which it begins. */
 export type ControllerTarget =
@@ -11,6 +12,9 @@
   | 'followers'
   /** The follower with the lowest number. */
   | 'one-follower'
+  /** The controller that gives the part up in the present or last move, or the one that takes it. */
+  | 'move-source'
+  | 'move-target'
   | 'all'
   /** Numbers of controllers, from 0. */
   | number[];
@@ -36,6 +40,8 @@
    * it.
    */
   afterTakeoverS?: number;
+  /** If given, the fault waits from `atS` on for the next move of the part to reach this phase. */
+  atMovePhase?: MovePhase;
 }
 
 interface Lasting extends Timed {
@@ -119,8 +125,17 @@
   /** Users ask all controllers within milliseconds of each news about a job. */
   | (Lasting & { kind: 'close-looks' });
 
+/** The operators ask again and again that the part be moved to the next controller. */
+export type OperatorRequest = Lasting & { kind: 'part-moves'; everyS: number };
+
 export type Fault =
-  StateFault | CloudFault | ControllerFault | MachineFault | MessageFault | UserFault;
+  | StateFault
+  | CloudFault
+  | ControllerFault
+  | MachineFault
+  | MessageFault
+  | UserFault
+  | OperatorRequest;
 
 /** What the users of a scenario submit. */
 export interface ScenarioWorkload {
--- a/packages/testing/sizing/cluster.ts
+++ b/packages/testing/sizing/cluster.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { stringify } from 'smol-toml';
+import type { OperatorFile } from '#controller';
 import { partKey, type PartRecord } from '#store';
 import { nodeRuntime } from '#wire';
 import { formatAddress } from '../simulation/addresses.js';
@@ -41,6 +42,10 @@
   shared: SharedSettings;
   machines: number;
   command: ControllerCommand;
+  /** The operators' own settings of all controllers. */
+  operator?: OperatorFile;
+  /** Is told of all that happens, beside the cluster itself. */
+  observe?: Observer;
 }
 
 /** Who holds the part, by the state service's word. */
@@ -61,7 +66,7 @@
   /** Tasks that were killed since a lease ended. */
   tasksKilled = 0;
   private jobsMade = 0;
-  private readonly state: StateService;
+  readonly state: StateService;
   private readonly cloud: CloudService;
   private readonly balancer: LoadBalancer;
   private readonly storage: JobStorage;
@@ -72,9 +77,10 @@
     const observer: Observer = (event) => {
       this.userLog.observe(event);
       if (event.kind === 'task-left' && event.cause === 'killed') this.tasksKilled++;
+      options.observe?.(event);
     };
     this.storage = new JobStorage(observer);
-    this.state = this.makeState();
+    this.state = this.makeState(observer);
     this.fleet = this.makeFleet(observer);
     this.cloud = this.makeCloud();
     const controllers = controllerAddresses(options.shared, this.addresses);
@@ -156,13 +162,23 @@
     const settings = platformSettings(this.options.shared, index, this.addresses);
     const file = path.join(this.directory, `${name}.toml`);
     writeFileSync(file, stringify(settings));
-    return new ControllerProcess(name, index, file, this.options.command);
+    return new ControllerProcess(name, index, file, this.command());
   }
 
-  private makeState(): StateService {
+  /** With the operators' settings, if there are any. */
+  private command(): ControllerCommand {
+    const { command, operator } = this.options;
+    if (operator === undefined) return command;
+    const file = path.join(this.directory, 'operators.json');
+    writeFileSync(file, JSON.stringify(operator));
+    const config = command.command.at(-1)!;
+    return { ...command, command: [...command.command.slice(0, -1), '--operator', file, config] };
+  }
+
+  private makeState(observer: Observer): StateService {
     const { rps, write_rps, value_kb, txn_ops } = this.options.shared.deployment.state;
     const limits = { rps, writeRps: write_rps, valueKb: value_kb, txnOps: txn_ops };
-    return new StateService(this.stateRequests.watch(nodeRuntime), limits);
+    return new StateService(this.stateRequests.watch(nodeRuntime), limits, observer);
   }
 
   private makeCloud(): CloudService {
--- a/packages/testing/sizing/report-log.ts
+++ b/packages/testing/sizing/report-log.ts
@@ -19,6 +19,8 @@
   readonly answered = new Map<string, number>();
   readonly turnedAway = new Map<string, number>();
   leasesEnded = 0;
+  /** Told of each answer that a worker obeys. */
+  onObeyed: (machine: string, controller: string, token: number) => void = () => {};
   private readonly listeners = new Set<Listener>();
 
   exchanged({ machine, controller, status }: ReportExchange): void {
@@ -30,6 +32,10 @@
     for (const listener of this.listeners) listener(report);
   }
 
+  obeyed(machine: string, controller: string, token: number): void {
+    this.onObeyed(machine, controller, token);
+  }
+
   leaseEnded(): void {
     this.leasesEnded++;
   }
--- a/packages/testing/standins/worker/worker-setup.ts
+++ b/packages/testing/standins/worker/worker-setup.ts
@@ -20,6 +20,8 @@
 /** Is told how workers fare with their reports, for measurements. */
 export interface ReportObserver {
   exchanged(exchange: ReportExchange): void;
+  /** The worker obeys the answer of a controller that carried this token. */
+  obeyed?(machine: string, controller: string, token: number): void;
   /** The machine's lease has run out. */
   leaseEnded(machine: string): void;
 }
--- a/packages/testing/standins/worker/worker.ts
+++ b/packages/testing/standins/worker/worker.ts
@@ -181,6 +181,7 @@
     const answer = readAnswer(body);
     const report = { session: this.reportedSession, sentAt };
     if (answer === null || !this.session.admitAnswer(answer.token, report)) return;
+    this.surroundings.reportObserver?.obeyed?.(this.machine, node.name, answer.token!);
     this.tasks.execute(answer.orders);
     this.surroundings.lateReports.obeyed(node);
   }
