Moves: the target reads the records before it takes the part, and what changed since afterwards

Need: a new owner reads all records after its claim, page by page; at thousands of machines that is most of the time without decisions in a move.

--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -3,7 +3,6 @@
   decodeJob,
   jobKey,
   JobRecord,
-  listAll,
   MACHINES,
   MachineRecord,
   PROGRESS,
@@ -15,8 +14,12 @@
 import type { JobTable } from './jobs.js';
 import { Recorder, TermBroken } from './recorder.js';
 
+/** Resolves with all records under a prefix as of a moment after the call. */
+export type ReadRecords = (prefix: string, signal: AbortSignal) => Promise<Entry[]>;
+
 export interface OwnerRecordsOptions {
   client: StateClient;
+  readRecords: ReadRecords;
   jobs: JobTable;
   fleet: FleetState;
   recorder: Recorder;
@@ -35,12 +38,12 @@
 
   /** Returns how many machines were recorded; throws TermBroken if the records contradict each other. */
   async load(signal: AbortSignal): Promise<number> {
-    const { client, jobs, fleet, recorder, term, onJobs, now } = this.options;
+    const { client, readRecords, jobs, fleet, recorder, term, onJobs, now } = this.options;
     // All that is durable before our claim, jobs first: records name them.
     await jobs.cache.sync();
     const [machines, progress, removals] = await Promise.all([
-      listAll(client, MACHINES, signal),
-      listAll(client, PROGRESS, signal),
+      readRecords(MACHINES, signal),
+      readRecords(PROGRESS, signal),
       client.call(true, signal, (api) => api.get(removalsKey(term.part), signal)),
     ]);
     const held = new Set(machines.flatMap(jobsOn));
--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -1,9 +1,10 @@
 import { setMaxListeners } from 'node:events';
 import { filter } from 'rxjs';
-import type { Term } from '#store';
+import { listAll, type Term } from '#store';
 import { aborted, type CloudClient, pause } from '#wire';
 import { CloudDuty } from './cloud.js';
 import type { Entitlement } from './entitlement.js';
+import type { ReadRecords } from './owner-records.js';
 import { PartOwner } from './owner.js';
 import { TermBroken } from './recorder.js';
 import type { ControllerServices } from './services.js';
@@ -37,6 +38,8 @@
   private cloud: CloudDuty | null = null;
   /** Aborts when the present term ends. */
   private term: { id: number; end: AbortController } | null = null;
+  /** How a new owner reads its records. */
+  readRecords: ReadRecords = (prefix, signal) => listAll(this.options.client, prefix, signal);
   /** What is still ending, too. */
   private readonly running = new Set<Promise<void>>();
 
@@ -127,6 +130,7 @@
       runtime,
       settings,
       client,
+      readRecords: this.readRecords,
       commits,
       jobs,
       term,
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -15,7 +15,7 @@
 import { JobIntake } from './job-intake.js';
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
-import { OwnerRecords } from './owner-records.js';
+import { OwnerRecords, type ReadRecords } from './owner-records.js';
 import { stopOnNotices } from './notices.js';
 import { Pacer } from './pacer.js';
 import { Recorder } from './recorder.js';
@@ -33,6 +33,7 @@
   runtime: Runtime;
   settings: Settings;
   client: StateClient;
+  readRecords: ReadRecords;
   /** Users' changes of jobs. */
   commits: GroupCommit;
   jobs: JobTable;
@@ -156,11 +157,12 @@
   }
 
   private async load(signal: AbortSignal): Promise<void> {
-    const { client, jobs, types } = this.options;
+    const { client, readRecords, jobs, types } = this.options;
     const { fleet, recorder } = this;
     for (const type of types()) fleet.machines.noteType(type);
     const records = new OwnerRecords({
       client,
+      readRecords,
       jobs,
       fleet,
       recorder,
--- a/packages/controller/part-moves.ts
+++ b/packages/controller/part-moves.ts
@@ -1,5 +1,5 @@
 import type { PartMover } from '#parts';
-import type { PrefixCache } from '#store';
+import { MACHINES, type PrefixCache, PROGRESS } from '#store';
 import type { OwnerTerms } from './owner-terms.js';
 import type { ControllerServices } from './services.js';
 import type { StatusExchange } from './status-exchange.js';
@@ -25,7 +25,9 @@
   const { settings, terms, jobs, client } = options;
   const limits = settings.operator.moves;
   if (limits === null) return null;
-  const { PartMover } = await import('#parts');
+  const { PartMover, RecordsAhead } = await import('#parts');
+  const ahead = new RecordsAhead(client, [MACHINES, PROGRESS]);
+  terms.readRecords = (prefix, signal) => ahead.read(prefix, signal);
   return new PartMover({
     ...options,
     name: settings.host_name,
@@ -34,6 +36,7 @@
     owner: () => movableOwner(terms),
     obstacle: (controller) => obstacleTo(controller, options),
     canOwn: () => jobs.cache.ready && !client.failing,
+    ahead,
   });
 }
 
--- a/packages/parts/index.ts
+++ b/packages/parts/index.ts
@@ -4,3 +4,4 @@
 export * from './move-source.js';
 export * from './move-target.js';
 export * from './part-mover.js';
+export { RecordsAhead } from './record-copy.js';
--- a/packages/parts/part-mover.ts
+++ b/packages/parts/part-mover.ts
@@ -2,6 +2,7 @@
 import { type Ownership, partKey, type PrefixCache, type StateClient, type Term } from '#store';
 import { decodeMove, moveKey, type SeenMove } from './move-record.js';
 import type { MoveLimits } from './move-source.js';
+import type { RecordsAhead } from './record-copy.js';
 import { SourceDuty } from './source-duty.js';
 import { TargetDuty } from './target-duty.js';
 
@@ -40,6 +41,8 @@
   obstacle: (controller: string) => string | null;
   /** This controller is served and knows all jobs. */
   canOwn: () => boolean;
+  /** Reads what a new owner reads, to be done before the part is taken. */
+  ahead: Pick<RecordsAhead, 'prepare' | 'forget'>;
   log: MoveLog;
 }
 
--- a/packages/parts/target-duty.ts
+++ b/packages/parts/target-duty.ts
@@ -27,11 +27,22 @@
       move,
       ready: canOwn() && owner() === null,
     });
+    if (move?.record?.to !== name && owner() === null) this.options.ahead.forget();
     // Before anything is sent: from then on we may own without knowing.
     this.setState(state);
     return this.act(action, signal);
   }
 
+  /** False if that failed, and is to be tried again. */
+  private async readAhead(signal: AbortSignal): Promise<boolean> {
+    try {
+      await this.options.ahead.prepare(signal);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
   private setState(state: TargetState): void {
     this.state = state;
     this.options.ownership.handover.mayTakePart = mayTakePart(state);
@@ -40,6 +51,7 @@
   private async act(action: TargetAction, signal: AbortSignal): Promise<boolean> {
     const { client, world, log, part } = this.options;
     if (action.kind === 'wait') return false;
+    if (action.kind === 'prepare' && !(await this.readAhead(signal))) return false;
     const outcome = await sendTransaction(client, world, action.transaction, signal);
     this.setState(targetAnswered(this.state, outcome));
     if (outcome.kind !== 'applied') return false;
--- a/packages/store/cache.ts
+++ b/packages/store/cache.ts
@@ -1,6 +1,7 @@
 import { Subject } from 'rxjs';
-import { Entry, pause, Runtime, sleep, WatchEvent } from '#wire';
+import { pause, Runtime, sleep, WatchEvent } from '#wire';
 import { StateClient } from './client.js';
+import { pages } from './pages.js';
 
 /** Before a failed watch is tried again: at least so long, and up to so much longer. */
 const RETRY_MS = 200;
@@ -158,36 +159,3 @@
     this.changes.next(event);
   }
 }
-
-interface Page {
-  entries: Entry[];
-  more: boolean;
-  revision: number;
-}
-
-/** All entries under a prefix, page by page; there is at least one page. */
-async function* pages(
-  client: StateClient,
-  prefix: string,
-  signal?: AbortSignal,
-): AsyncGenerator<Page> {
-  let after: string | null = null;
-  for (;;) {
-    const from: string | null = after;
-    const page: Page = await client.call(true, signal, (api) => api.list(prefix, from, signal));
-    yield page;
-    after = page.entries.at(-1)?.key ?? null;
-    if (!page.more || after === null) return;
-  }
-}
-
-/** All entries under a prefix. */
-export async function listAll(
-  client: StateClient,
-  prefix: string,
-  signal?: AbortSignal,
-): Promise<Entry[]> {
-  const entries: Entry[] = [];
-  for await (const page of pages(client, prefix, signal)) entries.push(...page.entries);
-  return entries;
-}
--- /dev/null
+++ b/packages/store/pages.ts
@@ -0,0 +1,36 @@
+import type { Entry } from '#wire';
+import type { StateClient } from './client.js';
+
+/** Some entries of one reading, and the revision of the store then. */
+interface Page {
+  entries: Entry[];
+  more: boolean;
+  revision: number;
+}
+
+/** All entries under a prefix, page by page; there is at least one page. */
+export async function* pages(
+  client: StateClient,
+  prefix: string,
+  signal?: AbortSignal,
+): AsyncGenerator<Page> {
+  let after: string | null = null;
+  for (;;) {
+    const from: string | null = after;
+    const page: Page = await client.call(true, signal, (api) => api.list(prefix, from, signal));
+    yield page;
+    after = page.entries.at(-1)?.key ?? null;
+    if (!page.more || after === null) return;
+  }
+}
+
+/** All entries under a prefix. */
+export async function listAll(
+  client: StateClient,
+  prefix: string,
+  signal?: AbortSignal,
+): Promise<Entry[]> {
+  const entries: Entry[] = [];
+  for await (const page of pages(client, prefix, signal)) entries.push(...page.entries);
+  return entries;
+}
