--- a/packages/bundle/schema-checks.test.ts
+++ b/packages/bundle/schema-checks.test.ts
@@ -19,10 +19,19 @@
   return readFileSync(new URL(name, EXAMPLES), 'utf8');
 }
 
+const anyMoveRecord: fc.Arbitrary<Json> = fc.record({
+  fromTerm: fc.nat(),
+  to: fc.constantFrom('c-0', 'c-1'),
+  reason: fc.string({ maxLength: 200 }),
+  phase: fc.constantFrom('requested', 'prepared', 'quiesced'),
+  grant: fc.nat(),
+});
+
 /** What is right by each schema, to be made wrong in one place. */
 const GOOD: Record<string, fc.Arbitrary<Json>> = {
   job: anyJob.map(jobToWire),
   report: anyReport.map(reportToWire),
+  moveRecord: anyMoveRecord,
   platformSettings: fc.constant(parseToml(readExample('settings.toml'))),
   operatorSettings: fc.constant(JSON.parse(readExample('operator.json')) as Json),
 };
