Moves: the conditions of all steps stand once, and whether moves are on is asked once

Cause: the same two conditions were written in four places, and the controller and the loader both looked at the setting. Behaviour is the same; the tests are as they were.

--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -11,6 +11,7 @@
 import type { Log } from './log.js';
 import { MetricsEndpoint } from './metrics-endpoint.js';
 import { entitlementLimits, OwnerEntitlement } from './owner-entitlement.js';
+import type { MoveSettings } from './operator.js';
 import { leavesWorkersStranded, nextForWorkers } from './owner-reach.js';
 import { OwnerTerms } from './owner-terms.js';
 import type { PartOwner } from './owner.js';
@@ -96,7 +97,8 @@
     if (signal.aborted) end();
     signal.addEventListener('abort', end, { once: true });
     // What follows records must be there before the caches run.
-    const moves = this.settings.operator.moves === null ? null : await this.loadMoves();
+    const { moves: limits } = this.settings.operator;
+    const moves = limits === null ? null : await this.loadMoves(limits);
     const duties = this.start(stop.signal);
     if (moves !== null) duties.push(moves.run(stop.signal));
     try {
@@ -128,11 +130,12 @@
     ];
   }
 
-  private loadMoves(): Promise<PartMover | null> {
+  private loadMoves(limits: MoveSettings): Promise<PartMover> {
     const { services, state, statuses, terms, settings } = this;
     const { silenceS } = entitlementLimits(settings);
     const { world } = state;
-    return loadPartMover({ ...services, world, statuses, terms, part: OWNED_PART, silenceS });
+    const part = OWNED_PART;
+    return loadPartMover({ ...services, world, statuses, terms, part, silenceS }, limits);
   }
 
   /** The owner of the present term, null while nothing is owned here. */
--- a/packages/controller/part-moves.ts
+++ b/packages/controller/part-moves.ts
@@ -1,5 +1,6 @@
 import type { PartMover } from '#parts';
 import { MACHINES, type PrefixCache, PROGRESS } from '#store';
+import type { MoveSettings } from './operator.js';
 import type { OwnerTerms } from './owner-terms.js';
 import type { ControllerServices } from './services.js';
 import type { StatusExchange } from './status-exchange.js';
@@ -17,14 +18,12 @@
   silenceS: number;
 }
 
-/**
- * What carries out planned moves of the part; null if the operators have not switched them on, and then the package is
- * not loaded.
- */
-export async function loadPartMover(options: PartMovesOptions): Promise<PartMover | null> {
+/** Loads what carries out planned moves of the part; to be called only if the operators have switched them on. */
+export async function loadPartMover(
+  options: PartMovesOptions,
+  limits: MoveSettings,
+): Promise<PartMover> {
   const { settings, terms, jobs, client } = options;
-  const limits = settings.operator.moves;
-  if (limits === null) return null;
   const { PartMover, RecordsAhead } = await import('#parts');
   const ahead = new RecordsAhead(client, [MACHINES, PROGRESS]);
   terms.readRecords = (prefix, signal) => ahead.read(prefix, signal);
--- a/packages/parts/move-record.ts
+++ b/packages/parts/move-record.ts
@@ -1,6 +1,6 @@
 /** The records that a planned move of a part leaves in the state service. */
 import { compileSchema, type Change, type Condition } from '#wire';
-import { WORLD } from '#store';
+import { partKey, WORLD } from '#store';
 
 /** Changes that are made together, or not at all unless every condition holds. */
 export interface Transaction {
@@ -75,6 +75,14 @@
   return isMoveRecord(value) ? value : null;
 }
 
+/** The part is in this term, and its move's record has this version; 0: there is none. */
+export function moveConditions(part: number, term: number, version: number): Condition[] {
+  return [
+    { key: partKey(part), version: term },
+    { key: moveKey(part), version },
+  ];
+}
+
 /** The end of a move: its record goes, and what came of it stays. */
 export function endMove(part: number, result: MoveResult): Change[] {
   return [{ delete: moveKey(part) }, { put: moveResultKey(part), value: result }];
--- a/packages/parts/move-requests.ts
+++ b/packages/parts/move-requests.ts
@@ -3,6 +3,7 @@
 import {
   decodeMove,
   endMove,
+  moveConditions,
   moveKey,
   type MoveRecord,
   type MoveResult,
@@ -62,10 +63,7 @@
     if (owner === null) return { kind: 'not-moved', why: 'nobody owns the part now' };
     if (owner.name === to) return { kind: 'not-moved', why: `${to} owns the part already` };
     const value: MoveRecord = { fromTerm: owner.term, to, reason, phase: 'requested' };
-    const conditions = [
-      { key: partKey(part), version: owner.term },
-      { key: moveKey(part), version: 0 },
-    ];
+    const conditions = moveConditions(part, owner.term, 0);
     const out = await api.txn(conditions, [{ put: moveKey(part), value }]);
     if (!out.ok) return { kind: 'not-moved', why: await this.describeConflict() };
     const untilS = clock.now() + withinS;
--- a/packages/parts/move-source.ts
+++ b/packages/parts/move-source.ts
@@ -7,6 +7,7 @@
 import { partKey } from '#store';
 import {
   endMove,
+  moveConditions,
   moveKey,
   type MoveRecord,
   type MoveResult,
@@ -154,10 +155,7 @@
 ): SourceAction {
   const result: MoveResult = { outcome: 'refused', to, reason, why };
   const transaction = {
-    conditions: [
-      { key: partKey(part), version: term },
-      { key: moveKey(part), version },
-    ],
+    conditions: moveConditions(part, term, version),
     changes: endMove(part, result),
   };
   return { kind: 'refuse', to, why, transaction };
@@ -175,10 +173,7 @@
   if (!view.paused) return { state, action: WAIT };
   const value: MoveRecord = { ...move.record, phase: 'quiesced' };
   const transaction = {
-    conditions: [
-      { key: partKey(part), version: term },
-      { key: moveKey(part), version: preparedVersion },
-    ],
+    conditions: moveConditions(part, term, preparedVersion),
     changes: [{ put: moveKey(part), value }],
   };
   const quiescing = { phase: 'quiescing', preparedVersion, since: now } as const;
@@ -202,10 +197,7 @@
   { part, term }: SourceView,
 ): SourceAction {
   if (seen === undefined) return { kind: 'read' };
-  const conditions = [
-    { key: partKey(part), version: term },
-    { key: moveKey(part), version: seen?.version ?? 0 },
-  ];
+  const conditions = moveConditions(part, term, seen?.version ?? 0);
   const mayBeTaken = seen?.record?.phase === 'quiesced' || seen?.version === preparedVersion;
   const { to = '', reason = '' } = seen?.record ?? {};
   const result: MoveResult = { outcome: 'taken-back', to, reason, why };
--- a/packages/parts/move-target.ts
+++ b/packages/parts/move-target.ts
@@ -6,6 +6,7 @@
 import { type PartRecord, partKey } from '#store';
 import {
   endMove,
+  moveConditions,
   moveKey,
   type MoveRecord,
   type MoveResult,
@@ -87,7 +88,7 @@
 ): TargetAction {
   const value: MoveRecord = { fromTerm, to, reason, phase: 'prepared', grant };
   const transaction = {
-    conditions: conditionsOf(part, fromTerm, move!),
+    conditions: moveConditions(part, fromTerm, move!.version),
     changes: [{ put: moveKey(part), value }],
   };
   return { kind: 'prepare', transaction };
@@ -101,19 +102,12 @@
   const value: PartRecord = { owner: name, grant };
   const result: MoveResult = { outcome: 'moved', to, reason, why: '' };
   const transaction = {
-    conditions: conditionsOf(part, fromTerm, move!),
+    conditions: moveConditions(part, fromTerm, move!.version),
     changes: [{ put: partKey(part), value, lease: grant }, ...endMove(part, result)],
   };
   return { kind: 'switch', transaction };
 }
 
-function conditionsOf(part: number, fromTerm: number, { version }: SeenMove) {
-  return [
-    { key: partKey(part), version: fromTerm },
-    { key: moveKey(part), version },
-  ];
-}
-
 /** The answer to the switch: only one that says that it was not carried out settles it at once. */
 export function targetAnswered(state: TargetState, outcome: TransactionOutcome): TargetState {
   return outcome.kind === 'failed' ? IDLE : state;
