--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 const SOURCES = ['packages/**/*.{ts,cts}'];
-const PRODUCTION = ['packages/{wire,core,store,peer,parts,controller,cli}/**/*.{ts,cts}'];
+const PRODUCTION = ['packages/{wire,core,store,peer,parts,replicas,controller,cli}/**/*.{ts,cts}'];
 const TESTS = ['packages/**/*.test.ts'];
 const GIVEN = 'Use the Runtime that the caller hands over (packages/wire/runtime.ts).';
 
@@ -83,8 +83,9 @@
   store: ['wire', 'core'],
   peer: ['wire', 'core'],
   parts: ['wire', 'core', 'store'],
-  controller: ['wire', 'core', 'store', 'peer', 'parts'],
-  cli: ['wire', 'core', 'store', 'peer', 'parts', 'controller'],
+  replicas: ['wire', 'core'],
+  controller: ['wire', 'core', 'store', 'peer', 'parts', 'replicas'],
+  cli: ['wire', 'core', 'store', 'peer', 'parts', 'replicas', 'controller'],
 };
 const PACKAGES = [...Object.keys(MAY_IMPORT), 'testing', 'bundle'];
 
--- a/packages/controller/controller.test.ts
+++ b/packages/controller/controller.test.ts
@@ -68,6 +68,7 @@
       idleHoldS: 24,
       arrivalMemoryS: 48,
       moves: null,
+      replicaGroups: null,
     },
   };
 }
--- a/packages/controller/controller.ts
+++ b/packages/controller/controller.ts
@@ -17,6 +17,7 @@
 import type { PartOwner } from './owner.js';
 import { loadPartMover } from './part-moves.js';
 import { PeerCoordinator } from './peer-coordinator.js';
+import { loadReplicaSupport } from './replica-support.js';
 import { makePeerLink } from './peer-link.js';
 import { type ControllerServices, makeServices, OWNED_PART } from './services.js';
 import type { Settings } from './settings.js';
@@ -97,8 +98,11 @@
     if (signal.aborted) end();
     signal.addEventListener('abort', end, { once: true });
     // What follows records must be there before the caches run.
-    const { moves: limits } = this.settings.operator;
+    const { moves: limits, replicaGroups } = this.settings.operator;
     const moves = limits === null ? null : await this.loadMoves(limits);
+    const { replicas } = this.services;
+    if (replicaGroups !== null)
+      replicas.support = await loadReplicaSupport(this.services, replicaGroups);
     const duties = this.start(stop.signal);
     if (moves !== null) duties.push(moves.run(stop.signal));
     try {
@@ -199,6 +203,7 @@
 
   private makeMetrics(): MetricsEndpoint {
     return new MetricsEndpoint({
+      replicas: this.services.replicas,
       clock: this.runtime.clock,
       reportS: this.reportS,
       vitals: this.vitals,
@@ -236,6 +241,7 @@
       metrics,
       lag,
       admission,
+      owner: () => this.owner(),
       entitledOwner: () => (this.entitled() === 'none' ? null : this.owner()),
       silenceS: entitlementLimits(settings).silenceS,
     });
--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,4 +1,5 @@
 import { CapacityPlanner, FleetListener, FleetState, isBestEffort, Random, Scheduler } from '#core';
+import type { ReplicaGroups } from '#replicas';
 import { maxTasksPerMachine, Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
 import { Settings, teamQuotas } from './settings.js';
@@ -6,17 +7,23 @@
 /** Decisions in one scheduling round; the next round follows at once if more could be made. */
 export const ROUND_DECISIONS = 200;
 
-/** The state of a term's part; `valueBytes` is the state service's limit for one record. */
-export function makeFleetState(
-  settings: Settings,
-  term: Term,
-  valueBytes: number,
-  listener: FleetListener,
-  random: Random,
-): FleetState {
+export interface FleetStateOptions {
+  settings: Settings;
+  term: Term;
+  /** The state service's limit for one record. */
+  valueBytes: number;
+  listener: FleetListener;
+  random: Random;
+  /** Null: each task of a service is a replica by itself. */
+  replicaGroups: ReplicaGroups | null;
+}
+
+/** The state of a term's part. */
+export function makeFleetState(options: FleetStateOptions): FleetState {
+  const { settings, term, valueBytes, listener, random, replicaGroups } = options;
   const teams = teamQuotas(settings.deployment.teams);
   const { cancel_s, lease_s, report_s, gang_peer_s } = settings.deployment.workers;
-  return new FleetState({
+  const fleet = new FleetState({
     settings: {
       leaseS: lease_s,
       reportS: report_s,
@@ -30,7 +37,10 @@
     listener,
     random,
     isBestEffort: (job) => isBestEffort(job, teams.get(job.team)),
+    makeReplicas: replicaGroups ? (job, shape) => replicaGroups.make(job, shape) : undefined,
   });
+  replicaGroups?.attach(fleet);
+  return fleet;
 }
 
 export function makePlanner(settings: Settings, fleet: FleetState): CapacityPlanner {
--- a/packages/controller/http-interface.ts
+++ b/packages/controller/http-interface.ts
@@ -6,6 +6,7 @@
 import type { LagMonitor } from './lag.js';
 import type { MetricsEndpoint } from './metrics-endpoint.js';
 import type { PartOwner } from './owner.js';
+import { mountReplicas } from './replica-endpoint.js';
 import { ReportHandler } from './report-handler.js';
 import type { ControllerServices } from './services.js';
 import type { StandbyRenewal } from './standby-renewal.js';
@@ -30,6 +31,8 @@
   metrics: MetricsEndpoint;
   lag: LagMonitor;
   admission: Admission;
+  /** Null while nothing is owned here. */
+  owner: () => PartOwner | null;
   /** Null while no owner here may answer workers. */
   entitledOwner: () => PartOwner | null;
 }
@@ -49,6 +52,7 @@
       health.mount(app);
       metrics.mount(app);
       users.mount(app);
+      mountReplicas(app, { ...services, owner: options.owner });
     },
     onReport: (body, res) => {
       const answered = metrics.timeReport();
--- a/packages/controller/http-server.ts
+++ b/packages/controller/http-server.ts
@@ -86,7 +86,7 @@
     [/^\/(submissions|hello)\/?$/, 'POST'],
     [/^\/submissions\/[^/]+\/?$/, 'GET'],
     [/^\/submissions\/[^/]+\/abort\/?$/, 'POST'],
-    [/^\/(healthz|metrics)\/?$/, 'GET'],
+    [/^\/(healthz|metrics|replicas)\/?$/, 'GET'],
   ];
   app.use((req: Request, res: Response) => {
     const known = methods.find(([path]) => path.test(req.path));
--- a/packages/controller/job-intake.ts
+++ b/packages/controller/job-intake.ts
@@ -8,6 +8,8 @@
   fleet: FleetState;
   planner: Pick<CapacityPlanner, 'jobArrived'>;
   jobs: Pick<JobTable, 'isCancelled'>;
+  /** Told of each open job that is taken in for the first time. */
+  onNewJob?: (record: JobRecord) => void;
 }
 
 /** Brings jobs into an owner's fleet state, and ends those whose users have asked for it. */
@@ -23,15 +25,16 @@
 
   /** Takes a record in as the state service holds it; what a user has asked to cancel is never begun. */
   take(record: JobRecord): void {
-    const { clock, fleet, planner, jobs } = this.options;
-    const { job, phase, acceptedAtMs } = record;
+    const { clock, fleet, planner, jobs, onNewJob } = this.options;
+    const { job, phase, acceptedAtMs, replicas } = record;
     const now = clock.now();
     const ageS = Math.max(0, (clock.wallMs() - acceptedAtMs) / 1000);
     const isNew = !fleet.jobs.has(job.id);
-    fleet.addJob(job, now - ageS, phase, now);
+    fleet.addJob(job, now - ageS, phase, now, replicas);
     if (phase !== 'accepted') this.unrecorded.delete(job.id);
     else if (isNew) {
       planner.jobArrived(job, now);
+      onNewJob?.(record);
       if (jobs.isCancelled(job.id)) this.cancel(job.id);
     }
   }
--- a/packages/controller/machine-records.ts
+++ b/packages/controller/machine-records.ts
@@ -1,10 +1,11 @@
 import type { Assignment, FleetState, Machine } from '#core';
 import { jobKey, MACHINES, type MachineRecord, type StateLimits } from '#store';
-import type { Condition } from '#wire';
+import type { Clock, Condition } from '#wire';
 import type { JobTable } from './jobs.js';
 import { RecordBatch, type RecordChange } from './record-batch.js';
 
 export interface MachineRecordsOptions {
+  clock: Pick<Clock, 'now'>;
   fleet: FleetState;
   jobs: JobTable;
   limits: StateLimits;
@@ -23,7 +24,7 @@
 
   /** What is to be recorded of a machine now; null if nothing is. */
   changeOf(name: string): RecordChange | null {
-    const { fleet } = this.options;
+    const { fleet, clock } = this.options;
     const key = MACHINES + name;
     const version = this.versions.get(name) ?? 0;
     const machine = fleet.machines.get(name);
@@ -41,7 +42,8 @@
     const { assignments, guards, complete } = this.nameable(machine);
     const durable = (revision: number) => {
       this.versions.set(name, revision);
-      for (const assignment of assignments) assignment.recorded = true;
+      const now = clock.now();
+      for (const assignment of assignments) fleet.assignments.recorded(assignment, now);
       fleet.fencing.recorded(machine, revision);
       if (!complete) again();
     };
--- a/packages/controller/metrics-endpoint.ts
+++ b/packages/controller/metrics-endpoint.ts
@@ -4,6 +4,7 @@
 import type { Admission } from './admission.js';
 import { Metrics } from './metrics.js';
 import type { PartOwner } from './owner.js';
+import type { OptionalReplicaSupport } from './replica-support.js';
 import type { Vitals } from './vitals.js';
 
 export interface MetricsEndpointOptions {
@@ -12,6 +13,7 @@
   vitals: Vitals;
   client: StateClient;
   admission: Admission;
+  replicas: OptionalReplicaSupport;
   /** Null while nothing is owned here. */
   owner: () => PartOwner | null;
 }
@@ -94,5 +96,20 @@
       'state',
       () => owner()?.fleetSummary().machines ?? {},
     );
+    this.registerReplicas(metrics);
+  }
+
+  private registerReplicas(metrics: Metrics): void {
+    const { replicas, owner } = this.options;
+    const { support } = replicas;
+    if (support === null) return;
+    const phases = () => owner()?.replicaGroups?.countByPhase() ?? {};
+    metrics.gauge('replicas', 'Replicas of several members, by phase', 'phase', phases);
+    const recoveries = () => support.metrics.recoveries();
+    const recoveriesHelp = 'Times that a replica became whole again, by why it was not';
+    metrics.gauge('replica_recoveries', recoveriesHelp, 'why', recoveries);
+    const seconds = () => support.metrics.brokenSeconds();
+    const secondsHelp = 'Seconds until replicas were whole again';
+    metrics.gauge('replica_broken_seconds', secondsHelp, 'of', seconds);
   }
 }
--- a/packages/controller/operator.ts
+++ b/packages/controller/operator.ts
@@ -1,13 +1,26 @@
+import type { ReplicaClasses } from '#replicas';
+import { MAX_TASKS } from '#wire';
 import type { PlatformSettings } from './platform-settings.js';
 
 /** The operators' own settings, in force; docs/operator.schema.json describes them. */
 export interface OperatorSettings extends PlainSettings {
   /** Planned moves of the part; null: they are switched off, and nothing of them is loaded. */
   moves: MoveSettings | null;
+  /** Classes whose replicas have several members; null: switched off, and nothing of it is loaded. */
+  replicaGroups: ReplicaClasses | null;
 }
 
 /** What the operators' file may hold. */
-export type OperatorFile = Partial<PlainSettings> & { moves?: Partial<MoveSettings> };
+export type OperatorFile = Partial<PlainSettings> & {
+  moves?: Partial<MoveSettings>;
+  replicaGroups?: Record<string, ReplicaClassFields>;
+};
+
+/** What the file holds of one class. */
+interface ReplicaClassFields {
+  members: number | 'job';
+  sameZone?: boolean;
+}
 
 /** How long a planned move of the part may take. */
 export interface MoveSettings {
@@ -113,6 +126,28 @@
   },
 };
 
+const replicaGroupsSchema = {
+  type: 'object',
+  description:
+    'Classes of services whose replicas span several tasks, by name. Each replica starts, moves and is repaired as a whole. Switched off if the section is absent.',
+  additionalProperties: {
+    type: 'object',
+    required: ['members'],
+    properties: {
+      members: {
+        description:
+          'Tasks of one replica: tasks 0 to members - 1 are the first. "job": all tasks of a job are one replica.',
+        anyOf: [{ type: 'integer', minimum: 2, maximum: MAX_TASKS }, { const: 'job' }],
+      },
+      sameZone: {
+        type: 'boolean',
+        description: 'All members of one replica must be in the same zone. Default: false.',
+      },
+    },
+    additionalProperties: false,
+  },
+};
+
 /** JSON schema of the operators' file; `sorreldale schema` prints it. */
 export const operatorSchema = {
   $schema: 'http://json-schema.org/draft-07/schema#',
@@ -127,6 +162,7 @@
       properties: propertiesOf(moveFields),
       additionalProperties: false,
     },
+    replicaGroups: replicaGroupsSchema,
   },
 };
 
@@ -145,13 +181,21 @@
 
 /** What is in force: the operators' own values, and defaults for the rest. */
 export function withDefaults(own: OperatorFile, platform: PlatformSettings): OperatorSettings {
-  const { moves, ...plain } = own;
+  const { moves, replicaGroups, ...plain } = own;
   return {
     ...complete(fields, plain, platform),
     moves: moves === undefined ? null : complete(moveFields, moves, platform),
+    replicaGroups: replicaGroups === undefined ? null : replicaClasses(replicaGroups),
   };
 }
 
+function replicaClasses(own: Record<string, ReplicaClassFields>): ReplicaClasses {
+  const classes = Object.entries(own).map(([name, { members, sameZone = false }]) => {
+    return [name, { members, sameZone }];
+  });
+  return Object.fromEntries(classes) as ReplicaClasses;
+}
+
 function complete<Name extends string>(
   described: Record<Name, OperatorField>,
   own: Partial<Record<Name, number>>,
--- a/packages/controller/owner-terms.ts
+++ b/packages/controller/owner-terms.ts
@@ -125,7 +125,8 @@
   }
 
   private makeOwner(term: Term): PartOwner {
-    const { runtime, settings, client, commits, jobs, types, entitlement, log } = this.options;
+    const { runtime, settings, client, commits, jobs, types, replicas, entitlement, log } =
+      this.options;
     return new PartOwner({
       runtime,
       settings,
@@ -135,6 +136,7 @@
       jobs,
       term,
       types: () => types.all(),
+      replicas,
       entitled: () => entitlement() !== 'none',
       onRound: this.options.onRound,
       directSockets: this.options.directSockets,
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -1,13 +1,9 @@
 import { Clock, MachineType, Order, Report, Runtime } from '#wire';
 import { FleetState, CapacityPlanner, Scheduler } from '#core';
-import { GroupCommit, StateClient, Term } from '#store';
+import type { ReplicaGroups } from '#replicas';
+import { GroupCommit, JobRecord, StateClient, Term } from '#store';
 import { CancellationRecorder } from './cancellation-recorder.js';
-import {
-  makeFleetState,
-  makePlanner,
-  makeScheduler,
-  ROUND_DECISIONS,
-} from './core-from-settings.js';
+import { makeFleetState, makePlanner, makeScheduler } from './core-from-settings.js';
 import { DirectCommands } from './direct.js';
 import { FleetSummary, summariseFleet } from './fleet-summary.js';
 import { fleetListener } from './fleet-events.js';
@@ -17,17 +13,16 @@
 import type { Log } from './log.js';
 import { OwnerRecords, type ReadRecords } from './owner-records.js';
 import { stopOnNotices } from './notices.js';
-import { Pacer } from './pacer.js';
+import type { Pacer } from './pacer.js';
 import { Recorder } from './recorder.js';
+import type { OptionalReplicaSupport } from './replica-support.js';
+import { makeRounds } from './rounds.js';
 import type { Settings } from './settings.js';
 
 /** Report periods that a direct command may take. */
 const DIRECT_TIMEOUT = 2;
 /** Rounds in a report period if nothing asks for more. */
 const ROUND_TICKS = 4;
-/** Rounds per decision tick at the most, and the multiple of its own time that a round pauses after. */
-const ROUNDS_A_TICK = 5;
-const ROUND_REST = 3;
 
 export interface PartOwnerOptions {
   runtime: Runtime;
@@ -39,6 +34,7 @@
   jobs: JobTable;
   term: Term;
   types: () => MachineType[];
+  replicas: OptionalReplicaSupport;
   entitled: () => boolean;
   /** Told how long each scheduling round took. */
   onRound: (ms: number) => void;
@@ -53,6 +49,8 @@
   readonly planner: CapacityPlanner;
   readonly scheduler: Scheduler;
   readonly recorder: Recorder;
+  /** Null: each task of a service is a replica by itself. */
+  readonly replicaGroups: ReplicaGroups | null;
   readonly term: Term;
   /** Steady seconds. */
   readonly startedAt: number;
@@ -79,14 +77,18 @@
     ({ settings: this.settings, term: this.term, log: this.log } = options);
     const listener = fleetListener(() => this.planner, log);
     const random = () => runtime.random();
-    this.fleet = makeFleetState(settings, term, client.limits.valueBytes, listener, random);
+    this.replicaGroups = options.replicas.support?.makeGroups() ?? null;
+    const { replicaGroups } = this;
+    const { valueBytes } = client.limits;
+    this.fleet = makeFleetState({ settings, term, valueBytes, listener, random, replicaGroups });
     this.planner = makePlanner(settings, this.fleet);
     this.scheduler = makeScheduler(settings, this.fleet);
     const reportS = settings.deployment.workers.report_s;
     this.tickMs = (reportS * 1000) / ROUND_TICKS;
     const { clock, fleet, planner } = this;
     this.recorder = new Recorder({ ...options, fleet, reportS });
-    this.intake = new JobIntake({ ...options, clock, fleet, planner });
+    const onNewJob = (record: JobRecord) => this.noteJob(record);
+    this.intake = new JobIntake({ ...options, clock, fleet, planner, onNewJob });
     const cancellations = { clock, unrecorded: this.intake.unrecorded, reportS };
     this.cancellationRecorder = new CancellationRecorder({ ...options, ...cancellations });
     this.direct = new DirectCommands({
@@ -117,7 +119,10 @@
       if (record.phase !== 'accepted') this.recorder.jobRecords.over(record.job);
       this.requestRound();
     });
-    const rounds = this.makePacer(signal);
+    const { clock, tickMs, log } = this;
+    const { onRound } = this.options;
+    const round = () => this.round(signal);
+    const rounds = makeRounds({ clock, tickMs, round, onRound, log });
     this.rounds = rounds;
     rounds.start();
     try {
@@ -172,27 +177,15 @@
       now: () => this.clock.now(),
     });
     this.first = (await records.load(signal)) === 0;
+    this.replicaGroups?.loaded(this.clock.now());
   }
 
-  private makePacer(signal: AbortSignal): Pacer {
-    return new Pacer({
-      clock: this.clock,
-      periodMs: this.tickMs,
-      minRestMs: this.tickMs / ROUNDS_A_TICK,
-      restRatio: ROUND_REST,
-      run: () => this.timedRound(signal),
-      onError: (err) => {
-        this.log.error({ err: err instanceof Error ? err.stack : String(err) }, 'unexpected');
-      },
-    });
-  }
-
-  /** True if the round made as many decisions as it may, and the next one is to follow at once. */
-  private timedRound(signal: AbortSignal): boolean {
-    const startedAt = this.clock.now();
-    const decided = this.round(signal);
-    this.options.onRound((this.clock.now() - startedAt) * 1000);
-    return decided >= ROUND_DECISIONS;
+  private noteJob(record: JobRecord): void {
+    const { support } = this.options.replicas;
+    if (support !== null) support.noteJob(record);
+    else if (record.replicas) {
+      this.log.info({ job: record.job.id }, 'job needs replica groups, which are switched off');
+    }
   }
 
   /** Returns the number of decisions. */
@@ -203,6 +196,7 @@
     }
     this.fleet.machines.updateTotals();
     stopOnNotices(this.fleet, now);
+    this.replicaGroups?.expireStarts(now);
     this.scheduler.reservations.update(now);
     const decided = this.scheduler.round(now);
     if (this.recorder.pending) this.flushing.wake();
--- a/packages/controller/recorder.ts
+++ b/packages/controller/recorder.ts
@@ -53,12 +53,13 @@
   constructor(private readonly options: RecorderOptions) {
     ({ client: this.client, fleet: this.fleet, jobs: this.jobs } = options);
     ({ term: this.term, log: this.log } = options);
-    const recorded = { fleet: this.fleet, jobs: this.jobs, limits: this.client.limits };
+    const { clock } = options.runtime;
+    const recorded = { clock, fleet: this.fleet, jobs: this.jobs, limits: this.client.limits };
     this.machineRecords = new MachineRecords(recorded);
     this.jobRecords = new JobRecords(recorded);
     this.removals = new RemovalMarker(this.term);
     this.transactions = new Hedge({
-      clock: options.runtime.clock,
+      clock,
       leastDelayS: options.reportS * RESEND_AFTER,
       maxAttempts: MAX_SENDS,
     });
--- /dev/null
+++ b/packages/controller/replica-classes.ts
@@ -0,0 +1,23 @@
+import type { ReplicaClasses } from '#replicas';
+import type { PlatformSettings } from './platform-settings.js';
+
+/** Objectives that say of a class that its jobs end by themselves, which services do not. */
+const ENDING_KINDS = ['finished', 'deadline'];
+
+/** Why the classes of replica groups contradict the platform's settings, or null. */
+export function checkReplicaClasses(
+  { deployment }: PlatformSettings,
+  classes: ReplicaClasses | null,
+): string | null {
+  for (const name of Object.keys(classes ?? {})) {
+    const objectives = deployment.objectives.filter((each) => each.class === name);
+    if (objectives.length === 0) {
+      return `replicaGroups.${name}: no objective of the platform's settings names this class`;
+    }
+    const ending = objectives.find(({ kind }) => ENDING_KINDS.includes(kind));
+    if (ending) {
+      return `replicaGroups.${name}: is no class of services, since an objective of kind ${ending.kind} says that its jobs end`;
+    }
+  }
+  return null;
+}
--- /dev/null
+++ b/packages/controller/replica-support.ts
@@ -0,0 +1,82 @@
+import type { ReplicaShape } from '#core';
+import type { ReplicaClasses, ReplicaGroups, ReplicaRow } from '#replicas';
+import type { JobRecord } from '#store';
+import type { Clock, Job, MachineType, Runtime } from '#wire';
+import type { Log } from './log.js';
+import { ReplicaMetrics } from './replica-metrics.js';
+import type { Settings } from './settings.js';
+
+/** What this controller does about replicas of several members, while operators have switched them on. */
+export interface ReplicaSupport {
+  /** How the tasks of a job that is submitted now form replicas; null if each is by itself. */
+  shapeOf(job: Job): ReplicaShape | null;
+  /** Why the job's replicas can never be placed, or null. */
+  whyNeverWhole(job: Job, shape: ReplicaShape, types: MachineType[]): string | null;
+  /** The replica groups of a new owner. */
+  makeGroups(): ReplicaGroups;
+  rows(groups: ReplicaGroups): ReplicaRow[];
+  /** An open job is taken in that was accepted while each task of its class was a replica by itself. */
+  noteJob(record: JobRecord): void;
+  readonly metrics: ReplicaMetrics;
+}
+
+/** Filled before any duty runs, if operators have switched replica groups on. */
+export interface OptionalReplicaSupport {
+  support: ReplicaSupport | null;
+}
+
+export interface ReplicaSupportOptions {
+  runtime: Runtime;
+  settings: Settings;
+  log: Log;
+}
+
+/** Loads the package `replicas`; to be called only if operators have switched it on. */
+export async function loadReplicaSupport(
+  { runtime, settings, log }: ReplicaSupportOptions,
+  classes: ReplicaClasses,
+): Promise<ReplicaSupport> {
+  const replicas = await import('#replicas');
+  const { lease_s: leaseS, report_s: reportS } = settings.deployment.workers;
+  const metrics = new ReplicaMetrics();
+  return {
+    metrics,
+    shapeOf: (job) => replicas.shapeOf(job, classes),
+    whyNeverWhole: replicas.whyNeverWhole,
+    noteJob: ({ job, replicas: shape }) => {
+      if (shape || replicas.shapeOf(job, classes) === null) return;
+      log.info({ job: job.id, class: job.class }, 'job older than its replica groups');
+    },
+    rows: (groups) => replicas.replicaRows(groups, runtime.clock.now()),
+    makeGroups: () =>
+      new replicas.ReplicaGroups({
+        leaseS,
+        reportS,
+        random: () => runtime.random(),
+        listener: replicaListener(runtime.clock, log, metrics),
+      }),
+  };
+}
+
+function replicaListener(clock: Clock, log: Log, metrics: ReplicaMetrics) {
+  return {
+    phaseChanged: ({ group, from, to, reason }: PhaseChangeOf) => {
+      const fields = { ...nameOf(group), from, to, why: reason };
+      if (to === 'repairing') log.info({ ...fields, lostBy: group.lostBy }, 'replica repair');
+      else log.debug(fields, 'replica');
+    },
+    recovered: ({ group, reason, tookS }: RecoveryOf) => {
+      metrics.recovered(reason, tookS);
+      const tookMs = Math.round(tookS * 1000);
+      log.info({ ...nameOf(group), why: reason, tookMs }, 'replica whole again');
+    },
+  };
+}
+
+type Listener = ConstructorParameters<typeof ReplicaGroups>[0]['listener'];
+type PhaseChangeOf = Parameters<Listener['phaseChanged']>[0];
+type RecoveryOf = Parameters<Listener['recovered']>[0];
+
+function nameOf({ job, index, state }: PhaseChangeOf['group']) {
+  return { job: job.spec.id, replica: index, generation: state.generation };
+}
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -5,6 +5,7 @@
 import { JobTable } from './jobs.js';
 import type { Log } from './log.js';
 import { MachineTypes } from './machine-types.js';
+import type { OptionalReplicaSupport } from './replica-support.js';
 import { type Settings, teamQuotas } from './settings.js';
 import type { StateAccess } from './state-access.js';
 
@@ -31,6 +32,8 @@
   jobs: JobTable;
   types: MachineTypes;
   cancellations: Cancellations;
+  /** Replicas of several members. */
+  replicas: OptionalReplicaSupport;
 }
 
 /** Weights of teams whose submissions wait side by side: their parts of all guarantees, as a share. */
@@ -79,5 +82,6 @@
     jobs: new JobTable(jobs, cancellations),
     types: new MachineTypes(client, world),
     cancellations,
+    replicas: { support: null },
   };
 }
--- a/packages/controller/settings.ts
+++ b/packages/controller/settings.ts
@@ -5,6 +5,7 @@
 import type { TeamQuota } from '#core';
 import { type OperatorFile, operatorSchema, OperatorSettings, withDefaults } from './operator.js';
 import { platformSchema, PlatformSettings, TeamSettings } from './platform-settings.js';
+import { checkReplicaClasses } from './replica-classes.js';
 import { checkMoveTimes, checkTimes } from './time-bounds.js';
 
 /** A settings file that can't be used; the message names file, field and reason. */
@@ -66,5 +67,7 @@
   if (problem) throw new BadSettings(`${platformFile}: ${problem}`);
   const moveProblem = checkMoveTimes(settings.deployment.workers, settings.operator.moves);
   if (moveProblem) throw new BadSettings(`${operatorFile}: ${moveProblem}`);
+  const classProblem = checkReplicaClasses(platform, settings.operator.replicaGroups);
+  if (classProblem) throw new BadSettings(`${operatorFile}: ${classProblem}`);
   return settings;
 }
--- a/packages/controller/submission-check.ts
+++ b/packages/controller/submission-check.ts
@@ -1,5 +1,5 @@
-import { type TeamQuota, typeFits, withinLimit } from '#core';
-import { encodeJob, jobKey, sizeInJson } from '#store';
+import { type ReplicaShape, type TeamQuota, typeFits, withinLimit } from '#core';
+import { encodeJob, jobKey, type JobRecord, sizeInJson } from '#store';
 import { type Job, JOB_FIELDS, type MachineType, MalformedBody, parseJob } from '#wire';
 import type { ControllerServices } from './services.js';
 import { teamQuotas } from './settings.js';
@@ -13,24 +13,32 @@
   error: string;
 }
 
+/** A job that may be accepted. */
+export type AcceptableJob = Pick<JobRecord, 'job' | 'replicas'>;
+
 /** Judges submissions by themselves, whatever is known of their ids. */
 export class SubmissionCheck {
   private readonly teams: Map<string, TeamQuota>;
 
   constructor(
-    private readonly services: Pick<ControllerServices, 'settings' | 'types' | 'client'>,
+    private readonly services: Pick<
+      ControllerServices,
+      'settings' | 'types' | 'client' | 'replicas'
+    >,
   ) {
     this.teams = teamQuotas(services.settings.deployment.teams);
   }
 
-  /** The job as it is to be recorded, or why it is refused. */
-  check(raw: unknown): { job: Job } | { refusal: Refusal } {
+  /** The job as it is to be recorded, with how its tasks form replicas if each has several, or why it is refused. */
+  check(raw: unknown): AcceptableJob | { refusal: Refusal } {
     try {
       const job = this.withoutUnknownTypes(parseJob(raw));
-      const error = this.whyNever(job);
+      const shape = this.services.replicas.support?.shapeOf(job) ?? null;
+      const error = this.whyNever(job) ?? this.whyNeverWhole(job, shape);
       if (error !== null) return { refusal: { status: 422, error } };
-      if (!this.fitsRecord(job)) return { refusal: { status: 400, error: TOO_LONG } };
-      return { job };
+      const acceptable = shape === null ? { job } : { job, replicas: shape };
+      if (!this.fitsRecord(acceptable)) return { refusal: { status: 400, error: TOO_LONG } };
+      return acceptable;
     } catch (err) {
       if (!(err instanceof MalformedBody)) throw err;
       return { refusal: { status: 400, error: err.message } };
@@ -52,8 +60,19 @@
     return whyBeyondLimit(job, quota) ?? (types.length > 0 ? whyNoTypeFits(job, types) : null);
   }
 
-  private fitsRecord(job: Job): boolean {
-    const value = encodeJob({ job, acceptedAtMs: Number.MAX_SAFE_INTEGER, phase: 'accepted' });
+  private whyNeverWhole(job: Job, shape: ReplicaShape | null): string | null {
+    const { replicas, types } = this.services;
+    if (shape === null || replicas.support === null) return null;
+    return replicas.support.whyNeverWhole(job, shape, types.all());
+  }
+
+  private fitsRecord({ job, replicas }: AcceptableJob): boolean {
+    const value = encodeJob({
+      job,
+      replicas,
+      acceptedAtMs: Number.MAX_SAFE_INTEGER,
+      phase: 'accepted',
+    });
     return sizeInJson([{ put: jobKey(job.id), value }]) <= this.services.client.limits.valueBytes;
   }
 }
--- a/packages/controller/user-api.ts
+++ b/packages/controller/user-api.ts
@@ -1,10 +1,10 @@
 import type { Express, Request, Response } from 'express';
-import { Clock, isJobId, Job, MachineType, MalformedBody, NoAnswer, StateRefused } from '#wire';
+import { Clock, isJobId, MachineType, MalformedBody, NoAnswer, StateRefused } from '#wire';
 import { encodeJob, GroupCommit, jobKey, NotReady, StateClient } from '#store';
 import { readBody, reply } from './http-bodies.js';
 import type { Admission } from './admission.js';
 import type { EndedJob, JobTable, OpenJob } from './jobs.js';
-import { SubmissionCheck } from './submission-check.js';
+import { type AcceptableJob, SubmissionCheck } from './submission-check.js';
 
 export interface UserApiOptions {
   clock: Clock;
@@ -101,7 +101,7 @@
       return;
     }
     const retryAfterS = this.options.admission.refuse(checked.job.team);
-    if (retryAfterS === null) await this.accept(checked.job, res);
+    if (retryAfterS === null) await this.accept(checked, res);
     else this.refuseForRate(res, retryAfterS);
   }
 
@@ -109,10 +109,10 @@
     reply(res, 429, { error: 'more submissions than can be recorded' }, retryAfterS);
   }
 
-  private async accept(job: Job, res: Response): Promise<void> {
+  private async accept({ job, replicas }: AcceptableJob, res: Response): Promise<void> {
     const { clock, client, commits, jobs } = this.options;
     const key = jobKey(job.id);
-    const value = encodeJob({ job, acceptedAtMs: clock.wallMs(), phase: 'accepted' });
+    const value = encodeJob({ job, replicas, acceptedAtMs: clock.wallMs(), phase: 'accepted' });
     try {
       const out = await commits.commit(job.team, [{ key, version: 0 }], [{ put: key, value }]);
       if (out.ok) {
--- a/packages/core/amounts.ts
+++ b/packages/core/amounts.ts
@@ -18,6 +18,11 @@
   sum.memory += sign * more.memory;
 }
 
+/** What so many tasks take together. */
+export function multipliedAmounts({ cpus, gpus, memory }: Amounts, count: number): Amounts {
+  return { cpus: cpus * count, gpus: gpus * count, memory: memory * count };
+}
+
 /** The largest share of the fleet's totals that the amounts take. */
 export function dominantShare(amounts: Amounts, totals: Amounts): number {
   return Math.max(
--- a/packages/core/answer-orders.ts
+++ b/packages/core/answer-orders.ts
@@ -16,10 +16,11 @@
   return [...stops, ...starts];
 }
 
-/** Nothing is started before it is recorded, a gang only when all of it is (docs/safety.md, point 4). */
+/** Nothing is started before it is recorded, a gang or replica only when all of it is (docs/safety.md, points 4 and 12). */
 export function isStartable(assignment: Assignment): boolean {
   const { reported, inherited, recorded, job, attempt } = assignment;
   if (reported !== null || inherited || !recorded) return false;
+  if (job.replicas !== null) return job.replicas.mayStart(assignment);
   return job.spec.kind !== 'gang' || isAttemptRecorded(job, attempt);
 }
 
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -30,6 +30,7 @@
       throw new Error(`${job.spec.id}/${index} does not wait for a place`);
     }
     const assignment = this.add(job, index, machine, attempt, now);
+    job.replicas?.placeAdded(assignment, 'placed', now);
     this.tables.unrecorded.awaitMachine(machine.name, job.spec.rank);
     this.tables.jobs.leaveQueueIfNoneWaits(job);
     return assignment;
@@ -40,6 +41,7 @@
     const assignment = this.add(job, index, machine, attempt, now);
     assignment.recorded = true;
     assignment.inherited = true;
+    job.replicas?.placeAdded(assignment, 'inherited', now);
     if (job.phase !== 'accepted') this.stop(assignment, 0, now);
     this.tables.jobs.leaveQueueIfNoneWaits(job);
   }
@@ -53,7 +55,8 @@
     now: number,
   ): Assignment {
     const assignment = this.add(job, index, machine, attempt, now);
-    this.beginStop(assignment, 0);
+    job.replicas?.placeAdded(assignment, 'unrecorded', now);
+    this.beginStop(assignment, 0, now);
     return assignment;
   }
 
@@ -95,16 +98,23 @@
   stop(assignment: Assignment, graceS: number, now: number): void {
     if (this.endIfUnsent(assignment, now)) return;
     const { stop } = assignment;
-    if (stop === null) this.beginStop(assignment, graceS);
+    if (stop === null) this.beginStop(assignment, graceS, now);
     else if (graceS < stop.graceS) assignment.stop = { ...stop, graceS, sentDirectly: false };
     this.tables.machinesWithCommands.add(assignment.machine);
   }
 
-  private beginStop(assignment: Assignment, graceS: number): void {
+  private beginStop(assignment: Assignment, graceS: number, now: number): void {
     const { machines } = this.tables;
     if (stays(assignment)) machines.countReplica(assignment.machine, -1);
     assignment.stop = { graceS, sentDirectly: false };
     machines.countStop(assignment.machine, 1);
+    assignment.job.replicas?.memberStopping(assignment, now);
+  }
+
+  /** The place is durable in its machine's record. */
+  recorded(assignment: Assignment, now: number): void {
+    assignment.recorded = true;
+    assignment.job.replicas?.placeRecorded(assignment, now);
   }
 
   /** Ends an assignment whose start was never sent to the worker, and so never will be. */
@@ -140,6 +150,7 @@
       failures.taskEnded(assignment, cause, now);
       if (job.spec.kind === 'gang') this.stopRestOfAttempt(assignment, now);
     }
+    job.replicas?.placeEnded(assignment, cause, now);
     // After all that the end is charged for: the queues are kept in the order of service.
     jobs.joinQueueIfAnyWaits(job, now);
     listener.taskEnded({ assignment, cause, saved }, now);
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -2,7 +2,7 @@
 import { ArrivalSettings, ArrivalStatistics, ClassObjective } from './arrival-statistics.js';
 import { BootTimes } from './boot-times.js';
 import { Consolidation, findConsolidation } from './consolidation.js';
-import { Amounts, dominantShare } from './amounts.js';
+import { addAmounts, Amounts, dominantShare, multipliedAmounts } from './amounts.js';
 import { isBestEffort, mayRentFor } from './best-effort.js';
 import { TeamQuota, timesWithinLimit } from './team-quota.js';
 import { typeFits } from './fit.js';
@@ -139,23 +139,44 @@
     let used = usage.get(spec.team);
     if (!used) usage.set(spec.team, (used = { ...fleet.usage.ofTeam(spec.team) }));
     const zones = new Map<string, number>();
-    const zone = zoneToPack(spec, packing.standing);
-    let request = packing.request({ ...spec, zone }, spec.id, zones);
     const startable = Math.min(fleet.jobs.waitingCount(job), fleet.failures.startableTasks(job));
     const waiting = Math.min(startable, MOST_TASKS_PLANNED);
-    let left = Math.min(waiting, timesWithinLimit(quota, used, spec));
+    const most = Math.min(waiting, timesWithinLimit(quota, used, spec));
+    const together = job.replicas?.members ?? most;
+    for (let left = most; left > 0; left -= together) {
+      const tasks = Math.min(left, together);
+      const packed = this.packTogether(job, tasks, packing, zones, mostMachines);
+      addAmounts(used, multipliedAmounts(spec, packed), 1);
+      if (packed < tasks) return;
+    }
+  }
+
+  /**
+   * Packs so many tasks of a job, or of one replica, on at most so many machines; returns how many found room.
+   * `zones` counts the job's tasks.
+   */
+  private packTogether(
+    { spec, replicas }: JobState,
+    count: number,
+    packing: SlotPacking,
+    zones: Map<string, number>,
+    mostMachines: number,
+  ): number {
+    const oneZone = spec.oneZone || (replicas?.sameZone ?? false);
+    const zone = zoneToPack(spec, packing.standing);
+    let request = packing.request({ ...spec, zone }, spec.id, zones);
+    let left = count;
     for (let machines = 0; left > 0 && machines < mostMachines; machines++) {
       const packed = packing.place(request, left);
-      if (!packed) return;
+      if (!packed) break;
       const { slot, tasks } = packed;
-      if (spec.oneZone && request.job.zone === null) {
+      if (oneZone && request.job.zone === null) {
         request = packing.request({ ...spec, zone: slot.zone }, spec.id, zones);
       }
       zones.set(slot.zone, (zones.get(slot.zone) ?? 0) + tasks);
-      used.cpus += spec.cpus * tasks;
-      used.gpus += spec.gpus * tasks;
       left -= tasks;
     }
+    return count - left;
   }
 
   private packReserve(packing: SlotPacking, now: number): void {
--- a/packages/core/choose-machines-together.ts
+++ b/packages/core/choose-machines-together.ts
@@ -1,49 +1,59 @@
-import { tasksThatFit, zoneCap } from './fit.js';
+import { bindingZones, tasksThatFit, zoneAllowed, zoneCap } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
 import type { PlacementCandidates } from './placement-candidates.js';
 
-interface GangOption {
+/** Tasks that get places together or not at all: those of a gang, or the members of one replica. */
+export interface JointRequest {
+  tasks: number;
+  /** All of them must be in the same zone. */
+  oneZone: boolean;
+}
+
+interface Option {
   machine: Machine;
   cost: number;
-  /** How many tasks of the gang the machine can take. */
+  /** How many of the tasks the machine can take. */
   room: number;
 }
 
-interface GangPlacement {
-  /** The machine of each task, by index. */
+interface JointPlacement {
+  /** The machine of each task, in order. */
   machines: Machine[];
-  /** Cost of the dearest place: the slowest machine sets a gang's speed. */
+  /** Cost of the dearest place: the slowest machine sets the speed of all. */
   cost: number;
 }
 
-/** A machine for each task of a gang, by index, or null. Nothing is assigned. */
-export function chooseGangMachines(
+/** A machine for each of the tasks, or null if not all find one. Nothing is assigned. */
+export function chooseMachinesTogether(
   fleet: FleetState,
   job: JobState,
+  request: JointRequest,
   candidates: PlacementCandidates,
   now: number,
 ): Machine[] | null {
-  const zones = job.spec.oneZone ? fleet.machines.zones : [null];
-  const options = gangOptions(fleet, job, candidates, now);
-  let best: GangPlacement | null = null;
+  const zones = request.oneZone ? fleet.machines.zones : [null];
+  const options = optionsFor(fleet, job, request, candidates, now);
+  const taken = bindingZones(job);
+  let best: JointPlacement | null = null;
   for (const zone of zones) {
-    const found = fillGang(job, zone, options);
+    const found = fill(job, request, zone, options, taken);
     if (found && (best === null || found.cost < best.cost)) best = found;
   }
   return best?.machines ?? null;
 }
 
-/** Machines that can take tasks of the gang, cheapest first. */
-function gangOptions(
+/** Machines that can take some of the tasks, cheapest first. */
+function optionsFor(
   fleet: FleetState,
   job: JobState,
+  request: JointRequest,
   candidates: PlacementCandidates,
   now: number,
-): GangOption[] {
+): Option[] {
   const { spec } = job;
   const { maxTasksPerMachine } = fleet.settings;
-  const options: GangOption[] = [];
+  const options: Option[] = [];
   for (const candidate of candidates.forJob(job)) {
     const { machine, type } = candidate;
     const cost = candidates.cost(candidate, job);
@@ -51,7 +61,7 @@
     if (machine.reservedForGang !== null && machine.reservedForGang !== spec.id) continue;
     if (fleet.failures.avoids(job, machine, now)) continue;
     const room = Math.min(
-      spec.tasks,
+      request.tasks,
       maxTasksPerMachine - machine.tasks.size,
       tasksThatFit(spec, machine.used, type),
     );
@@ -60,25 +70,28 @@
   return options.sort((a, b) => a.cost - b.cost);
 }
 
-/** Takes the cheapest options, in one zone or any (null), until the gang is complete. */
-function fillGang(
+/** Takes the cheapest options, in one zone or any (null), until all tasks have one. `taken` counts the job's other tasks. */
+function fill(
   { spec }: JobState,
+  { tasks }: JointRequest,
   zone: string | null,
-  options: GangOption[],
-): GangPlacement | null {
+  options: Option[],
+  taken: ReadonlyMap<string, number>,
+): JointPlacement | null {
   const machines: Machine[] = [];
-  const counts = new Map<string, number>();
+  const counts = new Map(taken);
   let cost = 0;
   for (const { machine, room, cost: optionCost } of options) {
     if (zone !== null && machine.zone !== zone) continue;
+    if (!zoneAllowed(spec, machine.zone, counts)) continue;
     const inZone = counts.get(machine.zone) ?? 0;
-    const count = Math.min(room, spec.tasks - machines.length, zoneCap(spec) - inZone);
+    const count = Math.min(room, tasks - machines.length, zoneCap(spec) - inZone);
     for (let i = 0; i < count; i++) machines.push(machine);
     if (count > 0) {
       cost = Math.max(cost, optionCost);
       counts.set(machine.zone, inZone + count);
     }
-    if (machines.length === spec.tasks) return { machines, cost };
+    if (machines.length === tasks) return { machines, cost };
   }
   return null;
 }
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -102,7 +102,9 @@
 
 function isMovable({ job, stop, reported, runningSince }: Assignment, now: number): boolean {
   const isSettled = runningSince !== null && now - runningSince >= SETTLED_S;
-  return job.spec.kind === 'service' && stop === null && isSettled && reported === 'running';
+  // A replica of several members would have to move as a whole.
+  const isSingle = job.spec.kind === 'service' && job.replicas === null;
+  return isSingle && stop === null && isSettled && reported === 'running';
 }
 
 /** A machine for each task of the slot, or null if one finds none. */
--- a/packages/core/failure-tracker.ts
+++ b/packages/core/failure-tracker.ts
@@ -84,11 +84,12 @@
     this.clearMachines(job);
   }
 
-  /** How many tasks of the job may be started now; a gang is started as a whole if any may. */
+  /** How many tasks of the job may be started now; a gang or replica is started as a whole if any may. */
   startableTasks(job: JobState): number {
     if (!this.suspects.has(job)) return Infinity;
     if (job.assignments.size === 0 && this.hasEnoughProbes()) return 0;
-    if (job.spec.kind === 'gang') return job.assignments.size === 0 ? Infinity : 0;
+    const startsAsWhole = job.spec.kind === 'gang' || job.replicas !== null;
+    if (startsAsWhole) return job.assignments.size === 0 ? Infinity : 0;
     return Math.max(0, PROBE_TASKS - job.assignments.size);
   }
 
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -5,6 +5,7 @@
 import { FleetOptions, FleetTables } from './fleet-tables.js';
 import { MachineLeases } from './machine-leases.js';
 import { assignmentsOf, JobState } from './model.js';
+import type { JobReplicas, ReplicaShape } from './replica-groups.js';
 import { ReportHandler } from './report-handler.js';
 import { StartFencing } from './start-fencing.js';
 import { TaskReports } from './task-reports.js';
@@ -36,19 +37,38 @@
     this.directOrders = new DirectOrders(this, this.fencing, tasks);
   }
 
-  /** Takes a job record in; of a known job only a final phase is news. */
-  addJob(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
+  /**
+   * Takes a job record in; of a known job only a final phase is news. Without `shape` each of its
+   * tasks is by itself.
+   */
+  addJob(
+    job: Job,
+    acceptedAt: number,
+    phase: JobState['phase'],
+    now: number,
+    shape?: ReplicaShape,
+  ): JobState {
     const known = this.jobs.get(job.id);
-    if (!known) return this.jobs.add(job, acceptedAt, phase, now);
+    if (!known) return this.jobs.add(job, acceptedAt, phase, now, this.replicasOf(shape, phase));
     if (phase !== 'accepted') this.closeJob(known, phase, now);
     return known;
   }
 
+  private replicasOf(
+    shape: ReplicaShape | undefined,
+    phase: JobState['phase'],
+  ): (job: JobState) => JobReplicas | null {
+    const { makeReplicas } = this;
+    if (!shape || phase !== 'accepted' || !makeReplicas) return () => null;
+    return (job) => makeReplicas(job, shape);
+  }
+
   /** A final phase that the state service holds. All tasks of the job are stopped. */
   closeJob(job: JobState, phase: 'aborted' | 'done', now: number): void {
     if (job.phase !== 'accepted') return;
     this.jobs.setFinalPhase(job, phase);
     this.failures.jobClosed(job);
+    job.replicas?.jobClosed();
     for (const assignment of assignmentsOf(job)) {
       this.fencing.revoke(assignment.machine, taskRef(assignment));
       this.assignments.stop(assignment, 0, now);
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -6,6 +6,7 @@
 import { MachineRegistry } from './machine-registry.js';
 import type { FleetSettings, Machine } from './model.js';
 import { ReleasedMachines } from './released-machines.js';
+import type { MakeReplicas } from './replica-groups.js';
 import { RoomHolds } from './room-holds.js';
 import { UnrecordedChanges } from './unrecorded-changes.js';
 import { UsageLedger } from './usage-ledger.js';
@@ -22,6 +23,8 @@
   random?: Random;
   /** Tells which jobs run on room that is there anyway; none unless given. */
   isBestEffort?: (job: Job) => boolean;
+  /** Makes replicas of several members; without it each task of a service is by itself. */
+  makeReplicas?: MakeReplicas;
 }
 
 /** The data of a part that all operations on it share. */
@@ -37,6 +40,7 @@
   readonly usage: UsageLedger;
   readonly holds = new RoomHolds();
   readonly failures: FailureTracker;
+  protected readonly makeReplicas: MakeReplicas | undefined;
   /** Machines for which a direct command may be due. */
   readonly machinesWithCommands = new Set<Machine>();
 
@@ -45,6 +49,7 @@
     this.term = options.term;
     this.claimedAt = options.claimedAt;
     this.listener = options.listener ?? NO_LISTENER;
+    this.makeReplicas = options.makeReplicas;
     const isBestEffort = options.isBestEffort ?? (() => false);
     this.jobs = new JobRegistry(options.settings.halfLifeS, this.unrecorded, isBestEffort);
     this.machines = new MachineRegistry(options.term);
--- a/packages/core/job-queues.ts
+++ b/packages/core/job-queues.ts
@@ -1,3 +1,4 @@
+import type { Amounts } from './amounts.js';
 import { isBoundByZones } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import type { JobState } from './model.js';
@@ -134,7 +135,10 @@
       enqueue(BEST_EFFORT, bucket, isLeftOut);
       continue;
     }
-    const within = shares.guaranteeNow(team);
+    const { members } = bucket;
+    const withinNow = shares.guaranteeNow(team);
+    const within = (need: Pick<Amounts, 'cpus' | 'gpus'>) =>
+      withinNow({ cpus: need.cpus * members, gpus: need.gpus * members });
     const least = within(bucket.least);
     const most = within({ cpus: bucket.mostCpus, gpus });
     const isOutside = (job: JobState) => !within(job.spec) || isLeftOut(job);
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -3,6 +3,7 @@
 import { requirementsKey } from './fit.js';
 import { noJobFailures } from './job-failures.js';
 import type { JobState } from './model.js';
+import type { JobReplicas } from './replica-groups.js';
 import { TaskSet } from './task-set.js';
 import type { UnrecordedChanges } from './unrecorded-changes.js';
 import { WaitingJobs } from './waiting-jobs.js';
@@ -36,10 +37,17 @@
   }
 
   /** A job that is not known yet. Times are seconds of the steady clock. */
-  add(job: Job, acceptedAt: number, phase: JobState['phase'], now: number): JobState {
+  add(
+    job: Job,
+    acceptedAt: number,
+    phase: JobState['phase'],
+    now: number,
+    replicasOf: (job: JobState) => JobReplicas | null = () => null,
+  ): JobState {
     const state: JobState = {
       spec: job,
       isBestEffort: this.isBestEffort(job),
+      replicas: null,
       requirementsKey: requirementsKey(job),
       acceptedAt,
       phase,
@@ -54,6 +62,7 @@
       waitingSince: now,
       waitingOrder: 0,
     };
+    state.replicas = replicasOf(state);
     this.byId.set(job.id, state);
     if (phase === 'accepted') this.waiting.add(state);
     else this.ended.add(state);
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -3,6 +3,7 @@
 import type { Amounts } from './amounts.js';
 import type { JobFailures } from './job-failures.js';
 import type { MachineFailures } from './machine-failures.js';
+import type { JobReplicas } from './replica-groups.js';
 import type { ServiceCounter } from './service-counter.js';
 import type { TaskSet } from './task-set.js';
 
@@ -50,6 +51,8 @@
   spec: Job;
   /** Runs on room that is there anyway; see `isBestEffort`. */
   isBestEffort: boolean;
+  /** Its replicas, if each has several members; null: each task is by itself. */
+  replicas: JobReplicas | null;
   /** Equal for jobs whose tasks fit the same machines, zones of their other tasks apart. */
   requirementsKey: string;
   acceptedAt: number;
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -1,12 +1,13 @@
-import type { Job } from '#wire';
-import { addAmounts } from './amounts.js';
+import { addAmounts, multipliedAmounts } from './amounts.js';
+import { chooseMachinesTogether } from './choose-machines-together.js';
 import { firmUse } from './best-effort.js';
 import { hasRoom, kindAllowed, tasksByZone, zoneAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
 import { BlockedKind, BlockedShapes } from './blocked-shapes.js';
 import { speaksForOthers } from './job-queues.js';
 import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
-import { SETTLED_S } from './settled.js';
+import { isSettled, lostWork, wholeReplicas } from './preemption-cost.js';
+import { PlacementCandidates } from './placement-candidates.js';
 import type { TeamShares } from './team-shares.js';
 import type { WaitingBucket } from './waiting-bucket.js';
 import { oldestFirst } from './waiting-order.js';
@@ -15,8 +16,6 @@
 const TASKS_PER_ROUND = 4;
 /** Report periods for which room is held beside the time that the stopped work takes to save. */
 const HOLD_REPORTS = 4;
-/** Processors that count as much as one accelerator when lost work is compared. */
-const CPUS_PER_GPU = 8;
 
 /** When work may stop other work. */
 export interface PreemptionSettings {
@@ -71,12 +70,15 @@
       if (failedAlike.has(job.spec, 'firm') || failedAlike.has(job.spec, mayStop)) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
       if ((heldRoom.get(job) ?? 0) >= this.fleet.jobs.waitingCount(job)) continue;
-      if (!this.shares.withinLimit(job.spec.team, job.spec)) continue;
-      const victims = this.cheapestVictims(job, stopping, now);
+      const members = job.replicas?.members ?? 1;
+      if (!this.shares.withinLimit(job.spec.team, multipliedAmounts(job.spec, members))) continue;
+      const victims = this.victimsFor(job, heldRoom.get(job) ?? 0, stopping, now);
       if (victims) {
-        stopping.add(victims.machine);
-        this.makeRoom(job, victims, heldRoom, now);
-        made++;
+        for (const each of victims) {
+          stopping.add(each.machine);
+          this.makeRoom(job, each, heldRoom, now);
+        }
+        made += victims.length;
       } else if (speaksForOthers(job)) failedAlike.add(job.spec, mayStop);
     }
   }
@@ -99,18 +101,62 @@
     });
   }
 
+  /**
+   * What must be stopped for a task of the job, or for all members of a replica that have neither free nor `held` room,
+   * on a machine for each; null if not all find room.
+   */
+  private victimsFor(
+    job: JobState,
+    held: number,
+    stopping: ReadonlySet<Machine>,
+    now: number,
+  ): Victims[] | null {
+    const passedOver = new Set(stopping);
+    const found: Victims[] = [];
+    const free = this.freeForMembers(job, now);
+    let zone = job.replicas?.sameZone ? (free.at(0)?.zone ?? null) : null;
+    const lacking = (job.replicas?.members ?? 1) - held - free.length;
+    for (let left = Math.max(1, lacking); left > 0; left--) {
+      const victims = this.cheapestVictims(job, passedOver, zone, now);
+      if (victims === null) return null;
+      if (job.replicas?.sameZone) zone = victims.machine.zone;
+      passedOver.add(victims.machine);
+      found.push(victims);
+    }
+    return found;
+  }
+
+  /** Machines with room for as many members of a replica as there is room for; none for other jobs. */
+  private freeForMembers(job: JobState, now: number): Machine[] {
+    if (job.replicas === null) return [];
+    const candidates = new PlacementCandidates(this.fleet, now);
+    const oneZone = job.spec.oneZone || job.replicas.sameZone;
+    for (let tasks = job.replicas.members - 1; tasks > 0; tasks--) {
+      const request = { tasks, oneZone };
+      const machines = chooseMachinesTogether(this.fleet, job, request, candidates, now);
+      if (machines !== null) return machines;
+    }
+    return [];
+  }
+
   /** The machine where room for the job costs least, and what must be stopped there; null if none. */
-  private cheapestVictims(job: JobState, stopping: Set<Machine>, now: number): Victims | null {
+  private cheapestVictims(
+    job: JobState,
+    stopping: ReadonlySet<Machine>,
+    zone: string | null,
+    now: number,
+  ): Victims | null {
     const zones = tasksByZone(job);
     let best: Victims | null = null;
     for (const machine of this.fleet.machines.values()) {
       if (machine.state !== 'up' || machine.draining || machine.reclaimAt !== null) continue;
+      if (zone !== null && machine.zone !== zone) continue;
       if (stopping.has(machine) || this.fleet.holds.isHeldFromJob(machine, job, now)) continue;
       if (machine.reservedForGang !== null || !zoneAllowed(job.spec, machine.zone, zones)) continue;
       if (this.fleet.failures.avoids(job, machine, now)) continue;
       const assignments = this.victimsOn(machine, job, now);
       if (assignments === null) continue;
-      const cost = assignments.reduce((sum, each) => sum + lostWork(each, now), 0);
+      const cost = wholeReplicas(assignments).reduce((sum, each) => sum + lostWork(each, now), 0);
       if (best === null || cost < best.cost) best = { machine, assignments, cost };
     }
     return best;
@@ -178,21 +224,9 @@
     const before = machine.roomHold?.job;
     if (before) heldRoom.set(before, (heldRoom.get(before) ?? 1) - 1);
     holds.hold(machine, job, now + HOLD_REPORTS * settings.reportS + graceS + settings.gangPeerS);
-    for (const each of assignments) this.fleet.assignments.stopGracefully(each, now);
+    for (const each of assignments) {
+      if (each.job.replicas === null) this.fleet.assignments.stopGracefully(each, now);
+      else each.job.replicas.preempt(each, now);
+    }
   }
 }
-
-/**
- * A start that is undone at once served nobody. So what has just begun to run is left alone for a
- * while, except for the most urgent rank; this also bounds how often two jobs can displace each other.
- */
-function isSettled({ runningSince }: Assignment, forJob: Job, now: number): boolean {
-  return forJob.rank === 0 || runningSince === null || now - runningSince >= SETTLED_S;
-}
-
-/** Accelerator seconds that are lost if the task is stopped; at least one, so that fewer stops win. */
-function lostWork({ job: { spec }, runningSince }: Assignment, now: number): number {
-  const ranS = runningSince === null ? 0 : now - runningSince;
-  const lostS = spec.checkpointS > 0 ? Math.min(ranS, spec.saveS) : ranS;
-  return lostS * (spec.gpus + spec.cpus / CPUS_PER_GPU) + 1;
-}
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -1,6 +1,6 @@
-import { chooseGangMachines } from './choose-gang-machines.js';
+import { chooseMachinesTogether } from './choose-machines-together.js';
 import { chooseMachine } from './choose-machine.js';
-import type { Amounts } from './amounts.js';
+import { multipliedAmounts } from './amounts.js';
 import type { TeamQuota } from './team-quota.js';
 import { bindingZones } from './fit.js';
 import type { FleetState } from './fleet-state.js';
@@ -9,6 +9,7 @@
 import { BlockedKind, BlockedShapes } from './blocked-shapes.js';
 import { queuesByPrecedence, speaksForOthers, TeamQueue, Tier } from './job-queues.js';
 import type { JobState } from './model.js';
+import type { JobReplicas } from './replica-groups.js';
 import { PlacementCandidates } from './placement-candidates.js';
 import { Preemption, PreemptionSettings } from './preemption.js';
 import { TeamShares } from './team-shares.js';
@@ -125,14 +126,42 @@
 
   /** Gives places to the job's waiting tasks while they fit; returns how many. */
   private placeJob(job: JobState, round: Round): number {
-    return job.spec.kind === 'gang' ? this.placeGang(job, round) : this.placeTasks(job, round);
+    if (job.spec.kind === 'gang') return this.placeGang(job, round);
+    if (job.replicas !== null) return this.placeReplicas(job, job.replicas, round);
+    return this.placeTasks(job, round);
+  }
+
+  /** A replica gets places for all of its members or for none. */
+  private placeReplicas(job: JobState, replicas: JobReplicas, round: Round): number {
+    const { candidates, now } = round;
+    const { assignments, failures } = this.fleet;
+    const { members, sameZone } = replicas;
+    if (this.isBlocked(job, round) || failures.startableTasks(job) === 0) return 0;
+    const request = { tasks: members, oneZone: job.spec.oneZone || sameZone };
+    let placed = 0;
+    for (const replica of replicas.waiting(Math.ceil(TASKS_PER_TURN / members), now)) {
+      if (!this.shares.withinLimit(job.spec.team, multipliedAmounts(job.spec, members))) break;
+      const machines = chooseMachinesTogether(this.fleet, job, request, candidates, now);
+      if (!machines) break;
+      const generation = assignments.newAttempt();
+      const first = replica * members;
+      machines.forEach((machine, member) =>
+        assignments.assign(job, first + member, machine, generation, now),
+      );
+      placed += members;
+    }
+    return placed;
   }
 
   private placeGang(job: JobState, { candidates, now }: Round): number {
     const { assignments } = this.fleet;
-    if (job.assignments.size > 0 || !this.shares.withinLimit(job.spec.team, wholeGang(job)))
+    const { tasks, oneZone } = job.spec;
+    if (
+      job.assignments.size > 0 ||
+      !this.shares.withinLimit(job.spec.team, multipliedAmounts(job.spec, tasks))
+    )
       return 0;
-    const machines = chooseGangMachines(this.fleet, job, candidates, now);
+    const machines = chooseMachinesTogether(this.fleet, job, { tasks, oneZone }, candidates, now);
     if (!machines) return 0;
     const attempt = assignments.newAttempt();
     machines.forEach((machine, index) => assignments.assign(job, index, machine, attempt, now));
@@ -174,8 +203,3 @@
     return mayUseAnyRoom(this.fleet, job, now) ? 'starved' : 'best-effort';
   }
 }
-
-/** What limits count of a gang: its processors and accelerators. */
-function wholeGang({ spec: { cpus, gpus, tasks } }: JobState): Amounts {
-  return { cpus: cpus * tasks, gpus: gpus * tasks, memory: 0 };
-}
--- a/packages/core/task-reports.ts
+++ b/packages/core/task-reports.ts
@@ -83,6 +83,7 @@
     if (assignment.runningSince === null) {
       assignment.runningSince = now;
       this.tables.listener.taskRunning(assignment, now);
+      assignment.job.replicas?.memberRunning(assignment, now);
     }
     this.tables.failures.taskRuns(assignment, now);
   }
--- a/packages/core/waiting-bucket.ts
+++ b/packages/core/waiting-bucket.ts
@@ -28,10 +28,13 @@
   /** Stands for all jobs of the bucket in what they have in common. */
   readonly sample: Job;
   readonly isBestEffort: boolean;
+  /** Members of each replica of its jobs, 1 if their tasks are by themselves. */
+  readonly members: number;
 
   constructor(sample: JobState) {
     this.sample = sample.spec;
     this.isBestEffort = sample.isBestEffort;
+    this.members = sample.replicas?.members ?? 1;
     const { cpus, gpus, memory } = sample.spec;
     this.least = { cpus, gpus, memory };
     this.mostCpus = cpus;
--- a/packages/core/waiting-jobs.ts
+++ b/packages/core/waiting-jobs.ts
@@ -1,4 +1,3 @@
-import type { Job } from '#wire';
 import { conditionsKey } from './fit.js';
 import type { JobState } from './model.js';
 import { WaitingBucket } from './waiting-bucket.js';
@@ -37,7 +36,7 @@
   add(job: JobState): void {
     if (this.bucketOf.has(job)) return;
     job.waitingOrder = ++this.joined;
-    const key = bucketKey(job.spec);
+    const key = bucketKey(job);
     let bucket = this.byKey.get(key);
     if (!bucket) this.byKey.set(key, (bucket = new WaitingBucket(job)));
     bucket.add(job);
@@ -49,7 +48,7 @@
     const bucket = this.bucketOf.get(job);
     if (!bucket) return;
     bucket.remove(job);
-    if (bucket.size === 0) this.byKey.delete(bucketKey(job.spec));
+    if (bucket.size === 0) this.byKey.delete(bucketKey(job));
     this.bucketOf.delete(job);
     this.gangs.delete(job);
   }
@@ -60,7 +59,8 @@
   }
 }
 
-function bucketKey(job: Job): string {
-  const { team, rank, kind, gpus } = job;
-  return `${team} ${rank} ${kind === 'gang'} ${gpus} ${conditionsKey(job)}`;
+function bucketKey({ spec, replicas }: JobState): string {
+  const { team, rank, kind, gpus } = spec;
+  const members = replicas?.members ?? 1;
+  return `${team} ${rank} ${kind === 'gang'} ${gpus} ${members} ${conditionsKey(spec)}`;
 }
--- /dev/null
+++ b/packages/replicas/group-limits.ts
@@ -0,0 +1,31 @@
+/** How long a start of a replica may take, how long a failed one waits, and how many repairs start at once. */
+
+/** Leases that a start may take beside the fetch of its image. */
+const START_LEASES = 2;
+/** Multiple of the nominal time of an image's fetch: several images may share a machine's rate. */
+const FETCH_MARGIN = 3;
+/** Failed starts after which neither deadline nor back-off grows any more. */
+const MOST_DOUBLINGS = 5;
+/** Share of the machines on which replicas that are being repaired may start at the same time, and the least number. */
+const REPAIRS_SHARE = 1 / 8;
+const LEAST_REPAIRS = 4;
+
+/** Seconds until all members of a start must run; doubles with each start that failed. */
+export function startDeadlineS(leaseS: number, fetchS: number, failedStarts: number): number {
+  return (START_LEASES * leaseS + FETCH_MARGIN * fetchS) * doubled(failedStarts);
+}
+
+/** Seconds for which a replica whose start failed gets no places; `random` is from 0 to 1 and spreads them. */
+export function backoffS(leaseS: number, failedStarts: number, random: number): number {
+  const longestS = (leaseS / 2) * doubled(failedStarts);
+  return longestS * (1 / 2 + random / 2);
+}
+
+/** How many replicas that lost a member may start at the same time, so that a lost zone overloads nothing. */
+export function repairsAtOnce(machines: number): number {
+  return Math.max(LEAST_REPAIRS, Math.floor(machines * REPAIRS_SHARE));
+}
+
+function doubled(failedStarts: number): number {
+  return 2 ** Math.min(failedStarts, MOST_DOUBLINGS);
+}
--- /dev/null
+++ b/packages/replicas/group-machine.ts
@@ -0,0 +1,228 @@
+/**
+ * The state machine of one replica group: the members of one replica, which start, serve and end together. Pure: it
+ * knows neither clock nor machines. A generation is the attempt number that all members of one start carry. Attempt
+ * numbers rise with the owner's term, so a generation also tells terms apart (docs/replica-groups.md).
+ */
+
+/** What a group is doing, as operators see it. */
+export type GroupPhase =
+  /** No member has a place. */
+  | 'waiting'
+  /** All members have places, and not all of these are durable: nothing was started. */
+  | 'reserved'
+  /** All places are durable; not all members run yet. */
+  | 'starting'
+  /** All members of one generation run. */
+  | 'whole'
+  /** A member was lost; the rest of its generation ends. */
+  | 'repairing'
+  /** The generation ends so that another can start on other machines. */
+  | 'moving'
+  /** The generation ends for another reason. */
+  | 'stopping';
+
+/** Why a generation ended or ends. */
+export type EndReason =
+  | 'member-lost'
+  /** The records that a new owner read do not name every member. */
+  | 'incomplete-records'
+  /** Not all members ran in time. */
+  | 'start-deadline'
+  | 'notice'
+  | 'preempted'
+  /** A member was stopped by itself. */
+  | 'member-stopped';
+
+/** Where one member of one generation is, until it is proven gone. */
+export interface MemberPlace {
+  readonly member: number;
+  readonly generation: number;
+  readonly stage: 'reserved' | 'recorded' | 'running';
+  /** Its end was asked for. */
+  readonly ending: boolean;
+}
+
+export interface GroupState {
+  /** Members of the replica. */
+  readonly members: number;
+  /** The newest generation that was begun or found; 0 if there was none. */
+  readonly generation: number;
+  readonly places: readonly MemberPlace[];
+  /** Why the newest generation is not to serve any more, or why the one before ended; null once one is whole. */
+  readonly reason: EndReason | null;
+  /** The newest generation is to end. */
+  readonly ending: boolean;
+}
+
+/** A member of a generation. */
+export interface MemberRef {
+  member: number;
+  generation: number;
+}
+
+/** What happens to a group. */
+export type GroupEvent =
+  | ({ kind: 'placed' } & MemberRef)
+  /** Found in the records of an earlier term. */
+  | ({ kind: 'inherited' } & MemberRef)
+  /** Reported though no record names it; it is being stopped already. */
+  | ({ kind: 'unrecorded' } & MemberRef)
+  /** All records of earlier terms have been read. */
+  | { kind: 'loaded' }
+  | ({ kind: 'recorded' } & MemberRef)
+  | ({ kind: 'running' } & MemberRef)
+  /** The member's end was asked for. */
+  | ({ kind: 'stopping' } & MemberRef)
+  /** The member is proven gone. */
+  | ({ kind: 'gone' } & MemberRef)
+  /** The whole generation is to end. */
+  | { kind: 'end'; reason: EndReason };
+
+export interface GroupStep {
+  state: GroupState;
+  /** Members to be stopped now, which the state counts as ending already. */
+  stop: MemberRef[];
+}
+
+/** A member was given a place that breaks the rules of a generation. */
+class GroupViolation extends Error {}
+
+/** A group without any place. */
+export function newGroup(members: number): GroupState {
+  return { members, generation: 0, places: [], reason: null, ending: false };
+}
+
+/** What comes of an event. */
+export function step(state: GroupState, event: GroupEvent): GroupStep {
+  switch (event.kind) {
+    case 'placed':
+      return unchanged(place(state, event));
+    case 'inherited':
+      return unchanged(found(state, { ...refOf(event), stage: 'recorded', ending: false }));
+    case 'unrecorded':
+      return unchanged(found(state, { ...refOf(event), stage: 'recorded', ending: true }));
+    case 'loaded':
+      return judgeRecords(state);
+    case 'recorded':
+      return unchanged(changePlace(state, event, { stage: 'recorded' }));
+    case 'running':
+      return unchanged(noteRunning(state, event));
+    case 'stopping':
+      return endIfNewest(changePlace(state, event, { ending: true }), event, 'member-stopped');
+    case 'gone':
+      return endIfNewest(withoutPlace(state, event), event, 'member-lost');
+    case 'end':
+      return endGeneration(state, event.reason);
+  }
+}
+
+/** Whether starts of that generation may be sent: every member has a durable place, and nothing else is left. */
+export function mayStart(state: GroupState, generation: number): boolean {
+  const isNewest = generation === state.generation && !state.ending;
+  return isNewest && isComplete(state) && state.places.length === state.members;
+}
+
+/** Whether places may be given to the members: no earlier generation has any left. */
+export function mayBePlaced({ places }: GroupState): boolean {
+  return places.length === 0;
+}
+
+export function phaseOf(state: GroupState): GroupPhase {
+  const { places, ending, reason } = state;
+  if (places.length === 0) return 'waiting';
+  if (ending) return endingPhase(reason);
+  if (!isComplete(state)) return 'reserved';
+  return newestPlaces(state).every(({ stage }) => stage === 'running') ? 'whole' : 'starting';
+}
+
+function endingPhase(reason: EndReason | null): GroupPhase {
+  if (reason === 'member-lost' || reason === 'incomplete-records') return 'repairing';
+  return reason === 'notice' ? 'moving' : 'stopping';
+}
+
+/** Every member has a durable place in the newest generation. */
+function isComplete(state: GroupState): boolean {
+  const durable = newestPlaces(state).filter(({ stage }) => stage !== 'reserved');
+  return new Set(durable.map(({ member }) => member)).size === state.members;
+}
+
+function newestPlaces({ places, generation }: GroupState): MemberPlace[] {
+  return places.filter((each) => each.generation === generation);
+}
+
+function place(state: GroupState, { member, generation }: MemberRef): GroupState {
+  const isNew = state.places.length === 0;
+  if (isNew && generation <= state.generation) {
+    throw new GroupViolation(`generation ${generation} after ${state.generation}`);
+  }
+  if (!isNew && (generation !== state.generation || state.ending)) {
+    throw new GroupViolation(`member ${member} placed while another generation has places`);
+  }
+  if (state.places.some((each) => each.member === member)) {
+    throw new GroupViolation(`member ${member} has a place already`);
+  }
+  const added: MemberPlace = { member, generation, stage: 'reserved', ending: false };
+  return { ...state, generation, places: [...state.places, added], ending: false };
+}
+
+function found(state: GroupState, added: MemberPlace): GroupState {
+  const generation = Math.max(state.generation, added.generation);
+  return { ...state, generation, places: [...state.places, added] };
+}
+
+/** A new owner adopts the newest generation if the records name all of it, and ends all others. */
+function judgeRecords(state: GroupState): GroupStep {
+  if (state.places.length === 0) return unchanged(state);
+  const isNewest = (each: MemberPlace) => each.generation === state.generation;
+  if (!isComplete(state)) return endGeneration(state, 'incomplete-records');
+  return stopPlaces(state, (each) => !isNewest(each));
+}
+
+function noteRunning(state: GroupState, event: MemberRef): GroupState {
+  const next = changePlace(state, event, { stage: 'running' });
+  return phaseOf(next) === 'whole' ? { ...next, reason: null } : next;
+}
+
+/** The newest generation can't serve without the member. */
+function endIfNewest(state: GroupState, { generation }: MemberRef, reason: EndReason): GroupStep {
+  if (generation !== state.generation || state.ending) return unchanged(state);
+  return endGeneration(state, reason);
+}
+
+function endGeneration(state: GroupState, reason: EndReason): GroupStep {
+  if (state.ending) return unchanged(state);
+  return stopPlaces({ ...state, ending: true, reason }, () => true);
+}
+
+function stopPlaces(state: GroupState, isStopped: (place: MemberPlace) => boolean): GroupStep {
+  const stopped = state.places.filter((each) => !each.ending && isStopped(each));
+  const places = state.places.map((each) =>
+    stopped.includes(each) ? { ...each, ending: true } : each,
+  );
+  return { state: { ...state, places }, stop: stopped.map(refOf) };
+}
+
+function changePlace(
+  state: GroupState,
+  ref: MemberRef,
+  change: Partial<Pick<MemberPlace, 'stage' | 'ending'>>,
+): GroupState {
+  const places = state.places.map((each) => (isAt(each, ref) ? { ...each, ...change } : each));
+  return { ...state, places };
+}
+
+function withoutPlace(state: GroupState, ref: MemberRef): GroupState {
+  return { ...state, places: state.places.filter((each) => !isAt(each, ref)) };
+}
+
+function isAt(place: MemberPlace, { member, generation }: MemberRef): boolean {
+  return place.member === member && place.generation === generation;
+}
+
+function refOf({ member, generation }: MemberRef): MemberRef {
+  return { member, generation };
+}
+
+function unchanged(state: GroupState): GroupStep {
+  return { state, stop: [] };
+}
--- /dev/null
+++ b/packages/replicas/group.ts
@@ -0,0 +1,70 @@
+import type { Assignment, JobState, TaskEnd } from '#core';
+import {
+  type EndReason,
+  type GroupEvent,
+  type GroupPhase,
+  type GroupState,
+  type MemberRef,
+  newGroup,
+  phaseOf,
+  step,
+} from './group-machine.js';
+
+/** A change of a group's phase. */
+export interface PhaseChange {
+  group: Group;
+  from: GroupPhase;
+  to: GroupPhase;
+  /** Why the generation before ended; null if the group has been whole since or never was begun. */
+  reason: EndReason | null;
+}
+
+/** One replica group with what its owner remembers of it beside the state machine. Times are steady seconds. */
+export class Group {
+  state: GroupState;
+  phase: GroupPhase = 'waiting';
+  /** Since when it is in this phase. */
+  since: number;
+  /** When a generation of it first ended since it was whole; null if none did. */
+  brokenSince: number | null = null;
+  /** How the member that was lost last ended. */
+  lostBy: TaskEnd['cause'] | null = null;
+  /** When the present generation got its places. */
+  placedAt = 0;
+  /** Starts that failed since it was whole. */
+  failedStarts = 0;
+  /** It gets no places before. */
+  notBefore = 0;
+
+  constructor(
+    readonly job: JobState,
+    /** Number of the replica in its job, from 0. */
+    readonly index: number,
+    readonly members: number,
+    now: number,
+  ) {
+    this.state = newGroup(members);
+    this.since = now;
+  }
+
+  /** Takes an event in; returns the members to be stopped and how the phase changed. */
+  apply(event: GroupEvent, now: number): { stop: MemberRef[]; change: PhaseChange | null } {
+    const { reason } = this.state;
+    const { state, stop } = step(this.state, event);
+    this.state = state;
+    const from = this.phase;
+    const to = phaseOf(state);
+    if (from === to) return { stop, change: null };
+    this.phase = to;
+    this.since = now;
+    return { stop, change: { group: this, from, to, reason: state.reason ?? reason } };
+  }
+
+  /** The places of its members, whatever their generation. */
+  *assignments(): Generator<Assignment> {
+    const first = this.index * this.members;
+    for (let index = first; index < first + this.members; index++) {
+      yield* this.job.assignments.get(index) ?? [];
+    }
+  }
+}
--- /dev/null
+++ b/packages/replicas/replica-rows.ts
@@ -0,0 +1,41 @@
+/** What operators are shown of replica groups. */
+import type { Group } from './group.js';
+import type { EndReason, GroupPhase } from './group-machine.js';
+import type { ReplicaGroups } from './replica-groups.js';
+
+/** One replica. */
+export interface ReplicaRow {
+  job: string;
+  class: string;
+  replica: number;
+  /** 0 if none was begun. */
+  generation: number;
+  phase: GroupPhase;
+  /** Seconds for which it has been in this phase. */
+  forS: number;
+  /** Why it is not whole, or null. */
+  why: EndReason | null;
+  /** Machines of its members. */
+  machines: string[];
+}
+
+/** All replicas that have or had a place, those that are not whole first. */
+export function replicaRows(groups: ReplicaGroups, now: number): ReplicaRow[] {
+  const rows = [...groups.groups()].map((group) => rowOf(group, now));
+  const isWhole = ({ phase }: ReplicaRow) => Number(phase === 'whole');
+  return rows.sort((a, b) => isWhole(a) - isWhole(b) || b.forS - a.forS);
+}
+
+function rowOf(group: Group, now: number): ReplicaRow {
+  const { job, index, state, phase, since } = group;
+  return {
+    job: job.spec.id,
+    class: job.spec.class,
+    replica: index,
+    generation: state.generation,
+    phase,
+    forS: Math.round((now - since) * 10) / 10,
+    why: state.reason,
+    machines: [...group.assignments()].map(({ machine }) => machine.name),
+  };
+}
--- a/packages/store/records.ts
+++ b/packages/store/records.ts
@@ -1,3 +1,4 @@
+import type { ReplicaShape } from '#core';
 import { Job, jobToWire, parseJob } from '#wire';
 
 /** Keys and values that the service keeps in the state service. */
@@ -12,6 +13,8 @@
   job: Job;
   acceptedAtMs: number;
   phase: 'accepted' | 'aborted' | 'done';
+  /** How its tasks form replicas, as settled when it was accepted; absent: each task is by itself. */
+  replicas?: ReplicaShape;
   version: number;
 }
 
@@ -23,13 +26,17 @@
   return `world/parts/${part}`;
 }
 
-export function encodeJob({ job, acceptedAtMs, phase }: Omit<JobRecord, 'version'>): unknown {
-  return { job: jobToWire(job), at: acceptedAtMs, phase };
+export function encodeJob(record: Omit<JobRecord, 'version'>): unknown {
+  const { job, acceptedAtMs, phase, replicas } = record;
+  const plain = { job: jobToWire(job), at: acceptedAtMs, phase };
+  return replicas ? { ...plain, replicas } : plain;
 }
 
 export function decodeJob(value: unknown, version: number): JobRecord {
-  const raw = value as { job: unknown; at: number; phase: JobRecord['phase'] };
-  return { job: parseJob(raw.job), acceptedAtMs: raw.at, phase: raw.phase, version };
+  const raw = value as Pick<JobRecord, 'phase' | 'replicas'> & { job: unknown; at: number };
+  const { phase, replicas } = raw;
+  const record = { job: parseJob(raw.job), acceptedAtMs: raw.at, phase, version };
+  return replicas ? { ...record, replicas } : record;
 }
 
 /** Changes with every deletion of a part's records; see RemovalMarker. */
--- a/packages/testing/index.ts
+++ b/packages/testing/index.ts
@@ -16,3 +16,6 @@
 export * from './move-model/explore.js';
 export type { MoveMistake } from './move-model/mistakes.js';
 export type { MoveBudget } from './move-model/state.js';
+export * from './replica-model/explore-replicas.js';
+export type { ReplicaMistake } from './replica-model/mistakes.js';
+export type { ReplicaBudget } from './replica-model/state.js';
--- a/packages/testing/move-model/events.ts
+++ b/packages/testing/move-model/events.ts
@@ -1,5 +1,6 @@
 /** Everything that can happen next in a state of the model. */
 import { type Draft, produce, setAutoFreeze } from 'immer';
+import type { ModelEvent } from '../exploration/explore.js';
 import {
   actsAsOwner,
   answer,
@@ -20,17 +21,9 @@
 // Freezing each of some hundred thousand states would take longer than making it.
 setAutoFreeze(false);
 
-/** One thing that can happen, and what comes of it. */
-export interface ModelEvent {
-  name: string;
-  /** A trouble, which need not happen; all else happens some day. */
-  trouble: boolean;
-  next: ModelState;
-}
-
 /** Collects the events that can happen in one state. */
 class EventList {
-  readonly events: ModelEvent[] = [];
+  readonly events: ModelEvent<ModelState>[] = [];
 
   constructor(
     readonly state: ModelState,
@@ -42,7 +35,7 @@
   }
 }
 
-export function eventsIn(state: ModelState, mistake: MoveMistake): ModelEvent[] {
+export function eventsIn(state: ModelState, mistake: MoveMistake): ModelEvent<ModelState>[] {
   const list = new EventList(state, mistake);
   for (const name of CONTROLLERS) {
     addRequest(list, name);
--- a/packages/testing/owner-load/figures.ts
+++ b/packages/testing/owner-load/figures.ts
@@ -68,7 +68,12 @@
 function aRecordBatch(standing: StandingFleet): Uint8Array {
   const { fleet } = standing;
   const jobs = { get: () => ({ version: 1 }) } as unknown as JobTable;
-  const records = new MachineRecords({ fleet, jobs, limits: LIMITS });
+  const records = new MachineRecords({
+    clock: { now: () => 0 },
+    fleet,
+    jobs,
+    limits: LIMITS,
+  });
   const batch = new RecordBatch(TERM, new RemovalMarker(TERM), LIMITS, RECORDED_TOGETHER);
   const machines = [...fleet.machines.values()].filter(({ tasks }) => tasks.size > 0);
   for (const { name } of machines.slice(0, RECORDED_TOGETHER)) {
--- /dev/null
+++ b/packages/testing/replica-model/checks.ts
@@ -0,0 +1,22 @@
+/** What must never be in a state of the model, and where it may rest. */
+import { phaseOf } from '#replicas';
+import type { ReplicaModelState } from './state.js';
+
+/** What must never be, or null. */
+export function breachIn({ owner, machines, brokenAnswer }: ReplicaModelState): string | null {
+  const { places, ending, members } = owner.group;
+  const placed = new Set(places.map(({ member }) => member)).size;
+  if (placed > 0 && placed < members && !ending) return 'incomplete generation kept';
+  if (brokenAnswer) return 'broken answer';
+  const tasks = machines.flatMap(({ task }) => (task === null ? [] : [task]));
+  if (new Set(tasks.map(({ generation }) => generation)).size > 1) return 'two generations';
+  if (new Set(tasks.map(({ member }) => member)).size < tasks.length) return 'doubled member';
+  return null;
+}
+
+/** The replica is whole by the owner's word, and so it is. */
+export function isAtRest({ owner, former, machines, request }: ReplicaModelState): boolean {
+  const running = machines.filter(({ task }) => task?.generation === owner.group.generation);
+  const isWhole = phaseOf(owner.group) === 'whole' && running.length === owner.group.members;
+  return isWhole && former === null && request === null;
+}
--- /dev/null
+++ b/packages/testing/replica-model/owner.ts
@@ -0,0 +1,114 @@
+/** What an owner of the model does, by the production code's state machine. */
+import type { Draft } from 'immer';
+import { type GroupEvent, type GroupState, mayBePlaced, mayStart, step } from '#replicas';
+import type { ReplicaMistake } from './mistakes.js';
+import {
+  MEMBERS,
+  type ModelOwner,
+  newOwner,
+  type OwnerPlace,
+  type ReplicaModelState,
+} from './state.js';
+
+/** Generations of one term are below those of the next. */
+const GENERATIONS_PER_TERM = 100;
+
+/** Takes an event in; what is to be stopped is marked so, or gone at once if its start was never sent. */
+export function tell(owner: Draft<ModelOwner>, event: GroupEvent, mistake: ReplicaMistake): void {
+  const { state, stop } = step(owner.group as GroupState, event);
+  if (mistake === 'keeps-the-rest' && event.kind === 'gone') {
+    owner.group = { ...state, ending: false, places: state.places.map(unended) };
+    return;
+  }
+  owner.group = state as Draft<GroupState>;
+  for (const { member, generation } of stop) {
+    const at = owner.places.findIndex(
+      (place) => place?.member === member && place.generation === generation,
+    );
+    const place = owner.places[at]!;
+    place.stopping = true;
+    if (place.sent || place.inherited) continue;
+    owner.places[at] = null;
+    tell(owner, { kind: 'gone', member, generation }, mistake);
+  }
+}
+
+function unended<P extends { ending: boolean }>(place: P): P {
+  return { ...place, ending: false };
+}
+
+/** Machines that get the members of a new generation; null if it may not begin, or there are too few. */
+export function machinesForNext(
+  { group, places }: ModelOwner,
+  isUsable: (machine: number) => boolean,
+  mistake: ReplicaMistake,
+): number[] | null {
+  const isEarly = mistake === 'places-before-gone' && group.ending;
+  if (!mayBePlaced(group) && !isEarly) return null;
+  const usable = places.map((_, at) => at).filter(isUsable);
+  const free = usable.filter((at) => places[at] === null);
+  const taken = usable.filter((at) => places[at] !== null);
+  const chosen = isEarly ? [...free, ...taken] : free;
+  return chosen.length >= MEMBERS ? chosen.slice(0, MEMBERS) : null;
+}
+
+/** Gives the members of a new generation places. */
+export function beginGeneration(
+  owner: Draft<ModelOwner>,
+  machines: number[],
+  mistake: ReplicaMistake,
+): void {
+  const generation = owner.term * GENERATIONS_PER_TERM + owner.starts++;
+  if (mistake === 'places-before-gone') {
+    // What is left of the old generation is forgotten by the state machine, and keeps running.
+    owner.group = { ...owner.group, places: [], ending: false };
+    owner.places = owner.places.map(() => null);
+  }
+  machines.forEach((at, member) => {
+    owner.places[at] = {
+      member,
+      generation,
+      durable: false,
+      recorded: false,
+      inherited: false,
+      sent: false,
+      seenRunning: false,
+      stopping: false,
+    };
+    tell(owner, { kind: 'placed', member, generation }, mistake);
+  });
+}
+
+/** Whether the owner would send the start of the place now. */
+export function sendsStart(
+  { group }: ModelOwner,
+  place: OwnerPlace,
+  mistake: ReplicaMistake,
+): boolean {
+  if (place.sent || place.inherited || place.stopping) return false;
+  if (mistake === 'starts-unrecorded') return place.generation === group.generation;
+  return mayStart(group, place.generation);
+}
+
+/** The next owner, which knows what the records hold and nothing else. */
+export function ownerFromRecords(
+  { owner, machines }: ReplicaModelState,
+  mistake: ReplicaMistake,
+): Draft<ModelOwner> {
+  const next = newOwner(owner.term + 1) as Draft<ModelOwner>;
+  machines.forEach(({ record }, at) => {
+    if (record === null) return;
+    next.places[at] = {
+      ...record,
+      durable: true,
+      recorded: true,
+      inherited: true,
+      sent: false,
+      seenRunning: false,
+      stopping: false,
+    };
+    tell(next, { kind: 'inherited', ...record }, mistake);
+  });
+  if (mistake !== 'adopts-incomplete') tell(next, { kind: 'loaded' }, mistake);
+  return next;
+}
--- /dev/null
+++ b/packages/testing/replica-model/state.ts
@@ -0,0 +1,178 @@
+/**
+ * A small world with one replica: the machines with their records, two owners one after the other, and commands on
+ * their way. That a place is proven gone only when its task is not there and none of its starts can act any more is
+ * taken from points 5 and 6 of docs/safety.md; how it is proven is not modelled anew.
+ */
+import { type GroupState, newGroup } from '#replicas';
+
+export const MEMBERS = 3;
+const MACHINES = 4;
+
+/** A member of a generation. */
+export interface Member {
+  member: number;
+  generation: number;
+}
+
+/** A command that was sent and may arrive at any later time. */
+export interface Command extends Member {
+  verb: 'start' | 'stop';
+  /** Token of the owner that sent it. */
+  token: number;
+}
+
+/** What an owner believes of one machine. */
+export interface OwnerPlace extends Member {
+  /** The machine's record names it. */
+  durable: boolean;
+  /** The owner knows that. */
+  recorded: boolean;
+  inherited: boolean;
+  sent: boolean;
+  seenRunning: boolean;
+  stopping: boolean;
+}
+
+export interface ModelOwner {
+  term: number;
+  starts: number;
+  group: GroupState;
+  /** By machine. */
+  places: (OwnerPlace | null)[];
+}
+
+export interface ModelMachine {
+  /** `cut`: works, but hears no owner; `dead`: everything on it is gone. */
+  condition: 'up' | 'cut' | 'dead';
+  task: Member | null;
+  /** Highest token it has seen. */
+  token: number;
+  record: Member | null;
+  commands: Command[];
+}
+
+/** A request that goes from member to member; `marks` holds the generation of each that has marked it, or 0. */
+export interface ModelRequest {
+  generation: number;
+  marks: number[];
+}
+
+/** How often each trouble may still happen: what keeps the world finite. */
+export interface ReplicaBudget {
+  failures: number;
+  ownerChanges: number;
+  lostCommands: number;
+  requests: number;
+}
+
+export interface ReplicaModelState {
+  owner: ModelOwner;
+  /** A former owner that does not know that its term is over. */
+  former: ModelOwner | null;
+  machines: ModelMachine[];
+  request: ModelRequest | null;
+  /** An answer was given that is not of one whole generation. */
+  brokenAnswer: boolean;
+  budget: ReplicaBudget;
+}
+
+export function newOwner(term: number): ModelOwner {
+  const places = Array<OwnerPlace | null>(MACHINES).fill(null);
+  return { term, starts: 0, group: newGroup(MEMBERS), places };
+}
+
+export function firstState(budget: ReplicaBudget): ReplicaModelState {
+  const machines = Array.from({ length: MACHINES }, (): ModelMachine => {
+    return { condition: 'up', task: null, token: 0, record: null, commands: [] };
+  });
+  return { owner: newOwner(1), former: null, machines, request: null, brokenAnswer: false, budget };
+}
+
+/**
+ * Machines are alike, so states that differ only in their order are one; so are states that differ in nothing but the
+ * numbers of generations, or in records that nobody will read any more.
+ */
+export function keyOf(state: ReplicaModelState): string {
+  const { owner, former, machines, request, brokenAnswer, budget } = state;
+  const rank = generationRanks(state);
+  const label = memberLabels(state, rank);
+  const memberKey = (each: Member | null) =>
+    each && `${label[each.member]}.${rank.get(each.generation)}`;
+  const placeKey = (place: OwnerPlace | null | undefined) => {
+    if (!place) return null;
+    const { durable, recorded, inherited, sent, seenRunning, stopping } = place;
+    const flags = [durable, recorded, inherited, sent, seenRunning, stopping];
+    return `${memberKey(place)}${flags.map(Number).join('')}`;
+  };
+  const byMachine = machines.map(({ condition, task, token, record, commands }, index) =>
+    [
+      condition,
+      memberKey(task),
+      token,
+      areRecordsRead(state) ? memberKey(record) : '',
+      commands.map((each) => `${each.verb}${memberKey(each)}${each.token}`).sort(),
+      placeKey(owner.places[index]),
+      placeKey(former?.places[index]),
+    ].join(' '),
+  );
+  const groups = [owner, former].map((each) => each && groupKey(each, memberKey));
+  const marks = request?.marks.map((mark) => rank.get(mark));
+  const rest = [request && rank.get(request.generation), marks, brokenAnswer, budget];
+  return JSON.stringify([byMachine.sort(), groups, rest]);
+}
+
+/** Members are alike, too, as long as no request tells them apart: they are numbered by what is known of them. */
+function memberLabels(
+  { owner, former, machines, request, budget }: ReplicaModelState,
+  rank: Map<number, number>,
+): number[] {
+  const all = Array.from({ length: MEMBERS }, (_, member) => member);
+  if (request !== null || budget.requests > 0) return all;
+  const signatures = all.map((member) => {
+    const of = (each: Member | null | undefined) =>
+      each?.member === member ? rank.get(each.generation) : '';
+    const byMachine = machines.map(({ condition, task, token, record, commands }, at) => {
+      const place = owner.places[at];
+      const isPlaced = place?.member === member;
+      const flags = isPlaced ? [place.durable, place.recorded, place.sent, place.seenRunning] : '';
+      const sent = commands.filter((each) => each.member === member).map(({ verb }) => verb);
+      const named = [of(task), of(record), of(place), of(former?.places[at])].join(',');
+      return named === ',,,' && sent.length === 0
+        ? ''
+        : `${condition}${token}${named}${flags}${sent}`;
+    });
+    return byMachine.sort().join('|');
+  });
+  const order = [...all].sort((one, other) =>
+    signatures[one] < signatures[other] ? -1 : signatures[one] > signatures[other] ? 1 : 0,
+  );
+  return all.map((member) => order.indexOf(member));
+}
+
+/** A new owner may still come, and read the records. */
+export function areRecordsRead({ budget }: ReplicaModelState): boolean {
+  return budget.ownerChanges > 0;
+}
+
+function groupKey(
+  { term, group }: ModelOwner,
+  memberKey: (member: Member) => string | null,
+): unknown {
+  const { generation, places, reason, ending } = group;
+  const placeKeys = places.map((each) => `${memberKey(each)}${each.stage}${each.ending}`);
+  return [term, memberKey({ member: 0, generation }), reason, ending, placeKeys.sort()];
+}
+
+function generationRanks({ owner, former, machines, request }: ReplicaModelState) {
+  const named = new Set<number>([0]);
+  for (const { group, places } of former ? [owner, former] : [owner]) {
+    named.add(group.generation);
+    for (const place of [...places, ...group.places]) if (place) named.add(place.generation);
+  }
+  for (const { task, record, commands } of machines) {
+    for (const each of [task, record, ...commands]) if (each) named.add(each.generation);
+  }
+  for (const each of request ? [request.generation, ...request.marks] : []) named.add(each);
+  const sorted = [...named].sort((one, other) => one - other);
+  return new Map(sorted.map((generation, rank) => [generation, rank]));
+}
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -47,7 +47,7 @@
 /** How a job stands for its user; `pending` means that no task runs. */
 export type Phase = 'pending' | 'running' | 'done' | 'aborted';
 
-const MAX_TASKS = 100_000;
+export const MAX_TASKS = 100_000;
 /** Bounds on texts, so that any legal job fits one value of the state service. */
 const MAX_NAME = 256;
 const MAX_TYPES = 4096;
@@ -185,6 +185,7 @@
   memory: 'ramGb',
   types: 'rigs',
   zone: 'yard',
+  spread: 'apart',
 } as const;
 
 /** The protocol's form of a job; what a client submits. */
