Replica groups: tests with failing machines and failing controllers

Need: to show that replicas that serve while incomplete number zero, whatever fails.

Requests go to all replicas all the while; an answer bears the generation and mark of every member. Found by them and mended: a member that runs counted as not started once its machine's record was written anew, so whole replicas were given up at their deadline.

--- a/packages/controller/replica-support.ts
+++ b/packages/controller/replica-support.ts
@@ -61,7 +61,8 @@
 function replicaListener(clock: Clock, log: Log, metrics: ReplicaMetrics) {
   return {
     phaseChanged: ({ group, from, to, reason }: PhaseChangeOf) => {
-      const fields = { ...nameOf(group), from, to, why: reason };
+      const machines = [...group.assignments()].map(({ machine }) => machine.name);
+      const fields = { ...nameOf(group), from, to, why: reason, machines };
       if (to === 'repairing') log.info({ ...fields, lostBy: group.lostBy }, 'replica repair');
       else log.debug(fields, 'replica');
     },
--- a/packages/replicas/group-machine.ts
+++ b/packages/replicas/group-machine.ts
@@ -104,7 +104,7 @@
     case 'loaded':
       return judgeRecords(state);
     case 'recorded':
-      return unchanged(changePlace(state, event, { stage: 'recorded' }));
+      return unchanged(noteRecorded(state, event));
     case 'running':
       return unchanged(noteRunning(state, event));
     case 'stopping':
@@ -178,6 +178,12 @@
   return stopPlaces(state, (each) => !isNewest(each));
 }
 
+/** A machine's record is written anew with each change of it; a member that runs goes on running. */
+function noteRecorded(state: GroupState, event: MemberRef): GroupState {
+  const place = state.places.find((each) => isAt(each, event));
+  return place?.stage === 'reserved' ? changePlace(state, event, { stage: 'recorded' }) : state;
+}
+
 function noteRunning(state: GroupState, event: MemberRef): GroupState {
   const next = changePlace(state, event, { stage: 'running' });
   return phaseOf(next) === 'whole' ? { ...next, reason: null } : next;
--- a/packages/testing/simulation/cluster.ts
+++ b/packages/testing/simulation/cluster.ts
@@ -30,7 +30,9 @@
 import { SimulatedNetwork } from './network.js';
 import { MovePhases } from './move-phases.js';
 import { OwnershipHistory } from './ownership-history.js';
+import { ReplicaMoments } from './replica-moments.js';
 import { RequestLog } from './request-log.js';
+import { ReplicaService } from './replica-service.js';
 import { SimulatedProcess } from './process.js';
 import { Timeline } from './timeline.js';
 import { World } from './world.js';
@@ -54,6 +56,9 @@
   readonly users: Users;
   readonly ownership: OwnershipHistory;
   readonly moves: MovePhases;
+  readonly replicaMoments: ReplicaMoments;
+  /** Requests to replicas of several members, and what members answer. */
+  readonly replicas: ReplicaService;
   private readonly observer: Observer;
 
   constructor(
@@ -71,17 +76,21 @@
       this.costs.observe(event);
       this.checker.observe(event);
       this.moves.observe(event);
+      this.replicas.observe(event);
     };
     this.storage = new JobStorage(this.observer);
+    this.replicaMoments = new ReplicaMoments(this.world);
     this.state = this.makeState();
     this.machines = this.makeMachines();
     this.cloud = this.makeCloud();
     const { world, network, requests, costs } = this;
-    const parts = { world, network, cluster: settings, requests, costs, make };
+    const onLogLine = (line: string) => this.replicaMoments.observe(line);
+    const parts = { world, network, cluster: settings, requests, costs, make, onLogLine };
     this.controllers = makeControllers(parts);
     this.balancer = this.makeBalancer();
     this.users = this.makeUsers();
     this.ownership = new OwnershipHistory(this.world, (key) => this.state.store.get(key) ?? null);
+    this.replicas = new ReplicaService(this);
     this.moves = new MovePhases(() => this.ownership.current()?.owner ?? null);
   }
 
@@ -91,6 +100,7 @@
     await this.cloud.listen(CLOUD_ADDRESS);
     await this.balancer.listen(BALANCER_ADDRESS);
     for (const controller of this.controllers) controller.process.start();
+    this.replicas.start();
   }
 
   /** The runtime of a process that is always up, on a host of its own. */
--- a/packages/testing/simulation/controller-log.ts
+++ b/packages/testing/simulation/controller-log.ts
@@ -18,11 +18,15 @@
   constructor(
     private readonly world: World,
     private readonly level: 'error' | 'info' | 'debug',
+    private readonly onLine: (text: string) => void = () => {},
   ) {}
 
   /** A logger that writes here. */
   logger(): pino.Logger {
-    const write = (text: string) => void this.lines.push({ atS: this.world.now, text });
+    const write = (text: string) => {
+      this.lines.push({ atS: this.world.now, text });
+      this.onLine(text);
+    };
     return pino({ level: this.level, base: undefined, timestamp: false }, { write });
   }
 
--- a/packages/testing/simulation/controllers.ts
+++ b/packages/testing/simulation/controllers.ts
@@ -39,6 +39,8 @@
   /** Counts what they do. */
   costs: CostCounter;
   make: ControllerMaker;
+  /** Told of each line of their logs. */
+  onLogLine: (text: string) => void;
 }
 
 /** Makes the controllers of a cluster; none is started yet. */
@@ -48,13 +50,13 @@
 }
 
 function makeController(parts: ControllerParts, index: number): SimulatedController {
-  const { world, network, cluster, requests, costs, make } = parts;
+  const { world, network, cluster, requests, costs, make, onLogLine } = parts;
   const name = controllerName(index);
   const zone = zoneOfController(cluster, index);
   const host = new SimulatedHost(name, 'controller', serviceAddress(index).host, zone);
   host.socketLimit = cluster.deployment.limits.sockets;
   network.addHost(host);
-  const log = new ControllerLog(world, cluster.logLevel);
+  const log = new ControllerLog(world, cluster.logLevel, onLogLine);
   const settings = controllerSettings(cluster, index);
   const program = (runtime: Runtime) => {
     const forever = new AbortController().signal;
--- a/packages/testing/simulation/fault-injector.ts
+++ b/packages/testing/simulation/fault-injector.ts
@@ -37,6 +37,7 @@
       machines,
       cloud,
       world.chance('machine faults'),
+      () => cluster.replicaMoments.machines,
     );
   }
 
@@ -57,9 +58,11 @@
     }
   }
 
-  private awaitMoment({ afterTakeoverS, atMovePhase }: Fault, begin: () => void): void {
-    const { world, ownership, moves } = this.cluster;
-    if (atMovePhase !== undefined) moves.onNext(atMovePhase, begin);
+  private awaitMoment(fault: Fault, begin: () => void): void {
+    const { afterTakeoverS, atMovePhase, atReplicaPhase } = fault;
+    const { world, ownership, moves, replicaMoments } = this.cluster;
+    if (atReplicaPhase !== undefined) replicaMoments.onNext(atReplicaPhase, begin);
+    else if (atMovePhase !== undefined) moves.onNext(atMovePhase, begin);
     else if (afterTakeoverS === undefined) begin();
     else ownership.onNextChange(() => world.schedule(afterTakeoverS, begin));
   }
--- a/packages/testing/simulation/faults/machine-faults.ts
+++ b/packages/testing/simulation/faults/machine-faults.ts
@@ -17,11 +17,13 @@
     private readonly machines: Machines,
     private readonly cloud: CloudService,
     private readonly chance: Chance,
+    /** Machines of the replica that faults are about. */
+    private readonly ofReplica: () => string[],
   ) {}
 
   begin(fault: MachineFault): FaultEffect {
     if (fault.kind === 'zone-cut') return this.cutZone(fault.zone, fault.mode);
-    const machines = targetMachines(this.candidates(fault), fault.machines, this.chance);
+    const machines = this.targets(fault);
     const hosts = machines.map((machine) => machine.host);
     const hit = machines.map((machine) => machine.name);
     switch (fault.kind) {
@@ -45,6 +47,14 @@
     }
   }
 
+  private targets(fault: Exclude<MachineFault, { kind: 'zone-cut' }>): SimulatedMachine[] {
+    const candidates = this.candidates(fault);
+    const { machines } = fault;
+    if (!('ofReplica' in machines)) return targetMachines(candidates, machines, this.chance);
+    const names = this.ofReplica();
+    return candidates.filter(({ name }) => names.includes(name)).slice(0, machines.ofReplica);
+  }
+
   /** Makes machines stand still; the returned function lets them go on. */
   hang(machines: SimulatedMachine[]): () => void {
     const ends = machines.map(({ name, worker }) =>
--- a/packages/testing/simulation/faults/targets.ts
+++ b/packages/testing/simulation/faults/targets.ts
@@ -38,7 +38,7 @@
 /** Resolves a target to some of the running machines; at least one if there is any. */
 export function targetMachines<M extends { zone: string }>(
   running: M[],
-  target: MachineTarget,
+  target: Exclude<MachineTarget, { ofReplica: number }>,
   chance: Chance,
 ): M[] {
   if ('zone' in target) return running.filter((machine) => machine.zone === target.zone);
--- a/packages/testing/simulation/index.ts
+++ b/packages/testing/simulation/index.ts
@@ -12,6 +12,7 @@
 export * from './controllers.js';
 export * from './move-phases.js';
 export * from './ownership-history.js';
+export * from './replica-moments.js';
 export * from './scenario.js';
 export * from './cluster.js';
 export * from './machines.js';
--- /dev/null
+++ b/packages/testing/simulation/replica-moments.ts
@@ -0,0 +1,57 @@
+import type { GroupPhase } from '#replicas';
+import type { World } from './world.js';
+
+/** A phase of a replica group; `-again`: after a member was lost, or the replica was moved or stopped. */
+export type ReplicaMoment = GroupPhase | 'reserved-again' | 'starting-again' | 'whole-again';
+
+/** What an owner's log says of a change of phase. */
+interface PhaseLine {
+  msg: string;
+  to: GroupPhase;
+  why: string | null;
+  machines: string[];
+}
+
+/** Messages of the log that tell of a change of phase. */
+const MESSAGES = ['replica', 'replica repair'];
+
+/** Follows the phases of replica groups by the controllers' logs. */
+export class ReplicaMoments {
+  /** How often each phase was reached. */
+  readonly counts = new Map<ReplicaMoment, number>();
+  /** Machines of the group that reached a phase last, and of the one that a fault waited for last. */
+  machines: string[] = [];
+  private waiting: { moment: ReplicaMoment; callback: () => void }[] = [];
+
+  constructor(private readonly world: World) {}
+
+  /** Calls back right after a group has reached the phase. */
+  onNext(moment: ReplicaMoment, callback: () => void): void {
+    this.waiting.push({ moment, callback });
+  }
+
+  /** Takes a line of a controller's log in. */
+  observe(line: string): void {
+    if (!line.includes('"replica')) return;
+    const { msg, to, why, machines } = JSON.parse(line) as PhaseLine;
+    if (!MESSAGES.includes(msg)) return;
+    if (to === 'whole') this.machines = machines;
+    this.reached(to, machines);
+    if (why !== null && ['reserved', 'starting', 'whole'].includes(to)) {
+      this.reached(`${to}-again` as ReplicaMoment, machines);
+    }
+  }
+
+  private reached(moment: ReplicaMoment, machines: string[]): void {
+    this.counts.set(moment, (this.counts.get(moment) ?? 0) + 1);
+    const due = this.waiting.filter((each) => each.moment === moment);
+    this.waiting = this.waiting.filter((each) => each.moment !== moment);
+    for (const { callback } of due) {
+      // The owner is in the middle of what it does; the fault comes right after.
+      this.world.schedule(0, () => {
+        this.machines = machines;
+        callback();
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/simulation/replica-service.ts
@@ -0,0 +1,76 @@
+import type { ReplicaClasses } from '#replicas';
+import { type Answer, brokenAnswers } from '../replica-traffic/answers.js';
+import { Members } from '../replica-traffic/members.js';
+import { RequestTraffic } from '../replica-traffic/request-traffic.js';
+import type { JobStorage, WorldEvent } from '../standins/index.js';
+import { USERS_HOST } from './addresses.js';
+import type { ClusterSettings } from './cluster-settings.js';
+import type { Machines } from './machines.js';
+import type { SimulatedNetwork } from './network.js';
+import type { World } from './world.js';
+
+/** Seconds from one request to a replica to the next. */
+const REQUEST_EVERY_S = 0.5;
+
+export interface ReplicaServiceOptions {
+  world: World;
+  network: SimulatedNetwork;
+  machines: Machines;
+  storage: JobStorage;
+  settings: ClusterSettings;
+}
+
+/** Replicas of several members in the simulated cluster, and requests to them; idle if the operators have none. */
+export class ReplicaService {
+  readonly members: Members;
+  private readonly traffic: RequestTraffic;
+  private readonly classes: ClusterSettings['operator']['replicaGroups'];
+
+  constructor(private readonly options: ReplicaServiceOptions) {
+    const { world, settings } = options;
+    this.classes = settings.operator.replicaGroups;
+    this.members = new Members((job) => this.membersOf(job));
+    this.traffic = new RequestTraffic({
+      members: this.members,
+      chance: world.chance('requests to replicas'),
+      now: () => world.now,
+      schedule: (delayS, run) => void world.scheduleInternal(delayS, run),
+      reaches: (from, to) => this.reaches(from, to),
+      everyS: REQUEST_EVERY_S,
+      isFenced: true,
+    });
+  }
+
+  start(): void {
+    if (this.classes !== undefined) this.traffic.start();
+  }
+
+  observe(event: WorldEvent): void {
+    if (this.classes !== undefined) this.members.observe(event);
+  }
+
+  get answers(): Answer[] {
+    return this.traffic.answers;
+  }
+
+  /** Answers that were not the work of one whole generation. */
+  get broken(): Answer[] {
+    return brokenAnswers(this.answers);
+  }
+
+  private membersOf(id: string): number {
+    const job = this.options.storage.get(id)?.job;
+    const members = (this.classes as ReplicaClasses | undefined)?.[job?.class ?? '']?.members;
+    if (job?.kind !== 'service' || members === undefined) return 1;
+    return members === 'job' ? job.tasks : members;
+  }
+
+  private reaches(from: string | null, to: string): boolean {
+    const { network, machines } = this.options;
+    const router = network.allHosts().find(({ address }) => address === USERS_HOST);
+    const opener = from === null ? router : machines.get(from)?.host;
+    const acceptor = machines.get(to)?.host;
+    if (!opener || !acceptor?.powered) return false;
+    return network.rules.effectOn(opener, acceptor) === null;
+  }
+}
--- a/packages/testing/simulation/run-scenario.ts
+++ b/packages/testing/simulation/run-scenario.ts
@@ -7,6 +7,8 @@
 import type { FaultJournal } from './fault-journal.js';
 import type { MovePhases } from './move-phases.js';
 import type { OwnershipChange } from './ownership-history.js';
+import type { ReplicaMoments } from './replica-moments.js';
+import type { ReplicaService } from './replica-service.js';
 import type { RequestLog } from './request-log.js';
 import type { Scenario } from './scenario.js';
 import type { Timeline } from './timeline.js';
@@ -25,6 +27,9 @@
   leaders: OwnershipChange[];
   /** How far moves of the part came. */
   moves: MovePhases;
+  /** How far replica groups came, and what was asked of them. */
+  replicaMoments: ReplicaMoments;
+  replicas: ReplicaService;
   /** All that the stand-ins did and saw. */
   timeline: Timeline;
   /** What the controllers have answered to workers and users. */
@@ -63,6 +68,8 @@
     faults: injector.journal,
     leaders: ownership.changes,
     moves: cluster.moves,
+    replicaMoments: cluster.replicaMoments,
+    replicas: cluster.replicas,
     timeline,
     requests: cluster.requests,
     controllers,
--- a/packages/testing/simulation/scenario.ts
+++ b/packages/testing/simulation/scenario.ts
@@ -3,6 +3,7 @@
 import type { ClusterSettings } from './cluster-settings.js';
 import type { LinkEffect } from './link-rules.js';
 import type { MovePhase } from './move-phases.js';
+import type { ReplicaMoment } from './replica-moments.js';
 
 /** Which controllers a fault is about, decided at the moment at which it begins. */
 export type ControllerTarget =
@@ -24,7 +25,9 @@
   | { count: number }
   /** Part of the running machines, from 0 to 1. */
   | { share: number }
-  | { zone: string };
+  | { zone: string }
+  /** So many machines of the replica that the fault waited for, or else that became whole last. */
+  | { ofReplica: number };
 
 /** How a cut connection behaves; see LinkEffect. */
 export type CutMode = Exclude<LinkEffect, 'drop-answers'>;
@@ -42,6 +45,8 @@
   afterTakeoverS?: number;
   /** If given, the fault waits from `atS` on for the next move of the part to reach this phase. */
   atMovePhase?: MovePhase;
+  /** If given, the fault waits from `atS` on for the next replica group to reach this phase. */
+  atReplicaPhase?: ReplicaMoment;
 }
 
 interface Lasting extends Timed {
