--- a/packages/cli/commands.ts
+++ b/packages/cli/commands.ts
@@ -5,6 +5,7 @@
 import { examples } from './help.js';
 import type { Output } from './output.js';
 import { addPartCommands } from './part-commands.js';
+import { addReplicaCommands } from './replica-commands.js';
 import { serve } from './serve.js';
 import { addSettingsCommands } from './settings-commands.js';
 import type { SettingsFiles } from './settings-files.js';
@@ -45,6 +46,7 @@
   addSettingsCommands(program, output);
   addUserCommands(program, output);
   addPartCommands(program, output);
+  addReplicaCommands(program, output);
   return program;
 }
 
--- /dev/null
+++ b/packages/cli/replica-commands.ts
@@ -0,0 +1,54 @@
+import type { Command } from 'commander';
+import { controllerAddress } from './arguments.js';
+import { CommandError, ExitCode } from './command-error.js';
+import { examples } from './help.js';
+import type { Output } from './output.js';
+
+const TIMEOUT_MS = 5000;
+const NOT_OWNER = 503;
+
+/** What a controller answers to operators who ask for its replicas. */
+interface ReplicasAnswer {
+  replicas?: object[];
+  error?: string;
+  /** Who owns the machines, if another controller was asked. */
+  owner?: string | null;
+}
+
+/** Adds replicas, for operators at a terminal. */
+export function addReplicaCommands(program: Command, output: Output): void {
+  program
+    .command('replicas')
+    .description('list the replicas that span several tasks, those that are not whole first')
+    .option('--at <address>', 'address of the controller that owns the machines', '127.0.0.1:8080')
+    .addHelpText('after', examples('replicas --at 10.0.0.1:8080'))
+    .action(async ({ at }: { at: string }) => {
+      const address = controllerAddress(at);
+      const { status, body } = await ask(address);
+      if (body.replicas === undefined) {
+        throw new CommandError(
+          ExitCode.refused,
+          `replicas: refused by ${address}: ${whyNot(status, body)}`,
+        );
+      }
+      for (const row of body.replicas) output.out(`${JSON.stringify(row)}\n`);
+    });
+}
+
+async function ask(address: string): Promise<{ status: number; body: ReplicasAnswer }> {
+  try {
+    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    const response = await fetch(`http://${address}/replicas`, { signal });
+    return { status: response.status, body: (await response.json()) as ReplicasAnswer };
+  } catch (err) {
+    const cause = err instanceof Error && err.cause instanceof Error ? err.cause : err;
+    const why = cause instanceof Error ? cause.message : String(cause);
+    throw new CommandError(ExitCode.noAnswer, `replicas: no answer from ${address}: ${why}`);
+  }
+}
+
+function whyNot(status: number, { error, owner }: ReplicasAnswer): string {
+  const hint =
+    status !== NOT_OWNER ? '' : owner ? `; ask ${owner}` : '; no controller owns them now';
+  return `${status} ${error ?? 'an answer that cannot be used'}${hint}`;
+}
--- /dev/null
+++ b/packages/replicas/group-machine.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  type GroupEvent,
+  type GroupState,
+  mayBePlaced,
+  mayStart,
+  newGroup,
+  phaseOf,
+  step,
+} from './group-machine.js';
+
+const MEMBERS = 3;
+
+function after(events: GroupEvent[], from: GroupState = newGroup(MEMBERS)): GroupState {
+  return events.reduce((state, event) => step(state, event).state, from);
+}
+
+function each(kind: 'placed' | 'inherited' | 'recorded' | 'running', generation: number) {
+  return [0, 1, 2].map((member): GroupEvent => ({ kind, member, generation }));
+}
+
+test('nothing may start before every member has a durable place', () => {
+  const placed = after(each('placed', 7));
+  assert.equal(phaseOf(placed), 'reserved');
+  const [first, second, third] = each('recorded', 7);
+  const almost = after([first, second], placed);
+  assert.equal(mayStart(almost, 7), false);
+  const all = after([third], almost);
+  assert.equal(mayStart(all, 7), true);
+  assert.equal(mayStart(all, 6), false);
+  assert.equal(phaseOf(all), 'starting');
+  assert.equal(phaseOf(after(each('running', 7), all)), 'whole');
+});
+
+test('a member that runs goes on running when its record is written anew', () => {
+  const whole = after([...each('placed', 7), ...each('recorded', 7), ...each('running', 7)]);
+  assert.equal(phaseOf(after(each('recorded', 7), whole)), 'whole');
+});
+
+test('a lost member ends the rest, once, and no generation begins before all of it is gone', () => {
+  const whole = after([...each('placed', 7), ...each('recorded', 7), ...each('running', 7)]);
+  const lost = step(whole, { kind: 'gone', member: 1, generation: 7 });
+  assert.deepEqual(
+    lost.stop.map(({ member }) => member),
+    [0, 2],
+  );
+  assert.equal(phaseOf(lost.state), 'repairing');
+  const second = step(lost.state, { kind: 'gone', member: 0, generation: 7 });
+  assert.deepEqual(second.stop, []);
+  assert.equal(mayBePlaced(second.state), false);
+  assert.throws(() => step(second.state, { kind: 'placed', member: 0, generation: 8 }));
+  const gone = after([{ kind: 'gone', member: 2, generation: 7 }], second.state);
+  assert.equal(mayBePlaced(gone), true);
+  assert.throws(() => step(gone, { kind: 'placed', member: 0, generation: 7 }), /generation 7/);
+  assert.equal(phaseOf(after(each('placed', 8), gone)), 'reserved');
+});
+
+test('a new owner adopts the newest generation if the records name all of it, and ends the others', () => {
+  const old: GroupEvent = { kind: 'inherited', member: 1, generation: 5 };
+  const adopted = step(after([old, ...each('inherited', 7)]), { kind: 'loaded' });
+  assert.deepEqual(adopted.stop, [{ member: 1, generation: 5 }]);
+  assert.equal(phaseOf(adopted.state), 'starting');
+  assert.equal(phaseOf(after(each('running', 7), adopted.state)), 'whole');
+});
+
+test('a new owner ends a generation of which the records lack a member', () => {
+  const [first, second] = each('inherited', 7);
+  const judged = step(after([first, second]), { kind: 'loaded' });
+  assert.equal(judged.stop.length, 2);
+  assert.equal(phaseOf(judged.state), 'repairing');
+  assert.equal(judged.state.reason, 'incomplete-records');
+});
+
+const anEvent: fc.Arbitrary<GroupEvent> = fc.oneof(
+  fc.record({
+    kind: fc.constantFrom('recorded', 'running', 'stopping', 'gone', 'unrecorded' as const),
+    member: fc.nat(MEMBERS - 1),
+    generation: fc.integer({ min: 5, max: 8 }),
+  }) as fc.Arbitrary<GroupEvent>,
+  fc.constantFrom<GroupEvent>(
+    { kind: 'loaded' },
+    { kind: 'end', reason: 'notice' },
+    { kind: 'end', reason: 'start-deadline' },
+  ),
+);
+
+test('whatever happens, starts are of one complete generation, and stops of members that have a place', () => {
+  fc.assert(
+    fc.property(fc.array(anEvent, { maxLength: 30 }), (events) => {
+      let state = after(each('placed', 7));
+      for (const event of events) {
+        const before = state;
+        const { state: next, stop } = step(state, event);
+        for (const { member, generation } of stop) {
+          const place = next.places.find(
+            (one) => one.member === member && one.generation === generation,
+          );
+          assert.equal(place?.ending, true);
+        }
+        if (before.ending && before.places.length > 0) assert.equal(mayStart(next, 7), false);
+        if (mayStart(next, 7)) {
+          assert.equal(new Set(next.places.map(({ member }) => member)).size, MEMBERS);
+          assert.ok(next.places.every((one) => one.generation === 7 && one.stage !== 'reserved'));
+        }
+        state = next;
+      }
+    }),
+    { seed: 1, numRuns: 2000 },
+  );
+});
--- /dev/null
+++ b/packages/replicas/replica-groups.test.ts
@@ -0,0 +1,249 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  type Assignment,
+  type FleetState,
+  type JobState,
+  NO_QUOTA,
+  Scheduler,
+  type TeamQuota,
+} from '#core';
+import type { Job } from '#wire';
+import { aFleet, aJob, aMachine, aReport } from '#testing';
+import type { Recovery } from './replica-groups.js';
+import { ReplicaGroups } from './replica-groups.js';
+
+const SCHEDULE = {
+  floorWeight: 0.05,
+  preemptAfterS: 2,
+  gangLeaseS: 120,
+  stopThreshold: 0.5,
+  decisionsPerRound: 200,
+};
+
+/** A fleet with replica groups, and machines of four accelerators in zones a and b by turns. */
+class GroupWorld {
+  readonly recovered: Recovery[] = [];
+  readonly groups = new ReplicaGroups({
+    leaseS: 10,
+    reportS: 1,
+    random: () => 1,
+    listener: { phaseChanged() {}, recovered: (each) => void this.recovered.push(each) },
+  });
+  readonly fleet: FleetState;
+  readonly scheduler: Scheduler;
+  private seq = 0;
+
+  constructor(machines: number, quota: TeamQuota = NO_QUOTA) {
+    this.fleet = aFleet({ makeReplicas: (job, shape) => this.groups.make(job, shape) });
+    this.groups.attach(this.fleet);
+    for (let i = 0; i < machines; i++) this.addMachine(`n-${i}`, i % 2 === 0 ? 'a' : 'b');
+    this.scheduler = new Scheduler(this.fleet, new Map([['red', quota]]), SCHEDULE);
+  }
+
+  addMachine(name: string, zone: string) {
+    return Object.assign(aMachine(this.fleet, name, { zone }), { session: 1, termConfirmed: true });
+  }
+
+  submit(own: Partial<Job>, members: number, sameZone = false, now = 0): JobState {
+    const job = aJob({ kind: 'service', gpus: 4, rank: 1, ...own });
+    return this.fleet.addJob(job, now, 'accepted', now, { members, sameZone });
+  }
+
+  /** All that was placed is recorded, started and reported as running. */
+  settle(now: number): void {
+    for (const assignment of this.assignments()) this.fleet.assignments.recorded(assignment, now);
+    for (const { name } of this.fleet.machines.values()) this.report(name, now);
+  }
+
+  report(name: string, now: number): void {
+    const machine = this.fleet.machines.get(name)!;
+    const tasks = [...machine.tasks.values()]
+      .filter(({ stop }) => stop === null)
+      .map(({ job, index, attempt }) => {
+        const ref = { job: job.spec.id, index, attempt };
+        return { ...ref, state: 'running' as const, cause: null, saved: false };
+      });
+    const { zone } = machine;
+    this.fleet.reports.handle(aReport({ machine: name, zone, seq: ++this.seq, tasks }), now);
+  }
+
+  assignments(): Assignment[] {
+    return [...this.fleet.machines.values()].flatMap(({ tasks }) => [...tasks.values()]);
+  }
+}
+
+test('a replica gets places for all of its members or for none, however many others wait', () => {
+  const world = new GroupWorld(5);
+  world.submit({ id: 'j-1', tasks: 3 }, 3);
+  world.submit({ id: 'j-2', tasks: 3 }, 3);
+  assert.equal(world.scheduler.place(1), 3);
+  const placed = world.assignments();
+  assert.equal(
+    new Set(placed.map(({ job }) => job)).size,
+    1,
+    'the other holds no part of the room',
+  );
+  assert.equal(new Set(placed.map(({ attempt }) => attempt)).size, 1, 'one generation');
+  world.addMachine('n-5', 'b');
+  assert.equal(world.scheduler.place(2), 3);
+});
+
+test('the limit of a team counts all members', () => {
+  const world = new GroupWorld(6, { ...NO_QUOTA, gpuLimit: 20 });
+  world.submit({ tasks: 6 }, 3);
+  assert.equal(world.scheduler.place(1), 3);
+  assert.equal(world.fleet.usage.ofTeam('red').gpus, 12);
+});
+
+test('members that must share a zone do, also if another zone has more room', () => {
+  const world = new GroupWorld(4);
+  world.submit({ tasks: 3 }, 3, true);
+  assert.equal(world.scheduler.place(1), 0, 'two machines in each zone');
+  world.addMachine('n-4', 'b');
+  assert.equal(world.scheduler.place(2), 3);
+  assert.deepEqual(new Set(world.assignments().map(({ machine }) => machine.zone)), new Set(['b']));
+});
+
+test('a start is sent only when the places of all members are durable', () => {
+  const world = new GroupWorld(3);
+  world.submit({ tasks: 3 }, 3);
+  world.scheduler.place(1);
+  const [first, second, third] = world.assignments();
+  const orders = (name: string, seq: number) => {
+    const { zone } = world.fleet.machines.get(name)!;
+    const outcome = world.fleet.reports.handle(aReport({ machine: name, zone, seq }), 1);
+    return outcome.kind === 'answer' ? outcome.orders.length : -1;
+  };
+  world.fleet.assignments.recorded(first, 1);
+  world.fleet.assignments.recorded(second, 1);
+  assert.equal(orders(first.machine.name, 1), 0);
+  world.fleet.assignments.recorded(third, 1);
+  assert.equal(orders(first.machine.name, 2), 1);
+});
+
+test('survivors of a lost member are stopped, their room is held, and all start anew together', () => {
+  const world = new GroupWorld(4);
+  world.submit({ tasks: 3 }, 3);
+  world.scheduler.place(1);
+  world.settle(2);
+  assert.equal(world.groups.countByPhase().whole, 1);
+  const before = world.assignments();
+  world.fleet.removeMachine(before[0].machine.name, 50);
+  const survivors = before.slice(1);
+  assert.ok(survivors.every(({ stop }) => stop !== null));
+  assert.ok(survivors.every(({ machine }) => machine.roomHold !== null));
+  assert.equal(world.scheduler.place(50), 0, 'the old generation is not gone yet');
+  for (const { machine } of survivors) world.report(machine.name, 51);
+  assert.equal(world.scheduler.place(51), 3);
+  const after = world.assignments();
+  assert.equal(new Set(after.map(({ attempt }) => attempt)).size, 1);
+  assert.ok(after[0].attempt > before[0].attempt);
+  for (const { machine } of survivors) assert.ok(after.some((each) => each.machine === machine));
+  world.settle(52);
+  assert.deepEqual(
+    world.recovered.map(({ reason, tookS }) => ({ reason, tookS })),
+    [{ reason: 'member-lost', tookS: 2 }],
+  );
+});
+
+test('a start that is not whole in time gives its room up, and comes back after a growing pause', () => {
+  const world = new GroupWorld(3);
+  world.submit({ tasks: 3, imageGb: 5 }, 3);
+  world.scheduler.place(1);
+  // Two leases of 10 s and three times the 5 s that a fetch takes.
+  world.groups.expireStarts(36);
+  assert.equal(world.assignments().length, 3);
+  world.groups.expireStarts(36.1);
+  assert.equal(world.assignments().length, 0, 'nothing was sent, so all of it is gone at once');
+  assert.equal(world.scheduler.place(46), 0);
+  assert.equal(world.scheduler.place(46.1), 3);
+  world.groups.expireStarts(46.1 + 70);
+  assert.equal(world.assignments().length, 3, 'the second time is twice as long');
+  world.groups.expireStarts(46.1 + 70.1);
+  assert.equal(world.assignments().length, 0);
+});
+
+test('no more broken replicas start at the same time than the bound says, urgent ranks first', () => {
+  const world = new GroupWorld(24);
+  for (let i = 0; i < 12; i++) world.submit({ id: `j-${i}`, tasks: 2, rank: i < 6 ? 2 : 1 }, 2);
+  world.scheduler.place(1);
+  world.settle(2);
+  assert.equal(world.groups.countByPhase().whole, 12);
+  const inZone = [...world.fleet.machines.values()].filter(({ zone }) => zone === 'a');
+  for (const { name } of inZone) world.fleet.removeMachine(name, 50);
+  for (let i = 0; i < 12; i++) world.addMachine(`m-${i}`, 'b');
+  for (const { name } of world.fleet.machines.values()) world.report(name, 51);
+  world.scheduler.place(52);
+  const starting = new Set(
+    world
+      .assignments()
+      .filter(({ recorded }) => !recorded)
+      .map(({ job }) => job),
+  );
+  assert.ok(starting.size >= 1 && starting.size <= 4, `${starting.size} repairs at once`);
+  assert.ok([...starting].every(({ spec }) => spec.rank === 1));
+});
+
+test('a new owner adopts a replica that its records name whole, and ends one that they name in part', () => {
+  const world = new GroupWorld(5);
+  const whole = world.submit({ id: 'j-1', tasks: 3 }, 3);
+  const partial = world.submit({ id: 'j-2', tasks: 3 }, 3);
+  const machines = [...world.fleet.machines.values()];
+  [0, 1, 2].forEach((index) =>
+    world.fleet.assignments.inherit(whole, index, machines[index], 77, 0),
+  );
+  [0, 1].forEach((index) =>
+    world.fleet.assignments.inherit(partial, index, machines[index + 3], 78, 0),
+  );
+  world.groups.loaded(0);
+  const stopped = world.assignments().filter(({ stop }) => stop !== null);
+  assert.deepEqual(new Set(stopped.map(({ job }) => job.spec.id)), new Set(['j-2']));
+  assert.equal(stopped.length, 2);
+});
+
+test('urgent work stops a replica as a whole', () => {
+  const world = new GroupWorld(3);
+  world.submit({ id: 'j-1', tasks: 3, rank: 3 }, 3);
+  world.scheduler.place(1);
+  world.settle(2);
+  world.fleet.addJob(aJob({ id: 'j-2', rank: 0, gpus: 4 }), 40, 'accepted', 40);
+  world.scheduler.round(60);
+  const members = world.assignments().filter(({ job }) => job.spec.id === 'j-1');
+  assert.equal(members.length, 3);
+  assert.ok(members.every(({ stop }) => stop !== null));
+});
+
+test('room is made for a replica only if all of its members get some', () => {
+  const world = new GroupWorld(2);
+  const low = world.fleet.addJob(
+    aJob({ id: 'j-1', kind: 'service', rank: 3, tasks: 2, gpus: 4 }),
+    0,
+    'accepted',
+    0,
+  );
+  world.scheduler.place(1);
+  world.settle(2);
+  world.submit({ id: 'j-2', tasks: 3, rank: 0 }, 3, false, 10);
+  world.scheduler.round(60);
+  const isStopped = () => [...low.assignments.values()].flat().map(({ stop }) => stop !== null);
+  assert.deepEqual(isStopped(), [false, false], 'a third machine is missing');
+  world.addMachine('n-2', 'a');
+  world.fleet.machines.updateTotals();
+  world.scheduler.round(61);
+  assert.deepEqual(isStopped(), [true, true]);
+});
+
+test('a notice moves a replica once there is room for its members elsewhere, or when little time is left', () => {
+  const world = new GroupWorld(3);
+  world.submit({ tasks: 3 }, 3);
+  world.scheduler.place(1);
+  world.settle(2);
+  const [member] = world.assignments();
+  world.fleet.machines.noteReclaim(member.machine, 100);
+  member.job.replicas!.moveOff(member, 50);
+  assert.equal(member.stop, null, 'there is no other machine');
+  member.job.replicas!.moveOff(member, 91);
+  assert.ok(world.assignments().every(({ stop }) => stop !== null));
+  assert.equal(world.groups.countByPhase().moving, 1);
+});
--- a/packages/testing/measure-moves.ts
+++ b/packages/testing/measure-moves.ts
@@ -4,6 +4,7 @@
  * broken, or if a machine had two owners.
  */
 import { Command } from 'commander';
+import { DISTRIBUTION_COLUMNS, distributionRow } from './measuring/distribution.js';
 import { textTable } from './measuring/text-table.js';
 import { type MoveRunResult, runMoves } from './moves/loopback-run.js';
 import { readOptions } from './sizing/options.js';
@@ -16,27 +17,14 @@
   controllers: string;
 }
 
-const COLUMNS = [
-  { heading: 'milliseconds' },
-  ...['moves', 'median', '99th percentile', 'most'].map((heading) => ({ heading, isNumber: true })),
-];
-
-function distribution(name: string, values: number[]): string[] {
-  const sorted = [...values].sort((one, other) => one - other);
-  const at = (share: number) =>
-    sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
-  const figures = [at(0.5), at(0.99), sorted.at(-1)].map((value) => (value ?? NaN).toFixed(0));
-  return [name, String(values.length), ...figures];
-}
-
 function describe(result: MoveRunResult): string {
   const { moveMs, undecidedMs, breaches, violations, ...counts } = result;
   const rows = [
-    distribution('from the request to the new owner', moveMs),
-    distribution('without decisions', undecidedMs),
+    distributionRow('from the request to the new owner', moveMs),
+    distributionRow('without decisions', undecidedMs),
   ];
   const found = [...breaches, ...violations].map((each) => JSON.stringify(each));
-  return [textTable(COLUMNS, rows), JSON.stringify(counts), ...found, ''].join('\n');
+  return [textTable(DISTRIBUTION_COLUMNS, rows), JSON.stringify(counts), ...found, ''].join('\n');
 }
 
 const program = new Command('measure-moves')
--- a/packages/testing/owner-load/standing-fleet.ts
+++ b/packages/testing/owner-load/standing-fleet.ts
@@ -6,6 +6,7 @@
   isBestEffort,
   JobState,
   Machine,
+  MakeReplicas,
   NO_QUOTA,
   Scheduler,
   ScheduleSettings,
@@ -67,8 +68,10 @@
   private constructor(
     readonly chance: Chance,
     schedule: Partial<ScheduleSettings>,
+    makeReplicas?: MakeReplicas,
   ) {
-    this.fleet = aFleet({ isBestEffort: (job) => isBestEffort(job, TEAMS.get(job.team)) });
+    const options = { isBestEffort: (job: Job) => isBestEffort(job, TEAMS.get(job.team)) };
+    this.fleet = aFleet({ ...options, makeReplicas });
     this.fleet.machines.noteType(LARGE);
     this.scheduler = new Scheduler(this.fleet, TEAMS, { ...SCHEDULE, ...schedule });
     this.planner = new CapacityPlanner({
@@ -85,8 +88,9 @@
     machines: number,
     chance: Chance,
     schedule: Partial<ScheduleSettings> = {},
+    makeReplicas?: MakeReplicas,
   ): StandingFleet {
-    const standing = new StandingFleet(chance, schedule);
+    const standing = new StandingFleet(chance, schedule, makeReplicas);
     for (let i = 0; i < machines; i++) standing.addMachineNumber(i, 'up', 0);
     standing.fleet.machines.updateTotals();
     return standing;
--- a/packages/testing/replica-model/machine-events.ts
+++ b/packages/testing/replica-model/machine-events.ts
@@ -107,6 +107,8 @@
   if (isSilent && state.owner.places[at] !== null) {
     list.add(`owner gives up what ${at} held`, false, (draft) => {
       endPlace(draft.owner, at, mistake);
+      // By then a former owner answers no report any more, and its commands name an older session (points 5 and 7).
+      if (draft.former) draft.former.places[at] = null;
     });
   }
   if (condition === 'dead' && state.owner.places[at] === null) {
--- /dev/null
+++ b/packages/testing/replicas/loopback-faults.ts
@@ -0,0 +1,76 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Chance } from '../random.js';
+import type { LoopbackCluster } from '../sizing/cluster.js';
+
+/** Leases for which a machine stands still or is cut off: longer than it takes to lose its tasks. */
+const LONG_FAULT_LEASES = 1.4;
+const DOWN_S = 1;
+const STANDSTILL_S = 4;
+/** A controller fails so long after the machine at the most. */
+const CONTROLLER_WITHIN_S = 8;
+
+type MachineFault = 'killed' | 'frozen' | 'cut';
+const MACHINE_FAULTS: MachineFault[] = ['killed', 'frozen', 'cut'];
+
+/** Ends, standstills and cuts of machines and controllers on the loopback. */
+export class LoopbackFaults {
+  /** How often each fault was made. */
+  readonly counts: Record<string, number> = {};
+  private readonly cut = new Set<string>();
+
+  constructor(
+    private readonly cluster: LoopbackCluster,
+    private readonly chance: Chance,
+    private readonly leaseS: number,
+  ) {}
+
+  /** Whether one machine, or the router (null), reaches another. */
+  reaches(from: string | null, to: string): boolean {
+    return !(this.cut.has(to) || (from !== null && this.cut.has(from)));
+  }
+
+  /** A machine fails in one of the ways; resolves once it has ended, or goes on. */
+  async failMachine(name: string): Promise<void> {
+    const { cluster, chance } = this;
+    const kind = MACHINE_FAULTS[chance.int(0, MACHINE_FAULTS.length - 1)];
+    const worker = cluster.fleet.worker(name);
+    if (!worker) return;
+    this.count(kind);
+    if (kind === 'killed') {
+      cluster.cloud.kill(name);
+      return;
+    }
+    // Of those that are cut off from the controllers, half are still reached by the others.
+    const isCutFromAll = kind === 'cut' && chance.hit(0.5);
+    if (kind === 'frozen') worker.hang();
+    else worker.setDeaf(true);
+    if (kind === 'cut') worker.setMute(true);
+    if (isCutFromAll) this.cut.add(name);
+    await sleep(LONG_FAULT_LEASES * this.leaseS * 1000);
+    this.cut.delete(name);
+    if (kind === 'frozen') worker.resume();
+    else worker.setDeaf(false);
+    worker.setMute(false);
+  }
+
+  /** Some time into the repair the owner, or another controller, ends and is started again, or stands still. */
+  async failController(): Promise<void> {
+    const { cluster, chance } = this;
+    await sleep(chance.next() * CONTROLLER_WITHIN_S * 1000);
+    const owner = cluster.owner();
+    const running = cluster.controllers.filter((each) => each.running);
+    const victim = owner !== null && chance.hit(0.75) ? owner : running.at(0);
+    if (!victim) return;
+    const ends = chance.hit(0.5);
+    this.count(ends ? 'controller killed' : 'controller stopped');
+    if (ends) await victim.end('SIGKILL');
+    else victim.setStopped(true);
+    await sleep((ends ? DOWN_S : STANDSTILL_S) * 1000);
+    if (ends) victim.start();
+    else victim.setStopped(false);
+  }
+
+  private count(kind: string): void {
+    this.counts[kind] = (this.counts[kind] ?? 0) + 1;
+  }
+}
--- /dev/null
+++ b/packages/testing/replicas/loopback-run.ts
@@ -0,0 +1,214 @@
+/** Replicas of several members on stand-in machines, whose machines and controllers fail while requests come. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { type Job, nodeRuntime } from '#wire';
+import { Chance } from '../random.js';
+import { type Answer, brokenAnswers } from '../replica-traffic/answers.js';
+import { Members } from '../replica-traffic/members.js';
+import { RequestTraffic } from '../replica-traffic/request-traffic.js';
+import { aJob } from '../samples.js';
+import { LoopbackCluster } from '../sizing/cluster.js';
+import { allHealthy } from '../sizing/full-fleet.js';
+import type { SizingOptions } from '../sizing/options.js';
+import { runLine } from '../sizing/sources.js';
+import { waitFor } from '../sizing/wait.js';
+import { type PlannedJob, RuleChecker, type Violation } from '../standins/index.js';
+import { LoopbackFaults } from './loopback-faults.js';
+import { repairTimes, type RepairTime } from './repair-times.js';
+
+const CLASS = 'label-model';
+const MEMBERS = 3;
+const SEED = 1;
+const FIRST_JOB_ID = 800_000;
+const REQUEST_EVERY_S = 0.1;
+const START_WITHIN_S = 90;
+const REPAIR_WITHIN_S = 120;
+/** From one repair to the next fault. */
+const PAUSE_S = 0.5;
+
+/** How replicas are kept together. */
+export type ReplicaMode =
+  /** The section `replicaGroups`, and members that answer with the marks of all only. */
+  | 'groups'
+  /** The section, and members that answer whoever marked. */
+  | 'unfenced'
+  /** No section, so that each task is restarted by itself, and members that answer whoever marked. */
+  | 'single-tasks';
+
+export interface ReplicaRunOptions {
+  sizing: SizingOptions;
+  mode: ReplicaMode;
+  replicas: number;
+  faults: number;
+  /** One fault in so many comes with the end or the standstill of a controller; 0: none does. */
+  controllerEvery: number;
+}
+
+export interface ReplicaRunResult {
+  answers: number;
+  broken: Answer[];
+  violations: Violation[];
+  /** Times at which members of two generations of a replica ran. */
+  generationsAtOnce: number;
+  faults: Record<string, number>;
+  repairs: RepairTime[];
+  /** Share of the replicas' time for which they were not being repaired. */
+  wholeShare: number;
+  lengthS: number;
+}
+
+/** Plays it; `progress` is told after each fault. */
+export async function runReplicas(
+  options: ReplicaRunOptions,
+  progress: (done: number) => void = () => {},
+): Promise<ReplicaRunResult> {
+  const run = new ReplicaRun(options);
+  try {
+    await run.start();
+    for (let done = 1; done <= options.faults; done++) {
+      await run.failOnce(done);
+      progress(done);
+    }
+    return run.finish();
+  } finally {
+    await run.close();
+  }
+}
+
+class ReplicaRun {
+  private readonly chance = new Chance(SEED);
+  private readonly checker: RuleChecker;
+  private readonly members = new Members((job) => (job >= jobId(0) ? MEMBERS : 1));
+  private readonly cluster: LoopbackCluster;
+  private readonly traffic: RequestTraffic;
+  private readonly faults: LoopbackFaults;
+  private readonly losses: { atS: number; job: string; withController: boolean }[] = [];
+  private fromS = 0;
+
+  constructor(private readonly options: ReplicaRunOptions) {
+    const { sizing, mode } = options;
+    const { sources, nodeOptions, machines } = sizing;
+    const objectives = [{ kind: 'wait', class: CLASS, within_s: 20, share: 0.9 }];
+    const shared = { ...sizing.cluster, deployment: { ...sizing.cluster.deployment, objectives } };
+    const cancelS = shared.deployment.workers.cancel_s;
+    this.checker = new RuleChecker(nodeRuntime.clock, { teams: [], cancelS });
+    const isGrouped = mode !== 'single-tasks';
+    this.cluster = new LoopbackCluster({
+      shared,
+      machines,
+      command: { directory: sources, command: runLine(sources, nodeOptions), logLevel: 'info' },
+      operator: isGrouped ? { replicaGroups: { [CLASS]: { members: MEMBERS } } } : {},
+      observe: (event) => {
+        this.checker.observe(event);
+        this.members.observe(event);
+      },
+    });
+    const { chance, cluster } = this;
+    this.faults = new LoopbackFaults(cluster, chance, shared.deployment.workers.lease_s);
+    this.traffic = new RequestTraffic({
+      members: this.members,
+      chance,
+      now: () => nodeRuntime.clock.now(),
+      schedule: (delayS, run) => void setTimeout(run, delayS * 1000).unref(),
+      reaches: (from, to) => this.faults.reaches(from, to),
+      everyS: REQUEST_EVERY_S,
+      isFenced: mode === 'groups',
+    });
+  }
+
+  async start(): Promise<void> {
+    const { cluster, options } = this;
+    await cluster.listen();
+    for (const controller of cluster.controllers) controller.start();
+    await allHealthy(cluster);
+    const teams = cluster.options.shared.deployment.teams.map(({ name }) => name);
+    cluster.users.start(planReplicas(options.replicas, teams));
+    this.traffic.start();
+    const jobs = Array.from({ length: options.replicas }, (_, index) => jobId(index));
+    await waitFor('all replicas to answer', START_WITHIN_S, () => this.allAnswerSince(jobs, 0));
+    this.fromS = nodeRuntime.clock.now();
+  }
+
+  /** A machine with members fails, now and then with a controller; resolves once all of it is repaired. */
+  async failOnce(number: number): Promise<void> {
+    const { chance, faults, cluster, options } = this;
+    const replicas = [...this.members.replicas()];
+    const victim = replicas[chance.int(0, replicas.length - 1)];
+    const member = this.members.of(victim.job, victim.first + chance.int(0, MEMBERS - 1)).at(0);
+    if (!member) return sleep(PAUSE_S * 1000);
+    const withController = options.controllerEvery > 0 && number % options.controllerEvery === 0;
+    const atS = nodeRuntime.clock.now();
+    const hit = replicas.filter(({ job, first }) =>
+      [0, 1, 2].some((index) =>
+        this.members.of(job, first + index).some(({ machine }) => machine === member.machine),
+      ),
+    );
+    for (const { job } of hit) this.losses.push({ atS, job, withController });
+    const ends = [faults.failMachine(member.machine)];
+    if (withController) ends.push(faults.failController());
+    await Promise.all(ends);
+    await allHealthy(cluster);
+    const jobs = replicas.map(({ job }) => job);
+    const sinceS = nodeRuntime.clock.now();
+    await waitFor('repairs', REPAIR_WITHIN_S, () => this.allAnswerSince(jobs, sinceS));
+    await sleep(PAUSE_S * 1000);
+  }
+
+  private allAnswerSince(jobs: string[], sinceS: number): true | null {
+    const { answers } = this.traffic;
+    const seen = new Set<string>();
+    for (let at = answers.length - 1; at >= 0 && answers[at].atS > sinceS; at--) {
+      if (answers[at].marks.length === MEMBERS) seen.add(answers[at].job);
+    }
+    return jobs.every((job) => seen.has(job)) ? true : null;
+  }
+
+  finish(): ReplicaRunResult {
+    const { answers } = this.traffic;
+    const lengthS = nodeRuntime.clock.now() - this.fromS;
+    const repairs = repairTimes(answers, this.losses);
+    const brokenS = repairs.reduce((sum, { wholeAfterS }) => sum + wholeAfterS, 0);
+    return {
+      answers: answers.length,
+      broken: brokenAnswers(answers),
+      violations: this.checker.finish(),
+      generationsAtOnce: this.members.generationsAtOnce,
+      faults: this.faults.counts,
+      repairs,
+      wholeShare: 1 - brokenS / (lengthS * this.options.replicas),
+      lengthS,
+    };
+  }
+
+  async close(): Promise<void> {
+    this.traffic.stop();
+    await this.cluster.close();
+  }
+}
+
+function jobId(index: number): string {
+  return `j-${FIRST_JOB_ID + index}`;
+}
+
+function planReplicas(count: number, teams: string[]): PlannedJob[] {
+  const fields: Partial<Job> = {
+    class: CLASS,
+    kind: 'service',
+    rank: 1,
+    tasks: MEMBERS,
+    cpus: 24,
+    gpus: 3,
+    memory: 90,
+    imageGb: 5,
+    types: null,
+  };
+  return Array.from({ length: count }, (_, index) => {
+    const team = teams[index % teams.length];
+    const job = aJob({ ...fields, id: jobId(index), team, image: `model-${index % 4}` });
+    return {
+      program: { job, runS: Array<number>(MEMBERS).fill(0), failsAfterS: null },
+      submitAtS: 0,
+      cancelAfterS: null,
+      repeatAfterS: null,
+    };
+  });
+}
--- /dev/null
+++ b/packages/testing/replicas/loopback.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { describeAnswer } from '../replica-traffic/answers.js';
+import { readOptions } from '../sizing/options.js';
+import { describeViolation } from '../standins/index.js';
+import { runReplicas } from './loopback-run.js';
+
+const SIZING = readOptions(
+  '--machines 10 --controllers 3 --report-s 0.4 --lease-s 4 --settle-s 0'.split(' '),
+);
+
+test('real controllers repair replicas whose machines fail, one time with a controller, and no answer is broken', async () => {
+  const result = await runReplicas({
+    sizing: SIZING,
+    mode: 'groups',
+    replicas: 5,
+    faults: 3,
+    controllerEvery: 2,
+  });
+  assert.deepEqual(result.broken.map(describeAnswer), []);
+  assert.deepEqual(result.violations.map(describeViolation), []);
+  assert.equal(result.generationsAtOnce, 0);
+  assert.ok(result.answers > 100, `${result.answers} answers`);
+  assert.ok(result.repairs.length >= 3, `${result.repairs.length} repairs`);
+  assert.ok(result.repairs.some(({ withController }) => withController));
+});
--- a/packages/testing/sizing/cluster.ts
+++ b/packages/testing/sizing/cluster.ts
@@ -67,7 +67,7 @@
   tasksKilled = 0;
   private jobsMade = 0;
   readonly state: StateService;
-  private readonly cloud: CloudService;
+  readonly cloud: CloudService;
   private readonly balancer: LoadBalancer;
   private readonly storage: JobStorage;
   /** For the controllers' settings; removed with the cluster. */
