Replica groups: room that must be in one zone is planned in a zone that can have it

Need: a plan packed the members of a replica that must share a zone by the first machine with room, wherever that was; where the cloud refused machines in that zone, nothing was rented elsewhere. A test with a refused zone.

--- a/packages/controller/replica-support.ts
+++ b/packages/controller/replica-support.ts
@@ -1,7 +1,7 @@
 import type { ReplicaShape } from '#core';
-import type { ReplicaClasses, ReplicaGroups, ReplicaRow } from '#replicas';
+import type { Group, ReplicaClasses, ReplicaGroups, ReplicaListener, ReplicaRow } from '#replicas';
 import type { JobRecord } from '#store';
-import type { Clock, Job, MachineType, Runtime } from '#wire';
+import type { Job, MachineType, Runtime } from '#wire';
 import type { Log } from './log.js';
 import { ReplicaMetrics } from './replica-metrics.js';
 import type { Settings } from './settings.js';
@@ -53,20 +53,20 @@
         leaseS,
         reportS,
         random: () => runtime.random(),
-        listener: replicaListener(runtime.clock, log, metrics),
+        listener: replicaListener(log, metrics),
       }),
   };
 }
 
-function replicaListener(clock: Clock, log: Log, metrics: ReplicaMetrics) {
+function replicaListener(log: Log, metrics: ReplicaMetrics): ReplicaListener {
   return {
-    phaseChanged: ({ group, from, to, reason }: PhaseChangeOf) => {
+    phaseChanged: ({ group, from, to, reason }) => {
       const machines = [...group.assignments()].map(({ machine }) => machine.name);
       const fields = { ...nameOf(group), from, to, why: reason, machines };
       if (to === 'repairing') log.info({ ...fields, lostBy: group.lostBy }, 'replica repair');
       else log.debug(fields, 'replica');
     },
-    recovered: ({ group, reason, tookS }: RecoveryOf) => {
+    recovered: ({ group, reason, tookS }) => {
       metrics.recovered(reason, tookS);
       const tookMs = Math.round(tookS * 1000);
       log.info({ ...nameOf(group), why: reason, tookMs }, 'replica whole again');
@@ -74,10 +74,6 @@
   };
 }
 
-type Listener = ConstructorParameters<typeof ReplicaGroups>[0]['listener'];
-type PhaseChangeOf = Parameters<Listener['phaseChanged']>[0];
-type RecoveryOf = Parameters<Listener['recovered']>[0];
-
-function nameOf({ job, index, state }: PhaseChangeOf['group']) {
+function nameOf({ job, index, state }: Group) {
   return { job: job.spec.id, replica: index, generation: state.generation };
 }
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -165,6 +165,10 @@
     const oneZone = spec.oneZone || (replicas?.sameZone ?? false);
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
+    if (replicas !== null && oneZone && zone === null) {
+      const chosen = packing.zoneForAll(request, count);
+      request = packing.request({ ...spec, zone: chosen }, spec.id, zones);
+    }
     let left = count;
     for (let machines = 0; left > 0 && machines < mostMachines; machines++) {
       const packed = packing.place(request, left);
--- a/packages/core/slot-packing.ts
+++ b/packages/core/slot-packing.ts
@@ -83,6 +83,21 @@
     return { slot, tasks };
   }
 
+  /**
+   * The zone for tasks that must be in the same one: where standing machines have room for all of them, or else where
+   * machines can be rented; null if there is none.
+   */
+  zoneForAll({ job, requirements }: PackingRequest, count: number): string | null {
+    const roomByZone = new Map<string, number>();
+    for (const slot of this.standing) {
+      if (slot.reservedForGang !== null || !holds(slot, job)) continue;
+      const room = (roomByZone.get(slot.zone) ?? 0) + tasksThatFit(job, slot.used, slot.type);
+      if (room >= count) return slot.zone;
+      roomByZone.set(slot.zone, room);
+    }
+    return this.cheapestKind({ job, gang: null, tasksByZone: null, requirements })?.zone ?? null;
+  }
+
   /** From now on what best-effort work takes of the standing machines counts, too. */
   countBestEffort(): void {
     for (const { machine, used } of this.standing) addAmounts(used, machine.usedBestEffort, 1);
--- a/packages/replicas/replica-groups.test.ts
+++ b/packages/replicas/replica-groups.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import {
   type Assignment,
+  CapacityPlanner,
   type FleetState,
   type JobState,
   NO_QUOTA,
@@ -105,6 +106,26 @@
   assert.deepEqual(new Set(world.assignments().map(({ machine }) => machine.zone)), new Set(['b']));
 });
 
+test('members that must share a zone are rented for in one, also if others have some room', () => {
+  const world = new GroupWorld(4);
+  world.submit({ tasks: 3 }, 3, true);
+  const planner = new CapacityPlanner({
+    fleet: world.fleet,
+    settings: { reserveSigmas: 0, idleHoldS: 60, memoryS: 120 },
+    objectives: [],
+    teams: new Map([['red', NO_QUOTA]]),
+  });
+  const { rent } = planner.plan(1);
+  assert.equal(rent.length, 1);
+  assert.equal(rent[0].count, 1, 'beside the two machines of that zone');
+  planner.rentalRefused(rent[0], 100);
+  const [other] = planner.plan(2).rent;
+  assert.notEqual(other.zone, rent[0].zone, 'a zone that gives no machines is left');
+  world.addMachine('n-4', rent[0].zone);
+  world.fleet.machines.updateTotals();
+  assert.deepEqual(planner.plan(3).rent, []);
+});
+
 test('a start is sent only when the places of all members are durable', () => {
   const world = new GroupWorld(3);
   world.submit({ tasks: 3 }, 3);
