--- /dev/null
+++ b/packages/controller/replica-endpoint.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, test } from 'node:test';
+import express from 'express';
+import type { PartOwner } from './owner.js';
+import { mountReplicas } from './replica-endpoint.js';
+import type { ReplicaSupport } from './replica-support.js';
+
+const ROW = { job: 'j-1', replica: 0, generation: 7, phase: 'whole' };
+const SUPPORT = { rows: () => [ROW] } as unknown as ReplicaSupport;
+const OWNER = { replicaGroups: {} } as unknown as PartOwner;
+
+async function ask(support: ReplicaSupport | null, owner: PartOwner | null) {
+  const app = express();
+  const holder = { owner: 'controller-2', grant: 1, version: 9 };
+  mountReplicas(app, { replicas: { support }, owner: () => owner, ownership: { holder } });
+  const server = http.createServer(app).listen(0, '127.0.0.1');
+  await new Promise((resolve) => server.once('listening', resolve));
+  after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const response = await fetch(`http://127.0.0.1:${port}/replicas`);
+  return { status: response.status, body: (await response.json()) as Record<string, unknown> };
+}
+
+test('the owner lists replicas, another controller names it, and without the section there are none', async () => {
+  assert.deepEqual(await ask(SUPPORT, OWNER), { status: 200, body: { replicas: [ROW] } });
+  const elsewhere = await ask(SUPPORT, null);
+  assert.equal(elsewhere.status, 503);
+  assert.equal(elsewhere.body.owner, 'controller-2');
+  const off = await ask(null, OWNER);
+  assert.equal(off.status, 404);
+});
