--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,9 @@
 import tseslint from 'typescript-eslint';
 
 const SOURCES = ['packages/**/*.{ts,cts}'];
-const PRODUCTION = ['packages/{wire,core,store,peer,parts,replicas,controller,cli}/**/*.{ts,cts}'];
+const PRODUCTION = [
+  'packages/{wire,dependencies,core,store,peer,parts,replicas,controller,cli}/**/*.{ts,cts}',
+];
 const TESTS = ['packages/**/*.test.ts'];
 const GIVEN = 'Use the Runtime that the caller hands over (packages/wire/runtime.ts).';
 
@@ -79,12 +81,13 @@
 /** The packages that each may import. Production imports neither `testing`, `bundle` nor stand-ins' messages. */
 const MAY_IMPORT = {
   wire: [],
+  dependencies: [],
   core: ['wire'],
   store: ['wire', 'core'],
   peer: ['wire', 'core'],
   parts: ['wire', 'core', 'store'],
   replicas: ['wire', 'core'],
-  controller: ['wire', 'core', 'store', 'peer', 'parts', 'replicas'],
+  controller: ['wire', 'dependencies', 'core', 'store', 'peer', 'parts', 'replicas'],
   cli: ['wire', 'core', 'store', 'peer', 'parts', 'replicas', 'controller'],
 };
 const PACKAGES = [...Object.keys(MAY_IMPORT), 'testing', 'bundle'];
--- a/packages/cli/examples.test.ts
+++ b/packages/cli/examples.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { readFileSync } from 'node:fs';
+import { readdirSync, readFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { loadSettings, operatorSchema } from '#controller';
@@ -34,3 +34,18 @@
   assert.ok(team && team.gpus_max >= job.gpus);
   assert.ok(objectives.some((objective) => objective.class === job.class));
 });
+
+test('the jobs of the sample pipeline can be submitted in the order of their numbers', () => {
+  const { teams } = loadSettings(SETTINGS, null).deployment;
+  const files = readdirSync(example('pipeline')).sort();
+  const jobs = files.map((file) => parseJob(readJson(example(`pipeline/${file}`))));
+  assert.ok(jobs.length > 2);
+  const accepted = new Set<string>();
+  for (const [number, job] of jobs.entries()) {
+    assert.ok(teams.some(({ name }) => name === job.team));
+    assert.deepEqual(job.awaits.length > 0, number > 0);
+    for (const awaited of job.awaits) assert.ok(accepted.has(awaited), `${job.id}: ${awaited}`);
+    assert.equal(job.deadlineS !== null, number === jobs.length - 1);
+    accepted.add(job.id);
+  }
+});
--- /dev/null
+++ b/packages/controller/awaited-jobs.test.ts
@@ -0,0 +1,203 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { jobToWire, pause, type Job, type UserAnswer, UserClient } from '#wire';
+import { aJob, Cluster, formatAddress, serviceAddress, SMALL_CLUSTER, USERS_HOST } from '#testing';
+
+const CONTROLLERS = [0, 1, 2];
+
+/** Three controllers, a user of each, and jobs whose tasks run for `runS`. */
+async function aCluster(seed = 1) {
+  const cluster = new Cluster(SMALL_CLUSTER, seed);
+  const runtime = cluster.serviceRuntime('users', 'users', USERS_HOST);
+  await cluster.start();
+  await cluster.world.runUntil(10);
+  const users = CONTROLLERS.map(
+    (index) => new UserClient(formatAddress(serviceAddress(index)), 5000, runtime),
+  );
+  /** Lets time pass until the requests are answered. */
+  const ask = async <T>(request: Promise<T>): Promise<T> => {
+    const answers: T[] = [];
+    const failures: unknown[] = [];
+    request.then(
+      (answer) => answers.push(answer),
+      (err: unknown) => failures.push(err),
+    );
+    for (let s = 0; s < 3000 && answers.length + failures.length === 0; s++) {
+      await cluster.world.runUntil(cluster.world.now + 0.02);
+    }
+    assert.deepEqual(failures, []);
+    return answers[0];
+  };
+  const upload = (own: Partial<Job>, runS = 4): Job => {
+    const job = aJob({ gpus: 0, cpus: 1, ...own });
+    const runtimes = Array<number>(job.tasks).fill(runS);
+    cluster.storage.upload({ job, runS: runtimes, failsAfterS: null });
+    return job;
+  };
+  const submit = (user: number, own: Partial<Job>, runS?: number) =>
+    ask(users[user].submit(upload(own, runS)));
+  const phaseAt = async (user: number, id: string) => phaseOf(await ask(users[user].status(id)));
+  const wait = (seconds: number) => ask(pause(runtime.clock, seconds * 1000));
+  return { cluster, users, ask, submit, upload, phaseAt, wait };
+}
+
+function phaseOf({ job }: UserAnswer): string | null {
+  return job !== null && 'phase' in job ? job.phase : null;
+}
+
+function errorOf({ job }: UserAnswer): string {
+  return job !== null && 'error' in job ? (job.error ?? '') : '';
+}
+
+test('a submission is refused that awaits itself, a service, or a job that was never accepted', async () => {
+  const { submit, users, ask } = await aCluster();
+  await submit(0, { id: 'j-1', kind: 'service' });
+  await submit(0, { id: 'j-2' });
+  const refusals: [string[], RegExp][] = [
+    [['j-10'], /^awaits: a job can't await itself$/],
+    [['j-1'], /^awaits: j-1 is a service/],
+    [['j-2', 'j-99'], /^awaits: j-99 was never accepted$/],
+  ];
+  for (const user of CONTROLLERS) {
+    for (const [awaits, error] of refusals) {
+      const answer = await submit(user, { id: 'j-10', awaits });
+      assert.equal(answer.status, 422);
+      assert.match(errorOf(answer), error);
+    }
+  }
+  await ask(users[0].abort('j-1'));
+  const ended = await submit(1, { id: 'j-10', awaits: ['j-1'] });
+  assert.deepEqual([ended.status, errorOf(ended).slice(0, 19)], [422, 'awaits: j-1 is a se']);
+  assert.equal((await ask(users[0].status('j-10'))).status, 404);
+});
+
+test('what is no list of job ids is malformed, and what is none is as if it were left out', async () => {
+  const { ask, users, upload } = await aCluster();
+  const body = (awaits: unknown) => ({ ...jobToWire(upload({ id: 'j-10' })), awaits });
+  for (const awaits of ['j-1', 7, [7], ['x'], [null], { a: 1 }, ['j-']]) {
+    const answer = await ask(users[0].submitRaw(body(awaits)));
+    assert.equal(answer.status, 400, JSON.stringify(awaits));
+    assert.match(errorOf(answer), /^awaits/);
+  }
+  for (const [number, awaits] of [null, [], undefined].entries()) {
+    const plain = { ...body(awaits), id: `j-2${number}` };
+    assert.equal((await ask(users[0].submitRaw(plain))).status, 201);
+  }
+  const many = Array.from({ length: 3000 }, (_, number) => `j-${100_000_000 + number}`);
+  const answer = await ask(users[0].submitRaw(body(many)));
+  assert.equal(answer.status, 400);
+  assert.match(errorOf(answer), /^lane, crew, bundle, rigs, yard, awaits: .* 8192 bytes$/);
+});
+
+test('a job may await one that another controller accepted a millisecond ago', async () => {
+  // Guards against a refusal for good by a cache that the watch had not filled yet.
+  for (const seed of [1, 2, 3]) {
+    const { submit, ask, users, upload } = await aCluster(seed);
+    for (let number = 0; number < 12; number++) {
+      const first = `j-${100 + number}`;
+      assert.equal((await submit(number % 3, { id: first })).status, 201);
+      const next = upload({ id: `j-${200 + number}`, awaits: [first, first] });
+      const answers = await ask(
+        Promise.all([1, 2].map((step) => users[(number + step) % 3].submit(next))),
+      );
+      const statuses = answers.map(({ status }) => status).sort();
+      assert.deepEqual(statuses, [200, 201]);
+    }
+  }
+});
+
+test('a controller that cannot read says so, and when to come again, in place of a refusal for good', async () => {
+  const { cluster, submit, ask, users, upload } = await aCluster();
+  await submit(0, { id: 'j-1' });
+  const { host } = cluster.controllers[1];
+  cluster.state.refuse(host.address);
+  const refused = await ask(users[1].submit(upload({ id: 'j-2', awaits: ['j-77'] })));
+  assert.equal(refused.status, 503);
+  assert.ok(refused.retryAfterS !== null && refused.retryAfterS >= 1);
+  cluster.state.readmit(host.address);
+  const known = await ask(users[2].submit(upload({ id: 'j-2', awaits: ['j-1'] })));
+  assert.equal(known.status, 201);
+  // Whatever a repeated submission awaits, the job is known.
+  const repeated = await ask(users[0].submit(upload({ id: 'j-2', awaits: ['j-2', 'j-77'] })));
+  assert.equal(repeated.status, 200);
+});
+
+test('jobs are done one after another, and each starts only after the record says that the one before is done', async () => {
+  const { cluster, submit, phaseAt, wait } = await aCluster();
+  await submit(0, { id: 'j-1', tasks: 3 }, 6);
+  await submit(1, { id: 'j-2', awaits: ['j-1'], kind: 'gang', tasks: 2 }, 4);
+  await submit(2, { id: 'j-3', awaits: ['j-2', 'j-1'], rank: 0 }, 3);
+  assert.deepEqual([await phaseAt(0, 'j-2'), await phaseAt(1, 'j-3')], ['pending', 'pending']);
+  await wait(150);
+  for (const user of CONTROLLERS) assert.equal(await phaseAt(user, 'j-3'), 'done');
+  const { timeline } = cluster;
+  for (const [job, before] of [
+    ['j-2', 'j-1'],
+    ['j-3', 'j-2'],
+  ]) {
+    const recorded = timeline.of('transaction').find(({ changes }) =>
+      changes.some((change) => {
+        if (!('put' in change) || change.put !== `jobs/${before}`) return false;
+        return (change.value as { phase: string }).phase === 'done';
+      }),
+    );
+    const first = timeline.of('task-assigned').find(({ task }) => task.job === job);
+    assert.ok(recorded && first && recorded.atS < first.atS, job);
+  }
+  assert.deepEqual(cluster.checker.violations, []);
+});
+
+test('with a job all that need it are aborted, at every controller and also if submitted later', async () => {
+  const { cluster, submit, ask, users, phaseAt, wait } = await aCluster();
+  await submit(0, { id: 'j-1' }, 500);
+  await submit(1, { id: 'j-2', awaits: ['j-1'] });
+  await submit(2, { id: 'j-3', awaits: ['j-2'] });
+  await submit(2, { id: 'j-4' }, 500);
+  await wait(60);
+  const told = await ask(users[0].abort('j-1'));
+  assert.equal(phaseOf(told), 'aborted');
+  for (const user of CONTROLLERS) {
+    for (const id of ['j-2', 'j-3']) assert.equal(await phaseAt(user, id), 'aborted');
+  }
+  const revision = cluster.state.store.revision;
+  const late = await submit(1, { id: 'j-5', awaits: ['j-3', 'j-4'] });
+  assert.deepEqual([late.status, phaseOf(late)], [201, 'aborted']);
+  assert.equal(phaseOf(await ask(users[2].abort('j-3'))), 'aborted');
+  assert.equal(phaseOf(await submit(0, { id: 'j-2', awaits: ['j-1'] })), 'aborted');
+  // The records of what ended with it are as they were: one change for the late job, none for a cascade.
+  const jobs = ['j-2', 'j-3', 'j-5'].map((id) => cluster.state.store.get(`jobs/${id}`)!);
+  for (const { value } of jobs) assert.equal((value as { phase: string }).phase, 'accepted');
+  assert.ok(jobs.filter(({ version }) => version > revision).length === 1);
+  // The same is found by controllers that begin anew.
+  for (const { process } of cluster.controllers) process.restart(0.5);
+  await wait(25);
+  for (const user of CONTROLLERS) {
+    for (const id of ['j-2', 'j-3', 'j-5']) assert.equal(await phaseAt(user, id), 'aborted');
+    assert.equal(await phaseAt(user, 'j-4'), 'running');
+  }
+  assert.deepEqual(cluster.checker.violations, []);
+});
+
+test('a cancellation that is answered with done leaves the jobs after it alone', async () => {
+  const { submit, ask, users, phaseAt, wait } = await aCluster();
+  await submit(0, { id: 'j-1' }, 2);
+  await submit(1, { id: 'j-2', awaits: ['j-1'] }, 40);
+  await wait(110);
+  assert.equal(phaseOf(await ask(users[2].abort('j-1'))), 'done');
+  for (const user of CONTROLLERS) assert.notEqual(await phaseAt(user, 'j-2'), 'aborted');
+});
+
+test('a controller that was refused for long knows of a cancellation before it answers a submission after it', async () => {
+  // Guards against a job called pending long after one that it needs was cancelled: the record was written with the
+  // first request that was served again, and the cache was as old as the refusal.
+  const { cluster, submit, ask, users, upload } = await aCluster();
+  await submit(0, { id: 'j-1' }, 500);
+  await submit(1, { id: 'j-2', awaits: ['j-1'] });
+  const late = cluster.controllers[2];
+  cluster.state.refuse(late.host.address);
+  await ask(users[0].abort('j-1'));
+  await cluster.world.runUntil(cluster.world.now + 50);
+  cluster.state.readmit(late.host.address);
+  const answer = await ask(users[2].submit(upload({ id: 'j-3', awaits: ['j-2'] })));
+  assert.deepEqual([answer.status, phaseOf(answer)], [201, 'aborted']);
+});
--- a/packages/controller/cancellation-recorder.ts
+++ b/packages/controller/cancellation-recorder.ts
@@ -1,4 +1,4 @@
-import { encodeJob, type GroupCommit, jobKey, type StateClient } from '#store';
+import { encodeEndedJob, type GroupCommit, jobKey, type StateClient } from '#store';
 import type { Clock } from '#wire';
 import type { JobTable } from './jobs.js';
 import type { Log } from './log.js';
@@ -43,7 +43,8 @@
     const record = jobs.get(id);
     if (record?.phase !== 'accepted') return;
     const key = jobKey(id);
-    const value = encodeJob({ ...record, phase: 'aborted' });
+    const { valueBytes } = this.options.client.limits;
+    const value = encodeEndedJob({ ...record, phase: 'aborted' }, valueBytes);
     const condition = { key, version: record.version };
     const outcome = await commits.commit(record.job.team, [condition], [{ put: key, value }]);
     if (!outcome.ok) {
--- a/packages/controller/core-from-settings.ts
+++ b/packages/controller/core-from-settings.ts
@@ -1,6 +1,6 @@
 import { CapacityPlanner, FleetListener, FleetState, isBestEffort, Random, Scheduler } from '#core';
 import type { ReplicaGroups } from '#replicas';
-import { maxTasksPerMachine, Term } from '#store';
+import type { Term } from '#store';
 import { graceAfterLoss } from './time-bounds.js';
 import { Settings, teamQuotas } from './settings.js';
 
@@ -30,7 +30,7 @@
       gangPeerS: gang_peer_s,
       formerOwnerS: graceAfterLoss(cancel_s, lease_s, report_s) + 2 * report_s,
       halfLifeS: settings.operator.shareHalfLifeS,
-      maxTasksPerMachine: maxTasksPerMachine(valueBytes),
+      machineRecordBytes: valueBytes,
     },
     term: term.term,
     claimedAt: term.claimedAt,
--- a/packages/controller/fleet-events.ts
+++ b/packages/controller/fleet-events.ts
@@ -1,4 +1,4 @@
-import type { CapacityPlanner, FleetListener } from '#core';
+import type { CapacityPlanner, FleetListener, JobState } from '#core';
 import type { Log } from './log.js';
 
 /**
@@ -23,7 +23,7 @@
     machineBroken({ name, failures }) {
       log.info({ machine: name, jobs: [...failures.jobs.keys()] }, 'machine broken');
     },
-    jobClosed: (job, now) => planner().jobEnded(job.spec, now),
+    jobClosed: (job, now) => noteEnd(planner(), job, now),
     taskRunning({ job, index, machine, assignedAt }, now) {
       const fields = {
         job: job.spec.id,
@@ -31,7 +31,7 @@
         class: job.spec.class,
         machine: machine.name,
         image: job.spec.image,
-        placedS: hundredths(assignedAt - job.acceptedAt),
+        placedS: hundredths(assignedAt - job.startableAt),
         fetchedS: hundredths(now - assignedAt),
       };
       log.debug(fields, 'task running');
@@ -45,6 +45,11 @@
   };
 }
 
+/** One that still awaited others has not counted as come. */
+function noteEnd(planner: CapacityPlanner, { spec, awaitsJobs }: JobState, now: number): void {
+  if (!awaitsJobs) planner.jobEnded(spec, now);
+}
+
 function hundredths(seconds: number): number {
   return Math.round(seconds * 100) / 100;
 }
--- a/packages/controller/fleet-summary.ts
+++ b/packages/controller/fleet-summary.ts
@@ -14,6 +14,8 @@
   index: Record<string, number>;
   /** Tasks that wait for a place, by class. */
   waiting: Record<string, number>;
+  /** Jobs that await others which are not done. */
+  awaiting: number;
   /** Jobs whose tasks fail on every machine tried. */
   suspects: number;
 }
@@ -31,6 +33,7 @@
     use: {},
     index: {},
     waiting: {},
+    awaiting: fleet.jobs.awaiting,
     suspects: fleet.failures.suspects.size,
   };
   for (const machine of fleet.machines.values()) {
--- a/packages/controller/job-intake.test.ts
+++ b/packages/controller/job-intake.test.ts
@@ -14,7 +14,13 @@
     clock: world.controller().clock,
     fleet,
     planner: { jobArrived: (job) => void arrivals.push(job.id) },
-    jobs: { isCancelled: (id) => asked.includes(id) },
+    jobs: {
+      isCancelled: (id) => asked.includes(id),
+      awaitsJobs: () => false,
+      awaitedBy: () => [],
+      urgencyOf: () => ({ rank: 2, dueAtMs: Infinity }),
+    },
+    log: { debug: () => {} },
   });
   return { fleet, intake, arrivals };
 }
--- a/packages/controller/job-intake.ts
+++ b/packages/controller/job-intake.ts
@@ -1,13 +1,16 @@
-import type { FleetState, CapacityPlanner } from '#core';
+import type { FleetState, CapacityPlanner, Dependencies } from '#core';
+import type { DependencyChange } from '#dependencies';
 import type { JobRecord } from '#store';
 import type { Clock } from '#wire';
 import type { JobTable } from './jobs.js';
+import type { Log } from './log.js';
 
 export interface JobIntakeOptions {
   clock: Clock;
   fleet: FleetState;
   planner: Pick<CapacityPlanner, 'jobArrived'>;
-  jobs: Pick<JobTable, 'isCancelled'>;
+  jobs: Pick<JobTable, 'isCancelled' | 'awaitsJobs' | 'awaitedBy' | 'urgencyOf'>;
+  log: Pick<Log, 'debug'>;
   /** Told of each open job that is taken in for the first time. */
   onNewJob?: (record: JobRecord) => void;
 }
@@ -30,15 +33,36 @@
     const now = clock.now();
     const ageS = Math.max(0, (clock.wallMs() - acceptedAtMs) / 1000);
     const isNew = !fleet.jobs.has(job.id);
-    fleet.addJob(job, now - ageS, phase, now, replicas);
+    const dependencies = this.dependenciesOf(job.id);
+    fleet.addJob(job, now - ageS, phase, now, replicas, dependencies);
     if (phase !== 'accepted') this.unrecorded.delete(job.id);
     else if (isNew) {
-      planner.jobArrived(job, now);
+      if (!dependencies.awaitsJobs) planner.jobArrived(job, now);
       onNewJob?.(record);
       if (jobs.isCancelled(job.id)) this.cancel(job.id);
     }
   }
 
+  /** Jobs that a job awaits, or that need it, have changed. */
+  follow(change: DependencyChange): void {
+    const { clock, fleet, planner, log } = this.options;
+    const job = fleet.jobs.get(change.job);
+    if (job?.phase !== 'accepted') return;
+    const now = clock.now();
+    if (change.kind === 'urgency') fleet.changeRank(job, change.urgency.rank, now);
+    if (change.kind !== 'startable' || !job.awaitsJobs) return;
+    fleet.jobs.startable(job, now);
+    planner.jobArrived(job.spec, now);
+    log.debug({ job: change.job, waitedS: now - job.acceptedAt }, 'all awaited jobs are done');
+  }
+
+  private dependenciesOf(id: string): Dependencies {
+    const { jobs, log } = this.options;
+    const awaitsJobs = jobs.awaitsJobs(id);
+    if (awaitsJobs) log.debug({ job: id, awaits: jobs.awaitedBy(id) }, 'job awaits others');
+    return { awaitsJobs, rank: jobs.urgencyOf(id).rank };
+  }
+
   /** A user gives the job up; its record may be still to come. False if there is nothing to end. */
   cancel(id: string): boolean {
     const { clock, fleet } = this.options;
--- a/packages/controller/job-records.test.ts
+++ b/packages/controller/job-records.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { FleetState } from '#core';
-import { jobKey, MAX_VALUE_BYTES, maxTasksPerMachine, progressKey } from '#store';
+import { type FleetState, LARGEST_ENTRY } from '#core';
+import { jobKey, MAX_VALUE_BYTES, progressKey } from '#store';
 import { aJob, aMachine, aRecorder, RECORDER_LIMITS } from '#testing';
 
 /** A job of many tasks of which some are done. */
@@ -26,10 +26,11 @@
     record(aJob({ id: 'j-1', tasks: 100_000 }), 'accepted');
     await sync();
     const job = aJobWithDone(fleet, done);
-    const tasks = Math.min(maxTasksPerMachine(valueBytes), 700);
     const machine = aMachine(fleet, 'n-1');
-    for (let index = 1; index <= tasks; index++)
-      fleet.assignments.assign(job, index, machine, 1, 0);
+    let tasks = 0;
+    while (tasks < 700 && machine.recordBytes + LARGEST_ENTRY <= valueBytes)
+      fleet.assignments.assign(job, ++tasks, machine, Number.MAX_SAFE_INTEGER, 0);
+    assert.ok(tasks >= valueBytes / 64 - 4 || tasks === 700);
     await flush();
     assert.equal(tasksOn('n-1')?.length, tasks);
     assert.equal(fleet.unrecorded.doneTasksOf(job.spec.id).size, 0);
@@ -66,7 +67,7 @@
   record(aJob({ id: 'j-3', tasks: 2 }), 'aborted');
   const left = store.apply([{ put: keys[2], value: { done: 'AQ==' } }]);
   await sync();
-  recorder.jobRecords.loaded('j-3', 0, { version: left, text: 'AQ==' });
+  recorder.jobRecords.loaded('j-3', { label: 0, value: { done: 'AQ==' }, version: left });
   for (const { id } of jobs) fleet.jobs.markDone(fleet.jobs.get(id)!, 0);
   // One is cancelled while its progress is on its way to be recorded.
   state.service.beginLostAnswers(1);
@@ -92,7 +93,7 @@
   record(aJob({ id: 'j-1', tasks: 2 }), 'aborted');
   const left = store.apply([{ put: progressKey('j-1', 0), value: { done: 'AQ==' } }]);
   await sync();
-  recorder.jobRecords.loaded('j-1', 0, { version: left, text: 'AQ==' });
+  recorder.jobRecords.loaded('j-1', { label: 0, value: { done: 'AQ==' }, version: left });
   assert.ok(recorder.pending);
   // Somebody else takes most of it.
   const others = Array.from({ length: RECORDER_LIMITS.txnOps + 10 }, () => ({ delete: 'x' }));
--- a/packages/controller/job-records.ts
+++ b/packages/controller/job-records.ts
@@ -1,19 +1,29 @@
 import type { FleetState, JobState } from '#core';
-import { encodeJob, jobKey, progressChunkTasks, progressKey, type StateLimits } from '#store';
+import {
+  encodeEndedJob,
+  jobKey,
+  type ProgressChunk,
+  progressKey,
+  ProgressLayout,
+  type ProgressValue,
+  type StateLimits,
+} from '#store';
 import type { Job } from '#wire';
 import type { JobTable } from './jobs.js';
 import type { RecordChange } from './record-batch.js';
 
 /** Part of a job's done tasks as an earlier term recorded it. */
-interface RecordedChunk {
+export interface RecordedChunk {
+  /** Last part of the record's key. */
+  label: number;
+  value: ProgressValue;
   version: number;
-  text: string;
 }
 
 /** Part of a job whose record lacks some done tasks. */
-interface UnrecordedChunk {
-  chunk: number;
-  tasks: number[];
+interface UnrecordedChunk extends ProgressChunk {
+  /** Those that it lacks. */
+  lacking: number[];
   /** Of its record, 0 if there is none. */
   version: number;
 }
@@ -26,24 +36,47 @@
 
 /** The records of which tasks are done: in parts while a job is open, then that all of it is. */
 export class JobRecords {
-  private readonly chunkTasks: number;
-  /** Versions, by key, of parts of open jobs. */
-  private readonly chunks = new Map<string, number>();
+  private readonly layout: ProgressLayout;
+  /** Versions, by key, of the parts of each open job. */
+  private readonly chunks = new Map<string, Map<string, number>>();
   /** Versions, by key, of parts whose jobs are over. */
   private readonly obsolete = new Map<string, number>();
 
   constructor(private readonly options: JobRecordsOptions) {
-    this.chunkTasks = progressChunkTasks(options.limits.valueBytes);
+    this.layout = new ProgressLayout(options.limits);
   }
 
   /** Takes a part of a job's done tasks from the record that an earlier term left. */
-  loaded(id: string, chunk: number, recorded: RecordedChunk): void {
-    const key = progressKey(id, chunk);
+  loaded(id: string, { label, value, version }: RecordedChunk): void {
+    const key = progressKey(id, label);
     const job = this.options.fleet.jobs.get(id);
     if (job?.phase === 'accepted') {
-      job.done.addChunk(chunk, this.chunkTasks, recorded.text);
-      this.chunks.set(key, recorded.version);
-    } else if (this.isOver(id)) this.obsolete.set(key, recorded.version);
+      const first = this.layout.firstTask(label, value);
+      job.done.addText(first, value.done);
+      this.noteChunk(id, key, version);
+      this.recordBeyond(job, first, value);
+    } else if (this.isOver(id)) this.obsolete.set(key, version);
+  }
+
+  /**
+   * An older version may have written a longer part than is written now. Before its record is written anew, shorter,
+   * the done tasks beyond have records of their own: parts that have none come first (`unrecordedChunks`).
+   */
+  private recordBeyond({ spec, done }: JobState, first: number, { done: text }: ProgressValue) {
+    const { unrecorded } = this.options.fleet;
+    const chunk = this.layout.chunkOf(spec.id, spec.tasks, first);
+    const end = Math.min(spec.tasks, first + Buffer.byteLength(text, 'base64') * 8);
+    for (let task = chunk.first + chunk.tasks; task < end; task++) {
+      if (!done.has(task)) continue;
+      unrecorded.taskDone(spec.id, task);
+      unrecorded.jobs.add(spec.id);
+    }
+  }
+
+  private noteChunk(id: string, key: string, version: number): void {
+    const ofJob = this.chunks.get(id);
+    if (ofJob) ofJob.set(key, version);
+    else this.chunks.set(id, new Map([[key, version]]));
   }
 
   /** Parts that jobs that are over have left. */
@@ -52,14 +85,9 @@
   }
 
   /** The job's record says that it is over, so nobody needs the parts any more. */
-  over({ id, tasks }: Job): void {
-    for (let chunk = 0; chunk * this.chunkTasks < tasks; chunk++) {
-      const key = progressKey(id, chunk);
-      const version = this.chunks.get(key);
-      if (version === undefined) continue;
-      this.chunks.delete(key);
-      this.obsolete.set(key, version);
-    }
+  over({ id }: Job): void {
+    for (const [key, version] of this.chunks.get(id) ?? []) this.obsolete.set(key, version);
+    this.chunks.delete(id);
   }
 
   /** Deletes what jobs that are over have left. */
@@ -82,12 +110,12 @@
   }
 
   private doneChange(job: JobState): RecordChange[] {
-    const { fleet, jobs } = this.options;
+    const { fleet, jobs, limits } = this.options;
     const { id } = job.spec;
     const record = jobs.get(id);
     if (record?.phase !== 'accepted') return [];
     const key = jobKey(id);
-    const value = encodeJob({ ...record, phase: 'done' });
+    const value = encodeEndedJob({ ...record, phase: 'done' }, limits.valueBytes);
     const durable = (revision: number) => jobs.cache.learn(key, value, revision);
     const again = () => void fleet.unrecorded.jobs.add(id);
     const change = { put: key, value };
@@ -97,33 +125,32 @@
   private progressChanges(job: JobState): RecordChange[] {
     const { fleet } = this.options;
     const { id } = job.spec;
-    return this.unrecordedChunks(job).map(({ chunk, tasks, version }) => {
-      const key = progressKey(id, chunk);
+    return this.unrecordedChunks(job).map((chunk) => {
+      const { key, lacking, version } = chunk;
       const again = () => void fleet.unrecorded.jobs.add(id);
       const durable = (revision: number) => {
         // A user may have cancelled it while the transaction was on its way.
         if (this.isOver(id)) this.obsolete.set(key, revision);
-        else this.chunks.set(key, revision);
-        fleet.unrecorded.tasksRecorded(id, tasks);
+        else this.noteChunk(id, key, revision);
+        fleet.unrecorded.tasksRecorded(id, lacking);
       };
-      const change = { put: key, value: { done: job.done.chunkText(chunk, this.chunkTasks) } };
+      const done = job.done.textOf(chunk.first, chunk.tasks);
+      const change = { put: key, value: this.layout.valueOf(chunk, done) };
       return { key, version, change, guards: [], durable, again };
     });
   }
 
   /** The parts with tasks that are not recorded, the one that was recorded longest ago first. */
-  private unrecordedChunks(job: JobState): UnrecordedChunk[] {
-    const tasksByChunk = new Map<number, number[]>();
-    for (const task of this.options.fleet.unrecorded.doneTasksOf(job.spec.id)) {
-      const chunk = Math.floor(task / this.chunkTasks);
-      const tasks = tasksByChunk.get(chunk);
-      if (tasks) tasks.push(task);
-      else tasksByChunk.set(chunk, [task]);
+  private unrecordedChunks({ spec }: JobState): UnrecordedChunk[] {
+    const versions = this.chunks.get(spec.id);
+    const byKey = new Map<string, UnrecordedChunk>();
+    for (const task of this.options.fleet.unrecorded.doneTasksOf(spec.id)) {
+      const chunk = this.layout.chunkOf(spec.id, spec.tasks, task);
+      const known = byKey.get(chunk.key);
+      const version = versions?.get(chunk.key) ?? 0;
+      if (known) known.lacking.push(task);
+      else byKey.set(chunk.key, { ...chunk, lacking: [task], version });
     }
-    const found = [...tasksByChunk].map(([chunk, tasks]) => {
-      const version = this.chunks.get(progressKey(job.spec.id, chunk)) ?? 0;
-      return { chunk, tasks, version };
-    });
-    return found.sort((one, other) => one.version - other.version);
+    return [...byKey.values()].sort((one, other) => one.version - other.version);
   }
 }
--- a/packages/controller/jobs.ts
+++ b/packages/controller/jobs.ts
@@ -1,4 +1,5 @@
 import { Subject } from 'rxjs';
+import { type DependencyChange, DependencyGraph, type Urgency } from '#dependencies';
 import type { JobView, Phase } from '#wire';
 import type { Cancellations } from './cancellations.js';
 import { decodeJob, JobRecord, PrefixCache } from '#store';
@@ -13,16 +14,28 @@
 /** What is kept of a job that is over. */
 export interface EndedJob {
   phase: 'aborted' | 'done';
+  isService: boolean;
   tasks: number;
   version: number;
 }
 
-/** All jobs as the state service holds them; every controller keeps this table. */
+/**
+ * All jobs as the state service holds them, and what follows for those that await others: one is aborted as
+ * soon as a job that it needs is, though its own record goes on saying that it was accepted. Every controller
+ * keeps this table.
+ */
 export class JobTable {
   private readonly records = new Map<string, OpenJob | EndedJob>();
   private readonly recentlyEnded = new Map<string, JobRecord>();
   private counts = new Map<string, { done: number; running: number }>();
+  /** Records that are new or differ, also where only what follows from others does. */
   readonly changed = new Subject<JobRecord>();
+  /** What the jobs that a job awaits, or that await it, make of it. */
+  readonly dependencyChanged = new Subject<DependencyChange>();
+  private readonly dependencies = new DependencyGraph({
+    outcomeOf: (id) => this.outcomeOf(id),
+    urgencyOf: (id) => this.ownUrgency(id),
+  });
 
   constructor(
     readonly cache: PrefixCache,
@@ -32,17 +45,52 @@
       // Job keys are never removed: a final state must be kept.
       if (event.value === undefined) return;
       const record = decodeJob(event.value, event.version);
-      if (isOpen(record)) this.records.set(record.job.id, record);
-      else this.noteEnded(record);
-      this.changed.next(record);
+      if (isOpen(record)) this.takeOpen(record);
+      else this.takeEnded(record);
     });
   }
 
-  private noteEnded(record: JobRecord): void {
+  private takeOpen(record: OpenJob): void {
+    const { id, awaits } = record.job;
+    const known = this.records.get(id);
+    // Aborted with one that it needs: that is final, whatever its own record says.
+    if (known !== undefined && known.phase !== 'accepted') return;
+    this.records.set(id, record);
+    const changes = known === undefined ? this.dependencies.accepted(id, awaits) : [];
+    const isCancelled = changes.some(({ kind, job }) => kind === 'cancelled' && job === id);
+    if (!isCancelled) this.changed.next(record);
+    this.follow(changes);
+  }
+
+  private takeEnded(record: JobRecord): void {
     const { job, phase, version } = record;
     if (phase === 'accepted') return;
-    this.records.set(job.id, { phase, tasks: job.tasks, version });
     if (phase === 'aborted') this.cancellations.noteRecorded(job.id, version);
+    this.noteEnded(record, phase);
+    this.changed.next(record);
+    this.follow(this.dependencies.ended(job.id, phase === 'done' ? 'done' : 'cancelled'));
+  }
+
+  private follow(changes: DependencyChange[]): void {
+    for (const change of changes) {
+      if (change.kind === 'cancelled') this.abortWithNeeded(change.job);
+      else this.dependencyChanged.next(change);
+    }
+  }
+
+  /** A job that it needs is aborted, and so is it. */
+  private abortWithNeeded(id: string): void {
+    const record = this.records.get(id);
+    if (record?.phase !== 'accepted') return;
+    const aborted: JobRecord = { ...record, phase: 'aborted' };
+    this.noteEnded(aborted, 'aborted');
+    this.changed.next(aborted);
+  }
+
+  private noteEnded(record: JobRecord, phase: EndedJob['phase']): void {
+    const { job, version } = record;
+    const isService = job.kind === 'service';
+    this.records.set(job.id, { phase, isService, tasks: job.tasks, version });
     this.counts.delete(job.id);
     this.recentlyEnded.set(job.id, record);
     if (this.recentlyEnded.size <= RECENTLY_ENDED) return;
@@ -65,6 +113,35 @@
     return known?.phase === 'accepted' ? known : this.recentlyEnded.get(id);
   }
 
+  /** The job awaits others that are not recorded as done. */
+  awaitsJobs(id: string): boolean {
+    return this.dependencies.isWaiting(id);
+  }
+
+  /** What the job still awaits. */
+  awaitedBy(id: string): string[] {
+    return this.dependencies.awaitedBy(id);
+  }
+
+  /** How urgent the job is by itself and by those that need it. */
+  urgencyOf(id: string): Urgency {
+    return this.dependencies.urgencyOf(id);
+  }
+
+  private outcomeOf(id: string): 'done' | 'cancelled' | null {
+    const phase = this.records.get(id)?.phase ?? 'accepted';
+    if (phase === 'accepted') return null;
+    return phase === 'done' ? 'done' : 'cancelled';
+  }
+
+  private ownUrgency(id: string): Urgency | null {
+    const record = this.records.get(id);
+    if (record?.phase !== 'accepted') return null;
+    const { rank, deadlineS } = record.job;
+    const dueAtMs = deadlineS === null ? Infinity : record.acceptedAtMs + deadlineS * 1000;
+    return { rank, dueAtMs };
+  }
+
   /** A user has cancelled it, or has asked for that; its tasks are of no use to anybody. */
   isCancelled(id: string): boolean {
     return this.records.get(id)?.phase === 'aborted' || this.cancellations.wasRequested(id);
--- a/packages/controller/machine-records.ts
+++ b/packages/controller/machine-records.ts
@@ -39,6 +39,8 @@
       return { key, version, change: { delete: key }, guards: [], durable, again };
     }
     if (machine.tasks.size === 0 && version === 0) return null;
+    // An older version may have recorded more than fits now. The record says too much until tasks have gone.
+    if (machine.recordBytes > this.options.limits.valueBytes) return null;
     const { assignments, guards, complete } = this.nameable(machine);
     const durable = (revision: number) => {
       this.versions.set(name, revision);
--- a/packages/controller/machine-types.ts
+++ b/packages/controller/machine-types.ts
@@ -1,9 +1,11 @@
 import type { MachineType } from '#wire';
-import { PrefixCache, StateClient, TYPES_KEY } from '#store';
+import { PrefixCache, sizeInJson, StateClient, TYPES_KEY } from '#store';
 
 /** The machine types that can be rented, recorded for the controllers that don't ask the cloud. */
 export class MachineTypes {
   private types: MachineType[] = [];
+  /** What the records hold, by key. */
+  private readonly pages = new Map<string, MachineType[]>();
 
   constructor(
     private readonly client: StateClient,
@@ -11,7 +13,10 @@
     private readonly world: PrefixCache,
   ) {
     world.changes.subscribe(({ key, value }) => {
-      if (key === TYPES_KEY && value) this.types = value as MachineType[];
+      if (!isTypesKey(key)) return;
+      if (value) this.pages.set(key, value as MachineType[]);
+      else this.pages.delete(key);
+      this.types = [...this.pages.values()].flat();
     });
   }
 
@@ -26,11 +31,37 @@
       this.types = types;
       return;
     }
-    const out = await this.client.txn([], [{ put: TYPES_KEY, value: types }], true, signal);
-    if (out.ok) this.world.learn(TYPES_KEY, types, out.revision);
+    const pages = typePages(types, this.client.limits.valueBytes);
+    const puts = pages.map((value, page) => ({ put: typesKey(page), value }));
+    const written = puts.map(({ put }) => put);
+    const removed = [...this.pages.keys()].filter((key) => !written.includes(key));
+    const changes = [...puts, ...removed.map((key) => ({ delete: key }))];
+    const out = await this.client.txn([], changes, true, signal);
+    if (!out.ok) return;
+    for (const { put, value } of puts) this.world.learn(put, value, out.revision);
   }
 }
 
+/** The first page has the key under which older versions find all types. */
+function typesKey(page: number): string {
+  return page === 0 ? TYPES_KEY : `${TYPES_KEY}/${page}`;
+}
+
+function isTypesKey(key: string): boolean {
+  return key === TYPES_KEY || key.startsWith(`${TYPES_KEY}/`);
+}
+
+/** The types in as few values as hold them, each of at most so many bytes unless one type alone is larger. */
+function typePages(types: MachineType[], valueBytes: number): MachineType[][] {
+  const pages: MachineType[][] = [[]];
+  for (const type of types) {
+    const page = pages.at(-1)!;
+    if (page.length > 0 && sizeInJson([...page, type]) > valueBytes) pages.push([type]);
+    else page.push(type);
+  }
+  return pages;
+}
+
 /** Prices and times vary; these do not. */
 function sizesOf(types: MachineType[]): string {
   return JSON.stringify(types.map((t) => [t.name, t.cpus, t.gpus, t.memory, t.zones]));
--- a/packages/controller/metrics-endpoint.ts
+++ b/packages/controller/metrics-endpoint.ts
@@ -86,6 +86,10 @@
       'class',
       () => owner()?.fleetSummary().waiting ?? {},
     );
+    const awaitingHelp = 'Jobs that await others which are not done';
+    metrics.gauge('awaiting_jobs', awaitingHelp, null, () => ({
+      '': owner()?.fleet.jobs.awaiting ?? 0,
+    }));
     const suspectHelp = 'Jobs whose tasks fail on every machine tried';
     metrics.gauge('suspect_jobs', suspectHelp, null, () => ({
       '': owner()?.fleet.failures.suspects.size ?? 0,
--- a/packages/controller/owner-records.ts
+++ b/packages/controller/owner-records.ts
@@ -6,6 +6,7 @@
   MACHINES,
   MachineRecord,
   PROGRESS,
+  type ProgressValue,
   removalsKey,
   StateClient,
   Term,
@@ -82,9 +83,9 @@
   }
 
   private takeProgress({ key, value, version }: Entry): void {
-    const [id, chunk] = key.slice(PROGRESS.length).split('/');
-    const text = (value as { done: string }).done;
-    this.options.recorder.jobRecords.loaded(id, Number(chunk), { version, text });
+    const [id, label] = key.slice(PROGRESS.length).split('/');
+    const recorded = { label: Number(label), value: value as ProgressValue, version };
+    this.options.recorder.jobRecords.loaded(id, recorded);
   }
 
   private takeMachine({ key, value, version }: Entry, now: number): void {
--- a/packages/controller/owner.ts
+++ b/packages/controller/owner.ts
@@ -119,6 +119,10 @@
       if (record.phase !== 'accepted') this.recorder.jobRecords.over(record.job);
       this.requestRound();
     });
+    const dependencies = this.options.jobs.dependencyChanged.subscribe((change) => {
+      this.intake.follow(change);
+      this.requestRound();
+    });
     const { clock, tickMs, log } = this;
     const { onRound } = this.options;
     const round = () => this.round(signal);
@@ -129,6 +133,7 @@
       await this.flushing.run(signal);
     } finally {
       jobs.unsubscribe();
+      dependencies.unsubscribe();
       rounds.stop();
       this.direct.close();
     }
--- a/packages/controller/platform-settings.ts
+++ b/packages/controller/platform-settings.ts
@@ -9,6 +9,19 @@
   gpus_max: number;
 }
 
+/** Limits of the state service. */
+export interface StateLimitSettings {
+  rps: number;
+  write_rps: number;
+  value_kb: number;
+  txn_ops: number;
+}
+
+/** The limits that are in force when the file is written, and those that will be from some later moment on. */
+export interface StateSettings extends StateLimitSettings {
+  next?: Partial<StateLimitSettings>;
+}
+
 /** The whole file, in its own words. Durations are seconds. */
 export interface PlatformSettings {
   host_name: string;
@@ -30,7 +43,7 @@
       gang_peer_s: number;
       cancel_s: number;
     };
-    state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
+    state: StateSettings;
     cloud: { rps: number; list_lag_s: number };
     limits: { cpu_share: number; memory_mb: number; sockets: number };
   };
@@ -41,6 +54,13 @@
 const text = { type: 'string', minLength: 1 };
 const address = { type: 'string', pattern: '^[0-9]+(\\.[0-9]+){3}:[0-9]{1,5}$' };
 
+const stateLimits = {
+  rps: positive,
+  write_rps: positive,
+  value_kb: positive,
+  txn_ops: { type: 'integer', minimum: 2 },
+};
+
 /** JSON schema of the file; unknown fields are ignored. */
 export const platformSchema = {
   type: 'object',
@@ -109,10 +129,8 @@
           type: 'object',
           required: ['rps', 'write_rps', 'value_kb', 'txn_ops'],
           properties: {
-            rps: positive,
-            write_rps: positive,
-            value_kb: positive,
-            txn_ops: { type: 'integer', minimum: 2 },
+            ...stateLimits,
+            next: { type: 'object', properties: stateLimits },
           },
         },
         cloud: {
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -55,7 +55,7 @@
   { client, world, jobs }: StateAccess,
   hesitates: () => boolean,
 ): ControllerServices {
-  const { workers, state } = settings.deployment;
+  const { workers } = settings.deployment;
   const memoryS = CANCELLATION_MEMORY * workers.cancel_s;
   const cancellations = new Cancellations(RECORDED_CANCELLATIONS, memoryS);
   const ownership = new Ownership({
@@ -75,7 +75,7 @@
     commits: new GroupCommit({
       client,
       runtime,
-      maxQueue: Math.ceil(state.write_rps * COMMIT_QUEUE_S),
+      maxQueue: Math.ceil(client.limits.writeRps * COMMIT_QUEUE_S),
       weightOf: submissionWeights(settings),
     }),
     ownership,
--- a/packages/controller/state-access.ts
+++ b/packages/controller/state-access.ts
@@ -1,5 +1,6 @@
-import { JOBS, MAX_VALUE_BYTES, PrefixCache, StateClient, WORLD } from '#store';
+import { JOBS, MAX_VALUE_BYTES, PrefixCache, StateClient, type StateLimits, WORLD } from '#store';
 import { type Runtime, StateApi } from '#wire';
+import type { StateSettings } from './platform-settings.js';
 import type { Settings } from './settings.js';
 
 /** How long the state service may hold a request of a watch. */
@@ -24,6 +25,24 @@
   jobs: PrefixCache;
 }
 
+/**
+ * The limits that all requests keep to: the smaller of those in force now and those to come, since nobody tells
+ * when they change.
+ */
+export function stateLimits({ next = {}, ...now }: StateSettings): StateLimits {
+  return {
+    rps: Math.min(now.rps, next.rps ?? Infinity),
+    writeRps: Math.min(now.write_rps, next.write_rps ?? Infinity),
+    valueBytes: valueBytes(Math.min(now.value_kb, next.value_kb ?? Infinity)),
+    txnOps: Math.min(now.txn_ops, next.txn_ops ?? Infinity),
+    layoutBytes: valueBytes(now.value_kb),
+  };
+}
+
+function valueBytes(valueKb: number): number {
+  return Math.min(MAX_VALUE_BYTES, Math.floor(valueKb * 1024));
+}
+
 /** Nothing is sent before the caches run; `owning` tells whether this controller owns now. */
 export function accessState(
   runtime: Runtime,
@@ -32,16 +51,11 @@
 ): StateAccess {
   const { nodes, state, workers } = deployment;
   const reportMs = workers.report_s * 1000;
-  const limits = {
-    rps: state.rps,
-    writeRps: state.write_rps,
-    valueBytes: Math.min(MAX_VALUE_BYTES, Math.floor(state.value_kb * 1024)),
-    txnOps: state.txn_ops,
-  };
+  const limits = stateLimits(state);
   const api = new StateApi(runtime, external.state, reportMs);
   const share = nodes === 1 ? SOLE_STATE_SHARE : STATE_SHARE;
   const client = new StateClient(runtime.clock, api, limits, share);
-  const leastSpacingMs = (nodes * 1000) / (state.rps * SYNC_RATE_SHARE);
+  const leastSpacingMs = (nodes * 1000) / (limits.rps * SYNC_RATE_SHARE);
   const syncSpacingMs = Math.max(leastSpacingMs, reportMs * SYNC_SPACING);
   const caching = { client, runtime, watchMs: WATCH_MS, syncSpacingMs };
   const gatherMs = () => reportMs * (owning() ? OWNER_GATHERS : OTHERS_GATHER);
--- a/packages/controller/submission-check.ts
+++ b/packages/controller/submission-check.ts
@@ -5,7 +5,6 @@
 import { teamQuotas } from './settings.js';
 
 const NOTHING = { cpus: 0, gpus: 0, memory: 0 };
-const TOO_LONG = 'lane, crew, bundle, rigs, yard: together longer than a record may be';
 
 /** Why a submission is turned away for good. */
 export interface Refusal {
@@ -37,7 +36,8 @@
       const error = this.whyNever(job) ?? this.whyNeverWhole(job, shape);
       if (error !== null) return { refusal: { status: 422, error } };
       const acceptable = shape === null ? { job } : { job, replicas: shape };
-      if (!this.fitsRecord(acceptable)) return { refusal: { status: 400, error: TOO_LONG } };
+      if (!this.fitsRecord(acceptable))
+        return { refusal: { status: 400, error: this.whyTooLong() } };
       return acceptable;
     } catch (err) {
       if (!(err instanceof MalformedBody)) throw err;
@@ -54,6 +54,7 @@
 
   /** Why a job can never run, or null. */
   private whyNever(job: Job): string | null {
+    if (job.awaits.includes(job.id)) return `${JOB_FIELDS.awaits}: a job can't await itself`;
     const quota = this.teams.get(job.team);
     if (!quota) return `${JOB_FIELDS.team}: unknown team`;
     const types = this.services.types.all();
@@ -66,6 +67,11 @@
     return replicas.support.whyNeverWhole(job, shape, types.all());
   }
 
+  private whyTooLong(): string {
+    const { valueBytes } = this.services.client.limits;
+    return `lane, crew, bundle, rigs, yard, awaits: their record would be larger than ${valueBytes} bytes`;
+  }
+
   private fitsRecord({ job, replicas }: AcceptableJob): boolean {
     const value = encodeJob({
       job,
--- a/packages/controller/user-api-abort.test.ts
+++ b/packages/controller/user-api-abort.test.ts
@@ -11,7 +11,7 @@
   const seen: string[] = [];
   const record = { job: aJob(), acceptedAtMs: 0, phase: 'accepted', version: 3 };
   const options = {
-    client: { call: () => Promise.reject(new NoAnswer('cut')) },
+    client: { limits: { valueBytes: 8192 }, call: () => Promise.reject(new NoAnswer('cut')) },
     commits: {
       commit: () => {
         seen.push('commit');
--- a/packages/controller/user-api.ts
+++ b/packages/controller/user-api.ts
@@ -1,10 +1,11 @@
 import type { Express, Request, Response } from 'express';
 import { Clock, isJobId, MachineType, MalformedBody, NoAnswer, StateRefused } from '#wire';
-import { encodeJob, GroupCommit, jobKey, NotReady, StateClient } from '#store';
+import { encodeEndedJob, encodeJob, GroupCommit, jobKey, NotReady, StateClient } from '#store';
+import { AwaitedJobs } from './awaited-jobs.js';
 import { readBody, reply } from './http-bodies.js';
 import type { Admission } from './admission.js';
 import type { EndedJob, JobTable, OpenJob } from './jobs.js';
-import { type AcceptableJob, SubmissionCheck } from './submission-check.js';
+import { type AcceptableJob, type Refusal, SubmissionCheck } from './submission-check.js';
 
 export interface UserApiOptions {
   clock: Clock;
@@ -26,7 +27,11 @@
 
 /** What users ask: submissions, queries, aborts. */
 export class UserApi {
-  constructor(private readonly options: UserApiOptions) {}
+  private readonly awaited: AwaitedJobs;
+
+  constructor(private readonly options: UserApiOptions) {
+    this.awaited = new AwaitedJobs(options.jobs);
+  }
 
   mount(app: Express): void {
     const guard =
@@ -88,28 +93,62 @@
     }
     const checked = this.options.submissions.check(raw);
     if ('refusal' in checked) {
-      // Another controller may have accepted this id a moment ago.
-      const id = typeof raw.id === 'string' && isJobId(raw.id) ? raw.id : '';
-      const known = id ? await this.lookUp(id) : undefined;
-      const { status, error } = checked.refusal;
-      if (known) reply(res, 200, jobs.view(id, known));
-      else reply(res, status, { error });
+      const id = typeof raw.id === 'string' && isJobId(raw.id) ? raw.id : null;
+      await this.refuseUnlessKnown(id, checked.refusal, res);
       return;
     }
     if (this.options.types().length === 0) {
       reply(res, 503, { error: 'machine types are not known yet' }, 1);
       return;
     }
+    const error = await this.awaited.whyNever(checked.job);
+    if (error !== null) {
+      await this.refuseUnlessKnown(checked.job.id, { status: 422, error }, res);
+      return;
+    }
     const retryAfterS = this.options.admission.refuse(checked.job.team);
     if (retryAfterS === null) await this.accept(checked, res);
     else this.refuseForRate(res, retryAfterS);
   }
 
+  /** Another controller may have accepted the id a moment ago; null: it is none. */
+  private async refuseUnlessKnown(
+    id: string | null,
+    { status, error }: Refusal,
+    res: Response,
+  ): Promise<void> {
+    const known = id === null ? undefined : await this.lookUp(id);
+    if (id !== null && known) reply(res, 200, this.options.jobs.view(id, known));
+    else reply(res, status, { error });
+  }
+
   private refuseForRate(res: Response, retryAfterS: number): void {
     reply(res, 429, { error: 'more submissions than can be recorded' }, retryAfterS);
   }
 
-  private async accept({ job, replicas }: AcceptableJob, res: Response): Promise<void> {
+  private async accept(acceptable: AcceptableJob, res: Response): Promise<void> {
+    const { job } = acceptable;
+    const { jobs } = this.options;
+    // Beside the record, since it takes as long; what fails here is told below.
+    const settled = this.awaited.settle(job);
+    settled.catch(() => {});
+    let isNew: boolean;
+    try {
+      isNew = await this.record(acceptable);
+    } catch (err) {
+      if (!(err instanceof StateRefused && err.status === 429)) throw err;
+      this.refuseForRate(res, this.options.admission.retryAfterS(job.team));
+      return;
+    }
+    await settled;
+    const known = jobs.get(job.id);
+    if (!known) reply(res, 503, { error: 'not known whether it was recorded' }, 1);
+    else if (!isNew) reply(res, 200, jobs.view(job.id, known));
+    else reply(res, 201, { id: job.id, phase: jobs.view(job.id, known).phase });
+  }
+
+  /** Records an accepted job; false if that was done before, or if it is not known whether it was. */
+  private async record({ job, replicas }: AcceptableJob): Promise<boolean> {
     const { clock, client, commits, jobs } = this.options;
     const key = jobKey(job.id);
     const value = encodeJob({ job, replicas, acceptedAtMs: clock.wallMs(), phase: 'accepted' });
@@ -117,22 +156,15 @@
       const out = await commits.commit(job.team, [{ key, version: 0 }], [{ put: key, value }]);
       if (out.ok) {
         jobs.cache.learn(key, value, out.revision);
-        reply(res, 201, { id: job.id, phase: 'pending' });
-        return;
+        return true;
       }
     } catch (err) {
-      if (err instanceof StateRefused && err.status === 429) {
-        this.refuseForRate(res, this.options.admission.retryAfterS(job.team));
-        return;
-      }
       if (!(err instanceof NoAnswer)) throw err;
       // It may have been applied, or may be later; the record tells, and a repeat finds it.
     }
     const entry = await client.call(false, undefined, (api) => api.get(key));
     if (entry) jobs.cache.learn(key, entry.value, entry.version);
-    const known = jobs.get(job.id);
-    if (known) reply(res, 200, jobs.view(job.id, known));
-    else reply(res, 503, { error: 'not known whether it was recorded' }, 1);
+    return false;
   }
 
   private async query(req: Request, res: Response): Promise<void> {
@@ -151,7 +183,7 @@
     // the user may have been told. Nobody has use for the tasks of a job whose user gives it up.
     if (record?.phase === 'accepted') this.options.onAbort(id);
     for (let attempt = 0; record && record.phase === 'accepted' && attempt < 3; attempt++) {
-      const value = encodeJob({ ...record, phase: 'aborted' });
+      const value = encodeEndedJob({ ...record, phase: 'aborted' }, client.limits.valueBytes);
       try {
         const condition = { key, version: record.version };
         const { team } = record.job;
--- a/packages/core/assignments.ts
+++ b/packages/core/assignments.ts
@@ -2,6 +2,7 @@
 import { addAmounts, dominantShare } from './amounts.js';
 import type { FleetTables } from './fleet-tables.js';
 import { useImage } from './image-cache.js';
+import { entryBytes } from './machine-record-size.js';
 import type { TaskEnd } from './listener.js';
 import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
 
@@ -26,12 +27,17 @@
 
   /** Gives a waiting task to a machine; throws if it may still be elsewhere. */
   assign(job: JobState, index: number, machine: Machine, attempt: number, now: number): Assignment {
-    if (job.assignments.has(index) || job.done.has(index) || job.phase !== 'accepted') {
+    if (
+      job.assignments.has(index) ||
+      job.done.has(index) ||
+      job.phase !== 'accepted' ||
+      job.awaitsJobs
+    ) {
       throw new Error(`${job.spec.id}/${index} does not wait for a place`);
     }
     const assignment = this.add(job, index, machine, attempt, now);
     job.replicas?.placeAdded(assignment, 'placed', now);
-    this.tables.unrecorded.awaitMachine(machine.name, job.spec.rank);
+    this.tables.unrecorded.awaitMachine(machine.name, job.rank);
     this.tables.jobs.leaveQueueIfNoneWaits(job);
     return assignment;
   }
@@ -42,7 +48,8 @@
     assignment.recorded = true;
     assignment.inherited = true;
     job.replicas?.placeAdded(assignment, 'inherited', now);
-    if (job.phase !== 'accepted') this.stop(assignment, 0, now);
+    // One whose job awaits others was begun by a version that knows nothing of that.
+    if (job.phase !== 'accepted' || job.awaitsJobs) this.stop(assignment, 0, now);
     this.tables.jobs.leaveQueueIfNoneWaits(job);
   }
 
@@ -86,12 +93,34 @@
     const { machine, job } = assignment;
     machine.assignmentVersion++;
     addAmounts(machine.used, job.spec, sign);
+    machine.recordBytes += sign * entryBytes(assignment);
     this.tables.machines.useChanged(machine);
+    this.countRank(assignment, sign);
+    this.tables.usage.count(assignment, sign, now);
+    this.tables.jobs.countsChanged(job);
+  }
+
+  /** What depends on the rank that counts for the assignment's job. */
+  private countRank(assignment: Assignment, sign: 1 | -1): void {
+    const { machine, job } = assignment;
     if (job.isBestEffort) addAmounts(machine.usedBestEffort, job.spec, sign);
     else machine.firmTasks += sign;
     if (stays(assignment)) this.tables.machines.countReplica(machine, sign);
-    this.tables.usage.count(assignment, sign, now);
-    this.tables.jobs.countsChanged(job);
+    this.tables.usage.countRank(assignment, sign);
+  }
+
+  /** Another rank counts for the job from now on, also for what it has running. */
+  changeRank(job: JobState, rank: number, now: number): void {
+    const { jobs, machines } = this.tables;
+    for (const each of assignmentsOf(job)) this.countRank(each, -1);
+    jobs.changeRank(job, rank);
+    for (const each of assignmentsOf(job)) {
+      const { machine } = each;
+      this.countRank(each, 1);
+      machine.assignmentVersion++;
+      machines.useChanged(machine);
+      if (job.isBestEffort && machine.firmTasks === 0) machine.idleSince = now;
+    }
   }
 
   /** Asks for an end of the task; it keeps its place until it is proven gone. */
--- a/packages/core/availability.ts
+++ b/packages/core/availability.ts
@@ -1,13 +1,14 @@
+import { LARGEST_ENTRY } from './machine-record-size.js';
 import type { Machine } from './model.js';
 
 /** Whether the machine is up and will stay, and its record has room for another task. */
-export function canTakeTasks(machine: Machine, maxTasksPerMachine: number): boolean {
+export function canTakeTasks(machine: Machine, machineRecordBytes: number): boolean {
   return (
     machine.state === 'up' &&
     !machine.draining &&
     machine.reclaimAt === null &&
     !machine.failedInList &&
-    machine.tasks.size < maxTasksPerMachine
+    machine.recordBytes + LARGEST_ENTRY <= machineRecordBytes
   );
 }
 
@@ -17,6 +18,6 @@
 }
 
 /** Whether new tasks may be placed on the machine now. */
-export function isUsable(machine: Machine, maxTasksPerMachine: number, now: number): boolean {
-  return !isAvoided(machine, now) && canTakeTasks(machine, maxTasksPerMachine);
+export function isUsable(machine: Machine, machineRecordBytes: number, now: number): boolean {
+  return !isAvoided(machine, now) && canTakeTasks(machine, machineRecordBytes);
 }
--- a/packages/core/best-effort.ts
+++ b/packages/core/best-effort.ts
@@ -15,8 +15,8 @@
  * Whether the job's work runs on room that is there anyway: work of the lowest rank whose team has no
  * guarantee. It gives way at once to all other work, which this project calls firm (docs/design.md).
  */
-export function isBestEffort(job: Job, quota: TeamQuota | undefined): boolean {
-  return job.rank === LOWEST_RANK && !hasGuarantee(quota);
+export function isBestEffort({ rank }: Pick<Job, 'rank'>, quota: TeamQuota | undefined): boolean {
+  return rank === LOWEST_RANK && !hasGuarantee(quota);
 }
 
 /** What all but best-effort tasks take of the machine. */
@@ -34,7 +34,7 @@
   type: MachineType,
   now: number,
 ): boolean {
-  if (machine.tasks.size >= fleet.settings.maxTasksPerMachine * RECORD_SHARE) return false;
+  if (machine.recordBytes >= fleet.settings.machineRecordBytes * RECORD_SHARE) return false;
   return leavesRoomForGpus(job.spec, machine, type) || mayUseAnyRoom(fleet, job, now);
 }
 
--- a/packages/core/blocked-shapes.ts
+++ b/packages/core/blocked-shapes.ts
@@ -18,20 +18,20 @@
 export class BlockedShapes {
   private readonly byConditions = new Map<string, BlockedShape[]>();
 
-  /** A task that any job of its conditions could have had in its stead found no place. */
-  add(job: Job, kind: BlockedKind = 'firm'): void {
+  /** A task that any job of its conditions and `rank` could have had in its stead found no place. */
+  add(job: Job, rank: number, kind: BlockedKind = 'firm'): void {
     const key = `${kind} ${conditionsKey(job)}`;
-    const { cpus, gpus, memory, rank } = job;
+    const { cpus, gpus, memory } = job;
     const shape = { need: { cpus, gpus, memory }, rank };
     const kept = (this.byConditions.get(key) ?? []).filter((other) => !covers(shape, other));
     this.byConditions.set(key, [...kept, shape]);
   }
 
   /** Whether such a task certainly finds no place. `need` is the job's own unless given. */
-  has(job: Job, kind: BlockedKind = 'firm', need: Readonly<Amounts> = job): boolean {
+  has(job: Job, rank: number, kind: BlockedKind = 'firm', need: Readonly<Amounts> = job): boolean {
     if (this.byConditions.size === 0) return false;
     const shapes = this.byConditions.get(`${kind} ${conditionsKey(job)}`);
-    return shapes !== undefined && shapes.some((shape) => covers(shape, { need, rank: job.rank }));
+    return shapes !== undefined && shapes.some((shape) => covers(shape, { need, rank }));
   }
 }
 
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -235,7 +235,7 @@
 
 /** Higher ranks first, then whole-machine work before what fits into gaps, then the oldest. */
 function byRankAndSize(a: JobState, b: JobState): number {
-  return a.spec.rank - b.spec.rank || sizeOf(b.spec) - sizeOf(a.spec) || byAge(a, b);
+  return a.rank - b.rank || sizeOf(b.spec) - sizeOf(a.spec) || byAge(a, b);
 }
 
 /** Accelerators count before processors. */
--- /dev/null
+++ b/packages/core/chained-jobs.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Job } from '#wire';
+import { aFleet, aJob, aMachine, aReport } from '#testing';
+import { isBestEffort } from './best-effort.js';
+import type { FleetState } from './fleet-state.js';
+import type { JobState } from './model.js';
+import { Scheduler } from './scheduler.js';
+import type { TeamQuota } from './team-quota.js';
+
+const NO_GUARANTEE: TeamQuota = { guaranteedCpus: 0, guaranteedGpus: 0, cpuLimit: 0, gpuLimit: 0 };
+const TEAMS = new Map([['red', NO_GUARANTEE]]);
+
+function aScheduledFleet() {
+  const fleet = aFleet({ isBestEffort: (job) => isBestEffort(job, TEAMS.get(job.team)) });
+  const scheduler = new Scheduler(fleet, TEAMS, {
+    floorWeight: 0.1,
+    stopThreshold: 0.5,
+    gangLeaseS: 60,
+    preemptAfterS: 5,
+    decisionsPerRound: 100,
+  });
+  return { fleet, scheduler };
+}
+
+function add(fleet: FleetState, own: Partial<Job>, awaitsJobs = false, rank?: number): JobState {
+  const job = aJob(own);
+  return fleet.addJob(job, 0, 'accepted', 0, undefined, { awaitsJobs, rank: rank ?? job.rank });
+}
+
+test('a job that awaits others has no place, no queue and no demand until they are done, and its turn begins then', () => {
+  const { fleet, scheduler } = aScheduledFleet();
+  aMachine(fleet, 'n-1');
+  const first = add(fleet, { id: 'j-1' }, true);
+  const gang = add(fleet, { id: 'j-2', kind: 'gang', tasks: 2 }, true);
+  scheduler.reservations.update(1);
+  assert.equal(scheduler.round(1), 0);
+  assert.deepEqual([fleet.jobs.waiting.size, fleet.jobs.waiting.gangs.size], [0, 0]);
+  assert.deepEqual([fleet.jobs.waitingCount(first), fleet.jobs.awaiting], [0, 2]);
+  assert.equal(fleet.machines.get('n-1')!.reservedForGang, null);
+  assert.throws(() => fleet.assignments.assign(first, 0, fleet.machines.get('n-1')!, 1, 1));
+  const other = add(fleet, { id: 'j-3', gpus: 4 });
+  other.startableAt = 50;
+  fleet.jobs.startable(first, 40);
+  assert.deepEqual([first.startableAt, first.waitingSince], [40, 40]);
+  assert.equal(scheduler.round(41), 1);
+  assert.equal(first.assignments.size, 1);
+  fleet.jobs.startable(gang, 42);
+  assert.equal(scheduler.round(43), 2);
+});
+
+test('a job that is cancelled while it awaits others is never queued', () => {
+  const { fleet } = aScheduledFleet();
+  const job = add(fleet, { id: 'j-1' }, true);
+  fleet.closeJob(job, 'aborted', 1);
+  fleet.jobs.startable(job, 2);
+  assert.equal(fleet.jobs.waiting.size, 0);
+  fleet.jobs.removeEnded();
+  assert.equal(fleet.jobs.get('j-1'), undefined);
+});
+
+test('a task of a job that awaits others, begun by a version that knows nothing of that, is stopped', () => {
+  const { fleet } = aScheduledFleet();
+  const machine = aMachine(fleet, 'n-1');
+  const job = add(fleet, { id: 'j-1' }, true);
+  fleet.assignments.inherit(job, 0, machine, 7, 0);
+  const task = { job: 'j-1', index: 0, attempt: 7, state: 'running', cause: null, saved: false };
+  const outcome = fleet.reports.handle(aReport({ tasks: [task as never] }), 1);
+  assert.ok(outcome.kind === 'answer' && outcome.orders.some(({ op }) => op === 'stop'));
+});
+
+test('the rank of a job that needs it counts for a job that waits, and it gives way no more', () => {
+  const { fleet, scheduler } = aScheduledFleet();
+  const machine = aMachine(fleet, 'n-1');
+  const usual = add(fleet, { id: 'j-1', rank: 2, gpus: 4 });
+  const low = add(fleet, { id: 'j-2', rank: 3, gpus: 4 });
+  assert.ok(low.isBestEffort);
+  const order = low.waitingOrder;
+  fleet.changeRank(low, 1, 1);
+  assert.ok(!low.isBestEffort);
+  assert.deepEqual([low.waitingOrder, fleet.jobs.waiting.has(low)], [order, true]);
+  assert.equal(scheduler.round(2), 1);
+  assert.deepEqual([low.assignments.size, usual.assignments.size], [1, 0]);
+  assert.equal(machine.firmTasks, 1);
+  fleet.changeRank(low, 3, 3);
+  assert.ok(low.isBestEffort);
+  assert.deepEqual([machine.firmTasks, machine.usedBestEffort.gpus, machine.idleSince], [0, 4, 3]);
+});
+
+test('what a job has running counts by the rank that a job submitted later gives it', () => {
+  const { fleet, scheduler } = aScheduledFleet();
+  const machine = aMachine(fleet, 'n-1');
+  const low = add(fleet, { id: 'j-1', rank: 3, gpus: 1, tasks: 4 });
+  scheduler.round(1);
+  assert.equal(low.assignments.size, 4);
+  assert.deepEqual([machine.firmTasks, machine.usedBestEffort.gpus], [0, 4]);
+  fleet.changeRank(low, 1, 2);
+  assert.deepEqual([machine.firmTasks, machine.usedBestEffort.gpus], [4, 0]);
+  const groups = fleet.usage
+    .groups()
+    .map(({ rank, tasks, isBestEffort: spare }) => [rank, tasks, spare]);
+  assert.deepEqual(groups, [[1, 4, false]]);
+  // Work of a rank between the two stops none of it now.
+  add(fleet, { id: 'j-2', rank: 2, gpus: 1 });
+  scheduler.round(60);
+  assert.deepEqual(
+    [...machine.tasks.values()].filter(({ stop }) => stop !== null),
+    [],
+  );
+  fleet.changeRank(low, 3, 61);
+  scheduler.round(120);
+  assert.equal(low.assignments.size, 3);
+});
--- a/packages/core/choose-machines-together.ts
+++ b/packages/core/choose-machines-together.ts
@@ -1,5 +1,6 @@
 import { bindingZones, tasksThatFit, zoneAllowed, zoneCap } from './fit.js';
 import type { FleetState } from './fleet-state.js';
+import { mostEntryBytes } from './machine-record-size.js';
 import type { JobState, Machine } from './model.js';
 import type { PlacementCandidates } from './placement-candidates.js';
 
@@ -52,7 +53,8 @@
   now: number,
 ): Option[] {
   const { spec } = job;
-  const { maxTasksPerMachine } = fleet.settings;
+  const { machineRecordBytes } = fleet.settings;
+  const entrySize = mostEntryBytes(spec);
   const options: Option[] = [];
   for (const candidate of candidates.forJob(job)) {
     const { machine, type } = candidate;
@@ -62,7 +64,7 @@
     if (fleet.failures.avoids(job, machine, now)) continue;
     const room = Math.min(
       request.tasks,
-      maxTasksPerMachine - machine.tasks.size,
+      Math.floor((machineRecordBytes - machine.recordBytes) / entrySize),
       tasksThatFit(spec, machine.used, type),
     );
     if (room > 0) options.push({ machine, room, cost });
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -85,7 +85,7 @@
 function canBeEmptied(fleet: FleetState, slot: StandingSlot, now: number): boolean {
   const { machine, type, used, reservedForGang } = slot;
   if (machine.firmTasks === 0 || load(machine, type) > MOST_USED) return false;
-  if (!isUsable(machine, fleet.settings.maxTasksPerMachine, now)) return false;
+  if (!isUsable(machine, fleet.settings.machineRecordBytes, now)) return false;
   // Room there that others count on is not given up.
   if (reservedForGang !== null || used.cpus > firmUse(machine).cpus + ROUNDING) return false;
   return firmTasksOf(machine).every((task) => isMovable(task, now));
@@ -148,7 +148,7 @@
     machine.images.has(job.image) &&
     kindAllowed(job, type, machine.zone, machine.spot) &&
     load(machine, type) >= load(from.machine, from.type) &&
-    isUsable(machine, fleet.settings.maxTasksPerMachine, now)
+    isUsable(machine, fleet.settings.machineRecordBytes, now)
   );
 }
 
--- a/packages/core/failure-tracker.test.ts
+++ b/packages/core/failure-tracker.test.ts
@@ -158,7 +158,9 @@
       assert.ok(draining <= 1);
       const hit = new Set(order);
       if (hit.size < 2) return;
-      const usable = world.machines.filter((machine) => isUsable(machine, 50, world.now - 50));
+      const usable = world.machines.filter((machine) =>
+        isUsable(machine, world.fleet.settings.machineRecordBytes, world.now - 50),
+      );
       assert.equal(usable.length, 6 - draining);
     }),
     SEEDED,
@@ -168,7 +170,7 @@
 test('a machine on which jobs fail that succeed elsewhere is avoided, then given back', () => {
   const world = new FailingWorld(2);
   const [bad, good] = world.machines;
-  const isAvoided = () => !isUsable(bad, 50, world.now);
+  const isAvoided = () => !isUsable(bad, world.fleet.settings.machineRecordBytes, world.now);
   for (const id of ['j-000001', 'j-000002', 'j-000003']) {
     assert.ok(!bad.draining);
     const job = world.submit({ id });
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -2,6 +2,7 @@
 import { taskRef } from './answer-orders.js';
 import { Assignments } from './assignments.js';
 import { DirectOrders } from './direct-orders.js';
+import { type Dependencies, independent } from './job-dependencies.js';
 import { FleetOptions, FleetTables } from './fleet-tables.js';
 import { MachineLeases } from './machine-leases.js';
 import { assignmentsOf, JobState } from './model.js';
@@ -47,9 +48,13 @@
     phase: JobState['phase'],
     now: number,
     shape?: ReplicaShape,
+    dependencies: Dependencies = independent(job),
   ): JobState {
     const known = this.jobs.get(job.id);
-    if (!known) return this.jobs.add(job, acceptedAt, phase, now, this.replicasOf(shape, phase));
+    if (!known) {
+      const replicasOf = this.replicasOf(shape, phase);
+      return this.jobs.add(job, acceptedAt, phase, now, replicasOf, dependencies);
+    }
     if (phase !== 'accepted') this.closeJob(known, phase, now);
     return known;
   }
@@ -63,6 +68,11 @@
     return (job) => makeReplicas(job, shape);
   }
 
+  /** Jobs that need it have come or gone: another rank counts for it and for what it has running. */
+  changeRank(job: JobState, rank: number, now: number): void {
+    if (job.phase === 'accepted' && job.rank !== rank) this.assignments.changeRank(job, rank, now);
+  }
+
   /** A final phase that the state service holds. All tasks of the job are stopped. */
   closeJob(job: JobState, phase: 'aborted' | 'done', now: number): void {
     if (job.phase !== 'accepted') return;
--- a/packages/core/fleet-tables.ts
+++ b/packages/core/fleet-tables.ts
@@ -1,7 +1,6 @@
 import { FailureTracker } from './failure-tracker.js';
 import type { Random } from './job-failures.js';
-import type { Job } from '#wire';
-import { JobRegistry } from './job-registry.js';
+import { type BestEffortTest, JobRegistry } from './job-registry.js';
 import { FleetListener, NO_LISTENER } from './listener.js';
 import { MachineRegistry } from './machine-registry.js';
 import type { FleetSettings, Machine } from './model.js';
@@ -22,7 +21,7 @@
   /** Source of jitter for retries; without it waits have their full length. */
   random?: Random;
   /** Tells which jobs run on room that is there anyway; none unless given. */
-  isBestEffort?: (job: Job) => boolean;
+  isBestEffort?: BestEffortTest;
   /** Makes replicas of several members; without it each task of a service is by itself. */
   makeReplicas?: MakeReplicas;
 }
--- a/packages/core/job-queues.ts
+++ b/packages/core/job-queues.ts
@@ -129,7 +129,8 @@
     queue.add(bucket, filter);
   };
   for (const bucket of fleet.jobs.waiting.buckets()) {
-    const { team, rank, gpus } = bucket.sample;
+    const { rank } = bucket;
+    const { team, gpus } = bucket.sample;
     if (!shares.isKnown(team)) continue;
     if (bucket.isBestEffort) {
       enqueue(BEST_EFFORT, bucket, isLeftOut);
@@ -155,7 +156,7 @@
 
 /** Jobs of the highest rank first, then the oldest. */
 export function byRankAndAge(a: JobState, b: JobState): number {
-  return a.spec.rank - b.spec.rank || byAge(a, b);
+  return a.rank - b.rank || byAge(a, b);
 }
 
 /** Whether others with the same needs find no place either: the job has no zones or machines of its own to avoid. */
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -1,6 +1,7 @@
 import type { Job } from '#wire';
 import { ServiceCounter } from './service-counter.js';
 import { requirementsKey } from './fit.js';
+import { type Dependencies, independent } from './job-dependencies.js';
 import { noJobFailures } from './job-failures.js';
 import type { JobState } from './model.js';
 import type { JobReplicas } from './replica-groups.js';
@@ -8,6 +9,9 @@
 import type { UnrecordedChanges } from './unrecorded-changes.js';
 import { WaitingJobs } from './waiting-jobs.js';
 
+/** Tells whether jobs of a team and rank run on room that is there anyway. */
+export type BestEffortTest = (job: Pick<Job, 'team' | 'rank'>) => boolean;
+
 /** The accepted jobs, their phases, and which of their tasks wait for a machine. */
 export class JobRegistry {
   readonly waiting = new WaitingJobs();
@@ -19,7 +23,7 @@
   constructor(
     private readonly halfLifeS: number,
     private readonly unrecorded: UnrecordedChanges,
-    private readonly isBestEffort: (job: Job) => boolean,
+    private readonly isBestEffort: BestEffortTest,
   ) {}
 
   /** The job, or undefined if it is not known or was removed. */
@@ -43,13 +47,17 @@
     phase: JobState['phase'],
     now: number,
     replicasOf: (job: JobState) => JobReplicas | null = () => null,
+    { awaitsJobs, rank }: Dependencies = independent(job),
   ): JobState {
     const state: JobState = {
       spec: job,
-      isBestEffort: this.isBestEffort(job),
+      rank,
+      awaitsJobs,
+      isBestEffort: this.isBestEffort({ team: job.team, rank }),
       replicas: null,
       requirementsKey: requirementsKey(job),
       acceptedAt,
+      startableAt: acceptedAt,
       phase,
       done: new TaskSet(job.tasks),
       assignments: new Map(),
@@ -64,11 +72,28 @@
     };
     state.replicas = replicasOf(state);
     this.byId.set(job.id, state);
-    if (phase === 'accepted') this.waiting.add(state);
-    else this.ended.add(state);
+    if (phase !== 'accepted') this.ended.add(state);
+    else if (!awaitsJobs) this.waiting.add(state);
     return state;
   }
 
+  /** All that the job awaits is done: its turn and its waiting time begin. */
+  startable(job: JobState, now: number): void {
+    if (!job.awaitsJobs) return;
+    job.awaitsJobs = false;
+    job.startableAt = now;
+    this.joinQueueIfAnyWaits(job, now);
+  }
+
+  /** Another rank counts for the job; what is counted by rank is the caller's part. */
+  changeRank(job: JobState, rank: number): void {
+    const { team } = job.spec;
+    this.waiting.change(job, () => {
+      job.rank = rank;
+      job.isBestEffort = this.isBestEffort({ team, rank });
+    });
+  }
+
   /** Notes a final phase. The job's tasks are stopped by the caller. */
   setFinalPhase(job: JobState, phase: 'aborted' | 'done'): void {
     job.phase = phase;
@@ -98,9 +123,18 @@
     return jobs;
   }
 
+  /** Open jobs that await others. */
+  get awaiting(): number {
+    let count = 0;
+    for (const { phase, awaitsJobs } of this.byId.values()) {
+      if (phase === 'accepted' && awaitsJobs) count++;
+    }
+    return count;
+  }
+
   /** How many tasks wait for a machine. */
   waitingCount(job: JobState): number {
-    if (job.phase !== 'accepted') return 0;
+    if (job.phase !== 'accepted' || job.awaitsJobs) return 0;
     return Math.max(0, job.spec.tasks - job.done.size - job.assignments.size);
   }
 
--- /dev/null
+++ b/packages/core/machine-record-size.ts
@@ -0,0 +1,33 @@
+/** How large the record of a machine is in JSON, by which the state service counts. */
+import type { Job } from '#wire';
+import type { Assignment } from './model.js';
+
+/** Digits of the largest attempt number, and of the largest index of a task. */
+const ATTEMPT_DIGITS = 16;
+const INDEX_DIGITS = 5;
+/** Characters of the longest id of a job. */
+const ID_LENGTH = 20;
+/** Brackets, quotes and commas of the entry of one task. */
+const ENTRY_MARKS = '["",,],'.length;
+/** No entry of a task is larger. */
+export const LARGEST_ENTRY = ENTRY_MARKS + ID_LENGTH + INDEX_DIGITS + ATTEMPT_DIGITS;
+
+/** A machine's address at its longest. */
+const LONGEST_ADDRESS = '255.255.255.255:65535';
+
+/** Bytes of the record of a machine without tasks. */
+export function emptyRecordBytes(machine: { type: string; zone: string; spot: boolean }): number {
+  const { type, zone, spot } = machine;
+  const record = { addr: LONGEST_ADDRESS, type, zone, spot, tasks: [] };
+  return Buffer.byteLength(JSON.stringify(record));
+}
+
+/** Bytes that the assignment takes in its machine's record. */
+export function entryBytes({ job, index, attempt }: Assignment): number {
+  return ENTRY_MARKS + job.spec.id.length + String(index).length + String(attempt).length;
+}
+
+/** Bytes that the entry of a task of the job takes at the most. */
+export function mostEntryBytes({ id, tasks }: Job): number {
+  return ENTRY_MARKS + id.length + String(tasks - 1).length + ATTEMPT_DIGITS;
+}
--- a/packages/core/model.ts
+++ b/packages/core/model.ts
@@ -49,6 +49,10 @@
 export interface JobState {
   /** The job as its user submitted it. */
   spec: Job;
+  /** Rank that counts for it: its own, or that of a job that needs it if that is more urgent; 0 is the most urgent. */
+  rank: number;
+  /** It awaits other jobs; until they are done it takes part in nothing. */
+  awaitsJobs: boolean;
   /** Runs on room that is there anyway; see `isBestEffort`. */
   isBestEffort: boolean;
   /** Its replicas, if each has several members; null: each task is by itself. */
@@ -56,6 +60,8 @@
   /** Equal for jobs whose tasks fit the same machines, zones of their other tasks apart. */
   requirementsKey: string;
   acceptedAt: number;
+  /** When its turn begins: when it was accepted, or when the last job that it awaits was done. */
+  startableAt: number;
   /** `aborted` and `done` are final. */
   phase: 'accepted' | 'aborted' | 'done';
   done: TaskSet;
@@ -150,6 +156,8 @@
 
   /** By task name: what is or may be on it. */
   tasks: Map<string, Assignment>;
+  /** Bytes in JSON of the machine's record. */
+  recordBytes: number;
   /** What these tasks take of it. */
   used: Amounts;
   /** The part of it that best-effort tasks take. */
@@ -179,8 +187,8 @@
   formerOwnerS: number;
   /** Half-life of service received. */
   halfLifeS: number;
-  /** As many as fit into the record of one machine. */
-  maxTasksPerMachine: number;
+  /** Bytes in JSON that the record of a machine may have. */
+  machineRecordBytes: number;
 }
 
 /** Every place where a task of the job may still be. */
--- a/packages/core/new-machine.ts
+++ b/packages/core/new-machine.ts
@@ -1,5 +1,6 @@
 import { ZERO_AMOUNTS } from './amounts.js';
 import { noMachineFailures } from './machine-failures.js';
+import { emptyRecordBytes } from './machine-record-size.js';
 import type { Machine } from './model.js';
 
 /** What identifies a machine and decides which tasks it may hold. */
@@ -58,6 +59,7 @@
     failures: noMachineFailures(),
     images: new Map(),
     tasks: new Map(),
+    recordBytes: emptyRecordBytes(facts),
     used: { ...ZERO_AMOUNTS },
     usedBestEffort: { ...ZERO_AMOUNTS },
     firmTasks: 0,
--- a/packages/core/placement-candidates.ts
+++ b/packages/core/placement-candidates.ts
@@ -91,7 +91,7 @@
   }
 
   private isUsable(machine: Machine): boolean {
-    return isUsable(machine, this.fleet.settings.maxTasksPerMachine, this.now);
+    return isUsable(machine, this.fleet.settings.machineRecordBytes, this.now);
   }
 }
 
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -57,7 +57,7 @@
     const heldRoom = this.fleet.holds.machinesByJob(now);
     const failed = new Map(buckets.map((bucket) => [bucket, new BlockedShapes()]));
     const isOver = (bucket: WaitingBucket) =>
-      failed.get(bucket)!.has(bucket.sample, 'firm', bucket.least) ||
+      failed.get(bucket)!.has(bucket.sample, bucket.rank, 'firm', bucket.least) ||
       !this.shares.withinLimit(bucket.sample.team, bucket.least);
     let made = 0;
     for (const job of oldestFirst(buckets, isOver)) {
@@ -67,7 +67,8 @@
       if (!this.fleet.failures.mayClaimRoom(job, now)) continue;
       const failedAlike = failed.get(this.fleet.jobs.waiting.bucket(job)!)!;
       const mayStop: BlockedKind = isImpatient ? 'firm' : 'best-effort';
-      if (failedAlike.has(job.spec, 'firm') || failedAlike.has(job.spec, mayStop)) continue;
+      if (failedAlike.has(job.spec, job.rank, 'firm')) continue;
+      if (failedAlike.has(job.spec, job.rank, mayStop)) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
       if ((heldRoom.get(job) ?? 0) >= this.fleet.jobs.waitingCount(job)) continue;
       const members = job.replicas?.members ?? 1;
@@ -79,7 +80,7 @@
           this.makeRoom(job, each, heldRoom, now);
         }
         made += victims.length;
-      } else if (speaksForOthers(job)) failedAlike.add(job.spec, mayStop);
+      } else if (speaksForOthers(job)) failedAlike.add(job.spec, job.rank, mayStop);
     }
   }
 
@@ -89,8 +90,8 @@
   }
 
   /** Whether anything runs that jobs of the bucket may stop, wherever it is. */
-  private mayStopAny({ sample, least, isBestEffort }: WaitingBucket): boolean {
-    const { kind, team, rank } = sample;
+  private mayStopAny({ sample, rank, least, isBestEffort }: WaitingBucket): boolean {
+    const { kind, team } = sample;
     if (kind === 'gang' || isBestEffort) return false;
     const withinGuarantee = this.shares.guaranteeNow(team)(least);
     return this.fleet.usage.groups().some((group) => {
@@ -171,7 +172,7 @@
       (each) => each.stop === null && this.isOption(each, job, now),
     );
     if (options.length === 0) return null;
-    options.sort((a, b) => b.job.spec.rank - a.job.spec.rank || b.assignedAt - a.assignedAt);
+    options.sort((a, b) => b.job.rank - a.job.rank || b.assignedAt - a.assignedAt);
     const victims: Assignment[] = [];
     const used = { ...machine.used };
     for (const option of options) {
@@ -184,7 +185,7 @@
 
   private isOption(each: Assignment, job: JobState, now: number): boolean {
     if (each.job.isBestEffort) return true;
-    if (!this.isImpatient(job, now) || !isSettled(each, job.spec, now)) return false;
+    if (!this.isImpatient(job, now) || !isSettled(each, job, now)) return false;
     return this.mayStop(job, each, now);
   }
 
@@ -197,7 +198,7 @@
     ) {
       return true;
     }
-    if (victim.spec.rank !== forJob.spec.rank) return victim.spec.rank > forJob.spec.rank;
+    if (victim.rank !== forJob.rank) return victim.rank > forJob.rank;
     return otherTeam && victim.spec.kind === 'gang' && this.isFarBehind(forJob, victim, now);
   }
 
--- a/packages/core/room-holds.ts
+++ b/packages/core/room-holds.ts
@@ -39,7 +39,7 @@
       this.release(machine);
       return false;
     }
-    return hold.job.spec.rank <= job.spec.rank && hold.job.assignments.size < hold.job.spec.tasks;
+    return hold.job.rank <= job.rank && hold.job.assignments.size < hold.job.spec.tasks;
   }
 
   /** On how many machines room is held for each job. */
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -181,7 +181,7 @@
       if (!this.shares.withinLimit(job.spec.team, job.spec)) break;
       const machine = chooseMachine(this.fleet, job, zones, candidates, now);
       if (!machine) {
-        if (speaksForOthers(job)) blocked.add(job.spec, this.blockedKind(job, now));
+        if (speaksForOthers(job)) blocked.add(job.spec, job.rank, this.blockedKind(job, now));
         break;
       }
       assignments.assign(job, index, machine, assignments.newAttempt(), now);
@@ -194,7 +194,7 @@
   /** Tasks that need no less than one that found no place fail alike, unless room was made for just this job. */
   private isBlocked(job: JobState, { blocked, roomHeldFor, now }: Round): boolean {
     if (job.spec.kind === 'gang' || roomHeldFor.has(job)) return false;
-    return blocked.has(job.spec, this.blockedKind(job, now));
+    return blocked.has(job.spec, job.rank, this.blockedKind(job, now));
   }
 
   /** Where a best-effort job finds no room, firm work may, and so may such a job that has waited long. */
--- a/packages/core/slots.ts
+++ b/packages/core/slots.ts
@@ -26,12 +26,12 @@
  * that boots is not counted on: it may come very late or never.
  */
 export function standingSlots(fleet: FleetState, lateFrom: number, now: number): StandingSlot[] {
-  const { maxTasksPerMachine } = fleet.settings;
+  const { machineRecordBytes } = fleet.settings;
   const slots: StandingSlot[] = [];
   for (const machine of fleet.machines.values()) {
     const type = fleet.machines.typeOf(machine);
     if (!type || machine.state === 'expired' || machine.draining || machine.failedInList) continue;
-    if (machine.state === 'up' && !canTakeTasks(machine, maxTasksPerMachine)) continue;
+    if (machine.state === 'up' && !canTakeTasks(machine, machineRecordBytes)) continue;
     if (machine.state === 'booting' && now - machine.rentedAt > lateFrom * type.bootS) continue;
     slots.push(standingSlot(machine, type));
   }
--- a/packages/core/task-set.ts
+++ b/packages/core/task-set.ts
@@ -25,17 +25,16 @@
     for (let i = 0; i < this.capacity; i++) this.add(i);
   }
 
-  /** Chunks of the set, each of `chunkTasks` (a multiple of 8) tasks, in text form. */
-  chunkText(chunk: number, chunkTasks: number): string {
-    const from = (chunk * chunkTasks) >> 3;
-    const to = Math.min(this.bits.length, from + (chunkTasks >> 3));
+  /** A part of the set in text form: `count` indexes from `first` on, both multiples of 8. */
+  textOf(first: number, count: number): string {
+    const from = first >> 3;
+    const to = Math.min(this.bits.length, from + (count >> 3));
     return Buffer.from(this.bits.subarray(from, to)).toString('base64');
   }
 
-  /** Adds what `chunkText` gave for the same chunk. */
-  addChunk(chunk: number, chunkTasks: number, text: string): void {
+  /** Adds what `textOf` gave for indexes from `first` on. */
+  addText(first: number, text: string): void {
     const bytes = Buffer.from(text, 'base64');
-    const first = chunk * chunkTasks;
     for (let i = 0; i < bytes.length * 8; i++) {
       if (bytes[i >> 3] & (1 << (i & 7))) this.add(first + i);
     }
--- a/packages/core/usage-ledger.ts
+++ b/packages/core/usage-ledger.ts
@@ -29,11 +29,15 @@
     let used = this.amountsByTeam.get(team);
     if (!used) this.amountsByTeam.set(team, (used = { ...ZERO_AMOUNTS }));
     addAmounts(used, job.spec, sign);
-    this.groupOf(job).tasks += sign;
     this.service(team, now).changeRate(sign * share, now);
     job.service.changeRate(sign * share, now);
   }
 
+  /** Counts the assignment among the tasks of its job's rank. */
+  countRank({ job }: Assignment, sign: 1 | -1): void {
+    this.groupOf(job).tasks += sign;
+  }
+
   /** Charges a job and its team for service that they caused but did not receive, in fleet-share seconds. */
   charge(job: JobState, amount: number, now: number): void {
     this.service(job.spec.team, now).charge(amount, now);
@@ -60,7 +64,7 @@
     return [...this.groupsByKey.values()].filter(({ tasks }) => tasks > 0);
   }
 
-  private groupOf({ spec: { team, rank, kind }, isBestEffort }: JobState): TaskGroup {
+  private groupOf({ spec: { team, kind }, rank, isBestEffort }: JobState): TaskGroup {
     const isGang = kind === 'gang';
     const key = `${team} ${rank} ${isGang}`;
     let group = this.groupsByKey.get(key);
--- a/packages/core/waiting-bucket.ts
+++ b/packages/core/waiting-bucket.ts
@@ -27,12 +27,15 @@
 
   /** Stands for all jobs of the bucket in what they have in common. */
   readonly sample: Job;
+  /** Rank that counts for its jobs. */
+  readonly rank: number;
   readonly isBestEffort: boolean;
   /** Members of each replica of its jobs, 1 if their tasks are by themselves. */
   readonly members: number;
 
   constructor(sample: JobState) {
     this.sample = sample.spec;
+    this.rank = sample.rank;
     this.isBestEffort = sample.isBestEffort;
     this.members = sample.replicas?.members ?? 1;
     const { cpus, gpus, memory } = sample.spec;
@@ -122,7 +125,7 @@
   return byAge(a.job, b.job);
 }
 
-/** The job that was accepted first, then the one that has waited longest. */
+/** The job whose turn began first, then the one that has waited longest. */
 export function byAge(a: JobState, b: JobState): number {
-  return a.acceptedAt - b.acceptedAt || a.waitingOrder - b.waitingOrder;
+  return a.startableAt - b.startableAt || a.waitingOrder - b.waitingOrder;
 }
--- a/packages/core/waiting-jobs.ts
+++ b/packages/core/waiting-jobs.ts
@@ -34,8 +34,11 @@
   }
 
   add(job: JobState): void {
-    if (this.bucketOf.has(job)) return;
-    job.waitingOrder = ++this.joined;
+    if (!this.bucketOf.has(job)) this.enqueue(job, ++this.joined);
+  }
+
+  private enqueue(job: JobState, waitingOrder: number): void {
+    job.waitingOrder = waitingOrder;
     const key = bucketKey(job);
     let bucket = this.byKey.get(key);
     if (!bucket) this.byKey.set(key, (bucket = new WaitingBucket(job)));
@@ -53,14 +56,23 @@
     this.gangs.delete(job);
   }
 
+  /** Changes what decides in which bucket the job waits; it keeps its place by age. */
+  change(job: JobState, change: () => void): void {
+    const { waitingOrder } = job;
+    const isWaiting = this.has(job);
+    this.delete(job);
+    change();
+    if (isWaiting) this.enqueue(job, waitingOrder);
+  }
+
   /** A task of the job has got a place or lost it. */
   placesChanged(job: JobState): void {
     this.bucketOf.get(job)?.placesChanged(job);
   }
 }
 
-function bucketKey({ spec, replicas }: JobState): string {
-  const { team, rank, kind, gpus } = spec;
+function bucketKey({ spec, rank, replicas }: JobState): string {
+  const { team, kind, gpus } = spec;
   const members = replicas?.members ?? 1;
   return `${team} ${rank} ${kind === 'gang'} ${gpus} ${members} ${conditionsKey(spec)}`;
 }
--- /dev/null
+++ b/packages/dependencies/dependency-graph.test.ts
@@ -0,0 +1,193 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { SEEDED } from '../testing/generators.js';
+import { DependencyGraph, type DependencyChange, type Outcome } from './dependency-graph.js';
+import { mostUrgent, type Urgency } from './urgency.js';
+
+interface SampleJob {
+  id: string;
+  awaits: string[];
+  own: Urgency;
+}
+
+/** Records as a controller reads them, and a graph that is told of them. */
+class Records {
+  readonly jobs = new Map<string, SampleJob>();
+  /** By their own records, and those that are cancelled with others as the graph said. */
+  readonly outcomes = new Map<string, Outcome>();
+  readonly startable: string[] = [];
+  readonly urgencies = new Map<string, Urgency>();
+  readonly graph = new DependencyGraph({
+    outcomeOf: (id) => this.outcomes.get(id) ?? null,
+    urgencyOf: (id) => (this.outcomes.has(id) ? null : (this.jobs.get(id)?.own ?? null)),
+  });
+
+  accept(job: SampleJob): void {
+    if (this.outcomes.has(job.id)) return;
+    this.jobs.set(job.id, job);
+    this.urgencies.set(job.id, this.graph.urgencyOf(job.id));
+    this.take(this.graph.accepted(job.id, job.awaits));
+    this.urgencies.set(job.id, this.graph.urgencyOf(job.id));
+  }
+
+  end(id: string, outcome: Outcome): void {
+    this.outcomes.set(id, outcome);
+    this.take(this.graph.ended(id, outcome));
+  }
+
+  private take(changes: DependencyChange[]): void {
+    for (const change of changes) {
+      if (change.kind === 'cancelled') this.outcomes.set(change.job, 'cancelled');
+      else if (change.kind === 'startable') this.startable.push(change.job);
+      else this.urgencies.set(change.job, change.urgency);
+    }
+  }
+}
+
+function aJob(id: string, awaits: string[] = [], rank = 3, dueAtMs = Infinity): SampleJob {
+  return { id, awaits, own: { rank, dueAtMs } };
+}
+
+/** The same by going through all jobs. */
+function isCancelled(jobs: Map<string, SampleJob>, own: Map<string, Outcome>, id: string): boolean {
+  if (own.has(id)) return own.get(id) === 'cancelled';
+  return jobs.get(id)?.awaits.some((awaited) => isCancelled(jobs, own, awaited)) ?? false;
+}
+
+function urgencyOf(
+  jobs: Map<string, SampleJob>,
+  isOver: (id: string) => boolean,
+  id: string,
+): Urgency {
+  let urgency = jobs.get(id)!.own;
+  for (const { id: other, awaits } of jobs.values()) {
+    if (!awaits.includes(id) || isOver(other)) continue;
+    urgency = mostUrgent(urgency, urgencyOf(jobs, isOver, other));
+  }
+  return urgency;
+}
+
+test('what follows for each job is the same as by going through all jobs, in whatever order they become known', () => {
+  const anyPlan = fc.record({
+    jobs: fc.array(
+      fc.record({
+        awaits: fc.array(fc.nat(20), { maxLength: 3 }),
+        rank: fc.nat(3),
+        dueAtMs: fc.constantFrom(100, 200, Infinity),
+      }),
+      { minLength: 1, maxLength: 12 },
+    ),
+    ends: fc.array(fc.record({ job: fc.nat(11), isDone: fc.boolean() }), { maxLength: 12 }),
+    order: fc.array(fc.nat(1000), { minLength: 24, maxLength: 24 }),
+  });
+  let cancelledWithOthers = 0;
+  let waiting = 0;
+  fc.assert(
+    fc.property(anyPlan, ({ jobs: plans, ends, order }) => {
+      const all = plans.map(({ awaits, rank, dueAtMs }, number) => {
+        const earlier = number === 0 ? [] : [...new Set(awaits.map((each) => each % number))];
+        return aJob(
+          `j-${number}`,
+          earlier.map((each) => `j-${each}`),
+          rank,
+          dueAtMs,
+        );
+      });
+      const jobs = new Map(all.map((job) => [job.id, job]));
+      // Only what awaits nothing that is open can be done, and nothing ends twice.
+      const own = new Map<string, Outcome>();
+      for (const { job: number, isDone } of ends) {
+        const job = all.at(number);
+        if (!job || own.has(job.id) || isCancelled(jobs, own, job.id)) continue;
+        const isReady = job.awaits.every((awaited) => own.get(awaited) === 'done');
+        if (!isDone || isReady) own.set(job.id, isDone ? 'done' : 'cancelled');
+      }
+      // Each record is read once as it is now, or first as accepted and later as it ended.
+      const records = new Records();
+      const events = all.flatMap((job, number) => {
+        const ended = own.get(job.id);
+        const accept = { at: order[number], run: () => records.accept(job) };
+        if (ended === undefined) return [accept];
+        const end = { at: order[number + 12], run: () => records.end(job.id, ended) };
+        return order[number] % 2 === 0 ? [accept, end] : [end];
+      });
+      for (const { run } of events.sort((one, other) => one.at - other.at)) run();
+      const isOver = (id: string) => own.has(id) || isCancelled(jobs, own, id);
+      for (const { id, awaits } of all) {
+        const expected = isCancelled(jobs, own, id) ? 'cancelled' : own.get(id);
+        assert.equal(records.outcomes.get(id), expected, id);
+        if (isOver(id)) {
+          if (!own.has(id)) cancelledWithOthers++;
+          continue;
+        }
+        const isWaiting = awaits.some((awaited) => own.get(awaited) !== 'done');
+        if (isWaiting) waiting++;
+        assert.equal(records.graph.isWaiting(id), isWaiting, id);
+        assert.deepEqual(records.graph.urgencyOf(id), urgencyOf(jobs, isOver, id), id);
+        assert.deepEqual(records.urgencies.get(id), records.graph.urgencyOf(id), `${id} was told`);
+      }
+    }),
+    SEEDED,
+  );
+  assert.ok(cancelledWithOthers > 50 && waiting > 100, `${cancelledWithOthers}, ${waiting}`);
+});
+
+test('a job is startable once, when the last that it awaits is done', () => {
+  const records = new Records();
+  for (const job of [aJob('a'), aJob('b'), aJob('c', ['a', 'b'])]) records.accept(job);
+  assert.deepEqual(records.graph.awaitedBy('c'), ['a', 'b']);
+  records.end('b', 'done');
+  assert.ok(records.graph.isWaiting('c'));
+  assert.deepEqual(records.startable, []);
+  records.end('a', 'done');
+  assert.ok(!records.graph.isWaiting('c'));
+  assert.deepEqual(records.startable, ['c']);
+});
+
+test('a cancellation reaches a chain of a thousand, and what a cancelled job made urgent is so no longer', () => {
+  const records = new Records();
+  records.accept(aJob('first', [], 3));
+  let before = 'first';
+  for (let number = 0; number < 1000; number++) {
+    const id = `c-${number}`;
+    records.accept(aJob(id, [before], number === 999 ? 0 : 2, 500));
+    before = id;
+  }
+  assert.deepEqual(records.urgencies.get('first'), { rank: 0, dueAtMs: 500 });
+  records.end('c-500', 'cancelled');
+  assert.equal(records.outcomes.get('c-999'), 'cancelled');
+  assert.equal(records.outcomes.get('c-499'), undefined);
+  assert.deepEqual(records.urgencies.get('first'), { rank: 2, dueAtMs: 500 });
+  records.accept(aJob('late', ['c-700']));
+  assert.equal(records.outcomes.get('late'), 'cancelled');
+  records.end('first', 'done');
+  assert.deepEqual(records.startable, ['c-0']);
+});
+
+test('a diamond waits for both sides and is cancelled once', () => {
+  const records = new Records();
+  for (const job of [aJob('a'), aJob('b', ['a']), aJob('c', ['a']), aJob('d', ['b', 'c'], 1)])
+    records.accept(job);
+  assert.equal(records.urgencies.get('a')?.rank, 1);
+  records.end('a', 'done');
+  records.end('b', 'done');
+  assert.ok(records.graph.isWaiting('d'));
+  records.end('c', 'cancelled');
+  assert.equal(records.outcomes.get('d'), 'cancelled');
+  assert.deepEqual(records.startable, ['b', 'c']);
+});
+
+test('nothing is kept of jobs that neither await others nor are awaited', () => {
+  const records = new Records();
+  const job = aJob('a');
+  records.accept(job);
+  assert.deepEqual(records.graph.ended('a', 'done'), []);
+  for (const each of [aJob('b'), aJob('c', ['b'])]) records.accept(each);
+  records.end('b', 'done');
+  records.end('c', 'done');
+  assert.deepEqual(
+    Object.values(records.graph).map((value) => (value as Map<string, unknown>).size ?? 0),
+    [0, 0],
+  );
+});
--- /dev/null
+++ b/packages/dependencies/index.ts
@@ -0,0 +1,2 @@
+export * from './dependency-graph.js';
+export * from './urgency.js';
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -11,6 +11,11 @@
   writeRps: number;
   valueBytes: number;
   txnOps: number;
+  /**
+   * Value size by which older versions divide what a job's tasks have done (ProgressLayout); `valueBytes` unless
+   * given.
+   */
+  layoutBytes?: number;
 }
 
 /**
--- /dev/null
+++ b/packages/store/former-records.test.ts
@@ -0,0 +1,62 @@
+/** Records as the version before chained jobs wrote them (docs/upgrading.md), kept in a file. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { TaskSet } from '../core/task-set.js';
+import { ProgressLayout, progressKey, type ProgressValue } from './progress-layout.js';
+import { decodeJob, encodeJob, jobKey, MACHINES, partKey, TYPES_KEY } from './records.js';
+
+interface FormerRecord<Value> {
+  key: string;
+  value: Value;
+}
+
+interface FormerRecords {
+  jobs: FormerRecord<unknown>[];
+  progress: FormerRecord<ProgressValue>[];
+  machines: FormerRecord<unknown>[];
+  part: FormerRecord<unknown>;
+  types: FormerRecord<unknown>;
+  /** The tasks that the progress records tell of. */
+  done: number[];
+}
+
+const FILE = new URL('../../packages/store/former-records.json', import.meta.url);
+const FORMER = JSON.parse(readFileSync(FILE, 'utf8')) as FormerRecords;
+/** The value limit under which they were written, and the most tasks that a job has. */
+const VALUE_BYTES = 8192;
+const TASKS = 100_000;
+
+test('former job records are read, and written in the same form', () => {
+  assert.ok(FORMER.jobs.length >= 3);
+  for (const { key, value } of FORMER.jobs) {
+    const record = decodeJob(value, 5);
+    assert.deepEqual(record.job.awaits, []);
+    assert.equal(jobKey(record.job.id), key);
+    assert.deepEqual(encodeJob(record), value);
+  }
+});
+
+test('former progress records are read under either limit, and written in the same form under theirs', () => {
+  for (const valueBytes of [VALUE_BYTES, 2048]) {
+    const layout = new ProgressLayout({ valueBytes, layoutBytes: VALUE_BYTES });
+    const done = new TaskSet(TASKS);
+    for (const { key, value } of FORMER.progress) {
+      done.addText(layout.firstTask(Number(key.split('/').at(-1)), value), value.done);
+    }
+    assert.equal(done.size, FORMER.done.length);
+    assert.ok(FORMER.done.every((task) => done.has(task)));
+    if (valueBytes < VALUE_BYTES) continue;
+    for (const [index, { key, value }] of FORMER.progress.entries()) {
+      assert.equal(key, progressKey('j-000412', index));
+      const chunk = layout.chunkOf('j-000412', TASKS, index * layout.unit);
+      assert.equal(chunk.key, key);
+      assert.deepEqual(layout.valueOf(chunk, done.textOf(chunk.first, chunk.tasks)), value);
+    }
+  }
+});
+
+test('all other former records have the keys under which they are read', () => {
+  assert.ok(FORMER.machines.every(({ key }) => key.startsWith(MACHINES)));
+  assert.deepEqual([FORMER.part.key, FORMER.types.key], [partKey(0), TYPES_KEY]);
+});
--- a/packages/store/index.ts
+++ b/packages/store/index.ts
@@ -6,5 +6,6 @@
 export * from './hedge.js';
 export * from './ownership.js';
 export { listAll, pages } from './pages.js';
+export * from './progress-layout.js';
 export * from './records.js';
 export * from './txn-limits.js';
--- a/packages/store/records.ts
+++ b/packages/store/records.ts
@@ -1,5 +1,6 @@
 import type { ReplicaShape } from '#core';
 import { Job, jobToWire, parseJob } from '#wire';
+import { sizeInJson } from './txn-limits.js';
 
 /** Keys and values that the service keeps in the state service. */
 
@@ -7,6 +8,9 @@
 export const WORLD = 'world/';
 export const MACHINES = 'machines/';
 export const PROGRESS = 'progress/';
+/** Characters that are kept of a name in the record of a job that is over and too long. */
+const SHORT_NAME = 32;
+
 export const TYPES_KEY = 'world/types';
 
 export interface JobRecord {
@@ -39,6 +43,28 @@
   return replicas ? { ...record, replicas } : record;
 }
 
+/**
+ * The record of a job that is over, in at most so many bytes of JSON: if what its user submitted is too long, what
+ * only decided where its tasks may start is left out or shortened. Older versions may have written a job under a
+ * larger limit.
+ */
+export function encodeEndedJob(record: Omit<JobRecord, 'version'>, valueBytes: number): unknown {
+  const whole = encodeJob(record);
+  if (sizeInJson(whole) <= valueBytes) return whole;
+  const { job } = record;
+  return encodeJob({
+    ...record,
+    job: {
+      ...job,
+      types: null,
+      awaits: [],
+      class: job.class.slice(0, SHORT_NAME),
+      image: job.image.slice(0, SHORT_NAME),
+      zone: null,
+    },
+  });
+}
+
 /** Changes with every deletion of a part's records; see RemovalMarker. */
 export function removalsKey(part: number): string {
   return `removals/${part}`;
@@ -57,17 +83,3 @@
   /** Job, task index and attempt of each assignment. */
   tasks: [string, number, number][];
 }
-
-/** Tasks whose done bits share one progress value: in base64 they fill half the value limit. */
-export function progressChunkTasks(valueBytes: number): number {
-  return Math.max(8, Math.floor((valueBytes / 2) * 0.75) * 8);
-}
-
-export function progressKey(id: string, chunk: number): string {
-  return `${PROGRESS}${id}/${chunk}`;
-}
-
-/** Assignments that fit one machine record: each takes less than 64 bytes in JSON. */
-export function maxTasksPerMachine(valueBytes: number): number {
-  return Math.max(1, Math.floor(valueBytes / 64) - 4);
-}
--- a/packages/testing/generators.ts
+++ b/packages/testing/generators.ts
@@ -39,6 +39,7 @@
   checkpointS: anyAmount,
   saveS: anyAmount,
   deadlineS: fc.option(anyAmount),
+  awaits: fc.uniqueArray(anyJobId, { maxLength: 3 }),
 });
 
 /** Fields that name one attempt. */
--- /dev/null
+++ b/packages/testing/meetings/chained-jobs.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Fault, ScenarioResult } from '../simulation/index.js';
+import {
+  cancelledWithDependents,
+  chainedJobs,
+  countChains,
+  startsBeforeRecords,
+} from './chain-queries.js';
+import { chainedScenario } from './chained-work.js';
+import { playMeeting } from './run-queries.js';
+import { BUSY_FROM_S } from './steady-work.js';
+
+const BEGIN_S = BUSY_FROM_S;
+const LENGTH_S = 200;
+
+/** Jobs whose users asked to cancel them after their last task had completed, by what they were told. */
+function cancelledAtEnd({ timeline }: ScenarioResult): { done: string[]; aborted: string[] } {
+  const askedAt = new Map(timeline.of('cancel-asked').map(({ job, atS }) => [job, atS]));
+  const endedAt = new Map(timeline.of('task-completed').map(({ job, atS }) => [job, atS]));
+  const jobs = new Map(timeline.of('job-submitted').map(({ id, job }) => [id, job]));
+  const told = (phase: string) => {
+    const answers = timeline.of('answered').filter((each) => each.request.kind === 'abort');
+    const ids = answers.filter((each) => each.phase === phase).map(({ request }) => request.job);
+    return [...new Set(ids)].filter((id) => {
+      const completed = timeline.of('task-completed').filter(({ job }) => job === id).length;
+      const isWhole = completed === jobs.get(id)?.tasks;
+      return isWhole && (askedAt.get(id) ?? -1) >= (endedAt.get(id) ?? Infinity);
+    });
+  };
+  return { done: told('done'), aborted: told('aborted') };
+}
+
+/** Asserts that pipelines went on to their ends, and that some were cut off. */
+function assertServed(result: ScenarioResult, least = 20): void {
+  const { done, abortedWithOthers } = countChains(result);
+  assert.ok(done >= least, `${done} jobs that await others were done`);
+  assert.ok(abortedWithOthers >= 3, `${abortedWithOthers} jobs were aborted with others`);
+  assert.deepEqual(startsBeforeRecords(result), []);
+}
+
+test('pipelines are served while users look closely, cancel jobs of all stages and at the very end of one', async () => {
+  const faults: Fault[] = [
+    { kind: 'close-looks', atS: 20, forS: 130 },
+    { kind: 'cancel-at-end', atS: 40, forS: 80, share: 0.25 },
+    { kind: 'odd-requests', atS: 30, forS: 60 },
+  ];
+  await playMeeting(chainedScenario('chained', LENGTH_S, faults), [1, 2], (result) => {
+    assertServed(result);
+    const cancelled = cancelledWithDependents(result, 0, LENGTH_S);
+    assert.ok(cancelled.length >= 5, `${cancelled.length} were cancelled that others need`);
+    const met = cancelledAtEnd(result);
+    assert.ok(met.aborted.length >= 3, `${met.aborted.length} were cancelled with all tasks done`);
+    assert.ok(met.done.length >= 1, `${met.done.length} cancellations came after the end`);
+  });
+});
+
+test('the end of a job is recorded without an answer, or late, while others wait for it and the owner ends', async () => {
+  const faults: Fault[] = [
+    { kind: 'close-looks', atS: BEGIN_S - 20, forS: 80 },
+    { kind: 'lost-answers', atS: BEGIN_S - 10, forS: 9, share: 0.6 },
+    { kind: 'late-writes', atS: BEGIN_S, forS: 12, share: 0.5, delayS: [1, 6] },
+    { kind: 'controller-crash', atS: BEGIN_S + 5, controllers: 'leader', downS: 0.3 },
+    { kind: 'late-writes', atS: BEGIN_S + 15, forS: 10, share: 0.5, delayS: [2, 8] },
+    { kind: 'controller-freeze', atS: BEGIN_S + 20, forS: 8, controllers: 'leader' },
+    { kind: 'cancel-at-end', atS: BEGIN_S - 10, forS: 50, share: 0.2 },
+  ];
+  await playMeeting(chainedScenario('ends lost or late', LENGTH_S, faults), [1, 2], (result) => {
+    assertServed(result);
+    const needed = new Set(chainedJobs(result).flatMap(({ awaits }) => [...awaits]));
+    const unanswered = result.timeline.of('transaction').filter(({ answered }) => !answered);
+    const ends = unanswered
+      .flatMap(({ changes }) => changes)
+      .filter((change) => {
+        if (!('put' in change) || !change.put.startsWith('jobs/')) return false;
+        const { phase } = change.value as { phase: string };
+        return phase === 'done' && needed.has(change.put.slice('jobs/'.length));
+      });
+    assert.ok(ends.length >= 2, `${ends.length} ends of awaited jobs got no answer`);
+    const [crash] = result.faults.of('controller-crash');
+    assert.ok(result.leaders.some(({ term }) => term > crash.leader!.term));
+  });
+});
+
+test('all controllers restart, twice within a lease, while pipelines are under way', async () => {
+  const faults: Fault[] = [
+    { kind: 'close-looks', atS: BEGIN_S - 5, forS: 60 },
+    { kind: 'controller-crash', atS: BEGIN_S, controllers: 'all', downS: 2 },
+    { kind: 'cancel-now', atS: BEGIN_S + 4, count: 6 },
+    { kind: 'controller-crash', atS: BEGIN_S + 7, controllers: 'all', downS: 1 },
+    { kind: 'zone-cut', atS: BEGIN_S + 30, forS: 15, zone: 'a', mode: 'hold' },
+  ];
+  await playMeeting(chainedScenario('all restart', LENGTH_S, faults), [1, 2], (result) => {
+    const crashes = result.faults.of('controller-crash');
+    assert.equal(crashes.length, 2);
+    const before = countChains(result, 0, BEGIN_S).done;
+    const after = countChains(result, BEGIN_S + 10).done;
+    assert.ok(before >= 3 && after >= 10, `${before} before, ${after} after`);
+  });
+});
--- /dev/null
+++ b/packages/testing/meetings/chained-mistakes.test.ts
@@ -0,0 +1,118 @@
+/** Mistakes about chained jobs, put into the controllers on purpose: each must be found. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DependencyGraph } from '#dependencies';
+import { AwaitedJobs } from '../../controller/awaited-jobs.js';
+import { UserApi } from '../../controller/user-api.js';
+import { JobRegistry } from '../../core/job-registry.js';
+import type { JobState } from '../../core/model.js';
+import { runScenario, type Fault, type ScenarioResult } from '../simulation/index.js';
+import { startsBeforeRecords } from './chain-queries.js';
+import { chainedScenario } from './chained-work.js';
+
+/** Methods of a prototype, private ones included. */
+type Methods = Record<string, (...args: never[]) => unknown>;
+
+const LENGTH_S = 150;
+const FAULTS: Fault[] = [
+  { kind: 'close-looks', atS: 20, forS: 100 },
+  { kind: 'state-slow', atS: 40, forS: 40, latencyMs: [50, 300] },
+  { kind: 'cancel-at-end', atS: 40, forS: 50, share: 0.1 },
+];
+
+/** Plays the scenario with another method in place of one of a class. */
+async function playWith(
+  prototype: object,
+  name: string,
+  replace: (original: (...args: unknown[]) => unknown) => (...args: never[]) => unknown,
+): Promise<ScenarioResult> {
+  const methods = prototype as Methods;
+  const original = methods[name];
+  methods[name] = replace(original as (...args: unknown[]) => unknown);
+  try {
+    const pipeline = { cancelledShare: 0.5 };
+    return await runScenario(chainedScenario('mistake', LENGTH_S, FAULTS, { pipeline }), 1);
+  } finally {
+    methods[name] = original;
+  }
+}
+
+function rulesOf({ violations }: ScenarioResult): Set<string> {
+  return new Set(violations.map(({ rule }) => rule));
+}
+
+test('without a mistake nothing is found', async () => {
+  const result = await playWith(DependencyGraph.prototype, 'ended', (original) => original);
+  assert.deepEqual([...rulesOf(result)], []);
+  assert.deepEqual(startsBeforeRecords(result), []);
+});
+
+test('a start on an end that only the owner knows is found', async () => {
+  const result = await playWith(
+    JobRegistry.prototype,
+    'markDone',
+    (original) =>
+      function (this: JobRegistry, job: JobState, index: number) {
+        original.call(this, job, index);
+        if (job.done.size < job.spec.tasks) return;
+        const isDone = (id: string) => {
+          const other = this.get(id);
+          return other === undefined || other.done.size === other.spec.tasks;
+        };
+        for (const other of this.values()) {
+          if (other.awaitsJobs && other.spec.awaits.every(isDone)) {
+            this.startable(other, other.waitingSince);
+          }
+        }
+      },
+  );
+  assert.ok(startsBeforeRecords(result).length > 0);
+});
+
+test('a start although something is awaited is found', async () => {
+  const result = await playWith(DependencyGraph.prototype, 'isWaiting', () => () => false);
+  assert.ok(rulesOf(result).has('too_early'));
+});
+
+test('a cancellation that reaches only the next jobs is found', async () => {
+  const result = await playWith(
+    DependencyGraph.prototype,
+    'ended',
+    (original) =>
+      function (this: DependencyGraph, id: string, outcome: 'done' | 'cancelled') {
+        const { nodes } = this as unknown as {
+          nodes: Map<string, { dependents: Set<{ id: string }> }>;
+        };
+        const next = [...(nodes.get(id)?.dependents ?? [])].map((node) => node.id);
+        const changes = original.call(this, id, outcome) as { kind: string; job: string }[];
+        return changes.filter(({ kind, job }) => kind !== 'cancelled' || next.includes(job));
+      },
+  );
+  assert.ok(rulesOf(result).has('orphaned'));
+});
+
+test('a refusal for good by what a controller happens to know is found', async () => {
+  const result = await playWith(
+    AwaitedJobs.prototype,
+    'whyNever',
+    () =>
+      function (this: { jobs: { get(id: string): unknown } }, { awaits }: { awaits: string[] }) {
+        const unknown = awaits.find((id) => !this.jobs.get(id));
+        return Promise.resolve(unknown === undefined ? null : `awaits: ${unknown}`);
+      },
+  );
+  assert.ok(rulesOf(result).has('refused_fit'));
+});
+
+test('an answer by what a controller happens to know is found', async () => {
+  const result = await playWith(
+    UserApi.prototype,
+    'lookUp',
+    () =>
+      function (this: { options: { jobs: { get(id: string): unknown } } }, id: string) {
+        return Promise.resolve(this.options.jobs.get(id));
+      },
+  );
+  const rules = rulesOf(result);
+  assert.ok(rules.has('went_back') || rules.has('forgotten'), [...rules].join(' '));
+});
--- /dev/null
+++ b/packages/testing/meetings/chained-work.ts
@@ -0,0 +1,89 @@
+/** Chained jobs beside the steady work of the other meetings. */
+import type { ClusterSettings, Fault, Scenario } from '../simulation/index.js';
+import type { JobClass, Pipeline } from '../standins/index.js';
+import { steadyScenario } from './steady-work.js';
+
+const STAGE: JobClass = {
+  template: {
+    class: 'stage',
+    kind: 'array',
+    rank: 3,
+    cpus: 1,
+    gpus: 0,
+    memory: 2,
+    imageGb: 0.5,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    checkpointS: 0,
+    saveS: 0,
+  },
+  arrivals: { perMinute: 0, together: [1, 1] },
+  tasks: [1, 5],
+  run: { medianS: 4, p95S: 8, maxS: 10 },
+  cancelledShare: 0,
+  mistakenShare: 0,
+  images: 2,
+};
+const JOINING_STAGE: JobClass = {
+  ...STAGE,
+  template: { ...STAGE.template, class: 'joining-stage', kind: 'gang', rank: 2, oneZone: true },
+  tasks: [2, 3],
+};
+const LAST_STAGE: JobClass = {
+  ...STAGE,
+  template: { ...STAGE.template, class: 'last-stage', rank: 1 },
+};
+
+/** Two jobs beside each other between a first, a joining gang and an urgent last one. */
+export const DIAMOND: Pipeline = {
+  stages: [
+    { jobClass: STAGE, jobs: [1, 1], awaits: [] },
+    { jobClass: STAGE, jobs: [2, 2], awaits: [0] },
+    { jobClass: JOINING_STAGE, jobs: [1, 1], awaits: [1] },
+    { jobClass: LAST_STAGE, jobs: [1, 1], awaits: [2, 0] },
+  ],
+  arrivals: { perMinute: 20, together: [1, 1] },
+  lateShare: 0.15,
+  cancelledShare: 0.25,
+  deadlineS: 60,
+};
+
+/** Seconds before the end of a scenario from which on no pipeline begins. */
+const LAST_PIPELINES_S = 60;
+
+/** Where a chained scenario differs from the usual one. */
+export interface ChainedOptions {
+  pipeline?: Partial<Pipeline>;
+  /** Changes the cluster. */
+  cluster?: (cluster: ClusterSettings) => ClusterSettings;
+}
+
+/** A scenario of steady work and many pipelines. */
+export function chainedScenario(
+  name: string,
+  lengthS: number,
+  faults: Fault[],
+  { pipeline, cluster = (same) => same }: ChainedOptions = {},
+): Scenario {
+  const steady = steadyScenario(name, lengthS, faults);
+  const workload = {
+    ...steady.workload,
+    untilS: lengthS - LAST_PIPELINES_S,
+    intensity: 0.5,
+    pipelines: [{ ...DIAMOND, ...pipeline }],
+  };
+  return { ...steady, cluster: cluster(steady.cluster), workload };
+}
+
+/** A chain of so many jobs. */
+export function chainOf(length: number): Pipeline['stages'] {
+  const numbers = Array.from({ length }, (_, number) => number);
+  return numbers.map((number) => ({
+    jobClass: number === length - 1 ? LAST_STAGE : STAGE,
+    jobs: [1, 1],
+    awaits: number === 0 ? [] : [number - 1],
+  }));
+}
--- /dev/null
+++ b/packages/testing/meetings/upgrade.test.ts
@@ -0,0 +1,132 @@
+/** Controllers are replaced one after another by ones that know of the limits to come, which then come into force. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Controller } from '#controller';
+import type { Change } from '#wire';
+import { wireSize } from '#wire/serving';
+import {
+  controllerName,
+  describeProblems,
+  runScenario,
+  type ClusterSettings,
+  type ControllerMaker,
+  type Fault,
+  type ScenarioResult,
+} from '../simulation/index.js';
+import type { Arrivals, JobClass } from '../standins/index.js';
+import { countChains, startsBeforeRecords } from './chain-queries.js';
+import { chainedScenario, DIAMOND } from './chained-work.js';
+import { killedTasks } from './run-queries.js';
+
+const ROLL_AT_S = 60;
+const ROLL_EVERY_S = 8;
+const UPGRADED_S = ROLL_AT_S + 3 * ROLL_EVERY_S;
+const LIMITS_AT_S = UPGRADED_S + 10;
+const CHAINS_FROM_S = UPGRADED_S + 4;
+const LENGTH_S = 260;
+const NEXT = { value_kb: 1.5, txn_ops: 6, write_rps: 40 };
+
+/** The cluster's settings say what limits are to come. */
+function withNextLimits(cluster: ClusterSettings): ClusterSettings {
+  const { deployment } = cluster;
+  const state = { ...deployment.state, next: NEXT };
+  return { ...cluster, deployment: { ...deployment, state } };
+}
+
+/**
+ * Controllers whose first lives hold to the form of the older version: they divide progress and fill records by the
+ * limits in force. Those that end before their turn come back so once more.
+ */
+function makeOldThenNew(newFromLife: number[]): ControllerMaker {
+  const lives = new Map<string, number>();
+  const newFrom = new Map(newFromLife.map((life, index) => [controllerName(index), life]));
+  return (runtime, settings, log) => {
+    const life = (lives.get(settings.host_name) ?? 0) + 1;
+    lives.set(settings.host_name, life);
+    if (life >= newFrom.get(settings.host_name)!) return new Controller(runtime, settings, log);
+    const state = { ...settings.deployment.state };
+    delete state.next;
+    const deployment = { ...settings.deployment, state };
+    return new Controller(runtime, { ...settings, deployment }, log);
+  };
+}
+
+/** The first controller ends once before its turn; each is replaced in its turn. */
+const ROLL: Fault[] = [
+  { kind: 'controller-crash', atS: 40, controllers: [0], downS: 1 },
+  ...[0, 1, 2].map((index): Fault => {
+    const atS = ROLL_AT_S + index * ROLL_EVERY_S;
+    return { kind: 'controller-crash', atS, controllers: [index], downS: 3 };
+  }),
+  {
+    kind: 'state-limits',
+    atS: LIMITS_AT_S,
+    limits: { valueKb: NEXT.value_kb, txnOps: NEXT.txn_ops, writeRps: NEXT.write_rps },
+  },
+];
+const ARRIVALS: Arrivals = { perMinute: 24, together: [1, 1] };
+/** One job of so many tasks that what is recorded of them is larger than the value limit to come. */
+const WIDE: JobClass = {
+  ...DIAMOND.stages[0].jobClass,
+  arrivals: { perMinute: 0, together: [1, 1], atStart: 2 },
+  tasks: [20_000, 20_000],
+  run: { medianS: 20, p95S: 30, maxS: 40 },
+};
+const NEW_FROM_LIFE = [3, 2, 2];
+
+async function play(name: string, more: Fault[], seed: number): Promise<ScenarioResult> {
+  const faults = [...ROLL, ...more].sort((one, other) => one.atS - other.atS);
+  const scenario = chainedScenario(name, LENGTH_S, faults, {
+    cluster: withNextLimits,
+    pipeline: { fromS: CHAINS_FROM_S, cancelledShare: 0.8, deadlineS: 25, arrivals: ARRIVALS },
+  });
+  const { workload } = scenario;
+  const wide = { ...scenario, workload: { ...workload, classes: [...workload.classes, WIDE] } };
+  const result = await runScenario(wide, seed, makeOldThenNew(NEW_FROM_LIFE));
+  assert.deepEqual(describeProblems(result), [], `${name}, seed ${seed}`);
+  assert.deepEqual(startsBeforeRecords(result), []);
+  const { done, abortedWithOthers } = countChains(result, CHAINS_FROM_S);
+  assert.ok(beyondNextLimits(result) > 0, 'an older version used the limits in force');
+  assert.ok(done >= 10 && abortedWithOthers >= 1, `${done} done, ${abortedWithOthers} aborted`);
+  return result;
+}
+
+/** Transactions that were carried out before the limits came into force and would be refused since. */
+function beyondNextLimits({ timeline }: ScenarioResult): number {
+  const isLarge = (change: Change) =>
+    'put' in change && wireSize(change.value) > NEXT.value_kb * 1024;
+  return timeline
+    .of('transaction', 0, LIMITS_AT_S)
+    .filter(({ changes }) => changes.length > NEXT.txn_ops || changes.some(isLarge)).length;
+}
+
+/** Terms that ended because the state service found a transaction malformed. */
+function malformed({ controllers }: ScenarioResult): string[] {
+  const entries = controllers.flatMap(({ log }) => log.entries('transaction refused'));
+  return entries.map((entry) => JSON.stringify(entry));
+}
+
+test('a rolling replacement and smaller limits without notice cost no work and no transaction', async () => {
+  for (const seed of [1, 2, 3]) {
+    const result = await play('upgrade', [], seed);
+    assert.deepEqual(malformed(result), []);
+    assert.deepEqual(killedTasks(result, 0, LENGTH_S), []);
+  }
+});
+
+test('a rolling replacement holds all rules beside crashes, cuts of the state service, an outage and cancellations', async () => {
+  const troubles: Fault[] = [
+    { kind: 'cancel-now', atS: ROLL_AT_S + 2, count: 5 },
+    { kind: 'late-writes', atS: ROLL_AT_S + 4, forS: 10, share: 0.3, delayS: [1, 6] },
+    { kind: 'state-refuses', atS: ROLL_AT_S + 12, controllers: 'leader', forS: 8 },
+    { kind: 'state-outage', atS: ROLL_AT_S + 22, forS: 6 },
+    { kind: 'cancel-now', atS: UPGRADED_S + 12, count: 5 },
+    { kind: 'controller-crash', atS: LIMITS_AT_S + 5, controllers: 'leader', downS: 1 },
+    { kind: 'close-looks', atS: UPGRADED_S, forS: 60 },
+  ];
+  for (const seed of [1, 2, 3]) {
+    const result = await play('upgrade in trouble', troubles, seed);
+    assert.deepEqual(malformed(result), []);
+    assert.ok(result.leaders.length >= 3, `${result.leaders.length} leaders`);
+  }
+});
--- a/packages/testing/owner-load/fleet-records.ts
+++ b/packages/testing/owner-load/fleet-records.ts
@@ -1,6 +1,6 @@
 /** What a state service holds of a fleet, as an owner reads it when it takes over. */
 import type { FleetState, JobState, Machine } from '#core';
-import { encodeJob, jobKey, MACHINES, progressChunkTasks, progressKey } from '#store';
+import { encodeJob, jobKey, MACHINES, progressKey } from '#store';
 import type { Entry } from '#wire';
 
 /** All records, by kind. */
@@ -11,7 +11,6 @@
 }
 
 const VERSION = 1;
-const VALUE_BYTES = 8192;
 
 /** The records of a fleet of which everything is recorded. */
 export function recordsOf(fleet: FleetState): FleetRecords {
@@ -38,6 +37,6 @@
 }
 
 function progressEntry({ spec, done }: JobState): Entry {
-  const value = { done: done.chunkText(0, progressChunkTasks(VALUE_BYTES)) };
+  const value = { done: done.textOf(0, 8 * Math.ceil(spec.tasks / 8)) };
   return { key: progressKey(spec.id, 0), value, version: VERSION };
 }
--- a/packages/testing/owner-load/standing-fleet.ts
+++ b/packages/testing/owner-load/standing-fleet.ts
@@ -3,6 +3,7 @@
   Assignment,
   CapacityPlanner,
   FleetState,
+  type BestEffortTest,
   isBestEffort,
   JobState,
   Machine,
@@ -70,8 +71,8 @@
     schedule: Partial<ScheduleSettings>,
     makeReplicas?: MakeReplicas,
   ) {
-    const options = { isBestEffort: (job: Job) => isBestEffort(job, TEAMS.get(job.team)) };
-    this.fleet = aFleet({ ...options, makeReplicas });
+    const isOnSpareRoom: BestEffortTest = (job) => isBestEffort(job, TEAMS.get(job.team));
+    this.fleet = aFleet({ isBestEffort: isOnSpareRoom, makeReplicas });
     this.fleet.machines.noteType(LARGE);
     this.scheduler = new Scheduler(this.fleet, TEAMS, { ...SCHEDULE, ...schedule });
     this.planner = new CapacityPlanner({
--- a/packages/testing/owner-model/owner.ts
+++ b/packages/testing/owner-model/owner.ts
@@ -12,7 +12,7 @@
   gangPeerS: 6,
   formerOwnerS: FORMER_OWNER_S,
   halfLifeS: 3600,
-  maxTasksPerMachine: 50,
+  machineRecordBytes: 50 * 64,
 };
 const SCHEDULE_SETTINGS = {
   floorWeight: 0.05,
--- a/packages/testing/owner-model/random-job.ts
+++ b/packages/testing/owner-model/random-job.ts
@@ -29,6 +29,7 @@
     checkpointS: 0,
     saveS: 0,
     deadlineS: null,
+    awaits: [],
   };
   if (job.oneZone) job.spread = false;
   return job;
--- a/packages/testing/samples.ts
+++ b/packages/testing/samples.ts
@@ -38,6 +38,7 @@
     checkpointS: 0,
     saveS: 0,
     deadlineS: null,
+    awaits: [],
     ...own,
   };
 }
@@ -51,7 +52,7 @@
       gangPeerS: 6,
       formerOwnerS: 12,
       halfLifeS: 3600,
-      maxTasksPerMachine: 50,
+      machineRecordBytes: 50 * 64,
     },
     term: 100,
     claimedAt: 0,
--- a/packages/testing/simulation/fault-injector.ts
+++ b/packages/testing/simulation/fault-injector.ts
@@ -99,6 +99,7 @@
 type Kinds<F extends Fault> = Record<F['kind'], true>;
 
 const STATE_KINDS: Kinds<StateFault> = {
+  'state-limits': true,
   'state-outage': true,
   'state-refuses': true,
   'state-slow': true,
--- a/packages/testing/simulation/faults/duration.ts
+++ b/packages/testing/simulation/faults/duration.ts
@@ -11,6 +11,7 @@
     case 'controller-roll':
       return (controllers - 1) * fault.intervalS + fault.downS;
     case 'machine-death':
+    case 'state-limits':
       return 0;
     case 'machine-taken':
       return 2 * (fault.noticeS ?? 0);
--- a/packages/testing/simulation/faults/state-faults.ts
+++ b/packages/testing/simulation/faults/state-faults.ts
@@ -16,6 +16,9 @@
 
   begin(fault: StateFault, roles: Roles): FaultEffect {
     switch (fault.kind) {
+      case 'state-limits':
+        this.state.changeLimits(fault.limits);
+        return effect({});
       case 'state-outage':
         return this.outage();
       case 'state-refuses':
--- a/packages/testing/simulation/run-scenario.ts
+++ b/packages/testing/simulation/run-scenario.ts
@@ -91,6 +91,7 @@
   const chance = world.chance('workload');
   return makeWorkload(() => chance.next(), {
     classes: workload.classes,
+    pipelines: workload.pipelines,
     intensity: workload.intensity,
     teams: settings.deployment.teams.map((team) => team.name),
     lengthS: workload.untilS,
--- a/packages/testing/simulation/scenario.ts
+++ b/packages/testing/simulation/scenario.ts
@@ -1,5 +1,5 @@
 /** Scenarios: what a cluster consists of, what its users do and which faults happen when. */
-import type { JobClass } from '../standins/index.js';
+import type { JobClass, Pipeline, StateServiceLimits } from '../standins/index.js';
 import type { ClusterSettings } from './cluster-settings.js';
 import type { LinkEffect } from './link-rules.js';
 import type { MovePhase } from './move-phases.js';
@@ -54,6 +54,8 @@
 }
 
 export type StateFault =
+  /** The state service has these limits from now on. */
+  | (Timed & { kind: 'state-limits'; limits: Partial<StateServiceLimits> })
   /** The state service refuses everybody; no lease ends meanwhile. */
   | (Lasting & { kind: 'state-outage' })
   /** The state service answers 503 to these controllers alone; their leases run out. */
@@ -145,6 +147,7 @@
 /** What the users of a scenario submit. */
 export interface ScenarioWorkload {
   classes: JobClass[];
+  pipelines?: Pipeline[];
   /** Multiplies the rates of arrival; 1 if absent. */
   intensity?: number;
   /** Jobs come until then, in simulated seconds. */
--- a/packages/testing/standins/checker/answer-checks.ts
+++ b/packages/testing/standins/checker/answer-checks.ts
@@ -26,18 +26,29 @@
   /** A 404, 400 or 422 for a job whose acceptance the user knew when asking. */
   private checkRefusal(answer: Answer, record: JobRecord | undefined): void {
     const { request, status } = answer;
+    const isFinal = request.kind === 'submit' && (status === 400 || status === 422);
     const knownAt = record?.acceptedAt ?? Infinity;
-    if (knownAt > this.context.ledger.sent(request)) return;
-    const refused = request.kind === 'submit' && (status === 400 || status === 422);
-    if (status === 404 || refused) {
+    if (knownAt > this.context.ledger.sent(request)) {
+      const isWrong = isFinal && record?.runnable && this.areAwaitedKnown(record, request);
+      if (isWrong) this.report('refused_fit', answer, 'it can run');
+      return;
+    }
+    if (status === 404 || isFinal) {
       this.report('forgotten', answer, `accepted at ${knownAt.toFixed(3)} s`);
     }
   }
 
+  /** All that the job awaits was called accepted before the request was sent. */
+  private areAwaitedKnown({ job }: JobRecord, request: UserRequest): boolean {
+    const { ledger } = this.context;
+    const acceptedAt = job.awaits.map((id) => ledger.get(id)?.acceptedAt ?? Infinity);
+    return acceptedAt.every((atS) => atS <= ledger.sent(request));
+  }
+
   private checkPhase(answer: Answer, record: JobRecord): void {
     const { phase } = answer;
     if (phase === 'done') this.checkDone(answer, record);
-    if (phase === 'aborted' && record.cancelAskedAt === null) {
+    if (phase === 'aborted' && !this.wasCancelled(record)) {
       this.report('went_back', answer, 'its user did not cancel it');
     }
     const { final } = record;
@@ -49,6 +60,12 @@
     }
   }
 
+  /** Its user, or that of a job that it needs, has asked for it. */
+  private wasCancelled({ job, cancelAskedAt }: JobRecord): boolean {
+    const needed = this.context.ledger.neededBy(job.id);
+    return cancelAskedAt !== null || needed.some((each) => each.cancelAskedAt !== null);
+  }
+
   private checkDone(answer: Answer, { job }: JobRecord): void {
     const completed = this.context.state.completedTasks(job.id).size;
     if (job.kind !== 'service' && completed >= job.tasks) return;
--- /dev/null
+++ b/packages/testing/standins/checker/dependency-checks.ts
@@ -0,0 +1,40 @@
+/** Rules about jobs that await others. */
+import type { TaskRef } from '#wire';
+import type { WorldEvent } from '../events.js';
+import type { Check, CheckContext } from './check.js';
+
+export class DependencyChecks implements Check {
+  constructor(private readonly context: CheckContext) {}
+
+  onEvent(event: WorldEvent): void {
+    if (event.kind === 'task-started') this.checkStart(event.machine, event.task);
+    if (event.kind !== 'answered' || event.status >= 300) return;
+    if (event.phase === 'pending' || event.phase === 'running') {
+      this.checkOpen(event.request.job, event.phase);
+    }
+  }
+
+  private checkStart(machine: string, task: TaskRef): void {
+    for (const { job } of this.context.ledger.neededBy(task.job)) {
+      const completed = this.context.state.completedTasks(job.id).size;
+      if (completed >= job.tasks) continue;
+      this.context.report({
+        rule: 'too_early',
+        job: task.job,
+        task,
+        machines: [machine],
+        explanation: `of ${job.id}, which it needs, ${completed} of ${job.tasks} tasks have completed`,
+      });
+    }
+  }
+
+  private checkOpen(job: string, phase: string): void {
+    const { ledger, settings, now } = this.context;
+    for (const { job: needed, final } of ledger.neededBy(job)) {
+      if (final?.phase !== 'aborted' || now() - final.toldAt <= settings.cancelS) continue;
+      const agoS = (now() - final.toldAt).toFixed(1);
+      const explanation = `called ${phase} ${agoS} s after ${needed.id}, which it needs, was cancelled`;
+      this.context.report({ rule: 'orphaned', job, explanation });
+    }
+  }
+}
--- a/packages/testing/standins/checker/job-ledger.ts
+++ b/packages/testing/standins/checker/job-ledger.ts
@@ -27,6 +27,14 @@
     return this.records.values();
   }
 
+  /** All jobs that the job needs, directly or through others. */
+  neededBy(job: string): JobRecord[] {
+    const needed = new Set(this.get(job)?.job.awaits);
+    // What is added while the set is gone through is gone through as well.
+    for (const id of needed) for (const next of this.get(id)?.job.awaits ?? []) needed.add(next);
+    return [...needed].map((id) => this.get(id)).filter((record) => record !== undefined);
+  }
+
   /** When an open request was sent. */
   sent(request: UserRequest): number {
     return this.sentAt.get(request) ?? this.now();
--- a/packages/testing/standins/checker/mistakes.test.ts
+++ b/packages/testing/standins/checker/mistakes.test.ts
@@ -172,6 +172,65 @@
       await s.told('poll', 200, 'aborted');
     },
   ],
+  [
+    'refused_fit',
+    'a job is refused for good though all that it awaits was accepted',
+    {},
+    async (s) => {
+      s.start('m-0');
+      s.submitted({ id: 'j-2', awaits: ['j-000001'] });
+      await s.told('submit', 422, null, 'j-2');
+    },
+  ],
+  [
+    'too_early',
+    'a task starts before a job that it awaits is done',
+    {},
+    async (s) => {
+      s.completed(0);
+      await s.accepted({ id: 'j-2', awaits: ['j-000001'] });
+      s.start('m-0', 0, 1, 'j-2');
+    },
+  ],
+  [
+    'too_early',
+    'a task starts before a job is done that it needs through another',
+    {},
+    async (s) => {
+      await s.accepted({ id: 'j-2', awaits: ['j-000001'] });
+      await s.accepted({ id: 'j-3', awaits: ['j-2'] });
+      for (const index of [0, 1]) s.completed(index, 'j-2');
+      s.start('m-0', 0, 1, 'j-3');
+    },
+  ],
+  [
+    'orphaned',
+    'a job is called pending long after one that it needs is cancelled',
+    {},
+    async (s) => {
+      s.start('m-0');
+      s.leave('m-0');
+      await s.accepted({ id: 'j-2', awaits: ['j-000001'] });
+      await s.accepted({ id: 'j-3', awaits: ['j-2'] });
+      await s.cancelled();
+      await s.told('poll', 200, 'pending', 'j-3');
+      await s.wait(CANCEL_S + 0.1);
+      await s.told('poll', 200, 'pending', 'j-3');
+    },
+  ],
+  [
+    'went_back',
+    'a job is called pending after it was called aborted with one that it needs',
+    {},
+    async (s) => {
+      s.start('m-0');
+      s.leave('m-0');
+      await s.accepted({ id: 'j-2', awaits: ['j-000001'] });
+      await s.cancelled();
+      await s.told('poll', 200, 'aborted', 'j-2');
+      await s.told('poll', 200, 'pending', 'j-2');
+    },
+  ],
   ['nothing_ran', 'no task starts', {}, async () => {}],
   [
     'unserved',
--- a/packages/testing/standins/checker/rule-checker.test.ts
+++ b/packages/testing/standins/checker/rule-checker.test.ts
@@ -5,6 +5,29 @@
 
 /** What is allowed: no rule may be found broken. */
 const ALLOWED: [name: string, play: Play][] = [
+  [
+    'a job starts once all that it awaits is done, and is not said to wait in vain before',
+    async (s) => {
+      s.start('m-0');
+      await s.accepted({ id: 'j-2', awaits: ['j-000001'] });
+      s.checker.troublesOver();
+      await s.wait(95);
+      s.completed(0);
+      s.completed(1);
+      s.start('m-1', 0, 1, 'j-2');
+    },
+  ],
+  [
+    'a job is aborted with one that it needs',
+    async (s) => {
+      s.start('m-0');
+      await s.accepted({ id: 'j-2', awaits: ['j-000001'] });
+      s.leave('m-0');
+      await s.cancelled();
+      await s.told('poll', 200, 'pending', 'j-2');
+      await s.told('poll', 200, 'aborted', 'j-2');
+    },
+  ],
   [
     'a task starts again after it has left',
     async (s) => {
--- a/packages/testing/standins/checker/rule-checker.ts
+++ b/packages/testing/standins/checker/rule-checker.ts
@@ -8,6 +8,7 @@
 import { AnswerChecks } from './answer-checks.js';
 import { CancelChecks } from './cancel-checks.js';
 import type { Check, CheckContext, CheckerSettings } from './check.js';
+import { DependencyChecks } from './dependency-checks.js';
 import { JobLedger } from './job-ledger.js';
 import { SilenceCheck } from './silence-check.js';
 import { StartChecks } from './start-checks.js';
@@ -45,6 +46,7 @@
     this.checks = [
       new StartChecks(context),
       new CancelChecks(context, clock),
+      new DependencyChecks(context),
       new AnswerChecks(context),
       new SilenceCheck(context),
       new WaitingCheck(context),
--- a/packages/testing/standins/checker/sample-script.ts
+++ b/packages/testing/standins/checker/sample-script.ts
@@ -32,6 +32,12 @@
     this.say({ kind: 'job-submitted', id: job.id, job, runnable });
   }
 
+  /** Submits another job, which is accepted. */
+  async accepted(own: Partial<Job> & { id: string }): Promise<void> {
+    this.submitted(own);
+    await this.told('submit', 201, 'pending', own.id);
+  }
+
   machine(name: string, zone = 'a', spot = false): void {
     const machine = { name, sound: true, address: '', type: STD, zone, spot };
     this.say({ kind: 'machine-up', machine });
@@ -42,8 +48,8 @@
     this.say({ kind: 'task-assigned', machine, task }, { kind: 'task-started', machine, task });
   }
 
-  leave(machine: string, index = 0, attempt = 1): void {
-    const task = { job: JOB, index, attempt };
+  leave(machine: string, index = 0, attempt = 1, job = JOB): void {
+    const task = { job, index, attempt };
     this.say({ kind: 'task-left', machine, task, cause: 'stopped' });
   }
 
@@ -69,8 +75,8 @@
     await this.told('abort', 200, 'aborted');
   }
 
-  completed(index: number): void {
-    this.say({ kind: 'task-completed', job: JOB, index });
+  completed(index: number, job = JOB): void {
+    this.say({ kind: 'task-completed', job, index });
   }
 
   /** An accepted job of two tasks, two machines in zone a and one in zone b. */
--- a/packages/testing/standins/checker/violation.ts
+++ b/packages/testing/standins/checker/violation.ts
@@ -11,8 +11,12 @@
   | 'not_done'
   | 'went_back'
   | 'nothing_ran'
+  | 'too_early'
+  | 'orphaned'
   /** A job waits although there is room for it. */
   | 'unserved'
+  /** A job that can run was refused for good. */
+  | 'refused_fit'
   /** A job was accepted that cannot run or lacks a field. */
   | 'accepted_unfit'
   /** A task started after its user was told of the cancellation, though within `cancel_s`. */
--- a/packages/testing/standins/checker/waiting-check.ts
+++ b/packages/testing/standins/checker/waiting-check.ts
@@ -47,9 +47,15 @@
   private isWaiting({ job, runnable, acceptedAt, cancelAskedAt, final }: JobRecord): boolean {
     const open = runnable && acceptedAt !== null && cancelAskedAt === null && final === null;
     if (!open || this.context.state.places(job.id).length > 0) return false;
+    if (this.awaitsOthers(job)) return false;
     return this.context.state.completedTasks(job.id).size < job.tasks;
   }
 
+  private awaitsOthers({ id }: Job): boolean {
+    const { ledger, state } = this.context;
+    return ledger.neededBy(id).some(({ job }) => state.completedTasks(job.id).size < job.tasks);
+  }
+
   /** There is room, in the team's limit and on sound machines, for what has to start together. */
   private hasRoom(job: Job, spaces: Space[]): boolean {
     const needed = job.kind === 'gang' ? job.tasks : 1;
--- a/packages/testing/standins/state/index.ts
+++ b/packages/testing/standins/state/index.ts
@@ -1,2 +1,3 @@
 export * from './key-store.js';
 export * from './state-service.js';
+export type { StateServiceLimits } from './txn-limits.js';
--- a/packages/testing/standins/state/state-service.ts
+++ b/packages/testing/standins/state/state-service.ts
@@ -31,14 +31,14 @@
   private readonly watchers: Watchers;
   private readonly latency: Latency;
   private readonly lostReplies: ReplyLoss;
-  private readonly requestRate: RateLimit;
-  private readonly changeRate: RateLimit;
+  private requestRate: RateLimit;
+  private changeRate: RateLimit;
   private readonly servers: CborServer[] = [];
   private closed = false;
 
   constructor(
     private readonly runtime: Runtime,
-    private readonly limits: StateServiceLimits,
+    private limits: StateServiceLimits,
     /** Told of each transaction. */
     private readonly observer: Observer = () => {},
   ) {
@@ -64,6 +64,14 @@
     for (const server of this.servers) server.close();
   }
 
+  /** Other limits from now on; what is stored stays readable. */
+  changeLimits(changed: Partial<StateServiceLimits>): void {
+    const { clock } = this.runtime;
+    this.limits = { ...this.limits, ...changed };
+    this.requestRate = new RateLimit(clock, this.limits.rps, BURST_S);
+    this.changeRate = new RateLimit(clock, this.limits.writeRps, BURST_S);
+  }
+
   /** Nobody is served; watches stay open and wait, and no lease ends. */
   beginOutage(): void {
     this.availability.setOutage(true);
--- a/packages/testing/standins/users/job-conduct.ts
+++ b/packages/testing/standins/users/job-conduct.ts
@@ -27,6 +27,7 @@
 
 /** What one user does about one job, from its first submission to the last question. */
 export class JobConduct {
+  private readonly milestones = new Milestones();
   accepted = false;
   /** The user was told that the job is done or cancelled. */
   over = false;
@@ -41,12 +42,22 @@
     return this.plan.program.job.id;
   }
 
+  /** Resolves once the job is accepted, and once its user was told that it is over. */
+  whenAccepted(): Promise<void> {
+    return this.milestones.accepted.promise;
+  }
+
+  whenOver(): Promise<void> {
+    return this.milestones.over.promise;
+  }
+
   /** Submits the job, then asks about it until it is over. */
   async run(): Promise<void> {
     const { job } = this.plan.program;
     this.parts.observer({ kind: 'job-submitted', id: job.id, job, runnable: true });
     if (!(await this.submit())) return;
     this.accepted = true;
+    this.milestones.accepted.reach();
     this.parts.onNews(this.id, 'accepted');
     const { cancelAfterS, repeatAfterS } = this.plan;
     if (cancelAfterS !== null) void this.after(cancelAfterS, () => this.cancel());
@@ -104,6 +115,7 @@
   private endWith(told: Told | null): void {
     if (this.over) return;
     this.over = true;
+    this.milestones.over.reach();
     this.parts.onNews(this.id, told?.phase === 'aborted' ? 'cancelled' : 'ended');
   }
 
@@ -125,6 +137,17 @@
   }
 }
 
+/** A moment that others may wait for. */
+class Milestone {
+  reach!: () => void;
+  readonly promise = new Promise<void>((resolve) => (this.reach = resolve));
+}
+
+class Milestones {
+  readonly accepted = new Milestone();
+  readonly over = new Milestone();
+}
+
 function retryDelayS(told: Told | null): number {
   return Math.max(RETRY_DELAY_S, Math.min(LONGEST_RETRY_DELAY_S, told?.retryAfterS ?? 0));
 }
--- a/packages/testing/standins/users/planned-job.ts
+++ b/packages/testing/standins/users/planned-job.ts
@@ -3,8 +3,10 @@
 /** A job and what its user will do with it. */
 export interface PlannedJob {
   program: JobProgram;
-  /** Seconds after the start of the plan. */
+  /** Seconds after the start of the plan; a job that awaits others is submitted later if these are not accepted yet. */
   submitAtS: number;
+  /** It is submitted only once all that it awaits is over; not if it is left out. */
+  isSubmittedLate?: boolean;
   /** Seconds after the acceptance until the user cancels the job; null: never. */
   cancelAfterS: number | null;
   /** Seconds after the acceptance until the user submits it once more; null: never. */
--- a/packages/testing/standins/users/users.ts
+++ b/packages/testing/standins/users/users.ts
@@ -74,7 +74,18 @@
       signal: this.stopping.signal,
     });
     this.jobs.set(conduct.id, conduct);
-    void conduct.run();
+    void this.runInTurn(conduct);
+  }
+
+  /** A job that awaits others is submitted once these are accepted, or once they are over. */
+  private async runInTurn(conduct: JobConduct): Promise<void> {
+    const { isSubmittedLate, program } = conduct.plan;
+    const awaited = program.job.awaits.map((id) => this.jobs.get(id));
+    const needed = awaited.filter((each) => each !== undefined);
+    await Promise.all(
+      needed.map((each) => (isSubmittedLate ? each.whenOver() : each.whenAccepted())),
+    );
+    if (!this.stopping.signal.aborted) await conduct.run();
   }
 
   /** Asks and submits no more. */
--- a/packages/testing/standins/workload/index.ts
+++ b/packages/testing/standins/workload/index.ts
@@ -1,2 +1,3 @@
 export * from './job-class.js';
+export type { Pipeline } from './pipeline.js';
 export * from './workload.js';
--- a/packages/testing/standins/workload/job-class.ts
+++ b/packages/testing/standins/workload/job-class.ts
@@ -14,7 +14,7 @@
 /** One class of jobs: what they need, when they come and how long they run. */
 export interface JobClass {
   /** The same for all jobs of the class. */
-  template: Omit<Job, 'id' | 'team' | 'tasks' | 'image' | 'estimateS' | 'deadlineS'>;
+  template: Omit<Job, 'id' | 'team' | 'tasks' | 'image' | 'estimateS' | 'deadlineS' | 'awaits'>;
   arrivals: Arrivals;
   tasks: Span;
   /** Run time of a task; of a service, time until its user cancels it. */
--- a/packages/testing/standins/workload/workload.ts
+++ b/packages/testing/standins/workload/workload.ts
@@ -10,7 +10,8 @@
   type Random,
   type Span,
 } from './distributions.js';
-import type { JobClass } from './job-class.js';
+import type { Arrivals, JobClass } from './job-class.js';
+import type { Pipeline } from './pipeline.js';
 
 export interface WorkloadOptions {
   classes: JobClass[];
@@ -20,6 +21,7 @@
   lengthS: number;
   /** Multiplies the rates of arrival, and the jobs at the start. */
   intensity?: number;
+  pipelines?: Pipeline[];
 }
 
 /** Ids are chosen from this many numbers, in no order; higher ones belong to odd requests. */
@@ -45,15 +47,20 @@
   const { classes, teams, lengthS, intensity = 1 } = options;
   const maker = new JobMaker(random, teams);
   const plan = classes.flatMap((jobClass) => {
-    const times = arrivalTimes(random, jobClass, intensity, lengthS);
+    const times = arrivalTimes(random, jobClass.arrivals, intensity, lengthS);
     return times.map((submitAtS) => maker.make(jobClass, submitAtS));
   });
+  for (const pipeline of options.pipelines ?? []) {
+    const { arrivals, fromS = 0 } = pipeline;
+    const times = arrivalTimes(random, arrivals, intensity, lengthS - fromS);
+    plan.push(...times.flatMap((atS) => maker.makePipeline(pipeline, fromS + atS)));
+  }
   return plan.sort((first, second) => first.submitAtS - second.submitAtS);
 }
 
 function arrivalTimes(
   random: Random,
-  { arrivals }: JobClass,
+  arrivals: Arrivals,
   intensity: number,
   lengthS: number,
 ): number[] {
@@ -67,6 +74,10 @@
   }
 }
 
+function jobIdOf({ program }: PlannedJob): string {
+  return program.job.id;
+}
+
 class JobMaker {
   private nextId: number;
 
@@ -88,6 +99,31 @@
     };
   }
 
+  /** The jobs of one pipeline: only the last stage's have a deadline, and one of all may be cancelled. */
+  makePipeline(pipeline: Pipeline, submitAtS: number): PlannedJob[] {
+    const { stages, lateShare, cancelledShare, deadlineS, mixesTeams } = pipeline;
+    const team = this.teams[Math.floor(this.random() * this.teams.length)];
+    const jobsOfStages: PlannedJob[][] = [];
+    for (const [number, stage] of stages.entries()) {
+      const isLast = number === stages.length - 1;
+      const awaits = stage.awaits.flatMap((each) => jobsOfStages[each].map(jobIdOf));
+      const jobs = Array.from({ length: uniformInteger(this.random, stage.jobs) }, () => {
+        const planned = this.make(stage.jobClass, submitAtS);
+        const { job } = planned.program;
+        if (!mixesTeams) job.team = team;
+        Object.assign(job, { awaits, deadlineS: isLast ? deadlineS : null });
+        return { ...planned, isSubmittedLate: isLast && this.random() < lateShare };
+      });
+      jobsOfStages.push(jobs);
+    }
+    const all = jobsOfStages.flat();
+    if (this.random() < cancelledShare) {
+      const index = uniformInteger(this.random, [0, all.length - 1]);
+      all[index].cancelAfterS = uniform(this.random, [0, deadlineS]);
+    }
+    return all;
+  }
+
   private makeProgram(jobClass: JobClass): JobProgram {
     const { template, run, images } = jobClass;
     const tasks = uniformInteger(this.random, jobClass.tasks);
@@ -102,6 +138,7 @@
       image: `${template.class}-${uniformInteger(this.random, [1, images])}`,
       estimateS,
       deadlineS: isService ? null : estimateS * DEADLINE_FACTOR + DEADLINE_EXTRA_S,
+      awaits: [],
     };
     const mistaken = this.random() < jobClass.mistakenShare;
     return { job, runS, failsAfterS: mistaken ? uniform(this.random, FAILS_AFTER_S) : null };
--- a/packages/wire/job.test.ts
+++ b/packages/wire/job.test.ts
@@ -34,8 +34,9 @@
     checkpointS: 0,
     saveS: 0,
     deadlineS: null,
+    awaits: ['j-000000'],
   });
-  const optional = ['rigs', 'yard', 'dueS'];
+  const optional = ['rigs', 'yard', 'dueS', 'awaits'];
   for (const field of Object.keys(good)) {
     const without = { ...good };
     delete without[field];
--- a/packages/wire/job.ts
+++ b/packages/wire/job.ts
@@ -42,6 +42,8 @@
   saveS: number;
   /** When the job should be done, from its submission on; null if there is no deadline. */
   deadlineS: number | null;
+  /** Ids of the jobs that must be done before any task of this one starts, each once. */
+  awaits: readonly string[];
 }
 
 /** How a job stands for its user; `pending` means that no task runs. */
@@ -110,6 +112,7 @@
     snapshotEveryS: amount,
     snapshotS: amount,
     dueS: { anyOf: [amount, { type: 'null' }] },
+    awaits: { type: ['array', 'null'], items: { type: 'string', pattern: ID_PATTERN } },
   },
 };
 
@@ -134,6 +137,7 @@
   snapshotEveryS: number;
   snapshotS: number;
   dueS?: number | null;
+  awaits?: string[] | null;
 }
 
 const valid = compileSchema<RawJob>('job', schema);
@@ -162,6 +166,7 @@
     checkpointS: raw.snapshotEveryS,
     saveS: raw.snapshotS,
     deadlineS: raw.dueS ?? null,
+    awaits: [...new Set(raw.awaits ?? [])],
   };
 }
 
@@ -186,10 +191,16 @@
   types: 'rigs',
   zone: 'yard',
   spread: 'apart',
+  awaits: 'awaits',
 } as const;
 
-/** The protocol's form of a job; what a client submits. */
+/** The protocol's form of a job; what a client submits. A job that awaits none has the form of older versions. */
 export function jobToWire(job: Job): Record<string, unknown> {
+  const { awaits } = job;
+  return awaits.length > 0 ? { ...plainJobToWire(job), awaits: [...awaits] } : plainJobToWire(job);
+}
+
+function plainJobToWire(job: Job): Record<string, unknown> {
   return {
     id: job.id,
     lane: job.class,
