--- a/packages/controller/job-intake.ts
+++ b/packages/controller/job-intake.ts
@@ -34,7 +34,7 @@
     const ageS = Math.max(0, (clock.wallMs() - acceptedAtMs) / 1000);
     const isNew = !fleet.jobs.has(job.id);
     const dependencies = this.dependenciesOf(job.id);
-    fleet.addJob(job, now - ageS, phase, now, replicas, dependencies);
+    fleet.addJob(job, now - ageS, phase, now, { shape: replicas, dependencies });
     if (phase !== 'accepted') this.unrecorded.delete(job.id);
     else if (isNew) {
       if (!dependencies.awaitsJobs) planner.jobArrived(job, now);
--- a/packages/core/capacity-planner.ts
+++ b/packages/core/capacity-planner.ts
@@ -9,6 +9,7 @@
 import type { FleetState } from './fleet-state.js';
 import type { JobState, Machine } from './model.js';
 import { Refusals, Rental } from './refusals.js';
+import { needsOneZone } from './replica-groups.js';
 import { SlotPacking } from './slot-packing.js';
 import { StandingSlot, standingSlots } from './slots.js';
 import { byAge } from './waiting-bucket.js';
@@ -156,13 +157,14 @@
    * `zones` counts the job's tasks.
    */
   private packTogether(
-    { spec, replicas }: JobState,
+    job: JobState,
     count: number,
     packing: SlotPacking,
     zones: Map<string, number>,
     mostMachines: number,
   ): number {
-    const oneZone = spec.oneZone || (replicas?.sameZone ?? false);
+    const { spec, replicas } = job;
+    const oneZone = needsOneZone(job);
     const zone = zoneToPack(spec, packing.standing);
     let request = packing.request({ ...spec, zone }, spec.id, zones);
     if (replicas !== null && oneZone && zone === null) {
--- a/packages/core/chained-jobs.test.ts
+++ b/packages/core/chained-jobs.test.ts
@@ -25,7 +25,8 @@
 
 function add(fleet: FleetState, own: Partial<Job>, awaitsJobs = false, rank?: number): JobState {
   const job = aJob(own);
-  return fleet.addJob(job, 0, 'accepted', 0, undefined, { awaitsJobs, rank: rank ?? job.rank });
+  const dependencies = { awaitsJobs, rank: rank ?? job.rank };
+  return fleet.addJob(job, 0, 'accepted', 0, { dependencies });
 }
 
 test('a job that awaits others has no place, no queue and no demand until they are done, and its turn begins then', () => {
--- a/packages/core/consolidation.ts
+++ b/packages/core/consolidation.ts
@@ -5,6 +5,7 @@
 import { chooseMachine } from './choose-machine.js';
 import { bindingZones, hasRoom, kindAllowed } from './fit.js';
 import type { FleetState } from './fleet-state.js';
+import { HOLD_REPORTS } from './room-holds.js';
 import type { Assignment, Machine } from './model.js';
 import { PlacementCandidates } from './placement-candidates.js';
 import { SETTLED_S } from './settled.js';
@@ -12,8 +13,6 @@
 
 /** No machine that is used more than this is emptied. */
 const MOST_USED = 0.5;
-/** Report periods for which the room found for a replica is held. */
-const HOLD_REPORTS = 4;
 
 /** A replica and the machine that has room for it. */
 export interface Move {
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -11,6 +11,14 @@
 import { StartFencing } from './start-fencing.js';
 import { TaskReports } from './task-reports.js';
 
+/** What the records hold of a job beside its submission. */
+export interface JobOptions {
+  /** How its tasks form replicas; without it each is by itself. */
+  shape?: ReplicaShape;
+  /** What other jobs make of it; without it it awaits none and none needs it. */
+  dependencies?: Dependencies;
+}
+
 /**
  * What the owner of a part believes of its machines, jobs and tasks. A pure state machine: time and
  * messages come in as arguments, and what must be made durable comes out in `unrecorded`. A place is
@@ -39,21 +47,19 @@
   }
 
   /**
-   * Takes a job record in; of a known job only a final phase is news. Without `shape` each of its
-   * tasks is by itself.
+   * Takes a job record in; of a known job only a final phase is news.
    */
   addJob(
     job: Job,
     acceptedAt: number,
     phase: JobState['phase'],
     now: number,
-    shape?: ReplicaShape,
-    dependencies: Dependencies = independent(job),
+    { shape, dependencies = independent(job) }: JobOptions = {},
   ): JobState {
     const known = this.jobs.get(job.id);
     if (!known) {
       const replicasOf = this.replicasOf(shape, phase);
-      return this.jobs.add(job, acceptedAt, phase, now, replicasOf, dependencies);
+      return this.jobs.add(job, acceptedAt, phase, now, { replicasOf, dependencies });
     }
     if (phase !== 'accepted') this.closeJob(known, phase, now);
     return known;
--- a/packages/core/job-registry.ts
+++ b/packages/core/job-registry.ts
@@ -12,6 +12,12 @@
 /** Tells whether jobs of a team and rank run on room that is there anyway. */
 export type BestEffortTest = (job: Pick<Job, 'team' | 'rank'>) => boolean;
 
+/** What a new job is beside its submission. */
+export interface NewJobOptions {
+  replicasOf?: (job: JobState) => JobReplicas | null;
+  dependencies?: Dependencies;
+}
+
 /** The accepted jobs, their phases, and which of their tasks wait for a machine. */
 export class JobRegistry {
   readonly waiting = new WaitingJobs();
@@ -46,9 +52,9 @@
     acceptedAt: number,
     phase: JobState['phase'],
     now: number,
-    replicasOf: (job: JobState) => JobReplicas | null = () => null,
-    { awaitsJobs, rank }: Dependencies = independent(job),
+    { replicasOf, dependencies = independent(job) }: NewJobOptions = {},
   ): JobState {
+    const { awaitsJobs, rank } = dependencies;
     const state: JobState = {
       spec: job,
       rank,
@@ -70,7 +76,7 @@
       waitingSince: now,
       waitingOrder: 0,
     };
-    state.replicas = replicasOf(state);
+    state.replicas = replicasOf?.(state) ?? null;
     this.byId.set(job.id, state);
     if (phase !== 'accepted') this.ended.add(state);
     else if (!awaitsJobs) this.waiting.add(state);
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -8,14 +8,14 @@
 import { Assignment, assignmentsOf, JobState, Machine } from './model.js';
 import { isSettled, lostWork, wholeReplicas } from './preemption-cost.js';
 import { PlacementCandidates } from './placement-candidates.js';
+import { membersOf, needsOneZone } from './replica-groups.js';
+import { HOLD_REPORTS } from './room-holds.js';
 import type { TeamShares } from './team-shares.js';
 import type { WaitingBucket } from './waiting-bucket.js';
 import { oldestFirst } from './waiting-order.js';
 
 /** Tasks that room is made for in one round at the most. */
 const TASKS_PER_ROUND = 4;
-/** Report periods for which room is held beside the time that the stopped work takes to save. */
-const HOLD_REPORTS = 4;
 
 /** When work may stop other work. */
 export interface PreemptionSettings {
@@ -71,7 +71,7 @@
       if (failedAlike.has(job.spec, job.rank, mayStop)) continue;
       // Room that is being made takes a moment to come free; no more is stopped for it meanwhile.
       if ((heldRoom.get(job) ?? 0) >= this.fleet.jobs.waitingCount(job)) continue;
-      const members = job.replicas?.members ?? 1;
+      const members = membersOf(job);
       if (!this.shares.withinLimit(job.spec.team, multipliedAmounts(job.spec, members))) continue;
       const victims = this.victimsFor(job, heldRoom.get(job) ?? 0, stopping, now);
       if (victims) {
@@ -116,7 +116,7 @@
     const found: Victims[] = [];
     const free = this.freeForMembers(job, now);
     let zone = job.replicas?.sameZone ? (free.at(0)?.zone ?? null) : null;
-    const lacking = (job.replicas?.members ?? 1) - held - free.length;
+    const lacking = membersOf(job) - held - free.length;
     for (let left = Math.max(1, lacking); left > 0; left--) {
       const victims = this.cheapestVictims(job, passedOver, zone, now);
       if (victims === null) return null;
@@ -131,9 +131,8 @@
   private freeForMembers(job: JobState, now: number): Machine[] {
     if (job.replicas === null) return [];
     const candidates = new PlacementCandidates(this.fleet, now);
-    const oneZone = job.spec.oneZone || job.replicas.sameZone;
     for (let tasks = job.replicas.members - 1; tasks > 0; tasks--) {
-      const request = { tasks, oneZone };
+      const request = { tasks, oneZone: needsOneZone(job) };
       const machines = chooseMachinesTogether(this.fleet, job, request, candidates, now);
       if (machines !== null) return machines;
     }
--- a/packages/core/room-holds.ts
+++ b/packages/core/room-holds.ts
@@ -1,5 +1,8 @@
 import type { JobState, Machine } from './model.js';
 
+/** Report periods for which room is held, beside the time that stopped work takes to save. */
+export const HOLD_REPORTS = 4;
+
 /** Room that is made by stopping work, or counted on for a move, waits for the job it was made for. */
 export class RoomHolds {
   /** All machines with a hold, so that few machines are looked at for a count. */
--- a/packages/core/scheduler.ts
+++ b/packages/core/scheduler.ts
@@ -9,7 +9,7 @@
 import { BlockedKind, BlockedShapes } from './blocked-shapes.js';
 import { queuesByPrecedence, speaksForOthers, TeamQueue, Tier } from './job-queues.js';
 import type { JobState } from './model.js';
-import type { JobReplicas } from './replica-groups.js';
+import { type JobReplicas, needsOneZone } from './replica-groups.js';
 import { PlacementCandidates } from './placement-candidates.js';
 import { Preemption, PreemptionSettings } from './preemption.js';
 import { TeamShares } from './team-shares.js';
@@ -135,9 +135,9 @@
   private placeReplicas(job: JobState, replicas: JobReplicas, round: Round): number {
     const { candidates, now } = round;
     const { assignments, failures } = this.fleet;
-    const { members, sameZone } = replicas;
+    const { members } = replicas;
     if (this.isBlocked(job, round) || failures.startableTasks(job) === 0) return 0;
-    const request = { tasks: members, oneZone: job.spec.oneZone || sameZone };
+    const request = { tasks: members, oneZone: needsOneZone(job) };
     let placed = 0;
     for (const replica of replicas.waiting(Math.ceil(TASKS_PER_TURN / members), now)) {
       if (!this.shares.withinLimit(job.spec.team, multipliedAmounts(job.spec, members))) break;
--- a/packages/core/waiting-bucket.ts
+++ b/packages/core/waiting-bucket.ts
@@ -1,6 +1,7 @@
 import type { Job } from '#wire';
 import type { Amounts } from './amounts.js';
 import type { JobState } from './model.js';
+import { membersOf } from './replica-groups.js';
 
 /** A job that has no task anywhere. Its place among such jobs stays the same however much time passes. */
 interface IdleEntry {
@@ -37,7 +38,7 @@
     this.sample = sample.spec;
     this.rank = sample.rank;
     this.isBestEffort = sample.isBestEffort;
-    this.members = sample.replicas?.members ?? 1;
+    this.members = membersOf(sample);
     const { cpus, gpus, memory } = sample.spec;
     this.least = { cpus, gpus, memory };
     this.mostCpus = cpus;
--- a/packages/core/waiting-jobs.ts
+++ b/packages/core/waiting-jobs.ts
@@ -1,5 +1,6 @@
 import { conditionsKey } from './fit.js';
 import type { JobState } from './model.js';
+import { membersOf } from './replica-groups.js';
 import { WaitingBucket } from './waiting-bucket.js';
 
 /** The jobs that have tasks which wait for a machine, in buckets of like jobs. */
@@ -71,8 +72,8 @@
   }
 }
 
-function bucketKey({ spec, rank, replicas }: JobState): string {
+function bucketKey(job: JobState): string {
+  const { spec, rank } = job;
   const { team, kind, gpus } = spec;
-  const members = replicas?.members ?? 1;
-  return `${team} ${rank} ${kind === 'gang'} ${gpus} ${members} ${conditionsKey(spec)}`;
+  return `${team} ${rank} ${kind === 'gang'} ${gpus} ${membersOf(job)} ${conditionsKey(spec)}`;
 }
--- a/packages/replicas/replica-groups.test.ts
+++ b/packages/replicas/replica-groups.test.ts
@@ -48,7 +48,7 @@
 
   submit(own: Partial<Job>, members: number, sameZone = false, now = 0): JobState {
     const job = aJob({ kind: 'service', gpus: 4, rank: 1, ...own });
-    return this.fleet.addJob(job, now, 'accepted', now, { members, sameZone });
+    return this.fleet.addJob(job, now, 'accepted', now, { shape: { members, sameZone } });
   }
 
   /** All that was placed is recorded, started and reported as running. */
--- a/packages/replicas/replica-groups.ts
+++ b/packages/replicas/replica-groups.ts
@@ -2,9 +2,11 @@
   type Assignment,
   chooseMachinesTogether,
   type FleetState,
+  HOLD_REPORTS,
   type JobReplicas,
   type JobState,
   type Machine,
+  needsOneZone,
   PlacementCandidates,
   type Random,
   type ReplicaShape,
@@ -14,9 +16,6 @@
 import type { EndReason, GroupEvent, GroupPhase, MemberRef } from './group-machine.js';
 import { JobReplicaGroups } from './job-replica-groups.js';
 
-/** Report periods for which room is held for a replica whose rest still ends. */
-const HOLD_REPORTS = 4;
-
 const NONE: Record<GroupPhase, number> = {
   waiting: 0,
   reserved: 0,
@@ -201,7 +200,7 @@
   private holdRoom(group: Group, members: number, now: number): boolean {
     const fleet = this.requireFleet();
     const candidates = new PlacementCandidates(fleet, now);
-    const oneZone = group.job.spec.oneZone || (group.job.replicas?.sameZone ?? false);
+    const oneZone = needsOneZone(group.job);
     const request = { tasks: members, oneZone };
     const machines = chooseMachinesTogether(fleet, group.job, request, candidates, now);
     for (const machine of machines ?? []) this.hold(machine, group.job, now);
--- a/packages/replicas/replica-rows.test.ts
+++ b/packages/replicas/replica-rows.test.ts
@@ -16,7 +16,9 @@
   const machines = ['n-1', 'n-2'].map((name) => aMachine(fleet, name));
   for (const [number, id] of ['j-1', 'j-2'].entries()) {
     const spec = aJob({ id, kind: 'service', tasks: 2 });
-    const job = fleet.addJob(spec, 0, 'accepted', 0, { members: 2, sameZone: false });
+    const job = fleet.addJob(spec, 0, 'accepted', 0, {
+      shape: { members: 2, sameZone: false },
+    });
     const generation = 70 + number;
     machines.forEach((machine, index) => {
       const member = fleet.assignments.assign(job, index, machine, generation, 1);
--- a/packages/testing/owner-load/resting-replicas.test.ts
+++ b/packages/testing/owner-load/resting-replicas.test.ts
@@ -33,7 +33,7 @@
   for (let i = 0; i < GROUPS; i++) {
     const id = `j-${900_000 + i}`;
     const job = aJob({ id, kind: 'service', tasks: MEMBERS, gpus: 8, cpus: 30, rank: 1 });
-    fleet.addJob(job, 0, 'accepted', 0, { members: MEMBERS, sameZone: true });
+    fleet.addJob(job, 0, 'accepted', 0, { shape: { members: MEMBERS, sameZone: true } });
   }
   while (scheduler.place(STEADY_AT) > 0);
   const members = [...fleet.machines.values()].flatMap(({ tasks }) => [...tasks.values()]);
--- a/packages/testing/replica-traffic/request-traffic.ts
+++ b/packages/testing/replica-traffic/request-traffic.ts
@@ -24,8 +24,6 @@
  */
 export class RequestTraffic {
   readonly answers: Answer[] = [];
-  /** Requests that got no answer. */
-  unanswered = 0;
   private going = true;
 
   constructor(private readonly options: TrafficOptions) {}
@@ -45,11 +43,9 @@
   private request(job: string, first: number, size: number): void {
     const { members, reaches, chance } = this.options;
     const entries = members.of(job, first).filter(({ machine }) => reaches(null, machine));
-    if (entries.length === 0) this.unanswered++;
-    else {
-      const entry = entries[chance.int(0, entries.length - 1)];
-      this.pass(entry, size, [markOf(entry, first)]);
-    }
+    if (entries.length === 0) return;
+    const entry = entries[chance.int(0, entries.length - 1)];
+    this.pass(entry, size, [markOf(entry, first)]);
   }
 
   /** The entry asks the next mate, or answers once it has asked all. */
@@ -69,17 +65,16 @@
       .of(job, first + asked)
       .filter(({ machine }) => machine === entry.machine || reaches(entry.machine, machine));
     const mate = mates.find(({ task }) => !isFenced || task.attempt === attempt);
-    if (!members.isLive(entry) || (isFenced && !mate)) this.unanswered++;
-    else this.pass(entry, size, mate ? [...marks, markOf(mate, first)] : marks, asked + 1);
+    // Without the mate there is no answer, unless the fence is taken out.
+    if (!members.isLive(entry) || (isFenced && !mate)) return;
+    this.pass(entry, size, mate ? [...marks, markOf(mate, first)] : marks, asked + 1);
   }
 
   private answer(entry: LiveMember, members: number, marks: Mark[]): void {
     const { now, reaches } = this.options;
-    if (!this.options.members.isLive(entry) || !reaches(null, entry.machine)) this.unanswered++;
-    else {
-      const { job, index: first } = entry.task;
-      this.answers.push({ atS: now(), job, first, members, marks });
-    }
+    if (!this.options.members.isLive(entry) || !reaches(null, entry.machine)) return;
+    const { job, index: first } = entry.task;
+    this.answers.push({ atS: now(), job, first, members, marks });
   }
 }
 
--- a/packages/testing/simulation/replica-service.ts
+++ b/packages/testing/simulation/replica-service.ts
@@ -1,4 +1,4 @@
-import type { ReplicaClasses } from '#replicas';
+import { type ReplicaClasses, shapeOf } from '#replicas';
 import { type Answer, brokenAnswers } from '../replica-traffic/answers.js';
 import { Members } from '../replica-traffic/members.js';
 import { RequestTraffic } from '../replica-traffic/request-traffic.js';
@@ -60,9 +60,9 @@
 
   private membersOf(id: string): number {
     const job = this.options.storage.get(id)?.job;
-    const members = (this.classes as ReplicaClasses | undefined)?.[job?.class ?? '']?.members;
-    if (job?.kind !== 'service' || members === undefined) return 1;
-    return members === 'job' ? job.tasks : members;
+    const classes = this.classes as ReplicaClasses | undefined;
+    if (job === undefined || classes === undefined) return 1;
+    return shapeOf(job, classes)?.members ?? 1;
   }
 
   private reaches(from: string | null, to: string): boolean {
