--- a/packages/controller/awaited-jobs.test.ts
+++ b/packages/controller/awaited-jobs.test.ts
@@ -201,3 +201,36 @@
   const answer = await ask(users[2].submit(upload({ id: 'j-3', awaits: ['j-2'] })));
   assert.deepEqual([answer.status, phaseOf(answer)], [201, 'aborted']);
 });
+
+test('a job submitted in the very milliseconds in which one that it awaits is cancelled or ends is called alike everywhere', async () => {
+  const { cluster, users, ask, submit, upload, phaseAt, wait } = await aCluster();
+  let next = 100;
+  const newId = () => `j-${next++}`;
+  for (const delayMs of [0, 1, 2, 3, 5, 8, 12]) {
+    const [first, second] = [newId(), newId()];
+    await submit(0, { id: first }, 500);
+    const dependent = upload({ id: second, awaits: [first] });
+    const later = async () => {
+      await pause(cluster.serviceRuntime(`user-${second}`, 'users', USERS_HOST).clock, delayMs);
+      return users[1].submit(dependent);
+    };
+    const [told, accepted] = await ask(Promise.all([users[2].abort(first), later()]));
+    assert.deepEqual([phaseOf(told), accepted.status], ['aborted', 201]);
+    for (const user of CONTROLLERS) assert.equal(await phaseAt(user, second), 'aborted');
+  }
+  const ends = Array.from({ length: 6 }, () => newId());
+  for (const [number, id] of ends.entries()) await submit(number % 3, { id, cpus: 0.5 }, 3);
+  const dependents: string[] = [];
+  for (let s = 0; s < 40; s++) {
+    for (const [number, id] of ends.entries()) {
+      if (s % 6 !== number) continue;
+      const second = newId();
+      dependents.push(second);
+      assert.equal((await submit(s % 3, { id: second, cpus: 0.5, awaits: [id] }, 1)).status, 201);
+    }
+    await wait(1);
+  }
+  await wait(60);
+  for (const id of dependents) assert.equal(await phaseAt(0, id), 'done', id);
+  assert.deepEqual(cluster.checker.violations, []);
+});
--- a/packages/controller/machine-types.ts
+++ b/packages/controller/machine-types.ts
@@ -4,8 +4,8 @@
 /** The machine types that can be rented, recorded for the controllers that don't ask the cloud. */
 export class MachineTypes {
   private types: MachineType[] = [];
-  /** What the records hold, by key. */
-  private readonly pages = new Map<string, MachineType[]>();
+  /** What the records hold, by page. */
+  private readonly pages = new Map<number, MachineType[]>();
 
   constructor(
     private readonly client: StateClient,
@@ -13,10 +13,12 @@
     private readonly world: PrefixCache,
   ) {
     world.changes.subscribe(({ key, value }) => {
-      if (!isTypesKey(key)) return;
-      if (value) this.pages.set(key, value as MachineType[]);
-      else this.pages.delete(key);
-      this.types = [...this.pages.values()].flat();
+      const page = pageOf(key);
+      if (page === null) return;
+      if (value) this.pages.set(page, value as MachineType[]);
+      else this.pages.delete(page);
+      const inOrder = [...this.pages].sort(([one], [other]) => one - other);
+      this.types = inOrder.flatMap(([, types]) => types);
     });
   }
 
@@ -33,9 +35,8 @@
     }
     const pages = typePages(types, this.client.limits.valueBytes);
     const puts = pages.map((value, page) => ({ put: typesKey(page), value }));
-    const written = puts.map(({ put }) => put);
-    const removed = [...this.pages.keys()].filter((key) => !written.includes(key));
-    const changes = [...puts, ...removed.map((key) => ({ delete: key }))];
+    const removed = [...this.pages.keys()].filter((page) => page >= pages.length);
+    const changes = [...puts, ...removed.map((page) => ({ delete: typesKey(page) }))];
     const out = await this.client.txn([], changes, true, signal);
     if (!out.ok) return;
     for (const { put, value } of puts) this.world.learn(put, value, out.revision);
@@ -47,8 +48,10 @@
   return page === 0 ? TYPES_KEY : `${TYPES_KEY}/${page}`;
 }
 
-function isTypesKey(key: string): boolean {
-  return key === TYPES_KEY || key.startsWith(`${TYPES_KEY}/`);
+/** The page that the key names, or null if it is none of machine types. */
+function pageOf(key: string): number | null {
+  if (key === TYPES_KEY) return 0;
+  return key.startsWith(`${TYPES_KEY}/`) ? Number(key.slice(TYPES_KEY.length + 1)) : null;
 }
 
 /** The types in as few values as hold them, each of at most so many bytes unless one type alone is larger. */
