Review case 1: a burst of chained jobs ends all controllers

Cause: open jobs with many dependencies take about 40 KB of heap each in every controller, the heap is bounded at 56 MB, and nothing admits submissions by memory.

--- /dev/null
+++ b/review/1/test.mjs
@@ -0,0 +1,61 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { BROKEN, Cluster, HELD, makeJob, runCase } from '../lib/cluster.mjs';
+
+const ZONES = ['barracas', 'pilar', 'rosario'];
+const TYPE = {
+  name: 'caja-pesada',
+  cpus: 96,
+  gpus: 8,
+  memory: 384,
+  cacheGb: 600,
+  fetchGbPerS: 5,
+  price: 19.64,
+  spotPrice: 5.88,
+  bootS: 5,
+  zones: ZONES,
+};
+const TEAM = { name: 'mesa-devol', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 };
+
+/** Jobs of the first stage, all accepted and open while the second stage is submitted. */
+const FIRST_STAGE = 690;
+/** Jobs a second of the second stage on an ordinary day. */
+const USUAL_RATE = 3;
+/** The trouble: jobs of a class come several times as often. */
+const BURST_FACTOR = Number(process.env.TROUBLE ?? 1) === 0 ? 1 : 4;
+const BURST_S = 80;
+const USERS = 24;
+
+const id = (number) => `j-${String(number).padStart(6, '0')}`;
+const small = { team: 'mesa-devol', cpus: 0.1, gpus: 0, memory: 0.2, rank: 2, estimateS: 600 };
+
+await runCase(async () => {
+  const cluster = await Cluster.start({
+    directory: import.meta.dirname,
+    types: [TYPE],
+    deployment: { zones: ZONES, teams: [TEAM] },
+  });
+  const { record } = cluster;
+  let next = 1;
+  const submitFirstStage = async (at) => {
+    while (next <= FIRST_STAGE) {
+      const job = makeJob({ ...small, id: id(next++), class: 'limpia-texto' });
+      await cluster.submit(job, { at, runS: 600 });
+    }
+  };
+  await Promise.all(Array.from({ length: USERS }, (_, user) => submitFirstStage(user % 3)));
+  record.line(`the ${FIRST_STAGE} jobs of the first stage are accepted`);
+
+  const dependencies = Array.from({ length: FIRST_STAGE }, (_, index) => id(index + 1));
+  const rate = USUAL_RATE * BURST_FACTOR;
+  const begin = performance.now();
+  for (let count = 0; count < rate * BURST_S; count++) {
+    const job = makeJob({ ...small, id: id(FIRST_STAGE + 1 + count), class: 'junta-control', awaits: dependencies });
+    void cluster.submit(job, { at: count % 3, runS: 20 });
+    await sleep(Math.max(0, begin + ((count + 1) * 1000) / rate - performance.now()));
+  }
+  // Time for the processes that have ended to come back and to read the records.
+  await sleep(10_000);
+  const answers = await cluster.askAll(id(1));
+  record.line(`${cluster.endsByItself} processes ended by themselves; ${answers} controllers answer`);
+  return cluster.endsByItself === 0 ? HELD : BROKEN;
+});
