--- a/review/1/test.mjs
+++ b/review/1/test.mjs
@@ -1,21 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { BROKEN, Cluster, HELD, makeJob, runCase } from '../lib/cluster.mjs';
 
-const ZONES = ['barracas', 'pilar', 'rosario'];
-const TYPE = {
-  name: 'caja-pesada',
-  cpus: 96,
-  gpus: 8,
-  memory: 384,
-  cacheGb: 600,
-  fetchGbPerS: 5,
-  price: 19.64,
-  spotPrice: 5.88,
-  bootS: 5,
-  zones: ZONES,
-};
-const TEAM = { name: 'mesa-devol', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 };
-
 /** Jobs of the first stage, all accepted and open while the second stage is submitted. */
 const FIRST_STAGE = 690;
 /** Jobs a second of the second stage on an ordinary day. */
@@ -26,14 +11,10 @@
 const USERS = 24;
 
 const id = (number) => `j-${String(number).padStart(6, '0')}`;
-const small = { team: 'mesa-devol', cpus: 0.1, gpus: 0, memory: 0.2, rank: 2, estimateS: 600 };
+const small = { cpus: 0.1, memory: 0.2, estimateS: 600 };
 
 await runCase(async () => {
-  const cluster = await Cluster.start({
-    directory: import.meta.dirname,
-    types: [TYPE],
-    deployment: { zones: ZONES, teams: [TEAM] },
-  });
+  const cluster = await Cluster.start({ directory: import.meta.dirname });
   const { record } = cluster;
   let next = 1;
   const submitFirstStage = async (at) => {
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -16,7 +16,6 @@
   GangRegistry,
   JobStorage,
   LateHeartbeats,
-  QUICK_BOOTS,
   ReplyLoss,
   StateService,
 } from '../../target/testing/stand-ins/index.js';
@@ -39,10 +38,39 @@
 /** The case could not run: the deployment did not reach the state in which the disruption begins. */
 export class CouldNotRun extends Error {}
 
-/** Times, limits and teams like those of a small deployment of the pages. */
-export const DEPLOYMENT = {
+/** Seconds from a request for a machine until it is up: 0.6 to 1.5 times the nominal time, as the pages say. */
+const BOOT_S = 4;
+const BOOTS = { overrideS: [0.6 * BOOT_S, 1.5 * BOOT_S] };
+
+export const ZONES = ['barracas', 'pilar', 'rosario'];
+
+/** The machine type of the deployment; only its boot time is shorter, so that a case fits into its time. */
+const CAJA_PESADA = {
+  name: 'caja-pesada',
+  cpus: 96,
+  gpus: 8,
+  memory: 384,
+  cacheGb: 600,
+  fetchGbPerS: 5,
+  price: 19.64,
+  spotPrice: 5.88,
+  bootS: BOOT_S,
+  zones: ZONES,
+};
+
+/** The settings of the page of the deployment (DEPLOY). */
+const DEPLOYMENT = {
+  zones: ZONES,
   clock_off_ms: 100,
-  objectives: [],
+  teams: [{ name: 'mesa-devol', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }],
+  objectives: [
+    { kind: 'wait', class: 'ombu-grande', within_s: 15, share: 0.88 },
+    { kind: 'finished', class: 'lote-nocturno', within_s: 120, share: 0.82 },
+    { kind: 'finished', class: 'lote-nocturno', within_s: 250, share: 0.94 },
+    { kind: 'wait', class: 'refuerzo-chico', within_s: 5, share: 0.92 },
+    { kind: 'wait', class: 'afinado-medio', within_s: 12, share: 0.85 },
+    { kind: 'finished', class: 'afinado-medio', within_s: 200, share: 0.9 },
+  ],
   workers: { report_s: 1, lease_s: 10, gang_wait_s: 45, gang_peer_s: 8, cancel_s: 35 },
   state: { rps: 150, write_rps: 50, value_kb: 8, txn_ops: 24 },
   cloud: { rps: 4, list_lag_s: 4 },
@@ -132,11 +160,11 @@
     return cluster;
   }
 
-  constructor({ directory, deployment, types, capacity = [], controllers = 3, onEvent }, addresses) {
+  constructor({ directory, capacity = [], controllers = 3 }, addresses) {
     this.record = new Record(path.join(directory, 'record.txt'));
     this.addresses = addresses;
     this.temporary = mkdtempSync(path.join(tmpdir(), 'sorreldale-review-'));
-    this.shared = { controllers, deployment: { ...DEPLOYMENT, ...deployment } };
+    this.shared = { controllers, deployment: DEPLOYMENT };
     this.processes = [];
     /** How many controller processes have ended without a signal of this script. */
     this.endsByItself = 0;
@@ -147,7 +175,6 @@
       const text = describe(event);
       if (text !== null) this.record.line(text);
       this.follow(event);
-      onEvent?.(event);
     };
     const { state, cloud, workers } = this.shared.deployment;
     const limits = { rps: state.rps, writeRps: state.write_rps, valueKb: state.value_kb, txnOps: state.txn_ops };
@@ -173,10 +200,29 @@
     });
     this.cloud = new CloudService(
       nodeRuntime,
-      { types, capacity, rps: cloud.rps, listLagS: cloud.list_lag_s },
+      { types: [CAJA_PESADA], capacity, rps: cloud.rps, listLagS: cloud.list_lag_s },
       this.fleet,
     );
-    this.cloud.setBootProfile(QUICK_BOOTS);
+    this.cloud.setBootProfile(BOOTS);
+    this.recordCloudCalls();
+  }
+
+  /** Records each request for machines and each release with its answer. */
+  recordCloudCalls() {
+    const { cloud, record } = this;
+    const provision = cloud.provision.bind(cloud);
+    cloud.provision = (request) => {
+      const reply = provision(request);
+      const { type, zone, spot, count } = request;
+      const kind = `${count} ${type} in ${zone}, ${spot ? 'spot' : 'on demand'}`;
+      record.line(`cloud asked for ${kind}: ${reply.status} ${JSON.stringify(reply.body)}`);
+      return reply;
+    };
+    const release = cloud.release.bind(cloud);
+    cloud.release = (names) => {
+      record.line(`cloud asked to release ${names.join(', ')}`);
+      return release(names);
+    };
   }
 
   follow({ kind, machine, task }) {
@@ -299,18 +345,18 @@
   }
 }
 
-/** A job of the only team, with one task that takes a whole machine of eight GPUs unless changed. */
+/** A job of the only team: an array of one small task on on-demand machines of any zone, unless changed. */
 export function makeJob(overrides) {
   return {
     id: 'j-000001',
-    class: 'work',
-    team: 'team-a',
+    class: 'limpia-texto',
+    team: 'mesa-devol',
     kind: 'array',
-    rank: 1,
+    rank: 2,
     tasks: 1,
-    cpus: 8,
-    gpus: 1,
-    memory: 25,
+    cpus: 1,
+    gpus: 0,
+    memory: 3.2,
     image: 'img-01',
     imageGb: 1,
     types: null,
