Review case 2: machines kept empty for a gang that cannot begin

Cause: gang reservations ignore the limit of the gang's team, so machines are kept from all other work while the team is at its limit.

--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -38,43 +38,70 @@
 /** The case could not run: the deployment did not reach the state in which the disruption begins. */
 export class CouldNotRun extends Error {}
 
-/** Seconds from a request for a machine until it is up: 0.6 to 1.5 times the nominal time, as the pages say. */
+/** Seconds from a request for a machine until it is up; the pages say: usually 0.6 to 1.5 times the nominal time. */
 const BOOT_S = 4;
-const BOOTS = { overrideS: [0.6 * BOOT_S, 1.5 * BOOT_S] };
-
-export const ZONES = ['barracas', 'pilar', 'rosario'];
-
-/** The machine type of the deployment; only its boot time is shorter, so that a case fits into its time. */
-const CAJA_PESADA = {
-  name: 'caja-pesada',
-  cpus: 96,
-  gpus: 8,
-  memory: 384,
-  cacheGb: 600,
-  fetchGbPerS: 5,
-  price: 19.64,
-  spotPrice: 5.88,
-  bootS: BOOT_S,
-  zones: ZONES,
+const BOOTS = { overrideS: [0.6 * BOOT_S, 1.2 * BOOT_S] };
+
+/** The deployment of etiquetas-plata as its pages have it; only machines boot sooner, so that a case fits its time. */
+const ETIQUETAS_PLATA = {
+  type: {
+    name: 'caja-pesada',
+    cpus: 96,
+    gpus: 8,
+    memory: 384,
+    cacheGb: 600,
+    fetchGbPerS: 5,
+    price: 19.64,
+    spotPrice: 5.88,
+    bootS: BOOT_S,
+    zones: ['barracas', 'pilar', 'rosario'],
+  },
+  settings: {
+    zones: ['barracas', 'pilar', 'rosario'],
+    clock_off_ms: 100,
+    teams: [{ name: 'mesa-devol', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }],
+    objectives: [
+      { kind: 'wait', class: 'ombu-grande', within_s: 15, share: 0.88 },
+      { kind: 'finished', class: 'lote-nocturno', within_s: 120, share: 0.82 },
+      { kind: 'finished', class: 'lote-nocturno', within_s: 250, share: 0.94 },
+      { kind: 'wait', class: 'refuerzo-chico', within_s: 5, share: 0.92 },
+      { kind: 'wait', class: 'afinado-medio', within_s: 12, share: 0.85 },
+      { kind: 'finished', class: 'afinado-medio', within_s: 200, share: 0.9 },
+    ],
+    workers: { report_s: 1, lease_s: 10, gang_wait_s: 45, gang_peer_s: 8, cancel_s: 35 },
+    state: { rps: 150, write_rps: 50, value_kb: 8, txn_ops: 24 },
+    cloud: { rps: 4, list_lag_s: 4 },
+    limits: { cpu_share: 0.255, memory_mb: 114, sockets: 700 },
+  },
 };
 
-/** The settings of the page of the deployment (DEPLOY). */
-const DEPLOYMENT = {
-  zones: ZONES,
-  clock_off_ms: 100,
-  teams: [{ name: 'mesa-devol', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }],
-  objectives: [
-    { kind: 'wait', class: 'ombu-grande', within_s: 15, share: 0.88 },
-    { kind: 'finished', class: 'lote-nocturno', within_s: 120, share: 0.82 },
-    { kind: 'finished', class: 'lote-nocturno', within_s: 250, share: 0.94 },
-    { kind: 'wait', class: 'refuerzo-chico', within_s: 5, share: 0.92 },
-    { kind: 'wait', class: 'afinado-medio', within_s: 12, share: 0.85 },
-    { kind: 'finished', class: 'afinado-medio', within_s: 200, share: 0.9 },
-  ],
-  workers: { report_s: 1, lease_s: 10, gang_wait_s: 45, gang_peer_s: 8, cancel_s: 35 },
-  state: { rps: 150, write_rps: 50, value_kb: 8, txn_ops: 24 },
-  cloud: { rps: 4, list_lag_s: 4 },
-  limits: { cpu_share: 0.255, memory_mb: 114, sockets: 700 },
+/** The deployment of yushan-pay as its pages have it, smaller: one machine type, two teams with small quotas. */
+export const YUSHAN_PAY = {
+  type: {
+    name: 'heavy-rack',
+    cpus: 96,
+    gpus: 8,
+    memory: 576,
+    cacheGb: 400,
+    fetchGbPerS: 2.3,
+    price: 21.06,
+    spotPrice: 7.17,
+    bootS: BOOT_S,
+    zones: ['zone-taipei', 'zone-taichung', 'zone-hualien'],
+  },
+  settings: {
+    zones: ['zone-taipei', 'zone-taichung', 'zone-hualien'],
+    clock_off_ms: 100,
+    teams: [
+      { name: 'merchant-care', cpus: 0, cpus_max: 0, gpus: 16, gpus_max: 24 },
+      { name: 'risk-desk', cpus: 0, cpus_max: 0, gpus: 8, gpus_max: 16 },
+    ],
+    objectives: [{ kind: 'wait', class: 'jade-counsel', within_s: 30, share: 0.85 }],
+    workers: { report_s: 1, lease_s: 11, gang_wait_s: 45, gang_peer_s: 6, cancel_s: 31 },
+    state: { rps: 250, write_rps: 80, value_kb: 8, txn_ops: 48 },
+    cloud: { rps: 5, list_lag_s: 8 },
+    limits: { cpu_share: 0.255, memory_mb: 146, sockets: 800 },
+  },
 };
 
 function listenOnFreePort() {
@@ -160,11 +187,11 @@
     return cluster;
   }
 
-  constructor({ directory, capacity = [], controllers = 3 }, addresses) {
+  constructor({ directory, site = ETIQUETAS_PLATA, capacity = [], controllers = 3 }, addresses) {
     this.record = new Record(path.join(directory, 'record.txt'));
     this.addresses = addresses;
     this.temporary = mkdtempSync(path.join(tmpdir(), 'sorreldale-review-'));
-    this.shared = { controllers, deployment: DEPLOYMENT };
+    this.shared = { controllers, deployment: site.settings };
     this.processes = [];
     /** How many controller processes have ended without a signal of this script. */
     this.endsByItself = 0;
@@ -200,7 +227,7 @@
     });
     this.cloud = new CloudService(
       nodeRuntime,
-      { types: [CAJA_PESADA], capacity, rps: cloud.rps, listLagS: cloud.list_lag_s },
+      { types: [site.type], capacity, rps: cloud.rps, listLagS: cloud.list_lag_s },
       this.fleet,
     );
     this.cloud.setBootProfile(BOOTS);
