Review: ports below the outgoing ones, exit 2 for failures of a script

Cause: a port that was free could be taken by an outgoing connection before it was used, and an error of a script ended it with 1.

--- a/review/1/test.mjs
+++ b/review/1/test.mjs
@@ -9,6 +9,8 @@
 const BURST_FACTOR = Number(process.env.TROUBLE ?? 1) === 0 ? 1 : 4;
 const BURST_S = 80;
 const USERS = 24;
+/** A slow machine ends the burst earlier, so that the script keeps to its time. */
+const LAST_SUBMISSION_MS = 100_000;
 
 const id = (number) => `j-${String(number).padStart(6, '0')}`;
 const small = { cpus: 0.1, memory: 0.2, estimateS: 600 };
@@ -30,6 +32,7 @@
   const rate = USUAL_RATE * BURST_FACTOR;
   const begin = performance.now();
   for (let count = 0; count < rate * BURST_S; count++) {
+    if (performance.now() - record.startedAt > LAST_SUBMISSION_MS) break;
     const job = makeJob({ ...small, id: id(FIRST_STAGE + 1 + count), class: 'junta-control', awaits: dependencies });
     void cluster.submit(job, { at: count % 3, runS: 20 });
     await sleep(Math.max(0, begin + ((count + 1) * 1000) / rate - performance.now()));
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -24,7 +24,11 @@
 const ROOT = path.resolve(import.meta.dirname, '../..');
 const HOST = '127.0.0.1';
 const MACHINE_PORTS = 60;
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
 const MAX_LIFE_MS = 118_000;
+/** Exit code of a controller whose address is taken. */
+const CANNOT_LISTEN = 4;
 /** The pages: a controller is back about 6 s after an end. */
 const RESTART_DELAY_MS = 6000;
 /** The pages: users wait 2 s for the response to a poll. */
@@ -104,21 +108,25 @@
   },
 };
 
-function listenOnFreePort() {
-  return new Promise((resolve, reject) => {
+/** Resolves with true if the port can be listened on. */
+function isFree(port) {
+  return new Promise((resolve) => {
     const server = net.createServer();
-    server.once('error', reject);
-    server.listen(0, HOST, () => {
-      resolve({ server, port: server.address().port });
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, HOST, () => server.close(() => resolve(true)));
   });
 }
 
-/** Ports that were free a moment ago, all different. */
+/** Free ports, all different, below those that outgoing connections take. */
 async function freePorts(count) {
-  const held = await Promise.all(Array.from({ length: count }, listenOnFreePort));
-  await Promise.all(held.map(({ server }) => new Promise((resolve) => server.close(resolve))));
-  return held.map(({ port }) => port);
+  const ports = [];
+  let port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT - 10 * count));
+  while (ports.length < count) {
+    if (port > LAST_PORT) throw new CouldNotRun('too few free ports');
+    if (await isFree(port)) ports.push(port);
+    port++;
+  }
+  return ports;
 }
 
 class Addresses {
@@ -264,6 +272,12 @@
       this.endProcesses();
       rmSync(this.temporary, { recursive: true, force: true });
     });
+    for (const failure of ['uncaughtException', 'unhandledRejection']) {
+      process.on(failure, (error) => {
+        console.error(error);
+        process.exit(COULD_NOT_RUN);
+      });
+    }
     for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => process.exit(COULD_NOT_RUN));
     setTimeout(() => {
       this.record.line('time is up');
@@ -287,6 +301,10 @@
     });
     child.once('exit', (code, signal) => {
       if (this.closing) return;
+      if (code === CANNOT_LISTEN) {
+        this.record.line(`controller-${index} cannot listen`);
+        process.exit(COULD_NOT_RUN);
+      }
       this.record.line(`controller-${index} ended by itself: code ${code}, signal ${signal}`);
       this.endsByItself++;
       // Like the platform: a process that has ended is started again with the same settings.
