Watch answers keep to a share of the memory; beyond it records are read page by page

The state service does not limit an answer with changes. A controller that reaches it again after a burst of large records gets all of them at once: 960 records of 8 KB are 7.7 MB, twice in buffers, and about 22 MB of decoded strings. Cause: StateApi.changes read answers of any size. It is no failure of the state service.

--- a/packages/controller/state-access.ts
+++ b/packages/controller/state-access.ts
@@ -24,6 +24,13 @@
 /** Limit of the share of the state service's rate that the read-index requests of all controllers use together. */
 const SYNC_RATE_SHARE = 1 / 5;
 
+/**
+ * Share of the memory that an answer with changes may have. Decoded it takes several times as much. A controller that has
+ * missed more changes reads the records again, page by page.
+ */
+const CHANGES_MEMORY_SHARE = 1 / 64;
+const BYTES_PER_MB = 2 ** 20;
+
 /** The client of the state service and the caches of its records. */
 export interface StateAccess {
   client: StateClient;
@@ -60,10 +67,11 @@
   { external, deployment }: Settings,
   isLeading: () => boolean,
 ): StateAccess {
-  const { nodes, state, workers } = deployment;
+  const { nodes, state, workers, limits: processLimits } = deployment;
   const heartbeatIntervalMs = workers.report_s * 1000;
   const limits = stateLimits(state);
-  const api = new StateApi(runtime, external.state, heartbeatIntervalMs);
+  const maxChangesBytes = processLimits.memory_mb * BYTES_PER_MB * CHANGES_MEMORY_SHARE;
+  const api = new StateApi(runtime, external.state, heartbeatIntervalMs, maxChangesBytes);
   const share = nodes === 1 ? SINGLE_CONTROLLER_RATE_SHARE : STATE_RATE_SHARE;
   const client = new StateClient(runtime.clock, api, limits, share);
   const minSpacingMs = (nodes * 1000) / (limits.rps * SYNC_RATE_SHARE);
--- a/packages/wire/cbor-client.ts
+++ b/packages/wire/cbor-client.ts
@@ -10,7 +10,12 @@
  * set, is the error of the connection or of decoding the answer.
  */
 export class NoAnswer extends Error {
-  override readonly name = 'NoAnswer';
+  override readonly name: string = 'NoAnswer';
+}
+
+/** The body of the answer is larger than the caller allows. */
+export class AnswerTooLarge extends NoAnswer {
+  override readonly name = 'AnswerTooLarge';
 }
 
 /** An HTTP answer of any status, with its decoded body. */
@@ -30,7 +35,7 @@
   signal?: AbortSignal;
   /** Sent as CBOR; the request has no body if this is undefined. */
   body?: unknown;
-  /** Maximum size of the answer's body in bytes; a larger body fails the call. */
+  /** Maximum size of the answer's body in bytes; a larger body fails the call with AnswerTooLarge. */
   maxBytes?: number;
 }
 
@@ -76,9 +81,9 @@
   ): void {
     const name = describeRequest(method, path);
     const payload = body === undefined ? null : Buffer.from(encode(body));
-    const fail = (reason: string, cause?: unknown) => {
+    const fail: FailCall = (reason, cause, CallError = NoAnswer) => {
       finish();
-      settle(new NoAnswer(`${name}: ${reason}`, { cause }));
+      settle(new CallError(`${name}: ${reason}`, { cause }));
       request.destroy();
     };
     const timer = this.runtime.clock.setTimer(() => {
@@ -123,18 +128,21 @@
   }
 }
 
+/** Fails a call for a reason, with the error that caused it and the kind of its own error, by default NoAnswer. */
+type FailCall = (reason: string, cause?: unknown, CallError?: typeof NoAnswer) => void;
+
 /** Collects the body of an answer; calls `done` with the complete body, or `fail`. */
 function collectBody(
   response: http.IncomingMessage,
   maxBytes: number,
-  fail: (reason: string, cause?: unknown) => void,
+  fail: FailCall,
   done: (bytes: Buffer) => void,
 ): void {
   const chunks: Buffer[] = [];
   let size = 0;
   response.on('data', (chunk: Buffer) => {
     size += chunk.length;
-    if (size > maxBytes) fail('answer too large');
+    if (size > maxBytes) fail('answer too large', undefined, AnswerTooLarge);
     else chunks.push(chunk);
   });
   response.on('error', (err) => {
--- a/packages/wire/state-api.ts
+++ b/packages/wire/state-api.ts
@@ -1,5 +1,5 @@
 /** The client of the state service, a consensus-backed key-value store, and the codec of its messages. */
-import { type Answer, CborClient } from './cbor-client.js';
+import { type Answer, AnswerTooLarge, CborClient } from './cbor-client.js';
 import { HttpStatus } from './http-status.js';
 import type { Runtime } from './runtime.js';
 
@@ -35,7 +35,10 @@
   version: number;
 }
 
-/** All changes up to a revision, or `too-old` if the service has discarded some and the keys must be read again. */
+/**
+ * All changes up to a revision, or `too-old` if the keys must be read again, since the service has discarded some changes
+ * or they are too many for one answer.
+ */
 export type WatchOutcome = { revision: number; events: WatchEvent[] } | 'too-old';
 
 /** The state service did not execute the request (429 or 503). */
@@ -81,6 +84,7 @@
 interface StateCallOptions {
   body?: unknown;
   timeoutMs?: number;
+  maxBytes?: number;
   signal: AbortSignal | undefined;
   /** Status codes other than 200 that are a result of the call and not a refusal. */
   expected?: readonly number[];
@@ -93,10 +97,12 @@
 export class StateApi {
   private readonly http: CborClient;
 
+  /** `maxChangesBytes` limits the answers with changes, which the service does not limit. */
   constructor(
     runtime: Runtime,
     address: string,
     private readonly timeoutMs: number,
+    private readonly maxChangesBytes = Infinity,
   ) {
     this.http = new CborClient(runtime, address);
   }
@@ -176,10 +182,11 @@
     const path = `/changes?prefix=${prefix}&after=${after}&blockMs=${waitMs}`;
     const answer = await this.call('GET', path, {
       timeoutMs: waitMs + this.timeoutMs,
+      maxBytes: this.maxChangesBytes,
       signal,
       expected: [HttpStatus.gone],
-    });
-    if (answer.status === HttpStatus.gone) return 'too-old';
+    }).catch(nullIfTooLarge);
+    if (answer === null || answer.status === HttpStatus.gone) return 'too-old';
     const raw = answer.body as { epoch: number; events: RawEvent[] };
     return { revision: raw.epoch, events: raw.events.map(readEvent) };
   }
@@ -191,8 +198,8 @@
 
   /** Resolves with an answer of status 200 or an expected status; rejects with NoAnswer or StateRefused. */
   private async call(method: string, path: string, call: StateCallOptions): Promise<Answer> {
-    const { body, timeoutMs = this.timeoutMs, signal, expected = [] } = call;
-    const answer = await this.http.call(method, path, { timeoutMs, signal, body });
+    const { body, timeoutMs = this.timeoutMs, maxBytes, signal, expected = [] } = call;
+    const answer = await this.http.call(method, path, { timeoutMs, maxBytes, signal, body });
     if (answer.status !== HttpStatus.ok && !expected.includes(answer.status)) {
       throw new StateRefused(answer.status);
     }
@@ -200,6 +207,11 @@
   }
 }
 
+function nullIfTooLarge(error: unknown): null {
+  if (error instanceof AnswerTooLarge) return null;
+  throw error;
+}
+
 function readEntry({ k, value, stamp }: RawEntry): Entry {
   return { key: k, value, version: stamp };
 }
