--- a/packages/controller/api/admission.ts
+++ b/packages/controller/api/admission.ts
@@ -28,6 +28,9 @@
   log: Log;
 }
 
+/** What a refused submission would have exceeded. */
+export type ExhaustedResource = 'write rate' | 'memory';
+
 /** The refused submissions of one team. */
 interface TeamRefusals {
   total: number;
@@ -57,7 +60,7 @@
     const isWaitAcceptable =
       expected <= MAX_WAIT_INTERVALS * heartbeatIntervalS && longest <= MAX_WORST_CASE_WAIT_S;
     if (!commits.isFull && isWaitAcceptable) return null;
-    return this.refuse(team);
+    return this.refuse(team, 'write rate');
   }
 
   /**
@@ -86,7 +89,7 @@
    * team's submissions are recorded. Retry times beyond `MAX_RETRY_AFTER_S` are replaced by random ones
    * between half of it and all of it.
    */
-  refuse(team: string): number {
+  refuse(team: string, exhausted: ExhaustedResource): number {
     const { runtime, client, commits } = this.options;
     const { expected } = client.userWaitS(commits.changesAhead(team) + 1);
     const now = runtime.clock.now();
@@ -98,7 +101,7 @@
     const retryAfterS = hasOwnRetryTime
       ? retryAt - now
       : MAX_RETRY_AFTER_S * (1 - runtime.random() / 2);
-    this.countRefusal(team, refusals, retryAfterS);
+    this.countRefusal(team, refusals, { exhausted, retryAfterS });
     return retryAfterS;
   }
 
@@ -111,12 +114,16 @@
     return refusals;
   }
 
-  private countRefusal(team: string, refusals: TeamRefusals, retryAfterS: number): void {
+  private countRefusal(
+    team: string,
+    refusals: TeamRefusals,
+    refusal: { exhausted: ExhaustedResource; retryAfterS: number },
+  ): void {
     const { runtime, heartbeatIntervalS, log } = this.options;
     refusals.total++;
     const now = runtime.clock.now();
     if (now < refusals.loggedAt + INTERVALS_BETWEEN_LOG_LINES * heartbeatIntervalS) return;
     refusals.loggedAt = now;
-    log.info({ team, refused: refusals.total, retryAfterS }, 'submissions refused');
+    log.info({ team, refused: refusals.total, ...refusal }, 'submissions refused');
   }
 }
--- a/packages/controller/api/submission-handler.ts
+++ b/packages/controller/api/submission-handler.ts
@@ -3,19 +3,24 @@
 import { encodeJob } from '#store';
 import { type Clock, isJobId, type MachineType, NoAnswer, StateRefused } from '#wire';
 import type { JobTable } from '../jobs/job-table.js';
-import type { Admission } from './admission.js';
+import type { Admission, ExhaustedResource } from './admission.js';
 import type { DependencyValidator } from './dependency-validator.js';
 import type { JobStore } from './job-store.js';
 import { replyError, replyJob } from './replies.js';
 import { readBody } from './request-body.js';
 import type { AcceptableJob, Refusal, SubmissionCheck } from './submission-check.js';
 
-/** HTTP status with which the state service refuses requests that exceed its rates. */
+/** HTTP status for requests that exceed a limit: of the state service, or of this controller. */
 const TOO_MANY_REQUESTS = 429;
 /** Version that stands for a record that doesn't exist. */
 const ABSENT_RECORD_VERSION = 0;
 /** `Retry-After` of a submission that could be neither accepted nor refused, in seconds. */
 const UNDECIDED_RETRY_S = 1;
+/** Errors of submissions that have to be repeated later. */
+const TOO_MANY_ERRORS: Record<ExhaustedResource, string> = {
+  'write rate': 'more submissions than can be recorded',
+  memory: 'more open jobs than the controllers have memory for',
+};
 
 /** Dependencies of `SubmissionHandler`. */
 export interface SubmissionHandlerOptions {
@@ -36,7 +41,7 @@
 
   /** Answers one submission. Rejects with MalformedBody, or with an error if the state service fails. */
   async submit(req: Request, res: Response): Promise<void> {
-    const { jobs, store, submissionCheck, types, dependencyValidator, admission } = this.options;
+    const { jobs, store, submissionCheck, types } = this.options;
     const overloadedForS = this.options.overloadedForS();
     if (overloadedForS !== null) {
       replyError(res, 503, 'overloaded', overloadedForS);
@@ -60,15 +65,30 @@
       replyError(res, 503, 'machine types are not known yet', UNDECIDED_RETRY_S);
       return;
     }
-    const { job } = checked;
+    const reservation = jobs.memory.reserve(checked.job, bodyBytes(req));
+    if (reservation === null) {
+      this.refuseForNow(checked.job.team, 'memory', res);
+      return;
+    }
+    try {
+      await this.admit(checked, res);
+    } finally {
+      reservation.release();
+    }
+  }
+
+  /** Accepts a job for which there is memory, unless its dependencies or the write rate forbid it. */
+  private async admit(acceptable: AcceptableJob, res: Response): Promise<void> {
+    const { dependencyValidator, admission } = this.options;
+    const { job } = acceptable;
     const error = await dependencyValidator.rejectionReason(job);
     if (error !== null) {
       await this.refuseUnlessKnown(job.id, { status: 422, error }, res);
       return;
     }
     const retryAfterS = admission.refusalDelayS(job.team);
-    if (retryAfterS === null) await this.accept(checked, res);
-    else this.replyTooManySubmissions(res, retryAfterS);
+    if (retryAfterS === null) await this.accept(acceptable, res);
+    else replyTooMany(res, 'write rate', retryAfterS);
   }
 
   /**
@@ -86,12 +106,12 @@
     else replyError(res, status, error);
   }
 
-  private replyTooManySubmissions(res: Response, retryAfterS: number): void {
-    replyError(res, 429, 'more submissions than can be recorded', retryAfterS);
+  private refuseForNow(team: string, exhausted: ExhaustedResource, res: Response): void {
+    replyTooMany(res, exhausted, this.options.admission.refuse(team, exhausted));
   }
 
   private async accept(acceptable: AcceptableJob, res: Response): Promise<void> {
-    const { jobs, admission, dependencyValidator } = this.options;
+    const { jobs, dependencyValidator } = this.options;
     const { job } = acceptable;
     // Runs concurrently with the write of the record, since both take about as long.
     const outcomesSync = dependencyValidator.syncOutcomes(job);
@@ -103,7 +123,7 @@
       isNew = await this.record(acceptable);
     } catch (err) {
       if (!(err instanceof StateRefused && err.status === TOO_MANY_REQUESTS)) throw err;
-      this.replyTooManySubmissions(res, admission.refuse(job.team));
+      this.refuseForNow(job.team, 'write rate', res);
       return;
     }
     await outcomesSync;
@@ -133,3 +153,12 @@
     return false;
   }
 }
+
+function replyTooMany(res: Response, exhausted: ExhaustedResource, retryAfterS: number): void {
+  replyError(res, TOO_MANY_REQUESTS, TOO_MANY_ERRORS[exhausted], retryAfterS);
+}
+
+/** Size of the request's body, in bytes; 0 if it has none. */
+function bodyBytes({ body }: Request): number {
+  return Buffer.isBuffer(body) ? body.length : 0;
+}
--- a/packages/controller/controller-components.ts
+++ b/packages/controller/controller-components.ts
@@ -141,7 +141,7 @@
 }
 
 function composeObservability(
-  { runtime, settings, client, commits, replicas, log }: ControllerServices,
+  { runtime, settings, client, commits, jobs, replicas, log }: ControllerServices,
   { leader }: Leadership,
   connections: () => number,
 ): Observability {
@@ -168,6 +168,7 @@
     statistics,
     client,
     admission,
+    jobMemory: jobs.memory,
     leader,
   });
   return { admission, statistics, metrics, eventLoopDelay: new EventLoopDelayMonitor(runtime) };
--- a/packages/controller/jobs/job-table.ts
+++ b/packages/controller/jobs/job-table.ts
@@ -2,10 +2,15 @@
 import { Subject } from 'rxjs';
 import { type DependencyChange, DependencyGraph, type Urgency } from '#dependencies';
 import { decodeJob, type JobRecord, type PrefixCache } from '#store';
-import type { JobView, Phase } from '#wire';
+import type { Job, JobView, Phase } from '#wire';
 import type { Cancellations } from '../peers/cancellations.js';
+import { JobMemory } from './job-memory.js';
+import { NamePool } from './name-pool.js';
 
-/** Number of ended jobs whose full records are kept for the next leader: machine records may still refer to them. */
+/**
+ * Maximum number of ended jobs whose full records are kept for the next leader: machine records may still refer to
+ * them. Fewer are kept when memory is short.
+ */
 const MAX_RECENTLY_ENDED = 500;
 
 /** The record of a job that has not ended. */
@@ -15,6 +20,7 @@
 
 /** The data that is kept of an ended job. */
 export interface EndedJob {
+  id: string;
   phase: 'cancelled' | 'done';
   isService: boolean;
   tasks: number;
@@ -39,6 +45,7 @@
   readonly events = new Subject<JobEvent>();
   private readonly records = new Map<string, OpenJob | EndedJob>();
   private readonly recentlyEnded = new Map<string, JobRecord>();
+  private readonly names = new NamePool();
   private readonly taskCounts = new Map<string, { done: number; running: number }>();
   private readonly dependencies = new DependencyGraph({
     outcomeOf: (id) => this.outcomeOf(id),
@@ -49,10 +56,12 @@
     /** Cache of the job records. */
     readonly cache: PrefixCache,
     private readonly cancellations: Cancellations,
+    /** The memory that the jobs take. */
+    readonly memory = new JobMemory(),
   ) {
     cache.changes.subscribe(({ value, version }) => {
       // Job keys are never removed: a final state must be kept.
-      if (value !== undefined) this.apply(decodeJob(value, version));
+      if (value !== undefined) this.apply(this.withSharedStrings(decodeJob(value, version)));
     });
   }
 
@@ -62,11 +71,34 @@
     else if (phase !== 'accepted') this.applyEnded(record, phase);
   }
 
+  /** Replaces the record's strings by instances that other records share, so that each is in memory once. */
+  private withSharedStrings(record: JobRecord): JobRecord {
+    const { job } = record;
+    const shared: Job = {
+      ...job,
+      class: this.names.share(job.class),
+      team: this.names.share(job.team),
+      image: this.names.share(job.image),
+      zone: job.zone === null ? null : this.names.share(job.zone),
+      types: job.types?.map((type) => this.names.share(type)) ?? null,
+      awaits: job.awaits.map((id) => this.sharedId(id)),
+    };
+    return { ...record, job: shared };
+  }
+
+  private sharedId(id: string): string {
+    const known = this.records.get(id);
+    if (known === undefined) return this.dependencies.sharedId(id);
+    return known.phase === 'accepted' ? known.job.id : known.id;
+  }
+
   private applyOpen(record: OpenJob): void {
     const { id, awaits: dependencies } = record.job;
     const known = this.records.get(id);
     // The job was cancelled along with a dependency. That is final, whatever its own record says.
     if (known !== undefined && known.phase !== 'accepted') return;
+    if (known !== undefined) this.memory.removeOpen(known.job);
+    this.memory.addOpen(record.job);
     this.records.set(id, record);
     const changes = known === undefined ? this.dependencies.recordAccepted(id, dependencies) : [];
     const isCancelled = changes.some(({ kind, job }) => kind === 'cancelled' && job === id);
@@ -100,13 +132,31 @@
 
   private recordEnded(record: JobRecord, phase: EndedJob['phase']): void {
     const { job, version } = record;
-    const isService = job.kind === 'service';
-    this.records.set(job.id, { phase, isService, tasks: job.tasks, version });
-    this.taskCounts.delete(job.id);
-    this.recentlyEnded.set(job.id, record);
-    if (this.recentlyEnded.size <= MAX_RECENTLY_ENDED) return;
-    const [oldest] = this.recentlyEnded.keys();
-    this.recentlyEnded.delete(oldest);
+    const { id, tasks } = job;
+    const known = this.records.get(id);
+    if (known?.phase === 'accepted') this.memory.removeOpen(known.job);
+    if (known === undefined || known.phase === 'accepted') this.memory.addEnded();
+    this.records.set(id, { id, phase, isService: job.kind === 'service', tasks, version });
+    this.taskCounts.delete(id);
+    this.keepEndedRecord(record);
+  }
+
+  private keepEndedRecord(record: JobRecord): void {
+    const { id } = record.job;
+    this.forgetEndedRecord(id);
+    this.recentlyEnded.set(id, record);
+    this.memory.addEndedRecord(record.job);
+    for (const oldest of this.recentlyEnded.keys()) {
+      if (this.recentlyEnded.size <= MAX_RECENTLY_ENDED && this.memory.canKeepEndedRecords) return;
+      this.forgetEndedRecord(oldest);
+    }
+  }
+
+  private forgetEndedRecord(id: string): void {
+    const record = this.recentlyEnded.get(id);
+    if (record === undefined) return;
+    this.recentlyEnded.delete(id);
+    this.memory.removeEndedRecord(record.job);
   }
 
   /** Returns the open or ended job; undefined if the table has no record of it. */
--- a/packages/controller/observability/metrics-endpoint.test.ts
+++ b/packages/controller/observability/metrics-endpoint.test.ts
@@ -26,6 +26,7 @@
     statistics,
     client: { available: () => ({ requests: 1 }) },
     admission: { totals: () => ({ red: 4 }) },
+    jobMemory: { usedBytes: 3 * 2 ** 20, limitBytes: 20 * 2 ** 20 },
     replicas: { support: null },
     leader: () => null,
   };
@@ -41,6 +42,11 @@
 test('metrics keep their names and labels, although the code names the counts differently', async () => {
   const lines = (await readMetrics()).split('\n');
   const values = lines.filter((line) => line !== '' && !line.startsWith('#'));
+  const jobMemory = values.filter((line) => line.startsWith('sorreldale_job_memory'));
+  assert.deepEqual(jobMemory, [
+    'sorreldale_job_memory{of="used"} 3',
+    'sorreldale_job_memory{of="limit"} 20',
+  ]);
   const totals = values.filter((line) => line.startsWith('sorreldale_total'));
   assert.deepEqual(totals, [
     'sorreldale_total{of="reports"} 11',
--- a/packages/controller/observability/metrics-endpoint.ts
+++ b/packages/controller/observability/metrics-endpoint.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '#wire';
 import type { Admission } from '../api/admission.js';
 import { type GaugeValues, Metrics } from './metrics.js';
+import type { JobMemory } from '../jobs/job-memory.js';
 import type { ShardLeader } from '../leadership/shard-leader.js';
 import type { OptionalReplicaSupport } from '../replica-support.js';
 import type { ProcessStatistics } from './process-statistics.js';
@@ -15,6 +16,7 @@
   statistics: ProcessStatistics;
   client: StateClient;
   admission: Admission;
+  jobMemory: JobMemory;
   replicas: OptionalReplicaSupport;
   /** The leader that runs in this process; null while this controller is a follower. */
   leader: () => ShardLeader | null;
@@ -23,6 +25,8 @@
 /** Values of the label `of` by the name of the count in the code, where the two differ. */
 const LABEL_OF_TOTAL: Record<string, string> = { heartbeats: 'reports', userRequests: 'questions' };
 
+const BYTES_PER_MIB = 2 ** 20;
+
 /** Serves `/metrics`. The first request loads the metrics library; no times are observed before. */
 export class MetricsEndpoint {
   private loading: Promise<Metrics> | null = null;
@@ -79,7 +83,7 @@
   }
 
   private register(metrics: Metrics): void {
-    const { statistics, client, admission, leader } = this.options;
+    const { statistics, client, leader } = this.options;
     metrics.gauge('total', 'Counts since the start', 'of', () => labelTotals(statistics.totals()));
     metrics.gauge('held', 'Connections, and memory (MiB)', 'of', () => statistics.resourceUsage());
     metrics.gauge('term', 'Term of the shard that this controller leads, 0 if none', null, () => ({
@@ -87,8 +91,7 @@
     }));
     const budgetHelp = "Unused part of this controller's share of the state service's rate limits";
     metrics.gauge('budget', budgetHelp, 'of', () => client.available());
-    const refusedHelp = "Submissions refused for lack of the state service's write rate";
-    metrics.gauge('refused_submissions', refusedHelp, 'team', () => admission.totals());
+    this.registerAdmission(metrics);
     metrics.gauge(
       'team_index',
       'Fair-share index of each team',
@@ -118,6 +121,18 @@
     this.registerReplicas(metrics);
   }
 
+  private registerAdmission(metrics: Metrics): void {
+    const { admission, jobMemory } = this.options;
+    const jobMemoryHelp = 'Memory that jobs take by estimate, and may take (MiB)';
+    metrics.gauge('job_memory', jobMemoryHelp, 'of', () => ({
+      used: jobMemory.usedBytes / BYTES_PER_MIB,
+      limit: jobMemory.limitBytes / BYTES_PER_MIB,
+    }));
+    const refusedHelp =
+      "Submissions refused for lack of the state service's write rate or of memory for jobs";
+    metrics.gauge('refused_submissions', refusedHelp, 'team', () => admission.totals());
+  }
+
   private registerReplicas(metrics: Metrics): void {
     const { replicas, leader } = this.options;
     const { support } = replicas;
--- a/packages/controller/services.ts
+++ b/packages/controller/services.ts
@@ -3,10 +3,13 @@
 import { GroupCommit, LeaderElection, StateClient } from '#store';
 import type { Runtime } from '#wire';
 import { Cancellations } from './peers/cancellations.js';
+import { JobMemory } from './jobs/job-memory.js';
+import { jobMemoryLimits } from './jobs/job-memory-limits.js';
 import { JobTable } from './jobs/job-table.js';
 import type { Log } from './observability/log.js';
 import { MachineTypes } from './cloud/machine-types.js';
 import type { OptionalReplicaSupport } from './replica-support.js';
+import type { DeploymentSettings } from './settings/platform-settings.js';
 import { type Settings, teamQuotas } from './settings/settings.js';
 import type { StateAccess } from './state-access.js';
 
@@ -51,6 +54,11 @@
   return (team) => teamWeight(quotas.get(team) ?? NO_QUOTA, guaranteed, operator.floorWeight);
 }
 
+function makeCancellations({ workers }: DeploymentSettings): Cancellations {
+  const retentionS = CANCELLATION_RETENTION_FACTOR * workers.cancel_s;
+  return new Cancellations(KEPT_RECORDED_CANCELLATIONS, retentionS);
+}
+
 /** Makes the shared services. `defersCampaign` returns whether another controller should lead instead of this one. */
 export function makeServices(
   runtime: Runtime,
@@ -59,9 +67,9 @@
   { client, world, jobs }: StateAccess,
   defersCampaign: () => boolean,
 ): ControllerServices {
-  const { workers } = settings.deployment;
-  const retentionS = CANCELLATION_RETENTION_FACTOR * workers.cancel_s;
-  const cancellations = new Cancellations(KEPT_RECORDED_CANCELLATIONS, retentionS);
+  const { deployment } = settings;
+  const cancellations = makeCancellations(deployment);
+  const memory = new JobMemory(jobMemoryLimits(deployment));
   const election = new LeaderElection({
     client,
     runtime,
@@ -83,7 +91,7 @@
       weightOf: makeSubmissionWeights(settings),
     }),
     election,
-    jobs: new JobTable(jobs, cancellations),
+    jobs: new JobTable(jobs, cancellations, memory),
     types: new MachineTypes(client, world),
     cancellations,
     replicas: { support: null },
--- a/packages/controller/settings/platform-settings.ts
+++ b/packages/controller/settings/platform-settings.ts
@@ -22,7 +22,27 @@
   next?: Partial<StateLimitSettings>;
 }
 
-/** The whole file, with the field names that the platform uses. `_s` stands for seconds. */
+/** What a deployment has and expects of its controllers. `_s` stands for seconds. */
+export interface DeploymentSettings {
+  nodes: number;
+  zones: string[];
+  clock_off_ms: number;
+  teams: TeamSettings[];
+  objectives: { kind: string; class?: string; within_s?: number; share?: number }[];
+  workers: {
+    // eslint-disable-next-line local/retired-words -- a name of the platform's file
+    report_s: number;
+    lease_s: number;
+    gang_wait_s: number;
+    gang_peer_s: number;
+    cancel_s: number;
+  };
+  state: StateSettings;
+  cloud: { rps: number; list_lag_s: number };
+  limits: { cpu_share: number; memory_mb: number; sockets: number };
+}
+
+/** The whole file, with the field names that the platform uses. */
 export interface PlatformSettings {
   host_name: string;
   zone: string;
@@ -30,24 +50,7 @@
   cluster_listen: string;
   peers: { host_name: string; zone: string; peer_addr: string }[];
   external: { cloud: string; state: string };
-  deployment: {
-    nodes: number;
-    zones: string[];
-    clock_off_ms: number;
-    teams: TeamSettings[];
-    objectives: { kind: string; class?: string; within_s?: number; share?: number }[];
-    workers: {
-      // eslint-disable-next-line local/retired-words -- a name of the platform's file
-      report_s: number;
-      lease_s: number;
-      gang_wait_s: number;
-      gang_peer_s: number;
-      cancel_s: number;
-    };
-    state: StateSettings;
-    cloud: { rps: number; list_lag_s: number };
-    limits: { cpu_share: number; memory_mb: number; sockets: number };
-  };
+  deployment: DeploymentSettings;
 }
 
 const positive = { type: 'number', exclusiveMinimum: 0 };
--- a/packages/dependencies/dependency-graph.ts
+++ b/packages/dependencies/dependency-graph.ts
@@ -26,17 +26,28 @@
 
 /** An open job that has dependencies or dependents. */
 interface Node {
-  id: string;
-  readonly openDependencies: Set<Node>;
-  /** Open jobs that depend directly on this job. */
-  readonly dependents: Set<Node>;
+  readonly id: string;
+  /** Ids of all dependencies, without duplicates. Those that are not done have a node. */
+  dependencies: readonly string[];
+  /** Number of dependencies that are not done. */
+  openDependencyCount: number;
+  /** Jobs that depend directly on this job, each once. May contain jobs that have ended. */
+  dependents: Node[];
+  /** Number of ended jobs in `dependents`. */
+  endedDependentCount: number;
+  hasEnded: boolean;
   /** The job's own urgency combined with that of all its dependents, direct or indirect. */
   urgency: Urgency;
 }
 
 const NOT_URGENT: Urgency = { rank: Infinity, dueAtMs: Infinity };
+/** Ended jobs are removed from a list of dependents when they are more than this share of it. */
+const MAX_ENDED_SHARE = 1 / 2;
 
-/** The graph of open jobs that have dependencies or dependents. Other jobs have no node and use no memory. */
+/**
+ * The graph of open jobs that have dependencies or dependents. Other jobs have no node and use no memory. A dependency
+ * takes an entry in an array, since every controller keeps all of them and a job may have hundreds.
+ */
 export class DependencyGraph {
   private readonly nodes = new Map<string, Node>();
 
@@ -44,12 +55,18 @@
 
   /** Whether the job has dependencies that are not done. */
   hasOpenDependencies(id: string): boolean {
-    return (this.nodes.get(id)?.openDependencies.size ?? 0) > 0;
+    return (this.nodes.get(id)?.openDependencyCount ?? 0) > 0;
   }
 
   /** Ids of the job's dependencies that are not done. */
   openDependencies(id: string): string[] {
-    return [...(this.nodes.get(id)?.openDependencies ?? [])].map((dependency) => dependency.id);
+    const dependencies = this.nodes.get(id)?.dependencies ?? [];
+    return dependencies.filter((dependency) => this.nodes.has(dependency));
+  }
+
+  /** The instance of the id that the graph keeps, if it has a node, so that its users need not keep another. */
+  sharedId(id: string): string {
+    return this.nodes.get(id)?.id ?? id;
   }
 
   /** The job's own urgency combined with that of all its dependents, direct or indirect. */
@@ -58,8 +75,9 @@
   }
 
   /**
-   * Records that an open job was accepted. `KnownJobs` must already contain the job. If one of its dependencies is
-   * cancelled, the first change returned is that the job is cancelled as well.
+   * Records that an open job was accepted, once for each job. `KnownJobs` must already contain the job. The list of its
+   * dependencies is kept; it must have no duplicates. If one of the dependencies is cancelled, the first change
+   * returned is that the job is cancelled as well.
    */
   recordAccepted(id: string, dependencies: readonly string[]): DependencyChange[] {
     if (dependencies.some((dependency) => this.jobs.outcomeOf(dependency) === 'cancelled')) {
@@ -71,7 +89,9 @@
     const node = known ?? this.add(id);
     // Dependents of the job may have been recorded before the job itself.
     node.urgency = combineUrgency(node.urgency, this.jobs.urgencyOf(id) ?? NOT_URGENT);
-    for (const dependency of open) this.link(node, dependency);
+    node.dependencies = dependencies;
+    node.openDependencyCount = open.length;
+    for (const dependency of open) this.getOrAdd(dependency).dependents.push(node);
     return this.raiseDependencies(node);
   }
 
@@ -85,9 +105,9 @@
   private recordDone(node: Node): DependencyChange[] {
     this.remove(node);
     const changes: DependencyChange[] = [];
-    for (const dependent of node.dependents) {
-      dependent.openDependencies.delete(node);
-      if (dependent.openDependencies.size > 0) continue;
+    for (const dependent of openDependentsOf(node)) {
+      dependent.openDependencyCount--;
+      if (dependent.openDependencyCount > 0) continue;
       changes.push({ kind: 'startable', job: dependent.id });
       this.dropIfUnlinked(dependent);
     }
@@ -98,10 +118,10 @@
   private recordCancelled(cancelled: Node): DependencyChange[] {
     const removed = new Set([cancelled]);
     // Iterating over a set also visits the elements that are added meanwhile.
-    for (const node of removed) for (const dependent of node.dependents) removed.add(dependent);
+    for (const node of removed) for (const each of openDependentsOf(node)) removed.add(each);
     const remaining = new Set<Node>();
     for (const node of removed) {
-      for (const dependency of node.openDependencies) {
+      for (const dependency of this.openDependenciesOf(node)) {
         if (!removed.has(dependency)) remaining.add(dependency);
       }
       this.remove(node);
@@ -111,29 +131,43 @@
     return [...changes, ...this.recomputeUrgency(remaining)];
   }
 
+  private getOrAdd(id: string): Node {
+    return this.nodes.get(id) ?? this.add(id);
+  }
+
   private add(id: string): Node {
-    const urgency = this.jobs.urgencyOf(id) ?? NOT_URGENT;
-    const node: Node = { id, openDependencies: new Set(), dependents: new Set(), urgency };
+    const node: Node = {
+      id,
+      dependencies: [],
+      openDependencyCount: 0,
+      dependents: [],
+      endedDependentCount: 0,
+      hasEnded: false,
+      urgency: this.jobs.urgencyOf(id) ?? NOT_URGENT,
+    };
     this.nodes.set(id, node);
     return node;
   }
 
-  private link(node: Node, dependencyId: string): void {
-    const dependency = this.nodes.get(dependencyId) ?? this.add(dependencyId);
-    node.openDependencies.add(dependency);
-    dependency.dependents.add(node);
+  private openDependenciesOf({ dependencies }: Node): Node[] {
+    const nodes = dependencies.map((dependency) => this.nodes.get(dependency));
+    return nodes.filter((node) => node !== undefined);
   }
 
   private remove(node: Node): void {
     this.nodes.delete(node.id);
-    for (const dependency of node.openDependencies) {
-      dependency.dependents.delete(node);
+    node.hasEnded = true;
+    for (const dependency of this.openDependenciesOf(node)) {
+      dependency.endedDependentCount++;
+      forgetEndedDependents(dependency);
       this.dropIfUnlinked(dependency);
     }
   }
 
-  private dropIfUnlinked({ id, openDependencies, dependents }: Node): void {
-    if (openDependencies.size === 0 && dependents.size === 0) this.nodes.delete(id);
+  private dropIfUnlinked(node: Node): void {
+    const isUnlinked =
+      node.openDependencyCount === 0 && node.dependents.length === node.endedDependentCount;
+    if (isUnlinked) this.nodes.delete(node.id);
   }
 
   /** Makes all dependencies of the job, direct or indirect, at least as urgent as the job. */
@@ -141,7 +175,7 @@
     const raised = new Set<Node>();
     const stack = [start];
     for (let node = stack.pop(); node !== undefined; node = stack.pop()) {
-      for (const dependency of node.openDependencies) {
+      for (const dependency of this.openDependenciesOf(node)) {
         const urgency = combineUrgency(dependency.urgency, node.urgency);
         if (isSameUrgency(urgency, dependency.urgency)) continue;
         dependency.urgency = urgency;
@@ -158,16 +192,30 @@
     const stack = [...start];
     for (let node = stack.pop(); node !== undefined; node = stack.pop()) {
       let urgency = this.jobs.urgencyOf(node.id) ?? NOT_URGENT;
-      for (const dependent of node.dependents) urgency = combineUrgency(urgency, dependent.urgency);
+      for (const dependent of openDependentsOf(node)) {
+        urgency = combineUrgency(urgency, dependent.urgency);
+      }
       if (isSameUrgency(urgency, node.urgency)) continue;
       node.urgency = urgency;
       changed.add(node);
-      stack.push(...node.openDependencies);
+      stack.push(...this.openDependenciesOf(node));
     }
     return [...changed].map(urgencyChange);
   }
 }
 
+function openDependentsOf({ dependents }: Node): Node[] {
+  return dependents.filter(({ hasEnded }) => !hasEnded);
+}
+
+/** Removes ended jobs from the list of dependents once there are many, so that each removal costs little. */
+function forgetEndedDependents(node: Node): void {
+  const { dependents, endedDependentCount } = node;
+  if (endedDependentCount <= MAX_ENDED_SHARE * dependents.length) return;
+  node.dependents = openDependentsOf(node);
+  node.endedDependentCount = 0;
+}
+
 function urgencyChange({ id, urgency }: Node): DependencyChange {
   return { kind: 'urgency', job: id, urgency };
 }
--- a/packages/testing/measurement/leader-measurement.ts
+++ b/packages/testing/measurement/leader-measurement.ts
@@ -10,6 +10,7 @@
 import { BENCHMARKS } from '../leader-load/leader-benchmarks.js';
 import { recordsOf } from '../leader-load/fleet-records.js';
 import { FleetFixture } from '../leader-load/fleet-fixture.js';
+import { nodeOptions } from '../../bundle/service-file.js';
 import { SeededRandom } from '../random.js';
 import type { BenchmarkRequest, BenchmarkResult } from './leader-worker.js';
 
@@ -17,11 +18,9 @@
 const FREE_SHARE = 0.03;
 const WORKER = fileURLToPath(new URL('./leader-worker.js', import.meta.url));
 const DEFAULT_MACHINES = 200;
-/** Heap limits that controllers run with. */
-const NODE_OPTIONS = ['--max-old-space-size=56', '--max-semi-space-size=2'];
 
 async function runInOwnProcess(request: BenchmarkRequest): Promise<BenchmarkResult> {
-  const child = fork(WORKER, [], { execArgv: NODE_OPTIONS });
+  const child = fork(WORKER, [], { execArgv: nodeOptions() });
   child.send(request);
   const [measured] = (await once(child, 'message')) as [BenchmarkResult];
   child.disconnect();
