The bound of watch answers doubles with each load in a row, so that a cache catches up

What callers would have seen: a controller that starts or reads all records again while many large records come could do so for ever: the answer after a load holds all changes since the load began, and if those are more than the bound, the cache loads again. Cause: a fixed bound of the answer, while the time of a load grows with the number of records. Change: PrefixCache owns the bound, doubles it with each load and takes it back with the first answer that fits.

--- a/packages/controller/state-access.ts
+++ b/packages/controller/state-access.ts
@@ -71,12 +71,13 @@
   const heartbeatIntervalMs = workers.report_s * 1000;
   const limits = stateLimits(state);
   const maxChangesBytes = processLimits.memory_mb * BYTES_PER_MB * CHANGES_MEMORY_SHARE;
-  const api = new StateApi(runtime, external.state, heartbeatIntervalMs, maxChangesBytes);
+  const api = new StateApi(runtime, external.state, heartbeatIntervalMs);
   const share = nodes === 1 ? SINGLE_CONTROLLER_RATE_SHARE : STATE_RATE_SHARE;
   const client = new StateClient(runtime.clock, api, limits, share);
   const minSpacingMs = (nodes * 1000) / (limits.rps * SYNC_RATE_SHARE);
   const syncSpacingMs = Math.max(minSpacingMs, heartbeatIntervalMs * SYNC_SPACING_INTERVALS);
-  const cacheOptions = { client, runtime, watchMs: WATCH_TIMEOUT_MS, syncSpacingMs };
+  const watchMs = WATCH_TIMEOUT_MS;
+  const cacheOptions = { client, runtime, watchMs, syncSpacingMs, maxChangesBytes };
   const watchPauseMs = () =>
     heartbeatIntervalMs *
     (isLeading() ? LEADER_WATCH_PAUSE_INTERVALS : FOLLOWER_WATCH_PAUSE_INTERVALS);
--- a/packages/shards/record-copy.ts
+++ b/packages/shards/record-copy.ts
@@ -29,7 +29,7 @@
     const { client, prefix, revision } = this;
     if (revision === null) return listAll(client, prefix, signal);
     const changes = await client.callUrgent(signal, (api) =>
-      api.changes(prefix, revision, 0, signal),
+      api.changes(prefix, revision, 0, { signal }),
     );
     if (changes === 'too-old') return listAll(client, prefix, signal);
     for (const event of changes.events) this.apply(event);
--- a/packages/store/prefix-cache.ts
+++ b/packages/store/prefix-cache.ts
@@ -8,6 +8,9 @@
 const MIN_RETRY_DELAY_MS = 200;
 const RETRY_JITTER_MS = 300;
 
+/** Factor by which the limit of an answer with changes grows with each load in a row. */
+const CHANGES_LIMIT_GROWTH = 2;
+
 /** The cache cannot be synchronised, since a full load of its keys must complete first. */
 export class CacheNotLoaded extends Error {
   override readonly name = 'NotReady';
@@ -35,6 +38,8 @@
    * controller at once, and these wake-ups were most of the work of the followers.
    */
   watchPauseMs?: () => number;
+  /** Limit of an answer with changes, in bytes; beyond it the keys are loaded again. Unlimited by default. */
+  maxChangesBytes?: number;
 }
 
 /**
@@ -44,6 +49,8 @@
  */
 export class PrefixCache {
   private readonly versions = new Map<string, number>();
+  /** Limit of the next answer with changes, in bytes. */
+  private maxChangesBytes: number;
   /** Revision up to which the cache holds all changes; null while a full load is needed. */
   private loadedRevision: number | null = null;
   /** The synchronisation in flight. */
@@ -57,7 +64,9 @@
   /** Emits each change as it is applied to the cache. */
   readonly changes = new Subject<WatchEvent>();
 
-  constructor(private readonly options: PrefixCacheOptions) {}
+  constructor(private readonly options: PrefixCacheOptions) {
+    this.maxChangesBytes = options.maxChangesBytes ?? Infinity;
+  }
 
   /** Whether the keys are loaded. */
   get isLoaded(): boolean {
@@ -115,10 +124,10 @@
     if (after === null) return;
     const sentAt = runtime.clock.now();
     const outcome = await client.callInBackground(signal, (api) =>
-      api.changes(prefix, after, watchMs, signal),
+      api.changes(prefix, after, watchMs, { signal, maxBytes: this.maxChangesBytes }),
     );
     if (outcome === 'too-old') {
-      this.loadedRevision = null;
+      this.requireLoad();
     } else {
       this.applyAll(outcome.events, outcome.revision);
       this.syncedAt = Math.max(this.syncedAt, sentAt);
@@ -152,15 +161,24 @@
     this.lastSyncAt = sentAt;
     const after = this.loadedRevision;
     if (after === null) throw new CacheNotLoaded(prefix);
-    const outcome = await client.callUrgent(undefined, (api) => api.changes(prefix, after, 0));
+    const { maxChangesBytes: maxBytes } = this;
+    const outcome = await client.callUrgent(undefined, (api) =>
+      api.changes(prefix, after, 0, { maxBytes }),
+    );
     if (outcome === 'too-old') {
-      this.loadedRevision = null;
+      this.requireLoad();
       throw new CacheNotLoaded(prefix);
     }
     this.applyAll(outcome.events, outcome.revision);
     this.syncedAt = Math.max(this.syncedAt, sentAt);
   }
 
+  /** Makes the next step load all keys. So many changes may come during the load that the limit has to rise. */
+  private requireLoad(): void {
+    this.loadedRevision = null;
+    this.maxChangesBytes *= CHANGES_LIMIT_GROWTH;
+  }
+
   private async load(signal: AbortSignal): Promise<void> {
     const { client, runtime, prefix } = this.options;
     const sentAt = runtime.clock.now();
@@ -187,6 +205,7 @@
   }
 
   private applyAll(events: WatchEvent[], revision: number): void {
+    this.maxChangesBytes = this.options.maxChangesBytes ?? Infinity;
     for (const event of events) this.applyEvent(event);
     if (this.loadedRevision !== null) {
       this.loadedRevision = Math.max(this.loadedRevision, revision);
--- a/packages/wire/state-api.ts
+++ b/packages/wire/state-api.ts
@@ -90,6 +90,13 @@
   expected?: readonly number[];
 }
 
+/** Options of `StateApi.changes`. */
+export interface ChangesOptions {
+  signal?: AbortSignal;
+  /** Unlimited by default. */
+  maxBytes?: number;
+}
+
 /**
  * A client with one method per call of the state service's API; the package `store` adds rate budgets and retries.
  * Calls reject with NoAnswer or StateRefused.
@@ -97,12 +104,10 @@
 export class StateApi {
   private readonly http: CborClient;
 
-  /** `maxChangesBytes` limits the answers with changes, which the service does not limit. */
   constructor(
     runtime: Runtime,
     address: string,
     private readonly timeoutMs: number,
-    private readonly maxChangesBytes = Infinity,
   ) {
     this.http = new CborClient(runtime, address);
   }
@@ -172,17 +177,20 @@
     await this.call('DELETE', `/grants/${leaseId}`, { signal, expected: [HttpStatus.notFound] });
   }
 
-  /** Resolves with the changes to keys with the prefix after a revision; waits up to `waitMs` for the first change. */
+  /**
+   * Resolves with the changes to keys with the prefix after a revision; waits up to `waitMs` for the first change. The
+   * service does not limit the answer; the outcome is `too-old` if it has more than `maxBytes`.
+   */
   async changes(
     prefix: string,
     after: number,
     waitMs: number,
-    signal?: AbortSignal,
+    { signal, maxBytes }: ChangesOptions = {},
   ): Promise<WatchOutcome> {
     const path = `/changes?prefix=${prefix}&after=${after}&blockMs=${waitMs}`;
     const answer = await this.call('GET', path, {
       timeoutMs: waitMs + this.timeoutMs,
-      maxBytes: this.maxChangesBytes,
+      maxBytes,
       signal,
       expected: [HttpStatus.gone],
     }).catch(nullIfTooLarge);
