An attempt that shows up without an assignment is stopped at once, counted and logged with its orders

Cause: a second attempt beside one that stays assigned was killed in answers to heartbeats only; if a direct answer listed it, its kill was dropped. Neither kind was counted or logged, and orders are logged at `debug` only.

Change: such an attempt is stopped by the answer and by a direct command in the same step, before a round changes other places. Metrics `unexpected_attempts`, `retained_attempts`, `fence_records`; `fleet summarised` has the same and the term with its newest token, `leader ready` the revision of the jobs read.

--- a/packages/controller/leadership/direct-commands.ts
+++ b/packages/controller/leadership/direct-commands.ts
@@ -19,7 +19,7 @@
   /** Called before commands are sent to a machine. */
   onOrders: (machine: Machine, orders: Order[]) => void;
   /** Called after a call has ended and its outcome was applied to the fleet state. */
-  onDone: () => void;
+  onDone: (signal: AbortSignal) => void;
 }
 
 /**
@@ -96,7 +96,7 @@
     }
     this.busy.delete(machine.name);
     if (!fleet.machines.has(machine.name)) this.closeConnection(machine.name);
-    onDone();
+    onDone(signal);
   }
 }
 
--- a/packages/controller/leadership/leader-components.ts
+++ b/packages/controller/leadership/leader-components.ts
@@ -2,10 +2,11 @@
 import type { CapacityPlanner, FleetState, Scheduler } from '#core';
 import type { ReplicaGroups } from '#replicas';
 import type { GroupCommit, JobRecord, StateClient, Term } from '#store';
-import type { MachineType, Order, Runtime } from '#wire';
+import type { MachineType, Runtime } from '#wire';
 import { JobIntake } from '../jobs/job-intake.js';
 import type { JobTable } from '../jobs/job-table.js';
 import type { Log } from '../observability/log.js';
+import { OrderHistory } from '../observability/order-history.js';
 import { CancellationRecorder } from '../records/cancellation-recorder.js';
 import { FlushLoop } from '../records/flush-loop.js';
 import { type ReadRecords, RecordLoader } from '../records/record-loader.js';
@@ -49,6 +50,8 @@
   requestRound: () => void;
   /** Sends pending commands to workers. */
   pushCommands: (signal: AbortSignal) => void;
+  /** Handles the outcome of a direct command, after it was applied to the fleet state. */
+  commandDone: (signal: AbortSignal) => void;
 }
 
 /** The components of a leader. All share one fleet state. */
@@ -58,6 +61,7 @@
   readonly scheduler: Scheduler;
   /** Null if replica groups are switched off: each task of a service is then a replica by itself. */
   readonly replicaGroups: ReplicaGroups | null;
+  readonly orderHistory: OrderHistory;
   readonly recorder: Recorder;
   readonly intake: JobIntake;
   readonly cancellationRecorder: CancellationRecorder;
@@ -66,7 +70,10 @@
   readonly schedulingRound: SchedulingRound;
 }
 
-type CoreComponents = Pick<LeaderComponents, 'fleet' | 'planner' | 'scheduler' | 'replicaGroups'>;
+type CoreComponents = Pick<
+  LeaderComponents,
+  'fleet' | 'planner' | 'scheduler' | 'replicaGroups' | 'orderHistory'
+>;
 
 /** Builds the components of a leader. None of them runs until the leader starts it. */
 export function composeLeader(
@@ -100,7 +107,7 @@
     recorder,
     intake,
     cancellationRecorder,
-    directCommands: composeDirectCommands(options, fleet, callbacks),
+    directCommands: composeDirectCommands(options, core, callbacks),
     flushLoop,
     schedulingRound: new SchedulingRound({ ...core, log }),
   };
@@ -129,24 +136,21 @@
   });
 }
 
-/** Logs orders sent to a worker, whether in the answer to a heartbeat or in a direct command. */
-export function logOrders(log: Log, machine: string, orders: Order[]): void {
-  for (const order of orders) log.debug({ machine, ...order }, 'order sent to worker');
-}
-
 function composeCore(options: ShardLeaderOptions): CoreComponents {
   const { runtime, settings, client, term, replicas, log } = options;
   const replicaGroups = replicas.support?.makeGroups() ?? null;
+  const orderHistory = new OrderHistory(log);
   const fleet = makeFleetState({
     settings,
     term,
     valueBytes: client.limits.valueBytes,
-    listener: fleetListener(() => planner, log),
+    listener: fleetListener(() => planner, orderHistory, log),
     random: () => runtime.random(),
     replicaGroups,
   });
   const planner: CapacityPlanner = makePlanner(settings, fleet);
-  return { fleet, planner, scheduler: makeScheduler(settings, fleet), replicaGroups };
+  const scheduler = makeScheduler(settings, fleet);
+  return { fleet, planner, scheduler, replicaGroups, orderHistory };
 }
 
 function composeIntake(options: ShardLeaderOptions, { fleet, planner }: CoreComponents): JobIntake {
@@ -171,9 +175,9 @@
 }
 
 function composeDirectCommands(
-  { runtime, settings, directSockets, log }: ShardLeaderOptions,
-  fleet: FleetState,
-  { requestRound }: LeaderCallbacks,
+  { runtime, settings, directSockets }: ShardLeaderOptions,
+  { fleet, orderHistory }: CoreComponents,
+  { commandDone }: LeaderCallbacks,
 ): DirectCommands {
   return new DirectCommands({
     runtime,
@@ -181,8 +185,8 @@
     timeoutMs: COMMAND_TIMEOUT_INTERVALS * settings.deployment.workers.report_s * 1000,
     maxConnections: directSockets,
     onOrders: (machine, orders) => {
-      logOrders(log, machine.name, orders);
+      orderHistory.add(machine, 'direct', orders, runtime.clock.now());
     },
-    onDone: requestRound,
+    onDone: commandDone,
   });
 }
--- a/packages/controller/leadership/shard-leader.ts
+++ b/packages/controller/leadership/shard-leader.ts
@@ -11,7 +11,6 @@
   composeLeader,
   composeRecordLoader,
   type LeaderComponents,
-  logOrders,
   type ShardLeaderOptions,
 } from './leader-components.js';
 import type { Pacer } from './pacer.js';
@@ -41,6 +40,8 @@
   foundNoMachines = false;
   private readonly components: LeaderComponents;
   private readonly summaryLog: FleetSummaryLog;
+  /** Aborts when the term ends; null until the leader runs. */
+  private termSignal: AbortSignal | null = null;
   /** Null until the records are loaded. */
   private rounds: Pacer | null = null;
 
@@ -55,6 +56,10 @@
       pushCommands: (signal) => {
         this.pushCommands(signal);
       },
+      commandDone: (signal) => {
+        this.stopUnexpectedAttempts(signal);
+        this.requestRound();
+      },
     });
     this.fleet = this.components.fleet;
     this.planner = this.components.planner;
@@ -72,11 +77,13 @@
    * TermLostError if the leader must step down because of the records, or with the error that made loading them fail.
    */
   async run(signal: AbortSignal): Promise<void> {
+    this.termSignal = signal;
     await this.loadRecords(signal);
     this.recordsLoaded = true;
     const { jobs, machines } = this.fleet;
     const found = { jobs: jobs.waiting.size, machines: machines.size };
-    this.options.log.info({ term: this.term.term, ...found }, 'leader ready');
+    const { revision: jobsRevision } = this.options.jobs.cache;
+    this.options.log.info({ term: this.term.term, jobsRevision, ...found }, 'leader ready');
     const jobEvents = this.followJobs();
     const rounds = this.startRounds(signal);
     try {
@@ -120,18 +127,20 @@
 
   /** Applies a heartbeat and returns the answer; null if it is a duplicate that arrived late. */
   acceptHeartbeat(heartbeat: Heartbeat): HeartbeatAnswer | null {
-    const { recorder, flushLoop } = this.components;
+    const { recorder, flushLoop, orderHistory } = this.components;
     const wasPending = recorder.hasPendingChanges;
-    const outcome = this.fleet.heartbeats.handle(heartbeat, this.options.runtime.clock.now());
+    const now = this.options.runtime.clock.now();
+    const outcome = this.fleet.heartbeats.handle(heartbeat, now);
     if (outcome.kind === 'late-copy') return null;
     const { orders } = outcome;
-    const fencingToken = this.fleet.machines.get(heartbeat.machine)?.fencingToken ?? this.term.term;
-    logOrders(this.options.log, heartbeat.machine, orders);
+    const machine = this.fleet.machines.get(heartbeat.machine);
+    if (machine) orderHistory.add(machine, 'answer', orders, now);
+    if (this.termSignal !== null) this.stopUnexpectedAttempts(this.termSignal);
     if (recorder.hasPendingChanges && !wasPending) {
       flushLoop.wake();
       this.requestRound();
     }
-    return { fencingToken, orders };
+    return { fencingToken: machine?.fencingToken ?? this.term.term, orders };
   }
 
   private async loadRecords(signal: AbortSignal): Promise<void> {
@@ -184,6 +193,11 @@
     return decisions;
   }
 
+  /** Sends direct commands at once if attempts were found that run without an assignment. */
+  private stopUnexpectedAttempts(signal: AbortSignal): void {
+    if (this.fleet.unexpectedAttempts.takeNew()) this.pushCommands(signal);
+  }
+
   private pushCommands(signal: AbortSignal): void {
     if (this.options.holdsLeaderLease()) this.components.directCommands.push(signal);
   }
--- a/packages/controller/observability/fleet-summary.ts
+++ b/packages/controller/observability/fleet-summary.ts
@@ -3,6 +3,9 @@
 
 /** Machines of the fleet, their use by teams, and the jobs and tasks that wait. */
 export interface FleetSummary {
+  /** Term of the leader, and the largest fencing token that its messages may carry. */
+  term: number;
+  newestFencingToken: number;
   /** Number of machines by state and kind, such as `up spot`. */
   machines: Record<string, number>;
   /** Machines that are up and hold no task. */
@@ -19,6 +22,12 @@
   jobsWithOpenDependencies: number;
   /** Jobs whose tasks fail on every machine tried. */
   crashLoopingJobs: number;
+  /** Exited attempts that workers keep until no copy of their start can be admitted any more. */
+  retainedAttempts: number;
+  /** Machine records of this term that were requested only to raise a fencing token. */
+  fenceRecords: number;
+  /** Attempts found in this term that ran without an assignment. */
+  unexpectedAttempts: number;
 }
 
 /** Decimal places of the fair-share index in a summary. */
@@ -32,6 +41,8 @@
   now: number,
 ): FleetSummary {
   const summary: FleetSummary = {
+    term: fleet.term,
+    newestFencingToken: fleet.fencing.newestFencingToken,
     machines: {},
     idleMachines: 0,
     totalGpus: fleet.machines.totals.gpus,
@@ -40,10 +51,14 @@
     waitingTasks: {},
     jobsWithOpenDependencies: fleet.jobs.jobsWithOpenDependencies,
     crashLoopingJobs: fleet.failures.crashLoopingJobs.size,
+    retainedAttempts: 0,
+    fenceRecords: fleet.fencing.recordsRequested,
+    unexpectedAttempts: fleet.unexpectedAttempts.total,
   };
   for (const machine of fleet.machines.values()) {
     addToCount(summary.machines, `${machine.state}${machine.spot ? ' spot' : ''}`, 1);
     if (machine.state === 'up' && machine.tasks.size === 0) summary.idleMachines++;
+    summary.retainedAttempts += machine.retainedAttempts;
   }
   for (const job of fleet.jobs.waiting) {
     addToCount(summary.waitingTasks, job.spec.class, fleet.jobs.waitingCount(job));
--- a/packages/controller/observability/metrics-endpoint.ts
+++ b/packages/controller/observability/metrics-endpoint.ts
@@ -118,9 +118,26 @@
       'state',
       () => leader()?.fleetSummary().machines ?? {},
     );
+    this.registerStarts(metrics);
     this.registerReplicas(metrics);
   }
 
+  private registerStarts(metrics: Metrics): void {
+    const { leader } = this.options;
+    const unexpectedHelp = 'Attempts found in this term that ran without an assignment';
+    metrics.gauge('unexpected_attempts', unexpectedHelp, null, () => ({
+      '': leader()?.fleet.unexpectedAttempts.total ?? 0,
+    }));
+    const retainedHelp = 'Exited attempts that workers keep until no copy of their start can act';
+    metrics.gauge('retained_attempts', retainedHelp, null, () => ({
+      '': leader()?.fleetSummary().retainedAttempts ?? 0,
+    }));
+    const fenceHelp = 'Machine records written in this term only to raise a fencing token';
+    metrics.gauge('fence_records', fenceHelp, null, () => ({
+      '': leader()?.fleet.fencing.recordsRequested ?? 0,
+    }));
+  }
+
   private registerAdmission(metrics: Metrics): void {
     const { admission, jobMemory } = this.options;
     const jobMemoryHelp = 'Memory that jobs take by estimate, and may take (MiB)';
--- a/packages/core/fleet-state.ts
+++ b/packages/core/fleet-state.ts
@@ -12,6 +12,7 @@
 import { HeartbeatProcessor } from './heartbeats/heartbeat-processor.js';
 import { StartFencing } from './heartbeats/start-fencing.js';
 import { TaskReconciler } from './heartbeats/task-reconciler.js';
+import { UnexpectedAttempts } from './heartbeats/unexpected-attempts.js';
 
 /** Properties of a job that are not part of its submission. */
 export interface JobOptions {
@@ -33,6 +34,8 @@
   readonly leases: MachineLeases;
   /** Prevents direct starts, and copies of them, from taking effect late. */
   readonly fencing: StartFencing;
+  /** Finds attempts that run without an assignment. */
+  readonly unexpectedAttempts: UnexpectedAttempts;
   /** Applies workers' heartbeats. */
   readonly heartbeats: HeartbeatProcessor;
   /** Orders that are sent to workers without waiting for a heartbeat. */
@@ -46,9 +49,11 @@
     this.assignments = new Assignments(this);
     this.leases = new MachineLeases(this, this.assignments);
     this.fencing = new StartFencing(this);
-    const tasks = new TaskReconciler(this, this.assignments, this.fencing);
+    this.unexpectedAttempts = new UnexpectedAttempts(this);
+    const { assignments, fencing, unexpectedAttempts } = this;
+    const tasks = new TaskReconciler(this, assignments, fencing, unexpectedAttempts);
     this.heartbeats = new HeartbeatProcessor(this, this.assignments, this.fencing, tasks);
-    this.directOrders = new DirectOrders(this, this.fencing, tasks);
+    this.directOrders = new DirectOrders(this, this.fencing, tasks, unexpectedAttempts);
   }
 
   /** Adds the job of a record. If the job is already known, only a final phase is applied to it. */
--- a/packages/core/heartbeats/direct-orders.ts
+++ b/packages/core/heartbeats/direct-orders.ts
@@ -5,6 +5,7 @@
 import type { Assignment, Machine, StopRequest } from '../model/entities.js';
 import type { StartFencing } from './start-fencing.js';
 import type { TaskReconciler } from './task-reconciler.js';
+import type { UnexpectedAttempts } from './unexpected-attempts.js';
 
 /** In heartbeat intervals: a direct command is sent only if the last heartbeat is younger. */
 const RECENT_HEARTBEAT_INTERVALS = 2;
@@ -31,12 +32,13 @@
     private readonly fleet: FleetData,
     private readonly fencing: StartFencing,
     private readonly tasks: TaskReconciler,
+    private readonly unexpected: UnexpectedAttempts,
   ) {}
 
   /** Returns the orders to send to the machine now. If there are any, `applyOutcome` must be called with them later. */
   nextOrders(machine: Machine, now: number): Order[] {
     if (!this.isReachable(machine, now)) return [];
-    const orders: Order[] = [];
+    const orders = this.unexpected.takeDirectKills(machine);
     const starts: Assignment[] = [];
     let hasBlockedStarts = false;
     for (const assignment of machine.tasks.values()) {
--- a/packages/core/heartbeats/task-reconciler.ts
+++ b/packages/core/heartbeats/task-reconciler.ts
@@ -5,6 +5,7 @@
 import type { Assignment, JobState, Machine } from '../model/entities.js';
 import { forgetOrder, killOrder, taskRef } from './answer-orders.js';
 import type { StartFencing } from './start-fencing.js';
+import type { UnexpectedAttempts } from './unexpected-attempts.js';
 
 /** How many heartbeat answers may carry a start without effect before the machine is cordoned. */
 const MAX_MISSED_STARTS = 3;
@@ -15,6 +16,7 @@
     private readonly fleet: FleetData,
     private readonly assignments: Assignments,
     private readonly fencing: StartFencing,
+    private readonly unexpected: UnexpectedAttempts,
   ) {}
 
   /**
@@ -25,6 +27,7 @@
     machine.retainedAttempts = 0;
     const exited = tasks.filter((task) => task.state === 'exited');
     const live = tasks.filter((task) => task.state !== 'exited');
+    this.unexpected.followUp(machine, tasks, now);
     const orders = [...exited, ...live].map((task) => this.reconcileOne(machine, task, now));
     return orders.filter((order) => order !== null);
   }
@@ -36,13 +39,15 @@
     if (assignment && assignment.attempt !== task.attempt) {
       if (task.state === 'exited') return this.otherAttemptExited(assignment, task, ref, now);
       // If the assigned attempt may have been started, it stays assigned, and the listed attempt is killed.
-      if (!this.assignments.endIfUnsent(assignment, now)) return killOrder(ref);
+      if (!this.assignments.endIfUnsent(assignment, now))
+        return this.unexpected.kill(machine, ref, now);
       assignment = undefined;
     }
     if (!assignment) {
       if (task.state === 'exited') return this.unassignedTaskExited(machine, task, job, ref);
       if (!job || task.index >= job.spec.tasks) return killOrder(ref);
       // No task should run without a recorded assignment; one that does is assigned until it is gone.
+      this.unexpected.adopted(machine, ref, now);
       assignment = this.assignments.adoptUnrecorded(job, task.index, machine, task.attempt, now);
     }
     this.applyState(assignment, task, now);
--- a/packages/core/model/listener.ts
+++ b/packages/core/model/listener.ts
@@ -1,4 +1,5 @@
 /** Events of the fleet's state, for statistics, logs and the capacity planner. */
+import type { TaskRef } from '#wire';
 import type { EndCause } from './end-cause.js';
 import type { Assignment, JobState, Machine } from './entities.js';
 
@@ -30,6 +31,8 @@
   jobRecovered(job: JobState, now: number): void;
   /** A machine is drained because tasks fail on it. */
   machineFaulty(machine: Machine, now: number): void;
+  /** An attempt was found to run on a machine although no assignment names it there. */
+  attemptUnexpected(machine: Machine, attempt: TaskRef, now: number): void;
   /** A job was done or cancelled. */
   jobClosed(job: JobState, now: number): void;
 }
@@ -46,5 +49,6 @@
   jobCrashLooping: noop,
   jobRecovered: noop,
   machineFaulty: noop,
+  attemptUnexpected: noop,
   jobClosed: noop,
 };
--- a/packages/core/model/new-machine.ts
+++ b/packages/core/model/new-machine.ts
@@ -44,6 +44,7 @@
     oldFencingTokenSince: null,
     fence: 'none',
     directStarts: new Map(),
+    unexpectedAttempts: new Map(),
     retainedAttempts: 0,
     retainedSince: null,
     unacknowledgedStarts: new Map(),
--- a/packages/core/model/worker-state.ts
+++ b/packages/core/model/worker-state.ts
@@ -1,4 +1,6 @@
 /** The leader's state for the worker on a machine, from the worker's heartbeats and the commands sent to it. */
+import type { Order } from '#wire';
+
 /** Progress of raising the machine's fencing token above that of direct starts that must have no effect. */
 export type Fence =
   /** There are no starts to fence off. */
@@ -8,6 +10,15 @@
   /** The fencing token is raised; earlier starts have no effect once the worker has shown the new one. */
   | 'raised';
 
+/** A live attempt that no assignment named when it was found. */
+export interface UnexpectedAttempt {
+  attempt: number;
+  /** The order to kill it, until a direct command carries the order. */
+  directKill: Order | null;
+  /** Whether the attempt was counted and reported. */
+  isReported: boolean;
+}
+
 /** The worker on a machine. Times are seconds of this process's monotonic clock. */
 export interface WorkerState {
   /** Agent epoch of the worker, which rises whenever the worker's lease has expired. */
@@ -32,6 +43,9 @@
    */
   oldFencingTokenSince: number | null;
 
+  /** Live attempts that no assignment named when they were found, by task name. */
+  unexpectedAttempts: Map<string, UnexpectedAttempt>;
+
   /** State of the fencing of direct starts. */
   fence: Fence;
   /**
