--- a/packages/testing/simulation/faults/cloud-faults.ts
+++ b/packages/testing/simulation/faults/cloud-faults.ts
@@ -3,9 +3,7 @@
 import type { CloudFault } from '../scenario.js';
 import { makeEffect, type FaultEffect } from './effect.js';
 import { OverlapCounter } from './overlap-counter.js';
-
-/** Default range of the delay of copies of requests, in seconds. */
-const COPY_DELAY_S: [number, number] = [0.2, 16];
+import { repeatRequests } from './repeated-requests.js';
 
 /** Faults of the cloud API. Outages may overlap. */
 export class CloudFaults {
@@ -34,15 +32,7 @@
           },
         });
       case 'repeated-rentals':
-        cloud.repeatedRequests.begin({
-          share: fault.share,
-          delayS: fault.delayS ?? COPY_DELAY_S,
-        });
-        return makeEffect({
-          end: () => {
-            cloud.repeatedRequests.end();
-          },
-        });
+        return repeatRequests(cloud.repeatedRequests, fault);
       case 'quick-boots':
         cloud.setBootProfile(QUICK_BOOTS);
         return makeEffect({
--- a/packages/testing/simulation/faults/state-faults.ts
+++ b/packages/testing/simulation/faults/state-faults.ts
@@ -4,11 +4,9 @@
 import type { StateFault } from '../scenario.js';
 import { makeEffect, type FaultEffect } from './effect.js';
 import { OverlapCounter } from './overlap-counter.js';
+import { repeatRequests } from './repeated-requests.js';
 import { type Roles, targetControllers } from './targets.js';
 
-/** Default range of the delay of copies of requests, in seconds. */
-const COPY_DELAY_S: [number, number] = [0.2, 16];
-
 /** Faults of the state service. Faults of the same kind may overlap. */
 export class StateFaults {
   private readonly overlap = new OverlapCounter<string>();
@@ -34,7 +32,7 @@
           state.beginLateTransactions(fault.share, fault.delayS);
         });
       case 'repeated-writes':
-        return this.repeatRequests(fault.share, fault.delayS ?? COPY_DELAY_S);
+        return repeatRequests(this.state.repeatedRequests, fault);
       case 'lost-answers':
         return this.loseAnswers((state) => {
           state.beginLostReplies(fault.share);
@@ -83,16 +81,6 @@
     });
   }
 
-  private repeatRequests(share: number, delayS: [number, number]): FaultEffect {
-    const { repeatedRequests } = this.state;
-    repeatedRequests.begin({ share, delayS });
-    return makeEffect({
-      end: () => {
-        repeatedRequests.end();
-      },
-    });
-  }
-
   private loseAnswers(start: (state: StateService) => void): FaultEffect {
     start(this.state);
     return makeEffect({
--- a/packages/testing/simulation/random-scenario.ts
+++ b/packages/testing/simulation/random-scenario.ts
@@ -19,6 +19,15 @@
 const FAULTS_PER_BURST: [number, number] = [2, 4];
 const BURST_INTERVAL_S: [number, number] = [50, 90];
 
+type ShareFaultKind =
+  | 'late-writes'
+  | 'repeated-writes'
+  | 'lost-answers'
+  | 'late-rentals'
+  | 'repeated-rentals'
+  | 'late-commands'
+  | 'repeated-commands'
+  | 'cancel-at-end';
 type FaultGenerator = (chance: SeededRandom, atS: number) => Fault;
 
 /**
@@ -56,25 +65,10 @@
     controllers: drawControllers(chance),
   }),
   (chance, atS) => ({ kind: 'state-slow', atS, forS: drawLengthS(chance), latencyMs: [50, 1500] }),
-  (chance, atS) => ({
-    kind: 'late-writes',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
-  (chance, atS) => ({
-    kind: 'lost-answers',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
+  faultOfShare('late-writes'),
+  faultOfShare('lost-answers'),
   (chance, atS) => ({ kind: 'quick-boots', atS, forS: drawLengthS(chance) }),
-  (chance, atS) => ({
-    kind: 'late-rentals',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
+  faultOfShare('late-rentals'),
   drawControllerCut,
   drawControllerCut,
   (chance, atS) => ({ kind: 'peers-cut', atS, forS: drawLengthS(chance), mode: drawMode(chance) }),
@@ -133,42 +127,25 @@
     share: drawShare(chance),
     forNextLeader: chance.withProbability(0.5),
   }),
-  (chance, atS) => ({
-    kind: 'late-commands',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
-  (chance, atS) => ({
-    kind: 'repeated-commands',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
-  (chance, atS) => ({
-    kind: 'repeated-writes',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
-  (chance, atS) => ({
-    kind: 'repeated-rentals',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
+  faultOfShare('late-commands'),
+  faultOfShare('repeated-commands'),
+  faultOfShare('repeated-writes'),
+  faultOfShare('repeated-rentals'),
   drawCancelNow,
   drawCancelNow,
-  (chance, atS) => ({
-    kind: 'cancel-at-end',
-    atS,
-    forS: drawLengthS(chance),
-    share: drawShare(chance),
-  }),
+  faultOfShare('cancel-at-end'),
   (chance, atS) => ({ kind: 'odd-requests', atS, forS: drawLengthS(chance) }),
   (chance, atS) => ({ kind: 'close-looks', atS, forS: drawLengthS(chance) }),
 ];
 
+/** A generator of faults that hit a share of all requests or jobs. */
+function faultOfShare(kind: ShareFaultKind): FaultGenerator {
+  return (chance, atS) => {
+    const forS = drawLengthS(chance);
+    return { kind, atS, forS, share: drawShare(chance) };
+  };
+}
+
 function drawControllerCut(chance: SeededRandom, atS: number): Fault {
   const kinds: CutFrom[] = ['state', 'controllers', 'workers', 'users', 'cloud'];
   const from = kinds.filter(() => chance.withProbability(0.4));
