A fence that waits for its machine's record is raised by any transaction of the term

Cause: a fence that was requested ended only with the record of its own machine. One that is not written, since it exceeds its limit or the machine has none, kept all direct commands from the machine. Any later revision of the term serves as well, so the next heartbeat raises the token if there is one. Test: "a machine whose record is not written is fenced off by the next transaction, whatever it writes".

--- a/packages/core/heartbeats/start-fencing.test.ts
+++ b/packages/core/heartbeats/start-fencing.test.ts
@@ -127,6 +127,23 @@
   assert.deepEqual(script.heartbeat([exited]), ['forget']);
 });
 
+test('a machine whose record is not written is fenced off by the next transaction, whatever it writes', () => {
+  // Guards against a machine that gets no direct command any more, since its record exceeds its limit.
+  const script = new MachineScript();
+  const job = script.addJob();
+  const { fleet, machine } = script;
+  fleet.assignments.assign(job, 0, machine, 1, script.now).recorded = true;
+  assert.equal(fleet.directOrders.nextOrders(machine, script.now).length, 1);
+  fleet.closeJob(job, 'cancelled', script.now);
+  assert.equal(machine.fence, 'requested');
+  fleet.fencing.revisionWritten(150);
+  script.heartbeat();
+  assert.deepEqual([machine.fence, machine.fencingToken], ['raised', 150]);
+  script.heartbeat();
+  assert.equal(machine.fence, 'none');
+  assert.equal(job.assignments.size, 0);
+});
+
 /** Runs one-task jobs that end at once, `perSecond` of them, for a minute on one worker; returns what it cost. */
 function runShortJobs(perSecond: number, writesRevisions: boolean) {
   const fleet = makeFleet();
--- a/packages/core/heartbeats/start-fencing.ts
+++ b/packages/core/heartbeats/start-fencing.ts
@@ -107,6 +107,8 @@
 
   /** Fences a machine off if a start has been unacknowledged for too long. */
   fenceOverdueStarts(machine: Machine, now: number): void {
+    // The record of another machine may have provided a higher fencing token in the meantime.
+    if (machine.fence === 'requested' && this.raise(machine)) machine.fence = 'raised';
     if (machine.directCommandInFlight) return;
     const overdueAfterS = FENCE_AFTER_INTERVALS * this.fleet.settings.heartbeatIntervalS;
     for (const sentAt of machine.unacknowledgedStarts.values()) {
