Delayed heartbeats of an expired lease report no unexpected attempts

In seed 150 all came from two machines that had been cut off for 18.7 s with their packets held: the leases expired, the tasks were placed elsewhere, and then the heartbeats of the cut arrived and listed what the workers had killed. Such attempts are stopped as before and not reported.

--- a/packages/core/heartbeats/machine-leases.ts
+++ b/packages/core/heartbeats/machine-leases.ts
@@ -46,6 +46,7 @@
     this.assignments.endAllOn(machine, now);
     machines.setState(machine, 'expired');
     machine.expiredAt = now;
+    machine.expiredEpoch = machine.agentEpoch;
     machinesWithCommands.delete(machine);
     machines.reserve(machine, null);
   }
--- a/packages/core/heartbeats/unexpected-attempts.test.ts
+++ b/packages/core/heartbeats/unexpected-attempts.test.ts
@@ -70,3 +70,18 @@
     assert.equal(found.length, isLive ? 1 : 0);
   }
 });
+
+test('an attempt in a delayed heartbeat of an expired lease is stopped and not reported', () => {
+  // Guards against reports after a network partition, whose heartbeats arrive together at its end.
+  const fleet = makeFleet();
+  const job = fleet.addJob(JOB, 0, 'accepted', 0);
+  const machine = registerMachine(fleet, 'n-1');
+  fleet.assignments.assign(job, 0, machine, 1, 0).startSent = true;
+  fleet.heartbeats.handle(makeHeartbeat({ tasks: [running(1)] }), 1);
+  assert.deepEqual(fleet.leases.expire(30), [machine]);
+  fleet.assignments.assign(job, 0, registerMachine(fleet, 'n-2'), 2, 30);
+  const delayed = makeHeartbeat({ sequence: 2, tasks: [running(1)] });
+  const outcome = fleet.heartbeats.handle(delayed, 31);
+  assert.equal(outcome.kind === 'answer' && outcome.orders[0]?.op, 'stop');
+  assert.equal(fleet.unexpectedAttempts.total, 0);
+});
--- a/packages/core/heartbeats/unexpected-attempts.ts
+++ b/packages/core/heartbeats/unexpected-attempts.ts
@@ -8,8 +8,9 @@
  * Finds attempts that run without an assignment, such as one that began again after it was forgotten or replaced. None
  * should exist. One that does is stopped at once, by the answer to the heartbeat and by a direct command.
  *
- * A leader's first heartbeat of a machine may be a late copy that lists what has ended since. So an attempt is reported
- * only once a heartbeat that has shown this term's fencing token confirms it.
+ * A leader's first heartbeat of a machine may be a late copy, and one of an expired lease was delayed: both list what has
+ * ended since. So an attempt is reported only once a heartbeat confirms it that has shown this term's fencing token and
+ * is not of an expired lease.
  */
 export class UnexpectedAttempts {
   /** Number of such attempts that were reported in this term. */
@@ -32,11 +33,12 @@
   }
 
   private add(machine: Machine, attempt: TaskRef, directKill: Order | null, now: number): void {
-    const unexpected = { attempt: attempt.attempt, directKill, isReported: machine.termConfirmed };
+    const isReported = isTaskListCurrent(machine);
+    const unexpected = { attempt: attempt.attempt, directKill, isReported };
     machine.unexpectedAttempts.set(nameOf(attempt), unexpected);
     this.fleet.machinesWithCommands.add(machine);
     this.hasNew = true;
-    if (machine.termConfirmed) this.announce(machine, attempt, now);
+    if (isReported) this.announce(machine, attempt, now);
   }
 
   /** Returns the kill orders that no direct command to the machine has carried yet. */
@@ -57,7 +59,7 @@
         (each) => each.attempt === unexpected.attempt && nameOf(each) === name,
       );
       const wasRunning = task && (task.state !== 'exited' || task.cause === 'stopped');
-      if (wasRunning && machine.termConfirmed && !unexpected.isReported) {
+      if (wasRunning && isTaskListCurrent(machine) && !unexpected.isReported) {
         unexpected.isReported = true;
         this.announce(machine, task, now);
       }
@@ -78,6 +80,11 @@
   }
 }
 
+/** Whether the newest task list of the machine certainly shows what ran there in this term. */
+function isTaskListCurrent({ termConfirmed, agentEpoch, expiredEpoch }: Machine): boolean {
+  return termConfirmed && agentEpoch > expiredEpoch;
+}
+
 function nameOf({ job, index }: TaskRef): string {
   return taskName(job, index);
 }
--- a/packages/core/model/entities.ts
+++ b/packages/core/model/entities.ts
@@ -119,6 +119,8 @@
   requestedAt: number;
   /** When the lease of the machine's worker was found to have expired. */
   expiredAt: number;
+  /** Agent epoch in which the lease expired last. The tasks that its delayed heartbeats list were killed. */
+  expiredEpoch: number;
   /** When the cloud reclaims the machine; null without a reclaim notice. */
   readonly reclaimAt: number | null;
   /** Whether the cloud lists the machine as failed. */
--- a/packages/core/model/new-machine.ts
+++ b/packages/core/model/new-machine.ts
@@ -51,6 +51,7 @@
     directCommandInFlight: false,
     noDirectCommandBefore: 0,
     expiredAt: 0,
+    expiredEpoch: 0,
     reclaimAt: null,
     failedInList: false,
     draining: false,
