--- a/packages/testing/loopback/sizing/cluster.ts
+++ b/packages/testing/loopback/sizing/cluster.ts
@@ -20,8 +20,7 @@
   LoadBalancer,
   type Observer,
   QUICK_BOOTS,
-  RepeatedRequests,
-  ReplyLoss,
+  RequestFault,
   StateService,
   Users,
 } from '../../stand-ins/index.js';
@@ -64,7 +63,7 @@
   readonly userLog = new UserLog();
   readonly controllers: ControllerProcess[];
   readonly fleet: Fleet;
-  readonly repeatedCommands = new RepeatedRequests(nodeRuntime);
+  readonly repeatedCommands = new RequestFault(nodeRuntime);
   readonly users: Users;
   /** Number of tasks that were killed because a lease expired. */
   tasksKilled = 0;
@@ -210,7 +209,7 @@
         gangs: new GangRegistry(nodeRuntime),
         observer,
         lateHeartbeats: new LateHeartbeats(nodeRuntime),
-        lateCommands: new ReplyLoss(nodeRuntime),
+        lateCommands: new RequestFault(nodeRuntime),
         repeatedCommands: this.repeatedCommands,
         heartbeatObserver: this.heartbeats,
       },
--- a/packages/testing/simulation/machines.ts
+++ b/packages/testing/simulation/machines.ts
@@ -3,8 +3,7 @@
   Fleet,
   GangRegistry,
   LateHeartbeats,
-  RepeatedRequests,
-  ReplyLoss,
+  RequestFault,
   type JobStorage,
   type MachineHost,
   type Observer,
@@ -48,14 +47,14 @@
 export class Machines {
   readonly fleet: Fleet;
   readonly lateHeartbeats: LateHeartbeats;
-  readonly lateCommands: ReplyLoss;
-  readonly repeatedCommands: RepeatedRequests;
+  readonly lateCommands: RequestFault;
+  readonly repeatedCommands: RequestFault;
   private readonly hosts = new Map<string, SimulatedHost>();
 
   constructor(private readonly options: MachinesOptions) {
     this.lateHeartbeats = new LateHeartbeats(options.runtime);
-    this.lateCommands = new ReplyLoss(options.runtime);
-    this.repeatedCommands = new RepeatedRequests(options.runtime);
+    this.lateCommands = new RequestFault(options.runtime);
+    this.repeatedCommands = new RequestFault(options.runtime);
     this.fleet = new Fleet({
       workerEnvironment: this.surroundings(),
       addressOf: workerAddress,
--- a/packages/testing/stand-ins/cloud/cloud-service.ts
+++ b/packages/testing/stand-ins/cloud/cloud-service.ts
@@ -3,8 +3,7 @@
 import * as serving from '#wire/serving';
 import { NO_REPLY, serveCbor, type CborServer, type ServedRequest } from '../http-server.js';
 import { Latency, NORMAL_LATENCY, type LatencyProfile } from '../latency.js';
-import { ReplyLoss } from '../lost-replies.js';
-import { RepeatedRequests } from '../repeated-requests.js';
+import { RequestFault } from '../request-fault.js';
 import { RateLimit } from '../rate-limit.js';
 import { USUAL_BOOTS, type BootProfile } from './boot-times.js';
 import type { CapacityLimit } from './capacity.js';
@@ -33,9 +32,9 @@
   private readonly list: MachineList;
   private readonly prices: SpotPrices;
   private readonly latency: Latency;
-  private readonly lostReplies: ReplyLoss;
+  private readonly lostReplies: RequestFault;
   /** The fault in which scale-outs and deletions that were executed arrive once more. */
-  readonly repeatedRequests: RepeatedRequests;
+  readonly repeatedRequests: RequestFault;
   private readonly rate: RateLimit;
   /** Names of machines by the request that provisioned them, so that a repeated request provisions none. */
   private readonly machinesOfRequest = new Map<string, string[]>();
@@ -51,8 +50,8 @@
     this.list = new MachineList(runtime, options.listLagS);
     this.prices = new SpotPrices(runtime);
     this.latency = new Latency(runtime);
-    this.lostReplies = new ReplyLoss(runtime);
-    this.repeatedRequests = new RepeatedRequests(runtime);
+    this.lostReplies = new RequestFault(runtime);
+    this.repeatedRequests = new RequestFault(runtime);
     this.rate = new RateLimit(runtime.clock, options.rps, BURST_S);
   }
 
@@ -119,7 +118,7 @@
     if (!this.rate.tryTake(1)) return serving.TOO_MANY_REQUESTS;
     const parsed = serving.parseCloudRequest(request);
     const changes = parsed.op === 'rent' || parsed.op === 'release';
-    const loss = changes ? this.lostReplies.drawFault() : null;
+    const loss = changes ? this.lostReplies.draw() : null;
     if (loss) {
       await this.lostReplies.waitForDelay(loss);
       this.execute(parsed);
--- a/packages/testing/stand-ins/state/state-service.ts
+++ b/packages/testing/stand-ins/state/state-service.ts
@@ -4,9 +4,8 @@
 import type { Observer } from '../events.js';
 import { NO_REPLY, serveCbor, type CborServer, type ServedRequest } from '../http-server.js';
 import { Latency, NORMAL_LATENCY, type LatencyProfile } from '../latency.js';
-import { ReplyLoss, type LostReplies } from '../lost-replies.js';
+import { RequestFault, type RequestFaultSettings } from '../request-fault.js';
 import { RateLimit } from '../rate-limit.js';
-import { RepeatedRequests } from '../repeated-requests.js';
 import { Availability } from './availability.js';
 import { KeyStore } from './key-store.js';
 import { Leases } from './leases.js';
@@ -35,9 +34,9 @@
   private readonly availability = new Availability();
   private readonly watchers: Watchers;
   private readonly latency: Latency;
-  private readonly lostReplies: ReplyLoss;
+  private readonly lostReplies: RequestFault;
   /** The fault in which transactions and requests about leases that were executed arrive once more. */
-  readonly repeatedRequests: RepeatedRequests;
+  readonly repeatedRequests: RequestFault;
   private requestRate: RateLimit;
   private changeRate: RateLimit;
   private readonly servers: CborServer[] = [];
@@ -54,8 +53,8 @@
     });
     this.watchers = new Watchers(runtime.clock);
     this.latency = new Latency(runtime);
-    this.lostReplies = new ReplyLoss(runtime);
-    this.repeatedRequests = new RepeatedRequests(runtime);
+    this.lostReplies = new RequestFault(runtime);
+    this.repeatedRequests = new RequestFault(runtime);
     this.requestRate = new RateLimit(runtime.clock, limits.rps, BURST_S);
     this.changeRate = new RateLimit(runtime.clock, limits.writeRps, BURST_S);
   }
@@ -109,7 +108,10 @@
   }
 
   /** Lets this share of transactions go unanswered and be applied late, after newer transactions. */
-  beginLateTransactions(share: number, delayS: LostReplies['delayS'] = LATE_TXN_DELAY_S): void {
+  beginLateTransactions(
+    share: number,
+    delayS: RequestFaultSettings['delayS'] = LATE_TXN_DELAY_S,
+  ): void {
     this.lostReplies.begin({ share, delayS });
   }
 
@@ -171,7 +173,7 @@
   ): Promise<serving.WireReply | typeof NO_REPLY> {
     checkTxn(txn, request.body, this.limits);
     if (!this.changeRate.tryTake(txn.changes.length)) return serving.TOO_MANY_REQUESTS;
-    const loss = this.lostReplies.drawFault();
+    const loss = this.lostReplies.draw();
     const { clientHost } = request;
     const arrival = { atS: this.runtime.clock.now(), clientHost, answered: false, repeated: false };
     if (loss) {
--- a/packages/testing/stand-ins/worker/command-server.ts
+++ b/packages/testing/stand-ins/worker/command-server.ts
@@ -4,8 +4,7 @@
 import { parseDirectCommand, type DirectCommand, type WireReply } from '#wire/serving';
 import { NO_REPLY, serveCbor, type CborServer, type ServedRequest } from '../http-server.js';
 import type { Observer } from '../events.js';
-import type { ReplyLoss } from '../lost-replies.js';
-import type { RepeatedRequests } from '../repeated-requests.js';
+import type { RequestFault } from '../request-fault.js';
 
 /** The part of a worker that the command server uses. */
 export interface CommandTarget {
@@ -22,9 +21,9 @@
 /** Faults of the direct commands to all workers of a fleet. */
 export interface CommandFaults {
   /** Commands that are delayed and get no answer. */
-  lateCommands: ReplyLoss;
+  lateCommands: RequestFault;
   /** Commands that were executed and answered and arrive once more. */
-  repeatedCommands: RepeatedRequests;
+  repeatedCommands: RequestFault;
 }
 
 /** Accepts direct commands over HTTP, and simulates commands that are lost, delayed or repeated. */
@@ -61,7 +60,7 @@
 
   private async acceptCommand(command: DirectCommand): Promise<WireReply | typeof NO_REPLY> {
     const { lateCommands } = this.faults;
-    const loss = lateCommands.drawFault();
+    const loss = lateCommands.draw();
     if (loss === null) return this.executeAndReply(command);
     await lateCommands.waitForDelay(loss);
     await this.target.whenRunning();
--- a/packages/testing/stand-ins/worker/sample-workers.ts
+++ b/packages/testing/stand-ins/worker/sample-workers.ts
@@ -13,12 +13,11 @@
 import { serveCbor } from '../http-server.js';
 import type { WireReply } from '#wire/serving';
 import { JobStorage, type JobProgram } from '../job-storage.js';
-import { ReplyLoss } from '../lost-replies.js';
+import { RequestFault } from '../request-fault.js';
 import { SampleWorld } from '../sample-world.js';
 import { makeJob, STANDARD_TYPE } from '../../samples.js';
 import { GangRegistry } from './gang-registry.js';
 import { LateHeartbeats } from './late-heartbeats.js';
-import { RepeatedRequests } from '../repeated-requests.js';
 import { Worker } from './worker.js';
 
 /** The settings of the workers, in seconds. */
@@ -55,8 +54,8 @@
   readonly world = new SampleWorld();
   readonly storage = new JobStorage(this.world.observer);
   readonly lateHeartbeats = new LateHeartbeats(this.world.createRuntime('10.9.0.3'));
-  readonly lateCommands = new ReplyLoss(this.world.createRuntime('10.9.0.1'));
-  readonly repeatedCommands = new RepeatedRequests(this.world.createRuntime('10.9.0.4'));
+  readonly lateCommands = new RequestFault(this.world.createRuntime('10.9.0.1'));
+  readonly repeatedCommands = new RequestFault(this.world.createRuntime('10.9.0.4'));
   readonly controllers = CONTROLLER_NAMES.map(() => new ScriptedController(this.world));
   private readonly commandRuntime = this.world.createRuntime('10.0.0.9', 'controller');
   private readonly gangs = new GangRegistry(this.world.createRuntime('10.9.0.2'));
