--- a/packages/controller/peers/own-status.ts
+++ b/packages/controller/peers/own-status.ts
@@ -8,7 +8,7 @@
   followerHeartbeats: FollowerHeartbeats;
   /** Whether a leader runs in this process. */
   isLeading: () => boolean;
-  /** The largest fencing token that the leader of this process may have handed out; 0 if there is none. */
+  /** The largest fencing token that the leader of this process may hand out; 0 if there is no leader. */
   newestFencingToken: () => number;
   /** Whether a leader runs in this process and hardly any of its workers reach it. */
   isUnreachable: (now: number) => boolean;
@@ -26,7 +26,7 @@
     newestLeader: election.newestLeader,
     unreachable: sources.isUnreachable(now),
     followerHeartbeats: followerHeartbeats.count(),
-    newestFencingToken: sources.newestFencingToken(),
+    newestFencingToken: client.isFailing ? sources.newestFencingToken() : 0,
     jobsRevision: jobs.cache.revision,
   };
 }
--- a/packages/peer/frames.ts
+++ b/packages/peer/frames.ts
@@ -34,7 +34,10 @@
   mayLead: boolean;
   /** Newest leader of the shard that the sender has seen; term 0 if none. */
   newestLeader: { term: number; name: string };
-  /** The largest fencing token that the sender may have handed out in its term; 0 if it does not lead. */
+  /**
+   * The largest fencing token that the sender may have handed out in its term. 0 if the sender does not lead, or if the
+   * state service serves it: nobody else answers workers then.
+   */
   newestFencingToken: number;
   /** The sender leads the shard, but hardly any of its workers reach it. */
   unreachable: boolean;
