An attempt of a job that ended long ago is stopped by a direct command and counted, too

Cause: the leader drops ended jobs from its fleet state; an attempt of such a job that shows up again, as a cancelled task would after a copy of its start, was killed in answers only and neither counted nor logged.

--- a/packages/core/heartbeats/task-reconciler.ts
+++ b/packages/core/heartbeats/task-reconciler.ts
@@ -3,7 +3,7 @@
 import type { Assignments } from '../assignments/assignments.js';
 import type { FleetData } from '../fleet-data.js';
 import type { Assignment, JobState, Machine } from '../model/entities.js';
-import { forgetOrder, killOrder, taskRef } from './answer-orders.js';
+import { forgetOrder, taskRef } from './answer-orders.js';
 import type { StartFencing } from './start-fencing.js';
 import type { UnexpectedAttempts } from './unexpected-attempts.js';
 
@@ -45,7 +45,7 @@
     }
     if (!assignment) {
       if (task.state === 'exited') return this.unassignedTaskExited(machine, task, job, ref);
-      if (!job || task.index >= job.spec.tasks) return killOrder(ref);
+      if (!job || task.index >= job.spec.tasks) return this.unexpected.kill(machine, ref, now);
       // No task should run without a recorded assignment; one that does is assigned until it is gone.
       this.unexpected.adopted(machine, ref, now);
       assignment = this.assignments.adoptUnrecorded(job, task.index, machine, task.attempt, now);
--- a/packages/core/heartbeats/unexpected-attempts.test.ts
+++ b/packages/core/heartbeats/unexpected-attempts.test.ts
@@ -85,3 +85,15 @@
   assert.equal(outcome.kind === 'answer' && outcome.orders[0]?.op, 'stop');
   assert.equal(fleet.unexpectedAttempts.total, 0);
 });
+
+test('an attempt of a job that ended long ago is stopped by a direct command and reported', () => {
+  // Guards against a cancelled task that begins again after its job was dropped from the fleet state.
+  const fleet = makeFleet();
+  const machine = registerMachine(fleet, 'n-1');
+  fleet.heartbeats.handle(makeHeartbeat(), 0);
+  const kill = { op: 'stop', graceS: 0, job: JOB.id, index: 0, attempt: 1 };
+  const heartbeat = makeHeartbeat({ sequence: 2, tasks: [running(1)] });
+  assert.deepEqual(fleet.heartbeats.handle(heartbeat, 1), { kind: 'answer', orders: [kill] });
+  assert.deepEqual(fleet.directOrders.nextOrders(machine, 1), [kill]);
+  assert.equal(fleet.unexpectedAttempts.total, 1);
+});
